--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -18,13 +18,13 @@
 from ragworttiller.placement.policy import Demand, Policy
 from ragworttiller.placement.registry import policy_named
 from ragworttiller.placement.rules import Rules
-from ragworttiller.platform.directory import ListedRunner
-from ragworttiller.platform.runner import Exchange
 from ragworttiller.request.sender import Sending
 from ragworttiller.resources import Resources
 from ragworttiller.routing.attempt import Tools
 from ragworttiller.routing.settings import UpstreamSettings
 from ragworttiller.routing.upstream import UpstreamRouter
+from ragworttiller.services.directory import ListedRunner
+from ragworttiller.services.runner import Exchange
 from ragworttiller.timers import SystemTimers
 
 SIZES = (48, 300, 1300)
--- a/bench/license.py
+++ b/bench/license.py
@@ -20,7 +20,6 @@
 from ragworttiller.exceptions import RagworttillerError
 from ragworttiller.hashing import shard_of
 from ragworttiller.messages import LicensedRequest
-from ragworttiller.platform.runner import Answer
 from ragworttiller.process import commits
 from ragworttiller.process.append_budget import INSTANCE_APPENDS_PER_SECOND, AppendBudget
 from ragworttiller.process.ledger import Ledger
@@ -29,6 +28,7 @@
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import ledger_stream
 from ragworttiller.request.sender import Sender, Sending
+from ragworttiller.services.runner import Answer
 from ragworttiller.timers import SystemTimers
 from standins.memory import MemoryLog
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -12,9 +12,9 @@
 
 from bench.table import Row, verdict
 from ragworttiller.messages import Heartbeat, MemberRow
-from ragworttiller.platform.directory import ListedEntry, Listing
 from ragworttiller.process.gossip import GossipMembership
 from ragworttiller.process.nng_peers import NngPeers
+from ragworttiller.services.directory import ListedEntry, Listing
 from ragworttiller.timers import SystemTimers
 
 GROUP = "membership"
--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -12,13 +12,13 @@
 
 from ragworttiller.decisions import DecisionLog
 from ragworttiller.exceptions import NoRunner, Overloaded, RagworttillerError
-from ragworttiller.platform.directory import Listing
-from ragworttiller.platform.runner import Exchange
 from ragworttiller.process.membership import FixedMembership
 from ragworttiller.request.sender import Sending
 from ragworttiller.routing.dispatcher import Dispatcher
 from ragworttiller.routing.runner import Runner
 from ragworttiller.routing.settings import FixedUpstreams, UpstreamSettings
+from ragworttiller.services.directory import Listing
+from ragworttiller.services.runner import Exchange
 from standins.peers import MemoryNetwork
 from standins.runners_fake import FakeDialer, FakeRunner
 from standins.virtual_time import LoopTimers, run_virtual
--- a/ragworttiller/connection/caller_api.py
+++ b/ragworttiller/connection/caller_api.py
@@ -10,10 +10,10 @@
 from ragworttiller.exceptions import RagworttillerError, Ran, Stopping
 from ragworttiller.messages import LicensedAnswer, LicensedRequest
 from ragworttiller.metrics import Metrics
-from ragworttiller.platform.runner import DEFAULT_CONTENT_TYPE, Answer
 from ragworttiller.request.intake import Intake, check_name, take_in
 from ragworttiller.request.licensed import LicensedRequests
 from ragworttiller.request.sender import Sender, Sending
+from ragworttiller.services.runner import DEFAULT_CONTENT_TYPE, Answer
 from ragworttiller.timers import TimerService
 
 
--- a/ragworttiller/connection/runner_lanes.py
+++ b/ragworttiller/connection/runner_lanes.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from ragworttiller.exceptions import RagworttillerError, RunnerBroken, RunnerRefused
-from ragworttiller.platform.runner import Answer, Exchange, RunnerConnection, RunnerDialer
+from ragworttiller.services.runner import Answer, Exchange, RunnerConnection, RunnerDialer
 from ragworttiller.timers import TimerService
 
 log = logging.getLogger(__name__)
--- a/ragworttiller/connection/server.py
+++ b/ragworttiller/connection/server.py
@@ -6,15 +6,17 @@
 import socket
 import ssl
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
 import anyio
 import uvicorn
-from starlette.applications import Starlette
-from starlette.routing import BaseRoute
-from starlette.types import ASGIApp, Message, Receive, Scope, Send
 from typing_extensions import override
 
-from ragworttiller.config.defaults import TlsSettings
+if TYPE_CHECKING:
+    from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+    from ragworttiller.config.settings import TlsSettings
+
 
 BACKLOG = 2048
 KEEP_ALIVE_SECONDS = 30
@@ -52,24 +54,24 @@
     ----------
     address : str
         ``host:port`` to listen on.
-    routes : list of BaseRoute
-        Routes of the application.
+    app : ASGIApp
+        Application.
     drain : float
         Seconds that requests in progress may take after `stop`.
     tls : TlsSettings
-        Files for HTTPS; plain HTTP without a certificate.
+        Files for HTTPS; plain HTTP without them or without a certificate.
     """
 
     def __init__(
         self,
         address: str,
-        routes: list[BaseRoute],
+        app: ASGIApp,
         drain: float,
-        tls: TlsSettings,
+        tls: TlsSettings | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._socket = _listen(host, int(port))
-        self._app = _ClosingConnections(Starlette(routes=routes))
+        self._app = _ClosingConnections(app)
         config = uvicorn.Config(
             self._app,
             loop="asyncio",
@@ -81,10 +83,10 @@
             backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
             timeout_graceful_shutdown=int(drain),
-            ssl_certfile=tls.certificate,
-            ssl_keyfile=str(tls.key) if tls.key else None,
-            ssl_ca_certs=str(tls.authority) if tls.authority else None,
-            ssl_cert_reqs=ssl.CERT_REQUIRED if tls.authority else ssl.CERT_NONE,
+            ssl_certfile=tls and tls.certificate,
+            ssl_keyfile=str(tls.key) if tls and tls.key else None,
+            ssl_ca_certs=str(tls.authority) if tls and tls.authority else None,
+            ssl_cert_reqs=ssl.CERT_REQUIRED if tls and tls.authority else ssl.CERT_NONE,
         )
         self._server = _Uvicorn(config)
         self._stopped = anyio.Event()
--- a/ragworttiller/connection/status_api.py
+++ b/ragworttiller/connection/status_api.py
@@ -12,8 +12,8 @@
 from ragworttiller.connection.responses import guarded, json_response
 from ragworttiller.decisions import DecisionLog
 from ragworttiller.metrics import Metrics
-from ragworttiller.platform.directory import Listing
 from ragworttiller.process.membership import Membership
+from ragworttiller.services.directory import Listing
 
 
 class Readiness(TypedDict):
--- a/ragworttiller/exceptions.py
+++ b/ragworttiller/exceptions.py
@@ -381,3 +381,111 @@
     status = 504
     ran = Ran.UNKNOWN
     template = "job {job!r} is still {state} after {seconds} s"
+
+
+class AppendConflict(RagworttillerError):
+    """A conditional append did not happen since the partition has grown."""
+
+    code = "append_conflict"
+    status = 409
+    ran = Ran.NO
+    template = "partition {stream!r} ends at offset {end}"
+
+
+class AppendFenced(RagworttillerError):
+    """A producer with a higher epoch has written to the partition."""
+
+    code = "append_fenced"
+    status = 409
+    ran = Ran.NO
+    template = "partition {stream!r} no longer takes appends of epoch {epoch}"
+
+
+class AppendOutOfOrder(RagworttillerError):
+    """The sequence number of an append is not the next one of its producer."""
+
+    code = "append_out_of_order"
+    status = 409
+    ran = Ran.NO
+    template = "partition {stream!r} expects sequence number {expected}"
+
+
+class SubmissionUndecided(RagworttillerError):
+    """Whether a job was stored is not known; the same submission may be repeated."""
+
+    code = "submission_undecided"
+    status = 504
+    ran = Ran.UNKNOWN
+    template = "whether job {job!r} was stored is not known"
+
+
+class StoreDown(RagworttillerError):
+    """The platform's store does not take the record; the job was not accepted and never runs."""
+
+    code = "store_down"
+    status = 503
+    ran = Ran.NO
+    template = "the store does not take job {job!r} now"
+
+
+class QueueUnknown(RagworttillerError):
+    """No queue has this host and path."""
+
+    code = "queue_unknown"
+    status = 404
+    ran = Ran.NO
+    template = "no queue serves {host!r} at {path!r}"
+
+
+class JobUnknown(RagworttillerError):
+    """No accepted job has this identifier."""
+
+    code = "job_unknown"
+    status = 410
+    ran = Ran.NO
+    template = "no job {job!r} exists"
+
+
+class StateUnknown(RagworttillerError):
+    """The state of a job cannot be told now because the store was not read recently."""
+
+    code = "state_unknown"
+    status = 503
+    ran = Ran.UNKNOWN
+    template = "the state of job {job!r} cannot be told now"
+
+
+class Unreadable(RagworttillerError):
+    """Bytes that came from outside do not have the form that was expected."""
+
+    code = "unreadable"
+    status = 400
+    ran = Ran.NO
+    template = "{what} cannot be read: {problem}"
+
+
+class OrderUndecided(RagworttillerError):
+    """A runner gave no answer to an order, which may be carried out later."""
+
+    code = "order_undecided"
+    status = 504
+    ran = Ran.UNKNOWN
+    template = "runner {runner!r} gave no answer to {order}"
+
+
+class RunnerGone(RagworttillerError):
+    """Another boot answers at the address of a runner."""
+
+    code = "runner_gone"
+    status = 410
+    ran = Ran.NO
+    template = "runner {runner!r} has ended"
+
+
+class OrderRefused(RagworttillerError):
+    """A runner refused an order and has done nothing."""
+
+    code = "order_refused"
+    status = 409
+    ran = Ran.NO
+    template = "runner {runner!r} refused {order}: {reason}"
--- a/ragworttiller/logs.py
+++ b/ragworttiller/logs.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 from typing_extensions import override
@@ -30,8 +30,8 @@
     return {k: v for k, v in vars(record).items() if k not in _PLAIN_ATTRIBUTES}
 
 
-def set_up(level: str, form: str, instance: str) -> None:
-    """Send all log records to standard error.
+def set_up(level: str, form: str, instance: str, stream: TextIO | None = None) -> None:
+    """Send all log records to a stream.
 
     Parameters
     ----------
@@ -41,8 +41,10 @@
         ``json`` or ``text``.
     instance : str
         Name of this instance, a field of each JSON line.
+    stream : TextIO, optional
+        Stream to write to, standard error by default.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(TextFormatter() if form == "text" else _json_formatter(instance))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/ragworttiller/platform/__init__.py
+++ b/ragworttiller/platform/__init__.py
@@ -1,3 +1,1 @@
-"""Interfaces to everything outside: log, instance list, workers, runners."""
-
-from __future__ import annotations
+"""Clients of the platform: names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/ragworttiller/platform/advisor.py
@@ -0,0 +1,64 @@
+"""Client of the service that names the runners on which a step may run."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ragworttiller.exceptions import PlatformUnavailable
+from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.scheduling.jobs import StageId
+
+ADVISOR_TIMEOUT_SECONDS = 2.0
+
+
+class _Good(msgspec.Struct):
+    good: list[list[str]] = []
+
+
+class Advisor:
+    """Advisor over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._channels = ChannelSet(address, ADVISOR_TIMEOUT_SECONDS)
+
+    async def advise(
+        self, stage: StageId, runners: Sequence[str], timeout: float
+    ) -> dict[str, str]:
+        """Return a ticket for each named runner that may run the stage.
+
+        Parameters
+        ----------
+        stage : StageId
+            Stage that asks.
+        runners : sequence of str
+            At most 100 runners.
+        timeout : float
+            Seconds to wait for the answer.
+
+        Raises
+        ------
+        PlatformUnavailable
+            No answer came, or too many calls wait.
+        """
+        body = msgspec.json.encode({"step": str(stage), "workers": list(runners)})
+        headers = [("content-type", "application/json")]
+        try:
+            answer = await self._channels.request("POST", "/-/advise", body, headers, timeout)
+            if answer.status != 200:
+                raise PlatformUnavailable(service="advisor")
+            rows = msgspec.json.decode(answer.body, type=_Good).good
+            return {row[0]: row[1] for row in rows if len(row) >= 2}
+        except (NotSent, ExchangeBroken, msgspec.MsgspecError) as exc:
+            raise PlatformUnavailable(service="advisor") from exc
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._channels.close()
--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -9,17 +9,16 @@
 import select
 import time
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 import httpcore
 from typing_extensions import override
 
-from ragworttiller.platform.runner import Answer
-
 IDLE_LIMIT_SECONDS = 4.0
 KEPT_CHANNELS = 8
 OWN_HEADERS = frozenset({"host", "content-length", "connection", "transfer-encoding", "expect"})
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 _NETWORK_FAILURES = (
     httpcore.NetworkError,
@@ -31,6 +30,20 @@
 )
 
 
+class Answer(NamedTuple):
+    """Whole answer of a server."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    @property
+    def content_type(self) -> str:
+        """Value of the header ``Content-Type``, or that of unknown bytes."""
+        names = {name.lower(): value for name, value in self.headers}
+        return names.get("content-type", DEFAULT_CONTENT_TYPE)
+
+
 class NotSent(Exception):
     """No byte of the request was written."""
 
@@ -265,6 +278,8 @@
             with anyio.fail_after(self._timeout if timeout is None else timeout):
                 answer = await channel.request(method, target, headers, body)
         except TimeoutError as exc:
+            # Idle connections to a server that went silent are likely to be silent too.
+            await self.close()
             raise ExchangeBroken("no answer in time") from exc
         if len(self._idle) < KEPT_CHANNELS:
             self._idle.append(channel)
--- /dev/null
+++ b/ragworttiller/platform/configuration.py
@@ -0,0 +1,112 @@
+"""The operator's configuration, decoded."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from ragworttiller.exceptions import Unreadable
+
+
+class AdviceCost(NamedTuple):
+    """Time of a call to the advisor and life of its tickets, in seconds."""
+
+    decision: float
+    per_runner: float
+    validity: float
+
+
+class Queue(NamedTuple):
+    """One queue of jobs; times are in seconds.
+
+    ``attempts`` is the number of failed runs after which a task, and so its job, has failed.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    upstream: str
+    priority: int
+    attempts: int
+    slack_factor: float
+    target_latency: float
+    advice: AdviceCost | None
+
+
+class Configuration(NamedTuple):
+    """One version of the configuration, in full."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    guarded: frozenset[str]
+    max_body: int
+
+
+class _Advice(msgspec.Struct):
+    decision_ms: float = 0.0
+    per_worker_ms: float = 0.0
+    validity_ms: float = 1000.0
+
+
+class _Route(msgspec.Struct):
+    name: str = ""
+    host: str = ""
+    path_prefix: str = "/"
+    service: str = ""
+    priority: int = 0
+    attempts: int = 1
+    slack_factor: float = 1.0
+    target_latency_ms: float = 0.0
+    placement_advisor: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str = ""
+    enforce_limits: bool = False
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 262144
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Return the configuration that the operator wrote.
+
+    Raises
+    ------
+    Unreadable
+        The bytes are no configuration.
+    """
+    try:
+        wire = msgspec.json.decode(value, type=_Configuration)
+    except msgspec.MsgspecError as exc:
+        raise Unreadable(what="configuration", problem=str(exc)) from exc
+    guarded = frozenset(service.name for service in wire.services if service.enforce_limits)
+    queues = tuple(map(_queue, wire.routes))
+    return Configuration(wire.version, queues, guarded, wire.limits.max_body_bytes)
+
+
+def _queue(route: _Route) -> Queue:
+    wire = route.placement_advisor
+    advice = wire and AdviceCost(
+        wire.decision_ms / 1000, wire.per_worker_ms / 1000, wire.validity_ms / 1000
+    )
+    return Queue(
+        route.name,
+        route.host,
+        route.path_prefix,
+        route.service,
+        route.priority,
+        route.attempts,
+        route.slack_factor,
+        route.target_latency_ms / 1000,
+        advice,
+    )
--- /dev/null
+++ b/ragworttiller/platform/listing.py
@@ -0,0 +1,65 @@
+"""Entries that runners keep in the store, decoded."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from ragworttiller.exceptions import Unreadable
+from ragworttiller.resources import Resources
+
+
+class RunnerEntry(NamedTuple):
+    """What a runner reports of itself; ``remaining`` is the least time left, in seconds."""
+
+    runner: str
+    upstream: str
+    address: str
+    failure_domain: str
+    capacity: Resources
+    labels: frozenset[str]
+    draining: bool
+    remaining: float | None
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct):
+    address: str
+    service: str = ""
+    zone: str = ""
+    state: str = "ready"
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    labels: list[str] = []
+    remaining_ms: float | None = None
+
+
+def decode_entry(runner: str, value: bytes) -> RunnerEntry:
+    """Return the entry that a runner wrote under its identifier.
+
+    Raises
+    ------
+    Unreadable
+        The bytes are no entry.
+    """
+    try:
+        wire = msgspec.json.decode(value, type=_Entry)
+    except msgspec.MsgspecError as exc:
+        raise Unreadable(what=f"entry of runner {runner!r}", problem=str(exc)) from exc
+    capacity = Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu)
+    remaining = None if wire.remaining_ms is None else wire.remaining_ms / 1000
+    return RunnerEntry(
+        runner,
+        wire.service,
+        wire.address,
+        wire.zone,
+        capacity,
+        frozenset(wire.labels),
+        wire.state != "ready",
+        remaining,
+    )
--- /dev/null
+++ b/ragworttiller/platform/names.py
@@ -0,0 +1,31 @@
+"""Names of tasks as runners and the advisor write them."""
+
+from __future__ import annotations
+
+import re
+
+from ragworttiller.exceptions import Unreadable
+from ragworttiller.scheduling.jobs import StageId, TaskId
+
+_JOB = re.compile(r"[0-9a-fA-F]{16}")
+_TASK = re.compile(r"([0-9a-fA-F]{16})\.(\d{1,9})\.(\d{1,6})\.(\d{1,6})")
+
+
+def task_id(text: str) -> TaskId:
+    """Return the task that a name stands for.
+
+    Raises
+    ------
+    Unreadable
+        The text is not the name of a task.
+    """
+    found = _TASK.fullmatch(text)
+    if found is None:
+        raise Unreadable(what="name of a task", problem=text[:80])
+    job, occurrence, step, index = found.groups()
+    return TaskId(StageId(job, int(occurrence), int(step)), int(index))
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text can be the identifier of a job."""
+    return _JOB.fullmatch(text) is not None
--- /dev/null
+++ b/ragworttiller/platform/store.py
@@ -0,0 +1,288 @@
+"""Client of the platform's store: an append-only log with partitions and keyed topics."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Sequence
+from typing import NamedTuple, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from ragworttiller.exceptions import (
+    AppendConflict,
+    AppendFenced,
+    AppendOutOfOrder,
+    AppendUndecided,
+    LogUnavailable,
+    RecordsExpired,
+    Unreadable,
+)
+from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent, Traffic
+
+T = TypeVar("T")
+
+LENGTH_BYTES = 4
+OFFSET_BYTES = 8
+READ_MAX_KB = 1024
+ANSWER_TIMEOUT_SECONDS = 1.0
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+RUNNERS_TOPIC = "keyed.servers"
+
+
+class Partition(NamedTuple):
+    """One partition of a topic."""
+
+    topic: str
+    part: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.topic}/{self.part}"
+
+
+class Record(NamedTuple):
+    """Record of a keyed topic; ``value`` is empty where the key was dropped."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+class Producer(NamedTuple):
+    """Writer whose repeated appends are done once, and which a higher epoch shuts out."""
+
+    name: str
+    epoch: int
+
+
+class Slice(NamedTuple):
+    """Records of a partition from one offset on, with the partition's bounds."""
+
+    end: int
+    first: int
+    records: list[Record]
+
+
+class Newest(NamedTuple):
+    """Page of the newest record of each key; ``after`` continues it, empty on the last page."""
+
+    end: int
+    after: str
+    records: list[Record]
+
+
+class _Appended(msgspec.Struct):
+    offset: int = 0
+    end: int = 0
+    reason: str = ""
+    seq: int | None = None
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Page(msgspec.Struct):
+    end: int
+    items: list[_Item] = []
+    has_more: bool = False
+
+
+class _Expired(msgspec.Struct):
+    first: int = 0
+
+
+class KeyedRecord(NamedTuple):
+    """Key and value to append."""
+
+    key: str
+    value: bytes
+
+
+class Store:
+    """Store of the platform over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the store.
+    timeout : float
+        Seconds to wait for an answer, beyond the wait of a read.
+    """
+
+    def __init__(self, address: str, timeout: float = ANSWER_TIMEOUT_SECONDS) -> None:
+        self._channels = ChannelSet(address, timeout)
+        self._timeout = timeout
+
+    @property
+    def traffic(self) -> Traffic:
+        """Calls and bytes so far."""
+        return self._channels.traffic
+
+    async def append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        producer: Producer | None = None,
+        sequence: int = 0,
+        at: int | None = None,
+    ) -> int:
+        """Append records, all or none, and return the partition's new end.
+
+        Parameters
+        ----------
+        partition : Partition
+            Partition of a keyed topic.
+        records : sequence of KeyedRecord
+            Nothing is appended if empty; the epoch then takes effect all the same.
+        producer : Producer, optional
+            Writer; a repeat of a recent sequence number gets its first answer again, whoever
+            sends it.
+        sequence : int
+            Number of this append within the epoch.
+        at : int, optional
+            Append only if the partition ends at this offset.
+
+        Raises
+        ------
+        AppendConflict
+            The partition does not end at ``at``.
+        AppendFenced
+            A higher epoch of the producer has written.
+        AppendOutOfOrder
+            The sequence number does not follow the last one.
+        AppendUndecided
+            The answer is unknown.
+        LogUnavailable
+            Nothing was done.
+        """
+        query: dict[str, object] = {"topic": partition.topic, "part": partition.part}
+        if producer is not None:
+            query |= {"producer": producer.name, "epoch": producer.epoch, "seq": sequence}
+        if at is not None:
+            query["at"] = at
+        body = b"".join(map(_frame, records))
+        status, content = await self._append_call("/-/log-append?" + urlencode(query), body)
+        if status in (429, 503, 507):
+            raise LogUnavailable(stream=str(partition))
+        try:
+            answer = msgspec.json.decode(content, type=_Appended)
+        except msgspec.MsgspecError as exc:
+            raise AppendUndecided(stream=str(partition)) from exc
+        if status == 200:
+            return answer.end
+        if status == 412:
+            raise AppendConflict(stream=str(partition), end=answer.end)
+        if status == 409 and answer.reason == "seq" and answer.seq is not None:
+            raise AppendOutOfOrder(stream=str(partition), expected=answer.seq)
+        if status == 409:
+            raise AppendFenced(stream=str(partition), epoch=producer and producer.epoch)
+        raise LogUnavailable(stream=str(partition))
+
+    async def read(self, partition: Partition, offset: int, wait: float = 0.0) -> Slice:
+        """Return the records of a keyed topic from ``offset`` on.
+
+        Waits up to ``wait`` seconds for a first one.
+
+        Raises
+        ------
+        LogUnavailable
+            No whole answer came.
+        RecordsExpired
+            The records at ``offset`` are deleted.
+        """
+        query = {
+            "topic": partition.topic,
+            "part": partition.part,
+            "from": offset,
+            "max_kb": READ_MAX_KB,
+        }
+        if wait:
+            query["wait_ms"] = int(wait * 1000)
+        target = "/-/log-read?" + urlencode(query)
+        status, content = await self._read_call(partition, target, wait)
+        if status == 410:
+            start = _decode(content, _Expired).first
+            raise RecordsExpired(stream=str(partition), start=start, wanted=offset)
+        if status != 200 or len(content) < 2 * OFFSET_BYTES:
+            raise LogUnavailable(stream=str(partition))
+        return _slice(content, offset)
+
+    async def newest(self, partition: Partition, after: str = "") -> Newest:
+        """Return a page of the newest record of each key, those after the key ``after``.
+
+        Raises
+        ------
+        LogUnavailable
+            No whole answer came.
+        """
+        query: dict[str, object] = {"topic": partition.topic, "part": partition.part}
+        if after:
+            query["after"] = after
+        status, content = await self._read_call(partition, "/-/log-newest?" + urlencode(query), 0.0)
+        if status != 200:
+            raise LogUnavailable(stream=str(partition))
+        try:
+            page = _decode(content, _Page)
+            records = [Record(i.offset, i.key, base64.b64decode(i.value)) for i in page.items]
+        except (Unreadable, ValueError) as exc:
+            raise LogUnavailable(stream=str(partition)) from exc
+        more = page.items[-1].key if page.has_more and page.items else ""
+        return Newest(page.end, more, records)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._channels.close()
+
+    async def _append_call(self, target: str, body: bytes) -> tuple[int, bytes]:
+        try:
+            answer = await self._channels.request("POST", target, body)
+        except NotSent as exc:
+            raise LogUnavailable(stream=target) from exc
+        except ExchangeBroken as exc:
+            raise AppendUndecided(stream=target) from exc
+        return answer.status, answer.body
+
+    async def _read_call(self, partition: Partition, target: str, wait: float) -> tuple[int, bytes]:
+        try:
+            answer = await self._channels.request("GET", target, timeout=self._timeout + wait)
+        except (NotSent, ExchangeBroken) as exc:
+            raise LogUnavailable(stream=str(partition)) from exc
+        return answer.status, answer.body
+
+
+def _frame(record: KeyedRecord) -> bytes:
+    key = record.key.encode()
+    length = 1 + len(key) + len(record.value)
+    return length.to_bytes(LENGTH_BYTES, "big") + bytes([len(key)]) + key + record.value
+
+
+def _slice(content: bytes, offset: int) -> Slice:
+    end = int.from_bytes(content[:OFFSET_BYTES], "big")
+    first = int.from_bytes(content[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
+    records: list[Record] = []
+    position = 2 * OFFSET_BYTES
+    while position + LENGTH_BYTES <= len(content):
+        start = position + LENGTH_BYTES
+        position = start + int.from_bytes(content[position:start], "big")
+        records.append(_record(offset + len(records), content[start:position]))
+    return Slice(end, first, records)
+
+
+def _record(offset: int, data: bytes) -> Record:
+    """Return the record; one that cannot be read has no key and no value."""
+    length = data[0] if data else 0
+    key = data[1 : 1 + length]
+    if not data or len(key) < length:
+        return Record(offset, "", b"")
+    return Record(offset, key.decode("utf-8", "replace"), data[1 + length :])
+
+
+def _decode(content: bytes, form: type[T]) -> T:
+    try:
+        return msgspec.json.decode(content, type=form)
+    except msgspec.MsgspecError as exc:
+        raise Unreadable(what=form.__name__, problem=str(exc)) from exc
--- /dev/null
+++ b/ragworttiller/platform/submissions.py
@@ -0,0 +1,120 @@
+"""Jobs as callers submit them, and the bodies of answers to callers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ragworttiller.exceptions import InvalidField, RagworttillerError, Unreadable
+from ragworttiller.resources import Resources
+from ragworttiller.scheduling.jobs import JobSpec, Occurrences, StepSpec
+
+MAX_SPEC_BYTES = 4000
+MAX_TASKS = 100_000
+DEADLINE_HEADER = b"ragworttiller-deadline-ms"
+
+
+class _Step(msgspec.Struct):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: list[int] = []
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    daemon: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    disruption_budget: int = 0
+
+
+class _Job(msgspec.Struct):
+    steps: list[_Step]
+    spec: str = ""
+    times: int = 0
+    first_run_ms: float = 0.0
+    interval_ms: float = 0.0
+
+
+def decode_job(body: bytes) -> JobSpec:
+    """Return the job that a caller submits.
+
+    Raises
+    ------
+    Unreadable
+        The body is no job.
+    InvalidField
+        A field has a value that no job can have.
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_Job)
+    except msgspec.MsgspecError as exc:
+        raise Unreadable(what="job", problem=str(exc)) from exc
+    if len(wire.spec.encode()) > MAX_SPEC_BYTES:
+        raise _invalid("spec", "is too long", f"{MAX_SPEC_BYTES} bytes")
+    if not wire.steps:
+        raise _invalid("steps", "has no entry", "one or more")
+    if sum(max(step.count, 0) for step in wire.steps) > MAX_TASKS:
+        raise _invalid("steps", "has too many tasks", f"{MAX_TASKS} tasks in all")
+    steps = tuple(_step(number, step) for number, step in enumerate(wire.steps))
+    occurrences = None
+    if wire.times > 0:
+        occurrences = Occurrences(wire.times, wire.first_run_ms / 1000, wire.interval_ms / 1000)
+    return JobSpec(wire.spec, steps, occurrences)
+
+
+def _step(number: int, wire: _Step) -> StepSpec:
+    if wire.count < 1:
+        raise _invalid(f"steps[{number}].count", "is too small", "1 or more")
+    if min(wire.cpu, wire.mem_mb, wire.gpu) < 0:
+        raise _invalid(
+            f"steps[{number}]", "asks for less than nothing", "0 or more of each resource"
+        )
+    if any(not 0 <= earlier < number for earlier in wire.after):
+        raise _invalid(f"steps[{number}].after", "names no earlier step", f"0 to {number - 1}")
+    return StepSpec(
+        count=wire.count,
+        size=Resources(wire.cpu, wire.mem_mb, wire.gpu),
+        estimate=max(wire.estimate_ms, 0.0) / 1000,
+        after=tuple(sorted(set(wire.after))),
+        checkpoints=wire.checkpoints,
+        gang=wire.gang,
+        same_rack=wire.same_rack,
+        label=wire.requires,
+        data_rack=wire.data_rack,
+        per_runner=wire.anti_affinity,
+        speculative=wire.speculative,
+        daemon=wire.daemon,
+        image=wire.image,
+        target=wire.target_ms / 1000,
+        fills=wire.fills,
+        disruption_budget=wire.disruption_budget,
+    )
+
+
+def _invalid(field: str, problem: str, allowed: str) -> InvalidField:
+    return InvalidField(field=field, problem=problem, allowed=allowed)
+
+
+def state_body(state: str) -> bytes:
+    """Return the body of an answer that gives a job's state."""
+    return msgspec.json.encode({"state": state})
+
+
+def pending_body(count: int) -> bytes:
+    """Return the body of an answer that gives the number of jobs that have not begun."""
+    return msgspec.json.encode({"pending": count})
+
+
+def error_body(error: RagworttillerError) -> bytes:
+    """Return the body of a refusal."""
+    body: dict[str, Any] = {"error": error.body()}
+    return msgspec.json.encode(body)
--- a/ragworttiller/process/attempts.py
+++ b/ragworttiller/process/attempts.py
@@ -21,12 +21,12 @@
 )
 from ragworttiller.hashing import digest
 from ragworttiller.messages import LicensedAnswer, LicensedRequest
-from ragworttiller.platform.runner import Exchange
 from ragworttiller.process.fold import Committed
 from ragworttiller.process.ledger_fold import LedgerFold, Settled
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import GiveUp, Intent, Outcome
 from ragworttiller.request.sender import Sender, Sending
+from ragworttiller.services.runner import Exchange
 from ragworttiller.timers import TimerService
 
 log = logging.getLogger(__name__)
--- a/ragworttiller/process/cell.py
+++ b/ragworttiller/process/cell.py
@@ -12,8 +12,6 @@
 
 from ragworttiller.decisions import DecisionLog
 from ragworttiller.messages import ShardRoom
-from ragworttiller.platform.directory import Listing
-from ragworttiller.platform.worker import WorkerFleet
 from ragworttiller.process.cell_calls import CellCalls
 from ragworttiller.process.cell_state import CellContext, CellState, Items
 from ragworttiller.process.declarations import Declarations
@@ -43,6 +41,8 @@
 from ragworttiller.process.task_starter import TaskStarter
 from ragworttiller.process.worker_keeper import WorkerKeeper
 from ragworttiller.resources import NOTHING
+from ragworttiller.services.directory import Listing
+from ragworttiller.services.worker import WorkerFleet
 from ragworttiller.timers import TimerService
 
 HOUSEKEEPING_SECONDS = 2.0
--- a/ragworttiller/process/cell_state.py
+++ b/ragworttiller/process/cell_state.py
@@ -11,8 +11,6 @@
 from ragworttiller.decisions import DecisionLog
 from ragworttiller.exceptions import AppendUndecided, LogUnavailable, RagworttillerError
 from ragworttiller.hashing import shard_of
-from ragworttiller.platform.directory import ListedWorker, Listing
-from ragworttiller.platform.worker import Worker, WorkerFleet
 from ragworttiller.process.cell_fold import CellFold
 from ragworttiller.process.cell_rows import JobRow
 from ragworttiller.process.fold import Committed
@@ -21,6 +19,8 @@
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import TaskEnded
 from ragworttiller.resources import NOTHING, Resources
+from ragworttiller.services.directory import ListedWorker, Listing
+from ragworttiller.services.worker import Worker, WorkerFleet
 from ragworttiller.timers import TimerService
 
 COMMIT_SECONDS = 2.0
--- a/ragworttiller/process/commits.py
+++ b/ragworttiller/process/commits.py
@@ -14,9 +14,9 @@
 import anyio
 
 from ragworttiller.exceptions import AppendUndecided, LogUnavailable, RagworttillerError
-from ragworttiller.platform.log import Log
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.fold import Committed
+from ragworttiller.services.log import Log
 from ragworttiller.timers import TimerService
 
 RETRY_PAUSE_SECONDS = 0.2
--- a/ragworttiller/process/declarations.py
+++ b/ragworttiller/process/declarations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ragworttiller.platform.directory import ListedWorker
 from ragworttiller.process.bookings import WorkerRow
 from ragworttiller.process.cell_rows import job_of
 from ragworttiller.process.cell_state import CellState
@@ -11,6 +10,7 @@
 from ragworttiller.process.room_view import RoomView
 from ragworttiller.process.task_endings import PREEMPTED
 from ragworttiller.records import WorkerDeclared
+from ragworttiller.services.directory import ListedWorker
 
 FOLLOW_SECONDS = 0.5
 ABSENT_SECONDS = 15.0
--- a/ragworttiller/process/feasibility.py
+++ b/ragworttiller/process/feasibility.py
@@ -8,9 +8,9 @@
 from ragworttiller.placement.index import RoomIndex, Site, WorkerRoom, site_allowed
 from ragworttiller.placement.obstacles import obstacle
 from ragworttiller.placement.rules import Rules
-from ragworttiller.platform.directory import Listing
 from ragworttiller.process.backfill import copies
 from ragworttiller.resources import Resources
+from ragworttiller.services.directory import Listing
 from ragworttiller.version.template import JobSpec
 
 Shape = tuple[Site, Resources]
--- a/ragworttiller/process/gossip.py
+++ b/ragworttiller/process/gossip.py
@@ -10,7 +10,6 @@
 from typing_extensions import override
 
 from ragworttiller.messages import Beat, Counts, Heartbeat, MemberRow, NamesWanted
-from ragworttiller.platform.directory import Listing
 from ragworttiller.process.heartbeats import (
     LEAVING,
     LEFT,
@@ -23,6 +22,7 @@
 )
 from ragworttiller.process.membership import Membership
 from ragworttiller.process.peers import Peers
+from ragworttiller.services.directory import Listing
 from ragworttiller.timers import TimerService
 
 log = logging.getLogger(__name__)
--- a/ragworttiller/process/listing.py
+++ b/ragworttiller/process/listing.py
@@ -5,7 +5,7 @@
 import logging
 
 from ragworttiller.exceptions import PlatformUnavailable
-from ragworttiller.platform.directory import Directory, Listing
+from ragworttiller.services.directory import Directory, Listing
 from ragworttiller.timers import TimerService
 
 log = logging.getLogger(__name__)
--- a/ragworttiller/process/nng_peers.py
+++ b/ragworttiller/process/nng_peers.py
@@ -15,6 +15,7 @@
 import pynng
 from typing_extensions import override
 
+from ragworttiller.codec import Codec
 from ragworttiller.exceptions import InvalidField, PeerUnreachable, RagworttillerError
 from ragworttiller.messages import ENVELOPE_CODEC, PAYLOAD_CODEC, Envelope, ErrorReply
 from ragworttiller.process.calls import ANY_INCARNATION, Call, CallTable
@@ -55,9 +56,19 @@
         ``IP number:port`` that other instances connect to.
     timers : TimerService
         Source of time.
+    codec : Codec
+        Codec of the messages.
     """
 
-    def __init__(self, instance: str, incarnation: int, address: str, timers: TimerService) -> None:
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        address: str,
+        timers: TimerService,
+        codec: Codec = PAYLOAD_CODEC,
+    ) -> None:
+        self._codec = codec
         self._instance = instance
         self._incarnation = incarnation
         self._address = address
@@ -193,7 +204,7 @@
     def _envelope(self, receiver: str, message: Any, correlation: int) -> Envelope:
         peer = self._peers.get(receiver)
         incarnation = ANY_INCARNATION if peer is None else peer.incarnation
-        payload = PAYLOAD_CODEC.encode_one(message)
+        payload = self._codec.encode_one(message)
         return Envelope(
             self._instance, self._incarnation, receiver, incarnation, correlation, False, payload
         )
@@ -257,7 +268,7 @@
         if envelope.receiver != self._instance or not addressed:
             return
         try:
-            message = PAYLOAD_CODEC.decode_one(envelope.payload)
+            message = self._codec.decode_one(envelope.payload)
         except InvalidField as exc:
             log.warning("a message from %s is dropped: %s", envelope.sender, exc)
             return
@@ -289,7 +300,7 @@
             envelope.sender_incarnation,
             envelope.correlation,
             True,
-            PAYLOAD_CODEC.encode_one(message),
+            self._codec.encode_one(message),
         )
         self._send(reply, None)
 
--- a/ragworttiller/process/node.py
+++ b/ragworttiller/process/node.py
@@ -8,6 +8,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from starlette.applications import Starlette
 
 from ragworttiller.config.defaults import Settings
 from ragworttiller.connection.caller_api import CallerApi
@@ -18,12 +19,6 @@
 from ragworttiller.decisions import Decision, DecisionLog
 from ragworttiller.messages import MemberRow
 from ragworttiller.metrics import Metrics, usage
-from ragworttiller.platform.http import (
-    HttpDirectory,
-    HttpLog,
-    HttpRunnerDialer,
-    HttpWorkerFleet,
-)
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.cell import Cell
 from ragworttiller.process.cell_fold import CellFold
@@ -41,6 +36,12 @@
 from ragworttiller.records import CONFIG_STREAM, cell_stream, ledger_stream
 from ragworttiller.request.licensed import LicensedRequests
 from ragworttiller.routing.dispatcher import Dispatcher
+from ragworttiller.services.http import (
+    HttpDirectory,
+    HttpLog,
+    HttpRunnerDialer,
+    HttpWorkerFleet,
+)
 from ragworttiller.timers import TimerService
 from ragworttiller.version.config_fold import ConfigFold
 from ragworttiller.version.drains import DRAIN_KINDS, Drains, check_drain
@@ -270,7 +271,14 @@
         drains = DrainApi(self._drains, access)
         return HttpServer(
             settings.instance.http_address,
-            [*status.routes(), *self._callers.routes(), *operators.routes(), *drains.routes()],
+            Starlette(
+                routes=[
+                    *status.routes(),
+                    *self._callers.routes(),
+                    *operators.routes(),
+                    *drains.routes(),
+                ]
+            ),
             settings.limits.drain_seconds,
             settings.tls,
         )
--- a/ragworttiller/process/stream.py
+++ b/ragworttiller/process/stream.py
@@ -16,12 +16,12 @@
 
 from ragworttiller.codec import Codec
 from ragworttiller.exceptions import InvalidField, LogUnavailable, RecordsExpired
-from ragworttiller.platform.log import Log, LogSlice
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.commits import CommitQueue
 from ragworttiller.process.fold import VALID, Committed, Fold, Verdict
 from ragworttiller.process.snapshots import SnapshotCollector, split_snapshot
 from ragworttiller.records import RECORD_CODEC, SnapshotPart
+from ragworttiller.services.log import Log, LogSlice
 from ragworttiller.timers import TimerService
 
 log = logging.getLogger(__name__)
--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ragworttiller.platform.worker import TaskReport
 from ragworttiller.process.bookings import trim
 from ragworttiller.process.cell_rows import JobRow, Running, index_of, job_of
 from ragworttiller.process.cell_state import Attempt, CellState
@@ -15,6 +14,7 @@
 from ragworttiller.process.quarantine import Quarantine
 from ragworttiller.process.retries import STABLE_SECONDS, Retries
 from ragworttiller.process.task_sizes import TaskSizes
+from ragworttiller.services.worker import TaskReport
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/process/task_sizes.py
+++ b/ragworttiller/process/task_sizes.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from ragworttiller.platform.worker import TaskReport
 from ragworttiller.process.cell_rows import Running
 from ragworttiller.process.cell_state import CellState
 from ragworttiller.process.room_view import RoomView
 from ragworttiller.records import TaskResized
 from ragworttiller.resources import Resources
+from ragworttiller.services.worker import TaskReport
 
 RESIZE_SECONDS = 10.0
 
--- a/ragworttiller/process/task_starter.py
+++ b/ragworttiller/process/task_starter.py
@@ -11,7 +11,6 @@
 from ragworttiller.decisions import Decision
 from ragworttiller.exceptions import RagworttillerError, WorkerRefused, WorkerUnreachable
 from ragworttiller.placement.policy import Choice
-from ragworttiller.platform.worker import TaskSpec
 from ragworttiller.process.cell_rows import JobRow, job_of
 from ragworttiller.process.cell_state import CellState, PlannedTask, Sent, failed
 from ragworttiller.process.fold import Committed
@@ -19,6 +18,7 @@
 from ragworttiller.process.task_endings import NEVER_STARTED, TaskEndings
 from ragworttiller.records import HoldDecided, TaskStarted
 from ragworttiller.resources import Resources
+from ragworttiller.services.worker import TaskSpec
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/process/worker_keeper.py
+++ b/ragworttiller/process/worker_keeper.py
@@ -10,11 +10,11 @@
 from anyio.abc import TaskGroup
 
 from ragworttiller.exceptions import WorkerRefused, WorkerUnreachable
-from ragworttiller.platform.worker import TaskReport, Worker
 from ragworttiller.process.cell_state import Attempt, CellState
 from ragworttiller.process.room_view import RoomView
 from ragworttiller.process.task_endings import TaskEndings
 from ragworttiller.resources import NOTHING
+from ragworttiller.services.worker import TaskReport, Worker
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/request/intake.py
+++ b/ragworttiller/request/intake.py
@@ -9,7 +9,7 @@
 from starlette.requests import Request
 
 from ragworttiller.exceptions import BodyTooLarge, InvalidField, KeyMissing
-from ragworttiller.platform.runner import Exchange
+from ragworttiller.services.runner import Exchange
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_KEY_LENGTH = 200
--- a/ragworttiller/request/sender.py
+++ b/ragworttiller/request/sender.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-from ragworttiller.platform.runner import Answer, Exchange
+from ragworttiller.services.runner import Answer, Exchange
 
 
 class Sending(NamedTuple):
--- a/ragworttiller/routing/attempts.py
+++ b/ragworttiller/routing/attempts.py
@@ -14,12 +14,12 @@
     RunnerBroken,
     RunnerRefused,
 )
-from ragworttiller.platform.runner import Answer
 from ragworttiller.request.sender import Sending
 from ragworttiller.routing.attempt import Attempt
 from ragworttiller.routing.budget import pause
 from ragworttiller.routing.runner import Runner
 from ragworttiller.routing.upstream import SERVER_ERROR, UpstreamRouter
+from ragworttiller.services.runner import Answer
 from ragworttiller.timers import TimerService
 
 MAX_REFUSALS = 3
--- a/ragworttiller/routing/dispatcher.py
+++ b/ragworttiller/routing/dispatcher.py
@@ -14,8 +14,6 @@
 from ragworttiller.decisions import Decision, DecisionLog
 from ragworttiller.exceptions import NoRunner, NotReady
 from ragworttiller.messages import RunnerLoads
-from ragworttiller.platform.directory import ListedRunner, Listing
-from ragworttiller.platform.runner import Answer, RunnerDialer
 from ragworttiller.process.membership import Membership
 from ragworttiller.process.peers import Peers
 from ragworttiller.request.sender import Sender, Sending
@@ -26,6 +24,8 @@
 from ragworttiller.routing.runner import Runner
 from ragworttiller.routing.settings import UpstreamSource
 from ragworttiller.routing.upstream import NO_RUNNER_RETRY_SECONDS, UpstreamRouter
+from ragworttiller.services.directory import ListedRunner, Listing
+from ragworttiller.services.runner import Answer, RunnerDialer
 from ragworttiller.timers import TimerService
 
 log = logging.getLogger(__name__)
--- a/ragworttiller/routing/runners.py
+++ b/ragworttiller/routing/runners.py
@@ -7,10 +7,10 @@
 from collections.abc import Iterable
 from statistics import median
 
-from ragworttiller.platform.directory import ListedRunner
 from ragworttiller.routing.policy import RoutingPolicy
 from ragworttiller.routing.runner import MIN_SAMPLES, Runner, RunnerState
 from ragworttiller.routing.settings import UpstreamSettings
+from ragworttiller.services.directory import ListedRunner
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/routing/upstream.py
+++ b/ragworttiller/routing/upstream.py
@@ -12,8 +12,6 @@
     Overloaded,
     RunnerRefused,
 )
-from ragworttiller.platform.directory import ListedRunner
-from ragworttiller.platform.runner import Answer
 from ragworttiller.request.sender import Sending
 from ragworttiller.routing.admission import Admission
 from ragworttiller.routing.attempt import Attempt, Tools
@@ -25,6 +23,8 @@
 from ragworttiller.routing.runners import RunnerTable
 from ragworttiller.routing.settings import UpstreamSettings
 from ragworttiller.routing.waiting import Waiter, WaitQueue
+from ragworttiller.services.directory import ListedRunner
+from ragworttiller.services.runner import Answer
 
 SERVER_ERROR = 500
 NO_RUNNER_RETRY_SECONDS = 1.0
--- /dev/null
+++ b/ragworttiller/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of jobs on the platform's runners."""
--- /dev/null
+++ b/ragworttiller/scheduling/acceptance.py
@@ -0,0 +1,214 @@
+"""What an entry answers to callers: submissions, states, cancellations and counts."""
+
+from __future__ import annotations
+
+import logging
+from typing import NamedTuple
+
+from ragworttiller.exceptions import (
+    AppendUndecided,
+    JobUnknown,
+    LogUnavailable,
+    NotReady,
+    QueueUnknown,
+    StateUnknown,
+    StoreDown,
+    SubmissionUndecided,
+)
+from ragworttiller.platform.configuration import Queue
+from ragworttiller.platform.names import is_job_id
+from ragworttiller.platform.store import KeyedRecord
+from ragworttiller.platform.submissions import decode_job
+from ragworttiller.scheduling.cell import queue_key
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.config_fold import ConfigFold
+from ragworttiller.scheduling.feed import Feed
+from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.job_fold import JobFold, JobRow
+from ragworttiller.scheduling.ownership import OwnerFold
+from ragworttiller.scheduling.records import (
+    CANCEL_SUFFIX,
+    Accepted,
+    JobState,
+    encode,
+)
+
+log = logging.getLogger(__name__)
+
+ACCEPT_SECONDS = 1.5
+# A refusal by the store stands for this long, so that callers do not wait for the next one.
+REFUSAL_SECONDS = 0.3
+RETRY_AFTER_SECONDS = 1.0
+FRESH_SECONDS = 1.0
+CANCELLED = b"1"
+
+
+class Target(NamedTuple):
+    """Queue of a request, and the job it names; ``job`` is empty for the queue itself."""
+
+    queue: Queue
+    job: str
+
+
+class Acceptance:
+    """Answers callers from the store's records.
+
+    Parameters
+    ----------
+    config : ConfigFold
+        Configuration in force.
+    jobs : JobFold
+        Jobs that the store holds.
+    feed : Feed
+        Feed of the jobs.
+    owner : OwnerFold
+        Last claim, which has the counts of jobs that have not begun.
+    writer : GroupCommit
+        Writer of this entry to the jobs.
+    clock : Clock
+        Source of time.
+    name : str
+        Name of this instance.
+    """
+
+    def __init__(
+        self,
+        config: ConfigFold,
+        jobs: JobFold,
+        feed: Feed,
+        owner: OwnerFold,
+        writer: GroupCommit,
+        clock: Clock,
+        name: str,
+    ) -> None:
+        self._name = name
+        self._config = config
+        self._jobs = jobs
+        self._feed = feed
+        self._owner = owner
+        self._writer = writer
+        self._clock = clock
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be answered."""
+        return self._config.current is not None and self._feed.ready
+
+    @property
+    def max_body(self) -> int:
+        """Longest body of a request, in bytes."""
+        return self._config.current.max_body if self._config.current else 0
+
+    def target(self, host: str, path: str) -> Target:
+        """Return what a request is about.
+
+        Raises
+        ------
+        NotReady
+            There is no configuration yet.
+        QueueUnknown
+            There is no such queue, or what follows its prefix is no identifier of a job.
+        """
+        if not self.ready:
+            reason = "the configuration or the jobs are not read yet"
+            raise NotReady(instance=self._name, reason=reason, retry_after=RETRY_AFTER_SECONDS)
+        queue = self._config.find(host, path)
+        job = path[len(queue.prefix) :]
+        if job and not is_job_id(job):
+            raise QueueUnknown(host=host, path=path)
+        return Target(queue, job)
+
+    async def submit(self, target: Target, body: bytes, timeout: float) -> None:
+        """Store a job, once for its identifier.
+
+        Raises
+        ------
+        Unreadable, InvalidField
+            The body is no job.
+        StoreDown
+            The job was not accepted and never runs.
+        SubmissionUndecided
+            Whether the job was accepted is not known.
+        """
+        if self._jobs.get(target.job) is not None:
+            return
+        job = decode_job(body)
+        record = KeyedRecord(target.job, encode(Accepted(target.queue, job, self._clock.wall())))
+        try:
+            await self._append(record, timeout)
+        except LogUnavailable as exc:
+            raise StoreDown(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+        except AppendUndecided as exc:
+            raise SubmissionUndecided(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+
+    async def state(self, target: Target) -> JobState:
+        """Return the state of a job.
+
+        Raises
+        ------
+        JobUnknown
+            No such job was accepted.
+        StateUnknown
+            The store cannot be asked.
+        """
+        return (await self._row(target.job)).state
+
+    async def cancel(self, target: Target, timeout: float) -> None:
+        """Cancel a job, also one whose submission is still under way.
+
+        Raises
+        ------
+        JobUnknown
+            No such job was accepted; if it is accepted later, it is cancelled.
+        SubmissionUndecided, StoreDown
+            The cancellation is not known to be stored, or is not.
+        """
+        row = self._jobs.get(target.job)
+        if row is not None and (row.cancelled or row.progress.state):
+            return
+        record = KeyedRecord(target.job + CANCEL_SUFFIX, CANCELLED)
+        try:
+            await self._append(record, timeout)
+        except LogUnavailable as exc:
+            raise StoreDown(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+        except AppendUndecided as exc:
+            raise SubmissionUndecided(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+        await self._row(target.job)
+
+    def pending(self, target: Target) -> int:
+        """Return the number of the queue's jobs of which no task has started.
+
+        Jobs that the owner has not counted yet count as not begun.
+        """
+        claim = self._owner.claim
+        name = queue_key(target.queue)
+        position = claim.position if claim else 0
+        counted = claim.pending.get(name, 0) if claim else 0
+        return counted + sum(
+            row.offset >= position and row.open and queue_key(row.accepted.queue) == name
+            for row in self._jobs.jobs.values()
+            if row.accepted is not None
+        )
+
+    async def _append(self, record: KeyedRecord, timeout: float) -> None:
+        if self._clock.now() - self._writer.refused_at < REFUSAL_SECONDS:
+            raise LogUnavailable(stream="jobs")
+        await self._writer.append([record], min(timeout, ACCEPT_SECONDS))
+
+    async def _row(self, job: str) -> JobRow:
+        row = self._jobs.get(job)
+        if row is None:
+            await self._refresh(job)
+            row = self._jobs.get(job)
+        if row is None:
+            raise JobUnknown(job=job)
+        return row
+
+    async def _refresh(self, job: str) -> None:
+        try:
+            with self._clock.move_on_after(FRESH_SECONDS) as scope:
+                await self._feed.catch_up()
+        except LogUnavailable as exc:
+            raise StateUnknown(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
+        if scope.cancelled_caught:
+            raise StateUnknown(job=job, retry_after=RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/ragworttiller/scheduling/clock.py
@@ -0,0 +1,19 @@
+"""Clock of leases and terms, which counts the time that a machine is suspended."""
+
+from __future__ import annotations
+
+import time
+
+from typing_extensions import override
+
+from ragworttiller.timers import SystemTimers, TimerService
+
+Clock = TimerService
+
+
+class LeaseClock(SystemTimers):
+    """Timer service whose `now` goes on while the machine is suspended."""
+
+    @override
+    def now(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/ragworttiller/scheduling/entries.py
@@ -0,0 +1,133 @@
+"""Entries of the cell and the connections between them."""
+
+from __future__ import annotations
+
+import logging
+
+from typing_extensions import override
+
+from ragworttiller.exceptions import RagworttillerError, Unreadable
+from ragworttiller.platform.advisor import Advisor
+from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
+from ragworttiller.process.nng_peers import NngPeers
+from ragworttiller.scheduling.advice import AdviceCall
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.feed import Fold
+from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.peer_messages import AdviceReply, AdviceRequest
+from ragworttiller.scheduling.records import ENTRIES, EntryRecord, decode, encode
+
+log = logging.getLogger(__name__)
+
+ANNOUNCE_SECONDS = 5.0
+CALL_MARGIN_SECONDS = 0.5
+ADVISOR_SLACK_SECONDS = 1.0
+
+
+class EntryFold(Fold):
+    """Entries that have announced themselves.
+
+    Parameters
+    ----------
+    peers : NngPeers
+        Connections, which follow the entries.
+    """
+
+    def __init__(self, peers: NngPeers) -> None:
+        self._peers = peers
+        self.names: set[str] = {peers.instance}
+
+    @override
+    def apply(self, record: Record) -> None:
+        name = record.key
+        if not record.value:
+            self.names.discard(name)
+            self._peers.drop_peer(name)
+            return
+        try:
+            entry = decode(record.value, EntryRecord)
+        except Unreadable as exc:
+            log.warning("entry skipped", extra={"offset": record.offset, "why": str(exc)})
+            return
+        self.names.add(name)
+        self._peers.set_peer(name, entry.address, entry.incarnation)
+
+
+class Announcer:
+    """Tells the other entries where this one listens.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    clock : Clock
+        Source of time.
+    name : str
+        Name of this instance.
+    entry : EntryRecord
+        What to tell.
+    """
+
+    def __init__(self, store: Store, clock: Clock, name: str, entry: EntryRecord) -> None:
+        self._clock = clock
+        self._name = name
+        self._entry = entry
+        producer = Producer(f"{name}-{entry.incarnation}", 1)
+        self._writer = GroupCommit(store, ENTRIES, producer, clock, exclusive=True)
+
+    async def run(self) -> None:
+        """Write appends until cancelled."""
+        await self._writer.run()
+
+    async def announce(self) -> None:
+        """Announce the entry once, however long it takes."""
+        await self._write(encode(self._entry))
+
+    async def leave(self) -> None:
+        """Drop the entry; what fails is left to the others' time-outs."""
+        await self._write(b"", tries=1)
+
+    async def _write(self, value: bytes, tries: int = 1_000_000) -> None:
+        for _ in range(tries):
+            try:
+                await self._writer.append([KeyedRecord(self._name, value)], ANNOUNCE_SECONDS)
+                return
+            except RagworttillerError as exc:
+                log.warning("announcement failed", extra={"why": exc.code})
+                await self._clock.sleep(CALL_MARGIN_SECONDS)
+
+
+class AdviceDesk:
+    """Takes calls to the advisor to the entries that make them.
+
+    Parameters
+    ----------
+    peers : NngPeers
+        Connections to the other entries.
+    advisor : Advisor
+        Client of the advisor.
+    """
+
+    def __init__(self, peers: NngPeers, advisor: Advisor) -> None:
+        self._peers = peers
+        self._advisor = advisor
+        peers.handle(AdviceRequest, self._serve)
+
+    async def ask(self, call: AdviceCall) -> dict[str, str]:
+        """Return the tickets that a call gives.
+
+        Raises
+        ------
+        RagworttillerError
+            No answer came.
+        """
+        timeout = call.duration + ADVISOR_SLACK_SECONDS
+        request = AdviceRequest(call.stage, list(call.runners), timeout)
+        if call.entry == self._peers.instance:
+            return (await self._serve(call.entry, request)).tickets
+        reply = await self._peers.call(call.entry, request, timeout + CALL_MARGIN_SECONDS)
+        return reply.tickets
+
+    async def _serve(self, sender: str, request: AdviceRequest) -> AdviceReply:
+        tickets = await self._advisor.advise(request.stage, request.runners, request.timeout)
+        return AdviceReply(tickets)
--- /dev/null
+++ b/ragworttiller/scheduling/group_commit.py
@@ -0,0 +1,193 @@
+"""Appends of one producer to one partition: one call at a time, each for all that wait."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+import anyio
+
+from ragworttiller.exceptions import (
+    AppendFenced,
+    AppendOutOfOrder,
+    AppendUndecided,
+    LogUnavailable,
+    RagworttillerError,
+)
+from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Store
+from ragworttiller.scheduling.clock import Clock
+
+log = logging.getLogger(__name__)
+
+MAX_BATCH_BYTES = 1_000_000
+RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 0.4
+
+
+class _Waiting:
+    """Records of one caller."""
+
+    def __init__(self, records: Sequence[KeyedRecord], until: float) -> None:
+        self.records = records
+        self.until = until
+        self.done = anyio.Event()
+        self.error: RagworttillerError | None = None
+        self.end = 0
+
+    @property
+    def size(self) -> int:
+        return sum(len(record.key) + len(record.value) for record in self.records)
+
+    def fail(self, error: RagworttillerError) -> None:
+        self.error = error
+        self.done.set()
+
+
+class GroupCommit:
+    """Serial writer whose repeated appends are done once.
+
+    A call whose answer was lost is repeated with its sequence number until its result is known, so
+    a later append never overtakes an undecided one.
+
+    Parameters
+    ----------
+    store : Store
+        Store to append to.
+    partition : Partition
+        Partition to append to.
+    producer : Producer
+        Name and epoch of this writer.
+    clock : Clock
+        Source of time.
+    first : int
+        First sequence number.
+    exclusive : bool
+        Whether nobody else writes under the producer's name; being fenced then only means that the
+        sequence was broken, and the writer goes on with a higher epoch.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        partition: Partition,
+        producer: Producer,
+        clock: Clock,
+        exclusive: bool = False,
+        first: int = 0,
+    ) -> None:
+        self._exclusive = exclusive
+        self._store = store
+        self._partition = partition
+        self._producer = producer
+        self._clock = clock
+        self._sequence = first
+        self._queue: list[_Waiting] = []
+        self._wake = anyio.Event()
+        self._refused_at = float("-inf")
+        self._fenced: AppendFenced | None = None
+
+    @property
+    def refused_at(self) -> float:
+        """Time of the last refusal after which no append has succeeded, -inf if there is none."""
+        return self._refused_at
+
+    async def append(self, records: Sequence[KeyedRecord], timeout: float) -> int:
+        """Append records and return the partition's end after them.
+
+        Raises
+        ------
+        LogUnavailable
+            Nothing was done and nothing will be.
+        AppendUndecided
+            No result is known within ``timeout`` seconds; the records may still be appended.
+        AppendFenced
+            A higher epoch of the producer has written.
+        """
+        if self._fenced:
+            raise self._fenced
+        item = _Waiting(records, self._clock.now() + timeout)
+        self._queue.append(item)
+        self._wake.set()
+        with self._clock.move_on_after(timeout):
+            await item.done.wait()
+        if not item.done.is_set():
+            if item in self._queue:
+                self._queue.remove(item)
+                raise LogUnavailable(stream=str(self._partition))
+            raise AppendUndecided(stream=str(self._partition))
+        if item.error is not None:
+            raise item.error
+        return item.end
+
+    async def run(self) -> None:
+        """Append what waits until cancelled or fenced."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            while self._queue:
+                await self._commit(self._take())
+
+    def _take(self) -> list[_Waiting]:
+        batch, size = [self._queue.pop(0)], 0
+        while self._queue and (size := size + self._queue[0].size) < MAX_BATCH_BYTES:
+            batch.append(self._queue.pop(0))
+        return batch
+
+    async def _commit(self, batch: list[_Waiting]) -> None:
+        undecided, delay = False, RETRY_SECONDS
+        records = [record for item in batch for record in item.records]
+        while True:
+            try:
+                end = await self._store.append(
+                    self._partition, records, self._producer, self._sequence
+                )
+            except AppendUndecided:
+                undecided = True
+                log.info("append undecided", extra={"partition": str(self._partition)})
+            except LogUnavailable as exc:
+                self._refused_at = self._clock.now()
+                if not undecided and self._expire(batch, exc):
+                    return
+            except AppendFenced as exc:
+                self._shut(batch, exc)
+                return
+            except AppendOutOfOrder as exc:
+                expected = exc.fields["expected"]
+                if undecided and expected == self._sequence + 1:
+                    self._finish(batch, 0)
+                    return
+                log.info("sequence corrected", extra=exc.fields)
+                self._sequence = expected
+            else:
+                self._finish(batch, end)
+                return
+            await self._clock.sleep(delay)
+            delay = min(2 * delay, MAX_RETRY_SECONDS)
+
+    def _finish(self, batch: list[_Waiting], end: int) -> None:
+        self._sequence += 1
+        self._refused_at = float("-inf")
+        for item in batch:
+            item.end = end
+            item.done.set()
+
+    def _expire(self, batch: list[_Waiting], error: LogUnavailable) -> bool:
+        """Fail a batch that surely was not appended, once its last caller's time is up."""
+        if any(item.until > self._clock.now() + MAX_RETRY_SECONDS for item in batch):
+            return False
+        for item in batch:
+            item.fail(error)
+        return True
+
+    def _shut(self, batch: list[_Waiting], error: AppendFenced) -> None:
+        log.info("fenced", extra={"partition": str(self._partition), "epoch": self._producer.epoch})
+        if self._exclusive:
+            self._producer = self._producer._replace(epoch=self._producer.epoch + 1)
+            self._sequence = 0
+            for item in batch:
+                item.fail(AppendUndecided(stream=str(self._partition)))
+            return
+        self._fenced = error
+        waiting, self._queue = batch + self._queue, []
+        for item in waiting:
+            item.fail(error)
--- /dev/null
+++ b/ragworttiller/scheduling/job_fold.py
@@ -0,0 +1,120 @@
+"""Jobs of the cell, as the records of the store tell."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from typing_extensions import override
+
+from ragworttiller.exceptions import Unreadable
+from ragworttiller.platform.names import is_job_id
+from ragworttiller.platform.store import Record
+from ragworttiller.scheduling.feed import Fold
+from ragworttiller.scheduling.records import (
+    CANCEL_SUFFIX,
+    PROGRESS_SUFFIX,
+    Accepted,
+    JobState,
+    Progress,
+    decode,
+)
+
+log = logging.getLogger(__name__)
+
+NO_PROGRESS = Progress("", [])
+
+
+class JobRow:
+    """What the records tell of one job.
+
+    Attributes
+    ----------
+    accepted : Accepted or None
+        None while only a cancellation or progress is known.
+    offset : int
+        Offset of the record of acceptance.
+    progress : Progress
+        What has ended.
+    cancelled : bool
+        Whether the job was cancelled.
+    """
+
+    def __init__(self) -> None:
+        self.accepted: Accepted | None = None
+        self.offset = -1
+        self.progress = NO_PROGRESS
+        self.cancelled = False
+
+    @property
+    def state(self) -> JobState:
+        """State as callers see it."""
+        if self.progress.state:
+            return JobState(self.progress.state)
+        if self.cancelled:
+            return JobState.CANCELLED
+        return JobState.RUNNING if self.progress.stages else JobState.QUEUED
+
+    @property
+    def open(self) -> bool:
+        """Whether tasks of the job may start."""
+        return self.accepted is not None and not self.cancelled and not self.progress.state
+
+
+class JobFold(Fold):
+    """All jobs of the cell.
+
+    Attributes
+    ----------
+    jobs : dict
+        Rows by the job's identifier.
+    touched : set of str
+        Jobs that have changed since a reader last emptied the set.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobRow] = {}
+        self.touched: set[str] = set()
+
+    def get(self, job: str) -> JobRow | None:
+        """Return the row of an accepted job."""
+        row = self.jobs.get(job)
+        return row if row is not None and row.accepted is not None else None
+
+    @override
+    def apply(self, record: Record) -> None:
+        job, slash, kind = record.key.partition("/")
+        if not is_job_id(job):
+            log.warning("record skipped", extra={"offset": record.offset, "key": record.key[:40]})
+            return
+        try:
+            self._appliers[slash + kind](self, job, record)
+        except (Unreadable, KeyError, ValueError) as exc:
+            log.warning("record skipped", extra={"offset": record.offset, "why": repr(exc)})
+            return
+        self.touched.add(job)
+
+    def _accepted(self, job: str, record: Record) -> None:
+        if not record.value:
+            self.jobs.pop(job, None)
+            return
+        row = self.jobs.setdefault(job, JobRow())
+        if row.accepted is None:
+            row.accepted = decode(record.value, Accepted)
+            row.offset = record.offset
+
+    def _progress(self, job: str, record: Record) -> None:
+        if record.value:
+            progress = decode(record.value, Progress)
+            JobState(progress.state or JobState.RUNNING)
+            self.jobs.setdefault(job, JobRow()).progress = progress
+
+    def _cancelled(self, job: str, record: Record) -> None:
+        if record.value:
+            self.jobs.setdefault(job, JobRow()).cancelled = True
+
+    _appliers: dict[str, Callable[[JobFold, str, Record], None]] = {
+        "": _accepted,
+        PROGRESS_SUFFIX: _progress,
+        CANCEL_SUFFIX: _cancelled,
+    }
--- /dev/null
+++ b/ragworttiller/scheduling/jobs.py
@@ -0,0 +1,92 @@
+"""Jobs, their steps, and the names of their tasks."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ragworttiller.resources import Resources
+
+
+class StageId(NamedTuple):
+    """One step of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+
+    def __str__(self) -> str:
+        return f"{self.job}.{self.occurrence}.{self.step}"
+
+
+class TaskId(NamedTuple):
+    """One task of a stage."""
+
+    stage: StageId
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.stage}.{self.index}"
+
+
+class StepSpec(NamedTuple):
+    """Step of a job; times are in seconds.
+
+    ``per_runner`` bounds the tasks of a stage on one runner, 0 for no bound. ``target`` is the
+    bound of a serving task's tail latency, 0 for none. The processor time of a step that ``fills``
+    is not counted against a runner's capacity.
+    """
+
+    count: int
+    size: Resources
+    estimate: float = 0.0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    per_runner: int = 0
+    speculative: bool = False
+    daemon: bool = False
+    image: str = ""
+    target: float = 0.0
+    fills: bool = False
+    disruption_budget: int = 0
+
+    @property
+    def room(self) -> Resources:
+        """What one task takes of a runner's capacity."""
+        return self.size._replace(cpu=0) if self.fills else self.size
+
+
+class Occurrences(NamedTuple):
+    """Times at which a job runs, in seconds since the epoch."""
+
+    count: int
+    first: float
+    interval: float
+
+    def due(self, occurrence: int) -> float:
+        """Return the time at which an occurrence, counted from 0, is due."""
+        return self.first + occurrence * self.interval
+
+
+class JobSpec(NamedTuple):
+    """Job as submitted; without ``occurrences`` it runs once, at once."""
+
+    spec: str
+    steps: tuple[StepSpec, ...]
+    occurrences: Occurrences | None = None
+
+    @property
+    def times(self) -> int:
+        """Number of occurrences."""
+        return self.occurrences.count if self.occurrences else 1
+
+    @property
+    def chain(self) -> float:
+        """Seconds that the longest chain of steps takes, by the estimates."""
+        ends: list[float] = []
+        for step in self.steps:
+            ends.append(step.estimate + max((ends[i] for i in step.after), default=0.0))
+        return max(ends)
--- /dev/null
+++ b/ragworttiller/scheduling/owner.py
@@ -0,0 +1,313 @@
+"""Work of the owner of the cell: carries out what the cell decides while its term lasts."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+import anyio.abc
+
+from ragworttiller.exceptions import (
+    AppendFenced,
+    AppendUndecided,
+    LogUnavailable,
+    OrderRefused,
+    OrderUndecided,
+    RagworttillerError,
+    RunnerGone,
+)
+from ragworttiller.platform.runners import RunnerClient, Start
+from ragworttiller.platform.store import KeyedRecord, Producer, Store
+from ragworttiller.scheduling.advice import AdviceCall
+from ragworttiller.scheduling.cell import Cell, Changes, StartOrder, StopOrder
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.entries import AdviceDesk, EntryFold
+from ragworttiller.scheduling.feed import Feed
+from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.ownership import PRODUCER, Ownership, Term
+from ragworttiller.scheduling.records import JOBS, PROGRESS_SUFFIX, Claim, encode
+from ragworttiller.scheduling.runner_state import RunnerState
+
+log = logging.getLogger(__name__)
+
+HOLD_WAIT_SECONDS = 0.8
+HOLD_RETRY_SECONDS = 0.1
+RENEW_UNRECORDED_SECONDS = 0.5
+PLAN_GAP_SECONDS = 0.004
+PLAN_IDLE_SECONDS = 0.1
+COMMIT_SECONDS = 3.0
+
+
+class Owner:
+    """Carries a cell's decisions out.
+
+    Parameters
+    ----------
+    cell : Cell
+        State and decisions.
+    term : Term
+        Right to act; without it no order leaves.
+    store : Store
+        The platform's store.
+    jobs : Feed
+        Feed of the jobs.
+    runners : Feed
+        Feed of the runners, which this owner runs.
+    entries : EntryFold
+        Entries that can call the advisor.
+    desk : AdviceDesk
+        Takes calls to the advisor.
+    clock : Clock
+        Source of time.
+    name : str
+        Name of this instance.
+    incarnation : int
+        Number of this start of the instance.
+    """
+
+    def __init__(
+        self,
+        cell: Cell,
+        term: Term,
+        store: Store,
+        jobs: Feed,
+        runners: Feed,
+        entries: EntryFold,
+        desk: AdviceDesk,
+        clock: Clock,
+        name: str,
+        incarnation: int,
+    ) -> None:
+        self._cell = cell
+        self._term = term
+        self._jobs = jobs
+        self._feed = runners
+        self._entries = entries
+        self._desk = desk
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._writer = GroupCommit(store, JOBS, Producer(PRODUCER, term.epoch), clock, first=1)
+        self._clients: dict[str, RunnerClient] = {}
+        self._wake = anyio.Event()
+        self._commit = anyio.Event()
+        self._stored = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self, ownership: Ownership) -> None:
+        """Own the cell until the term ends."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._feed.run)
+            tasks.start_soon(self._writer.run)
+            tasks.start_soon(self._plan_loop, ownership)
+            tasks.start_soon(self._commit_loop)
+            await ownership.keep(self._term, self.state, self._enrolled)
+            tasks.cancel_scope.cancel()
+        log.info("ownership ended", extra={"epoch": self._term.epoch})
+
+    def wake(self) -> None:
+        """Plan soon, since something has changed."""
+        self._wake.set()
+
+    def state(self) -> Claim:
+        """Return what the store is to hold of this ownership."""
+        cell, now = self._cell, self._clock.now()
+        return Claim(
+            self._name,
+            self._incarnation,
+            self._term.epoch,
+            self._jobs.position,
+            cell.roster(),
+            cell.suspects(now),
+            cell.pending(),
+        )
+
+    def superseded_by(self, claim: Claim) -> None:
+        """End the term if a claim is later than it."""
+        if claim.epoch > self._term.epoch:
+            log.info("superseded", extra={"epoch": self._term.epoch, "by": claim.owner})
+            self._term.end()
+
+    def _enrolled(self, roster: list[str]) -> None:
+        self._cell.enroll(roster)
+        self.wake()
+
+    # Planning
+
+    async def _plan_loop(self, ownership: Ownership) -> None:
+        while True:
+            with self._clock.move_on_after(PLAN_IDLE_SECONDS):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            self._follow(ownership)
+            if self._term.valid:
+                self._carry_out()
+            await self._clock.sleep(PLAN_GAP_SECONDS)
+
+    def _follow(self, ownership: Ownership) -> None:
+        cell = self._cell
+        cell.loads.set_entries(sorted(self._entries.names))
+        cell.follow(self._clock.now(), self._clock.wall())
+        for name, runner in cell.runners.items():
+            if name not in self._clients:
+                self._clients[name] = RunnerClient(name, runner.entry.address)
+                self._spawn(self._hold_loop, runner, self._clients[name])
+        if any(r.reached and not r.enrolled and not r.lost for r in cell.runners.values()):
+            ownership.renew_now()
+
+    def _carry_out(self) -> None:
+        plan = self._cell.plan(self._clock.now(), self._clock.wall())
+        for start in plan.starts:
+            self._spawn(self._start, start)
+        for stop in plan.stops:
+            self._spawn(self._stop, stop)
+        for call in plan.calls:
+            self._spawn(self._advise, call)
+
+    def _spawn(self, function, *args: object) -> None:  # noqa: ANN001
+        if self._tasks is not None:
+            self._tasks.start_soon(function, *args)
+
+    # Orders
+
+    async def _start(self, order: StartOrder) -> None:
+        run, cell = order.run, self._cell
+        client = self._clients.get(run.runner)
+        runner = cell.runners.get(run.runner)
+        if client is None or runner is None:
+            return
+        start = Start(
+            run.task, run.number, order.spec, order.deadline, run.checkpoint, order.ticket
+        )
+        extra = {"task": str(run.task), "run": run.number, "runner": run.runner}
+        try:
+            if not self._term.valid:
+                cell.start_refused(run, "term", self._clock.now())
+                return
+            await client.start(start, self._term.epoch)
+        except OrderRefused as exc:
+            reason = exc.fields["reason"]
+            log.info("start refused", extra={**extra, "why": reason})
+            cell.start_refused(run, reason, self._clock.now())
+            if reason == "unreachable":
+                cell.missed(runner, self._clock.now())
+        except OrderUndecided:
+            log.info("start undecided", extra=extra)
+        except AppendFenced:
+            self._superseded(run.runner)
+            return
+        except RunnerGone:
+            cell.gone(runner, self._clock.now(), "another boot answers")
+        else:
+            log.info("started", extra={**extra, "epoch": self._term.epoch})
+            cell.started(run, self._clock.now())
+            return
+        self.wake()
+
+    async def _stop(self, order: StopOrder) -> None:
+        run, cell = order.run, self._cell
+        client, runner = self._clients.get(run.runner), cell.runners.get(run.runner)
+        if client is None or runner is None or not self._term.valid:
+            return
+        extra = {"task": str(run.task), "run": run.number, "runner": run.runner}
+        try:
+            await client.stop(run.task, run.number, self._term.epoch)
+            log.info("stop ordered", extra={**extra, "why": order.reason})
+        except (OrderRefused, OrderUndecided) as exc:
+            log.info("stop failed", extra={**extra, "why": exc.code})
+        except AppendFenced:
+            self._superseded(run.runner)
+        except RunnerGone:
+            cell.gone(runner, self._clock.now(), "another boot answers")
+
+    async def _advise(self, call: AdviceCall) -> None:
+        extra = {"stage": str(call.stage), "entry": call.entry, "named": len(call.runners)}
+        try:
+            good = await self._desk.ask(call)
+        except RagworttillerError as exc:
+            log.info("no advice", extra={**extra, "why": exc.code})
+            self._cell.not_advised(call, self._clock.now())
+        else:
+            took = self._clock.now() - call.asked_at
+            log.info("advice", extra={**extra, "good": len(good), "took": round(took, 3)})
+            self._cell.advised(call, good, self._clock.now())
+        self.wake()
+
+    def _superseded(self, runner: str) -> None:
+        extra = {"epoch": self._term.epoch, "runner": runner}
+        log.warning("a runner has seen a later owner", extra=extra)
+        self._term.end()
+
+    # Holds
+
+    async def _hold_loop(self, runner: RunnerState, client: RunnerClient) -> None:
+        try:
+            while runner.id in self._cell.runners:
+                await self._hold(runner, client)
+                if runner.unrecorded:
+                    await self._wait_recorded(runner)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await client.close()
+            self._clients.pop(runner.id, None)
+
+    async def _hold(self, runner: RunnerState, client: RunnerClient) -> None:
+        cell, now = self._cell, self._clock.now()
+        if not self._term.valid:
+            await self._clock.sleep(HOLD_RETRY_SECONDS)
+            return
+        deadline = runner.grant(now, cell.lease)
+        wait = HOLD_WAIT_SECONDS if deadline is not None and not runner.unrecorded else 0.0
+        try:
+            held = await client.hold(self._term.epoch, runner.recorded, deadline, wait)
+        except AppendFenced:
+            self._superseded(runner.id)
+        except RunnerGone:
+            cell.gone(runner, self._clock.now(), "another boot answers")
+        except (OrderRefused, OrderUndecided):
+            cell.missed(runner, self._clock.now())
+            await self._clock.sleep(HOLD_RETRY_SECONDS)
+        else:
+            if held.unreadable:
+                extra = {"runner": runner.id, "rows": held.unreadable}
+                log.warning("rows skipped", extra=extra)
+            cell.held(runner, held, self._clock.now())
+            if runner.unrecorded:
+                self._commit.set()
+        self.wake()
+
+    async def _wait_recorded(self, runner: RunnerState) -> None:
+        """Wait until the ends of a runner are stored, but not so long that its lease lapses."""
+        with self._clock.move_on_after(RENEW_UNRECORDED_SECONDS):
+            while runner.unrecorded:
+                await self._stored.wait()
+
+    # Recording
+
+    async def _commit_loop(self) -> None:
+        while True:
+            await self._commit.wait()
+            self._commit = anyio.Event()
+            changes = self._cell.changes()
+            if changes.jobs or changes.ends:
+                await self._record(changes)
+
+    async def _record(self, changes: Changes) -> None:
+        records = [
+            KeyedRecord(work.id + PROGRESS_SUFFIX, encode(work.progress())) for work in changes.jobs
+        ]
+        try:
+            if records:
+                await self._writer.append(records, COMMIT_SECONDS)
+        except AppendFenced:
+            self._superseded("store")
+            return
+        except (LogUnavailable, AppendUndecided) as exc:
+            log.warning("progress not stored", extra={"jobs": len(records), "why": exc.code})
+            self._cell.not_recorded(changes)
+            self._commit.set()
+            return
+        self._cell.recorded(changes)
+        self._stored.set()
+        self._stored = anyio.Event()
--- /dev/null
+++ b/ragworttiller/scheduling/ownership.py
@@ -0,0 +1,283 @@
+"""Ownership of the cell: claims in the store, renewed by the owner and followed by all."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import anyio
+from typing_extensions import override
+
+from ragworttiller.exceptions import (
+    AppendConflict,
+    AppendFenced,
+    AppendUndecided,
+    LogUnavailable,
+    Unreadable,
+)
+from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.feed import Feed, Fold
+from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.records import JOBS, OWNER, OWNER_KEY, Claim, decode, encode
+
+log = logging.getLogger(__name__)
+
+PRODUCER = "owner"
+RENEW_SECONDS = 0.7
+# Silence of the owner after which others claim; safety does not depend on it.
+SILENCE_SECONDS = 2.0
+# Time for which an owner may act without hearing from the store.
+TERM_SECONDS = 10.0
+APPEND_SECONDS = 3.0
+CLAIM_RETRY_SECONDS = 0.2
+SHUT_OUT_SECONDS = 2.0
+
+
+class OwnerFold(Fold):
+    """Last claim of the ownership.
+
+    Attributes
+    ----------
+    claim : Claim or None
+        Last claim, None before the first.
+    """
+
+    def __init__(self) -> None:
+        self.claim: Claim | None = None
+
+    @override
+    def apply(self, record: Record) -> None:
+        if record.key != OWNER_KEY or not record.value:
+            return
+        try:
+            claim = decode(record.value, Claim)
+        except Unreadable as exc:
+            log.error("claim skipped", extra={"offset": record.offset, "why": str(exc)})
+            return
+        if self.claim is None or claim.epoch >= self.claim.epoch:
+            if self.claim is None or claim.epoch > self.claim.epoch:
+                extra = {"owner": claim.owner, "epoch": claim.epoch}
+                log.info("owner changed", extra=extra)
+            self.claim = claim
+
+
+class Term:
+    """Right of one owner to act.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the claim.
+    clock : Clock
+        Clock that counts suspension.
+    proven_at : float
+        Time at which the claim was sent, in seconds.
+    """
+
+    def __init__(self, epoch: int, clock: Clock, proven_at: float) -> None:
+        self._epoch = epoch
+        self._clock = clock
+        self._proven_at = proven_at
+        self._superseded = False
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the claim, also the fencing token."""
+        return self._epoch
+
+    @property
+    def valid(self) -> bool:
+        """Whether the owner may give orders now."""
+        return not self._superseded and self._clock.now() - self._proven_at < TERM_SECONDS
+
+    @property
+    def superseded(self) -> bool:
+        """Whether another owner is known to have claimed."""
+        return self._superseded
+
+    def prove(self, sent_at: float) -> None:
+        """Record that a renewal which was sent at a time has reached the store."""
+        self._proven_at = max(self._proven_at, sent_at)
+
+    def end(self) -> None:
+        """Record that another owner has claimed, or that the ownership was given up."""
+        self._superseded = True
+
+
+class Ownership:
+    """Claims, renews and releases the ownership of the cell for one entry.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    feed : Feed
+        Feed of the owner's partition.
+    fold : OwnerFold
+        Its fold.
+    clock : Clock
+        Source of time.
+    name : str
+        Name of this instance.
+    incarnation : int
+        Number of this start of the instance.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        feed: Feed,
+        fold: OwnerFold,
+        clock: Clock,
+        name: str,
+        incarnation: int,
+    ) -> None:
+        self._store = store
+        self._feed = feed
+        self._fold = fold
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._silent = False
+        self._news = anyio.Event()
+        self._successor: str | None = None
+        self._renew = anyio.Event()
+
+    def news(self) -> None:
+        """Record that the claim may have changed."""
+        self._news.set()
+        self._news = anyio.Event()
+
+    def silence(self) -> None:
+        """Record that the owner has written nothing for a while though the store answers."""
+        self._silent = True
+        self.news()
+
+    async def wait_vacant(self) -> Claim | None:
+        """Wait until the ownership may be claimed, and return the claim that it follows."""
+        self._silent = False
+        while True:
+            news, claim = self._news, self._fold.claim
+            if self._feed.ready and (self._silent or self._vacant(claim)):
+                return claim
+            await news.wait()
+
+    def _vacant(self, claim: Claim | None) -> bool:
+        if claim is None:
+            return True
+        mine = claim.owner == self._name
+        if claim.released:
+            return claim.successor == self._name
+        return mine and claim.incarnation != self._incarnation
+
+    async def claim(self, before: Claim | None) -> tuple[Term, int] | None:
+        """Claim the ownership after ``before`` and shut out earlier owners.
+
+        Returns
+        -------
+        tuple of Term and int, or None
+            The term, and the end of the jobs' partition when earlier owners were shut out; None if
+            another entry was faster.
+
+        Raises
+        ------
+        LogUnavailable
+            The store cannot be reached.
+        """
+        await self._feed.catch_up()
+        if self._fold.claim != before:
+            return None
+        epoch = before.epoch + 1 if before else 1
+        roster = before.roster if before else []
+        suspects = before.suspects if before else []
+        claim = Claim(self._name, self._incarnation, epoch, 0, roster, suspects, {})
+        producer = Producer(PRODUCER, epoch)
+        sent_at = self._clock.now()
+        record = KeyedRecord(OWNER_KEY, encode(claim))
+        try:
+            # Without a producer: a second claimant's call would count as a repeat of the first.
+            await self._store.append(OWNER, [record], at=self._feed.position)
+        except AppendConflict:
+            return None
+        except AppendUndecided:
+            await self._feed.catch_up()
+            if self._fold.claim != claim:
+                return None
+            log.info("claim found in the store", extra={"epoch": epoch})
+        end = await self._shut_out(producer)
+        log.info("claimed", extra={"epoch": epoch, "jobs_end": end, "roster": len(roster)})
+        return Term(epoch, self._clock, sent_at), end
+
+    async def _shut_out(self, producer: Producer) -> int:
+        """Let no earlier owner write any more, and return the end of the jobs."""
+        until = self._clock.now() + SHUT_OUT_SECONDS
+        while True:
+            try:
+                await self._store.append(OWNER, [], producer)
+                return await self._store.append(JOBS, [], producer)
+            except (LogUnavailable, AppendUndecided):
+                if self._clock.now() > until:
+                    raise
+            await self._clock.sleep(CLAIM_RETRY_SECONDS)
+
+    async def keep(
+        self, term: Term, state: Callable[[], Claim], enrolled: Callable[[list[str]], None]
+    ) -> None:
+        """Renew the term until it is superseded.
+
+        Parameters
+        ----------
+        term : Term
+            Term to renew.
+        state : Callable
+            Returns what is to be written.
+        enrolled : Callable
+            Called with the roster that the store now has.
+        """
+        writer = GroupCommit(
+            self._store, OWNER, Producer(PRODUCER, term.epoch), self._clock, first=1
+        )
+        self._successor = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(writer.run)
+            while not term.superseded:
+                await self._write(writer, term, state(), enrolled)
+            tasks.cancel_scope.cancel()
+
+    def renew_now(self) -> None:
+        """Write the owner's state without waiting for the next renewal."""
+        self._renew.set()
+
+    def release(self, successor: str) -> None:
+        """Give the ownership up in favour of another entry with the next renewal."""
+        self._successor = successor
+        self._renew.set()
+
+    async def _write(
+        self, writer: GroupCommit, term: Term, claim: Claim, enrolled: Callable[[list[str]], None]
+    ) -> None:
+        self._renew = anyio.Event()
+        successor = self._successor
+        if successor is not None:
+            # The right to act ends before the store is told.
+            term.end()
+            claim = claim._replace(released=True, successor=successor)
+        sent_at = self._clock.now()
+        try:
+            await writer.append([KeyedRecord(OWNER_KEY, encode(claim))], APPEND_SECONDS)
+        except AppendFenced:
+            log.info("superseded", extra={"epoch": term.epoch})
+            term.end()
+            return
+        except (LogUnavailable, AppendUndecided) as exc:
+            log.warning("renewal failed", extra={"epoch": term.epoch, "why": exc.code})
+            await self._clock.sleep(CLAIM_RETRY_SECONDS)
+            return
+        if successor is not None:
+            log.info("released", extra={"epoch": term.epoch, "successor": successor})
+            return
+        term.prove(sent_at)
+        enrolled(claim.roster)
+        with self._clock.move_on_after(RENEW_SECONDS):
+            await self._renew.wait()
--- /dev/null
+++ b/ragworttiller/scheduling/records.py
@@ -0,0 +1,133 @@
+"""Records of the cell in the store, and their encoding."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, TypeVar
+
+import msgspec
+
+from ragworttiller.exceptions import Unreadable
+from ragworttiller.platform.configuration import Queue
+from ragworttiller.platform.store import Partition
+from ragworttiller.scheduling.jobs import JobSpec, StageId
+
+T = TypeVar("T")
+
+JOBS = Partition("keyed.jobs", 0)
+OWNER = Partition("keyed.owner", 0)
+ENTRIES = Partition("keyed.entries", 0)
+
+OWNER_KEY = "owner"
+PROGRESS_SUFFIX = "/progress"
+CANCEL_SUFFIX = "/cancel"
+
+
+class JobState(StrEnum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class Accepted(NamedTuple):
+    """Job that was accepted at ``wall``, in seconds since the epoch.
+
+    ``queue`` is the queue as it was then; it stands in for one that was dropped since.
+    """
+
+    queue: Queue
+    job: JobSpec
+    wall: float
+
+
+class StageProgress(NamedTuple):
+    """What has ended of one stage.
+
+    ``done`` has one bit for each task, the lowest first. ``failures`` and ``checkpoints`` are by
+    the task's index.
+    """
+
+    occurrence: int
+    step: int
+    done: bytes
+    failures: dict[int, int]
+    checkpoints: dict[int, str]
+
+
+class Progress(NamedTuple):
+    """What has ended of a job; ``state`` is set once the job has ended."""
+
+    state: str
+    stages: list[StageProgress]
+
+
+class Suspect(NamedTuple):
+    """Runner out of reach of the owner, and the tasks that it may still run."""
+
+    runner: str
+    tasks: list[str]
+
+
+class Claim(NamedTuple):
+    """State of the ownership of the cell.
+
+    ``roster`` names the runners to which orders may have gone, ``suspects`` those of them that
+    receive no more of them. ``pending`` counts, by queue, the jobs that have not begun among those
+    before ``position``. ``successor`` is set when the owner gives up its ownership.
+    """
+
+    owner: str
+    incarnation: int
+    epoch: int
+    position: int
+    roster: list[str]
+    suspects: list[Suspect]
+    pending: dict[str, int]
+    successor: str = ""
+    released: bool = False
+
+
+class EntryRecord(NamedTuple):
+    """Where an entry listens for its peers."""
+
+    address: str
+    incarnation: int
+
+
+def encode(record: NamedTuple) -> bytes:
+    """Return a record's bytes."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode(value: bytes, form: type[T]) -> T:
+    """Return the record that bytes stand for.
+
+    Raises
+    ------
+    Unreadable
+        The bytes are no record of this form.
+    """
+    try:
+        return msgspec.msgpack.decode(value, type=form)
+    except msgspec.MsgspecError as exc:
+        raise Unreadable(what=form.__name__, problem=str(exc)) from exc
+
+
+def bits_of(done: set[int], count: int) -> bytes:
+    """Return a bitmap of the tasks in ``done``."""
+    return sum(1 << index for index in done).to_bytes((count + 7) // 8, "little")
+
+
+def indices_of(bits: bytes) -> set[int]:
+    """Return the tasks that a bitmap holds."""
+    number = int.from_bytes(bits, "little")
+    return {index for index in range(number.bit_length()) if number >> index & 1}
+
+
+def stage_of(job: str, progress: StageProgress) -> StageId:
+    """Return the stage that a progress belongs to."""
+    return StageId(job, progress.occurrence, progress.step)
--- /dev/null
+++ b/ragworttiller/scheduling/runner_fold.py
@@ -0,0 +1,37 @@
+"""Runners that the platform lists."""
+
+from __future__ import annotations
+
+import logging
+
+from typing_extensions import override
+
+from ragworttiller.exceptions import Unreadable
+from ragworttiller.platform.listing import RunnerEntry, decode_entry
+from ragworttiller.platform.store import Record
+from ragworttiller.scheduling.feed import Fold
+
+log = logging.getLogger(__name__)
+
+
+class RunnerFold(Fold):
+    """Entries of the runners, by identifier.
+
+    Attributes
+    ----------
+    entries : dict
+        Entry of each listed runner.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[str, RunnerEntry] = {}
+
+    @override
+    def apply(self, record: Record) -> None:
+        if not record.value:
+            self.entries.pop(record.key, None)
+            return
+        try:
+            self.entries[record.key] = decode_entry(record.key, record.value)
+        except Unreadable as exc:
+            log.warning("runner skipped", extra={"offset": record.offset, "why": str(exc)})
--- /dev/null
+++ b/ragworttiller/scheduling/runner_state.py
@@ -0,0 +1,181 @@
+"""What the owner knows of one boot of a runner."""
+
+from __future__ import annotations
+
+from ragworttiller.platform.listing import RunnerEntry
+from ragworttiller.resources import NOTHING, Resources
+from ragworttiller.scheduling.jobs import TaskId
+from ragworttiller.scheduling.runs import Run
+
+SLOWEST_CLOCK = 0.98
+FRESH_SECONDS = 1.7
+SUSPECT_SECONDS = 1.5
+FAILURE_MEMORY_SECONDS = 4.0
+FAILURES_TO_REST = 2
+REST_SECONDS = 3.0
+MAX_REST_SECONDS = 12.0
+
+
+class RunnerState:
+    """One boot of a runner: its clock, its lease, its room and its record of failures.
+
+    Parameters
+    ----------
+    entry : RunnerEntry
+        What the runner reports of itself.
+
+    Attributes
+    ----------
+    enrolled : bool
+        Whether the store names the runner as one to which orders may go.
+    listed : bool
+        Whether the platform's list holds the runner.
+    lost : bool
+        Whether the runner is out of reach and everything on it has surely ended.
+    seen, recorded : int
+        Number of the last end that was taken over, and of the last whose effects are stored.
+    """
+
+    def __init__(self, entry: RunnerEntry) -> None:
+        self.entry = entry
+        self.runs: dict[tuple[TaskId, int], Run] = {}
+        self.enrolled = False
+        self.listed = True
+        self.lost = False
+        self.misses = 0
+        self.seen = 0
+        self.recorded = 0
+        self.last_ok = float("-inf")
+        self.rest_until = 0.0
+        self._rests = 0
+        self._failures: list[float] = []
+        self._used = NOTHING
+        self._clock: tuple[float, float] | None = None
+        self._lease_end = 0.0
+
+    @property
+    def id(self) -> str:
+        """Identifier of the boot."""
+        return self.entry.runner
+
+    @property
+    def reached(self) -> bool:
+        """Whether the runner has answered this owner."""
+        return self._clock is not None
+
+    @property
+    def free(self) -> Resources:
+        """Room that nothing takes, which may be negative after a takeover."""
+        return self.entry.capacity.minus(self._used)
+
+    @property
+    def unrecorded(self) -> bool:
+        """Whether the effects of an end are not stored yet."""
+        return self.seen > self.recorded
+
+    @property
+    def probing(self) -> bool:
+        """Whether the runner has to prove itself with one task at a time."""
+        return self._rests > 0
+
+    @property
+    def serving(self) -> bool:
+        """Whether a task with a bound of its tail latency runs here."""
+        return any(run.spec.target for run in self.runs.values())
+
+    @property
+    def filled(self) -> bool:
+        """Whether a task runs here that takes what others leave."""
+        return any(run.spec.fills for run in self.runs.values())
+
+    @property
+    def probed(self) -> bool:
+        """Whether a task runs that was started to try the runner after a rest."""
+        return any(run.started_at >= self.rest_until for run in self.runs.values())
+
+    def suspect(self, now: float) -> bool:
+        """Return whether the runner may be out of reach; its lease is then not renewed."""
+        return self.reached and self.misses > 0 and now - self.last_ok > SUSPECT_SECONDS
+
+    def open_at(self, now: float) -> bool:
+        """Return whether tasks may start on the runner."""
+        return (
+            self.listed
+            and self.enrolled
+            and not self.entry.draining
+            and not self.lost
+            and self.misses == 0
+            and now - self.last_ok < FRESH_SECONDS
+            and now >= self.rest_until
+        )
+
+    def heard(self, clock: float, now: float) -> None:
+        """Take over the runner's clock from an answer, in seconds."""
+        self._clock = (clock, now)
+        self.last_ok = now
+        self.misses = 0
+        self.lost = False
+
+    def clock_at(self, now: float) -> float:
+        """Return an estimate of the runner's clock, in seconds."""
+        clock, at = self._clock or (0.0, now)
+        return clock + (now - at)
+
+    def grant(self, now: float, length: float) -> float | None:
+        """Return the end of a new lease on the runner's clock, None if none is to be granted.
+
+        Parameters
+        ----------
+        now : float
+            Time of the owner, in seconds.
+        length : float
+            Length of the lease, in seconds.
+        """
+        if not self.reached or self.suspect(now) or self.lost:
+            return None
+        end = self.clock_at(now) + length
+        self._lease_end = max(self._lease_end, end)
+        return end
+
+    def inherit(self, length: float, now: float) -> None:
+        """Assume a lease that an earlier owner may have granted just before the first answer."""
+        self._lease_end = max(self._lease_end, self.clock_at(now) + length)
+
+    def lapsed(self, now: float) -> bool:
+        """Return whether the lease has surely ended, however slow the runner's clock is."""
+        if self._clock is None:
+            return False
+        clock, at = self._clock
+        return clock + SLOWEST_CLOCK * (now - at) > self._lease_end
+
+    def add(self, run: Run) -> None:
+        """Count a run's room as taken."""
+        self.runs[run.key] = run
+        self._used = self._used.plus(run.room)
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run that has ended."""
+        if self.runs.pop(run.key, None) is not None:
+            self._used = self._used.minus(run.room)
+
+    def failed(self, now: float) -> bool:
+        """Record a failure and return whether the runner is to rest."""
+        recent = [at for at in self._failures if now - at < FAILURE_MEMORY_SECONDS]
+        self._failures = [*recent, now]
+        if len(self._failures) < FAILURES_TO_REST and not self._rests:
+            return False
+        self.rest(now)
+        return True
+
+    def rest(self, now: float) -> None:
+        """Start nothing on the runner for a while, longer each time in a row."""
+        if now < self.rest_until:
+            return
+        self._rests += 1
+        self.rest_until = now + min(REST_SECONDS * self._rests, MAX_REST_SECONDS)
+
+    def succeeded(self, now: float) -> None:
+        """Record a task that has ended as done."""
+        self._failures.clear()
+        if now >= self.rest_until:
+            self._rests = 0
--- /dev/null
+++ b/ragworttiller/scheduling/takeover.py
@@ -0,0 +1,77 @@
+"""Tasks of an earlier owner whose place is not known yet."""
+
+from __future__ import annotations
+
+from ragworttiller.scheduling.job_fold import JobRow
+from ragworttiller.scheduling.records import Claim
+from ragworttiller.scheduling.runs import Stage
+
+# A lease is measured on a clock that may be 2% slow.
+LEASE_STRETCH = 1.03
+MARGIN_SECONDS = 0.3
+
+
+class Takeover:
+    """Runners that an earlier owner may have used and that have not answered the new one.
+
+    Until each of them has answered or everything on it has surely ended, a task of an old job
+    that was not found anywhere may still run there. Jobs accepted after the claim are free: the
+    earlier owner's right had ended by then.
+
+    Parameters
+    ----------
+    claim : Claim or None
+        Last claim of the earlier owner.
+    accepted_before : int
+        Offset below which jobs may have been known to the earlier owner.
+    now : float
+        Time of the new claim, in seconds.
+    term : float
+        Seconds for which the earlier owner may act without hearing from the store.
+    lease : float
+        Length of the leases that it granted, in seconds.
+    """
+
+    def __init__(
+        self, claim: Claim | None, accepted_before: int, now: float, term: float, lease: float
+    ) -> None:
+        self._accepted_before = accepted_before
+        lapse = lease * LEASE_STRETCH + MARGIN_SECONDS
+        self._until: dict[str, float] = {}
+        self._suspects: dict[str, frozenset[str]] = {}
+        if claim is None:
+            return
+        acting = 0.0 if claim.released else term
+        self._until = dict.fromkeys(claim.roster, now + acting + lapse)
+        for suspect in claim.suspects:
+            self._until[suspect.runner] = now + lapse
+            self._suspects[suspect.runner] = frozenset(suspect.tasks)
+
+    @property
+    def open(self) -> list[str]:
+        """Runners that are not settled yet."""
+        return list(self._until)
+
+    def settle(self, runner: str) -> None:
+        """Record that a runner has answered the new owner, or that its boot has ended."""
+        self._until.pop(runner, None)
+
+    def expire(self, now: float) -> None:
+        """Settle the runners on which everything has ended by now."""
+        for name in [name for name, until in self._until.items() if until <= now]:
+            del self._until[name]
+
+    def blocks(self, row: JobRow, stage: Stage) -> bool:
+        """Return whether no task of the stage may start yet."""
+        if not self._until or row.offset >= self._accepted_before:
+            return False
+        return any(name not in self._suspects for name in self._until)
+
+    def startable(self, stage: Stage) -> list[int]:
+        """Return the waiting tasks of a stage that surely run nowhere."""
+        waiting = list(reversed(stage.waiting))
+        held = [self._suspects[name] for name in self._until if name in self._suspects]
+        if not held:
+            return waiting
+        name = str(stage.id)
+        return [i for i in waiting if not any(f"{name}.{i}" in tasks for tasks in held)]
--- /dev/null
+++ b/ragworttiller/services/__init__.py
@@ -0,0 +1,3 @@
+"""Interfaces to everything outside: log, instance list, workers, runners."""
+
+from __future__ import annotations
--- a/ragworttiller/platform/http.py
+++ b/ragworttiller/services/http.py
@@ -14,17 +14,17 @@
     PlatformUnavailable,
 )
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent, Traffic
-from ragworttiller.platform.directory import (
+from ragworttiller.resources import Resources
+from ragworttiller.services.directory import (
     Directory,
     ListedEntry,
     ListedRunner,
     ListedWorker,
     Listing,
 )
-from ragworttiller.platform.http_runner import HttpRunnerConnection, HttpRunnerDialer
-from ragworttiller.platform.http_worker import HttpWorker, HttpWorkerFleet
-from ragworttiller.platform.log import Log, LogSlice
-from ragworttiller.resources import Resources
+from ragworttiller.services.http_runner import HttpRunnerConnection, HttpRunnerDialer
+from ragworttiller.services.http_worker import HttpWorker, HttpWorkerFleet
+from ragworttiller.services.log import Log, LogSlice
 
 __all__ = [
     "HttpDirectory",
--- a/ragworttiller/platform/http_runner.py
+++ b/ragworttiller/services/http_runner.py
@@ -12,7 +12,7 @@
     Traffic,
     split_address,
 )
-from ragworttiller.platform.runner import Answer, Exchange, RunnerConnection, RunnerDialer
+from ragworttiller.services.runner import Answer, Exchange, RunnerConnection, RunnerDialer
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 
--- a/ragworttiller/platform/http_worker.py
+++ b/ragworttiller/services/http_worker.py
@@ -9,7 +9,7 @@
 
 from ragworttiller.exceptions import WorkerRefused, WorkerUnreachable
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent, Traffic
-from ragworttiller.platform.worker import TaskReport, TaskSpec, Worker, WorkerFleet
+from ragworttiller.services.worker import TaskReport, TaskSpec, Worker, WorkerFleet
 
 OK = 200
 UNAVAILABLE = 503
--- a/ragworttiller/platform/runner.py
+++ b/ragworttiller/services/runner.py
@@ -5,7 +5,9 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-DEFAULT_CONTENT_TYPE = "application/octet-stream"
+from ragworttiller.platform.channel import DEFAULT_CONTENT_TYPE, Answer
+
+__all__ = ["DEFAULT_CONTENT_TYPE", "Answer", "Exchange", "RunnerConnection", "RunnerDialer"]
 
 
 class Exchange(NamedTuple):
@@ -17,20 +19,6 @@
     body: bytes
 
 
-class Answer(NamedTuple):
-    """Whole answer of a runner."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-    @property
-    def content_type(self) -> str:
-        """Value of the header ``Content-Type``, or that of unknown bytes."""
-        names = {name.lower(): value for name, value in self.headers}
-        return names.get("content-type", DEFAULT_CONTENT_TYPE)
-
-
 class RunnerConnection(ABC):
     """One connection to a runner, which carries one exchange at a time."""
 
--- a/ragworttiller/version/drains.py
+++ b/ragworttiller/version/drains.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ragworttiller.exceptions import InvalidField, NotReady
-from ragworttiller.platform.directory import Listing
+from ragworttiller.services.directory import Listing
 from ragworttiller.version.registry import Item, Registry
 
 CELL_WORKSPACE = "cell"
--- a/standins/agent.py
+++ b/standins/agent.py
@@ -7,8 +7,8 @@
 
 from typing import Any, NamedTuple
 
-from ragworttiller.platform.worker import TaskReport, TaskSpec
 from ragworttiller.resources import NOTHING, Resources
+from ragworttiller.services.worker import TaskReport, TaskSpec
 from ragworttiller.timers import TimerService
 
 FAIL_SECONDS = 0.005
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -15,10 +15,10 @@
     WorkerRefused,
     WorkerUnreachable,
 )
-from ragworttiller.platform.directory import Directory, Listing
-from ragworttiller.platform.log import Log, LogSlice
-from ragworttiller.platform.worker import TaskReport, TaskSpec, Worker, WorkerFleet
 from ragworttiller.resources import Resources
+from ragworttiller.services.directory import Directory, Listing
+from ragworttiller.services.log import Log, LogSlice
+from ragworttiller.services.worker import TaskReport, TaskSpec, Worker, WorkerFleet
 from ragworttiller.timers import TimerService
 from standins.agent import CellRecord, WorkerAgent
 from standins.streams import StoredStream
--- a/standins/runners_fake.py
+++ b/standins/runners_fake.py
@@ -11,8 +11,8 @@
 from typing_extensions import override
 
 from ragworttiller.exceptions import RunnerBroken, RunnerRefused
-from ragworttiller.platform.directory import ListedRunner
-from ragworttiller.platform.runner import Answer, Exchange, RunnerConnection, RunnerDialer
+from ragworttiller.services.directory import ListedRunner
+from ragworttiller.services.runner import Answer, Exchange, RunnerConnection, RunnerDialer
 from ragworttiller.timers import TimerService
 
 SLOTS = 8
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ragworttiller.platform.log import LogSlice
+from ragworttiller.services.log import LogSlice
 
 SLICE_ENTRIES = 500
 SLICE_BYTES = 1024 * 1024
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -17,8 +17,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ragworttiller.platform.worker import TaskSpec
 from ragworttiller.resources import Resources
+from ragworttiller.services.worker import TaskSpec
 from ragworttiller.timers import SystemTimers, TimerService
 from standins.agent import CellRecord, WorkerAgent
 from standins.serving import DroppedAnswer, announce, json_answer, listen, msgpack, port_of, serve
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -10,8 +10,6 @@
 
 from ragworttiller.decisions import DecisionLog
 from ragworttiller.exceptions import NotFound, RagworttillerError
-from ragworttiller.platform.directory import ListedEntry, ListedWorker, Listing
-from ragworttiller.platform.worker import WorkerFleet
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.cell import Cell
 from ragworttiller.process.cell_fold import CellFold
@@ -22,6 +20,8 @@
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import RECORD_CODEC, cell_stream
 from ragworttiller.resources import Resources
+from ragworttiller.services.directory import ListedEntry, ListedWorker, Listing
+from ragworttiller.services.worker import WorkerFleet
 from ragworttiller.timers import DrivenTimers, TimerService
 from standins.agent import WorkerAgent
 from standins.memory import MemoryLog, MemoryWorker, MemoryWorkerFleet
--- a/tests/config_cell.py
+++ b/tests/config_cell.py
@@ -9,12 +9,12 @@
 
 from ragworttiller.exceptions import LogUnavailable
 from ragworttiller.messages import MemberRow
-from ragworttiller.platform.directory import ListedEntry, Listing
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.gossip import GossipMembership
 from ragworttiller.process.snapshots import DEFAULT_RETENTION
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import CONFIG_STREAM
+from ragworttiller.services.directory import ListedEntry, Listing
 from ragworttiller.timers import DrivenTimers
 from ragworttiller.version.config_fold import ConfigFold
 from ragworttiller.version.registry import Registry
--- a/tests/ledger_rig.py
+++ b/tests/ledger_rig.py
@@ -12,7 +12,6 @@
 from ragworttiller.decisions import DecisionLog
 from ragworttiller.exceptions import RagworttillerError
 from ragworttiller.messages import LicensedAnswer, LicensedRequest
-from ragworttiller.platform.runner import Answer
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.ledger import Ledger, LedgerLimits
 from ragworttiller.process.ledger_fold import LedgerFold
@@ -23,6 +22,7 @@
 from ragworttiller.records import ledger_stream
 from ragworttiller.request.licensed import LicensedRequests
 from ragworttiller.request.sender import Sender, Sending
+from ragworttiller.services.runner import Answer
 from ragworttiller.timers import DrivenTimers, settle_tasks
 from standins.memory import MemoryLog
 from standins.peers import MemoryNetwork
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragworttiller.connection.caller_api import _relay
-from ragworttiller.platform.runner import Answer
+from ragworttiller.services.runner import Answer
 
 
 class TestAnswer:
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -5,8 +5,8 @@
 import pytest
 
 from ragworttiller.exceptions import InvalidField, NotFound, NotReady
-from ragworttiller.platform.directory import ListedRunner, ListedWorker, Listing
 from ragworttiller.resources import Resources
+from ragworttiller.services.directory import ListedRunner, ListedWorker, Listing
 from ragworttiller.version.drains import CELL_WORKSPACE, DRAIN_KINDS, Drains, check_drain
 from ragworttiller.version.registry import Item
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -9,9 +9,9 @@
 import pytest
 
 from ragworttiller.messages import Heartbeat, MemberRow
-from ragworttiller.platform.directory import ListedEntry, Listing
 from ragworttiller.process.gossip import GossipMembership
 from ragworttiller.process.heartbeats import HeartbeatTable, identify, pack_counts
+from ragworttiller.services.directory import ListedEntry, Listing
 from ragworttiller.timers import DrivenTimers
 from standins.peers import MemoryNetwork
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -21,15 +21,15 @@
     WorkerUnreachable,
 )
 from ragworttiller.platform.channel import ChannelSet
-from ragworttiller.platform.http import (
+from ragworttiller.resources import Resources
+from ragworttiller.services.http import (
     HttpDirectory,
     HttpLog,
     HttpRunnerDialer,
     HttpWorkerFleet,
 )
-from ragworttiller.platform.runner import Exchange
-from ragworttiller.platform.worker import TaskSpec
-from ragworttiller.resources import Resources
+from ragworttiller.services.runner import Exchange
+from ragworttiller.services.worker import TaskSpec
 from ragworttiller.timers import SystemTimers
 from standins.directory import DirectoryServer
 from standins.log import LogServer
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -4,6 +4,8 @@
 
 import socket
 
+from starlette.applications import Starlette
+
 from ragworttiller.config.defaults import TlsSettings
 from ragworttiller.connection.server import HttpServer
 
@@ -11,6 +13,6 @@
 class TestHttpServer:
     def test_socket_names_its_protocol(self):
         """Without it asyncio leaves Nagle's algorithm on and each answer waits for an ACK."""
-        server = HttpServer("127.0.0.1:0", [], 1.0, TlsSettings(None, None, None))
+        server = HttpServer("127.0.0.1:0", Starlette(), 1.0, TlsSettings(None, None, None))
         with server._socket as sock:
             assert sock.proto == socket.IPPROTO_TCP
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
-from ragworttiller.platform.runner import Answer
+from ragworttiller.services.runner import Answer
 from standins.checker import SAFE_METHODS, CallerAnswer, Told
 
 CHECK_SECONDS = 0.25
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
-from ragworttiller.platform.runner import Answer
+from ragworttiller.services.runner import Answer
 from standins.agent import TaskEvent, Violation
 from standins.checker import Evidence, Leave, PlannedStop
 from standins.runner import Served
