Keep the final progress of a job that ends while an append is under way

Cause: progress was stored from a list of jobs; a job that ended while the append was on its way counted as stored with its end and was forgotten, so a later owner ran its last tasks again. Change: what is stored is a copy of the progress; only a stored end retires a job.

--- a/ragworttiller/platform/configuration.py
+++ b/ragworttiller/platform/configuration.py
@@ -95,10 +95,11 @@
 
 
 def _queue(route: _Route) -> Queue:
-    wire = route.placement_advisor
-    advice = wire and AdviceCost(
-        wire.decision_ms / 1000, wire.per_worker_ms / 1000, wire.validity_ms / 1000
-    )
+    advice = None
+    if wire := route.placement_advisor:
+        advice = AdviceCost(
+            wire.decision_ms / 1000, wire.per_worker_ms / 1000, wire.validity_ms / 1000
+        )
     return Queue(
         route.name,
         route.host,
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -80,11 +80,13 @@
         Identifier of the boot.
     address : str
         ``host:port``.
+    channels : ChannelSet, optional
+        Connections to use in place of new ones to the address.
     """
 
-    def __init__(self, runner: str, address: str) -> None:
+    def __init__(self, runner: str, address: str, channels: ChannelSet | None = None) -> None:
         self._runner = runner
-        self._channels = ChannelSet(address, ORDER_TIMEOUT_SECONDS)
+        self._channels = channels or ChannelSet(address, ORDER_TIMEOUT_SECONDS)
         self._headers = [(INSTANCE_HEADER, runner), ("content-type", "application/json")]
 
     async def hold(self, token: int, seen: int, deadline: float | None, wait: float) -> Held:
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -111,10 +111,17 @@
         ``host:port`` of the store.
     timeout : float
         Seconds to wait for an answer, beyond the wait of a read.
+    channels : ChannelSet, optional
+        Connections to use in place of new ones to the address.
     """
 
-    def __init__(self, address: str, timeout: float = ANSWER_TIMEOUT_SECONDS) -> None:
-        self._channels = ChannelSet(address, timeout)
+    def __init__(
+        self,
+        address: str,
+        timeout: float = ANSWER_TIMEOUT_SECONDS,
+        channels: ChannelSet | None = None,
+    ) -> None:
+        self._channels = channels or ChannelSet(address, timeout)
         self._timeout = timeout
 
     @property
--- a/ragworttiller/platform/submissions.py
+++ b/ragworttiller/platform/submissions.py
@@ -81,7 +81,7 @@
     if any(not 0 <= earlier < number for earlier in wire.after):
         raise _invalid(f"steps[{number}].after", "names no earlier step", f"0 to {number - 1}")
     return StepSpec(
-        count=wire.count,
+        tasks=wire.count,
         size=Resources(wire.cpu, wire.mem_mb, wire.gpu),
         estimate=max(wire.estimate_ms, 0.0) / 1000,
         after=tuple(sorted(set(wire.after))),
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -23,7 +23,7 @@
 from ragworttiller.scheduling.jobs import StageId, StepSpec, TaskId
 from ragworttiller.scheduling.order import QueueOrder, SlackOrder
 from ragworttiller.scheduling.placement import FastTightFit, PlacementPolicy, Placer, Room
-from ragworttiller.scheduling.records import JobState, Suspect
+from ragworttiller.scheduling.records import JobState, Progress, Suspect
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.runs import Run, RunState, Stage
@@ -68,9 +68,12 @@
 
 
 class Changes(NamedTuple):
-    """What is to be recorded: jobs whose progress has changed, and ends that may be forgotten."""
+    """What is to be recorded: progress by job, and by runner the ends that it may then forget.
 
-    jobs: list[JobWork]
+    Jobs go on while their progress is being stored, so it is a copy.
+    """
+
+    progress: dict[str, Progress]
     ends: dict[str, int]
 
 
@@ -281,23 +284,23 @@
 
     def changes(self) -> Changes:
         """Return what is to be recorded now; it counts as taken."""
-        jobs = [self._work[job] for job in self._dirty if job in self._work]
+        progress = {job: self._work[job].progress() for job in self._dirty if job in self._work}
         self._dirty.clear()
         ends = {r.id: r.seen for r in self.runners.values() if r.unrecorded}
-        return Changes(jobs, ends)
+        return Changes(progress, ends)
 
     def recorded(self, changes: Changes) -> None:
         """Record that changes are stored, so that runners may forget their ends."""
         for name, number in changes.ends.items():
             if name in self.runners:
                 self.runners[name].recorded = max(self.runners[name].recorded, number)
-        for work in changes.jobs:
-            if work.state and not work.row.cancelled:
-                self._retire(work)
+        for job, progress in changes.progress.items():
+            if progress.state and job in self._work:
+                self._retire(self._work[job])
 
     def not_recorded(self, changes: Changes) -> None:
         """Put changes back that were not stored."""
-        self._dirty.update((work.id, None) for work in changes.jobs)
+        self._dirty.update(dict.fromkeys(changes.progress))
 
     def _follow_config(self) -> None:
         current = self._config.current
@@ -324,9 +327,8 @@
             successor = addresses.get(runner.entry.address)
             if not runner.listed and successor not in (None, name):
                 self.gone(runner, now, "another boot has its address")
-            elif not runner.listed and runner.misses and not runner.runs and not runner.unrecorded:
-                if not runner.reached or runner.lapsed(now):
-                    self.gone(runner, now, "left the list")
+            elif not runner.listed and runner.idle and runner.lapsed(now):
+                self.gone(runner, now, "left the list")
 
     def _lose(self, runner: RunnerState, now: float, why: str) -> None:
         if runner.lost:
@@ -345,7 +347,7 @@
     def _expire(self, now: float) -> None:
         self._takeover.expire(now)
         for runner in list(self.runners.values()):
-            if runner.misses and not runner.lost and runner.lapsed(now):
+            if runner.misses and runner.reached and not runner.lost and runner.lapsed(now):
                 self._lose(runner, now, "its lease has lapsed")
 
     # Runs
@@ -369,7 +371,7 @@
     def _found(self, runner: RunnerState, row: RunningTask, now: float) -> Run:
         """Take over a run that this owner has not started."""
         stage = self._stage(row.task.stage)
-        index = row.task.index
+        index = row.task.ordinal
         run = Run(row.task, row.run, runner.id, self._spec(row.task), now)
         run.state = RunState.RUNNING
         runner.add(run)
@@ -397,7 +399,7 @@
             self._forget(run)
         stage = self._stage(end.task.stage)
         work = self._work.get(end.task.stage.job)
-        if stage is None or work is None or end.task.index >= stage.spec.count:
+        if stage is None or work is None or end.task.ordinal >= stage.spec.tasks:
             return
         self._dirty[work.id] = None
         if end.how == "done" and not stage.spec.daemon:
@@ -412,7 +414,7 @@
     def _done(self, runner: RunnerState, stage: Stage, end: EndedTask, now: float) -> None:
         """Record that a task has ended as done; one member of a gang stands for all."""
         runner.succeeded(now)
-        finished = range(stage.spec.count) if stage.spec.gang else [end.task.index]
+        finished = range(stage.spec.tasks) if stage.spec.gang else [end.task.ordinal]
         for index in finished:
             other = stage.live.get(index)
             if other is not None and other.number != end.run:
@@ -422,7 +424,7 @@
     def _failed(
         self, runner: RunnerState, stage: Stage, end: EndedTask, run: Run | None, now: float
     ) -> None:
-        index = end.task.index
+        index = end.task.ordinal
         if end.how == "failed":
             if not stage.spec.daemon:
                 stage.failures[index] = stage.failures.get(index, 0) + 1
@@ -547,7 +549,7 @@
         if not fitting:
             return False
         indices = self._takeover.startable(stage)
-        if stage.spec.gang and len(indices) < stage.spec.count:
+        if stage.spec.gang and len(indices) < stage.spec.tasks:
             return False
         chosen = self._placer.place(stage, fitting, room, indices, {})
         if not chosen:
--- a/ragworttiller/scheduling/entry_api.py
+++ b/ragworttiller/scheduling/entry_api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
 from ragworttiller.exceptions import BodyTooLarge, QueueUnknown, RagworttillerError
@@ -23,8 +23,9 @@
 TIMEOUT_SHARE = 0.8
 JSON = (b"content-type", b"application/json")
 
-Receive = Callable[[], Any]
-Send = Callable[[dict[str, Any]], Any]
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 Reply = tuple[int, bytes]
 
 
@@ -44,7 +45,7 @@
         self._clock = clock
         self.answers: dict[str, int] = {}
 
-    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         began = self._clock.now()
         headers = dict(scope["headers"])
@@ -61,9 +62,7 @@
             log.info("request answered", extra={**extra, "code": code, "took": took})
         await _reply(send, status, body, retry_after)
 
-    async def _answer(
-        self, scope: dict[str, Any], headers: dict[bytes, bytes], receive: Receive
-    ) -> Reply:
+    async def _answer(self, scope: Scope, headers: dict[bytes, bytes], receive: Receive) -> Reply:
         host = headers.get(b"host", b"").decode("latin-1")
         target = self._acceptance.target(host, scope["path"])
         method = scope["method"]
@@ -100,7 +99,7 @@
         self._ready = ready
         self._metrics = metrics
 
-    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         if scope["path"] == "/metrics":
             await _reply(send, 200, self._metrics(), None)
--- a/ragworttiller/scheduling/jobs.py
+++ b/ragworttiller/scheduling/jobs.py
@@ -22,10 +22,10 @@
     """One task of a stage."""
 
     stage: StageId
-    index: int
+    ordinal: int
 
     def __str__(self) -> str:
-        return f"{self.stage}.{self.index}"
+        return f"{self.stage}.{self.ordinal}"
 
 
 class StepSpec(NamedTuple):
@@ -36,7 +36,7 @@
     is not counted against a runner's capacity.
     """
 
-    count: int
+    tasks: int
     size: Resources
     estimate: float = 0.0
     after: tuple[int, ...] = ()
@@ -62,7 +62,7 @@
 class Occurrences(NamedTuple):
     """Times at which a job runs, in seconds since the epoch."""
 
-    count: int
+    times: int
     first: float
     interval: float
 
@@ -81,7 +81,7 @@
     @property
     def times(self) -> int:
         """Number of occurrences."""
-        return self.occurrences.count if self.occurrences else 1
+        return self.occurrences.times if self.occurrences else 1
 
     @property
     def chain(self) -> float:
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -63,6 +65,8 @@
         Name of this instance.
     incarnation : int
         Number of this start of the instance.
+    connect : Callable
+        Returns the client of a runner, given its identifier and address.
     """
 
     def __init__(
@@ -77,7 +81,9 @@
         clock: Clock,
         name: str,
         incarnation: int,
+        connect: Callable[[str, str], RunnerClient] = RunnerClient,
     ) -> None:
+        self._connect = connect
         self._cell = cell
         self._term = term
         self._jobs = jobs
@@ -151,7 +157,7 @@
         cell.follow(self._clock.now(), self._clock.wall())
         for name, runner in cell.runners.items():
             if name not in self._clients:
-                self._clients[name] = RunnerClient(name, runner.entry.address)
+                self._clients[name] = self._connect(name, runner.entry.address)
                 self._spawn(self._hold_loop, runner, self._clients[name])
         if any(r.reached and not r.enrolled and not r.lost for r in cell.runners.values()):
             ownership.renew_now()
@@ -165,7 +171,7 @@
         for call in plan.calls:
             self._spawn(self._advise, call)
 
-    def _spawn(self, function, *args: object) -> None:  # noqa: ANN001
+    def _spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
         if self._tasks is not None:
             self._tasks.start_soon(function, *args)
 
@@ -290,12 +296,13 @@
             await self._commit.wait()
             self._commit = anyio.Event()
             changes = self._cell.changes()
-            if changes.jobs or changes.ends:
+            if changes.progress or changes.ends:
                 await self._record(changes)
 
     async def _record(self, changes: Changes) -> None:
         records = [
-            KeyedRecord(work.id + PROGRESS_SUFFIX, encode(work.progress())) for work in changes.jobs
+            KeyedRecord(job + PROGRESS_SUFFIX, encode(progress))
+            for job, progress in changes.progress.items()
         ]
         try:
             if records:
--- a/ragworttiller/scheduling/runner_state.py
+++ b/ragworttiller/scheduling/runner_state.py
@@ -73,6 +73,11 @@
         """Whether the effects of an end are not stored yet."""
         return self.seen > self.recorded
 
+    @property
+    def idle(self) -> bool:
+        """Whether the runner does not answer, and nothing is known to run or wait there."""
+        return self.misses > 0 and not self.runs and not self.unrecorded
+
     @property
     def probing(self) -> bool:
         """Whether the runner has to prove itself with one task at a time."""
@@ -144,7 +149,7 @@
     def lapsed(self, now: float) -> bool:
         """Return whether the lease has surely ended, however slow the runner's clock is."""
         if self._clock is None:
-            return False
+            return True
         clock, at = self._clock
         return clock + SLOWEST_CLOCK * (now - at) > self._lease_end
 
--- a/ragworttiller/scheduling/runs.py
+++ b/ragworttiller/scheduling/runs.py
@@ -86,7 +86,7 @@
         self.id = stage
         self.spec = spec
         self.done: set[int] = set()
-        self.waiting: list[int] = list(range(spec.count - 1, -1, -1))
+        self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
         self.live: dict[int, Run] = {}
         self.failures: dict[int, int] = {}
         self.checkpoints: dict[int, str] = {}
@@ -98,7 +98,7 @@
     @property
     def complete(self) -> bool:
         """Whether every task has ended as done."""
-        return len(self.done) == self.spec.count
+        return len(self.done) == self.spec.tasks
 
     @property
     def begun(self) -> bool:
@@ -107,7 +107,7 @@
 
     def restore(self, progress: StageProgress) -> None:
         """Take over what an earlier owner has recorded."""
-        self.done = {index for index in indices_of(progress.done) if index < self.spec.count}
+        self.done = {index for index in indices_of(progress.done) if index < self.spec.tasks}
         self.waiting = [index for index in self.waiting if index not in self.done]
         self.failures = dict(progress.failures)
         self.checkpoints = dict(progress.checkpoints)
@@ -117,8 +117,8 @@
         return StageProgress(
             self.id.occurrence,
             self.id.step,
-            bits_of(self.done, self.spec.count),
-            self.failures,
+            bits_of(self.done, self.spec.tasks),
+            dict(self.failures),
             {i: text for i, text in self.checkpoints.items() if i not in self.done},
         )
 
@@ -138,7 +138,7 @@
 
     def adopt(self, run: Run) -> None:
         """Take over a run that an earlier owner has started."""
-        index = run.task.index
+        index = run.task.ordinal
         self.waiting.remove(index)
         self._starts[index] = max(self._starts.get(index, 0), run.number)
         self.live[index] = run
@@ -152,7 +152,7 @@
 
     def requeue(self, run: Run) -> None:
         """Let a task wait again after its run has ended."""
-        index = run.task.index
+        index = run.task.ordinal
         if self.live.get(index) is not run:
             return
         del self.live[index]
--- /dev/null
+++ b/standins/platform/service.py
@@ -0,0 +1,100 @@
+"""Services that answer HTTP exchanges, and the links to them within the test's own process."""
+
+from __future__ import annotations
+
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from typing import Any
+
+import anyio
+
+from ragworttiller.platform.channel import Answer, ExchangeBroken, NotSent, Traffic
+from ragworttiller.timers import TimerService
+
+
+def json_answer(status: int, body: dict[str, Any] | None = None) -> Answer:
+    """Return an answer with a JSON body."""
+    return Answer(status, [("content-type", "application/json")], json.dumps(body or {}).encode())
+
+
+class Service(ABC):
+    """Service of the platform."""
+
+    @abstractmethod
+    async def answer(
+        self, method: str, target: str, body: bytes, headers: dict[str, str]
+    ) -> Answer:
+        """Return the answer to one exchange."""
+
+
+class Link:
+    """Stands in for the channels of a client, with faults that a test switches.
+
+    Parameters
+    ----------
+    service : Service
+        Service that the link leads to.
+    timers : TimerService
+        Source of time.
+
+    Attributes
+    ----------
+    cut : bool
+        Whether exchanges get no answer and are not carried out.
+    refused : bool
+        Whether connections are refused.
+    lose_next : int
+        Exchanges to come that are carried out but get no answer.
+    late_next : list of float
+        Seconds after which each of the exchanges to come is carried out, without an answer.
+    """
+
+    def __init__(self, service: Service, timers: TimerService) -> None:
+        self.service = service
+        self._timers = timers
+        self._late: list[tuple[float, tuple[str, str, bytes, dict[str, str]]]] = []
+        self.traffic = Traffic()
+        self.cut = False
+        self.refused = False
+        self.lose_next = 0
+        self.late_next: list[float] = []
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Sequence[tuple[str, str]] = (),
+        timeout: float | None = None,
+    ) -> Answer:
+        """Carry out an exchange under the link's faults."""
+        self.traffic.calls += 1
+        exchange = (method, target, body, {k.lower(): v for k, v in headers})
+        if self.refused:
+            raise NotSent("refused")
+        if self.cut:
+            await self._timers.sleep(timeout or 1.0)
+            raise ExchangeBroken("cut")
+        if self.late_next:
+            self._late.append((self._timers.now() + self.late_next.pop(0), exchange))
+            await self._timers.sleep(timeout or 1.0)
+            raise ExchangeBroken("late")
+        if self.lose_next:
+            self.lose_next -= 1
+            await self.service.answer(*exchange)
+            await self._timers.sleep(timeout or 1.0)
+            raise ExchangeBroken("lost")
+        with anyio.CancelScope():
+            return await self.service.answer(*exchange)
+
+    async def deliver_late(self) -> None:
+        """Carry out the late exchanges that are due."""
+        now = self._timers.now()
+        due = [exchange for at, exchange in self._late if at <= now]
+        self._late = [row for row in self._late if row[0] > now]
+        for exchange in due:
+            await self.service.answer(*exchange)
+
+    async def close(self) -> None:
+        """Do nothing: there is no connection."""
--- /dev/null
+++ b/standins/platform/store.py
@@ -0,0 +1,168 @@
+"""Stand-in of the platform's store: partitions, producers and keyed topics."""
+
+from __future__ import annotations
+
+import base64
+from collections import defaultdict
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+from typing_extensions import override
+
+from ragworttiller.platform.channel import Answer
+from ragworttiller.timers import TimerService
+from standins.platform.service import Service, json_answer
+
+REPEATS_KEPT = 5
+PAGE_ITEMS = 500
+
+
+class _Producer:
+    def __init__(self) -> None:
+        self.epoch = -1
+        self.last = -1
+        self.fresh = True
+        self.answers: dict[int, Answer] = {}
+
+
+class StoredPartition:
+    """Records of one partition.
+
+    Attributes
+    ----------
+    first : int
+        Offset of the oldest record that is kept.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first = 0
+        self.producers: dict[str, _Producer] = defaultdict(_Producer)
+        self.grown = anyio.Event()
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return len(self.records)
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        """Return offset and value of the newest record of each key that was not dropped."""
+        rows: dict[str, tuple[int, bytes]] = {}
+        for offset, record in enumerate(self.records):
+            key = record[1 : 1 + record[0]].decode()
+            rows[key] = (offset, record[1 + record[0] :])
+        return {key: row for key, row in rows.items() if row[1]}
+
+
+class StoreService(Service):
+    """Store of the platform.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of time.
+    page : int
+        Most items of one page of newest records.
+
+    Attributes
+    ----------
+    down : bool
+        Whether every call is refused.
+    """
+
+    def __init__(self, timers: TimerService, page: int = PAGE_ITEMS) -> None:
+        self._timers = timers
+        self._page = page
+        self.partitions: dict[tuple[str, int], StoredPartition] = defaultdict(StoredPartition)
+        self.down = False
+
+    def partition(self, topic: str) -> StoredPartition:
+        """Return the first partition of a topic."""
+        return self.partitions[topic, 0]
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record, as the operator and the runners do."""
+        self._append(self.partition(topic), [bytes([len(key)]) + key.encode() + value])
+
+    def expire(self, topic: str) -> None:
+        """Delete all records of a topic but the newest of each key."""
+        self.partition(topic).first = self.partition(topic).end
+
+    @override
+    async def answer(
+        self, method: str, target: str, body: bytes, headers: dict[str, str]
+    ) -> Answer:
+        if self.down:
+            return json_answer(503)
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        partition = self.partitions[query["topic"], int(query["part"])]
+        if parts.path == "/-/log-append":
+            return self._append_call(partition, query, body)
+        if parts.path == "/-/log-newest":
+            return self._newest(partition, query)
+        return await self._read(partition, query)
+
+    def _append_call(
+        self, partition: StoredPartition, query: dict[str, str], body: bytes
+    ) -> Answer:
+        producer = None
+        sequence = int(query.get("seq", 0))
+        if "producer" in query:
+            producer = partition.producers[query["producer"]]
+            epoch = int(query["epoch"])
+            if epoch < producer.epoch:
+                return json_answer(409, {"reason": "fenced"})
+            if epoch > producer.epoch:
+                producer.epoch, producer.fresh, producer.answers = epoch, True, {}
+            if sequence in producer.answers:
+                return producer.answers[sequence]
+            if not producer.fresh and sequence != producer.last + 1:
+                return json_answer(409, {"reason": "seq", "seq": producer.last + 1})
+        if "at" in query and int(query["at"]) != partition.end:
+            return json_answer(412, {"end": partition.end})
+        offset = partition.end
+        self._append(partition, _split(body))
+        answer = json_answer(200, {"offset": offset, "end": partition.end})
+        if producer is not None:
+            producer.last, producer.fresh = sequence, False
+            producer.answers[sequence] = answer
+            for old in sorted(producer.answers)[:-REPEATS_KEPT]:
+                del producer.answers[old]
+        return answer
+
+    def _append(self, partition: StoredPartition, records: list[bytes]) -> None:
+        partition.records.extend(records)
+        partition.grown.set()
+        partition.grown = anyio.Event()
+
+    def _newest(self, partition: StoredPartition, query: dict[str, str]) -> Answer:
+        rows = sorted(partition.newest().items())
+        rows = [row for row in rows if row[0] > query.get("after", "")]
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in rows[: self._page]
+        ]
+        more = len(rows) > self._page
+        return json_answer(200, {"items": items, "has_more": more, "end": partition.end})
+
+    async def _read(self, partition: StoredPartition, query: dict[str, str]) -> Answer:
+        start = int(query["from"])
+        if start < partition.first:
+            return json_answer(410, {"first": partition.first})
+        if start >= partition.end and "wait_ms" in query:
+            with self._timers.move_on_after(int(query["wait_ms"]) / 1000):
+                while start >= partition.end:
+                    await partition.grown.wait()
+        records = [len(r).to_bytes(4, "big") + r for r in partition.records[start:]]
+        bounds = partition.end.to_bytes(8, "big") + partition.first.to_bytes(8, "big")
+        return Answer(200, [], bounds + b"".join(records))
+
+
+def _split(body: bytes) -> list[bytes]:
+    records: list[bytes] = []
+    while body:
+        length = int.from_bytes(body[:4], "big")
+        records.append(body[4 : 4 + length])
+        body = body[4 + length :]
+    return records
--- /dev/null
+++ b/tests/scheduling_rig.py
@@ -0,0 +1,146 @@
+"""Cell, runners and store of the scheduling tests, in one process and on driven time."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ragworttiller.platform.configuration import Queue
+from ragworttiller.platform.runners import EndedTask, Held, RunningTask
+from ragworttiller.platform.store import Record
+from ragworttiller.platform.submissions import decode_job
+from ragworttiller.resources import Resources
+from ragworttiller.scheduling.cell import Cell, Plan, StartOrder
+from ragworttiller.scheduling.config_fold import ConfigFold
+from ragworttiller.scheduling.job_fold import JobFold
+from ragworttiller.scheduling.jobs import StageId, TaskId
+from ragworttiller.scheduling.records import CANCEL_SUFFIX, Accepted, Claim, encode
+from ragworttiller.scheduling.runner_fold import RunnerFold
+from ragworttiller.scheduling.takeover import Takeover
+
+QUEUE = Queue("checks", "h", "/q/", "desk", 0, 2, 1.5, 0.25, None)
+JOB = "0123456789abcdef"
+TERM = 10.0
+LEASE = 4.5
+
+
+def job_body(*steps: dict[str, Any], **fields: Any) -> bytes:
+    """Return the body of a submission."""
+    return json.dumps({"spec": "s", "steps": list(steps), **fields}).encode()
+
+
+def step(count: int = 1, cpu: int = 1000, **fields: Any) -> dict[str, Any]:
+    """Return one step as a caller writes it."""
+    return {"count": count, "cpu": cpu, "mem_mb": 100, "estimate_ms": 1000, **fields}
+
+
+def task(index: int = 0, number: int = 0, job: str = JOB) -> TaskId:
+    """Return the name of a task."""
+    return TaskId(StageId(job, 0, number), index)
+
+
+class CellRig:
+    """A cell whose runners answer as the test says.
+
+    Parameters
+    ----------
+    runners : int
+        Number of runners, each of four processors.
+    claim : Claim, optional
+        Last claim of an earlier owner.
+    accepted_before : int
+        Offset of the end of the jobs at the takeover.
+    """
+
+    def __init__(
+        self, runners: int = 2, claim: Claim | None = None, accepted_before: int = 0
+    ) -> None:
+        self.now = 100.0
+        self.offset = 0
+        self.jobs = JobFold()
+        self.config = ConfigFold()
+        self.listed = RunnerFold()
+        self.numbers: dict[str, int] = {}
+        takeover = Takeover(claim, accepted_before, self.now, TERM, LEASE)
+        epoch = claim.epoch + 1 if claim else 1
+        self.cell = Cell(epoch, self.jobs, self.config, self.listed, takeover, LEASE)
+        for number in range(1, runners + 1):
+            self.add_runner(f"w{number}")
+
+    def add_runner(self, name: str, cpu: int = 4000, labels: tuple[str, ...] = ("a",)) -> None:
+        """List a runner and let it answer once."""
+        self.list_runner(name, cpu, labels)
+        self.hold(name)
+        self.cell.enroll([name])
+
+    def list_runner(
+        self, name: str, cpu: int = 4000, labels: tuple[str, ...] = ("a",), state: str = "ready"
+    ) -> None:
+        """Write a runner's entry into the platform's list."""
+        capacity = {"cpu": cpu, "mem_mb": 8000}
+        row = {"service": "desk", "address": f"{name}:1", "capacity": capacity, "state": state}
+        row["labels"] = list(labels)
+        self.listed.apply(Record(self._next(), name, json.dumps(row).encode()))
+        self.cell.follow(self.now, self.now)
+
+    def submit(self, *steps: dict[str, Any], job: str = JOB, queue: Queue = QUEUE) -> None:
+        """Let the store hold a job."""
+        accepted = Accepted(queue, decode_job(job_body(*steps)), self.now)
+        self.store(job, encode(accepted))
+
+    def cancel(self, job: str = JOB) -> None:
+        """Let the store hold a cancellation."""
+        self.store(job + CANCEL_SUFFIX, b"1")
+
+    def store(self, key: str, value: bytes) -> None:
+        """Let the store hold a record."""
+        self.jobs.apply(Record(self._next(), key, value))
+        self.cell.follow(self.now, self.now)
+
+    def plan(self) -> Plan:
+        """Return what the cell decides now."""
+        return self.cell.plan(self.now, self.now)
+
+    def start_all(self) -> list[StartOrder]:
+        """Return the starts that the cell decides now, each answered by its runner."""
+        starts = self.plan().starts
+        for order in starts:
+            self.cell.started(order.run, self.now)
+        return starts
+
+    def hold(
+        self,
+        runner: str,
+        *ends: tuple[TaskId, int, str],
+        running: tuple[tuple[TaskId, int], ...] | None = None,
+    ) -> None:
+        """Let a runner answer a hold: with these ends, and all else that it was told to run."""
+        state = self.cell.runners[runner]
+        rows: list[EndedTask] = []
+        for name, run, how in ends:
+            self.numbers[runner] = self.numbers.get(runner, 0) + 1
+            rows.append(EndedTask(self.numbers[runner], name, run, how, ""))
+        ended = {(name, run) for name, run, _ in ends}
+        at_work = set(running) if running is not None else set(state.runs) - ended
+        held = [RunningTask(name, run, "", self.now % 100, 0.0) for name, run in at_work]
+        self.cell.held(state, Held(self.now, held, rows, 0), self.now)
+
+    def pass_time(self, seconds: float, *silent: str) -> None:
+        """Let time pass, in which all runners but the silent ones go on answering."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(self.now + 0.5, end)
+            for name in list(self.cell.runners):
+                if name in silent:
+                    self.cell.missed(self.cell.runners[name], self.now)
+                else:
+                    self.cell.runners[name].grant(self.now, LEASE)
+                    self.hold(name)
+
+    def size(self, cpu: int) -> Resources:
+        """Return a size of some processors."""
+        return Resources(cpu, 100, 0)
+
+    def _next(self) -> int:
+        self.offset += 1
+        return self.offset
--- /dev/null
+++ b/tests/test_cell_decisions.py
@@ -0,0 +1,324 @@
+"""Tests of what the owner of a cell decides."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.scheduling.records import (
+    PROGRESS_SUFFIX,
+    Claim,
+    JobState,
+    Progress,
+    Suspect,
+    decode,
+    encode,
+)
+from tests.scheduling_rig import JOB, LEASE, QUEUE, TERM, CellRig, step, task
+
+OTHER = "fedcba9876543210"
+
+
+@pytest.fixture()
+def rig() -> CellRig:
+    return CellRig()
+
+
+class TestStarts:
+    def test_tasks_start_where_they_fit(self, rig: CellRig):
+        rig.submit(step(10, 1000))
+        starts = rig.start_all()
+        assert len(starts) == 8
+        assert all(runner.free.cpu == 0 for runner in rig.cell.runners.values())
+
+    def test_a_stopping_run_still_takes_room(self, rig: CellRig):
+        rig.submit(step(8, 1000))
+        rig.start_all()
+        rig.cancel()
+        assert len(rig.plan().stops) == 8
+        rig.submit(step(1, 1000), job=OTHER)
+        assert rig.plan().starts == []
+
+    def test_steps_follow_the_ends_of_those_before(self, rig: CellRig):
+        rig.submit(step(2), step(1, after=[0]))
+        first, second = rig.start_all()
+        rig.hold(first.run.runner, (first.run.task, 1, "done"))
+        assert rig.plan().starts == []
+        rig.hold(second.run.runner, (second.run.task, 1, "done"))
+        assert [order.run.task for order in rig.plan().starts] == [task(0, 1)]
+
+    def test_a_label_is_kept(self, rig: CellRig):
+        rig.add_runner("b1", labels=("b",))
+        rig.submit(step(1, requires="b"))
+        assert [order.run.runner for order in rig.plan().starts] == ["b1"]
+
+    def test_tasks_of_a_step_are_kept_apart(self, rig: CellRig):
+        rig.submit(step(6, 100, anti_affinity=1))
+        assert sorted(order.run.runner for order in rig.plan().starts) == ["w1", "w2"]
+
+    def test_nothing_starts_on_a_draining_runner(self, rig: CellRig):
+        rig.list_runner("w1", state="draining")
+        rig.submit(step(8))
+        assert {order.run.runner for order in rig.plan().starts} == {"w2"}
+
+    def test_nothing_starts_on_a_runner_that_the_store_does_not_name_yet(self, rig: CellRig):
+        rig.list_runner("w3")
+        rig.hold("w3")
+        rig.submit(step(12))
+        assert {order.run.runner for order in rig.plan().starts} == {"w1", "w2"}
+
+    def test_an_earlier_time_is_waited_for(self, rig: CellRig):
+        rig.submit(step(1))
+        work = rig.cell.jobs[JOB]
+        assert list(work.ready(rig.now)) != []
+        assert work.due(next(iter(work.stages.values()))) == 0.0
+
+
+class TestEnds:
+    def test_the_end_of_a_job_is_recorded_though_an_append_is_under_way(self, rig: CellRig):
+        rig.submit(step(2))
+        first, second = rig.start_all()
+        rig.hold(first.run.runner, (first.run.task, 1, "done"))
+        under_way = rig.cell.changes()
+        rig.hold(second.run.runner, (second.run.task, 1, "done"))
+        rig.cell.recorded(under_way)
+        assert rig.cell.changes().progress[JOB].state == JobState.COMPLETED
+
+    def test_progress_comes_back_from_the_store(self, rig: CellRig):
+        rig.submit(step(2))
+        first, _ = rig.start_all()
+        rig.hold(first.run.runner, (first.run.task, 1, "done"))
+        progress = rig.cell.changes().progress[JOB]
+        assert decode(encode(progress), Progress) == progress
+        rig.store(JOB + PROGRESS_SUFFIX, encode(progress))
+        again = CellRig(2)
+        again.submit(step(2))
+        again.jobs.jobs[JOB].progress = progress
+        other = CellRig(2)
+        other.jobs = again.jobs
+        assert other.jobs.jobs[JOB].state == JobState.RUNNING
+
+    def test_a_job_that_has_ended_does_not_start_anew(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.start_all()
+        rig.hold(only.run.runner, (only.run.task, 1, "done"))
+        rig.cell.recorded(rig.cell.changes())
+        rig.jobs.touched.add(JOB)
+        rig.cell.follow(rig.now, rig.now)
+        assert rig.plan().starts == []
+
+    def test_an_end_is_forgotten_only_when_it_is_stored(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.start_all()
+        rig.hold(only.run.runner, (only.run.task, 1, "done"))
+        runner = rig.cell.runners[only.run.runner]
+        assert runner.recorded == 0
+        changes = rig.cell.changes()
+        rig.cell.not_recorded(changes)
+        assert runner.recorded == 0
+        rig.cell.recorded(rig.cell.changes())
+        assert runner.recorded == 1
+
+    def test_a_task_fails_for_good_after_its_attempts(self, rig: CellRig):
+        rig.submit(step(1))
+        for run in (1, 2):
+            (only,) = rig.start_all()
+            assert only.run.number == run
+            rig.hold(only.run.runner, (only.run.task, run, "failed"))
+        assert rig.cell.changes().progress[JOB].state == JobState.FAILED
+        assert rig.plan().starts == []
+
+    def test_the_second_attempt_goes_elsewhere(self, rig: CellRig):
+        rig.submit(step(1))
+        (first,) = rig.start_all()
+        rig.hold(first.run.runner, (first.run.task, 1, "failed"))
+        (second,) = rig.start_all()
+        assert second.run.runner != first.run.runner
+
+    def test_a_task_that_lasts_has_no_limit(self, rig: CellRig):
+        rig.submit(step(1, daemon=True))
+        for _ in range(4):
+            (only,) = rig.start_all()
+            rig.hold(only.run.runner, (only.run.task, only.run.number, "failed"))
+            rig.pass_time(4.0)
+        assert rig.cell.jobs[JOB].open
+
+    def test_an_old_end_of_a_task_that_runs_again_stops_the_new_run(self, rig: CellRig):
+        rig.submit(step(1))
+        (first,) = rig.start_all()
+        lost, other = first.run.runner, "w2" if first.run.runner == "w1" else "w1"
+        rig.pass_time(LEASE * 1.1 + 1, lost)
+        (second,) = rig.start_all()
+        assert second.run.runner == other
+        rig.hold(lost, (first.run.task, 1, "done"), running=())
+        assert [order.run for order in rig.plan().stops] == [second.run]
+
+
+class TestUnanswered:
+    def test_a_start_without_answer_keeps_its_room_until_it_has_expired(self, rig: CellRig):
+        rig.submit(step(1, 4000))
+        (only,) = rig.plan().starts
+        rig.now += 0.5
+        rig.hold(only.run.runner, running=())
+        assert rig.plan().starts == []
+        rig.now = only.deadline + 0.2
+        for name in ("w1", "w2"):
+            rig.hold(name, running=())
+        (again,) = rig.plan().starts
+        assert again.run.number == 2
+
+    def test_a_start_that_was_carried_out_late_is_found(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.plan().starts
+        rig.now += 0.5
+        rig.hold(only.run.runner, running=())
+        rig.now += 0.5
+        rig.hold(only.run.runner)
+        rig.pass_time(5.0)
+        assert rig.plan().starts == []
+
+    def test_a_lost_runner_is_waited_out(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.start_all()
+        runner = only.run.runner
+        rig.cell.runners[runner].grant(rig.now, LEASE)
+        rig.pass_time(LEASE - 0.5, runner)
+        assert rig.plan().starts == []
+        rig.pass_time(1.5, runner)
+        (again,) = rig.plan().starts
+        assert again.run.runner != runner
+
+    def test_a_lease_on_a_slow_clock_is_waited_out(self, rig: CellRig):
+        state = rig.cell.runners["w1"]
+        state.grant(rig.now, 10.0)
+        assert not state.lapsed(rig.now + 10.1)
+        assert state.lapsed(rig.now + 10.3)
+
+    def test_another_boot_at_the_address_frees_the_tasks_at_once(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.start_all()
+        rig.cell.gone(rig.cell.runners[only.run.runner], rig.now, "another boot")
+        assert len(rig.plan().starts) == 1
+
+    def test_a_refused_start_is_tried_again(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.plan().starts
+        rig.cell.start_refused(only.run, "unhealthy", rig.now)
+        (again,) = rig.plan().starts
+        assert again.run.runner != only.run.runner
+
+
+class TestGangs:
+    def test_a_gang_starts_whole_or_not_at_all(self, rig: CellRig):
+        rig.submit(step(9, 1000, gang=True))
+        assert rig.plan().starts == []
+        rig.submit(step(8, 1000, gang=True), job=OTHER)
+        starts = rig.plan().starts
+        assert len(starts) == 8
+        assert {order.run.number for order in starts} == {1}
+
+    def test_one_end_stands_for_all_members(self, rig: CellRig):
+        rig.submit(step(2, gang=True))
+        first, second = rig.start_all()
+        rig.hold(first.run.runner, (first.run.task, 1, "done"))
+        assert rig.cell.changes().progress[JOB].state == JobState.COMPLETED
+        assert rig.plan().stops == []
+
+    def test_members_start_again_when_all_have_ended(self, rig: CellRig):
+        rig.submit(step(2, gang=True))
+        first, second = rig.start_all()
+        rig.cell.start_refused(first.run, "ticket", rig.now)
+        plan = rig.plan()
+        assert plan.starts == []
+        assert [order.run for order in plan.stops] == [second.run]
+        rig.hold(second.run.runner, (second.run.task, 1, "stopped"))
+        assert {order.run.number for order in rig.plan().starts} == {2}
+
+
+class TestTakeover:
+    def claim(self, *suspects: Suspect) -> Claim:
+        return Claim("e1", 1, 1, 0, ["w1", "w2"], list(suspects), {})
+
+    def test_runs_that_are_found_are_taken_over(self):
+        rig = CellRig(0, self.claim(), 100)
+        rig.submit(step(2))
+        rig.list_runner("w1")
+        rig.list_runner("w2")
+        rig.hold("w1", running=((task(0), 1),))
+        rig.hold("w2", running=())
+        rig.cell.enroll(["w1", "w2"])
+        (only,) = rig.plan().starts
+        assert only.run.task == task(1)
+        assert only.run.number > 10_000
+
+    def test_an_old_job_waits_for_a_runner_that_has_not_answered(self):
+        rig = CellRig(0, self.claim(), 100)
+        rig.submit(step(1))
+        rig.add_runner("w1")
+        assert rig.plan().starts == []
+        rig.pass_time(TERM + LEASE)
+        assert rig.plan().starts == []
+        rig.pass_time(1.0)
+        assert len(rig.plan().starts) == 1
+
+    def test_a_new_job_does_not_wait(self):
+        rig = CellRig(0, self.claim(), 0)
+        rig.submit(step(1))
+        rig.add_runner("w1")
+        assert len(rig.plan().starts) == 1
+
+    def test_only_the_tasks_on_a_suspect_wait(self):
+        suspect = Suspect("w2", [str(task(0))])
+        rig = CellRig(0, self.claim(suspect), 100)
+        rig.submit(step(2))
+        rig.add_runner("w1")
+        assert [order.run.task for order in rig.plan().starts] == [task(1)]
+        rig.pass_time(LEASE + 1.0)
+        assert [order.run.task for order in rig.plan().starts] == [task(0)]
+
+    def test_a_run_of_a_cancelled_job_is_stopped(self):
+        rig = CellRig(0, self.claim(), 100)
+        rig.submit(step(1))
+        rig.cancel()
+        rig.list_runner("w1")
+        rig.hold("w1", running=((task(0), 1),))
+        assert [str(order.run.task) for order in rig.plan().stops] == [str(task(0))]
+        assert rig.cell.runners["w1"].free.cpu == 3000
+
+
+class TestHealth:
+    def test_a_runner_that_fails_what_it_starts_rests(self, rig: CellRig):
+        rig.submit(step(8))
+        starts = rig.start_all()
+        bad = [order.run for order in starts if order.run.runner == "w1"]
+        rig.hold("w1", *[(run.task, run.number, "failed") for run in bad])
+        assert {order.run.runner for order in rig.plan().starts} <= {"w2"}
+
+    def test_a_runner_proves_itself_with_one_task(self, rig: CellRig):
+        runner = rig.cell.runners["w1"]
+        runner.rest(rig.now)
+        rig.pass_time(3.5)
+        rig.submit(step(8))
+        placed = [order.run.runner for order in rig.start_all()]
+        assert placed.count("w1") == 1
+        run = next(iter(runner.runs.values()))
+        rig.hold("w1", (run.task, run.number, "done"))
+        assert [order.run.runner for order in rig.plan().starts].count("w1") == 3
+
+    def test_a_task_that_stands_still_moves(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.start_all()
+        runner, run = only.run.runner, only.run
+        for _ in range(5):
+            rig.now += 0.5
+            run.percent = rig.now % 100
+            rig.hold(runner)
+        assert [order.run for order in rig.plan().stops] == [run]
+
+
+class TestPending:
+    def test_jobs_that_have_begun_do_not_count(self, rig: CellRig):
+        rig.submit(step(1, 4000))
+        rig.submit(step(1, 4000), job=OTHER)
+        rig.submit(step(1, 4000), job="00000000000000aa")
+        rig.start_all()
+        assert rig.cell.pending() == {f"{QUEUE.host} {QUEUE.prefix}": 1}
