--- a/ragworttiller/scheduling/advice.py
+++ b/ragworttiller/scheduling/advice.py
@@ -35,6 +35,25 @@
     asked_at: float
 
 
+class Advice(ABC):
+    """Way to the advisor, through this entry and others."""
+
+    @property
+    @abstractmethod
+    def entries(self) -> list[str]:
+        """Names of the entries that can call the advisor."""
+
+    @abstractmethod
+    async def ask(self, call: AdviceCall) -> dict[str, str]:
+        """Return the tickets that a call gives, by runner.
+
+        Raises
+        ------
+        RagworttillerError
+            No answer came.
+        """
+
+
 class EntryLoads:
     """Work of the advisor that each entry has asked for."""
 
--- a/ragworttiller/scheduling/entries.py
+++ b/ragworttiller/scheduling/entries.py
@@ -10,7 +10,7 @@
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
 from ragworttiller.process.nng_peers import NngPeers
-from ragworttiller.scheduling.advice import AdviceCall
+from ragworttiller.scheduling.advice import Advice, AdviceCall
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.feed import Fold
 from ragworttiller.scheduling.group_commit import GroupCommit
@@ -97,30 +97,32 @@
                 await self._clock.sleep(CALL_MARGIN_SECONDS)
 
 
-class AdviceDesk:
+class PeerAdvice(Advice):
     """Takes calls to the advisor to the entries that make them.
 
     Parameters
     ----------
     peers : NngPeers
         Connections to the other entries.
+    fold : EntryFold
+        Entries that have announced themselves.
     advisor : Advisor
         Client of the advisor.
     """
 
-    def __init__(self, peers: NngPeers, advisor: Advisor) -> None:
+    def __init__(self, peers: NngPeers, fold: EntryFold, advisor: Advisor) -> None:
+        self._fold = fold
         self._peers = peers
         self._advisor = advisor
         peers.handle(AdviceRequest, self._serve)
 
-    async def ask(self, call: AdviceCall) -> dict[str, str]:
-        """Return the tickets that a call gives.
+    @property
+    @override
+    def entries(self) -> list[str]:
+        return sorted(self._fold.names)
 
-        Raises
-        ------
-        RagworttillerError
-            No answer came.
-        """
+    @override
+    async def ask(self, call: AdviceCall) -> dict[str, str]:
         timeout = call.duration + ADVISOR_SLACK_SECONDS
         request = AdviceRequest(call.stage, list(call.runners), timeout)
         if call.entry == self._peers.instance:
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -9,39 +9,23 @@
 
 from ragworttiller.config.entry import EntrySettings
 from ragworttiller.connection.server import HttpServer
-from ragworttiller.exceptions import RagworttillerError
 from ragworttiller.platform.advisor import Advisor
-from ragworttiller.platform.store import CONFIG_TOPIC, RUNNERS_TOPIC, Partition, Producer, Store
+from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.acceptance import Acceptance
-from ragworttiller.scheduling.cell import LEASE_SECONDS, Cell
+from ragworttiller.scheduling.cell_host import CellHost
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.entries import AdviceDesk, Announcer, EntryFold
+from ragworttiller.scheduling.entries import Announcer, EntryFold, PeerAdvice
 from ragworttiller.scheduling.entry_api import CallerApp, ReadyApp
 from ragworttiller.scheduling.entry_metrics import EntryMetrics
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.owner import Owner
-from ragworttiller.scheduling.ownership import (
-    SILENCE_SECONDS,
-    TERM_SECONDS,
-    OwnerFold,
-    Ownership,
-    Term,
-)
 from ragworttiller.scheduling.peer_messages import PEER_CODEC
-from ragworttiller.scheduling.records import ENTRIES, JOBS, OWNER, Claim, EntryRecord
-from ragworttiller.scheduling.runner_fold import RunnerFold
-from ragworttiller.scheduling.takeover import Takeover
+from ragworttiller.scheduling.records import ENTRIES, JOBS, EntryRecord
 
 log = logging.getLogger(__name__)
 
-JOBS_PACE_SECONDS = 0.15
-OWNER_JOBS_PACE_SECONDS = 0.03
-RUNNERS_PACE_SECONDS = 0.4
-CLAIM_RETRY_SECONDS = 0.3
 # Connections are still given to an entry for up to two checks of its readiness.
 LEAVE_SECONDS = 2.6
 CLOSE_SECONDS = 1.5
@@ -70,39 +54,35 @@
         self._peers = NngPeers(
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
         )
-        self._desk = AdviceDesk(self._peers, Advisor(settings.platform.advisor_address or ""))
         self._config = ConfigFold()
-        self._jobs = JobFold()
-        self._owner_fold = OwnerFold()
         self._entries = EntryFold(self._peers)
-        self._config_feed = self._feed(Partition(CONFIG_TOPIC), self._config)
-        self._entries_feed = self._feed(ENTRIES, self._entries)
-        self._jobs_feed = Feed(
-            self._store, JOBS, self._jobs, clock, JOBS_PACE_SECONDS, self._jobs_changed
-        )
-        self._owner_feed = Feed(
+        advisor = Advisor(settings.platform.advisor_address or "")
+        self._host = CellHost(
             self._store,
-            OWNER,
-            self._owner_fold,
+            self._config,
+            PeerAdvice(self._peers, self._entries, advisor),
             clock,
-            changed=self._claim_changed,
-            poll=SILENCE_SECONDS,
-            silent=self._silence,
-        )
-        self._ownership = Ownership(
-            self._store, self._owner_feed, self._owner_fold, clock, self._name, self._incarnation
+            self._name,
+            self._incarnation,
+            settings.bounds.longest_lease_ms / 1000,
         )
+        self._config_feed = self._feed(Partition(CONFIG_TOPIC), self._config)
+        self._entries_feed = self._feed(ENTRIES, self._entries)
         producer = Producer(f"{self._name}-{self._incarnation}", 1)
-        writer = GroupCommit(self._store, JOBS, producer, clock, exclusive=True)
-        self._writer = writer
+        self._writer = GroupCommit(self._store, JOBS, producer, clock, exclusive=True)
         self._acceptance = Acceptance(
-            self._config, self._jobs, self._jobs_feed, self._owner_fold, writer, clock, self._name
+            self._config,
+            self._host.jobs,
+            self._host.jobs_feed,
+            self._host.claims,
+            self._writer,
+            clock,
+            self._name,
         )
         record = EntryRecord(instance.peer_address, self._incarnation)
         self._announcer = Announcer(self._store, clock, self._name, record)
         self._callers = CallerApp(self._acceptance, clock)
         self._metrics = EntryMetrics(self._callers, self._store)
-        self._owner: Owner | None = None
         self._stopping = anyio.Event()
 
     async def run(self) -> None:
@@ -117,13 +97,15 @@
         async with anyio.create_task_group() as tasks:
             for server in (callers, balancer):
                 tasks.start_soon(server.run)
-            for feed in (self._config_feed, self._entries_feed, self._owner_feed, self._jobs_feed):
+            for feed in (self._config_feed, self._entries_feed):
+                tasks.start_soon(feed.run)
+            for feed in (self._host.claims_feed, self._host.jobs_feed):
                 tasks.start_soon(feed.run)
             tasks.start_soon(self._peers.run)
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._announcer.run)
             tasks.start_soon(self._announcer.announce)
-            tasks.start_soon(self._own_loop)
+            tasks.start_soon(self._host.run)
             await self._stopping.wait()
             await self._leave(callers)
             callers.stop()
@@ -138,9 +120,8 @@
     async def _leave(self, callers: HttpServer) -> None:
         """Hand the ownership over and serve until the balancer sends nothing more."""
         callers.drain()
-        if self._owner is not None:
-            others = sorted(self._entries.names - {self._name})
-            self._ownership.release(random.choice(others) if others else "")
+        others = sorted(self._entries.names - {self._name})
+        self._host.stop(random.choice(others) if others else "")
         await self._announcer.leave()
         await self._clock.sleep(min(LEAVE_SECONDS, self._settings.bounds.shutdown_grace_s / 2))
 
@@ -148,77 +129,10 @@
         checks = {
             "stopping": not self._stopping.is_set(),
             "configuration not read": self._config.current is not None,
-            "jobs not read": self._jobs_feed.ready,
-            "store not reached": self._jobs_feed.age < UNREAD_SECONDS,
+            "jobs not read": self._host.jobs_feed.ready,
+            "store not reached": self._host.jobs_feed.age < UNREAD_SECONDS,
         }
         return [reason for reason, passed in checks.items() if not passed]
 
-    async def _own_loop(self) -> None:
-        while True:
-            before = await self._ownership.wait_vacant()
-            if self._stopping.is_set():
-                return
-            try:
-                claimed = await self._ownership.claim(before)
-                if claimed is not None:
-                    await self._own(*claimed, before)
-            except RagworttillerError as exc:
-                log.warning("claim failed", extra={"why": exc.code})
-                await self._clock.sleep(CLAIM_RETRY_SECONDS)
-
-    async def _own(self, term: Term, jobs_end: int, before: Claim | None) -> None:
-        """Own the cell until the term ends."""
-        await self._jobs_feed.catch_up()
-        lease = min(LEASE_SECONDS, self._settings.bounds.longest_lease_ms / 1000)
-        now = self._clock.now()
-        takeover = Takeover(before, jobs_end, now, TERM_SECONDS, lease)
-        runners = RunnerFold()
-        cell = Cell(term.epoch, self._jobs, self._config, runners, takeover, lease)
-        feed = Feed(
-            self._store,
-            Partition(RUNNERS_TOPIC),
-            runners,
-            self._clock,
-            RUNNERS_PACE_SECONDS,
-            self._runners_changed,
-        )
-        self._owner = Owner(
-            cell,
-            term,
-            self._store,
-            self._jobs_feed,
-            feed,
-            self._entries,
-            self._desk,
-            self._clock,
-            self._name,
-            self._incarnation,
-        )
-        self._jobs_feed.pace = OWNER_JOBS_PACE_SECONDS
-        try:
-            await self._owner.run(self._ownership)
-        finally:
-            self._owner = None
-            self._jobs_feed.pace = JOBS_PACE_SECONDS
-
     def _feed(self, partition: Partition, fold: ConfigFold | EntryFold) -> Feed:
         return Feed(self._store, partition, fold, self._clock)
-
-    def _jobs_changed(self) -> None:
-        if self._owner is not None:
-            self._owner.wake()
-        else:
-            self._jobs.touched.clear()
-
-    def _runners_changed(self) -> None:
-        if self._owner is not None:
-            self._owner.wake()
-
-    def _claim_changed(self) -> None:
-        claim = self._owner_fold.claim
-        if self._owner is not None and claim is not None:
-            self._owner.superseded_by(claim)
-        self._ownership.news()
-
-    def _silence(self) -> None:
-        self._ownership.silence()
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -20,10 +20,9 @@
 )
 from ragworttiller.platform.runners import RunnerClient, Start
 from ragworttiller.platform.store import KeyedRecord, Producer, Store
-from ragworttiller.scheduling.advice import AdviceCall
+from ragworttiller.scheduling.advice import Advice, AdviceCall
 from ragworttiller.scheduling.cell import Cell, Changes, StartOrder, StopOrder
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.entries import AdviceDesk, EntryFold
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.ownership import PRODUCER, Ownership, Term
@@ -55,10 +54,8 @@
         Feed of the jobs.
     runners : Feed
         Feed of the runners, which this owner runs.
-    entries : EntryFold
-        Entries that can call the advisor.
-    desk : AdviceDesk
-        Takes calls to the advisor.
+    advice : Advice
+        Calls the advisor.
     clock : Clock
         Source of time.
     name : str
@@ -76,8 +73,7 @@
         store: Store,
         jobs: Feed,
         runners: Feed,
-        entries: EntryFold,
-        desk: AdviceDesk,
+        advice: Advice,
         clock: Clock,
         name: str,
         incarnation: int,
@@ -88,8 +84,7 @@
         self._term = term
         self._jobs = jobs
         self._feed = runners
-        self._entries = entries
-        self._desk = desk
+        self._advice = advice
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
@@ -153,7 +148,7 @@
 
     def _follow(self, ownership: Ownership) -> None:
         cell = self._cell
-        cell.loads.set_entries(sorted(self._entries.names))
+        cell.loads.set_entries(self._advice.entries)
         cell.follow(self._clock.now(), self._clock.wall())
         for name, runner in cell.runners.items():
             if name not in self._clients:
@@ -230,7 +225,7 @@
     async def _advise(self, call: AdviceCall) -> None:
         extra = {"stage": str(call.stage), "entry": call.entry, "named": len(call.runners)}
         try:
-            good = await self._desk.ask(call)
+            good = await self._advice.ask(call)
         except RagworttillerError as exc:
             log.info("no advice", extra={**extra, "why": exc.code})
             self._cell.not_advised(call, self._clock.now())
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -15,6 +15,7 @@
 from standins.platform.service import Service, json_answer
 
 DEFAULT_WORK_SECONDS = 0.5
+DEFAULT_CAPACITY = Resources(16000, 65536, 0)
 
 
 class Judge:
@@ -26,16 +27,21 @@
         Violations, in words.
     starts : list of tuple
         Task, run and runner of each start.
+    runners : list of RunnerService
+        Runners that are judged.
     """
 
     def __init__(self) -> None:
         self.broken: list[str] = []
         self.starts: list[tuple[str, int, str]] = []
+        self.runners: list[RunnerService] = []
         self._running: dict[str, set[tuple[str, int]]] = {}
         self._done: set[str] = set()
 
     def started(self, task: str, run: int, runner: str) -> None:
         """Record a start."""
+        for other in self.runners:
+            other.advance()
         self.starts.append((task, run, runner))
         if self._running.get(task):
             self.broken.append(f"{task} run {run} starts on {runner} beside {self._running[task]}")
@@ -54,12 +60,19 @@
 
 
 class _Running:
-    def __init__(self, run: int, ends_at: float, size: Resources, checkpoint: str) -> None:
+    def __init__(
+        self, run: int, started_at: float, ends_at: float, size: Resources, checkpoint: str
+    ) -> None:
         self.run = run
+        self.started_at = started_at
         self.ends_at = ends_at
         self.size = size
         self.checkpoint = checkpoint
 
+    def percent(self, now: float) -> int:
+        """Return how much of the work is done at a time, in percent."""
+        return int(100 * (now - self.started_at) / max(self.ends_at - self.started_at, 0.001))
+
 
 class RunnerService(Service):
     """One boot of a runner.
@@ -89,7 +102,7 @@
         name: str,
         timers: TimerService,
         judge: Judge,
-        capacity: Resources = Resources(16000, 65536, 0),
+        capacity: Resources = DEFAULT_CAPACITY,
         work: Callable[[str], float] = lambda task: DEFAULT_WORK_SECONDS,
         fails: Callable[[str, int], bool] = lambda task, run: False,
         rate: float = 1.0,
@@ -110,6 +123,7 @@
         self._ended: list[tuple[int, str, int, str, str]] = []
         self._highest: dict[str, int] = {}
         self._news = anyio.Event()
+        judge.runners.append(self)
 
     @property
     def clock(self) -> float:
@@ -119,7 +133,7 @@
     @property
     def running(self) -> list[str]:
         """Tasks that run now."""
-        self._advance()
+        self.advance()
         return sorted(self._running)
 
     def entry(self, upstream: str, address: str, state: str = "ready") -> bytes:
@@ -139,7 +153,7 @@
         if headers.get("ragworttiller-target-instance", self.name) != self.name:
             return json_answer(421)
         order = json.loads(body)
-        self._advance()
+        self.advance()
         if order.get("fence_token", 0) < self._fence:
             return self._reply(409, {"reason": "fence"})
         self._fence = order.get("fence_token", 0)
@@ -149,6 +163,15 @@
             return self._stop(order)
         return await self._hold(order)
 
+    def advance(self) -> None:
+        """End what has ended by now, by its work or with the lease."""
+        now, lapse = self._timers.now(), self._lease / self._rate
+        for task, row in list(self._running.items()):
+            if row.ends_at <= min(now, lapse):
+                self._end(task, "failed" if self._fails(task, row.run) else "done")
+            elif now > lapse:
+                self._end(task, "lapsed")
+
     def crash(self) -> None:
         """End everything without a trace."""
         for task, row in self._running.items():
@@ -166,9 +189,11 @@
             return self._reply(409, {"reason": "late"})
         self._lease = max(self._lease, order["deadline_ms"] / 1000)
         self._judge.started(task, run, self.name)
-        ends_at = self._timers.now() + self._work(task)
+        now = self._timers.now()
         checkpoint = order.get("last_checkpoint", "")
-        self._running[task] = _Running(run, ends_at, self._size(task), checkpoint)
+        self._running[task] = _Running(
+            run, now, now + self._work(task), self._size(task), checkpoint
+        )
         self._highest[task] = run
         used = sum(row.size.cpu for row in self._running.values())
         if used > self.capacity.cpu:
@@ -197,18 +222,10 @@
             left = min([until, *ends]) - self._timers.now()
             with self._timers.move_on_after(max(left, 0.001)):
                 await self._news.wait()
-            self._advance()
-        running = [[t, r.run, r.checkpoint, 50, 0] for t, r in self._running.items()]
-        return self._reply(200, {"running": running, "ended_runs": [list(r) for r in self._ended]})
-
-    def _advance(self) -> None:
+            self.advance()
         now = self._timers.now()
-        for task, row in list(self._running.items()):
-            if row.ends_at <= now:
-                self._end(task, "failed" if self._fails(task, row.run) else "done")
-        if self._running and self.clock > self._lease:
-            for task in list(self._running):
-                self._end(task, "lapsed")
+        running = [[t, r.run, r.checkpoint, r.percent(now), 0] for t, r in self._running.items()]
+        return self._reply(200, {"running": running, "ended_runs": [list(r) for r in self._ended]})
 
     def _end(self, task: str, how: str) -> None:
         row = self._running.pop(task)
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -7,8 +7,6 @@
 from collections.abc import Sequence
 from typing import Any
 
-import anyio
-
 from ragworttiller.platform.channel import Answer, ExchangeBroken, NotSent, Traffic
 from ragworttiller.timers import TimerService
 
@@ -48,6 +46,8 @@
         Exchanges to come that are carried out but get no answer.
     late_next : list of float
         Seconds after which each of the exchanges to come is carried out, without an answer.
+    paused_until : float
+        Time until which exchanges stand still, as those of a process that is paused.
     """
 
     def __init__(self, service: Service, timers: TimerService) -> None:
@@ -59,6 +59,7 @@
         self.refused = False
         self.lose_next = 0
         self.late_next: list[float] = []
+        self.paused_until = 0.0
 
     async def request(
         self,
@@ -73,6 +74,8 @@
         exchange = (method, target, body, {k.lower(): v for k, v in headers})
         if self.refused:
             raise NotSent("refused")
+        while self.paused_until > self._timers.now():
+            await self._timers.sleep(self.paused_until - self._timers.now())
         if self.cut:
             await self._timers.sleep(timeout or 1.0)
             raise ExchangeBroken("cut")
@@ -85,8 +88,7 @@
             await self.service.answer(*exchange)
             await self._timers.sleep(timeout or 1.0)
             raise ExchangeBroken("lost")
-        with anyio.CancelScope():
-            return await self.service.answer(*exchange)
+        return await self.service.answer(*exchange)
 
     async def deliver_late(self) -> None:
         """Carry out the late exchanges that are due."""
--- /dev/null
+++ b/tests/owners_rig.py
@@ -0,0 +1,175 @@
+"""Several entries that may own one cell, with runners and a store, on virtual time."""
+
+from __future__ import annotations
+
+import json
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ragworttiller.exceptions import LogUnavailable
+from ragworttiller.platform.runners import RunnerClient
+from ragworttiller.platform.store import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    RUNNERS_TOPIC,
+    KeyedRecord,
+    Partition,
+    Store,
+)
+from ragworttiller.platform.submissions import decode_job
+from ragworttiller.resources import Resources
+from ragworttiller.scheduling.advice import Advice, AdviceCall
+from ragworttiller.scheduling.cell_host import CellHost
+from ragworttiller.scheduling.config_fold import ConfigFold
+from ragworttiller.scheduling.feed import Feed
+from ragworttiller.scheduling.job_fold import JobFold
+from ragworttiller.scheduling.records import CANCEL_SUFFIX, JOBS, Accepted, JobState, encode
+from standins.platform.runner import Judge, RunnerService
+from standins.platform.service import Link
+from standins.platform.store import StoreService
+from standins.virtual_time import LoopTimers
+from tests.scheduling_rig import QUEUE, job_body
+
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {"name": "checks", "host": "h", "path_prefix": "/q/", "service": "desk", "attempts": 2}
+    ],
+}
+
+
+class NoAdvice(Advice):
+    @property
+    def entries(self) -> list[str]:
+        return []
+
+    async def ask(self, call: AdviceCall) -> dict[str, str]:
+        raise AssertionError(call)
+
+
+class Entry:
+    """One entry: its host, its links, and the tasks that run it."""
+
+    def __init__(self, rig: OwnersRig, name: str, incarnation: int):
+        self.rig = rig
+        self.name = name
+        self.store_link = Link(rig.store, rig.timers)
+        self.runner_links: dict[str, Link] = {}
+        self.store = Store("", 1.0, self.store_link)
+        self.config = ConfigFold()
+        self.config_feed = Feed(self.store, Partition(CONFIG_TOPIC), self.config, rig.timers)
+        self.host = CellHost(
+            self.store,
+            self.config,
+            NoAdvice(),
+            rig.timers,
+            name,
+            incarnation,
+            connect=self.connect,
+        )
+        self.scope = anyio.CancelScope()
+
+    @property
+    def links(self) -> list[Link]:
+        return [self.store_link, *self.runner_links.values()]
+
+    def link(self, runner: str) -> Link:
+        if runner not in self.runner_links:
+            self.runner_links[runner] = Link(self.rig.runners[runner], self.rig.timers)
+        return self.runner_links[runner]
+
+    def connect(self, runner: str, address: str) -> RunnerClient:
+        return RunnerClient(runner, address, self.link(runner))
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                for feed in (self.config_feed, self.host.claims_feed, self.host.jobs_feed):
+                    tasks.start_soon(feed.run)
+                tasks.start_soon(self.host.run)
+
+
+class OwnersRig:
+    """Entries, runners and the store of one cell."""
+
+    def __init__(self, tasks: TaskGroup, runners: int = 3, work: float = 0.5):
+        self.tasks = tasks
+        self.timers = LoopTimers()
+        self.store = StoreService(self.timers)
+        self.judge = Judge()
+        self.runners: dict[str, RunnerService] = {}
+        self.entries: dict[str, Entry] = {}
+        self.work = work
+        self.sizes: dict[str, Resources] = {}
+        self.client = Store("", 1.0, Link(self.store, self.timers))
+        self._incarnation = 0
+        self.store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(CONFIG).encode())
+        for number in range(1, runners + 1):
+            self.add_runner(f"w{number}")
+
+    def add_runner(self, name: str, address: str = ""):
+        size = Resources(4000, 8000, 0)
+        self.runners[name] = RunnerService(
+            name,
+            self.timers,
+            self.judge,
+            size,
+            work=lambda task: self.work,
+            rate=0.98,
+            size=lambda task: self.sizes.get(task.split(".")[0], Resources(1000, 100, 0)),
+        )
+        entry = self.runners[name].entry("desk", address or f"{name}:1")
+        self.store.put(RUNNERS_TOPIC, name, entry)
+
+    def add_entry(self, name: str) -> Entry:
+        self._incarnation += 1
+        entry = self.entries[name] = Entry(self, name, self._incarnation)
+        self.tasks.start_soon(entry.run)
+        return entry
+
+    def kill(self, name: str):
+        self.entries[name].scope.cancel()
+
+    @property
+    def owner(self) -> Entry | None:
+        """Entry that believes to own the cell and may act; the first of them."""
+        for entry in self.entries.values():
+            if entry.host.owner is not None and not entry.scope.cancel_called:
+                return entry
+        return None
+
+    async def submit(self, job: str, *steps: dict):
+        accepted = Accepted(QUEUE, decode_job(job_body(*steps)), self.timers.wall())
+        await self._append(KeyedRecord(job, encode(accepted)))
+
+    async def cancel(self, job: str):
+        await self._append(KeyedRecord(job + CANCEL_SUFFIX, b"1"))
+
+    async def _append(self, record: KeyedRecord):
+        while True:
+            try:
+                await self.client.append(JOBS, [record])
+                return
+            except LogUnavailable:
+                await self.timers.sleep(0.2)
+
+    async def state(self, job: str) -> JobState:
+        fold = JobFold()
+        await Feed(self.client, JOBS, fold, self.timers).catch_up()
+        row = fold.get(job)
+        assert row is not None
+        return row.state
+
+    async def wait_completed(self, *jobs: str, within: float = 60.0) -> float:
+        """Wait until the jobs are completed and return the seconds that it took."""
+        start = self.timers.now()
+        while self.timers.now() < start + within:
+            if all([await self.state(job) == JobState.COMPLETED for job in jobs]):
+                return self.timers.now() - start
+            await self.timers.sleep(0.1)
+        raise AssertionError(f"not completed: {[await self.state(job) for job in jobs]}")
+
+
+def job_id(number: int) -> str:
+    return f"{number:016x}"
--- /dev/null
+++ b/tests/test_owners.py
@@ -0,0 +1,363 @@
+"""Tests of the ownership of a cell: takeover, fencing, and orders of owners that have lost it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from ragworttiller.platform.runners import RunnerClient
+from ragworttiller.scheduling import cell as cell_module
+from ragworttiller.scheduling import ownership
+from ragworttiller.scheduling.cell import Cell
+from ragworttiller.scheduling.ownership import OwnerFold, Term
+from ragworttiller.scheduling.records import Claim
+from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.takeover import Takeover
+from standins.platform.service import Link
+from standins.virtual_time import LoopTimers, run_virtual
+from tests.owners_rig import Entry, OwnersRig, job_id
+from tests.scheduling_rig import step
+
+JOBS = 9
+
+
+def with_rig(body: Callable[[OwnersRig], Awaitable[None]], runners: int = 3, work: float = 0.5):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            await body(OwnersRig(tasks, runners, work))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+async def settled(rig: OwnersRig, names: tuple[str, ...] = ("e1", "e2", "e3")):
+    for name in names:
+        rig.add_entry(name)
+    await rig.timers.sleep(2.0)
+    assert rig.owner is not None
+
+
+class TestOwnership:
+    def test_one_of_many_claims(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            owners = [e for e in rig.entries.values() if e.host.owner is not None]
+            assert len(owners) == 1
+            assert {e.host.claims.claim.epoch for e in rig.entries.values()} == {1}
+
+        with_rig(body)
+
+    def test_jobs_are_done(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            await rig.submit(job_id(1), step(5), step(3, after=[0]))
+            assert await rig.wait_completed(job_id(1)) < 3.0
+            assert rig.judge.broken == []
+
+        with_rig(body)
+
+    def test_a_killed_owner_is_followed(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            await rig.submit(job_id(1), step(20))
+            await rig.timers.sleep(0.6)
+            rig.kill(rig.owner.name)
+            assert await rig.wait_completed(job_id(1)) < 6.0
+            assert rig.judge.broken == []
+
+        with_rig(body)
+
+    def test_running_tasks_outlive_their_owner(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            await rig.submit(job_id(1), step(6))
+            await rig.timers.sleep(1.0)
+            rig.kill(rig.owner.name)
+            await rig.wait_completed(job_id(1), within=14.0)
+            assert len(rig.judge.starts) == 6
+            assert rig.judge.broken == []
+
+        with_rig(body, work=8.0)
+
+    def test_a_released_ownership_is_followed_at_once(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            first = rig.owner
+            first.host.stop("e3" if first.name != "e3" else "e2")
+            start = rig.timers.now()
+            while rig.owner in (None, first):
+                await rig.timers.sleep(0.01)
+            assert rig.timers.now() - start < 0.2
+
+        with_rig(body)
+
+    def test_a_restarted_owner_claims_at_once(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            name = rig.owner.name
+            rig.kill(name)
+            rig.add_entry(name)
+            await rig.timers.sleep(0.5)
+            assert rig.entries[name].host.owner is not None
+
+        with_rig(body)
+
+    def test_nobody_claims_while_the_store_is_down(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            first = rig.owner
+            rig.store.down = True
+            await rig.timers.sleep(6.0)
+            rig.store.down = False
+            await rig.timers.sleep(4.0)
+            assert rig.owner is first
+            assert first.host.claims.claim.epoch == 1
+
+        with_rig(body)
+
+    def test_work_goes_on_while_the_store_is_down(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            await rig.submit(job_id(1), step(30))
+            await rig.timers.sleep(0.3)
+            rig.store.down = True
+            before = len(rig.judge.starts)
+            await rig.timers.sleep(3.0)
+            assert len(rig.judge.starts) > before + 6
+            rig.store.down = False
+            await rig.wait_completed(job_id(1))
+            assert len(rig.judge.starts) == 30
+            assert rig.judge.broken == []
+
+        with_rig(body)
+
+    def test_an_owner_that_hears_nothing_stops_in_time(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            first = rig.owner
+            term = first.host.owner._term
+            first.store_link.cut = True
+            await rig.timers.sleep(ownership.TERM_SECONDS + 1.0)
+            assert not term.valid
+
+        with_rig(body)
+
+    def test_an_unreached_runner_holds_old_tasks_back(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            await rig.submit(job_id(1), step(6))
+            await rig.timers.sleep(1.0)
+            old = rig.owner
+            rig.kill(old.name)
+            for name in ("e1", "e2", "e3"):
+                rig.entries[name].link("w1").cut = True
+            await rig.timers.sleep(5.0)
+            assert rig.owner is not None
+            assert len(rig.judge.starts) == 6
+            await rig.wait_completed(job_id(1), within=60.0)
+            assert rig.judge.broken == []
+
+        with_rig(body, work=3.0)
+
+    def test_a_cancelled_job_stops(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            await rig.submit(job_id(1), step(20))
+            await rig.timers.sleep(1.0)
+            await rig.cancel(job_id(1))
+            await rig.timers.sleep(1.0)
+            assert all(not runner.running for runner in rig.runners.values())
+
+        with_rig(body, work=30.0)
+
+
+class TestTerm:
+    def test_a_term_counts_from_what_was_sent(self):
+        async def main():
+            timers = LoopTimers()
+            term = Term(1, timers, timers.now())
+            await timers.sleep(ownership.TERM_SECONDS - 1)
+            assert term.valid
+            term.prove(timers.now() - 5)
+            await timers.sleep(5.5)
+            assert not term.valid
+
+        run_virtual(main)
+
+    def test_a_claim_of_an_earlier_epoch_is_ignored(self):
+        fold = OwnerFold()
+        fold.claim = Claim("e2", 1, 5, 0, [], [], {})
+        term = Term(6, None, 0.0)
+        assert term.epoch > fold.claim.epoch
+
+
+class Trouble:
+    """Brings about faults at random times, most of them at the owner."""
+
+    def __init__(self, rig: OwnersRig, seed: int):
+        self.rig = rig
+        self.dice = random.Random(seed)
+        self.kinds = (
+            self.restart,
+            self.pause,
+            self.late_orders,
+            self.lose_answers,
+            self.store_down,
+            self.cut,
+            self.cut_runner,
+            self.cut_runner_and_kill,
+            self.expire,
+        )
+
+    async def run(self, seconds: float):
+        end = self.rig.timers.now() + seconds
+        while self.rig.timers.now() < end:
+            await self.rig.timers.sleep(self.dice.uniform(0.2, 2.0))
+            entry = self.rig.owner if self.dice.random() < 0.7 else None
+            entry = entry or self.rig.entries[self.dice.choice(sorted(self.rig.entries))]
+            await self.dice.choice(self.kinds)(entry)
+
+    async def deliver_late(self):
+        while True:
+            await self.rig.timers.sleep(0.05)
+            for entry in list(self.rig.entries.values()):
+                for link in entry.links:
+                    await link.deliver_late()
+
+    async def restart(self, entry: Entry):
+        self.rig.kill(entry.name)
+        await self.rig.timers.sleep(self.dice.uniform(0.0, 2.0))
+        self.rig.add_entry(entry.name)
+
+    async def pause(self, entry: Entry):
+        until = self.rig.timers.now() + self.dice.uniform(1.0, 13.0)
+        for link in entry.links:
+            link.paused_until = until
+
+    async def late_orders(self, entry: Entry):
+        for link in self.some(entry):
+            link.late_next = [self.dice.uniform(0.3, 3.0) for _ in range(4)]
+
+    async def lose_answers(self, entry: Entry):
+        for link in self.some(entry):
+            link.lose_next = self.dice.randrange(4)
+
+    async def store_down(self, entry: Entry):
+        self.rig.store.down = True
+        await self.rig.timers.sleep(self.dice.uniform(0.5, 5.0))
+        self.rig.store.down = False
+
+    async def cut(self, entry: Entry):
+        links = self.some(entry)
+        for link in links:
+            link.cut = True
+        await self.rig.timers.sleep(self.dice.uniform(0.5, 6.0))
+        for link in links:
+            link.cut = False
+
+    async def cut_runner(self, entry: Entry, then: Callable[[], None] = lambda: None):
+        runner = self.dice.choice(sorted(self.rig.runners))
+        links = [e.link(runner) for e in self.rig.entries.values()]
+        for link in links:
+            link.cut = True
+        then()
+        await self.rig.timers.sleep(self.dice.uniform(1.0, 8.0))
+        for link in links:
+            link.cut = False
+
+    async def cut_runner_and_kill(self, entry: Entry):
+        await self.cut_runner(entry, lambda: self.rig.kill(entry.name))
+        self.rig.add_entry(entry.name)
+
+    async def expire(self, entry: Entry):
+        self.rig.store.expire("keyed.jobs")
+
+    def some(self, entry: Entry) -> list[Link]:
+        return [link for link in entry.links if self.dice.random() < 0.6]
+
+
+def play(seed: int) -> OwnersRig:
+    """Play one run with random faults and return its rig."""
+    rigs: list[OwnersRig] = []
+
+    async def body(rig: OwnersRig):
+        rigs.append(rig)
+        await settled(rig)
+        trouble = Trouble(rig, seed)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(trouble.deliver_late)
+            tasks.start_soon(trouble.run, 40.0)
+            for number in range(JOBS):
+                await rig.submit(job_id(number), step(5, 1000), step(2, 1000, after=[0]))
+                await rig.timers.sleep(4.0)
+            tasks.cancel_scope.cancel()
+        rig.store.down = False
+        for entry in rig.entries.values():
+            for link in entry.links:
+                link.cut, link.paused_until, link.lose_next = False, 0.0, 0
+                link.late_next = []
+        await rig.wait_completed(*map(job_id, range(JOBS)), within=120.0)
+
+    with_rig(body, runners=4, work=2.5)
+    return rigs[0]
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", range(12))
+    def test_no_task_runs_twice_and_every_job_ends(self, seed: int):
+        rig = play(seed)
+        assert rig.judge.broken == []
+
+
+def broken_seeds(seeds: range) -> list[str]:
+    found: list[str] = []
+    for seed in seeds:
+        try:
+            found += play(seed).judge.broken
+        except ExceptionGroup as exc:
+            found.append(repr(exc))
+        if found:
+            break
+    return found
+
+
+class TestMutations:
+    """Each protection, left out, must be missed by the random faults."""
+
+    def test_tasks_of_an_unreached_runner_started_early(self, monkeypatch: pytest.MonkeyPatch):
+        monkeypatch.setattr(Takeover, "blocks", lambda self, row, stage: False)
+        monkeypatch.setattr(
+            Takeover, "startable", lambda self, stage: list(reversed(stage.waiting))
+        )
+        assert broken_seeds(range(40))
+
+    def test_leases_not_waited_out(self, monkeypatch: pytest.MonkeyPatch):
+        monkeypatch.setattr(RunnerState, "lapsed", lambda self, now: self.misses > 0)
+        assert broken_seeds(range(40))
+
+    def test_ends_acknowledged_before_they_are_stored(self, monkeypatch: pytest.MonkeyPatch):
+        changes = Cell.changes
+
+        def early(self: Cell):
+            taken = changes(self)
+            self.recorded(taken._replace(progress={}))
+            return taken
+
+        monkeypatch.setattr(Cell, "changes", early)
+        assert broken_seeds(range(40))
+
+    def test_starts_without_a_deadline_of_their_own(self, monkeypatch: pytest.MonkeyPatch):
+        monkeypatch.setattr(cell_module, "START_SLACK_SECONDS", -1.2)
+        assert broken_seeds(range(40))
+
+    def test_no_fence_at_the_runners(self, monkeypatch: pytest.MonkeyPatch):
+        order = RunnerClient._order
+
+        async def unfenced(self: RunnerClient, target: str, body: dict, wait: float = 0.0):
+            return await order(self, target, body | {"fence_token": 1}, wait)
+
+        monkeypatch.setattr(RunnerClient, "_order", unfenced)
+        assert broken_seeds(range(40))
--- /dev/null
+++ b/tests/test_store_access.py
@@ -0,0 +1,382 @@
+"""Tests of what reads and writes the platform's store."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from ragworttiller.exceptions import (
+    AppendConflict,
+    AppendFenced,
+    AppendUndecided,
+    LogUnavailable,
+    Unreadable,
+)
+from ragworttiller.platform.configuration import decode_configuration
+from ragworttiller.platform.listing import decode_entry
+from ragworttiller.platform.names import is_job_id, task_id
+from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Record, Store
+from ragworttiller.platform.submissions import decode_job
+from ragworttiller.scheduling.config_fold import ConfigFold
+from ragworttiller.scheduling.feed import Feed, Fold
+from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.job_fold import JobFold
+from ragworttiller.scheduling.runner_fold import RunnerFold
+from standins.platform.service import Link
+from standins.platform.store import StoreService
+from standins.virtual_time import LoopTimers, run_virtual
+from tests.scheduling_rig import JOB, job_body, step
+
+PLACE = Partition("keyed.things")
+
+
+class Seen(Fold):
+    def __init__(self):
+        self.values: dict[str, bytes] = {}
+        self.applied: list[int] = []
+
+    def apply(self, record: Record):
+        self.applied.append(record.offset)
+        if record.value:
+            self.values[record.key] = record.value
+        else:
+            self.values.pop(record.key, None)
+
+
+class StoreRig:
+    """A store, a link to it and a client."""
+
+    def __init__(self, page: int = 500):
+        self.timers = LoopTimers()
+        self.service = StoreService(self.timers, page)
+        self.link = Link(self.service, self.timers)
+        self.store = Store("", 1.0, self.link)
+        self.seen = Seen()
+
+    def feed(self, **options) -> Feed:
+        return Feed(self.store, PLACE, self.seen, self.timers, **options)
+
+    def writer(self, epoch: int = 1, **options) -> GroupCommit:
+        return GroupCommit(self.store, PLACE, Producer("p", epoch), self.timers, **options)
+
+    def values(self) -> dict[str, bytes]:
+        return {k: v for k, (_, v) in self.service.partition(PLACE.topic).newest().items()}
+
+
+def virtual(test: Callable[[], Awaitable[None]]):
+    """Run an async test on virtual time."""
+
+    def run(*args):
+        run_virtual(test, *args)
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+async def while_writing(writer: GroupCommit, body: Callable[[], Awaitable[None]]) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(writer.run)
+        await body()
+        tasks.cancel_scope.cancel()
+
+
+class TestStore:
+    @virtual
+    async def test_an_append_without_producer_is_never_a_repeat(self):
+        """Two claims must not both count as the first one."""
+        rig = StoreRig()
+        await rig.store.append(PLACE, [KeyedRecord("k", b"1")], at=0)
+        with pytest.raises(AppendConflict):
+            await rig.store.append(PLACE, [KeyedRecord("k", b"2")], at=0)
+
+    @virtual
+    async def test_a_lost_answer_is_undecided_and_a_refusal_is_not(self):
+        rig = StoreRig()
+        rig.link.lose_next = 1
+        with pytest.raises(AppendUndecided):
+            await rig.store.append(PLACE, [KeyedRecord("k", b"1")])
+        rig.service.down = True
+        with pytest.raises(LogUnavailable):
+            await rig.store.append(PLACE, [KeyedRecord("k", b"2")])
+        rig.service.down, rig.link.refused = False, True
+        with pytest.raises(LogUnavailable):
+            await rig.store.append(PLACE, [KeyedRecord("k", b"3")])
+        assert rig.values() == {"k": b"1"}
+
+    @virtual
+    async def test_a_record_that_cannot_be_read_harms_no_other(self):
+        rig = StoreRig()
+        partition = rig.service.partition(PLACE.topic)
+        partition.records.append(b"\xff\x01")
+        rig.service.put(PLACE.topic, "k", b"1")
+        found = await rig.store.read(PLACE, 0)
+        assert [record.key for record in found.records] == ["", "k"]
+
+
+class TestGroupCommit:
+    @virtual
+    async def test_a_lost_answer_is_asked_for_again(self):
+        rig = StoreRig()
+        writer = rig.writer()
+
+        async def body():
+            rig.link.lose_next = 2
+            await writer.append([KeyedRecord("a", b"1")], 10.0)
+            await writer.append([KeyedRecord("b", b"2")], 10.0)
+
+        await while_writing(writer, body)
+        assert len(rig.service.partition(PLACE.topic).records) == 2
+
+    @virtual
+    async def test_what_waits_travels_together(self):
+        rig = StoreRig()
+        writer = rig.writer()
+
+        async def body():
+            async with anyio.create_task_group() as tasks:
+                for n in range(20):
+                    tasks.start_soon(writer.append, [KeyedRecord(str(n), b"1")], 5.0)
+
+        await while_writing(writer, body)
+        assert len(rig.values()) == 20
+        assert rig.link.traffic.calls <= 2
+
+    @virtual
+    async def test_a_refusal_is_final_and_nothing_comes_later(self):
+        rig = StoreRig()
+        writer = rig.writer()
+
+        async def body():
+            rig.service.down = True
+            with pytest.raises(LogUnavailable):
+                await writer.append([KeyedRecord("a", b"1")], 1.0)
+            rig.service.down = False
+            await rig.timers.sleep(20.0)
+
+        await while_writing(writer, body)
+        assert rig.values() == {}
+
+    @virtual
+    async def test_an_undecided_append_is_never_called_refused(self):
+        rig = StoreRig()
+        writer = rig.writer()
+
+        async def body():
+            rig.link.lose_next = 1
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(down_after_loss)
+                with pytest.raises(AppendUndecided):
+                    await writer.append([KeyedRecord("a", b"1")], 3.0)
+
+        async def down_after_loss():
+            await rig.timers.sleep(0.5)
+            rig.service.down = True
+
+        await while_writing(writer, body)
+        assert rig.values() == {"a": b"1"}
+
+    @virtual
+    async def test_what_was_not_sent_is_refused(self):
+        rig = StoreRig()
+        writer = rig.writer()
+        refusals: list[bool] = []
+
+        async def second():
+            await rig.timers.sleep(0.1)
+            with pytest.raises(LogUnavailable):
+                await writer.append([KeyedRecord("b", b"1")], 1.0)
+            refusals.append(True)
+
+        async def body():
+            rig.link.cut = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(second)
+                with pytest.raises(AppendUndecided):
+                    await writer.append([KeyedRecord("a", b"1")], 2.5)
+            rig.link.cut = False
+            await rig.timers.sleep(5.0)
+
+        await while_writing(writer, body)
+        assert refusals == [True]
+        assert rig.values() == {"a": b"1"}
+
+    @virtual
+    async def test_a_higher_epoch_shuts_a_writer_out(self):
+        rig = StoreRig()
+        old = rig.writer(1)
+
+        async def body():
+            await old.append([KeyedRecord("a", b"1")], 1.0)
+            await rig.store.append(PLACE, [], Producer("p", 2))
+            for _ in range(2):
+                with pytest.raises(AppendFenced):
+                    await old.append([KeyedRecord("a", b"2")], 1.0)
+
+        await while_writing(old, body)
+        assert rig.values() == {"a": b"1"}
+
+    @virtual
+    async def test_a_broken_sequence_is_mended(self):
+        rig = StoreRig()
+        writer = rig.writer(first=7)
+
+        async def body():
+            await rig.store.append(PLACE, [KeyedRecord("a", b"1")], Producer("p", 1), 0)
+            await writer.append([KeyedRecord("b", b"1")], 2.0)
+
+        await while_writing(writer, body)
+        assert set(rig.values()) == {"a", "b"}
+
+
+class TestFeed:
+    async def follow(self, rig: StoreRig, feed: Feed, body: Callable[[], Awaitable[None]]):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(feed.run)
+            await body()
+            await rig.timers.sleep(1.0)
+            tasks.cancel_scope.cancel()
+
+    @virtual
+    async def test_records_arrive_once_and_in_order(self):
+        rig = StoreRig()
+        feed = rig.feed()
+
+        async def body():
+            for n in range(5):
+                rig.service.put(PLACE.topic, f"k{n}", b"%d" % n)
+                await rig.timers.sleep(0.1)
+                await feed.catch_up()
+
+        await TestFeed().follow(rig, feed, body)
+        assert rig.seen.applied == sorted(set(rig.seen.applied))
+        assert len(rig.seen.values) == 5
+
+    @virtual
+    async def test_expired_records_are_made_up_for_by_the_newest(self):
+        rig = StoreRig(page=2)
+        feed = rig.feed()
+
+        async def body():
+            for n in range(7):
+                rig.service.put(PLACE.topic, f"k{n}", b"old")
+            await rig.timers.sleep(0.5)
+            rig.service.down = True
+            await rig.timers.sleep(0.5)
+            rig.service.put(PLACE.topic, "k3", b"new")
+            rig.service.put(PLACE.topic, "k4", b"")
+            rig.service.expire(PLACE.topic)
+            rig.service.down = False
+            await rig.timers.sleep(12.0)
+
+        await TestFeed().follow(rig, feed, body)
+        assert rig.seen.values["k3"] == b"new"
+        assert "k4" not in rig.seen.values
+        assert len(rig.seen.values) == 6
+
+    @virtual
+    async def test_an_older_record_does_not_replace_a_newer_one(self):
+        """Pages are no snapshot: a page may hold what the log brings again afterwards."""
+        rig = StoreRig()
+        feed = rig.feed()
+        await feed.catch_up()
+        feed._apply(Record(5, "k", b"new"))
+        feed._apply(Record(4, "k", b"old"))
+        assert rig.seen.values == {"k": b"new"}
+
+    @virtual
+    async def test_silence_is_told_only_when_the_store_answers(self):
+        rig = StoreRig()
+        silences: list[float] = []
+        feed = rig.feed(poll=2.0, silent=lambda: silences.append(rig.timers.now()))
+
+        async def body():
+            start = rig.timers.now()
+            rig.service.down = True
+            await rig.timers.sleep(5.0)
+            assert silences == []
+            rig.service.down = False
+            await rig.timers.sleep(2.8)
+            assert len(silences) == 1
+            assert silences[0] > start + 6.9
+
+        await TestFeed().follow(rig, feed, body)
+
+
+class TestDecoding:
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{}",
+            b"[]",
+            b'{"steps":[]}',
+            job_body(step(0)),
+            job_body(step(1, -5)),
+            job_body(step(1, after=[0])),
+            job_body(step(1), step(1, after=[2])),
+            job_body(step(1), spec="x" * 5000),
+            job_body(step(10**9)),
+        ],
+    )
+    def test_malformed_jobs_get_a_typed_answer(self, body: bytes):
+        with pytest.raises(Exception) as caught:
+            decode_job(body)
+        assert caught.value.status == 400
+        assert caught.value.ran == "not_run"
+
+    def test_a_job_keeps_its_fields(self):
+        job = decode_job(job_body(step(3, gang=True, requires="b"), times=4, interval_ms=500))
+        assert job.times == 4
+        assert job.occurrences.due(2) == 1.0
+        assert job.steps[0].gang
+        assert job.steps[0].label == "b"
+
+    @pytest.mark.parametrize(
+        "text", ["", "x.0.0.0", f"{JOB}.0.0", f"{JOB}.0.0.-1", f"{JOB}.0.0.0.0"]
+    )
+    def test_other_names_are_no_tasks(self, text: str):
+        with pytest.raises(Unreadable):
+            task_id(text)
+
+    def test_a_task_has_one_name(self):
+        assert str(task_id(f"{JOB}.3.2.17")) == f"{JOB}.3.2.17"
+        assert not is_job_id(JOB + "0")
+
+    @pytest.mark.parametrize("value", [b"", b"\x00", b"{}", b'{"version":"x"}'])
+    def test_bytes_that_are_no_configuration_change_nothing(self, value: bytes):
+        fold = ConfigFold()
+        fold.apply(Record(1, "config", b'{"version":3,"routes":[]}'))
+        fold.apply(Record(2, "config", value))
+        assert fold.current.version == 3
+
+    def test_a_configuration_never_goes_back(self):
+        fold = ConfigFold()
+        for version in (3, 2):
+            fold.apply(Record(version, "config", json.dumps({"version": version}).encode()))
+        assert fold.current.version == 3
+
+    def test_the_longest_prefix_wins(self):
+        routes = [
+            {"name": "a", "host": "h", "path_prefix": "/a/", "service": "s"},
+            {"name": "b", "host": "h", "path_prefix": "/a/b/", "service": "s"},
+        ]
+        fold = ConfigFold()
+        fold.adopt(decode_configuration(json.dumps({"version": 1, "routes": routes}).encode()))
+        assert fold.find("h", "/a/b/c").name == "b"
+        assert fold.find("h", "/a/x").name == "a"
+
+    def test_runners_that_cannot_be_read_name_no_runner(self):
+        fold = RunnerFold()
+        fold.apply(Record(1, "w1", b"\xff\xff"))
+        fold.apply(Record(2, "w2", b'{"address":"a:1","labels":["x"]}'))
+        assert list(fold.entries) == ["w2"]
+        assert decode_entry("w2", b'{"address":"a:1","state":"draining"}').draining
+
+    def test_records_that_cannot_be_read_are_no_jobs(self):
+        fold = JobFold()
+        for key in (JOB, f"{JOB}/progress", f"{JOB}/other", "x", ""):
+            fold.apply(Record(1, key, b"\xc1"))
+        assert fold.get(JOB) is None
