Pass requests on through another entry while this one does not reach the store

Change: after 0.6 s alone, or at once while the claims were not read for 1.4 s, another entry is asked; connections between entries that go silent are replaced at both ends; the claims are polled each second; ended boots stay ended.

--- a/ragworttiller/process/nng_peers.py
+++ b/ragworttiller/process/nng_peers.py
@@ -149,6 +149,13 @@
         self._sockets.pop(name, None)
         self._calls.fail(name)
 
+    def reconnect(self, name: str) -> None:
+        """Replace the connection to an instance, which may have gone silent."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            self.drop_peer(name)
+            self.set_peer(name, peer.address, peer.incarnation)
+
     @override
     def watch(self, callback: Callable[[str], None]) -> None:
         self._watchers.append(callback)
--- /dev/null
+++ b/ragworttiller/scheduling/callers.py
@@ -0,0 +1,201 @@
+"""Answers to callers: by this entry from the store, or by another entry that reaches it."""
+
+from __future__ import annotations
+
+import logging
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import NamedTuple
+
+from typing_extensions import override
+
+from ragworttiller.exceptions import (
+    PeerUnreachable,
+    QueueUnknown,
+    RagworttillerError,
+    StateUnknown,
+    StoreDown,
+    SubmissionUndecided,
+)
+from ragworttiller.platform.submissions import error_body, pending_body, state_body
+from ragworttiller.process.nng_peers import NngPeers
+from ragworttiller.scheduling.acceptance import Acceptance
+from ragworttiller.scheduling.clock import Clock
+
+log = logging.getLogger(__name__)
+
+OK = 200
+# Time for which an entry tries alone before it asks another one.
+ALONE_SECONDS = 0.6
+RELAY_SECONDS = 0.5
+RELAY_TRIES = 2
+STALE_SECONDS = 1.4
+AVOID_SECONDS = 3.0
+STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
+
+
+class CallerRequest(NamedTuple):
+    """Request of a caller; ``timeout`` is the time left for its answer, in seconds."""
+
+    method: str
+    host: str
+    path: str
+    body: bytes
+    timeout: float
+
+
+class CallerReply(NamedTuple):
+    """Answer to a caller; ``code`` names the error, ``retry_after`` is in seconds."""
+
+    status: int
+    body: bytes
+    code: str = "ok"
+    retry_after: float | None = None
+
+
+class Callers(ABC):
+    """Answers requests of callers."""
+
+    @abstractmethod
+    async def answer(self, request: CallerRequest) -> CallerReply:
+        """Return the answer.
+
+        Raises
+        ------
+        RagworttillerError
+            The request is refused or its outcome is not known.
+        """
+
+
+class LocalCallers(Callers):
+    """Answers from the store.
+
+    Parameters
+    ----------
+    acceptance : Acceptance
+        Gives the answers.
+    """
+
+    def __init__(self, acceptance: Acceptance) -> None:
+        self._acceptance = acceptance
+
+    @override
+    async def answer(self, request: CallerRequest) -> CallerReply:
+        target = self._acceptance.target(request.host, request.path)
+        method = request.method
+        if not target.job and method == "GET":
+            return CallerReply(OK, pending_body(self._acceptance.pending(target)))
+        if target.job and method == "GET":
+            return CallerReply(OK, state_body(await self._acceptance.state(target)))
+        if target.job and method == "POST":
+            await self._acceptance.submit(target, request.body, request.timeout)
+            return CallerReply(OK, b"{}")
+        if target.job and method == "DELETE":
+            await self._acceptance.cancel(target, request.timeout)
+            return CallerReply(OK, b"{}")
+        raise QueueUnknown(host=request.host, path=request.path)
+
+
+class RelayingCallers(Callers):
+    """Answers locally, and through another entry while this one does not reach the store.
+
+    A submission that was sent from here without a result may also be stored by the other entry:
+    it remains one job.
+
+    Parameters
+    ----------
+    local : Callers
+        Answers of this entry.
+    peers : NngPeers
+        Connections to the other entries.
+    suspect : Callable
+        Called with the name of an entry that does not answer.
+    age : Callable
+        Returns the seconds since this entry last heard from the store.
+    owner : Callable
+        Returns the owner of the cell, the entry most likely to reach the store.
+    names : Callable
+        Returns the names of all entries.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        local: Callers,
+        peers: NngPeers,
+        suspect: Callable[[str], None],
+        age: Callable[[], float],
+        owner: Callable[[], str],
+        names: Callable[[], set[str]],
+        clock: Clock,
+    ) -> None:
+        self._local = local
+        self._peers = peers
+        self._suspect = suspect
+        self._age = age
+        self._owner = owner
+        self._names = names
+        self._clock = clock
+        self._avoid: dict[str, float] = {}
+        peers.handle(CallerRequest, self._serve)
+
+    @override
+    async def answer(self, request: CallerRequest) -> CallerReply:
+        if self._age() > STALE_SECONDS and request.method != "POST":
+            relayed = await self._relay(request)
+            if relayed is not None:
+                return relayed
+        until = self._clock.now() + request.timeout
+        alone = 0.0 if self._age() > STALE_SECONDS else ALONE_SECONDS
+        try:
+            return await self._local.answer(request._replace(timeout=alone or 0.05))
+        except STORE_FAILURES as exc:
+            left = until - self._clock.now()
+            relayed = await self._relay(request._replace(timeout=left))
+            if relayed is None or (relayed.status != OK and exc.status == 504):
+                raise
+            return relayed
+
+    async def _relay(self, request: CallerRequest) -> CallerReply | None:
+        """Return the answer of another entry, None if none gives one."""
+        for name in self._choose():
+            if request.timeout <= 0:
+                return None
+            passed = request._replace(timeout=min(RELAY_SECONDS, request.timeout))
+            try:
+                reply = await self._peers.call(name, passed, passed.timeout + 0.1)
+            except PeerUnreachable:
+                log.info("relay failed", extra={"path": request.path, "entry": name})
+                self._avoid[name] = self._clock.now() + AVOID_SECONDS
+                self._suspect(name)
+                continue
+            except RagworttillerError as exc:
+                return _refusal(exc)
+            log.info("relayed", extra={"path": request.path, "entry": name, "code": reply.code})
+            return reply
+        return None
+
+    def _choose(self) -> list[str]:
+        now = self._clock.now()
+        others = {
+            name
+            for name in self._names() - {self._peers.instance}
+            if self._avoid.get(name, 0.0) <= now
+        }
+        owner = self._owner()
+        first = [owner] if owner in others else []
+        rest = sorted(others - set(first))
+        random.shuffle(rest)
+        return (first + rest)[:RELAY_TRIES]
+
+    async def _serve(self, sender: str, request: CallerRequest) -> CallerReply:
+        try:
+            return await self._local.answer(request)
+        except RagworttillerError as exc:
+            return _refusal(exc)
+
+
+def _refusal(exc: RagworttillerError) -> CallerReply:
+    return CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -124,6 +124,7 @@
         self._stops: dict[tuple[TaskId, int], StopOrder] = {}
         # Jobs that have ended but whose end has not come back from the store yet.
         self._retired: set[str] = set()
+        self._ended_boots: set[str] = set()
         self._version = 0
         self.loads = EntryLoads()
         self.runners: dict[str, RunnerState] = {}
@@ -220,6 +221,8 @@
         self._takeover.settle(runner.id)
         self._lose(runner, now, why)
         self.runners.pop(runner.id, None)
+        # The platform may go on listing the boot for a while.
+        self._ended_boots.add(runner.id)
 
     def started(self, run: Run, now: float) -> None:
         """Record that a runner has begun a run."""
@@ -314,7 +317,10 @@
 
     def _follow_runners(self, now: float) -> None:
         addresses = {entry.address: entry.runner for entry in self._listed.entries.values()}
+        self._ended_boots &= self._listed.entries.keys()
         for entry in self._listed.entries.values():
+            if entry.runner in self._ended_boots:
+                continue
             runner = self.runners.get(entry.runner)
             if runner is None:
                 runner = self.runners[entry.runner] = RunnerState(entry)
--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -16,6 +16,7 @@
 from ragworttiller.scheduling.job_fold import JobFold
 from ragworttiller.scheduling.owner import Owner
 from ragworttiller.scheduling.ownership import (
+    SILENCE_POLLS,
     SILENCE_SECONDS,
     TERM_SECONDS,
     OwnerFold,
@@ -96,7 +97,7 @@
             self.claims,
             clock,
             changed=self._claim_changed,
-            poll=SILENCE_SECONDS,
+            poll=SILENCE_SECONDS / SILENCE_POLLS,
             silent=self._silence,
         )
         self._ownership = Ownership(store, self.claims_feed, self.claims, clock, name, incarnation)
--- a/ragworttiller/scheduling/entries.py
+++ b/ragworttiller/scheduling/entries.py
@@ -6,7 +6,7 @@
 
 from typing_extensions import override
 
-from ragworttiller.exceptions import RagworttillerError, Unreadable
+from ragworttiller.exceptions import PeerUnreachable, RagworttillerError, Unreadable
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
 from ragworttiller.process.nng_peers import NngPeers
@@ -14,7 +14,11 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.feed import Fold
 from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.peer_messages import AdviceReply, AdviceRequest
+from ragworttiller.scheduling.peer_messages import (
+    AdviceReply,
+    AdviceRequest,
+    ConnectionSuspect,
+)
 from ragworttiller.scheduling.records import ENTRIES, EntryRecord, decode, encode
 
 log = logging.getLogger(__name__)
@@ -97,6 +101,29 @@
                 await self._clock.sleep(CALL_MARGIN_SECONDS)
 
 
+class PeerRepair:
+    """Replaces connections that went silent, at both ends: each end sends over its own.
+
+    Parameters
+    ----------
+    peers : NngPeers
+        Connections to the other entries.
+    """
+
+    def __init__(self, peers: NngPeers) -> None:
+        self._peers = peers
+        peers.handle(ConnectionSuspect, self._suspected)
+
+    def suspect(self, name: str) -> None:
+        """Replace the connections to and from an entry that did not answer."""
+        log.info("connection replaced", extra={"entry": name})
+        self._peers.reconnect(name)
+        self._peers.post(name, ConnectionSuspect())
+
+    async def _suspected(self, sender: str, message: ConnectionSuspect) -> None:
+        self._peers.reconnect(sender)
+
+
 class PeerAdvice(Advice):
     """Takes calls to the advisor to the entries that make them.
 
@@ -108,9 +135,14 @@
         Entries that have announced themselves.
     advisor : Advisor
         Client of the advisor.
+    repair : PeerRepair
+        Replaces connections of entries that do not answer.
     """
 
-    def __init__(self, peers: NngPeers, fold: EntryFold, advisor: Advisor) -> None:
+    def __init__(
+        self, peers: NngPeers, fold: EntryFold, advisor: Advisor, repair: PeerRepair
+    ) -> None:
+        self._repair = repair
         self._fold = fold
         self._peers = peers
         self._advisor = advisor
@@ -127,7 +159,11 @@
         request = AdviceRequest(call.stage, list(call.runners), timeout)
         if call.entry == self._peers.instance:
             return (await self._serve(call.entry, request)).tickets
-        reply = await self._peers.call(call.entry, request, timeout + CALL_MARGIN_SECONDS)
+        try:
+            reply = await self._peers.call(call.entry, request, timeout + CALL_MARGIN_SECONDS)
+        except PeerUnreachable:
+            self._repair.suspect(call.entry)
+            raise
         return reply.tickets
 
     async def _serve(self, sender: str, request: AdviceRequest) -> AdviceReply:
--- a/ragworttiller/scheduling/entry_api.py
+++ b/ragworttiller/scheduling/entry_api.py
@@ -3,17 +3,13 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
-from ragworttiller.exceptions import BodyTooLarge, QueueUnknown, RagworttillerError
-from ragworttiller.platform.submissions import (
-    DEADLINE_HEADER,
-    error_body,
-    pending_body,
-    state_body,
-)
-from ragworttiller.scheduling.acceptance import Acceptance, Target
+from ragworttiller.exceptions import BodyTooLarge, RagworttillerError
+from ragworttiller.platform.submissions import DEADLINE_HEADER, error_body
+from ragworttiller.scheduling.callers import CallerReply, CallerRequest, Callers
 from ragworttiller.scheduling.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -26,7 +22,6 @@
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-Reply = tuple[int, bytes]
 
 
 class CallerApp:
@@ -34,54 +29,47 @@
 
     Parameters
     ----------
-    acceptance : Acceptance
+    callers : Callers
         Gives the answers.
+    max_body : Callable
+        Returns the longest body of a request, in bytes.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    answers : dict
+        Number of answers by the code of their error, ``ok`` without one.
     """
 
-    def __init__(self, acceptance: Acceptance, clock: Clock) -> None:
-        self._acceptance = acceptance
+    def __init__(self, callers: Callers, max_body: Callable[[], int], clock: Clock) -> None:
+        self._callers = callers
+        self._max_body = max_body
         self._clock = clock
         self.answers: dict[str, int] = {}
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         began = self._clock.now()
-        headers = dict(scope["headers"])
-        retry_after: float | None = None
-        code = "ok"
         try:
-            status, body = await self._answer(scope, headers, receive)
+            request = await self._request(scope, receive)
+            reply = await self._callers.answer(request)
         except RagworttillerError as exc:
-            status, body, code, retry_after = exc.status, error_body(exc), exc.code, exc.retry_after
-        self.answers[code] = self.answers.get(code, 0) + 1
-        if scope["method"] != "GET" or code != "ok":
-            extra = {"method": scope["method"], "path": scope["path"], "status": status}
+            reply = CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
+        self.answers[reply.code] = self.answers.get(reply.code, 0) + 1
+        if scope["method"] != "GET" or reply.code != "ok":
+            extra = {"method": scope["method"], "path": scope["path"], "status": reply.status}
             took = round(self._clock.now() - began, 4)
-            log.info("request answered", extra={**extra, "code": code, "took": took})
-        await _reply(send, status, body, retry_after)
+            log.info("request answered", extra={**extra, "code": reply.code, "took": took})
+        await _reply(send, reply.status, reply.body, reply.retry_after)
 
-    async def _answer(self, scope: Scope, headers: dict[bytes, bytes], receive: Receive) -> Reply:
+    async def _request(self, scope: Scope, receive: Receive) -> CallerRequest:
+        headers = dict(scope["headers"])
         host = headers.get(b"host", b"").decode("latin-1")
-        target = self._acceptance.target(host, scope["path"])
-        method = scope["method"]
-        timeout = _timeout(headers)
-        if not target.job and method == "GET":
-            return 200, pending_body(self._acceptance.pending(target))
-        if target.job and method == "GET":
-            return 200, state_body(await self._acceptance.state(target))
-        if target.job and method == "POST":
-            return await self._submit(target, receive, timeout)
-        if target.job and method == "DELETE":
-            await self._acceptance.cancel(target, timeout)
-            return 200, b"{}"
-        raise QueueUnknown(host=host, path=scope["path"])
-
-    async def _submit(self, target: Target, receive: Receive, timeout: float) -> Reply:
-        body = await _body(receive, self._acceptance.max_body)
-        await self._acceptance.submit(target, body, timeout)
-        return 200, b"{}"
+        body = b""
+        if scope["method"] == "POST":
+            body = await _body(receive, self._max_body())
+        return CallerRequest(scope["method"], host, scope["path"], body, _timeout(headers))
 
 
 class ReadyApp:
@@ -126,7 +114,7 @@
 async def _reply(send: Send, status: int, body: bytes, retry_after: float | None) -> None:
     headers = [JSON, (b"content-length", str(len(body)).encode())]
     if retry_after is not None:
-        headers.append((b"retry-after", str(max(round(retry_after), 1)).encode()))
+        headers.append((b"retry-after", str(math.ceil(retry_after)).encode()))
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
 
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -13,10 +13,11 @@
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.acceptance import Acceptance
+from ragworttiller.scheduling.callers import LocalCallers, RelayingCallers
 from ragworttiller.scheduling.cell_host import CellHost
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.entries import Announcer, EntryFold, PeerAdvice
+from ragworttiller.scheduling.entries import Announcer, EntryFold, PeerAdvice, PeerRepair
 from ragworttiller.scheduling.entry_api import CallerApp, ReadyApp
 from ragworttiller.scheduling.entry_metrics import EntryMetrics
 from ragworttiller.scheduling.feed import Feed
@@ -29,7 +30,7 @@
 # Connections are still given to an entry for up to two checks of its readiness.
 LEAVE_SECONDS = 2.6
 CLOSE_SECONDS = 1.5
-UNREAD_SECONDS = 12.0
+UNREAD_SECONDS = 1.8
 MAX_INCARNATION = 2**53
 
 
@@ -56,11 +57,12 @@
         )
         self._config = ConfigFold()
         self._entries = EntryFold(self._peers)
+        repair = PeerRepair(self._peers)
         advisor = Advisor(settings.platform.advisor_address or "")
         self._host = CellHost(
             self._store,
             self._config,
-            PeerAdvice(self._peers, self._entries, advisor),
+            PeerAdvice(self._peers, self._entries, advisor, repair),
             clock,
             self._name,
             self._incarnation,
@@ -81,7 +83,16 @@
         )
         record = EntryRecord(instance.peer_address, self._incarnation)
         self._announcer = Announcer(self._store, clock, self._name, record)
-        self._callers = CallerApp(self._acceptance, clock)
+        relaying = RelayingCallers(
+            LocalCallers(self._acceptance),
+            self._peers,
+            repair.suspect,
+            lambda: self._host.claims_feed.age,
+            self._owner_name,
+            lambda: self._entries.names,
+            clock,
+        )
+        self._callers = CallerApp(relaying, lambda: self._acceptance.max_body, clock)
         self._metrics = EntryMetrics(self._callers, self._store)
         self._stopping = anyio.Event()
 
@@ -130,9 +141,13 @@
             "stopping": not self._stopping.is_set(),
             "configuration not read": self._config.current is not None,
             "jobs not read": self._host.jobs_feed.ready,
-            "store not reached": self._host.jobs_feed.age < UNREAD_SECONDS,
+            "store not reached": self._host.claims_feed.age < UNREAD_SECONDS,
         }
         return [reason for reason, passed in checks.items() if not passed]
 
+    def _owner_name(self) -> str:
+        claim = self._host.claims.claim
+        return claim.owner if claim else ""
+
     def _feed(self, partition: Partition, fold: ConfigFold | EntryFold) -> Feed:
         return Feed(self._store, partition, fold, self._clock)
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -27,6 +27,7 @@
 RENEW_SECONDS = 0.7
 # Silence of the owner after which others claim; safety does not depend on it.
 SILENCE_SECONDS = 2.0
+SILENCE_POLLS = 2
 # Time for which an owner may act without hearing from the store.
 TERM_SECONDS = 10.0
 APPEND_SECONDS = 3.0
@@ -139,24 +140,33 @@
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
-        self._silent = False
+        self._silent_polls = 0
         self._news = anyio.Event()
         self._successor: str | None = None
         self._renew = anyio.Event()
 
+    @property
+    def _silent(self) -> bool:
+        """Whether the owner has written nothing for long though the store answers."""
+        return self._silent_polls >= SILENCE_POLLS
+
     def news(self) -> None:
-        """Record that the claim may have changed."""
-        self._news.set()
-        self._news = anyio.Event()
+        """Record that the owner, or another entry, has written a claim."""
+        self._silent_polls = 0
+        self._wake()
 
     def silence(self) -> None:
-        """Record that the owner has written nothing for a while though the store answers."""
-        self._silent = True
-        self.news()
+        """Record that a read of the claims has waited in vain for a poll's time."""
+        self._silent_polls += 1
+        self._wake()
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news = anyio.Event()
 
     async def wait_vacant(self) -> Claim | None:
         """Wait until the ownership may be claimed, and return the claim that it follows."""
-        self._silent = False
+        self._silent_polls = 0
         while True:
             news, claim = self._news, self._fold.claim
             if self._feed.ready and (self._silent or self._vacant(claim)):
--- a/ragworttiller/scheduling/peer_messages.py
+++ b/ragworttiller/scheduling/peer_messages.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.codec import MessagePackCodec
 from ragworttiller.messages import ErrorReply
+from ragworttiller.scheduling.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.jobs import StageId
 
 
@@ -23,4 +24,17 @@
     tickets: dict[str, str]
 
 
-PEER_CODEC = MessagePackCodec({1: AdviceRequest, 2: AdviceReply, 3: ErrorReply})
+class ConnectionSuspect(NamedTuple):
+    """Tells an entry that its answers do not arrive over its present connection."""
+
+
+PEER_CODEC = MessagePackCodec(
+    {
+        1: AdviceRequest,
+        2: AdviceReply,
+        3: ErrorReply,
+        4: CallerRequest,
+        5: CallerReply,
+        6: ConnectionSuspect,
+    }
+)
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -199,6 +199,11 @@
         rig.cell.gone(rig.cell.runners[only.run.runner], rig.now, "another boot")
         assert len(rig.plan().starts) == 1
 
+    def test_an_ended_boot_is_not_taken_up_again_from_a_late_list(self, rig: CellRig):
+        rig.cell.gone(rig.cell.runners["w1"], rig.now, "another boot")
+        rig.cell.follow(rig.now, rig.now)
+        assert list(rig.cell.runners) == ["w2"]
+
     def test_a_refused_start_is_tried_again(self, rig: CellRig):
         rig.submit(step(1))
         (only,) = rig.plan().starts
