Count a failed run once, and leave silent connections in time

Progress now names the runs that failed. Reads wait 1.5 s, and sockets probe. Ruled out: a configuration that was read and not applied. Both tests failed first.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import select
+import socket
 import time
 from collections.abc import Sequence
 from typing import Any, NamedTuple
@@ -19,6 +20,13 @@
 KEPT_CHANNELS = 8
 OWN_HEADERS = frozenset({"host", "content-length", "connection", "transfer-encoding", "expect"})
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
+# A connection that went silent while a read waits shows by its missing probes.
+KEEP_ALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
 
 _NETWORK_FAILURES = (
     httpcore.NetworkError,
@@ -159,7 +167,9 @@
         await self.close()
         backend = httpcore.AnyIOBackend()
         try:
-            stream = await backend.connect_tcp(self._host, self._port, self._connect_timeout)
+            stream = await backend.connect_tcp(
+                self._host, self._port, self._connect_timeout, socket_options=KEEP_ALIVE
+            )
         except _NETWORK_FAILURES as exc:
             raise NotSent(str(exc)) from exc
         self._poll = select.poll()
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -433,7 +433,7 @@
         index = end.task.ordinal
         if end.how == "failed":
             if not stage.spec.daemon:
-                stage.failures[index] = stage.failures.get(index, 0) + 1
+                stage.fail(index, end.run)
                 stage.failed_on[index] = runner.id
             if runner.failed(now):
                 log.warning("runner rests", extra={"runner": runner.id, "until": runner.rest_until})
--- a/ragworttiller/scheduling/feed.py
+++ b/ragworttiller/scheduling/feed.py
@@ -14,7 +14,8 @@
 
 log = logging.getLogger(__name__)
 
-POLL_SECONDS = 10.0
+# A longer wait would leave a silent connection unnoticed past the bound of a configuration.
+POLL_SECONDS = 1.5
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.5
 
--- a/ragworttiller/scheduling/job_work.py
+++ b/ragworttiller/scheduling/job_work.py
@@ -108,4 +108,4 @@
     def _exhausted(self, stage: Stage) -> bool:
         if stage.spec.daemon:
             return False
-        return any(count >= self.queue.attempts for count in stage.failures.values())
+        return any(len(runs) >= self.queue.attempts for runs in stage.failures.values())
--- a/ragworttiller/scheduling/records.py
+++ b/ragworttiller/scheduling/records.py
@@ -47,14 +47,15 @@
 class StageProgress(NamedTuple):
     """What has ended of one stage.
 
-    ``done`` has one bit for each task, the lowest first. ``failures`` and ``checkpoints`` are by
-    the task's index.
+    ``done`` has one bit for each task, the lowest first. ``failures`` has the numbers of the runs
+    that failed, so that an end that is listed again counts once; it and ``checkpoints`` are by the
+    task's index.
     """
 
     occurrence: int
     step: int
     done: bytes
-    failures: dict[int, int]
+    failures: dict[int, list[int]]
     checkpoints: dict[int, str]
 
 
--- a/ragworttiller/scheduling/runs.py
+++ b/ragworttiller/scheduling/runs.py
@@ -88,7 +88,7 @@
         self.done: set[int] = set()
         self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
         self.live: dict[int, Run] = {}
-        self.failures: dict[int, int] = {}
+        self.failures: dict[int, list[int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.failed_on: dict[int, str] = {}
         self.tickets = Tickets()
@@ -109,7 +109,7 @@
         """Take over what an earlier owner has recorded."""
         self.done = {index for index in indices_of(progress.done) if index < self.spec.tasks}
         self.waiting = [index for index in self.waiting if index not in self.done]
-        self.failures = dict(progress.failures)
+        self.failures = {index: list(runs) for index, runs in progress.failures.items()}
         self.checkpoints = dict(progress.checkpoints)
 
     def progress(self) -> StageProgress:
@@ -118,7 +118,7 @@
             self.id.occurrence,
             self.id.step,
             bits_of(self.done, self.spec.tasks),
-            dict(self.failures),
+            {index: list(runs) for index, runs in self.failures.items()},
             {i: text for i, text in self.checkpoints.items() if i not in self.done},
         )
 
@@ -150,6 +150,12 @@
             self.waiting.remove(index)
         self.done.add(index)
 
+    def fail(self, index: int, number: int) -> None:
+        """Record that a run of a task has failed; the same end may be told more than once."""
+        runs = self.failures.setdefault(index, [])
+        if number not in runs:
+            runs.append(number)
+
     def requeue(self, run: Run) -> None:
         """Let a task wait again after its run has ended."""
         index = run.task.ordinal
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -42,6 +42,8 @@
         Whether exchanges get no answer and are not carried out.
     refused : bool
         Whether connections are refused.
+    silent_next : int
+        Exchanges to come whose connection is silent.
     lose_next : int
         Exchanges to come that are carried out but get no answer.
     late_next : list of float
@@ -60,6 +62,7 @@
         self.lose_next = 0
         self.late_next: list[float] = []
         self.paused_until = 0.0
+        self.silent_next = 0
 
     async def request(
         self,
@@ -76,7 +79,8 @@
             raise NotSent("refused")
         while self.paused_until > self._timers.now():
             await self._timers.sleep(self.paused_until - self._timers.now())
-        if self.cut:
+        if self.cut or self.silent_next:
+            self.silent_next = max(self.silent_next - 1, 0)
             await self._timers.sleep(timeout or 1.0)
             raise ExchangeBroken("cut")
         if self.late_next:
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ragworttiller.platform.store import Record
 from ragworttiller.scheduling.records import (
     PROGRESS_SUFFIX,
     Claim,
@@ -134,6 +135,20 @@
         (second,) = rig.start_all()
         assert second.run.runner != first.run.runner
 
+    def test_a_failure_that_is_told_again_counts_once(self, rig: CellRig):
+        """A new owner is told the ends that the runner was not yet allowed to forget."""
+        rig.submit(step(1))
+        (only,) = rig.start_all()
+        rig.hold(only.run.runner, (only.run.task, 1, "failed"))
+        progress = rig.cell.changes().progress[JOB]
+        claim = Claim("e1", 1, 1, 0, [only.run.runner], [], {})
+        later = CellRig(0, claim, 100)
+        later.jobs.apply(Record(90, JOB + PROGRESS_SUFFIX, encode(progress)))
+        later.submit(step(1))
+        later.list_runner(only.run.runner)
+        later.hold(only.run.runner, (only.run.task, 1, "failed"), running=())
+        assert later.cell.changes().progress[JOB].state == ""
+
     def test_a_task_that_lasts_has_no_limit(self, rig: CellRig):
         rig.submit(step(1, daemon=True))
         for _ in range(4):
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -276,6 +276,27 @@
         assert "k4" not in rig.seen.values
         assert len(rig.seen.values) == 6
 
+    @virtual
+    async def test_a_silent_connection_is_left_in_time(self):
+        """A configuration has to be in force within 2 s, and 3 s after the silence began."""
+        rig = StoreRig()
+        feed = rig.feed()
+        seen_after: list[float] = []
+
+        async def body():
+            await rig.timers.sleep(5.0)
+            rig.link.silent_next = 1
+            rig.service.put(PLACE.topic, "wake", b"1")
+            start = rig.timers.now()
+            await rig.timers.sleep(0.2)
+            rig.service.put(PLACE.topic, "k", b"1")
+            while "k" not in rig.seen.values:
+                await rig.timers.sleep(0.05)
+            seen_after.append(rig.timers.now() - start)
+
+        await TestFeed().follow(rig, feed, body)
+        assert seen_after[0] < 5.0
+
     @virtual
     async def test_an_older_record_does_not_replace_a_newer_one(self):
         """Pages are no snapshot: a page may hold what the log brings again afterwards."""
