Refuse at once behind a call without result, and follow a lost owner sooner

Change: a submission is refused, truly not sent, once the call before it has had no result for 0.7 s; renewals each 0.5 s with a time-out of 0.5 s, silence of 1.6 s.

--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -136,6 +136,7 @@
         producer: Producer | None = None,
         sequence: int = 0,
         at: int | None = None,
+        timeout: float | None = None,
     ) -> int:
         """Append records, all or none, and return the partition's new end.
 
@@ -152,6 +153,8 @@
             Number of this append within the epoch.
         at : int, optional
             Append only if the partition ends at this offset.
+        timeout : float, optional
+            Seconds to wait for the answer, those of the client by default.
 
         Raises
         ------
@@ -172,7 +175,9 @@
         if at is not None:
             query["at"] = at
         body = b"".join(map(_frame, records))
-        status, content = await self._append_call("/-/log-append?" + urlencode(query), body)
+        status, content = await self._append_call(
+            "/-/log-append?" + urlencode(query), body, timeout
+        )
         if status in (429, 503, 507):
             raise LogUnavailable(stream=str(partition))
         try:
@@ -244,9 +249,11 @@
         """Close the idle connections."""
         await self._channels.close()
 
-    async def _append_call(self, target: str, body: bytes) -> tuple[int, bytes]:
+    async def _append_call(
+        self, target: str, body: bytes, timeout: float | None
+    ) -> tuple[int, bytes]:
         try:
-            answer = await self._channels.request("POST", target, body)
+            answer = await self._channels.request("POST", target, body, timeout=timeout)
         except NotSent as exc:
             raise LogUnavailable(stream=target) from exc
         except ExchangeBroken as exc:
--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -38,6 +38,8 @@
 ACCEPT_SECONDS = 1.5
 # A refusal by the store stands for this long, so that callers do not wait for the next one.
 REFUSAL_SECONDS = 0.3
+# A call without result for this long delays all that come after it.
+STUCK_SECONDS = 0.7
 RETRY_AFTER_SECONDS = 1.0
 FRESH_SECONDS = 1.0
 CANCELLED = b"1"
@@ -191,7 +193,8 @@
         )
 
     async def _append(self, record: KeyedRecord, timeout: float) -> None:
-        if self._clock.now() - self._writer.refused_at < REFUSAL_SECONDS:
+        refused = self._clock.now() - self._writer.refused_at < REFUSAL_SECONDS
+        if refused or self._writer.stuck > STUCK_SECONDS:
             raise LogUnavailable(stream="jobs")
         await self._writer.append([record], min(timeout, ACCEPT_SECONDS))
 
--- a/ragworttiller/scheduling/group_commit.py
+++ b/ragworttiller/scheduling/group_commit.py
@@ -64,6 +64,8 @@
     exclusive : bool
         Whether nobody else writes under the producer's name; being fenced then only means that the
         sequence was broken, and the writer goes on with a higher epoch.
+    attempt_timeout : float, optional
+        Seconds to wait for the answer to one call, those of the store's client by default.
     """
 
     def __init__(
@@ -74,8 +76,10 @@
         clock: Clock,
         exclusive: bool = False,
         first: int = 0,
+        attempt_timeout: float | None = None,
     ) -> None:
         self._exclusive = exclusive
+        self._attempt_timeout = attempt_timeout
         self._store = store
         self._partition = partition
         self._producer = producer
@@ -84,6 +88,7 @@
         self._queue: list[_Waiting] = []
         self._wake = anyio.Event()
         self._refused_at = float("-inf")
+        self._begun_at: float | None = None
         self._fenced: AppendFenced | None = None
 
     @property
@@ -91,6 +96,11 @@
         """Time of the last refusal after which no append has succeeded, -inf if there is none."""
         return self._refused_at
 
+    @property
+    def stuck(self) -> float:
+        """Seconds for which the call under way has had no result, 0 if there is none."""
+        return 0.0 if self._begun_at is None else self._clock.now() - self._begun_at
+
     async def append(self, records: Sequence[KeyedRecord], timeout: float) -> int:
         """Append records and return the partition's end after them.
 
@@ -125,7 +135,9 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             while self._queue:
+                self._begun_at = self._clock.now()
                 await self._commit(self._take())
+                self._begun_at = None
 
     def _take(self) -> list[_Waiting]:
         batch, size = [self._queue.pop(0)], 0
@@ -139,7 +151,11 @@
         while True:
             try:
                 end = await self._store.append(
-                    self._partition, records, self._producer, self._sequence
+                    self._partition,
+                    records,
+                    self._producer,
+                    self._sequence,
+                    timeout=self._attempt_timeout,
                 )
             except AppendUndecided:
                 undecided = True
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -24,9 +24,11 @@
 log = logging.getLogger(__name__)
 
 PRODUCER = "owner"
-RENEW_SECONDS = 0.7
+RENEW_SECONDS = 0.5
+# Shorter than the silence after which others claim, also when an answer is lost.
+RENEW_TIMEOUT_SECONDS = 0.5
 # Silence of the owner after which others claim; safety does not depend on it.
-SILENCE_SECONDS = 2.0
+SILENCE_SECONDS = 1.6
 SILENCE_POLLS = 2
 # Time for which an owner may act without hearing from the store.
 TERM_SECONDS = 10.0
@@ -246,7 +248,12 @@
             Called with the roster that the store now has.
         """
         writer = GroupCommit(
-            self._store, OWNER, Producer(PRODUCER, term.epoch), self._clock, first=1
+            self._store,
+            OWNER,
+            Producer(PRODUCER, term.epoch),
+            self._clock,
+            first=1,
+            attempt_timeout=RENEW_TIMEOUT_SECONDS,
         )
         self._successor = None
         async with anyio.create_task_group() as tasks:
