--- /dev/null
+++ b/standins/platform/advisor.py
@@ -0,0 +1,38 @@
+"""Stand-in of the service that names the runners on which a step may run."""
+
+from __future__ import annotations
+
+import json
+
+from typing_extensions import override
+
+from ragworttiller.platform.channel import Answer
+from ragworttiller.timers import TimerService
+from standins.platform.service import Service, json_answer
+
+
+class AdvisorService(Service):
+    """Advisor that allows every second runner of a step, and takes its time.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of time.
+    decision : float
+        Seconds for each call.
+    """
+
+    def __init__(self, timers: TimerService, decision: float = 0.02) -> None:
+        self._timers = timers
+        self._decision = decision
+        self.calls = 0
+
+    @override
+    async def answer(
+        self, method: str, target: str, body: bytes, headers: dict[str, str]
+    ) -> Answer:
+        self.calls += 1
+        await self._timers.sleep(self._decision)
+        order = json.loads(body)
+        good = [[name, f"{order['step']}@{name}"] for name in sorted(order["workers"])[::2]]
+        return json_answer(200, {"good": good})
--- /dev/null
+++ b/standins/platform/http.py
@@ -0,0 +1,51 @@
+"""Serves stand-ins of the platform over HTTP on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from ragworttiller.connection.server import HttpServer
+from standins.platform.service import Service
+
+Message = MutableMapping[str, Any]
+
+
+class ServiceApp:
+    """Application that answers with a service.
+
+    Parameters
+    ----------
+    service : Service
+        Service to serve.
+    """
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    async def __call__(
+        self,
+        scope: Message,
+        receive: Callable[[], Awaitable[Message]],
+        send: Callable[[Message], Awaitable[None]],
+    ) -> None:
+        """Answer one request."""
+        body = b""
+        while True:
+            message = await receive()
+            body += message.get("body", b"")
+            if not message.get("more_body"):
+                break
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        query = scope["query_string"].decode()
+        target = scope["path"] + (f"?{query}" if query else "")
+        answer = await self._service.answer(scope["method"], target, body, headers)
+        lines = [(name.encode(), value.encode()) for name, value in answer.headers]
+        lines.append((b"content-length", str(len(answer.body)).encode()))
+        await send({"type": "http.response.start", "status": answer.status, "headers": lines})
+        await send({"type": "http.response.body", "body": answer.body})
+
+
+def serve(service: Service) -> HttpServer:
+    """Return a server of a service on a free port of loopback; the caller runs it."""
+    return HttpServer("127.0.0.1:0", ServiceApp(service), 0.2)
--- /dev/null
+++ b/tests/test_entry_process.py
@@ -0,0 +1,319 @@
+"""Tests of entries as processes, against the platform's stand-in over HTTP."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import pytest
+
+from ragworttiller.config.entry import load_entry
+from ragworttiller.exceptions import SettingsInvalid
+from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.platform.store import CONFIG_KEY, CONFIG_TOPIC, RUNNERS_TOPIC
+from ragworttiller.timers import SystemTimers
+from standins.platform.advisor import AdvisorService
+from standins.platform.http import serve
+from standins.platform.runner import Judge, RunnerService
+from standins.platform.store import StoreService
+from tests.test_nng_peers import free_address
+from tests.scheduling_rig import job_body, step
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "h.example"
+
+
+def render(template: str, fields: dict) -> str:
+    """Fill in a template as the platform does, as far as ours goes."""
+
+    def value(path: str, scope):
+        for name in path.split("."):
+            scope = scope[int(name)] if isinstance(scope, list) else scope.get(name, "")
+        return str(scope)
+
+    def section(found: re.Match) -> str:
+        given = fields.get(found[1])
+        return found[2].replace("{{.}}", str(given)) if given else ""
+
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda found: value(found[1], fields), text)
+
+
+def settings(name: str, store: str, advisor: str = "") -> dict:
+    """Return the fields from which the platform renders an entry's settings."""
+    peer = free_address()
+    return {
+        "node_name": name,
+        "zone": "a",
+        "ip": peer.split(":")[0],
+        "port_range": [int(peer.split(":")[1])],
+        "listen": {"front": free_address(), "ready": free_address()},
+        "platform": {"address": store},
+        "placement_advisor": advisor,
+        "bounds": {
+            "max_hold_ms": 6000,
+            "stop_grace_ms": 900,
+            "grace_s": 6,
+            "gang_timeout_ms": 3000,
+        },
+    }
+
+
+class Platform:
+    """Store, advisor and runners over HTTP, and the entries that were started."""
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.timers = SystemTimers()
+        self.store = StoreService(self.timers)
+        self.advisor = AdvisorService(self.timers)
+        self.judge = Judge()
+        self.addresses: dict[str, str] = {}
+        self.entries: dict[str, subprocess.Popen] = {}
+        self.fields: dict[str, dict] = {}
+
+    async def run(self, tasks, runners: int = 3):
+        self.addresses["store"] = await self._serve(tasks, self.store)
+        self.addresses["advisor"] = await self._serve(tasks, self.advisor)
+        for number in range(1, runners + 1):
+            service = RunnerService(f"w{number}", self.timers, self.judge)
+            address = await self._serve(tasks, service)
+            self.store.put(RUNNERS_TOPIC, service.name, service.entry("desk", address))
+        self.configure(1)
+
+    def configure(self, version: int, **fields):
+        advice = {"decision_ms": 20, "per_worker_ms": 0, "validity_ms": 2000}
+        route = {"name": "q", "host": HOST, "path_prefix": "/q/", "service": "desk"}
+        routes = [{**route, "attempts": 2, "placement_advisor": advice, **fields}]
+        value = json.dumps({"version": version, "routes": routes}).encode()
+        self.store.put(CONFIG_TOPIC, CONFIG_KEY, value)
+
+    async def _serve(self, tasks, service) -> str:
+        server = serve(service)
+        tasks.start_soon(server.run)
+        return f"127.0.0.1:{server.port}"
+
+    def start(self, name: str):
+        fields = settings(name, self.addresses["store"], self.addresses["advisor"])
+        self.fields.setdefault(name, fields)
+        path = self.folder / f"{name}.ini"
+        template = (ROOT / "deploy" / "settings.ini").read_text()
+        path.write_text(render(template, self.fields[name]))
+        log = open(self.folder / f"{name}.log", "a")
+        command = [sys.executable, "-m", "ragworttiller.entry"]
+        environment = {**os.environ, "RAGWORTTILLER_CONFIG": str(path)}
+        self.entries[name] = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+
+    def lines(self, name: str) -> list[dict]:
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    async def call(self, name: str, method: str, path: str, body: bytes = b""):
+        channels = ChannelSet(self.fields[name]["listen"]["front"], 3.0)
+        try:
+            headers = [("host", HOST)]
+            return await ChannelSetWithHost(channels).request(method, path, body, headers)
+        finally:
+            await channels.close()
+
+    async def ready(self, name: str) -> int:
+        channels = ChannelSet(self.fields[name]["listen"]["ready"], 1.0)
+        try:
+            return (await channels.request("GET", "/-/ready")).status
+        except (NotSent, ExchangeBroken):
+            return 0
+        finally:
+            await channels.close()
+
+    async def wait(self, what: Callable[[], Awaitable[bool]], seconds: float = 15.0):
+        with anyio.fail_after(seconds):
+            while not await what():
+                await anyio.sleep(0.05)
+
+    async def wait_ready(self, *names: str):
+        for name in names:
+            await self.wait(lambda name=name: self._is_ready(name))
+
+    async def _is_ready(self, name: str) -> bool:
+        return await self.ready(name) == 200
+
+    async def submit(self, name: str, job: str, *steps: dict) -> int:
+        return (await self.call(name, "POST", f"/q/{job}", job_body(*steps))).status
+
+    async def wait_state(self, name: str, job: str, state: str):
+        async def reached() -> bool:
+            answer = await self.call(name, "GET", f"/q/{job}")
+            return answer.status == 200 and json.loads(answer.body)["state"] == state
+
+        await self.wait(reached)
+
+    def end(self):
+        for process in self.entries.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+
+class ChannelSetWithHost:
+    """Sends the host's name of the queue in place of the address."""
+
+    def __init__(self, channels: ChannelSet):
+        self._channels = channels
+
+    async def request(self, method, path, body, headers):
+        host, port = self._channels._host, self._channels._port
+        stream = await anyio.connect_tcp(host, port)
+        async with stream:
+            head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
+            await stream.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            data = b""
+            with anyio.fail_after(5):
+                try:
+                    while True:
+                        data += await stream.receive()
+                except anyio.EndOfStream:
+                    pass
+        head, _, content = data.partition(b"\r\n\r\n")
+        return Reply(int(head.split()[1]), content)
+
+
+class Reply:
+    def __init__(self, status: int, body: bytes):
+        self.status = status
+        self.body = body
+
+
+@pytest.fixture()
+def play(tmp_path: Path):
+    """Return a function that runs a body against a platform."""
+
+    def run(body: Callable[[Platform], Awaitable[None]]):
+        async def main():
+            platform = Platform(tmp_path)
+            try:
+                async with anyio.create_task_group() as tasks:
+                    await platform.run(tasks)
+                    await body(platform)
+                    tasks.cancel_scope.cancel()
+            finally:
+                platform.end()
+
+        anyio.run(main)
+
+    return run
+
+
+JOB_A, JOB_B = "00000000000000aa", "00000000000000bb"
+
+
+class TestEntryProcess:
+    def test_a_job_passes_from_end_to_end(self, play):
+        async def body(platform: Platform):
+            platform.start("e1")
+            platform.start("e2")
+            await platform.wait_ready("e1", "e2")
+            assert await platform.submit("e1", JOB_A, step(4), step(2, after=[0])) == 200
+            await platform.wait_state("e2", JOB_A, "completed")
+            assert platform.judge.broken == []
+            assert len(platform.judge.starts) == 6
+            assert platform.advisor.calls >= 2
+
+        play(body)
+
+    def test_a_killed_entry_loses_nothing(self, play):
+        async def body(platform: Platform):
+            platform.start("e1")
+            platform.start("e2")
+            await platform.wait_ready("e1", "e2")
+            for name in ("e1", "e2"):
+                await platform.submit(name, JOB_A if name == "e1" else JOB_B, step(3))
+            platform.entries["e1"].kill()
+            await platform.wait_state("e2", JOB_A, "completed")
+            await platform.wait_state("e2", JOB_B, "completed")
+            assert platform.judge.broken == []
+
+        play(body)
+
+    def test_a_planned_stop_is_graceful(self, play):
+        async def body(platform: Platform):
+            platform.start("e1")
+            platform.start("e2")
+            await platform.wait_ready("e1", "e2")
+            platform.entries["e1"].send_signal(signal.SIGTERM)
+            await platform.wait(lambda: self.unready(platform))
+            assert await platform.submit("e1", JOB_A, step(1)) == 200
+            with anyio.fail_after(6):
+                while platform.entries["e1"].poll() is None:
+                    await anyio.sleep(0.05)
+            assert platform.entries["e1"].returncode == 0
+            await platform.wait_state("e2", JOB_A, "completed")
+
+        play(body)
+
+    async def unready(self, platform: Platform) -> bool:
+        return await platform.ready("e1") == 503
+
+    def test_changed_settings_are_read_and_bad_ones_are_not(self, play):
+        async def body(platform: Platform):
+            platform.start("e1")
+            await platform.wait_ready("e1")
+            path = platform.folder / "e1.ini"
+            good = path.read_text()
+            path.write_text(good.replace("level = info", "level = noise"))
+            platform.entries["e1"].send_signal(signal.SIGHUP)
+            await platform.wait(lambda: self.logged(platform, "settings not reloaded"))
+            path.write_text(good)
+            platform.entries["e1"].send_signal(signal.SIGHUP)
+            await platform.wait(lambda: self.logged(platform, "settings reloaded"))
+            assert await platform.ready("e1") == 200
+
+        play(body)
+
+    async def logged(self, platform: Platform, message: str) -> bool:
+        return any(line["message"] == message for line in platform.lines("e1"))
+
+    def test_a_changed_configuration_is_in_force_soon(self, play):
+        async def body(platform: Platform):
+            platform.start("e1")
+            await platform.wait_ready("e1")
+            platform.configure(2, path_prefix="/new/")
+            with anyio.fail_after(2):
+                while (await platform.call("e1", "GET", "/new/")).status != 200:
+                    await anyio.sleep(0.05)
+            assert (await platform.call("e1", "GET", "/q/")).status == 404
+
+        play(body)
+
+    def test_the_entry_loads_no_command_line_tool(self):
+        code = "import sys, ragworttiller.entry; print([m for m in ('typer', 'rich', 'starlette') if m in sys.modules])"
+        found = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+        )
+        assert found.stdout.strip() == "[]"
+
+
+class TestEntrySettings:
+    def test_the_template_gives_settings(self, tmp_path: Path):
+        path = tmp_path / "settings.ini"
+        template = (ROOT / "deploy" / "settings.ini").read_text()
+        path.write_text(render(template, settings("e1", "127.0.0.1:1", "127.0.0.1:2")))
+        read = load_entry(path)
+        assert read.platform.advisor_address == "127.0.0.1:2"
+        assert read.bounds.longest_lease_ms == 6000
+
+    def test_all_errors_are_told_at_once(self, tmp_path: Path):
+        path = tmp_path / "settings.ini"
+        path.write_text("[instance]\nname = x\nother = 1\n[bounds]\nlongest_lease_ms = soon\n")
+        with pytest.raises(SettingsInvalid) as caught:
+            load_entry(path)
+        for part in ("other", "longest_lease_ms", "store_address", "callers_address"):
+            assert part in str(caught.value)
