Move tasks off leaving runners, learn runners' speeds, split the cell's decisions

Change: tasks that last, and checkpointed ones in time, are stopped on a draining runner if there is room elsewhere; a runner's speed is learnt from its share in the mean of each stage, and fades; the runner pool, the stage planner and the orders have modules of their own.

--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -21,10 +21,11 @@
 from ragworttiller.platform.runners import RunnerClient, Start
 from ragworttiller.platform.store import KeyedRecord, Producer, Store
 from ragworttiller.scheduling.advice import Advice, AdviceCall
-from ragworttiller.scheduling.cell import Cell, Changes, StartOrder, StopOrder
+from ragworttiller.scheduling.cell import Cell
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.orders import Changes, StartOrder, StopOrder, run_fields
 from ragworttiller.scheduling.ownership import PRODUCER, Ownership, Term
 from ragworttiller.scheduling.records import JOBS, PROGRESS_SUFFIX, Claim, encode
 from ragworttiller.scheduling.runner_state import RunnerState
@@ -119,8 +120,8 @@
             self._incarnation,
             self._term.epoch,
             self._jobs.position,
-            cell.roster(),
-            cell.suspects(now),
+            cell.pool.roster(),
+            cell.pool.suspects(now),
             cell.pending(),
         )
 
@@ -131,7 +132,7 @@
             self._term.end()
 
     def _enrolled(self, roster: list[str]) -> None:
-        self._cell.enroll(roster)
+        self._cell.pool.enroll(roster)
         self.wake()
 
     # Planning
@@ -148,7 +149,7 @@
 
     def _follow(self, ownership: Ownership) -> None:
         cell = self._cell
-        cell.loads.set_entries(self._advice.entries)
+        cell.set_entries(self._advice.entries)
         cell.follow(self._clock.now(), self._clock.wall())
         for name, runner in cell.runners.items():
             if name not in self._clients:
@@ -181,7 +182,7 @@
         start = Start(
             run.task, run.number, order.spec, order.deadline, run.checkpoint, order.ticket
         )
-        extra = {"task": str(run.task), "run": run.number, "runner": run.runner}
+        extra = run_fields(run)
         try:
             if not self._term.valid:
                 cell.start_refused(run, "term", self._clock.now())
@@ -192,14 +193,14 @@
             log.info("start refused", extra={**extra, "why": reason})
             cell.start_refused(run, reason, self._clock.now())
             if reason == "unreachable":
-                cell.missed(runner, self._clock.now())
+                cell.pool.missed(runner)
         except OrderUndecided:
             log.info("start undecided", extra=extra)
         except AppendFenced:
             self._superseded(run.runner)
             return
         except RunnerGone:
-            cell.gone(runner, self._clock.now(), "another boot answers")
+            cell.pool.gone(runner, self._clock.now(), "another boot answers")
         else:
             log.info("started", extra={**extra, "epoch": self._term.epoch})
             cell.started(run, self._clock.now())
@@ -211,7 +212,7 @@
         client, runner = self._clients.get(run.runner), cell.runners.get(run.runner)
         if client is None or runner is None or not self._term.valid:
             return
-        extra = {"task": str(run.task), "run": run.number, "runner": run.runner}
+        extra = run_fields(run)
         try:
             await client.stop(run.task, run.number, self._term.epoch)
             log.info("stop ordered", extra={**extra, "why": order.reason})
@@ -220,7 +221,7 @@
         except AppendFenced:
             self._superseded(run.runner)
         except RunnerGone:
-            cell.gone(runner, self._clock.now(), "another boot answers")
+            cell.pool.gone(runner, self._clock.now(), "another boot answers")
 
     async def _advise(self, call: AdviceCall) -> None:
         extra = {"stage": str(call.stage), "entry": call.entry, "named": len(call.runners)}
@@ -265,9 +266,9 @@
         except AppendFenced:
             self._superseded(runner.id)
         except RunnerGone:
-            cell.gone(runner, self._clock.now(), "another boot answers")
+            cell.pool.gone(runner, self._clock.now(), "another boot answers")
         except (OrderRefused, OrderUndecided):
-            cell.missed(runner, self._clock.now())
+            cell.pool.missed(runner)
             await self._clock.sleep(HOLD_RETRY_SECONDS)
         else:
             if held.unreadable:
--- /dev/null
+++ b/ragworttiller/scheduling/runner_pool.py
@@ -0,0 +1,140 @@
+"""Runners of the cell: who is listed, reached, lost or leaving."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+
+from ragworttiller.scheduling.records import Suspect
+from ragworttiller.scheduling.runner_fold import RunnerFold
+from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.runs import Run, RunState
+from ragworttiller.scheduling.takeover import Takeover
+
+log = logging.getLogger(__name__)
+
+EVACUATE_SECONDS = 1.0
+
+
+class RunnerPool:
+    """Boots of runners that the owner knows.
+
+    Parameters
+    ----------
+    listed : RunnerFold
+        Runners that the platform lists.
+    takeover : Takeover
+        Runners on which an earlier owner's tasks may still run.
+    ended : Callable
+        Called with each run that has surely ended with its runner, and the time.
+
+    Attributes
+    ----------
+    runners : dict
+        States by identifier.
+    """
+
+    def __init__(
+        self, listed: RunnerFold, takeover: Takeover, ended: Callable[[Run, float], None]
+    ) -> None:
+        self._listed = listed
+        self._takeover = takeover
+        self._ended = ended
+        # The platform may go on listing a boot for a while after its end.
+        self._ended_boots: set[str] = set()
+        self.runners: dict[str, RunnerState] = {}
+
+    def open_at(self, now: float) -> list[RunnerState]:
+        """Return the runners on which tasks may start."""
+        return [runner for runner in self.runners.values() if runner.open_at(now)]
+
+    def roster(self) -> list[str]:
+        """Return the runners to which orders may go or whose tasks may still run."""
+        alive = [name for name, runner in self.runners.items() if not runner.lost]
+        return sorted({*alive, *self._takeover.open})
+
+    def suspects(self, now: float) -> list[Suspect]:
+        """Return the runners out of reach, with the tasks that may still run there."""
+        return [
+            Suspect(runner.id, sorted({str(task) for task, _ in runner.runs}))
+            for runner in self.runners.values()
+            if runner.suspect(now) and not runner.lost
+        ]
+
+    def enroll(self, roster: Iterable[str]) -> None:
+        """Allow starts on runners that the store now names."""
+        for name in roster:
+            if name in self.runners:
+                self.runners[name].enrolled = True
+
+    def follow(self, now: float) -> None:
+        """Take over the platform's list."""
+        entries = self._listed.entries
+        self._ended_boots &= entries.keys()
+        for entry in entries.values():
+            if entry.runner in self._ended_boots:
+                continue
+            runner = self.runners.get(entry.runner)
+            if runner is None:
+                runner = self.runners[entry.runner] = RunnerState(entry)
+                log.info("runner listed", extra={"runner": entry.runner})
+            if entry.draining and not runner.entry.draining:
+                log.info("runner drains", extra={"runner": entry.runner, "left": entry.remaining})
+                runner.leaves_at = now + (entry.remaining or 0.0)
+            runner.entry = entry
+        addresses = {entry.address: entry.runner for entry in entries.values()}
+        for name, runner in list(self.runners.items()):
+            runner.listed = name in entries
+            successor = addresses.get(runner.entry.address)
+            if not runner.listed and successor not in (None, name):
+                self.gone(runner, now, "another boot has its address")
+            elif not runner.listed and runner.idle and runner.lapsed(now):
+                self.gone(runner, now, "left the list")
+
+    def missed(self, runner: RunnerState) -> None:
+        """Record that a runner did not answer."""
+        runner.misses += 1
+        if runner.misses == 1:
+            log.info("runner does not answer", extra={"runner": runner.id})
+
+    def gone(self, runner: RunnerState, now: float, why: str) -> None:
+        """Record that a boot of a runner has surely ended."""
+        self._takeover.settle(runner.id)
+        self._lose(runner, now, why)
+        self.runners.pop(runner.id, None)
+        self._ended_boots.add(runner.id)
+
+    def expire(self, now: float) -> None:
+        """Give up the runners out of reach whose leases have surely lapsed."""
+        self._takeover.expire(now)
+        for runner in list(self.runners.values()):
+            if runner.misses and runner.reached and not runner.lost and runner.lapsed(now):
+                self._lose(runner, now, "its lease has lapsed")
+
+    def leaving(self, now: float) -> list[Run]:
+        """Return the runs that would end with a draining runner and have room elsewhere."""
+        draining = [r for r in self.runners.values() if r.entry.draining and r.runs]
+        others = self.open_at(now) if draining else []
+        return [
+            run
+            for runner in draining
+            for run in runner.runs.values()
+            if run.state is RunState.RUNNING
+            and _moves(run, runner, now)
+            and any(run.room.fits(other.free) for other in others)
+        ]
+
+    def _lose(self, runner: RunnerState, now: float, why: str) -> None:
+        if runner.lost:
+            return
+        runner.lost = True
+        runs = list(runner.runs.values())
+        log.warning("runner lost", extra={"runner": runner.id, "why": why, "tasks": len(runs)})
+        for run in runs:
+            self._ended(run, now)
+
+
+def _moves(run: Run, runner: RunnerState, now: float) -> bool:
+    if run.spec.daemon:
+        return True
+    return run.spec.checkpoints and now > runner.leaves_at - EVACUATE_SECONDS
--- a/ragworttiller/scheduling/runner_state.py
+++ b/ragworttiller/scheduling/runner_state.py
@@ -32,6 +32,8 @@
         Whether the platform's list holds the runner.
     lost : bool
         Whether the runner is out of reach and everything on it has surely ended.
+    leaves_at : float
+        Time at which a draining runner may leave.
     seen, recorded : int
         Number of the last end that was taken over, and of the last whose effects are stored.
     """
@@ -47,6 +49,7 @@
         self.recorded = 0
         self.last_ok = float("-inf")
         self.rest_until = 0.0
+        self.leaves_at = float("inf")
         self._rests = 0
         self._failures: list[float] = []
         self._used = NOTHING
--- /dev/null
+++ b/ragworttiller/scheduling/stage_planner.py
@@ -0,0 +1,224 @@
+"""Decides which waiting tasks start where, and what the advisor is asked for them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection
+
+from ragworttiller.scheduling.advice import (
+    AdviceCall,
+    EntryLoads,
+    NamingPolicy,
+    call_duration,
+)
+from ragworttiller.scheduling.job_work import JobWork
+from ragworttiller.scheduling.order import QueueOrder
+from ragworttiller.scheduling.orders import Plan, StartOrder
+from ragworttiller.scheduling.placement import PlacementPolicy, Placer, Room
+from ragworttiller.scheduling.runner_pool import RunnerPool
+from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.runs import Run, RunState, Stage
+from ragworttiller.scheduling.speeds import Speeds
+from ragworttiller.scheduling.takeover import Takeover
+
+START_DEADLINE_SECONDS = 1.2
+CALLS_AHEAD = 3
+AHEAD_MARGIN_SECONDS = 0.3
+CALL_PATIENCE_SECONDS = 2.0
+GANG_PATIENCE_SECONDS = 2.0
+GANG_RESERVE_SECONDS = 4.0
+FAILED_ON_SECONDS = 2.0
+
+
+class StagePlanner:
+    """Gives room to waiting tasks in the order of their jobs.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the ownership.
+    pool : RunnerPool
+        Runners of the cell.
+    takeover : Takeover
+        Tasks that an earlier owner may have started.
+    speeds : Speeds
+        Learnt speeds of runners.
+    order, placement, naming : QueueOrder, PlacementPolicy, NamingPolicy
+        Policies.
+
+    Attributes
+    ----------
+    loads : EntryLoads
+        Calls to the advisor that each entry has under way.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        pool: RunnerPool,
+        takeover: Takeover,
+        speeds: Speeds,
+        order: QueueOrder,
+        placement: PlacementPolicy,
+        naming: NamingPolicy,
+    ) -> None:
+        self._epoch = epoch
+        self._pool = pool
+        self._takeover = takeover
+        self._speeds = speeds
+        self._order = order
+        self._placer = Placer(placement)
+        self._naming = naming
+        self.loads = EntryLoads()
+
+    def plan(self, plan: Plan, works: Collection[JobWork], now: float, wall: float) -> None:
+        """Add the starts and the calls to the advisor that are due now."""
+        usable = self._pool.open_at(now)
+        room = Room(usable)
+        blocked: Counter[str] = Counter()
+        for work, stage in self._ready(works, now, wall):
+            fitting = self._fitting(work, stage, usable)
+            placed = self._place(plan, work, stage, fitting, room, now)
+            if not stage.waiting or (placed and stage.spec.gang):
+                continue
+            stage.blocked_since = stage.blocked_since or now
+            ahead = blocked[work.queue.name] < CALLS_AHEAD
+            blocked[work.queue.name] += 1
+            self._ask(plan, work, stage, fitting, now, ahead)
+            if self._reserves(stage, now):
+                break
+        self._ask_ahead(plan, works, usable, now)
+
+    def _ready(
+        self, works: Collection[JobWork], now: float, wall: float
+    ) -> list[tuple[JobWork, Stage]]:
+        rows: list[tuple[tuple[float, ...], JobWork, Stage]] = []
+        for work in works:
+            if not work.open:
+                continue
+            stages = [s for s in work.ready(wall) if not self._takeover.blocks(work.row, s)]
+            if stages:
+                key = self._order.key(work.standing(), now)
+                rows.extend((key, work, stage) for stage in stages)
+        rows.sort(key=lambda row: row[0])
+        return [(work, stage) for _, work, stage in rows]
+
+    def _fitting(self, work: JobWork, stage: Stage, usable: list[RunnerState]) -> list[RunnerState]:
+        spec = stage.spec
+        return [
+            runner
+            for runner in usable
+            if runner.entry.upstream == work.queue.upstream
+            and (not spec.label or spec.label in runner.entry.labels)
+            and spec.room.fits(runner.entry.capacity)
+            and not (spec.fills and runner.serving)
+        ]
+
+    def _place(
+        self,
+        plan: Plan,
+        work: JobWork,
+        stage: Stage,
+        fitting: list[RunnerState],
+        room: Room,
+        now: float,
+    ) -> bool:
+        """Start what can be placed and return whether something was."""
+        if stage.spec.gang and stage.live:
+            return False
+        if stage.blocked_since and now - stage.blocked_since > FAILED_ON_SECONDS:
+            stage.failed_on.clear()
+        advised = work.queue.advice is not None
+        if advised:
+            fitting = [r for r in fitting if stage.tickets.ticket(r.id, now)]
+        if not fitting:
+            return False
+        indices = self._takeover.startable(stage)
+        if stage.spec.gang and len(indices) < stage.spec.tasks:
+            return False
+        speeds = {runner.id: self._speeds.of(runner.id, now) for runner in fitting}
+        chosen = self._placer.place(stage, fitting, room, indices, speeds)
+        if not chosen:
+            return False
+        stage.blocked_since = None
+        number = max(stage.next_number(i, self._epoch) for i in chosen) if stage.spec.gang else 0
+        checkpoint = next(iter(stage.checkpoints.values()), "") if stage.spec.gang else None
+        for index, name in chosen.items():
+            runner = self._pool.runners[name]
+            run = stage.start(index, name, self._epoch, now, number)
+            if checkpoint is not None:
+                run.checkpoint = checkpoint
+            run.start_deadline = runner.clock_at(now) + START_DEADLINE_SECONDS
+            runner.add(run)
+            ticket = stage.tickets.ticket(name, now) if advised else ""
+            plan.starts.append(StartOrder(run, work.spec.spec, run.start_deadline, ticket))
+        return True
+
+    def _reserves(self, stage: Stage, now: float) -> bool:
+        """Return whether room is to be left to a gang that has waited long."""
+        if not stage.spec.gang or stage.live or stage.blocked_since is None:
+            return False
+        waited = now - stage.blocked_since
+        return GANG_PATIENCE_SECONDS < waited < GANG_PATIENCE_SECONDS + GANG_RESERVE_SECONDS
+
+    def _ask(
+        self,
+        plan: Plan,
+        work: JobWork,
+        stage: Stage,
+        runners: list[RunnerState],
+        now: float,
+        ahead: bool,
+    ) -> bool:
+        """Ask about runners for a stage if that helps, and return whether a call is made."""
+        cost = work.queue.advice
+        if cost is None or stage.tickets.asked_until > now:
+            return False
+        names = self._naming.names(stage, runners, now, ahead)
+        if not names:
+            return False
+        duration = call_duration(cost, len(names))
+        entry = self.loads.choose(duration, now)
+        if entry is None:
+            return False
+        stage.tickets.asked_until = now + duration + CALL_PATIENCE_SECONDS
+        call = AdviceCall(stage.id, tuple(names), entry, duration, cost.validity, now)
+        plan.calls.append(call)
+        return True
+
+    def _ask_ahead(
+        self, plan: Plan, works: Collection[JobWork], usable: list[RunnerState], now: float
+    ) -> None:
+        """Ask about stages whose predecessors are about to end."""
+        for work in works:
+            cost = work.queue.advice
+            if cost is None or not work.open:
+                continue
+            for stage in work.stages.values():
+                if not stage.waiting or not stage.spec.after or work.preceded(stage):
+                    continue
+                if self._ends_soon(
+                    work, stage, now, call_duration(cost, len(usable)) + AHEAD_MARGIN_SECONDS
+                ):
+                    fitting = self._fitting(work, stage, usable)
+                    self._ask(plan, work, stage, fitting, now, True)
+
+    def _ends_soon(self, work: JobWork, stage: Stage, now: float, within: float) -> bool:
+        """Return whether all tasks that a stage waits for run and end within some seconds."""
+        for before in work.before(stage):
+            if before.waiting:
+                return False
+            for run in before.live.values():
+                if run.state is not RunState.RUNNING:
+                    return False
+                if _left(run, before, now) > within:
+                    return False
+        return True
+
+
+def _left(run: Run, stage: Stage, now: float) -> float:
+    """Return an estimate of the seconds that a run still takes."""
+    elapsed = run.moved_at - run.started_at
+    if run.percent >= 5 and elapsed > 0:
+        return elapsed * (100 - run.percent) / run.percent - (now - run.moved_at)
+    return stage.spec.estimate - (now - run.started_at)
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -10,10 +10,11 @@
 from ragworttiller.platform.store import Record
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.cell import Cell, Plan, StartOrder
+from ragworttiller.scheduling.cell import Cell
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.job_fold import JobFold
 from ragworttiller.scheduling.jobs import StageId, TaskId
+from ragworttiller.scheduling.orders import Plan, StartOrder
 from ragworttiller.scheduling.records import CANCEL_SUFFIX, Accepted, Claim, encode
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from ragworttiller.scheduling.takeover import Takeover
@@ -71,7 +72,7 @@
         """List a runner and let it answer once."""
         self.list_runner(name, cpu, labels)
         self.hold(name)
-        self.cell.enroll([name])
+        self.cell.pool.enroll([name])
 
     def list_runner(
         self, name: str, cpu: int = 4000, labels: tuple[str, ...] = ("a",), state: str = "ready"
@@ -132,7 +133,7 @@
             self.now = min(self.now + 0.5, end)
             for name in list(self.cell.runners):
                 if name in silent:
-                    self.cell.missed(self.cell.runners[name], self.now)
+                    self.cell.pool.missed(self.cell.runners[name])
                 else:
                     self.cell.runners[name].grant(self.now, LEASE)
                     self.hold(name)
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ragworttiller.platform.store import Record
+from ragworttiller.scheduling.jobs import StageId
 from ragworttiller.scheduling.records import (
     PROGRESS_SUFFIX,
     Claim,
@@ -14,6 +15,7 @@
     decode,
     encode,
 )
+from ragworttiller.scheduling.speeds import Speeds
 from tests.scheduling_rig import JOB, LEASE, QUEUE, TERM, CellRig, step, task
 
 OTHER = "fedcba9876543210"
@@ -211,11 +213,11 @@
     def test_another_boot_at_the_address_frees_the_tasks_at_once(self, rig: CellRig):
         rig.submit(step(1))
         (only,) = rig.start_all()
-        rig.cell.gone(rig.cell.runners[only.run.runner], rig.now, "another boot")
+        rig.cell.pool.gone(rig.cell.runners[only.run.runner], rig.now, "another boot")
         assert len(rig.plan().starts) == 1
 
     def test_an_ended_boot_is_not_taken_up_again_from_a_late_list(self, rig: CellRig):
-        rig.cell.gone(rig.cell.runners["w1"], rig.now, "another boot")
+        rig.cell.pool.gone(rig.cell.runners["w1"], rig.now, "another boot")
         rig.cell.follow(rig.now, rig.now)
         assert list(rig.cell.runners) == ["w2"]
 
@@ -265,7 +267,7 @@
         rig.list_runner("w2")
         rig.hold("w1", running=((task(0), 1),))
         rig.hold("w2", running=())
-        rig.cell.enroll(["w1", "w2"])
+        rig.cell.pool.enroll(["w1", "w2"])
         (only,) = rig.plan().starts
         assert only.run.task == task(1)
         assert only.run.number > 10_000
@@ -335,6 +337,44 @@
         assert [order.run for order in rig.plan().stops] == [run]
 
 
+class TestLeavingRunners:
+    def test_tasks_that_last_move_at_once(self, rig: CellRig):
+        rig.submit(step(1, daemon=True))
+        (only,) = rig.start_all()
+        rig.list_runner(only.run.runner, state="draining")
+        assert [order.run for order in rig.plan().stops] == [only.run]
+        rig.hold(only.run.runner, (only.run.task, 1, "stopped"))
+        assert rig.plan().starts[0].run.runner != only.run.runner
+
+    def test_nothing_moves_without_room_elsewhere(self, rig: CellRig):
+        rig.submit(step(2, 4000, daemon=True))
+        first, _ = rig.start_all()
+        rig.list_runner(first.run.runner, state="draining")
+        assert rig.plan().stops == []
+
+    def test_other_tasks_go_on(self, rig: CellRig):
+        rig.submit(step(1))
+        (only,) = rig.start_all()
+        rig.list_runner(only.run.runner, state="draining")
+        assert rig.plan().stops == []
+
+
+class TestSpeeds:
+    def test_a_slow_runner_is_avoided_and_tried_again_later(self):
+        speeds = Speeds()
+        for number in range(6):
+            stage = StageId(JOB, 0, number)
+            speeds.learn("fast", stage, 1.0, 0.0)
+            speeds.learn("slow", stage, 6.0, 0.0)
+        assert speeds.of("slow", 0.0) > 2.5
+        assert speeds.of("slow", 60.0) < 1.1
+
+    def test_work_goes_to_the_faster_runner(self, rig: CellRig):
+        rig.cell._speeds._ratios["w1"] = (3.0, rig.now)
+        rig.submit(step(2))
+        assert {order.run.runner for order in rig.plan().starts} == {"w2"}
+
+
 class TestPending:
     def test_jobs_that_have_begun_do_not_count(self, rig: CellRig):
         rig.submit(step(1, 4000))
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -23,8 +23,8 @@
 from standins.platform.http import serve
 from standins.platform.runner import Judge, RunnerService
 from standins.platform.store import StoreService
-from tests.test_nng_peers import free_address
 from tests.scheduling_rig import job_body, step
+from tests.test_nng_peers import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "h.example"
@@ -106,12 +106,12 @@
         path = self.folder / f"{name}.ini"
         template = (ROOT / "deploy" / "settings.ini").read_text()
         path.write_text(render(template, self.fields[name]))
-        log = open(self.folder / f"{name}.log", "a")
         command = [sys.executable, "-m", "ragworttiller.entry"]
         environment = {**os.environ, "RAGWORTTILLER_CONFIG": str(path)}
-        self.entries[name] = subprocess.Popen(
-            command, cwd=ROOT, env=environment, stdout=log, stderr=log
-        )
+        with open(self.folder / f"{name}.log", "a") as log:
+            self.entries[name] = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
 
     def lines(self, name: str) -> list[dict]:
         text = (self.folder / f"{name}.log").read_text()
@@ -294,7 +294,10 @@
         play(body)
 
     def test_the_entry_loads_no_command_line_tool(self):
-        code = "import sys, ragworttiller.entry; print([m for m in ('typer', 'rich', 'starlette') if m in sys.modules])"
+        code = (
+            "import sys, ragworttiller.entry;"
+            "print([m for m in ('typer', 'rich', 'starlette') if m in sys.modules])"
+        )
         found = subprocess.run(
             [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
         )
