Name the tasks on draining runners in each claim, and keep entries up when a peer is replaced

Claims now name draining runners like those out of reach, with the tasks that may still run there; an owner starts there again only when the store knows. Terms last 7 s instead of 10, and a runner is out of reach after 0.8 s.

--- a/ragworttiller/process/nng_peers.py
+++ b/ragworttiller/process/nng_peers.py
@@ -234,7 +234,9 @@
             socket.dial(f"tcp://{peer.address}", block=False)
             while True:
                 await peer.queued.wait()
-                await self._send_batch(socket, peer.batch())
+                # A peer that was dropped just now has nothing left to send.
+                if items := peer.batch():
+                    await self._send_batch(socket, items)
 
     async def _send_batch(self, socket: pynng.Push0, items: list[Outgoing]) -> None:
         data = ENVELOPE_CODEC.encode([item.envelope for item in items])
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -121,7 +121,7 @@
             self._term.epoch,
             self._jobs.position,
             cell.pool.roster(),
-            cell.pool.suspects(now),
+            cell.pool.withdraw(now),
             cell.pending(),
         )
 
@@ -131,8 +131,8 @@
             log.info("superseded", extra={"epoch": self._term.epoch, "by": claim.owner})
             self._term.end()
 
-    def _enrolled(self, roster: list[str]) -> None:
-        self._cell.pool.enroll(roster)
+    def _enrolled(self, claim: Claim) -> None:
+        self._cell.pool.enroll(claim)
         self.wake()
 
     # Planning
@@ -155,7 +155,7 @@
             if name not in self._clients:
                 self._clients[name] = self._connect(name, runner.entry.address)
                 self._spawn(self._hold_loop, runner, self._clients[name])
-        if any(r.reached and not r.enrolled and not r.lost for r in cell.runners.values()):
+        if any(r.awaits_enrolment for r in cell.runners.values()):
             ownership.renew_now()
 
     def _carry_out(self) -> None:
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -31,7 +31,7 @@
 SILENCE_SECONDS = 1.6
 SILENCE_POLLS = 2
 # Time for which an owner may act without hearing from the store.
-TERM_SECONDS = 10.0
+TERM_SECONDS = 7.0
 APPEND_SECONDS = 3.0
 CLAIM_RETRY_SECONDS = 0.2
 SHUT_OUT_SECONDS = 2.0
@@ -202,8 +202,8 @@
             return None
         epoch = before.epoch + 1 if before else 1
         roster = before.roster if before else []
-        suspects = before.suspects if before else []
-        claim = Claim(self._name, self._incarnation, epoch, 0, roster, suspects, {})
+        withdrawn = before.withdrawn if before else []
+        claim = Claim(self._name, self._incarnation, epoch, 0, roster, withdrawn, {})
         producer = Producer(PRODUCER, epoch)
         sent_at = self._clock.now()
         record = KeyedRecord(OWNER_KEY, encode(claim))
@@ -234,7 +234,7 @@
             await self._clock.sleep(CLAIM_RETRY_SECONDS)
 
     async def keep(
-        self, term: Term, state: Callable[[], Claim], enrolled: Callable[[list[str]], None]
+        self, term: Term, state: Callable[[], Claim], enrolled: Callable[[Claim], None]
     ) -> None:
         """Renew the term until it is superseded.
 
@@ -245,7 +245,7 @@
         state : Callable
             Returns what is to be written.
         enrolled : Callable
-            Called with the roster that the store now has.
+            Called with each claim that the store has.
         """
         writer = GroupCommit(
             self._store,
@@ -272,7 +272,7 @@
         self._renew.set()
 
     async def _write(
-        self, writer: GroupCommit, term: Term, claim: Claim, enrolled: Callable[[list[str]], None]
+        self, writer: GroupCommit, term: Term, claim: Claim, enrolled: Callable[[Claim], None]
     ) -> None:
         self._renew = anyio.Event()
         successor = self._successor
@@ -295,6 +295,6 @@
             log.info("released", extra={"epoch": term.epoch, "successor": successor})
             return
         term.prove(sent_at)
-        enrolled(claim.roster)
+        enrolled(claim)
         with self._clock.move_on_after(RENEW_SECONDS):
             await self._renew.wait()
--- a/ragworttiller/scheduling/records.py
+++ b/ragworttiller/scheduling/records.py
@@ -66,11 +66,15 @@
     stages: list[StageProgress]
 
 
-class Suspect(NamedTuple):
-    """Runner out of reach of the owner, and the tasks that it may still run."""
+class Withdrawn(NamedTuple):
+    """Runner on which the owner starts nothing more, and the tasks that it may still run.
+
+    ``renewed`` tells whether the owner goes on renewing its lease, as on a draining runner.
+    """
 
     runner: str
     tasks: list[str]
+    renewed: bool = False
 
 
 class Claim(NamedTuple):
@@ -86,7 +90,7 @@
     epoch: int
     position: int
     roster: list[str]
-    suspects: list[Suspect]
+    withdrawn: list[Withdrawn]
     pending: dict[str, int]
     successor: str = ""
     released: bool = False
--- a/ragworttiller/scheduling/runner_pool.py
+++ b/ragworttiller/scheduling/runner_pool.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
-from ragworttiller.scheduling.records import Suspect
+from ragworttiller.scheduling.records import Claim, Withdrawn
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.runs import Run, RunState
@@ -53,17 +53,22 @@
         alive = [name for name, runner in self.runners.items() if not runner.lost]
         return sorted({*alive, *self._takeover.open})
 
-    def suspects(self, now: float) -> list[Suspect]:
-        """Return the runners out of reach, with the tasks that may still run there."""
-        return [
-            Suspect(runner.id, sorted({str(task) for task, _ in runner.runs}))
-            for runner in self.runners.values()
-            if runner.suspect(now) and not runner.lost
-        ]
-
-    def enroll(self, roster: Iterable[str]) -> None:
-        """Allow starts on runners that the store now names."""
-        for name in roster:
+    def withdraw(self, now: float) -> list[Withdrawn]:
+        """Start nothing more on runners out of reach or draining, and return them."""
+        withdrawn: list[Withdrawn] = []
+        for runner in self.runners.values():
+            suspect = runner.suspect(now)
+            if runner.lost or not (suspect or runner.entry.draining):
+                continue
+            runner.enrolled = False
+            tasks = sorted({str(task) for task, _ in runner.runs})
+            withdrawn.append(Withdrawn(runner.id, tasks, renewed=not suspect))
+        return withdrawn
+
+    def enroll(self, claim: Claim) -> None:
+        """Allow starts on the runners that a claim names, now that the store has it."""
+        withdrawn = {row.runner for row in claim.withdrawn}
+        for name in set(claim.roster) - withdrawn:
             if name in self.runners:
                 self.runners[name].enrolled = True
 
--- a/ragworttiller/scheduling/runner_state.py
+++ b/ragworttiller/scheduling/runner_state.py
@@ -9,7 +9,7 @@
 
 SLOWEST_CLOCK = 0.98
 FRESH_SECONDS = 1.7
-SUSPECT_SECONDS = 1.5
+SUSPECT_SECONDS = 0.8
 FAILURE_MEMORY_SECONDS = 4.0
 FAILURES_TO_REST = 2
 REST_SECONDS = 3.0
@@ -27,7 +27,7 @@
     Attributes
     ----------
     enrolled : bool
-        Whether the store names the runner as one to which orders may go.
+        Whether the store names the runner as one on which tasks may start.
     listed : bool
         Whether the platform's list holds the runner.
     lost : bool
@@ -81,6 +81,12 @@
         """Whether the runner does not answer, and nothing is known to run or wait there."""
         return self.misses > 0 and not self.runs and not self.unrecorded
 
+    @property
+    def awaits_enrolment(self) -> bool:
+        """Whether tasks could start here once the store names the runner."""
+        waiting = self.reached and not self.enrolled and self.misses == 0
+        return waiting and self.listed and not self.entry.draining
+
     @property
     def probing(self) -> bool:
         """Whether the runner has to prove itself with one task at a time."""
--- a/ragworttiller/scheduling/takeover.py
+++ b/ragworttiller/scheduling/takeover.py
@@ -38,14 +38,14 @@
         self._accepted_before = accepted_before
         lapse = lease * LEASE_STRETCH + MARGIN_SECONDS
         self._until: dict[str, float] = {}
-        self._suspects: dict[str, frozenset[str]] = {}
+        self._withdrawn: dict[str, frozenset[str]] = {}
         if claim is None:
             return
         acting = 0.0 if claim.released else term
         self._until = dict.fromkeys(claim.roster, now + acting + lapse)
-        for suspect in claim.suspects:
-            self._until[suspect.runner] = now + lapse
-            self._suspects[suspect.runner] = frozenset(suspect.tasks)
+        for row in claim.withdrawn:
+            self._until[row.runner] = now + (acting if row.renewed else 0.0) + lapse
+            self._withdrawn[row.runner] = frozenset(row.tasks)
 
     @property
     def open(self) -> list[str]:
@@ -65,12 +65,12 @@
         """Return whether no task of the stage may start yet."""
         if not self._until or row.offset >= self._accepted_before:
             return False
-        return any(name not in self._suspects for name in self._until)
+        return any(name not in self._withdrawn for name in self._until)
 
     def startable(self, stage: Stage) -> list[int]:
         """Return the waiting tasks of a stage that surely run nowhere."""
         waiting = list(reversed(stage.waiting))
-        held = [self._suspects[name] for name in self._until if name in self._suspects]
+        held = [self._withdrawn[name] for name in self._until if name in self._withdrawn]
         if not held:
             return waiting
         name = str(stage.id)
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -72,7 +72,11 @@
         """List a runner and let it answer once."""
         self.list_runner(name, cpu, labels)
         self.hold(name)
-        self.cell.pool.enroll([name])
+        self.enroll(name)
+
+    def enroll(self, *names: str) -> None:
+        """Let the store name runners."""
+        self.cell.pool.enroll(Claim("e", 1, 1, 0, list(names), [], {}))
 
     def list_runner(
         self, name: str, cpu: int = 4000, labels: tuple[str, ...] = ("a",), state: str = "ready"
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -11,7 +11,7 @@
     Claim,
     JobState,
     Progress,
-    Suspect,
+    Withdrawn,
     decode,
     encode,
 )
@@ -257,8 +257,8 @@
 
 
 class TestTakeover:
-    def claim(self, *suspects: Suspect) -> Claim:
-        return Claim("e1", 1, 1, 0, ["w1", "w2"], list(suspects), {})
+    def claim(self, *withdrawn: Withdrawn) -> Claim:
+        return Claim("e1", 1, 1, 0, ["w1", "w2"], list(withdrawn), {})
 
     def test_runs_that_are_found_are_taken_over(self):
         rig = CellRig(0, self.claim(), 100)
@@ -267,7 +267,7 @@
         rig.list_runner("w2")
         rig.hold("w1", running=((task(0), 1),))
         rig.hold("w2", running=())
-        rig.cell.pool.enroll(["w1", "w2"])
+        rig.enroll("w1", "w2")
         (only,) = rig.plan().starts
         assert only.run.task == task(1)
         assert only.run.number > 10_000
@@ -288,15 +288,39 @@
         rig.add_runner("w1")
         assert len(rig.plan().starts) == 1
 
-    def test_only_the_tasks_on_a_suspect_wait(self):
-        suspect = Suspect("w2", [str(task(0))])
-        rig = CellRig(0, self.claim(suspect), 100)
+    def test_only_the_tasks_on_a_withdrawn_runner_wait(self):
+        row = Withdrawn("w2", [str(task(0))])
+        rig = CellRig(0, self.claim(row), 100)
         rig.submit(step(2))
         rig.add_runner("w1")
         assert [order.run.task for order in rig.plan().starts] == [task(1)]
         rig.pass_time(LEASE + 1.0)
         assert [order.run.task for order in rig.plan().starts] == [task(0)]
 
+    def test_a_draining_runner_is_waited_for_as_long_as_its_lease_may_be_renewed(self):
+        row = Withdrawn("w2", [str(task(0))], renewed=True)
+        rig = CellRig(0, self.claim(row), 100)
+        rig.submit(step(2))
+        rig.add_runner("w1")
+        assert [order.run.task for order in rig.plan().starts] == [task(1)]
+        rig.pass_time(LEASE + 1.0)
+        assert rig.plan().starts == []
+        rig.pass_time(TERM)
+        assert [order.run.task for order in rig.plan().starts] == [task(0)]
+
+    def test_a_withdrawn_runner_gets_tasks_only_when_the_store_knows(self, rig: CellRig):
+        """An owner that dies right then must not have started what its last claim denies."""
+        state = rig.cell.runners["w1"]
+        rig.now += 1.0
+        rig.cell.pool.missed(state)
+        assert [row.runner for row in rig.cell.pool.withdraw(rig.now)] == ["w1"]
+        for name in ("w1", "w2"):
+            rig.hold(name)
+        rig.submit(step(8))
+        assert {order.run.runner for order in rig.plan().starts} == {"w2"}
+        rig.cell.pool.enroll(Claim("e", 1, 1, 0, ["w1", "w2"], [], {}))
+        assert "w1" in {order.run.runner for order in rig.plan().starts}
+
     def test_a_run_of_a_cancelled_job_is_stopped(self):
         rig = CellRig(0, self.claim(), 100)
         rig.submit(step(1))
--- a/tests/test_nng_peers.py
+++ b/tests/test_nng_peers.py
@@ -86,6 +86,19 @@
 
         anyio.run(main)
 
+    def test_a_connection_is_replaced_while_messages_wait(self):
+        async def main():
+            a, b, *_ = pair()
+            b.handle(CellCall, echo)
+            async with running(a, b):
+                for _ in range(20):
+                    a.post("b", ask())
+                    a.reconnect("b")
+                    await anyio.sleep(0)
+                assert await a.call("b", ask(7), 5) == CellReply(["a", {"number": 7}])
+
+        anyio.run(main)
+
     def test_error_of_a_handler_travels_and_a_fault_is_internal(self):
         async def main():
             a, b, *_ = pair()
