Answer for another entry by the same version of the configuration only

Change: a relayed request names the version of its entry; an entry with an older one does not answer, a later one is handed over and put in force first, so that an entry cut from the store learns it. Ruled out: the entry's own feed (it never goes back).

--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -11,6 +11,7 @@
 from typing_extensions import override
 
 from ragworttiller.exceptions import (
+    NotReady,
     PeerUnreachable,
     QueueUnknown,
     RagworttillerError,
@@ -22,6 +23,7 @@
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.acceptance import Acceptance
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.config_fold import ConfigFold
 
 log = logging.getLogger(__name__)
 
@@ -29,20 +31,28 @@
 # Time for which an entry tries alone before it asks another one.
 ALONE_SECONDS = 0.6
 RELAY_SECONDS = 0.5
+CALL_MARGIN_SECONDS = 0.1
 RELAY_TRIES = 2
 STALE_SECONDS = 1.4
 AVOID_SECONDS = 3.0
+# Code of a reply whose body is a later configuration than that of the entry that asked.
+LATER_CONFIGURATION = "later_configuration"
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
+UNANSWERED = (NotReady.code, LATER_CONFIGURATION)
 
 
 class CallerRequest(NamedTuple):
-    """Request of a caller; ``timeout`` is the time left for its answer, in seconds."""
+    """Request of a caller; ``timeout`` is the time left for its answer, in seconds.
+
+    ``version`` is that of the configuration of the entry that passes it on.
+    """
 
     method: str
     host: str
     path: str
     body: bytes
     timeout: float
+    version: int = -1
 
 
 class CallerReply(NamedTuple):
@@ -101,7 +111,8 @@
     """Answers locally, and through another entry while this one does not reach the store.
 
     A submission that was sent from here without a result may also be stored by the other entry:
-    it remains one job.
+    it remains one job. Both entries answer by the same version of the configuration: one with an
+    older version does not answer, and a later one is taken over first.
 
     Parameters
     ----------
@@ -109,6 +120,8 @@
         Answers of this entry.
     peers : NngPeers
         Connections to the other entries.
+    config : ConfigFold
+        Configuration of this entry.
     suspect : Callable
         Called with the name of an entry that does not answer.
     age : Callable
@@ -125,6 +138,7 @@
         self,
         local: Callers,
         peers: NngPeers,
+        config: ConfigFold,
         suspect: Callable[[str], None],
         age: Callable[[], float],
         owner: Callable[[], str],
@@ -133,6 +147,7 @@
     ) -> None:
         self._local = local
         self._peers = peers
+        self._config = config
         self._suspect = suspect
         self._age = age
         self._owner = owner
@@ -163,18 +178,26 @@
         for name in self._choose():
             if request.timeout <= 0:
                 return None
-            passed = request._replace(timeout=min(RELAY_SECONDS, request.timeout))
-            try:
-                reply = await self._peers.call(name, passed, passed.timeout + 0.1)
-            except PeerUnreachable:
-                log.info("relay failed", extra={"path": request.path, "entry": name})
-                self._avoid[name] = self._clock.now() + AVOID_SECONDS
-                self._suspect(name)
-                continue
-            except RagworttillerError as exc:
-                return _refusal(exc)
-            log.info("relayed", extra={"path": request.path, "entry": name, "code": reply.code})
-            return reply
+            reply = await self._ask(name, request)
+            if reply is not None and reply.code == LATER_CONFIGURATION:
+                self._config.adopt(reply.body)
+                reply = await self._ask(name, request)
+            if reply is not None and reply.code not in UNANSWERED:
+                log.info("relayed", extra={"path": request.path, "entry": name, "code": reply.code})
+                return reply
+        return None
+
+    async def _ask(self, name: str, request: CallerRequest) -> CallerReply | None:
+        timeout = min(RELAY_SECONDS, request.timeout)
+        passed = request._replace(timeout=timeout, version=self._config.version)
+        try:
+            return await self._peers.call(name, passed, timeout + CALL_MARGIN_SECONDS)
+        except PeerUnreachable:
+            log.info("relay failed", extra={"path": request.path, "entry": name})
+            self._avoid[name] = self._clock.now() + AVOID_SECONDS
+            self._suspect(name)
+        except RagworttillerError as exc:
+            return _refusal(exc)
         return None
 
     def _choose(self) -> list[str]:
@@ -191,6 +214,11 @@
         return (first + rest)[:RELAY_TRIES]
 
     async def _serve(self, sender: str, request: CallerRequest) -> CallerReply:
+        version = self._config.version
+        if request.version > version:
+            return CallerReply(NotReady.status, b"", NotReady.code)
+        if request.version < version:
+            return CallerReply(OK, self._config.value, LATER_CONFIGURATION)
         try:
             return await self._local.answer(request)
         except RagworttillerError as exc:
--- a/ragworttiller/scheduling/config_fold.py
+++ b/ragworttiller/scheduling/config_fold.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
+        self._value = b""
         self._by_host: dict[str, list[Queue]] = {}
 
     @property
@@ -26,20 +27,37 @@
         """Configuration in force, None before the first."""
         return self._current
 
+    @property
+    def version(self) -> int:
+        """Version in force, -1 before the first."""
+        return self._current.version if self._current else -1
+
+    @property
+    def value(self) -> bytes:
+        """Configuration in force as the operator wrote it."""
+        return self._value
+
     @override
     def apply(self, record: Record) -> None:
         if record.key != CONFIG_KEY or not record.value:
             return
         try:
-            self.adopt(decode_configuration(record.value))
+            self.adopt(record.value)
         except Unreadable as exc:
             log.warning("configuration skipped", extra={"offset": record.offset, "why": str(exc)})
 
-    def adopt(self, configuration: Configuration) -> None:
-        """Put a configuration in force unless it is older than the current one."""
+    def adopt(self, value: bytes) -> None:
+        """Put a configuration in force unless it is older than the current one.
+
+        Raises
+        ------
+        Unreadable
+            The bytes are no configuration.
+        """
+        configuration = decode_configuration(value)
         if self._current is not None and configuration.version <= self._current.version:
             return
-        self._current = configuration
+        self._current, self._value = configuration, value
         by_host: dict[str, list[Queue]] = {}
         for queue in sorted(configuration.queues, key=lambda q: -len(q.prefix)):
             by_host.setdefault(queue.host, []).append(queue)
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -86,6 +86,7 @@
         relaying = RelayingCallers(
             LocalCallers(self._acceptance),
             self._peers,
+            self._config,
             repair.suspect,
             lambda: self._host.claims_feed.age,
             self._owner_name,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -17,7 +18,6 @@
     SubmissionUndecided,
     Unreadable,
 )
-from ragworttiller.platform.configuration import Configuration
 from ragworttiller.platform.store import Producer, Store
 from ragworttiller.scheduling.acceptance import Acceptance
 from ragworttiller.scheduling.callers import (
@@ -40,6 +40,11 @@
 BODY = job_body(step(2))
 
 
+def configuration(version: int, prefix: str = QUEUE.prefix) -> bytes:
+    route = {"name": "q", "host": QUEUE.host, "path_prefix": prefix, "service": "desk"}
+    return json.dumps({"version": version, "routes": [route]}).encode()
+
+
 class EntryRig:
     """What answers callers at one entry, over a store of its own."""
 
@@ -51,7 +56,7 @@
         self.jobs = JobFold()
         self.feed = Feed(client, JOBS, self.jobs, self.timers)
         self.config = ConfigFold()
-        self.config.adopt(Configuration(1, (QUEUE,), frozenset(), 262144))
+        self.config.adopt(configuration(1))
         self.owner = OwnerFold()
         self.writer = GroupCommit(client, JOBS, Producer("e", 1), self.timers, exclusive=True)
         self.acceptance = Acceptance(
@@ -242,6 +247,7 @@
         return RelayingCallers(
             rig.callers,
             peers,
+            rig.config,
             self.suspected.append,
             lambda: age,
             lambda: "e2",
@@ -306,10 +312,38 @@
         async def body(rig: EntryRig):
             peers = FakePeers()
             self.relaying(rig, peers)
-            assert (await peers.serve("e2", self.request())).status == 200
+            assert (await peers.serve("e2", self.request()._replace(version=1))).status == 200
             rig.service.down = True
             rig.link.refused = True
-            refused = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+            refused = self.request()._replace(version=1, path=QUEUE.prefix + "00000000000000bb")
             assert (await peers.serve("e2", refused)).code == "store_down"
 
         with_entry(body)
+
+    def test_an_older_configuration_answers_for_nobody(self):
+        """An entry that passes a request on must not go back to an older version."""
+
+        async def body(rig: EntryRig):
+            peers = FakePeers()
+            self.relaying(rig, peers)
+            later = self.request("GET")._replace(version=2)
+            assert (await peers.serve("e2", later)).status == 503
+
+        with_entry(body)
+
+    def test_a_later_configuration_is_taken_over_first(self):
+        async def body(rig: EntryRig):
+            other = EntryRig(rig.service, rig.timers)
+            other.config.adopt(configuration(2, "/new/"))
+            peers, others = FakePeers(), FakePeers()
+            self.relaying(other, others)
+
+            async def call(name, message, timeout):
+                return await others.serve("e1", message)
+
+            peers.call = call
+            relaying = self.relaying(rig, peers, age=5.0)
+            reply = await relaying.answer(self.request("GET")._replace(path=QUEUE.prefix))
+            assert (reply.status, rig.config.version) == (404, 2)
+
+        with_entry(body)
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -15,7 +15,6 @@
     LogUnavailable,
     Unreadable,
 )
-from ragworttiller.platform.configuration import decode_configuration
 from ragworttiller.platform.listing import decode_entry
 from ragworttiller.platform.names import is_job_id, task_id
 from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Record, Store
@@ -385,7 +384,7 @@
             {"name": "b", "host": "h", "path_prefix": "/a/b/", "service": "s"},
         ]
         fold = ConfigFold()
-        fold.adopt(decode_configuration(json.dumps({"version": 1, "routes": routes}).encode()))
+        fold.adopt(json.dumps({"version": 1, "routes": routes}).encode())
         assert fold.find("h", "/a/b/c").name == "b"
         assert fold.find("h", "/a/x").name == "a"
 
