Let the other entry of a relay test read the jobs first

Cause: the test of a later configuration failed since its other entry had not read the jobs and answered nobody. No change to the package.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -335,6 +335,7 @@
         async def body(rig: EntryRig):
             other = EntryRig(rig.service, rig.timers)
             other.config.adopt(configuration(2, "/new/"))
+            await other.feed.catch_up()
             peers, others = FakePeers(), FakePeers()
             self.relaying(other, others)
 
