Drop ended jobs, grow the time to come back with the outage, answer 503 before a configuration

Cause 1: jobs stayed in the store and in every entry's memory for good. Cause 3: callers used up their tries within an outage, as each refusal told them to come back in 1 s. Change: the owner drops jobs five times the status time after their end; the bound of a body has a default; Retry-After grows with the outage, from 1 to 4 s.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -33,6 +33,7 @@
     stop_grace_ms: float
     shutdown_grace_s: float
     gang_timeout_ms: float
+    status_s: float
 
 
 class EntryLog(NamedTuple):
@@ -93,6 +94,14 @@
                 default="6",
             ),
             _millis("gang_timeout_ms", "Time that members of a gang wait for the others.", "3000"),
+            Number(
+                "status_s",
+                "Time for which callers may ask for the state of an ended job.",
+                low=1,
+                high=86400,
+                unit="seconds",
+                default="120",
+            ),
         ],
     ),
     Section(
--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -41,6 +41,8 @@
 # A call without result for this long delays all that come after it.
 STUCK_SECONDS = 0.7
 RETRY_AFTER_SECONDS = 1.0
+MOST_RETRY_AFTER_SECONDS = 4.0
+DEFAULT_MAX_BODY = 262144
 FRESH_SECONDS = 1.0
 CANCELLED = b"1"
 
@@ -99,7 +101,7 @@
     @property
     def max_body(self) -> int:
         """Longest body of a request, in bytes."""
-        return self._config.current.max_body if self._config.current else 0
+        return self._config.current.max_body if self._config.current else DEFAULT_MAX_BODY
 
     def target(self, host: str, path: str) -> Target:
         """Return what a request is about.
@@ -139,7 +141,7 @@
         try:
             await self._append(record, timeout)
         except LogUnavailable as exc:
-            raise StoreDown(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+            raise StoreDown(job=target.job, retry_after=self._retry_after()) from exc
         except AppendUndecided as exc:
             raise SubmissionUndecided(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
 
@@ -172,7 +174,7 @@
         try:
             await self._append(record, timeout)
         except LogUnavailable as exc:
-            raise StoreDown(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+            raise StoreDown(job=target.job, retry_after=self._retry_after()) from exc
         except AppendUndecided as exc:
             raise SubmissionUndecided(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
         await self._row(target.job)
@@ -192,6 +194,10 @@
             if row.accepted is not None
         )
 
+    def _retry_after(self) -> float:
+        """Return when to come back: an outage is expected to last as long again as it has."""
+        return min(max(self._writer.failing, RETRY_AFTER_SECONDS), MOST_RETRY_AFTER_SECONDS)
+
     async def _append(self, record: KeyedRecord, timeout: float) -> None:
         refused = self._clock.now() - self._writer.refused_at < REFUSAL_SECONDS
         if refused or self._writer.stuck > STUCK_SECONDS:
--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -24,6 +24,7 @@
     Term,
 )
 from ragworttiller.scheduling.records import JOBS, OWNER, Claim
+from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from ragworttiller.scheduling.takeover import Takeover
 
@@ -33,6 +34,7 @@
 OWNER_JOBS_PACE_SECONDS = 0.03
 RUNNERS_PACE_SECONDS = 0.4
 CLAIM_RETRY_SECONDS = 0.3
+STATUS_SECONDS = 120.0
 
 
 class CellHost:
@@ -56,6 +58,8 @@
         Longest lease that runners take, in seconds.
     connect : Callable
         Returns the client of a runner, given its identifier and address.
+    status : float
+        Seconds for which callers may ask for the state of an ended job.
 
     Attributes
     ----------
@@ -77,6 +81,7 @@
         incarnation: int,
         longest_lease: float = LEASE_SECONDS,
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
+        status: float = STATUS_SECONDS,
     ) -> None:
         self._store = store
         self._config = config
@@ -86,6 +91,7 @@
         self._incarnation = incarnation
         self._lease = min(LEASE_SECONDS, longest_lease)
         self._connect = connect
+        self._status = status
         self._owner: Owner | None = None
         self._stopping = False
         self.jobs = JobFold()
@@ -149,6 +155,7 @@
             self._name,
             self._incarnation,
             self._connect,
+            Retention(self.jobs, self._status),
         )
         self.jobs_feed.pace = OWNER_JOBS_PACE_SECONDS
         try:
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -67,6 +67,7 @@
             self._name,
             self._incarnation,
             settings.bounds.longest_lease_ms / 1000,
+            status=settings.bounds.status_s,
         )
         self._config_feed = self._feed(Partition(CONFIG_TOPIC), self._config)
         self._entries_feed = self._feed(ENTRIES, self._entries)
--- a/ragworttiller/scheduling/group_commit.py
+++ b/ragworttiller/scheduling/group_commit.py
@@ -88,6 +88,7 @@
         self._queue: list[_Waiting] = []
         self._wake = anyio.Event()
         self._refused_at = float("-inf")
+        self._failing_since: float | None = None
         self._begun_at: float | None = None
         self._fenced: AppendFenced | None = None
 
@@ -96,6 +97,11 @@
         """Time of the last refusal after which no append has succeeded, -inf if there is none."""
         return self._refused_at
 
+    @property
+    def failing(self) -> float:
+        """Seconds for which no append has succeeded though some were tried, 0 if all is well."""
+        return 0.0 if self._failing_since is None else self._clock.now() - self._failing_since
+
     @property
     def stuck(self) -> float:
         """Seconds for which the call under way has had no result, 0 if there is none."""
@@ -159,9 +165,11 @@
                 )
             except AppendUndecided:
                 undecided = True
+                self._fails()
                 log.info("append undecided", extra={"partition": str(self._partition)})
             except LogUnavailable as exc:
                 self._refused_at = self._clock.now()
+                self._fails()
                 if not undecided and self._expire(batch, exc):
                     return
             except AppendFenced as exc:
@@ -180,9 +188,14 @@
             await self._clock.sleep(delay)
             delay = min(2 * delay, MAX_RETRY_SECONDS)
 
+    def _fails(self) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._clock.now()
+
     def _finish(self, batch: list[_Waiting], end: int) -> None:
         self._sequence += 1
         self._refused_at = float("-inf")
+        self._failing_since = None
         for item in batch:
             item.end = end
             item.done.set()
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -28,6 +28,7 @@
 from ragworttiller.scheduling.orders import Changes, StartOrder, StopOrder, run_fields
 from ragworttiller.scheduling.ownership import PRODUCER, Ownership, Term
 from ragworttiller.scheduling.records import JOBS, PROGRESS_SUFFIX, Claim, encode
+from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_state import RunnerState
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,7 @@
 PLAN_GAP_SECONDS = 0.004
 PLAN_IDLE_SECONDS = 0.1
 COMMIT_SECONDS = 3.0
+RETENTION_CHECK_SECONDS = 10.0
 
 
 class Owner:
@@ -65,6 +67,8 @@
         Number of this start of the instance.
     connect : Callable
         Returns the client of a runner, given its identifier and address.
+    retention : Retention, optional
+        Names the ended jobs to drop; none are dropped without it.
     """
 
     def __init__(
@@ -79,8 +83,10 @@
         name: str,
         incarnation: int,
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
+        retention: Retention | None = None,
     ) -> None:
         self._connect = connect
+        self._retention = retention
         self._cell = cell
         self._term = term
         self._jobs = jobs
@@ -104,6 +110,7 @@
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._plan_loop, ownership)
             tasks.start_soon(self._commit_loop)
+            tasks.start_soon(self._retention_loop)
             await ownership.keep(self._term, self.state, self._enrolled)
             tasks.cancel_scope.cancel()
         log.info("ownership ended", extra={"epoch": self._term.epoch})
@@ -314,3 +321,16 @@
         self._cell.recorded(changes)
         self._stored.set()
         self._stored = anyio.Event()
+
+    async def _retention_loop(self) -> None:
+        if self._retention is None:
+            return
+        async for now in self._clock.ticks(RETENTION_CHECK_SECONDS):
+            keys = self._retention.expired(now)
+            if not keys or not self._term.valid:
+                continue
+            try:
+                await self._writer.append([KeyedRecord(key, b"") for key in keys], COMMIT_SECONDS)
+                log.info("ended jobs dropped", extra={"records": len(keys)})
+            except (LogUnavailable, AppendUndecided, AppendFenced) as exc:
+                log.info("ended jobs not dropped", extra={"why": exc.code})
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -116,6 +116,21 @@
 
         with_entry(body)
 
+    def test_callers_come_back_later_the_longer_an_outage_lasts(self):
+        async def body(rig: EntryRig):
+            rig.service.down = True
+            told: list[float] = []
+            for _ in range(6):
+                with pytest.raises(StoreDown) as caught:
+                    await rig.call("POST", timeout=0.5)
+                told.append(caught.value.retry_after)
+                await rig.timers.sleep(0.5)
+            assert told == sorted(told)
+            assert told[0] == 1.0
+            assert 2.0 < told[-1] <= 4.0
+
+        with_entry(body)
+
     def test_an_unknown_outcome_is_not_called_a_refusal(self):
         async def body(rig: EntryRig):
             rig.link.lose_next = 100
@@ -161,6 +176,7 @@
     def test_nothing_is_answered_before_there_is_a_configuration(self):
         async def body(rig: EntryRig):
             rig.acceptance._config = ConfigFold()
+            assert rig.acceptance.max_body > len(BODY)
             with pytest.raises(NotReady) as caught:
                 await rig.call("POST")
             assert caught.value.status == 503
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -62,6 +62,7 @@
             "stop_grace_ms": 900,
             "grace_s": 6,
             "gang_timeout_ms": 3000,
+            "status_s": 120,
         },
     }
 
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -23,11 +23,13 @@
 from ragworttiller.scheduling.feed import Feed, Fold
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.job_fold import JobFold
+from ragworttiller.scheduling.records import Accepted, Progress, encode
+from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from standins.platform.service import Link
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
-from tests.scheduling_rig import JOB, job_body, step
+from tests.scheduling_rig import JOB, QUEUE, job_body, step
 
 PLACE = Partition("keyed.things")
 
@@ -325,6 +327,24 @@
         await TestFeed().follow(rig, feed, body)
 
 
+class TestRetention:
+    def test_ended_jobs_are_dropped_after_a_while_and_open_ones_never(self):
+        fold = JobFold()
+        accepted = encode(Accepted(QUEUE, decode_job(job_body(step(1))), 0.0))
+        fold.apply(Record(1, JOB, accepted))
+        fold.apply(Record(2, "00000000000000bb", accepted))
+        fold.apply(Record(3, f"{JOB}/progress", encode(Progress("completed", []))))
+        retention = Retention(fold, status=10.0)
+        assert retention.expired(0.0) == []
+        assert retention.expired(49.0) == []
+        keys = retention.expired(51.0)
+        assert keys == [JOB, f"{JOB}/progress", f"{JOB}/cancel"]
+        for offset, key in enumerate(keys):
+            fold.apply(Record(10 + offset, key, b""))
+        assert list(fold.jobs) == ["00000000000000bb"]
+        assert retention.expired(1000.0) == []
+
+
 class TestDecoding:
     @pytest.mark.parametrize(
         "body",
