Close gaps found in reading: dropped keys, lost runners, occurrences without bound, sharing

Causes: a slow read could bring a key back that a faster one had dropped; a lost runner that answers again could get tasks before the store named it; a job could ask for any number of occurrences; a task that fills could stay beside a serving one (HARM); a host with a port matched no queue.

--- a/ragworttiller/platform/submissions.py
+++ b/ragworttiller/platform/submissions.py
@@ -62,7 +62,7 @@
         raise _invalid("spec", "is too long", f"{MAX_SPEC_BYTES} bytes")
     if not wire.steps:
         raise _invalid("steps", "has no entry", "one or more")
-    if sum(max(step.count, 0) for step in wire.steps) > MAX_TASKS:
+    if sum(max(step.count, 0) for step in wire.steps) * max(wire.times, 1) > MAX_TASKS:
         raise _invalid("steps", "has too many tasks", f"{MAX_TASKS} tasks in all")
     steps = tuple(_step(number, step) for number, step in enumerate(wire.steps))
     occurrences = None
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -185,6 +185,8 @@
         self._pool.expire(now)
         for run in self._pool.leaving(now):
             self._stops.add(run, "runner drains")
+        for run in self._pool.disturbing():
+            self._stops.add(run, "serving task beside it")
         plan = Plan([], self._stops.due(now), [])
         self._planner.plan(plan, self._work.values(), now, wall)
         return plan
--- a/ragworttiller/scheduling/entry_api.py
+++ b/ragworttiller/scheduling/entry_api.py
@@ -65,7 +65,7 @@
 
     async def _request(self, scope: Scope, receive: Receive) -> CallerRequest:
         headers = dict(scope["headers"])
-        host = headers.get(b"host", b"").decode("latin-1")
+        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         body = b""
         if scope["method"] == "POST":
             body = await _body(receive, self._max_body())
--- a/ragworttiller/scheduling/feed.py
+++ b/ragworttiller/scheduling/feed.py
@@ -134,7 +134,9 @@
                 await self._load()
             return True
         for record in found.records:
-            self._apply(record)
+            # Another read may have been faster; what it dropped must not come back.
+            if record.offset >= self._position:
+                self._apply(record)
         after = position + len(found.records)
         self._position = max(self._position, after)
         if after >= found.end:
--- a/ragworttiller/scheduling/records.py
+++ b/ragworttiller/scheduling/records.py
@@ -80,8 +80,8 @@
 class Claim(NamedTuple):
     """State of the ownership of the cell.
 
-    ``roster`` names the runners to which orders may have gone, ``suspects`` those of them that
-    receive no more of them. ``pending`` counts, by queue, the jobs that have not begun among those
+    ``roster`` names the runners to which orders may go, ``withdrawn`` those of them on which
+    nothing starts any more. ``pending`` counts, by queue, the jobs that have not begun among those
     before ``position``. ``successor`` is set when the owner gives up its ownership.
     """
 
--- a/ragworttiller/scheduling/runner_pool.py
+++ b/ragworttiller/scheduling/runner_pool.py
@@ -129,10 +129,21 @@
             and any(run.room.fits(other.free) for other in others)
         ]
 
+    def disturbing(self) -> list[Run]:
+        """Return the runs that take what others leave beside a task with a latency bound."""
+        return [
+            run
+            for runner in self.runners.values()
+            if runner.filled and runner.serving
+            for run in runner.runs.values()
+            if run.spec.fills
+        ]
+
     def _lose(self, runner: RunnerState, now: float, why: str) -> None:
         if runner.lost:
             return
         runner.lost = True
+        runner.enrolled = False
         runs = list(runner.runs.values())
         log.warning("runner lost", extra={"runner": runner.id, "why": why, "tasks": len(runs)})
         for run in runs:
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -88,9 +88,11 @@
         self.listed.apply(Record(self._next(), name, json.dumps(row).encode()))
         self.cell.follow(self.now, self.now)
 
-    def submit(self, *steps: dict[str, Any], job: str = JOB, queue: Queue = QUEUE) -> None:
+    def submit(
+        self, *steps: dict[str, Any], job: str = JOB, queue: Queue = QUEUE, **fields: Any
+    ) -> None:
         """Let the store hold a job."""
-        accepted = Accepted(queue, decode_job(job_body(*steps)), self.now)
+        accepted = Accepted(queue, decode_job(job_body(*steps, **fields)), self.now)
         self.store(job, encode(accepted))
 
     def cancel(self, job: str = JOB) -> None:
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -10,9 +10,7 @@
     PROGRESS_SUFFIX,
     Claim,
     JobState,
-    Progress,
     Withdrawn,
-    decode,
     encode,
 )
 from ragworttiller.scheduling.speeds import Speeds
@@ -69,11 +67,14 @@
         rig.submit(step(12))
         assert {order.run.runner for order in rig.plan().starts} == {"w1", "w2"}
 
-    def test_an_earlier_time_is_waited_for(self, rig: CellRig):
-        rig.submit(step(1))
-        work = rig.cell.jobs[JOB]
-        assert list(work.ready(rig.now)) != []
-        assert work.due(next(iter(work.stages.values()))) == 0.0
+    def test_an_occurrence_waits_for_its_time(self, rig: CellRig):
+        first = (rig.now + 5.0) * 1000
+        rig.submit(step(1), times=2, first_run_ms=first, interval_ms=10_000)
+        assert rig.plan().starts == []
+        rig.pass_time(5.5)
+        assert [str(order.run.task) for order in rig.plan().starts] == [f"{JOB}.0.0.0"]
+        rig.pass_time(10.0)
+        assert [str(order.run.task) for order in rig.plan().starts] == [f"{JOB}.1.0.0"]
 
 
 class TestEnds:
@@ -88,17 +89,14 @@
 
     def test_progress_comes_back_from_the_store(self, rig: CellRig):
         rig.submit(step(2))
-        first, _ = rig.start_all()
+        first, second = rig.start_all()
         rig.hold(first.run.runner, (first.run.task, 1, "done"))
         progress = rig.cell.changes().progress[JOB]
-        assert decode(encode(progress), Progress) == progress
-        rig.store(JOB + PROGRESS_SUFFIX, encode(progress))
-        again = CellRig(2)
-        again.submit(step(2))
-        again.jobs.jobs[JOB].progress = progress
-        other = CellRig(2)
-        other.jobs = again.jobs
-        assert other.jobs.jobs[JOB].state == JobState.RUNNING
+        later = CellRig(2, Claim("e1", 1, 1, 0, [], [], {}), 100)
+        later.jobs.apply(Record(90, JOB + PROGRESS_SUFFIX, encode(progress)))
+        later.submit(step(2))
+        assert later.jobs.jobs[JOB].state == JobState.RUNNING
+        assert [order.run.task for order in later.plan().starts] == [second.run.task]
 
     def test_a_job_that_has_ended_does_not_start_anew(self, rig: CellRig):
         rig.submit(step(1))
@@ -204,6 +202,13 @@
         (again,) = rig.plan().starts
         assert again.run.runner != runner
 
+    def test_a_lost_runner_gets_tasks_again_only_when_the_store_knows(self, rig: CellRig):
+        rig.cell.runners["w1"].grant(rig.now, LEASE)
+        rig.pass_time(LEASE + 1.0, "w1")
+        rig.hold("w1")
+        rig.submit(step(8))
+        assert {order.run.runner for order in rig.plan().starts} == {"w2"}
+
     def test_a_lease_on_a_slow_clock_is_waited_out(self, rig: CellRig):
         state = rig.cell.runners["w1"]
         state.grant(rig.now, 10.0)
@@ -361,6 +366,29 @@
         assert [order.run for order in rig.plan().stops] == [run]
 
 
+class TestSharing:
+    def test_a_task_that_fills_is_not_put_beside_a_serving_one(self, rig: CellRig):
+        rig.submit(step(2, 100, daemon=True, target_ms=50, anti_affinity=1))
+        rig.start_all()
+        rig.submit(step(1, 100, fills=True), job=OTHER)
+        assert rig.plan().starts == []
+
+    def test_a_task_that_fills_makes_way_for_a_serving_one(self, rig: CellRig):
+        rig.submit(step(2, 100, fills=True, anti_affinity=1))
+        filling = rig.start_all()
+        rig.submit(step(1, 100, daemon=True, target_ms=50), job=OTHER)
+        (serving,) = rig.start_all()
+        stopped = [order.run.runner for order in rig.plan().stops]
+        assert stopped == [serving.run.runner]
+        assert len(filling) == 2
+
+    def test_the_processors_of_a_task_that_fills_are_not_counted(self, rig: CellRig):
+        rig.submit(step(2, 4000, fills=True))
+        rig.start_all()
+        rig.submit(step(8, 1000), job=OTHER)
+        assert len(rig.plan().starts) == 8
+
+
 class TestLeavingRunners:
     def test_tasks_that_last_move_at_once(self, rig: CellRig):
         rig.submit(step(1, daemon=True))
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -308,6 +308,25 @@
         feed._apply(Record(4, "k", b"old"))
         assert rig.seen.values == {"k": b"new"}
 
+    @virtual
+    async def test_a_slow_read_does_not_bring_a_dropped_key_back(self):
+        rig = StoreRig()
+        feed = rig.feed()
+        await feed.catch_up()
+        slow = Link(rig.service, rig.timers)
+        rig.service.put(PLACE.topic, "k", b"1")
+        stale = await Store("", 1.0, slow).read(PLACE, 0)
+
+        async def old_read(partition: Partition, offset: int, wait: float = 0.0):
+            rig.store.read = read
+            rig.service.put(PLACE.topic, "k", b"")
+            await feed.catch_up()
+            return stale
+
+        read, rig.store.read = rig.store.read, old_read
+        await feed.catch_up()
+        assert rig.seen.values == {}
+
     @virtual
     async def test_silence_is_told_only_when_the_store_answers(self):
         rig = StoreRig()
@@ -359,6 +378,7 @@
             job_body(step(1), step(1, after=[2])),
             job_body(step(1), spec="x" * 5000),
             job_body(step(10**9)),
+            job_body(step(1), times=10**9),
         ],
     )
     def test_malformed_jobs_get_a_typed_answer(self, body: bytes):
