--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -30,6 +30,7 @@
 # Connections are still given to an entry for up to two checks of its readiness.
 LEAVE_SECONDS = 2.6
 CLOSE_SECONDS = 1.5
+FAREWELL_SECONDS = 0.5
 UNREAD_SECONDS = 1.8
 MAX_INCARNATION = 2**53
 
@@ -135,7 +136,8 @@
         callers.drain()
         others = sorted(self._entries.names - {self._name})
         self._host.stop(random.choice(others) if others else "")
-        await self._announcer.leave()
+        with self._clock.move_on_after(FAREWELL_SECONDS):
+            await self._announcer.leave()
         await self._clock.sleep(min(LEAVE_SECONDS, self._settings.bounds.shutdown_grace_s / 2))
 
     def _not_ready(self) -> list[str]:
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -205,6 +205,7 @@
     def test_a_lost_runner_gets_tasks_again_only_when_the_store_knows(self, rig: CellRig):
         rig.cell.runners["w1"].grant(rig.now, LEASE)
         rig.pass_time(LEASE + 1.0, "w1")
+        rig.plan()
         rig.hold("w1")
         rig.submit(step(8))
         assert {order.run.runner for order in rig.plan().starts} == {"w2"}
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -260,6 +260,19 @@
 
         play(body)
 
+    def test_a_planned_stop_ends_in_time_though_the_store_is_down(self, play):
+        async def body(platform: Platform):
+            platform.start("e1")
+            await platform.wait_ready("e1")
+            platform.store.down = True
+            platform.entries["e1"].send_signal(signal.SIGTERM)
+            with anyio.fail_after(5.5):
+                while platform.entries["e1"].poll() is None:
+                    await anyio.sleep(0.05)
+            assert platform.entries["e1"].returncode == 0
+
+        play(body)
+
     async def unready(self, platform: Platform) -> bool:
         return await platform.ready("e1") == 503
 
