Write the platform's design, proofs and operations down; ragworttiller explain

Cause: no page told what the entry on the platform stores, how a takeover goes, or how to get from a failed request to its cause. Change: the pages, two incidents, settings of the entry in the reference, and a command that collects the story of one job from log files, with tests; one holds that every message which the operations page names is logged. The entry's code is unchanged.

--- a/ragworttiller/__main__.py
+++ b/ragworttiller/__main__.py
@@ -18,6 +18,7 @@
 from ragworttiller.commands.client import Client
 from ragworttiller.commands.codes import codes
 from ragworttiller.commands.context import CommandContext, RootGroup
+from ragworttiller.commands.explain import explain
 from ragworttiller.commands.output import OutputFormat, output_for
 
 DEFAULT_TIMEOUT_SECONDS = 30.0
@@ -39,6 +40,7 @@
 app.add_typer(status.decisions, name="decisions")
 app.command()(status.status)
 app.command()(codes)
+app.command()(explain)
 
 
 @app.callback()
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -5,7 +5,7 @@
 import ast
 import inspect
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +14,8 @@
 
 from ragworttiller import exceptions
 from ragworttiller.__main__ import app
+from ragworttiller.config import entry
+from ragworttiller.config.base import Section
 from ragworttiller.config.defaults import SECTIONS
 from ragworttiller.connection.caller_api import CallerApi
 from ragworttiller.connection.drain_api import DrainApi
@@ -41,9 +43,15 @@
 
 
 def settings() -> Iterator[str]:
-    """Yield the section on settings."""
-    yield "## Settings"
-    for section in SECTIONS:
+    """Yield the sections on the settings of the daemon and of an entry on the platform."""
+    yield "## Settings of `ragworttillerd`"
+    yield from _sections(SECTIONS)
+    yield "\n## Settings of an entry on the platform"
+    yield from _sections(entry.SECTIONS)
+
+
+def _sections(sections: Iterable[Section]) -> Iterator[str]:
+    for section in sections:
         yield f"\n### [{section.name}]\n\n{section.help}\n"
         rows = [
             [
