Count the advisor's calls of each entry exactly, and test whom it is asked about

Cause: the work of an entry was guessed from the time at which its calls should end, and a sooner answer did not free it; advice had no tests of its own. Change: a call counts until it has ended. The entries' list is polled each 5 s.

--- a/ragworttiller/scheduling/advice.py
+++ b/ragworttiller/scheduling/advice.py
@@ -55,47 +55,51 @@
 
 
 class EntryLoads:
-    """Work of the advisor that each entry has asked for."""
+    """Calls to the advisor that each entry has under way.
+
+    The advisor takes one call of an instance at a time, so calls of one entry wait for each other.
+    Some entries are left to short calls, which would otherwise wait behind long ones.
+    """
 
     def __init__(self) -> None:
-        self._busy_until: dict[str, float] = {}
+        self._pending: dict[str, float] = {}
         self._avoid_until: dict[str, float] = {}
 
     def set_entries(self, entries: Sequence[str]) -> None:
         """Use these entries from now on."""
-        self._busy_until = {name: self._busy_until.get(name, 0.0) for name in entries}
+        self._pending = {name: self._pending.get(name, 0.0) for name in entries}
 
     def choose(self, duration: float, now: float) -> str | None:
-        """Return the entry whose turn for a call of this length comes first, None if none is near.
+        """Return the entry with the least work before a call, None if all have too much.
 
-        Long calls leave some of the entries to short ones.
+        Parameters
+        ----------
+        duration : float
+            Length of the call in seconds; it counts as work of the entry until `ended`.
+        now : float
+            Time in seconds.
         """
-        names = [n for n in sorted(self._busy_until) if self._avoid_until.get(n, 0.0) <= now]
+        names = [n for n in sorted(self._pending) if self._avoid_until.get(n, 0.0) <= now]
         kept = int(len(names) * SPARE_ENTRIES_SHARE)
         if duration > SHORT_CALL_SECONDS:
             names = names[kept:]
-        elif kept:
-            names = names[:kept] if self._wait(names[:kept], now) < SHORT_CALL_SECONDS else names
         if not names:
             return None
-        name = min(names, key=lambda n: self._busy_until[n])
-        if self._busy_until[name] - now > MOST_BACKLOG_SECONDS:
+        name = min(names, key=self._pending.__getitem__)
+        if self._pending[name] > MOST_BACKLOG_SECONDS:
             return None
-        self._busy_until[name] = max(self._busy_until[name], now) + duration
+        self._pending[name] += duration
         return name
 
-    def answered(self, entry: str, now: float) -> None:
-        """Correct the load of an entry that has answered sooner than expected."""
-        if entry in self._busy_until:
-            self._busy_until[entry] = min(self._busy_until[entry], now + MOST_BACKLOG_SECONDS)
+    def ended(self, entry: str, duration: float) -> None:
+        """Record that a call has ended."""
+        if entry in self._pending:
+            self._pending[entry] = max(self._pending[entry] - duration, 0.0)
 
     def failed(self, entry: str, now: float) -> None:
         """Leave an entry alone for a while."""
         self._avoid_until[entry] = now + AVOID_SECONDS
 
-    def _wait(self, names: Sequence[str], now: float) -> float:
-        return min(self._busy_until[name] for name in names) - now
-
 
 class NamingPolicy(ABC):
     """Chooses the runners that a call names."""
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -197,7 +197,7 @@
 
     def advised(self, call: AdviceCall, good: dict[str, str], now: float) -> None:
         """Take over an answer of the advisor."""
-        self._planner.loads.answered(call.entry, now)
+        self._planner.loads.ended(call.entry, call.duration)
         stage = self._stage(call.stage)
         if stage is not None:
             stage.tickets.asked_until = 0.0
@@ -205,6 +205,7 @@
 
     def not_advised(self, call: AdviceCall, now: float) -> None:
         """Record that an entry could not get an answer of the advisor."""
+        self._planner.loads.ended(call.entry, call.duration)
         self._planner.loads.failed(call.entry, now)
         stage = self._stage(call.stage)
         if stage is not None:
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -32,6 +32,7 @@
 CLOSE_SECONDS = 1.5
 FAREWELL_SECONDS = 0.5
 UNREAD_SECONDS = 1.8
+ENTRIES_POLL_SECONDS = 5.0
 MAX_INCARNATION = 2**53
 
 
@@ -70,8 +71,10 @@
             settings.bounds.longest_lease_ms / 1000,
             status=settings.bounds.status_s,
         )
-        self._config_feed = self._feed(Partition(CONFIG_TOPIC), self._config)
-        self._entries_feed = self._feed(ENTRIES, self._entries)
+        self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
+        self._entries_feed = Feed(
+            self._store, ENTRIES, self._entries, clock, poll=ENTRIES_POLL_SECONDS
+        )
         producer = Producer(f"{self._name}-{self._incarnation}", 1)
         self._writer = GroupCommit(self._store, JOBS, producer, clock, exclusive=True)
         self._acceptance = Acceptance(
@@ -152,6 +155,3 @@
     def _owner_name(self) -> str:
         claim = self._host.claims.claim
         return claim.owner if claim else ""
-
-    def _feed(self, partition: Partition, fold: ConfigFold | EntryFold) -> Feed:
-        return Feed(self._store, partition, fold, self._clock)
--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,126 @@
+"""Tests of whom the advisor is asked about, and by which entry."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.platform.configuration import AdviceCost
+from ragworttiller.scheduling.advice import EntryLoads, NameAll, NameUseful, call_duration
+from ragworttiller.scheduling.jobs import StageId, StepSpec
+from ragworttiller.scheduling.runs import Stage
+from ragworttiller.scheduling.tickets import Tickets
+from tests.scheduling_rig import JOB, QUEUE, CellRig, step
+
+COST = AdviceCost(0.3, 0.01, 2.5)
+ADVISED = QUEUE._replace(advice=COST)
+
+
+def stage(rig: CellRig, tasks: int = 2, cpu: int = 1000) -> Stage:
+    return Stage(StageId(JOB, 0, 0), StepSpec(tasks, rig.size(cpu)))
+
+
+class TestEntryLoads:
+    def test_calls_are_spread(self):
+        loads = EntryLoads()
+        loads.set_entries(["a", "b", "c"])
+        assert sorted(loads.choose(0.1, 0.0) for _ in range(3)) == ["a", "b", "c"]
+
+    def test_short_calls_do_not_wait_behind_long_ones(self):
+        loads = EntryLoads()
+        loads.set_entries([f"e{n}" for n in range(7)])
+        while loads.choose(0.7, 0.0) is not None:
+            pass
+        assert loads.choose(0.03, 0.0) in ("e0", "e1")
+
+    def test_no_call_waits_too_long_for_its_turn(self):
+        loads = EntryLoads()
+        loads.set_entries(["a"])
+        chosen = [loads.choose(0.7, 0.0) for _ in range(4)]
+        assert chosen == ["a", "a", "a", None]
+        loads.ended("a", 0.7)
+        assert loads.choose(0.7, 0.0) == "a"
+
+    def test_an_entry_that_fails_is_left_alone(self):
+        loads = EntryLoads()
+        loads.set_entries(["a", "b"])
+        loads.failed("a", 0.0)
+        assert {loads.choose(0.1, 1.0) for _ in range(4)} == {"b"}
+        assert "a" in {loads.choose(0.1, 3.0) for _ in range(8)}
+
+
+class TestNaming:
+    def test_what_is_known_is_not_asked_again(self):
+        rig = CellRig(6)
+        runners = list(rig.cell.runners.values())
+        waiting = stage(rig)
+        useful = NameUseful()
+        first = useful.names(waiting, runners, rig.now, False)
+        assert sorted(first) == sorted(rig.cell.runners)
+        waiting.tickets.take(first, {"w1": "t", "w2": "t"}, rig.now, 2.5)
+        assert useful.names(waiting, runners, rig.now, False) == []
+        later = useful.names(waiting, runners, rig.now + 3.0, False)
+        assert sorted(later) == ["w1", "w2"]
+        baseline = NameAll().names(waiting, runners, rig.now + 3.0, False)
+        assert call_duration(COST, len(later)) < call_duration(COST, len(baseline))
+
+    def test_runners_without_room_are_asked_about_only_ahead(self):
+        rig = CellRig(2)
+        waiting = stage(rig, cpu=4000)
+        waiting.tickets.take(["w1", "w2"], {"w1": "t", "w2": "t"}, rig.now - 10, 2.5)
+        rig.submit(step(2, 4000), job="fedcba9876543210")
+        rig.start_all()
+        runners = list(rig.cell.runners.values())
+        assert NameUseful().names(waiting, runners, rig.now, False) == []
+        assert len(NameUseful().names(waiting, runners, rig.now, True)) == 2
+
+
+class TestTickets:
+    def test_a_ticket_is_not_used_at_its_very_end(self):
+        tickets = Tickets()
+        tickets.take(["w1"], {"w1": "t"}, 10.0, 2.5)
+        assert tickets.ticket("w1", 12.0) == "t"
+        assert tickets.ticket("w1", 12.45) == ""
+
+
+class TestAdvisedStages:
+    @pytest.fixture()
+    def rig(self) -> CellRig:
+        rig = CellRig(4)
+        rig.cell.set_entries(["e1", "e2"])
+        return rig
+
+    def test_nothing_starts_without_a_ticket(self, rig: CellRig):
+        rig.submit(step(2), queue=ADVISED)
+        plan = rig.plan()
+        assert plan.starts == []
+        (call,) = plan.calls
+        assert rig.plan().calls == []
+        rig.cell.advised(call, {"w2": "t2"}, rig.now)
+        starts = rig.plan().starts
+        assert {(order.run.runner, order.ticket) for order in starts} == {("w2", "t2")}
+
+    def test_a_failed_call_is_made_by_another_entry(self, rig: CellRig):
+        rig.submit(step(2), queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.cell.not_advised(call, rig.now)
+        (again,) = rig.plan().calls
+        assert again.entry != call.entry
+
+    def test_a_refused_ticket_is_asked_for_again(self, rig: CellRig):
+        rig.submit(step(1), queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.cell.advised(call, {"w2": "t2"}, rig.now)
+        (only,) = rig.plan().starts
+        rig.cell.start_refused(only.run, "ticket", rig.now)
+        (again,) = rig.plan().calls
+        assert again.runners == ("w2",)
+
+    def test_the_next_step_is_asked_about_before_its_turn(self, rig: CellRig):
+        rig.submit(step(1), step(1, after=[0]), queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.cell.advised(call, {"w1": "t1"}, rig.now)
+        (only,) = rig.start_all()
+        rig.now += 0.5
+        only.run.percent, only.run.moved_at = 60.0, rig.now
+        (ahead,) = rig.plan().calls
+        assert ahead.stage == StageId(JOB, 0, 1)
