Give the term of an owner a module of its own

Cause: ownership.py held the fold of claims, the term and the service. No change in behaviour. The test of claims of earlier epochs asserted nothing about the fold; it now applies records to it.

--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -25,13 +25,13 @@
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.job_fold import JobFold, JobRow
-from ragworttiller.scheduling.ownership import OwnerFold
 from ragworttiller.scheduling.records import (
     CANCEL_SUFFIX,
     Accepted,
     JobState,
     encode,
 )
+from ragworttiller.scheduling.term import OwnerFold
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -15,18 +15,12 @@
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.job_fold import JobFold
 from ragworttiller.scheduling.owner import Owner
-from ragworttiller.scheduling.ownership import (
-    SILENCE_POLLS,
-    SILENCE_SECONDS,
-    TERM_SECONDS,
-    OwnerFold,
-    Ownership,
-    Term,
-)
+from ragworttiller.scheduling.ownership import SILENCE_POLLS, SILENCE_SECONDS, Ownership
 from ragworttiller.scheduling.records import JOBS, OWNER, Claim
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from ragworttiller.scheduling.takeover import Takeover
+from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold, Term
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -26,10 +26,11 @@
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.orders import Changes, StartOrder, StopOrder, run_fields
-from ragworttiller.scheduling.ownership import PRODUCER, Ownership, Term
+from ragworttiller.scheduling.ownership import PRODUCER, Ownership
 from ragworttiller.scheduling.records import JOBS, PROGRESS_SUFFIX, Claim, encode
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.term import Term
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -6,20 +6,19 @@
 from collections.abc import Callable
 
 import anyio
-from typing_extensions import override
 
 from ragworttiller.exceptions import (
     AppendConflict,
     AppendFenced,
     AppendUndecided,
     LogUnavailable,
-    Unreadable,
 )
-from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
+from ragworttiller.platform.store import KeyedRecord, Producer, Store
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.feed import Feed, Fold
+from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.records import JOBS, OWNER, OWNER_KEY, Claim, decode, encode
+from ragworttiller.scheduling.records import JOBS, OWNER, OWNER_KEY, Claim, encode
+from ragworttiller.scheduling.term import OwnerFold, Term
 
 log = logging.getLogger(__name__)
 
@@ -30,84 +29,11 @@
 # Silence of the owner after which others claim; safety does not depend on it.
 SILENCE_SECONDS = 1.6
 SILENCE_POLLS = 2
-# Time for which an owner may act without hearing from the store.
-TERM_SECONDS = 7.0
 APPEND_SECONDS = 3.0
 CLAIM_RETRY_SECONDS = 0.2
 SHUT_OUT_SECONDS = 2.0
 
 
-class OwnerFold(Fold):
-    """Last claim of the ownership.
-
-    Attributes
-    ----------
-    claim : Claim or None
-        Last claim, None before the first.
-    """
-
-    def __init__(self) -> None:
-        self.claim: Claim | None = None
-
-    @override
-    def apply(self, record: Record) -> None:
-        if record.key != OWNER_KEY or not record.value:
-            return
-        try:
-            claim = decode(record.value, Claim)
-        except Unreadable as exc:
-            log.error("claim skipped", extra={"offset": record.offset, "why": str(exc)})
-            return
-        if self.claim is None or claim.epoch >= self.claim.epoch:
-            if self.claim is None or claim.epoch > self.claim.epoch:
-                extra = {"owner": claim.owner, "epoch": claim.epoch}
-                log.info("owner changed", extra=extra)
-            self.claim = claim
-
-
-class Term:
-    """Right of one owner to act.
-
-    Parameters
-    ----------
-    epoch : int
-        Epoch of the claim.
-    clock : Clock
-        Clock that counts suspension.
-    proven_at : float
-        Time at which the claim was sent, in seconds.
-    """
-
-    def __init__(self, epoch: int, clock: Clock, proven_at: float) -> None:
-        self._epoch = epoch
-        self._clock = clock
-        self._proven_at = proven_at
-        self._superseded = False
-
-    @property
-    def epoch(self) -> int:
-        """Epoch of the claim, also the fencing token."""
-        return self._epoch
-
-    @property
-    def valid(self) -> bool:
-        """Whether the owner may give orders now."""
-        return not self._superseded and self._clock.now() - self._proven_at < TERM_SECONDS
-
-    @property
-    def superseded(self) -> bool:
-        """Whether another owner is known to have claimed."""
-        return self._superseded
-
-    def prove(self, sent_at: float) -> None:
-        """Record that a renewal which was sent at a time has reached the store."""
-        self._proven_at = max(self._proven_at, sent_at)
-
-    def end(self) -> None:
-        """Record that another owner has claimed, or that the ownership was given up."""
-        self._superseded = True
-
-
 class Ownership:
     """Claims, renews and releases the ownership of the cell for one entry.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -30,8 +30,8 @@
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.ownership import OwnerFold
 from ragworttiller.scheduling.records import JOBS, Claim
+from ragworttiller.scheduling.term import OwnerFold
 from standins.platform.service import Link
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -9,13 +9,13 @@
 import pytest
 
 from ragworttiller.platform.runners import RunnerClient
+from ragworttiller.platform.store import Record
 from ragworttiller.scheduling import cell as cell_module
-from ragworttiller.scheduling import ownership
 from ragworttiller.scheduling.cell import Cell
-from ragworttiller.scheduling.ownership import OwnerFold, Term
-from ragworttiller.scheduling.records import Claim
+from ragworttiller.scheduling.records import OWNER_KEY, Claim, encode
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.takeover import Takeover
+from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold, Term
 from standins.platform.service import Link
 from standins.virtual_time import LoopTimers, run_virtual
 from tests.owners_rig import Entry, OwnersRig, job_id
@@ -140,7 +140,7 @@
             first = rig.owner
             term = first.host.owner._term
             first.store_link.cut = True
-            await rig.timers.sleep(ownership.TERM_SECONDS + 1.0)
+            await rig.timers.sleep(TERM_SECONDS + 1.0)
             assert not term.valid
 
         with_rig(body)
@@ -179,7 +179,7 @@
         async def main():
             timers = LoopTimers()
             term = Term(1, timers, timers.now())
-            await timers.sleep(ownership.TERM_SECONDS - 1)
+            await timers.sleep(TERM_SECONDS - 1)
             assert term.valid
             term.prove(timers.now() - 5)
             await timers.sleep(5.5)
@@ -189,9 +189,11 @@
 
     def test_a_claim_of_an_earlier_epoch_is_ignored(self):
         fold = OwnerFold()
-        fold.claim = Claim("e2", 1, 5, 0, [], [], {})
-        term = Term(6, None, 0.0)
-        assert term.epoch > fold.claim.epoch
+        for offset, epoch in enumerate((5, 4)):
+            claim = Claim(f"e{epoch}", 1, epoch, 0, [], [], {})
+            fold.apply(Record(offset, OWNER_KEY, encode(claim)))
+        fold.apply(Record(2, OWNER_KEY, b"\xc1"))
+        assert fold.claim.owner == "e5"
 
 
 class Trouble:
