Shut the earlier owner out with the claim itself

Cause, found in reading: claim and fence were two calls. A renewal of the earlier owner that landed between them named runners on which it then could start tasks and which the new owner did not wait for; it also became the newest record, so that a fresh reader would have claimed the same epoch. Change: the claim carries the producer's epoch and a random sequence number, so claims of one epoch never count as repeats of each other, and a lost answer is asked for again. Tests: two claims of one epoch, a lost answer, a renewal after the claim (failed first).

--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -15,12 +15,17 @@
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.job_fold import JobFold
 from ragworttiller.scheduling.owner import Owner
-from ragworttiller.scheduling.ownership import SILENCE_POLLS, SILENCE_SECONDS, Ownership
-from ragworttiller.scheduling.records import JOBS, OWNER, Claim
+from ragworttiller.scheduling.ownership import (
+    SILENCE_POLLS,
+    SILENCE_SECONDS,
+    Claimed,
+    Ownership,
+)
+from ragworttiller.scheduling.records import JOBS, OWNER
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from ragworttiller.scheduling.takeover import Takeover
-from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold, Term
+from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold
 
 log = logging.getLogger(__name__)
 
@@ -116,7 +121,7 @@
             try:
                 claimed = await self._ownership.claim(before)
                 if claimed is not None:
-                    await self._own(*claimed, before)
+                    await self._own(claimed)
             except RagworttillerError as exc:
                 log.warning("claim failed", extra={"why": exc.code})
                 await self._clock.sleep(CLAIM_RETRY_SECONDS)
@@ -127,11 +132,12 @@
         if self._owner is not None:
             self._ownership.release(successor)
 
-    async def _own(self, term: Term, jobs_end: int, before: Claim | None) -> None:
+    async def _own(self, claimed: Claimed) -> None:
         """Own the cell until the term ends."""
+        term = claimed.term
         await self.jobs_feed.catch_up()
         now = self._clock.now()
-        takeover = Takeover(before, jobs_end, now, TERM_SECONDS, self._lease)
+        takeover = Takeover(claimed.before, claimed.jobs_end, now, TERM_SECONDS, self._lease)
         runners = RunnerFold()
         cell = Cell(term.epoch, self.jobs, self._config, runners, takeover, self._lease)
         listing = Partition(RUNNERS_TOPIC)
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 
 from ragworttiller.exceptions import (
     AppendConflict,
     AppendFenced,
+    AppendOutOfOrder,
     AppendUndecided,
     LogUnavailable,
 )
-from ragworttiller.platform.store import KeyedRecord, Producer, Store
+from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Store
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
@@ -31,7 +34,20 @@
 SILENCE_POLLS = 2
 APPEND_SECONDS = 3.0
 CLAIM_RETRY_SECONDS = 0.2
-SHUT_OUT_SECONDS = 2.0
+INSIST_SECONDS = 2.0
+MOST_SEQUENCE = 2**31
+
+
+class Claimed(NamedTuple):
+    """Ownership that was just claimed.
+
+    ``jobs_end`` is the end of the jobs' partition when earlier owners were shut out, ``before``
+    the last claim of these.
+    """
+
+    term: Term
+    jobs_end: int
+    before: Claim | None
 
 
 class Ownership:
@@ -69,6 +85,7 @@
         self._name = name
         self._incarnation = incarnation
         self._silent_polls = 0
+        self._sequence = 0
         self._news = anyio.Event()
         self._successor: str | None = None
         self._renew = anyio.Event()
@@ -109,14 +126,13 @@
             return claim.successor == self._name
         return mine and claim.incarnation != self._incarnation
 
-    async def claim(self, before: Claim | None) -> tuple[Term, int] | None:
+    async def claim(self, before: Claim | None) -> Claimed | None:
         """Claim the ownership after ``before`` and shut out earlier owners.
 
         Returns
         -------
-        tuple of Term and int, or None
-            The term, and the end of the jobs' partition when earlier owners were shut out; None if
-            another entry was faster.
+        Claimed or None
+            None if another entry was faster.
 
         Raises
         ------
@@ -132,28 +148,47 @@
         claim = Claim(self._name, self._incarnation, epoch, 0, roster, withdrawn, {})
         producer = Producer(PRODUCER, epoch)
         sent_at = self._clock.now()
+        if not await self._append_claim(claim, producer):
+            return None
+        end = await self._shut_out(producer)
+        log.info("claimed", extra={"epoch": epoch, "jobs_end": end, "roster": len(roster)})
+        return Claimed(Term(epoch, self._clock, sent_at), end, before)
+
+    async def _append_claim(self, claim: Claim, producer: Producer) -> bool:
+        """Append a claim, which shuts earlier owners out of the claims, and return whether it won.
+
+        The sequence number is random: claims of one epoch that had the same one would count as
+        repeats of the first.
+        """
+        self._sequence = random.SystemRandom().randrange(MOST_SEQUENCE)
         record = KeyedRecord(OWNER_KEY, encode(claim))
+        position = self._feed.position
         try:
-            # Without a producer: a second claimant's call would count as a repeat of the first.
-            await self._store.append(OWNER, [record], at=self._feed.position)
+            return await self._insist(OWNER, [record], producer, self._sequence, position) >= 0
+        except (AppendFenced, AppendOutOfOrder):
+            return False
         except AppendConflict:
-            return None
-        except AppendUndecided:
+            # The partition may have grown by this very claim, whose first answer was lost.
             await self._feed.catch_up()
-            if self._fold.claim != claim:
-                return None
-            log.info("claim found in the store", extra={"epoch": epoch})
-        end = await self._shut_out(producer)
-        log.info("claimed", extra={"epoch": epoch, "jobs_end": end, "roster": len(roster)})
-        return Term(epoch, self._clock, sent_at), end
+            return self._fold.claim == claim
 
     async def _shut_out(self, producer: Producer) -> int:
-        """Let no earlier owner write any more, and return the end of the jobs."""
-        until = self._clock.now() + SHUT_OUT_SECONDS
+        """Let no earlier owner write to the jobs any more, and return their end."""
+        return await self._insist(JOBS, [], producer, 0)
+
+    async def _insist(
+        self,
+        partition: Partition,
+        records: list[KeyedRecord],
+        producer: Producer,
+        sequence: int,
+        at: int | None = None,
+    ) -> int:
+        """Append, and repeat the call for a while until its result is known."""
+        until = self._clock.now() + INSIST_SECONDS
         while True:
             try:
-                await self._store.append(OWNER, [], producer)
-                return await self._store.append(JOBS, [], producer)
+                return await self._store.append(partition, records, producer, sequence, at)
             except (LogUnavailable, AppendUndecided):
                 if self._clock.now() > until:
                     raise
@@ -178,7 +213,7 @@
             OWNER,
             Producer(PRODUCER, term.epoch),
             self._clock,
-            first=1,
+            first=self._sequence + 1,
             attempt_timeout=RENEW_TIMEOUT_SECONDS,
         )
         self._successor = None
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -8,15 +8,19 @@
 import anyio
 import pytest
 
+from ragworttiller.exceptions import AppendFenced
 from ragworttiller.platform.runners import RunnerClient
-from ragworttiller.platform.store import Record
+from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
 from ragworttiller.scheduling import cell as cell_module
 from ragworttiller.scheduling.cell import Cell
-from ragworttiller.scheduling.records import OWNER_KEY, Claim, encode
+from ragworttiller.scheduling.feed import Feed
+from ragworttiller.scheduling.ownership import Ownership
+from ragworttiller.scheduling.records import OWNER, OWNER_KEY, Claim, encode
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.takeover import Takeover
 from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold, Term
 from standins.platform.service import Link
+from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
 from tests.owners_rig import Entry, OwnersRig, job_id
 from tests.scheduling_rig import step
@@ -196,6 +200,60 @@
         assert fold.claim.owner == "e5"
 
 
+class TestClaims:
+    """Claims while another owner or claimant writes at the same moment."""
+
+    async def claimant(self, service: StoreService, name: str, timers: LoopTimers):
+        link = Link(service, timers)
+        store, fold = Store("", 1.0, link), OwnerFold()
+        feed = Feed(store, OWNER, fold, timers)
+        await feed.catch_up()
+        return Ownership(store, feed, fold, timers, name, 1), fold, link
+
+    def test_of_two_claims_of_one_epoch_one_wins(self):
+        async def main():
+            timers = LoopTimers()
+            service = StoreService(timers)
+            rows = [await self.claimant(service, name, timers) for name in ("e1", "e2")]
+            for row in rows:
+                row[0]._feed.catch_up = anyio.lowlevel.checkpoint
+            won = [await row[0].claim(None) for row in rows]
+            assert [claimed is not None for claimed in won] == [True, False]
+
+        run_virtual(main)
+
+    def test_a_claim_whose_answer_was_lost_is_settled(self):
+        async def main():
+            timers = LoopTimers()
+            service = StoreService(timers)
+            claims, fold, link = await self.claimant(service, "e1", timers)
+            claims._feed.catch_up = anyio.lowlevel.checkpoint
+            link.lose_next = 1
+            claimed = await claims.claim(None)
+            assert claimed.term.epoch == 1
+            assert len(service.partition(OWNER.topic).records) == 1
+
+        run_virtual(main)
+
+    def test_the_earlier_owner_cannot_renew_after_a_claim(self):
+        """Such a renewal would let it start tasks on runners that the claim does not name."""
+
+        async def main():
+            timers = LoopTimers()
+            service = StoreService(timers)
+            first, fold, link = await self.claimant(service, "e1", timers)
+            await first.claim(None)
+            second, later, _ = await self.claimant(service, "e2", timers)
+            store = Store("", 1.0, link)
+            claimed = await second.claim(later.claim)
+            assert claimed.term.epoch == 2
+            with pytest.raises(AppendFenced):
+                late = [KeyedRecord(OWNER_KEY, encode(fold.claim or later.claim))]
+                await store.append(OWNER, late, Producer("owner", 1), first._sequence + 1)
+
+        run_virtual(main)
+
+
 class Trouble:
     """Brings about faults at random times, most of them at the owner."""
 
