Keep answer times in histograms on the entry's metrics page

Cause: the entry counted answers in a class of its own, without times, beside the one that the daemon has. Change: the entry uses that one; its copy is gone. Tested over HTTP.

--- a/ragworttiller/scheduling/entry_api.py
+++ b/ragworttiller/scheduling/entry_api.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ragworttiller.exceptions import BodyTooLarge, RagworttillerError
+from ragworttiller.metrics import Metrics
 from ragworttiller.platform.submissions import DEADLINE_HEADER, error_body
 from ragworttiller.scheduling.callers import CallerReply, CallerRequest, Callers
 from ragworttiller.scheduling.clock import Clock
@@ -33,20 +34,19 @@
         Gives the answers.
     max_body : Callable
         Returns the longest body of a request, in bytes.
+    metrics : Metrics
+        Receives times to an answer, by method, and the codes of answers.
     clock : Clock
         Source of time.
-
-    Attributes
-    ----------
-    answers : dict
-        Number of answers by the code of their error, ``ok`` without one.
     """
 
-    def __init__(self, callers: Callers, max_body: Callable[[], int], clock: Clock) -> None:
+    def __init__(
+        self, callers: Callers, max_body: Callable[[], int], metrics: Metrics, clock: Clock
+    ) -> None:
+        self._metrics = metrics
         self._callers = callers
         self._max_body = max_body
         self._clock = clock
-        self.answers: dict[str, int] = {}
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -56,11 +56,13 @@
             reply = await self._callers.answer(request)
         except RagworttillerError as exc:
             reply = CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
-        self.answers[reply.code] = self.answers.get(reply.code, 0) + 1
+        took = self._clock.now() - began
+        self._metrics.answered(reply.code)
+        self._metrics.waited(scope["method"], took)
         if scope["method"] != "GET" or reply.code != "ok":
             extra = {"method": scope["method"], "path": scope["path"], "status": reply.status}
-            took = round(self._clock.now() - began, 4)
-            log.info("request answered", extra={**extra, "code": reply.code, "took": took})
+            extra |= {"code": reply.code, "took": round(took, 4)}
+            log.info("request answered", extra=extra)
         await _reply(send, reply.status, reply.body, reply.retry_after)
 
     async def _request(self, scope: Scope, receive: Receive) -> CallerRequest:
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -9,6 +9,7 @@
 
 from ragworttiller.config.entry import EntrySettings
 from ragworttiller.connection.server import HttpServer
+from ragworttiller.metrics import Metrics
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.process.nng_peers import NngPeers
@@ -19,7 +20,6 @@
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.entries import Announcer, EntryFold, PeerAdvice, PeerRepair
 from ragworttiller.scheduling.entry_api import CallerApp, ReadyApp
-from ragworttiller.scheduling.entry_metrics import EntryMetrics
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.peer_messages import PEER_CODEC
@@ -98,15 +98,19 @@
             lambda: self._entries.names,
             clock,
         )
-        self._callers = CallerApp(relaying, lambda: self._acceptance.max_body, clock)
-        self._metrics = EntryMetrics(self._callers, self._store)
+        self._metrics = Metrics()
+        traffic = self._store.traffic
+        self._metrics.counter(
+            "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
+        )
+        self._callers = CallerApp(relaying, lambda: self._acceptance.max_body, self._metrics, clock)
         self._stopping = anyio.Event()
 
     async def run(self) -> None:
         """Serve until `stop`, then finish what is in progress."""
         instance = self._settings.instance
         callers = HttpServer(instance.callers_address, self._callers, CLOSE_SECONDS)
-        ready_app = ReadyApp(self._not_ready, self._metrics.page)
+        ready_app = ReadyApp(self._not_ready, self._metrics.exposition)
         balancer = HttpServer(instance.readiness_address, ready_app, CLOSE_SECONDS)
         log.info(
             "started", extra={"incarnation": self._incarnation, "settings": instance._asdict()}
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -135,6 +135,13 @@
         finally:
             await channels.close()
 
+    async def metrics(self, name: str) -> str:
+        channels = ChannelSet(self.fields[name]["listen"]["ready"], 1.0)
+        try:
+            return (await channels.request("GET", "/metrics")).body.decode()
+        finally:
+            await channels.close()
+
     async def wait(self, what: Callable[[], Awaitable[bool]], seconds: float = 15.0):
         with anyio.fail_after(seconds):
             while not await what():
@@ -227,6 +234,9 @@
             assert platform.judge.broken == []
             assert len(platform.judge.starts) == 6
             assert platform.advisor.calls >= 2
+            page = await platform.metrics("e1")
+            assert 'ragworttiller_answers_total{code="ok"} 1.0' in page
+            assert 'ragworttiller_waiting_seconds_quantile{kind="POST",quantile="0.99"}' in page
 
         play(body)
 
