--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -138,12 +138,7 @@
             return
         job = decode_job(body)
         record = KeyedRecord(target.job, encode(Accepted(target.queue, job, self._clock.wall())))
-        try:
-            await self._append(record, timeout)
-        except LogUnavailable as exc:
-            raise StoreDown(job=target.job, retry_after=self._retry_after()) from exc
-        except AppendUndecided as exc:
-            raise SubmissionUndecided(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+        await self._append(target.job, record, timeout)
 
     async def state(self, target: Target) -> JobState:
         """Return the state of a job.
@@ -171,12 +166,7 @@
         if row is not None and (row.cancelled or row.progress.state):
             return
         record = KeyedRecord(target.job + CANCEL_SUFFIX, CANCELLED)
-        try:
-            await self._append(record, timeout)
-        except LogUnavailable as exc:
-            raise StoreDown(job=target.job, retry_after=self._retry_after()) from exc
-        except AppendUndecided as exc:
-            raise SubmissionUndecided(job=target.job, retry_after=RETRY_AFTER_SECONDS) from exc
+        await self._append(target.job, record, timeout)
         await self._row(target.job)
 
     def pending(self, target: Target) -> int:
@@ -198,11 +188,16 @@
         """Return when to come back: an outage is expected to last as long again as it has."""
         return min(max(self._writer.failing, RETRY_AFTER_SECONDS), MOST_RETRY_AFTER_SECONDS)
 
-    async def _append(self, record: KeyedRecord, timeout: float) -> None:
+    async def _append(self, job: str, record: KeyedRecord, timeout: float) -> None:
         refused = self._clock.now() - self._writer.refused_at < REFUSAL_SECONDS
         if refused or self._writer.stuck > STUCK_SECONDS:
-            raise LogUnavailable(stream="jobs")
-        await self._writer.append([record], min(timeout, ACCEPT_SECONDS))
+            raise StoreDown(job=job, retry_after=self._retry_after())
+        try:
+            await self._writer.append([record], min(timeout, ACCEPT_SECONDS))
+        except LogUnavailable as exc:
+            raise StoreDown(job=job, retry_after=self._retry_after()) from exc
+        except AppendUndecided as exc:
+            raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
 
     async def _row(self, job: str) -> JobRow:
         row = self._jobs.get(job)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -10,6 +11,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import NamedTuple
 
 import anyio
 import pytest
@@ -118,13 +120,8 @@
         text = (self.folder / f"{name}.log").read_text()
         return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
 
-    async def call(self, name: str, method: str, path: str, body: bytes = b""):
-        channels = ChannelSet(self.fields[name]["listen"]["front"], 3.0)
-        try:
-            headers = [("host", HOST)]
-            return await ChannelSetWithHost(channels).request(method, path, body, headers)
-        finally:
-            await channels.close()
+    async def call(self, name: str, method: str, path: str, body: bytes = b"") -> Reply:
+        return await exchange(self.fields[name]["listen"]["front"], method, path, body)
 
     async def ready(self, name: str) -> int:
         channels = ChannelSet(self.fields[name]["listen"]["ready"], 1.0)
@@ -171,33 +168,23 @@
             process.wait()
 
 
-class ChannelSetWithHost:
-    """Sends the host's name of the queue in place of the address."""
-
-    def __init__(self, channels: ChannelSet):
-        self._channels = channels
-
-    async def request(self, method, path, body, headers):
-        host, port = self._channels._host, self._channels._port
-        stream = await anyio.connect_tcp(host, port)
-        async with stream:
-            head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
-            await stream.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-            data = b""
-            with anyio.fail_after(5):
-                try:
-                    while True:
-                        data += await stream.receive()
-                except anyio.EndOfStream:
-                    pass
-        head, _, content = data.partition(b"\r\n\r\n")
-        return Reply(int(head.split()[1]), content)
-
-
-class Reply:
-    def __init__(self, status: int, body: bytes):
-        self.status = status
-        self.body = body
+class Reply(NamedTuple):
+    status: int
+    body: bytes
+
+
+async def exchange(address: str, method: str, path: str, body: bytes) -> Reply:
+    """Send a request for the host of the queue, which is not the entry's address."""
+    host, _, port = address.rpartition(":")
+    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
+    data = b""
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        with anyio.fail_after(5), contextlib.suppress(anyio.EndOfStream):
+            while True:
+                data += await stream.receive()
+    head_of_reply, _, content = data.partition(b"\r\n\r\n")
+    return Reply(int(head_of_reply.split()[1]), content)
 
 
 @pytest.fixture()
