Remove what nothing uses, and let a queue name itself

Cause, found in reading the whole change: the answer to an error was built in two places; a queue's name across versions was a function in the cell, which the callers' side imported for it; a call to the advisor ended by the same lines twice; an attribute of a job, one of a run, a method of tickets, two parameters and a result were used by nobody; the takeover was asked for each stage what holds for the job; a claim was compared by nested conditions. Change: one function or property each, the unused removed. No change in behaviour; one mutation test follows the signature of what it replaces. Left: two settings that nothing reads yet (stop_grace_ms, gang_timeout_ms), and the client's unused pace order.

--- a/ragworttiller/platform/configuration.py
+++ b/ragworttiller/platform/configuration.py
@@ -33,6 +33,11 @@
     target_latency: float
     advice: AdviceCost | None
 
+    @property
+    def key(self) -> str:
+        """What names the queue across versions of the configuration."""
+        return f"{self.host} {self.prefix}"
+
 
 class Configuration(NamedTuple):
     """One version of the configuration, in full."""
--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -19,7 +19,6 @@
 from ragworttiller.platform.names import is_job_id
 from ragworttiller.platform.store import KeyedRecord
 from ragworttiller.platform.submissions import decode_job
-from ragworttiller.scheduling.cell import queue_key
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.feed import Feed
@@ -175,11 +174,11 @@
         Jobs that the owner has not counted yet count as not begun.
         """
         claim = self._owner.claim
-        name = queue_key(target.queue)
+        name = target.queue.key
         position = claim.position if claim else 0
         counted = claim.pending.get(name, 0) if claim else 0
         return counted + sum(
-            row.offset >= position and row.open and queue_key(row.accepted.queue) == name
+            row.offset >= position and row.open and row.accepted.queue.key == name
             for row in self._jobs.jobs.values()
             if row.accepted is not None
         )
--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -197,7 +197,7 @@
             self._avoid[name] = self._clock.now() + AVOID_SECONDS
             self._suspect(name)
         except RagworttillerError as exc:
-            return _refusal(exc)
+            return refusal(exc)
         return None
 
     def _choose(self) -> list[str]:
@@ -222,8 +222,9 @@
         try:
             return await self._local.answer(request)
         except RagworttillerError as exc:
-            return _refusal(exc)
+            return refusal(exc)
 
 
-def _refusal(exc: RagworttillerError) -> CallerReply:
+def refusal(exc: RagworttillerError) -> CallerReply:
+    """Return the answer that tells a caller of an error."""
     return CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -4,7 +4,6 @@
 
 import logging
 
-from ragworttiller.platform.configuration import Queue
 from ragworttiller.platform.runners import EndedTask, Held, RunningTask
 from ragworttiller.resources import NOTHING
 from ragworttiller.scheduling.advice import AdviceCall, NameUseful, NamingPolicy
@@ -136,7 +135,7 @@
         """Return by queue the number of jobs of which no task has started."""
         counts: dict[str, int] = {}
         for work in self._work.values():
-            name = queue_key(work.queue)
+            name = work.queue.key
             counts[name] = counts.get(name, 0) + (not work.begun)
         return counts
 
@@ -174,7 +173,7 @@
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
             stage.requeue(run)
-            self._break_gang(stage, run, now)
+            self._break_gang(stage, run)
         if reason in ("unhealthy", "room") and runner is not None:
             runner.rest(now)
 
@@ -197,19 +196,22 @@
 
     def advised(self, call: AdviceCall, good: dict[str, str], now: float) -> None:
         """Take over an answer of the advisor."""
-        self._planner.loads.ended(call.entry, call.duration)
-        stage = self._stage(call.stage)
+        stage = self._end_call(call)
         if stage is not None:
-            stage.tickets.asked_until = 0.0
             stage.tickets.take(call.runners, good, now, call.validity)
 
     def not_advised(self, call: AdviceCall, now: float) -> None:
         """Record that an entry could not get an answer of the advisor."""
-        self._planner.loads.ended(call.entry, call.duration)
+        self._end_call(call)
         self._planner.loads.failed(call.entry, now)
+
+    def _end_call(self, call: AdviceCall) -> Stage | None:
+        """Count a call as ended and return its stage, None if its job has ended."""
+        self._planner.loads.ended(call.entry, call.duration)
         stage = self._stage(call.stage)
         if stage is not None:
             stage.tickets.asked_until = 0.0
+        return stage
 
     # Recording
 
@@ -329,9 +331,9 @@
             stage.checkpoints[index] = end.checkpoint
         if run is not None:
             stage.requeue(run)
-            self._break_gang(stage, run, now)
+            self._break_gang(stage, run)
 
-    def _break_gang(self, stage: Stage, run: Run, now: float) -> None:
+    def _break_gang(self, stage: Stage, run: Run) -> None:
         """Stop the other members of a gang of which one has ended."""
         if not stage.spec.gang:
             return
@@ -345,7 +347,7 @@
         stage = self._stage(run.task.stage)
         if stage is not None:
             stage.requeue(run)
-            self._break_gang(stage, run, now)
+            self._break_gang(stage, run)
 
     def _forget(self, run: Run) -> None:
         self._stops.drop(run)
@@ -391,8 +393,3 @@
     def _stage(self, stage: StageId) -> Stage | None:
         work = self._work.get(stage.job)
         return work.stages.get(stage) if work is not None else None
-
-
-def queue_key(queue: Queue) -> str:
-    """Return what names a queue across versions of the configuration."""
-    return f"{queue.host} {queue.prefix}"
--- a/ragworttiller/scheduling/entry_api.py
+++ b/ragworttiller/scheduling/entry_api.py
@@ -9,8 +9,8 @@
 
 from ragworttiller.exceptions import BodyTooLarge, RagworttillerError
 from ragworttiller.metrics import Metrics
-from ragworttiller.platform.submissions import DEADLINE_HEADER, error_body
-from ragworttiller.scheduling.callers import CallerReply, CallerRequest, Callers
+from ragworttiller.platform.submissions import DEADLINE_HEADER
+from ragworttiller.scheduling.callers import CallerRequest, Callers, refusal
 from ragworttiller.scheduling.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -55,7 +55,7 @@
             request = await self._request(scope, receive)
             reply = await self._callers.answer(request)
         except RagworttillerError as exc:
-            reply = CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
+            reply = refusal(exc)
         took = self._clock.now() - began
         self._metrics.answered(reply.code)
         self._metrics.waited(scope["method"], took)
--- a/ragworttiller/scheduling/job_work.py
+++ b/ragworttiller/scheduling/job_work.py
@@ -36,7 +36,6 @@
         self.state = row.progress.state
         self.since = now - min(max(wall - row.accepted.wall, 0.0), 60.0)
         self.stages: dict[StageId, Stage] = {}
-        self.opened = 0
         restored = {stage_of(job, progress): progress for progress in row.progress.stages}
         for occurrence in range(self.spec.times):
             for step, spec in enumerate(self.spec.steps):
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -164,7 +164,8 @@
         record = KeyedRecord(OWNER_KEY, encode(claim))
         position = self._feed.position
         try:
-            return await self._insist(OWNER, [record], producer, self._sequence, position) >= 0
+            await self._insist(OWNER, [record], producer, self._sequence, position)
+            return True
         except (AppendFenced, AppendOutOfOrder):
             return False
         except AppendConflict:
--- a/ragworttiller/scheduling/runs.py
+++ b/ragworttiller/scheduling/runs.py
@@ -46,7 +46,6 @@
         self.percent = 0.0
         self.moved_at = now
         self.load = 0.0
-        self.pace = 100
 
     @property
     def room(self) -> Resources:
--- a/ragworttiller/scheduling/stage_planner.py
+++ b/ragworttiller/scheduling/stage_planner.py
@@ -94,9 +94,9 @@
     ) -> list[tuple[JobWork, Stage]]:
         rows: list[tuple[tuple[float, ...], JobWork, Stage]] = []
         for work in works:
-            if not work.open:
+            if not work.open or self._takeover.blocks(work.row):
                 continue
-            stages = [s for s in work.ready(wall) if not self._takeover.blocks(work.row, s)]
+            stages = list(work.ready(wall))
             if stages:
                 key = self._order.key(work.standing(), now)
                 rows.extend((key, work, stage) for stage in stages)
@@ -169,22 +169,21 @@
         runners: list[RunnerState],
         now: float,
         ahead: bool,
-    ) -> bool:
-        """Ask about runners for a stage if that helps, and return whether a call is made."""
+    ) -> None:
+        """Ask about runners for a stage if that helps."""
         cost = work.queue.advice
         if cost is None or stage.tickets.asked_until > now:
-            return False
+            return
         names = self._naming.names(stage, runners, now, ahead)
         if not names:
-            return False
+            return
         duration = call_duration(cost, len(names))
         entry = self.loads.choose(duration, now)
         if entry is None:
-            return False
+            return
         stage.tickets.asked_until = now + duration + CALL_PATIENCE_SECONDS
         call = AdviceCall(stage.id, tuple(names), entry, duration, cost.validity, now)
         plan.calls.append(call)
-        return True
 
     def _ask_ahead(
         self, plan: Plan, works: Collection[JobWork], usable: list[RunnerState], now: float
--- a/ragworttiller/scheduling/takeover.py
+++ b/ragworttiller/scheduling/takeover.py
@@ -61,8 +61,8 @@
         for name in [name for name, until in self._until.items() if until <= now]:
             del self._until[name]
 
-    def blocks(self, row: JobRow, stage: Stage) -> bool:
-        """Return whether no task of the stage may start yet."""
+    def blocks(self, row: JobRow) -> bool:
+        """Return whether no task of the job may start yet."""
         if not self._until or row.offset >= self._accepted_before:
             return False
         return any(name not in self._withdrawn for name in self._until)
--- a/ragworttiller/scheduling/term.py
+++ b/ragworttiller/scheduling/term.py
@@ -39,11 +39,12 @@
         except Unreadable as exc:
             log.error("claim skipped", extra={"offset": record.offset, "why": str(exc)})
             return
-        if self.claim is None or claim.epoch >= self.claim.epoch:
-            if self.claim is None or claim.epoch > self.claim.epoch:
-                extra = {"owner": claim.owner, "epoch": claim.epoch}
-                log.info("owner changed", extra=extra)
-            self.claim = claim
+        known = self.claim.epoch if self.claim else -1
+        if claim.epoch < known:
+            return
+        if claim.epoch > known:
+            log.info("owner changed", extra={"owner": claim.owner, "epoch": claim.epoch})
+        self.claim = claim
 
 
 class Term:
--- a/ragworttiller/scheduling/tickets.py
+++ b/ragworttiller/scheduling/tickets.py
@@ -52,10 +52,6 @@
         ticket, until = self._valid.get(runner, ("", 0.0))
         return ticket if until - SEND_MARGIN_SECONDS > now else ""
 
-    def until(self, runner: str) -> float:
-        """Return the time until which the runner's ticket holds."""
-        return self._valid.get(runner, ("", 0.0))[1]
-
     def drop(self, runner: str) -> None:
         """Forget a ticket that was refused."""
         self._valid.pop(runner, None)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -388,7 +388,7 @@
     """Each protection, left out, must be missed by the random faults."""
 
     def test_tasks_of_an_unreached_runner_started_early(self, monkeypatch: pytest.MonkeyPatch):
-        monkeypatch.setattr(Takeover, "blocks", lambda self, row, stage: False)
+        monkeypatch.setattr(Takeover, "blocks", lambda self, row: False)
         monkeypatch.setattr(
             Takeover, "startable", lambda self, stage: list(reversed(stage.waiting))
         )
