Notice a dead or cut-off owner by its heartbeats

Ruled out: a shorter silence in the store alone (more renewals, read by every entry); closed connections (a machine without power or cut off closes none).

--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -15,15 +15,12 @@
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.job_fold import JobFold
 from ragworttiller.scheduling.owner import Owner
-from ragworttiller.scheduling.ownership import (
-    SILENCE_POLLS,
-    SILENCE_SECONDS,
-    Claimed,
-    Ownership,
-)
+from ragworttiller.scheduling.owner_watch import POLL_SECONDS, OwnerHeartbeat
+from ragworttiller.scheduling.ownership import Claimed, Ownership
 from ragworttiller.scheduling.records import JOBS, OWNER
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_fold import RunnerFold
+from ragworttiller.scheduling.standbys import NoStandbys, Standbys
 from ragworttiller.scheduling.takeover import Takeover
 from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold
 
@@ -59,6 +56,8 @@
         Returns the client of a runner, given its identifier and address.
     status : float
         Seconds for which callers may ask for the state of an ended job.
+    standbys : Standbys, optional
+        Entries that hear of this one while it owns the cell; none without it.
 
     Attributes
     ----------
@@ -81,6 +80,7 @@
         longest_lease: float = LEASE_SECONDS,
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
         status: float = STATUS_SECONDS,
+        standbys: Standbys | None = None,
     ) -> None:
         self._store = store
         self._config = config
@@ -91,6 +91,7 @@
         self._lease = min(LEASE_SECONDS, longest_lease)
         self._connect = connect
         self._status = status
+        self._standbys = standbys or NoStandbys()
         self._owner: Owner | None = None
         self._stopping = False
         self.jobs = JobFold()
@@ -102,7 +103,7 @@
             self.claims,
             clock,
             changed=self._claim_changed,
-            poll=SILENCE_SECONDS / SILENCE_POLLS,
+            poll=POLL_SECONDS,
             silent=self._silence,
         )
         self._ownership = Ownership(store, self.claims_feed, self.claims, clock, name, incarnation)
@@ -132,6 +133,10 @@
         if self._owner is not None:
             self._ownership.release(successor)
 
+    def heartbeat(self, heartbeat: OwnerHeartbeat) -> None:
+        """Record a heartbeat of the owner."""
+        self._ownership.heartbeat(heartbeat)
+
     async def _own(self, claimed: Claimed) -> None:
         """Own the cell until the term ends."""
         term = claimed.term
@@ -156,6 +161,7 @@
             self._incarnation,
             self._connect,
             Retention(self.jobs, self._status),
+            self._standbys,
         )
         self.jobs_feed.pace = OWNER_JOBS_PACE_SECONDS
         try:
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -22,8 +22,10 @@
 from ragworttiller.scheduling.entry_api import CallerApp, ReadyApp
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.records import ENTRIES, JOBS, EntryRecord
+from ragworttiller.scheduling.standbys import PeerStandbys
 
 log = logging.getLogger(__name__)
 
@@ -70,7 +72,9 @@
             self._incarnation,
             settings.bounds.longest_lease_ms / 1000,
             status=settings.bounds.status_s,
+            standbys=PeerStandbys(self._peers, self._entries),
         )
+        self._peers.handle(OwnerHeartbeat, self._heartbeat)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
         self._entries_feed = Feed(
             self._store, ENTRIES, self._entries, clock, poll=ENTRIES_POLL_SECONDS
@@ -156,6 +160,9 @@
         }
         return [reason for reason, passed in checks.items() if not passed]
 
+    async def _heartbeat(self, sender: str, heartbeat: OwnerHeartbeat) -> None:
+        self._host.heartbeat(heartbeat)
+
     def _owner_name(self) -> str:
         claim = self._host.claims.claim
         return claim.owner if claim else ""
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -26,10 +26,12 @@
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.orders import Changes, StartOrder, StopOrder, run_fields
+from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership import PRODUCER, Ownership
 from ragworttiller.scheduling.records import JOBS, PROGRESS_SUFFIX, Claim, encode
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.standbys import NoStandbys, Standbys
 from ragworttiller.scheduling.term import Term
 
 log = logging.getLogger(__name__)
@@ -41,6 +43,7 @@
 PLAN_IDLE_SECONDS = 0.1
 COMMIT_SECONDS = 3.0
 RETENTION_CHECK_SECONDS = 10.0
+HEARTBEAT_SECONDS = 0.2
 
 
 class Owner:
@@ -70,6 +73,8 @@
         Returns the client of a runner, given its identifier and address.
     retention : Retention, optional
         Names the ended jobs to drop; none are dropped without it.
+    standbys : Standbys, optional
+        Entries that are sent heartbeats; none without it.
     """
 
     def __init__(
@@ -85,7 +90,9 @@
         incarnation: int,
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
         retention: Retention | None = None,
+        standbys: Standbys | None = None,
     ) -> None:
+        self._standbys = standbys or NoStandbys()
         self._connect = connect
         self._retention = retention
         self._cell = cell
@@ -112,6 +119,7 @@
             tasks.start_soon(self._plan_loop, ownership)
             tasks.start_soon(self._commit_loop)
             tasks.start_soon(self._retention_loop)
+            tasks.start_soon(self._heartbeat_loop)
             await ownership.keep(self._term, self.state, self._enrolled)
             tasks.cancel_scope.cancel()
         log.info("ownership ended", extra={"epoch": self._term.epoch})
@@ -323,6 +331,10 @@
         self._stored.set()
         self._stored = anyio.Event()
 
+    async def _heartbeat_loop(self) -> None:
+        async for _ in self._clock.ticks(HEARTBEAT_SECONDS):
+            self._standbys.tell(OwnerHeartbeat(self._term.epoch, self._term.renewed))
+
     async def _retention_loop(self) -> None:
         if self._retention is None:
             return
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -20,6 +20,7 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.owner_watch import OwnerHeartbeat, OwnerWatch
 from ragworttiller.scheduling.records import JOBS, OWNER, OWNER_KEY, Claim, encode
 from ragworttiller.scheduling.term import OwnerFold, Term
 
@@ -29,9 +30,6 @@
 RENEW_SECONDS = 0.5
 # Shorter than the silence after which others claim, also when an answer is lost.
 RENEW_TIMEOUT_SECONDS = 0.5
-# Silence of the owner after which others claim; safety does not depend on it.
-SILENCE_SECONDS = 1.6
-SILENCE_POLLS = 2
 APPEND_SECONDS = 3.0
 CLAIM_RETRY_SECONDS = 0.2
 INSIST_SECONDS = 2.0
@@ -84,39 +82,46 @@
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
-        self._silent_polls = 0
+        self._watch = OwnerWatch(clock)
         self._sequence = 0
         self._news = anyio.Event()
         self._successor: str | None = None
         self._renew = anyio.Event()
 
-    @property
-    def _silent(self) -> bool:
-        """Whether the owner has written nothing for long though the store answers."""
-        return self._silent_polls >= SILENCE_POLLS
-
     def news(self) -> None:
         """Record that the owner, or another entry, has written a claim."""
-        self._silent_polls = 0
+        self._watch.news()
         self._wake()
 
     def silence(self) -> None:
         """Record that a read of the claims has waited in vain for a poll's time."""
-        self._silent_polls += 1
+        self._watch.silent_poll()
         self._wake()
 
+    def heartbeat(self, heartbeat: OwnerHeartbeat) -> None:
+        """Record a heartbeat of the owner."""
+        self._watch.heartbeat(heartbeat)
+        if not heartbeat.renewed:
+            self._wake()
+
     def _wake(self) -> None:
         self._news.set()
         self._news = anyio.Event()
 
     async def wait_vacant(self) -> Claim | None:
         """Wait until the ownership may be claimed, and return the claim that it follows."""
-        self._silent_polls = 0
+        self._watch.news()
         while True:
             news, claim = self._news, self._fold.claim
-            if self._feed.ready and (self._silent or self._vacant(claim)):
+            epoch = claim.epoch if claim else 0
+            if self._feed.ready and (self._watch.silent(epoch) or self._vacant(claim)):
                 return claim
-            await news.wait()
+            recheck = self._watch.recheck_in(epoch) if self._feed.ready else None
+            if recheck is None:
+                await news.wait()
+                continue
+            with self._clock.move_on_after(recheck):
+                await news.wait()
 
     def _vacant(self, claim: Claim | None) -> bool:
         if claim is None:
--- a/ragworttiller/scheduling/peer_messages.py
+++ b/ragworttiller/scheduling/peer_messages.py
@@ -8,6 +8,7 @@
 from ragworttiller.messages import ErrorReply
 from ragworttiller.scheduling.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.jobs import StageId
+from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
 
 
 class AdviceRequest(NamedTuple):
@@ -36,5 +37,6 @@
         4: CallerRequest,
         5: CallerReply,
         6: ConnectionSuspect,
+        7: OwnerHeartbeat,
     }
 )
--- a/ragworttiller/scheduling/term.py
+++ b/ragworttiller/scheduling/term.py
@@ -16,6 +16,8 @@
 
 # Time for which an owner may act without hearing from the store.
 TERM_SECONDS = 7.0
+# Above the time between renewals and a slow append.
+RENEWED_SECONDS = 0.8
 
 
 class OwnerFold(Fold):
@@ -76,6 +78,11 @@
         """Whether the owner may give orders now."""
         return not self._superseded and self._clock.now() - self._proven_at < TERM_SECONDS
 
+    @property
+    def renewed(self) -> bool:
+        """Whether the last renewal is so recent that the store can be taken to be in reach."""
+        return self.valid and self._clock.now() - self._proven_at < RENEWED_SECONDS
+
     @property
     def superseded(self) -> bool:
         """Whether another owner is known to have claimed."""
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -24,7 +24,9 @@
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.job_fold import JobFold
+from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.records import CANCEL_SUFFIX, JOBS, Accepted, JobState, encode
+from ragworttiller.scheduling.standbys import Standbys
 from standins.platform.runner import Judge, RunnerService
 from standins.platform.service import Link
 from standins.platform.store import StoreService
@@ -48,6 +50,19 @@
         raise AssertionError(call)
 
 
+class RigStandbys(Standbys):
+    """Every other entry, unless messages between entries are lost."""
+
+    def __init__(self, rig: OwnersRig, name: str):
+        self._rig = rig
+        self._name = name
+
+    def tell(self, heartbeat: OwnerHeartbeat) -> None:
+        for name, entry in self._rig.entries.items():
+            if name != self._name and not self._rig.heartbeats_lost:
+                entry.host.heartbeat(heartbeat)
+
+
 class Entry:
     """One entry: its host, its links, and the tasks that run it."""
 
@@ -67,6 +82,7 @@
             name,
             incarnation,
             connect=self.connect,
+            standbys=RigStandbys(rig, name),
         )
         self.scope = anyio.CancelScope()
 
@@ -103,6 +119,7 @@
         self.work = work
         self.sizes: dict[str, Resources] = {}
         self.client = Store("", 1.0, Link(self.store, self.timers))
+        self.heartbeats_lost = False
         self._incarnation = 0
         self.store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(CONFIG).encode())
         for number in range(1, runners + 1):
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -14,11 +14,18 @@
 from ragworttiller.scheduling import cell as cell_module
 from ragworttiller.scheduling.cell import Cell
 from ragworttiller.scheduling.feed import Feed
+from ragworttiller.scheduling.owner_watch import (
+    HEARTBEAT_SILENCE_SECONDS,
+    SILENT_POLLS,
+    OwnerHeartbeat,
+    OwnerWatch,
+)
 from ragworttiller.scheduling.ownership import Ownership
 from ragworttiller.scheduling.records import OWNER, OWNER_KEY, Claim, encode
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.takeover import Takeover
 from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold, Term
+from ragworttiller.timers import DrivenTimers
 from standins.platform.service import Link
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
@@ -44,6 +51,14 @@
     assert rig.owner is not None
 
 
+async def changed(rig: OwnersRig, first: Entry) -> float:
+    """Wait until another entry owns the cell and return the seconds that it took."""
+    start = rig.timers.now()
+    while all(e is first or e.host.owner is None for e in rig.entries.values()):
+        await rig.timers.sleep(0.01)
+    return rig.timers.now() - start
+
+
 class TestOwnership:
     def test_one_of_many_claims(self):
         async def body(rig: OwnersRig):
@@ -74,6 +89,44 @@
 
         with_rig(body)
 
+    def test_a_standby_follows_a_killed_owner_soon(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            first = rig.owner
+            rig.kill(first.name)
+            assert await changed(rig, first) < 0.9
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body)
+
+    def test_a_standby_follows_an_owner_that_is_cut_from_the_store(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            first = rig.owner
+            first.store_link.cut = True
+            assert await changed(rig, first) < 1.1
+
+        with_rig(body)
+
+    def test_lost_heartbeats_alone_change_nothing(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            rig.heartbeats_lost = True
+            await rig.timers.sleep(5.0)
+            assert rig.owner.host.claims.claim.epoch == 1
+
+        with_rig(body)
+
+    def test_without_heartbeats_the_silence_in_the_store_counts(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            first = rig.owner
+            rig.heartbeats_lost = True
+            rig.kill(first.name)
+            assert await changed(rig, first) < 2.2
+
+        with_rig(body)
+
     def test_running_tasks_outlive_their_owner(self):
         async def body(rig: OwnersRig):
             await settled(rig)
@@ -178,6 +231,53 @@
         with_rig(body, work=30.0)
 
 
+class TestOwnerWatch:
+    def watch(self) -> tuple[OwnerWatch, DrivenTimers]:
+        timers = DrivenTimers()
+        return OwnerWatch(timers), timers
+
+    def test_silence_in_the_store_counts_after_some_reads(self):
+        watch, _ = self.watch()
+        for _ in range(SILENT_POLLS):
+            assert not watch.silent(1)
+            watch.silent_poll()
+        assert watch.silent(1)
+        watch.news()
+        assert not watch.silent(1)
+
+    def test_lack_of_heartbeats_counts_only_with_silence_in_the_store(self):
+        watch, timers = self.watch()
+        watch.heartbeat(OwnerHeartbeat(1, True))
+        anyio.run(timers.advance, 5.0)
+        assert not watch.silent(1)
+        watch.silent_poll()
+        assert watch.silent(1)
+
+    def test_heartbeats_of_an_earlier_owner_count_for_nothing(self):
+        watch, timers = self.watch()
+        watch.heartbeat(OwnerHeartbeat(1, True))
+        anyio.run(timers.advance, 5.0)
+        watch.silent_poll()
+        assert not watch.silent(2)
+        assert watch.recheck_in(2) is None
+
+    def test_an_owner_whose_renewals_fail_is_silent_at_once(self):
+        watch, timers = self.watch()
+        watch.silent_poll()
+        watch.heartbeat(OwnerHeartbeat(1, True))
+        anyio.run(timers.advance, 0.1)
+        assert watch.recheck_in(1) == pytest.approx(HEARTBEAT_SILENCE_SECONDS - 0.1)
+        watch.heartbeat(OwnerHeartbeat(1, False))
+        assert watch.silent(1)
+
+    def test_a_late_heartbeat_of_an_earlier_owner_is_ignored(self):
+        watch, _ = self.watch()
+        watch.heartbeat(OwnerHeartbeat(2, True))
+        watch.heartbeat(OwnerHeartbeat(1, False))
+        watch.silent_poll()
+        assert not watch.silent(2)
+
+
 class TestTerm:
     def test_a_term_counts_from_what_was_sent(self):
         async def main():
