Plan from the runners with room instead of all of them

What the advisor is asked moves to its own module. Ruled out: a bound on the rate of plans, which delays starts. The first draft read room that the plan itself had changed; TestPending caught it.

--- a/ragworttiller/scheduling/placement.py
+++ b/ragworttiller/scheduling/placement.py
@@ -9,6 +9,7 @@
 from typing_extensions import override
 
 from ragworttiller.resources import Resources
+from ragworttiller.scheduling.jobs import StepSpec
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.runs import Stage
 
@@ -20,7 +21,21 @@
     """Free room of runners while several tasks are placed at once."""
 
     def __init__(self, runners: Iterable[RunnerState]) -> None:
-        self._free = {runner.id: runner.free for runner in runners}
+        self._most_first = sorted(
+            ((runner.free.cpu, runner) for runner in runners), key=lambda row: -row[0]
+        )
+        self._free = {runner.id: runner.free for _, runner in self._most_first}
+
+    def candidates(self, size: Resources) -> list[RunnerState]:
+        """Return the runners that have room for a task, those with the most processors first."""
+        rows: list[RunnerState] = []
+        for most, runner in self._most_first:
+            # Room only shrinks meanwhile, so none of those after it has enough either.
+            if most < size.cpu:
+                break
+            if size.fits(self._free[runner.id]):
+                rows.append(runner)
+        return rows
 
     def of(self, runner: str) -> Resources:
         """Return what is free on a runner."""
@@ -31,6 +46,17 @@
         self._free[runner] = self._free[runner].minus(size)
 
 
+def suits(runner: RunnerState, upstream: str, spec: StepSpec) -> bool:
+    """Return whether tasks of a step may stand on a runner, whatever room it has now."""
+    entry = runner.entry
+    return (
+        entry.upstream == upstream
+        and (not spec.label or spec.label in entry.labels)
+        and spec.room.fits(entry.capacity)
+        and not (spec.fills and runner.serving)
+    )
+
+
 class PlacementPolicy(ABC):
     """Prefers one of several runners that have room."""
 
--- a/ragworttiller/scheduling/runner_pool.py
+++ b/ragworttiller/scheduling/runner_pool.py
@@ -86,7 +86,7 @@
             if entry.draining and not runner.entry.draining:
                 log.info("runner drains", extra={"runner": entry.runner, "left": entry.remaining})
                 runner.leaves_at = now + (entry.remaining or 0.0)
-            runner.entry = entry
+            runner.update(entry)
         addresses = {entry.address: entry.runner for entry in entries.values()}
         for name, runner in list(self.runners.items()):
             runner.listed = name in entries
--- a/ragworttiller/scheduling/runner_state.py
+++ b/ragworttiller/scheduling/runner_state.py
@@ -53,6 +53,9 @@
         self._rests = 0
         self._failures: list[float] = []
         self._used = NOTHING
+        self._free = entry.capacity
+        self._serving = 0
+        self._filling = 0
         self._clock: tuple[float, float] | None = None
         self._lease_end = 0.0
 
@@ -69,7 +72,7 @@
     @property
     def free(self) -> Resources:
         """Room that nothing takes, which may be negative after a takeover."""
-        return self.entry.capacity.minus(self._used)
+        return self._free
 
     @property
     def unrecorded(self) -> bool:
@@ -95,12 +98,12 @@
     @property
     def serving(self) -> bool:
         """Whether a task with a bound of its tail latency runs here."""
-        return any(run.spec.target for run in self.runs.values())
+        return self._serving > 0
 
     @property
     def filled(self) -> bool:
         """Whether a task runs here that takes what others leave."""
-        return any(run.spec.fills for run in self.runs.values())
+        return self._filling > 0
 
     @property
     def probed(self) -> bool:
@@ -166,11 +169,23 @@
         """Count a run's room as taken."""
         self.runs[run.key] = run
         self._used = self._used.plus(run.room)
+        self._count(run, 1)
 
     def remove(self, run: Run) -> None:
         """Free the room of a run that has ended."""
         if self.runs.pop(run.key, None) is not None:
             self._used = self._used.minus(run.room)
+            self._count(run, -1)
+
+    def update(self, entry: RunnerEntry) -> None:
+        """Take over what the runner reports of itself now."""
+        self.entry = entry
+        self._free = entry.capacity.minus(self._used)
+
+    def _count(self, run: Run, change: int) -> None:
+        self._free = self.entry.capacity.minus(self._used)
+        self._serving += change if run.spec.target else 0
+        self._filling += change if run.spec.fills else 0
 
     def failed(self, now: float) -> bool:
         """Record a failure and return whether the runner is to rest."""
--- a/ragworttiller/scheduling/stage_planner.py
+++ b/ragworttiller/scheduling/stage_planner.py
@@ -2,29 +2,21 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Collection
 
-from ragworttiller.scheduling.advice import (
-    AdviceCall,
-    EntryLoads,
-    NamingPolicy,
-    call_duration,
-)
+from ragworttiller.scheduling.advice import EntryLoads, NamingPolicy
+from ragworttiller.scheduling.advice_planner import AdvicePlanner
 from ragworttiller.scheduling.job_work import JobWork
 from ragworttiller.scheduling.order import QueueOrder
 from ragworttiller.scheduling.orders import Plan, StartOrder
-from ragworttiller.scheduling.placement import PlacementPolicy, Placer, Room
+from ragworttiller.scheduling.placement import PlacementPolicy, Placer, Room, suits
 from ragworttiller.scheduling.runner_pool import RunnerPool
 from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Run, RunState, Stage
+from ragworttiller.scheduling.runs import Stage
 from ragworttiller.scheduling.speeds import Speeds
 from ragworttiller.scheduling.takeover import Takeover
 
 START_DEADLINE_SECONDS = 1.2
-CALLS_AHEAD = 3
-AHEAD_MARGIN_SECONDS = 0.3
-CALL_PATIENCE_SECONDS = 2.0
 GANG_PATIENCE_SECONDS = 2.0
 GANG_RESERVE_SECONDS = 4.0
 FAILED_ON_SECONDS = 2.0
@@ -68,26 +60,28 @@
         self._speeds = speeds
         self._order = order
         self._placer = Placer(placement)
-        self._naming = naming
         self.loads = EntryLoads()
+        self._asking = AdvicePlanner(self.loads, naming)
 
     def plan(self, plan: Plan, works: Collection[JobWork], now: float, wall: float) -> None:
         """Add the starts and the calls to the advisor that are due now."""
         usable = self._pool.open_at(now)
         room = Room(usable)
-        blocked: Counter[str] = Counter()
+        self._asking.begin(plan.calls, usable, now)
         for work, stage in self._ready(works, now, wall):
-            fitting = self._fitting(work, stage, usable)
+            fitting = [
+                runner
+                for runner in room.candidates(stage.spec.room)
+                if suits(runner, work.queue.upstream, stage.spec)
+            ]
             placed = self._place(plan, work, stage, fitting, room, now)
             if not stage.waiting or (placed and stage.spec.gang):
                 continue
             stage.blocked_since = stage.blocked_since or now
-            ahead = blocked[work.queue.name] < CALLS_AHEAD
-            blocked[work.queue.name] += 1
-            self._ask(plan, work, stage, fitting, now, ahead)
+            self._asking.for_blocked(work, stage, fitting)
             if self._reserves(stage, now):
                 break
-        self._ask_ahead(plan, works, usable, now)
+        self._asking.for_successors(works)
 
     def _ready(
         self, works: Collection[JobWork], now: float, wall: float
@@ -103,17 +97,6 @@
         rows.sort(key=lambda row: row[0])
         return [(work, stage) for _, work, stage in rows]
 
-    def _fitting(self, work: JobWork, stage: Stage, usable: list[RunnerState]) -> list[RunnerState]:
-        spec = stage.spec
-        return [
-            runner
-            for runner in usable
-            if runner.entry.upstream == work.queue.upstream
-            and (not spec.label or spec.label in runner.entry.labels)
-            and spec.room.fits(runner.entry.capacity)
-            and not (spec.fills and runner.serving)
-        ]
-
     def _place(
         self,
         plan: Plan,
@@ -160,65 +143,3 @@
             return False
         waited = now - stage.blocked_since
         return GANG_PATIENCE_SECONDS < waited < GANG_PATIENCE_SECONDS + GANG_RESERVE_SECONDS
-
-    def _ask(
-        self,
-        plan: Plan,
-        work: JobWork,
-        stage: Stage,
-        runners: list[RunnerState],
-        now: float,
-        ahead: bool,
-    ) -> None:
-        """Ask about runners for a stage if that helps."""
-        cost = work.queue.advice
-        if cost is None or stage.tickets.asked_until > now:
-            return
-        names = self._naming.names(stage, runners, now, ahead)
-        if not names:
-            return
-        duration = call_duration(cost, len(names))
-        entry = self.loads.choose(duration, now)
-        if entry is None:
-            return
-        wait = self.loads.backlog(entry) - duration
-        stage.tickets.asked_until = now + wait + duration + CALL_PATIENCE_SECONDS
-        call = AdviceCall(stage.id, tuple(names), entry, wait, duration, cost.validity, now)
-        plan.calls.append(call)
-
-    def _ask_ahead(
-        self, plan: Plan, works: Collection[JobWork], usable: list[RunnerState], now: float
-    ) -> None:
-        """Ask about stages whose predecessors are about to end."""
-        for work in works:
-            cost = work.queue.advice
-            if cost is None or not work.open:
-                continue
-            for stage in work.stages.values():
-                if not stage.waiting or not stage.spec.after or work.preceded(stage):
-                    continue
-                if self._ends_soon(
-                    work, stage, now, call_duration(cost, len(usable)) + AHEAD_MARGIN_SECONDS
-                ):
-                    fitting = self._fitting(work, stage, usable)
-                    self._ask(plan, work, stage, fitting, now, True)
-
-    def _ends_soon(self, work: JobWork, stage: Stage, now: float, within: float) -> bool:
-        """Return whether all tasks that a stage waits for run and end within some seconds."""
-        for before in work.before(stage):
-            if before.waiting:
-                return False
-            for run in before.live.values():
-                if run.state is not RunState.RUNNING:
-                    return False
-                if _left(run, before, now) > within:
-                    return False
-        return True
-
-
-def _left(run: Run, stage: Stage, now: float) -> float:
-    """Return an estimate of the seconds that a run still takes."""
-    elapsed = run.moved_at - run.started_at
-    if run.percent >= 5 and elapsed > 0:
-        return elapsed * (100 - run.percent) / run.percent - (now - run.moved_at)
-    return stage.spec.estimate - (now - run.started_at)
--- a/ragworttiller/scheduling/tickets.py
+++ b/ragworttiller/scheduling/tickets.py
@@ -18,12 +18,15 @@
         Runners that may and may not run the stage.
     asked_until : float
         Time at which a call that is under way will have ended, 0 if there is none.
+    complete_until : float
+        Time until which no runner is taken to lack a ticket that would help.
     """
 
     def __init__(self) -> None:
         self.allowed: set[str] = set()
         self.denied: set[str] = set()
         self.asked_until = 0.0
+        self.complete_until = 0.0
         self._valid: dict[str, tuple[str, float]] = {}
 
     def take(
