Show operators the cell, and why a job waits, through any entry

Change: /v1/cell beside the readiness address and the commands cell show, runners, jobs and job. The owner answers from its state and changes nothing; other entries ask it. The reason for waiting is the first predicate of the planner that fails. Ruled out: a view kept by each entry, which would need what only the owner hears. Tests: reasons and lists on a cell, commands against two processes.

--- a/ragworttiller/__main__.py
+++ b/ragworttiller/__main__.py
@@ -13,6 +13,7 @@
     requests,
     status,
     templates,
+    view,
     workspaces,
 )
 from ragworttiller.commands.client import Client
@@ -38,6 +39,7 @@
 app.add_typer(cell.instances, name="instances")
 app.add_typer(workspaces.app, name="workspaces")
 app.add_typer(status.decisions, name="decisions")
+app.add_typer(view.app, name="cell")
 app.command()(status.status)
 app.command()(codes)
 app.command()(explain)
--- /dev/null
+++ b/ragworttiller/commands/view.py
@@ -0,0 +1,54 @@
+"""Commands that show the cell of a deployment on the platform."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from ragworttiller.commands.client import path_of
+from ragworttiller.commands.context import context_of
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help="Cell of a deployment on the platform; --entry is a readiness address.",
+)
+
+RUNNER_COLUMNS = ["runner", "upstream", "address", "state", "tasks", "free", "heard"]
+JOB_COLUMNS = ["job", "queue", "priority", "age", "slack", "waiting", "live", "done", "wait"]
+STAGE_COLUMNS = ["stage", "waiting", "live", "done", "failed", "wait"]
+
+
+@app.command()
+def show(ctx: typer.Context) -> None:
+    """Show the owner, its epoch, the entries, and the open jobs of each queue."""
+    context = context_of(ctx)
+    context.output.record(context.client.call("GET", path_of("cell")))
+
+
+@app.command()
+def runners(ctx: typer.Context) -> None:
+    """List the runners, their state and the room that is free."""
+    context = context_of(ctx)
+    context.output.rows(context.client.call("GET", path_of("cell", "runners")), RUNNER_COLUMNS)
+
+
+@app.command()
+def jobs(
+    ctx: typer.Context,
+    waiting: Annotated[bool, typer.Option(help="Only jobs with waiting tasks.")] = False,
+) -> None:
+    """List the jobs at work, their slack and why their tasks wait."""
+    context = context_of(ctx)
+    rows = context.client.call("GET", path_of("cell", "jobs"))
+    context.output.rows([row for row in rows if row["waiting"] or not waiting], JOB_COLUMNS)
+
+
+@app.command()
+def job(
+    ctx: typer.Context,
+    name: Annotated[str, typer.Argument(help="Identifier of the job.")],
+) -> None:
+    """Show the stages of a job at work and why each waits."""
+    context = context_of(ctx)
+    context.output.rows(context.client.call("GET", path_of("cell", "jobs", name)), STAGE_COLUMNS)
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -98,6 +98,11 @@
         """Length of the leases granted, in seconds."""
         return self._lease
 
+    @property
+    def takeover(self) -> Takeover:
+        """Runners on which an earlier owner's tasks may still run."""
+        return self._takeover
+
     @property
     def pool(self) -> RunnerPool:
         """Runners of the cell."""
--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -93,6 +93,7 @@
         self._status = status
         self._standbys = standbys or NoStandbys()
         self._owner: Owner | None = None
+        self._claim_read_at: float | None = None
         self._stopping = False
         self.jobs = JobFold()
         self.claims = OwnerFold()
@@ -113,6 +114,11 @@
         """Work as the owner, None while another entry owns the cell."""
         return self._owner
 
+    @property
+    def renewed_ago(self) -> float:
+        """Seconds since a claim or a renewal was read, -1 before the first."""
+        return -1.0 if self._claim_read_at is None else self._clock.now() - self._claim_read_at
+
     async def run(self) -> None:
         """Claim the cell whenever it is vacant, until cancelled or stopped."""
         while True:
@@ -182,6 +188,7 @@
 
     def _claim_changed(self) -> None:
         claim = self.claims.claim
+        self._claim_read_at = self._clock.now()
         if self._owner is not None and claim is not None:
             self._owner.superseded_by(claim)
         self._ownership.news()
--- /dev/null
+++ b/ragworttiller/scheduling/cell_view.py
@@ -0,0 +1,160 @@
+"""What operators are shown of a cell: its owner, runners and jobs, and why a stage waits."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TypedDict
+
+from ragworttiller.scheduling.cell import Cell
+from ragworttiller.scheduling.job_work import JobWork
+from ragworttiller.scheduling.placement import suits
+from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.runs import Stage
+
+
+class WaitReason(StrEnum):
+    """First reason why waiting tasks of a stage do not start."""
+
+    NOT_DUE = "not_due"
+    PREDECESSORS = "predecessors"
+    TAKEOVER = "takeover"
+    NO_RUNNER_SUITS = "no_runner_suits"
+    NO_ROOM = "no_room"
+    ADVICE = "advice"
+    DENIED = "denied"
+    GANG = "gang"
+    PLANNED = "planned"
+
+
+class RunnerView(TypedDict):
+    """A runner; ``free`` is in thousandths of a core, ``heard`` in seconds before now."""
+
+    runner: str
+    upstream: str
+    address: str
+    state: str
+    tasks: int
+    free: int
+    heard: float
+
+
+class StageView(TypedDict):
+    """A stage; ``wait`` tells why its waiting tasks do not start, empty if none waits."""
+
+    stage: str
+    waiting: int
+    live: int
+    done: int
+    failed: int
+    wait: str
+
+
+class JobView(TypedDict):
+    """A job at work; ``age`` and ``slack`` to its objective are in seconds."""
+
+    job: str
+    queue: str
+    priority: int
+    age: float
+    slack: float
+    waiting: int
+    live: int
+    done: int
+    wait: str
+
+
+class CellView:
+    """Reads a cell for operators and changes nothing.
+
+    Parameters
+    ----------
+    cell : Cell
+        State of the owner.
+    """
+
+    def __init__(self, cell: Cell) -> None:
+        self._cell = cell
+
+    def runners(self, now: float) -> list[RunnerView]:
+        """Return the runners of the cell, by identifier."""
+        return [
+            RunnerView(
+                runner=name,
+                upstream=runner.entry.upstream,
+                address=runner.entry.address,
+                state=_state(runner, now),
+                tasks=len(runner.runs),
+                free=runner.free.cpu,
+                heard=round(now - runner.last_ok, 3) if runner.reached else -1.0,
+            )
+            for name, runner in sorted(self._cell.runners.items())
+        ]
+
+    def jobs(self, now: float, wall: float) -> list[JobView]:
+        """Return the jobs at work, those accepted first coming first."""
+        works = sorted(self._cell.jobs.values(), key=lambda work: work.since)
+        return [self._job(work, now, wall) for work in works]
+
+    def stages(self, job: str, now: float, wall: float) -> list[StageView]:
+        """Return the stages of a job, none if it is not at work."""
+        work = self._cell.jobs.get(job)
+        return [self._stage(work, s, now, wall) for s in work.stages.values()] if work else []
+
+    def _job(self, work: JobWork, now: float, wall: float) -> JobView:
+        stages = work.stages.values()
+        standing = work.standing()
+        reasons = [self.why_waits(work, stage, now, wall) for stage in stages if stage.waiting]
+        first = next((r for r in reasons if r is not WaitReason.PREDECESSORS), "")
+        return JobView(
+            job=work.id,
+            queue=work.queue.key,
+            priority=standing.priority,
+            age=round(now - standing.since, 3),
+            slack=round(standing.since + standing.objective - standing.remaining - now, 3),
+            waiting=sum(len(stage.waiting) for stage in stages),
+            live=sum(len(stage.live) for stage in stages),
+            done=sum(len(stage.done) for stage in stages),
+            wait=str(first),
+        )
+
+    def _stage(self, work: JobWork, stage: Stage, now: float, wall: float) -> StageView:
+        return StageView(
+            stage=str(stage.id),
+            waiting=len(stage.waiting),
+            live=len(stage.live),
+            done=len(stage.done),
+            failed=sum(len(runs) for runs in stage.failures.values()),
+            wait=str(self.why_waits(work, stage, now, wall)) if stage.waiting else "",
+        )
+
+    def why_waits(self, work: JobWork, stage: Stage, now: float, wall: float) -> WaitReason:
+        """Return the first reason why waiting tasks of a stage do not start."""
+        if self._cell.takeover.blocks(work.row):
+            return WaitReason.TAKEOVER
+        if work.due(stage) > wall:
+            return WaitReason.NOT_DUE
+        if not work.preceded(stage):
+            return WaitReason.PREDECESSORS
+        usable = self._cell.pool.open_at(now)
+        suited = [r for r in usable if suits(r, work.queue.upstream, stage.spec)]
+        if not suited:
+            return WaitReason.NO_RUNNER_SUITS
+        roomy = [r for r in suited if stage.spec.room.fits(r.free)]
+        if not roomy:
+            return WaitReason.NO_ROOM
+        if work.queue.advice and not any(stage.tickets.ticket(r.id, now) for r in roomy):
+            denied = all(r.id in stage.tickets.denied for r in roomy)
+            return WaitReason.DENIED if denied else WaitReason.ADVICE
+        return WaitReason.GANG if stage.spec.gang else WaitReason.PLANNED
+
+
+def _state(runner: RunnerState, now: float) -> str:
+    if runner.open_at(now):
+        return "open"
+    if runner.lost:
+        return "lost"
+    if runner.entry.draining:
+        return "draining"
+    if runner.misses:
+        return "unreached"
+    return "resting" if now < runner.rest_until else "not_enrolled"
--- a/ragworttiller/scheduling/entry_api.py
+++ b/ragworttiller/scheduling/entry_api.py
@@ -7,11 +7,14 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+import msgspec
+
 from ragworttiller.exceptions import BodyTooLarge, RagworttillerError
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.submissions import DEADLINE_HEADER
 from ragworttiller.scheduling.callers import CallerRequest, Callers, refusal
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.operators import ROOT as OPERATORS_ROOT
 
 log = logging.getLogger(__name__)
 
@@ -75,7 +78,7 @@
 
 
 class ReadyApp:
-    """Application for the platform's balancer.
+    """Application for the platform's balancer and for operators.
 
     Parameters
     ----------
@@ -83,21 +86,41 @@
         Returns the reasons why the entry should get no new connections.
     metrics : Callable
         Returns the metrics page.
+    operators : Callable
+        Returns the JSON text at a path of the operators' view.
     """
 
-    def __init__(self, ready: Callable[[], list[str]], metrics: Callable[[], bytes]) -> None:
+    def __init__(
+        self,
+        ready: Callable[[], list[str]],
+        metrics: Callable[[], bytes],
+        operators: Callable[[str], Awaitable[bytes]],
+    ) -> None:
         self._ready = ready
         self._metrics = metrics
+        self._operators = operators
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         if scope["path"] == "/metrics":
             await _reply(send, 200, self._metrics(), None)
             return
+        if scope["path"].startswith(OPERATORS_ROOT):
+            await self._show(scope["path"], send)
+            return
         reasons = self._ready()
         body = "\n".join(reasons).encode()
         await _reply(send, 503 if reasons else 200, body, None)
 
+    async def _show(self, path: str, send: Send) -> None:
+        try:
+            body = await self._operators(path)
+        except RagworttillerError as exc:
+            log.info("view refused", extra={"path": path, "code": exc.code})
+            await _reply(send, exc.status, msgspec.json.encode(exc.body()), None)
+            return
+        await _reply(send, 200, body, None)
+
 
 async def _body(receive: Receive, most: int) -> bytes:
     parts: list[bytes] = []
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -22,6 +22,7 @@
 from ragworttiller.scheduling.entry_api import CallerApp, ReadyApp
 from ragworttiller.scheduling.feed import Feed
 from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.operators import Operators
 from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.records import ENTRIES, JOBS, EntryRecord
@@ -74,6 +75,7 @@
             status=settings.bounds.status_s,
             standbys=PeerStandbys(self._peers, self._entries),
         )
+        self._operators = Operators(self._peers, self._entries, self._host, clock)
         self._peers.handle(OwnerHeartbeat, self._heartbeat)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
         self._entries_feed = Feed(
@@ -114,7 +116,7 @@
         """Serve until `stop`, then finish what is in progress."""
         instance = self._settings.instance
         callers = HttpServer(instance.callers_address, self._callers, CLOSE_SECONDS)
-        ready_app = ReadyApp(self._not_ready, self._metrics.exposition)
+        ready_app = ReadyApp(self._not_ready, self._metrics.exposition, self._operators.answer)
         balancer = HttpServer(instance.readiness_address, ready_app, CLOSE_SECONDS)
         log.info(
             "started", extra={"incarnation": self._incarnation, "settings": instance._asdict()}
--- /dev/null
+++ b/ragworttiller/scheduling/operators.py
@@ -0,0 +1,108 @@
+"""Read-only view of the cell for operators; the owner knows it, other entries ask the owner."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TypedDict
+
+import msgspec
+
+from ragworttiller.exceptions import NotFound, NotReady
+from ragworttiller.process.peers import Peers
+from ragworttiller.scheduling.cell_host import CellHost
+from ragworttiller.scheduling.cell_view import CellView
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.entries import EntryFold
+from ragworttiller.scheduling.peer_messages import ViewReply, ViewRequest
+
+ROOT = "/v1/cell"
+ASK_SECONDS = 1.0
+
+
+class Overview(TypedDict):
+    """What each entry knows of the cell; ``renewed`` is seconds before now, -1 if not known."""
+
+    instance: str
+    owner: str
+    epoch: int
+    renewed: float
+    entries: list[str]
+    runners: int
+    open_jobs: dict[str, int]
+
+
+class Operators:
+    """Answers operators.
+
+    Parameters
+    ----------
+    peers : Peers
+        Connections to the other entries.
+    fold : EntryFold
+        Entries that have announced themselves.
+    host : CellHost
+        Ownership of the cell at this entry.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, peers: Peers, fold: EntryFold, host: CellHost, clock: Clock) -> None:
+        self._peers = peers
+        self._fold = fold
+        self._host = host
+        self._clock = clock
+        peers.handle(ViewRequest, self._serve)
+
+    async def answer(self, path: str) -> bytes:
+        """Return the JSON text at a path below `ROOT`.
+
+        Raises
+        ------
+        NotFound
+            There is no such part, or no such job at work.
+        NotReady
+            Nobody owns the cell.
+        PeerUnreachable
+            The owner does not answer.
+        """
+        parts = [part for part in path.removeprefix(ROOT).split("/") if part]
+        if not parts:
+            return msgspec.json.encode(self._overview())
+        if self._host.owner is not None:
+            return self._view(parts)
+        claim = self._host.claims.claim
+        if claim is None or claim.owner == self._peers.instance:
+            raise NotReady(instance=self._peers.instance, reason="nobody owns the cell")
+        reply: ViewReply = await self._peers.call(claim.owner, ViewRequest(parts), ASK_SECONDS)
+        return reply.body
+
+    def _overview(self) -> Overview:
+        claim = self._host.claims.claim
+        rows = self._host.jobs.jobs.values()
+        counts = Counter(row.accepted.queue.key for row in rows if row.open and row.accepted)
+        return Overview(
+            instance=self._peers.instance,
+            owner=claim.owner if claim else "",
+            epoch=claim.epoch if claim else 0,
+            renewed=round(self._host.renewed_ago, 3),
+            entries=sorted(self._fold.names),
+            runners=len(claim.roster) if claim else 0,
+            open_jobs=dict(counts),
+        )
+
+    async def _serve(self, sender: str, request: ViewRequest) -> ViewReply:
+        return ViewReply(self._view(request.parts))
+
+    def _view(self, parts: list[str]) -> bytes:
+        if self._host.owner is None:
+            raise NotReady(instance=self._peers.instance, reason="it does not own the cell")
+        view = CellView(self._host.owner.cell)
+        now, wall = self._clock.now(), self._clock.wall()
+        match parts:
+            case ["runners"]:
+                return msgspec.json.encode(view.runners(now))
+            case ["jobs"]:
+                return msgspec.json.encode(view.jobs(now, wall))
+            case ["jobs", job] if stages := view.stages(job, now, wall):
+                return msgspec.json.encode(stages)
+        raise NotFound(kind="view", name="/".join(parts))
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -110,6 +110,11 @@
         self._stored = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
+    @property
+    def cell(self) -> Cell:
+        """State and decisions."""
+        return self._cell
+
     async def run(self, ownership: Ownership) -> None:
         """Own the cell until the term ends."""
         async with anyio.create_task_group() as tasks:
--- a/ragworttiller/scheduling/peer_messages.py
+++ b/ragworttiller/scheduling/peer_messages.py
@@ -29,6 +29,18 @@
     """Tells an entry that its answers do not arrive over its present connection."""
 
 
+class ViewRequest(NamedTuple):
+    """Asks the owner for a part of its view; ``parts`` are those of the path below the root."""
+
+    parts: list[str]
+
+
+class ViewReply(NamedTuple):
+    """JSON text of a part of the owner's view."""
+
+    body: bytes
+
+
 PEER_CODEC = MessagePackCodec(
     {
         1: AdviceRequest,
@@ -38,5 +50,7 @@
         5: CallerReply,
         6: ConnectionSuspect,
         7: OwnerHeartbeat,
+        8: ViewRequest,
+        9: ViewReply,
     }
 )
--- /dev/null
+++ b/tests/test_cell_view.py
@@ -0,0 +1,85 @@
+"""Tests of what operators are shown of the cell."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.platform.configuration import AdviceCost
+from ragworttiller.scheduling.cell_view import CellView, WaitReason
+from ragworttiller.scheduling.records import Claim
+from tests.scheduling_rig import JOB, QUEUE, CellRig, step
+
+ADVISED = QUEUE._replace(advice=AdviceCost(0.3, 0.01, 2.5))
+
+
+@pytest.fixture
+def rig() -> CellRig:
+    return CellRig(2)
+
+
+def waits(rig: CellRig) -> list[str]:
+    """Return why each stage of the job waits, empty for one that does not."""
+    stages = CellView(rig.cell).stages(JOB, rig.now, rig.now)
+    return [stage["wait"] for stage in stages]
+
+
+class TestWaitReasons:
+    def test_room_that_others_have(self, rig: CellRig):
+        rig.submit(step(2, 4000), job="00000000000000aa")
+        rig.start_all()
+        rig.submit(step(1, 4000))
+        rig.plan()
+        assert waits(rig) == [WaitReason.NO_ROOM]
+
+    def test_a_size_that_fits_no_runner(self, rig: CellRig):
+        rig.submit(step(1, 5000))
+        rig.plan()
+        assert waits(rig) == [WaitReason.NO_RUNNER_SUITS]
+
+    def test_steps_that_come_first(self, rig: CellRig):
+        rig.submit(step(1), step(1, after=[0]))
+        rig.start_all()
+        assert waits(rig) == ["", WaitReason.PREDECESSORS]
+
+    def test_the_advisor(self, rig: CellRig):
+        rig.cell.set_entries(["e1"])
+        rig.submit(step(1), queue=ADVISED)
+        (call,) = rig.plan().calls
+        assert waits(rig) == [WaitReason.ADVICE]
+        rig.cell.advised(call, {}, rig.now)
+        assert waits(rig) == [WaitReason.DENIED]
+
+    def test_runners_of_an_earlier_owner(self):
+        rig = CellRig(1, Claim("e0", 1, 1, 0, ["w1", "gone"], [], {}), accepted_before=1000)
+        rig.submit(step(1))
+        rig.plan()
+        assert waits(rig) == [WaitReason.TAKEOVER]
+
+    def test_an_occurrence_that_is_not_due(self, rig: CellRig):
+        rig.submit(step(1), times=1, first_run_ms=(rig.now + 60) * 1000, interval_ms=1000)
+        rig.plan()
+        assert waits(rig) == [WaitReason.NOT_DUE]
+
+
+class TestLists:
+    def test_jobs_tell_their_tasks_and_slack(self, rig: CellRig):
+        rig.submit(step(9, 1000))
+        rig.start_all()
+        (job,) = CellView(rig.cell).jobs(rig.now, rig.now)
+        assert (job["job"], job["waiting"], job["live"], job["done"]) == (JOB, 1, 8, 0)
+        assert job["wait"] == WaitReason.NO_ROOM
+        assert job["slack"] == pytest.approx(1.5 * 1.0 + 0.25 - 1.0)
+
+    def test_runners_tell_their_state(self, rig: CellRig):
+        rig.list_runner("w3")
+        rig.cell.pool.missed(rig.cell.runners["w2"])
+        rows = CellView(rig.cell).runners(rig.now)
+        assert [(row["runner"], row["state"]) for row in rows] == [
+            ("w1", "open"),
+            ("w2", "unreached"),
+            ("w3", "not_enrolled"),
+        ]
+        assert rows[2]["heard"] == -1.0
+
+    def test_a_job_that_is_not_at_work_has_no_stages(self, rig: CellRig):
+        assert CellView(rig.cell).stages(JOB, rig.now, rig.now) == []
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -15,7 +15,10 @@
 
 import anyio
 import pytest
+from click.testing import Result
+from typer.testing import CliRunner
 
+from ragworttiller.__main__ import app
 from ragworttiller.config.entry import load_entry
 from ragworttiller.exceptions import SettingsInvalid
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
@@ -139,6 +142,18 @@
         finally:
             await channels.close()
 
+    async def command(self, name: str, *arguments: str) -> Result:
+        """Run a command of the operators' tool against an entry."""
+        entry = f"http://{self.fields[name]['listen']['ready']}"
+        line = ["--entry", entry, "--output", "json", "cell", *arguments]
+        return await anyio.to_thread.run_sync(lambda: CliRunner().invoke(app, line))
+
+    async def show(self, name: str, *arguments: str):
+        """Return what a command prints, decoded."""
+        result = await self.command(name, *arguments)
+        assert result.exit_code == 0, result.output
+        return json.loads(result.output)
+
     async def wait(self, what: Callable[[], Awaitable[bool]], seconds: float = 15.0):
         with anyio.fail_after(seconds):
             while not await what():
@@ -241,6 +256,33 @@
 
         play(body)
 
+    def test_operators_see_the_cell_through_any_entry(self, play):
+        async def body(platform: Platform):
+            platform.start("e1")
+            platform.start("e2")
+            await platform.wait_ready("e1", "e2")
+            assert await platform.submit("e1", JOB_A, step(1, cpu=10**6)) == 200
+
+            async def shown() -> bool:
+                return bool(await platform.show("e1", "jobs") and await platform.show("e2", "jobs"))
+
+            await platform.wait(shown)
+            for name in ("e1", "e2"):
+                overview = await platform.show(name, "show")
+                assert overview["owner"] in ("e1", "e2")
+                assert overview["entries"] == ["e1", "e2"]
+                assert list(overview["open_jobs"].values()) == [1]
+                (job,) = await platform.show(name, "jobs")
+                assert (job["job"], job["wait"]) == (JOB_A, "no_runner_suits")
+                (stage,) = await platform.show(name, "job", JOB_A)
+                assert stage["waiting"] == 1
+                assert len(await platform.show(name, "runners")) == 3
+                refused = await platform.command(name, "job", JOB_B)
+                assert refused.exit_code != 0
+                assert "not_found" in refused.output
+
+        play(body)
+
     def test_a_planned_stop_is_graceful(self, play):
         async def body(platform: Platform):
             platform.start("e1")
