Call a submission undecided when a silent entry may have stored it

Cause (found in reading): an entry whose store refused passed the submission on; if the other entry stored it and its answer was lost, the caller got 503, which says that the job never runs. Change: a relay without an answer makes the outcome unknown unless an entry accepts; 504 then. Ruled out: asking the silent entry again (it may be gone). Test: seen failing in both forms, with no other entry answering and with another one refusing; a refusal by all stays a refusal.

--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -34,6 +34,7 @@
 CALL_MARGIN_SECONDS = 0.1
 RELAY_TRIES = 2
 STALE_SECONDS = 1.4
+RETRY_AFTER_SECONDS = 1.0
 AVOID_SECONDS = 3.0
 # Code of a reply whose body is a later configuration than that of the entry that asked.
 LATER_CONFIGURATION = "later_configuration"
@@ -64,6 +65,13 @@
     retry_after: float | None = None
 
 
+class Relayed(NamedTuple):
+    """Answer of another entry, None without one; ``lost`` if one may have acted unheard."""
+
+    reply: CallerReply | None
+    lost: bool
+
+
 class Callers(ABC):
     """Answers requests of callers."""
 
@@ -160,8 +168,8 @@
     async def answer(self, request: CallerRequest) -> CallerReply:
         if self._age() > STALE_SECONDS and request.method != "POST":
             relayed = await self._relay(request)
-            if relayed is not None:
-                return relayed
+            if relayed.reply is not None:
+                return relayed.reply
         until = self._clock.now() + request.timeout
         alone = 0.0 if self._age() > STALE_SECONDS else ALONE_SECONDS
         try:
@@ -169,25 +177,33 @@
         except STORE_FAILURES as exc:
             left = until - self._clock.now()
             relayed = await self._relay(request._replace(timeout=left))
-            if relayed is None or (relayed.status != OK and exc.status == 504):
+            if relayed.reply is not None and relayed.reply.status == OK:
+                return relayed.reply
+            if isinstance(exc, StoreDown) and relayed.lost:
+                job = exc.fields["job"]
+                raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
+            if relayed.reply is None or isinstance(exc, SubmissionUndecided):
                 raise
-            return relayed
+            return relayed.reply
 
-    async def _relay(self, request: CallerRequest) -> CallerReply | None:
-        """Return the answer of another entry, None if none gives one."""
+    async def _relay(self, request: CallerRequest) -> Relayed:
+        """Ask other entries until one answers."""
+        lost = False
         for name in self._choose():
             if request.timeout <= 0:
-                return None
+                break
             reply = await self._ask(name, request)
+            lost = lost or reply is None
             if reply is not None and reply.code == LATER_CONFIGURATION:
                 self._config.adopt(reply.body)
                 reply = await self._ask(name, request)
             if reply is not None and reply.code not in UNANSWERED:
                 log.info("relayed", extra={"path": request.path, "entry": name, "code": reply.code})
-                return reply
-        return None
+                return Relayed(reply, lost)
+        return Relayed(None, lost)
 
     async def _ask(self, name: str, request: CallerRequest) -> CallerReply | None:
+        """Return the answer of an entry, None if it may have carried the request out unheard."""
         timeout = min(RELAY_SECONDS, request.timeout)
         passed = request._replace(timeout=timeout, version=self._config.version)
         try:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -302,6 +302,28 @@
 
         with_entry(body)
 
+    @pytest.mark.parametrize("second", [None, CallerReply(503, b"{}", "store_down", 1.0)])
+    def test_what_a_silent_entry_may_have_stored_is_not_refused(self, second: CallerReply | None):
+        async def body(rig: EntryRig):
+            rig.service.down = True
+            peers = FakePeers()
+            if second is not None:
+                peers.answers["e3"] = second
+            with pytest.raises(SubmissionUndecided):
+                await self.relaying(rig, peers).answer(self.request())
+            assert peers.asked[0] == "e2"
+
+        with_entry(body)
+
+    def test_a_refusal_by_all_is_a_refusal(self):
+        async def body(rig: EntryRig):
+            rig.service.down = True
+            peers = FakePeers()
+            peers.answers = dict.fromkeys(("e2", "e3"), CallerReply(503, b"{}", "store_down", 1.0))
+            assert (await self.relaying(rig, peers).answer(self.request())).status == 503
+
+        with_entry(body)
+
     def test_entries_that_do_not_answer_are_left_alone(self):
         async def body(rig: EntryRig):
             rig.service.down = True
