Let appends to a slow store get their turn, and collect them at the owner

Change: a repeated append goes on listening to its earlier calls, and the time between repetitions doubles as long as the store answers anything. An entry whose appends take over 0.15 s passes submissions to the owner, whose one writer stores them together, and waits 1.5 s for a slow answer. Tests: twelve writers of a store that takes 0.25 s a call, a silent store, both seen failing; owner collects; what it may have stored is not refused.

--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -123,6 +123,12 @@
     ) -> None:
         self._channels = channels or ChannelSet(address, timeout)
         self._timeout = timeout
+        self._answered = 0
+
+    @property
+    def answered(self) -> int:
+        """Number of answers so far; it rises as long as the store is alive."""
+        return self._answered
 
     @property
     def traffic(self) -> Traffic:
@@ -258,6 +264,7 @@
             raise LogUnavailable(stream=target) from exc
         except ExchangeBroken as exc:
             raise AppendUndecided(stream=target) from exc
+        self._answered += 1
         return answer.status, answer.body
 
     async def _read_call(self, partition: Partition, target: str, wait: float) -> tuple[int, bytes]:
@@ -265,6 +272,7 @@
             answer = await self._channels.request("GET", target, timeout=self._timeout + wait)
         except (NotSent, ExchangeBroken) as exc:
             raise LogUnavailable(stream=str(partition)) from exc
+        self._answered += 1
         return answer.status, answer.body
 
 
--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -37,8 +37,10 @@
 ACCEPT_SECONDS = 1.5
 # A refusal by the store stands for this long, so that callers do not wait for the next one.
 REFUSAL_SECONDS = 0.3
-# A call without result for this long delays all that come after it.
-STUCK_SECONDS = 0.7
+# A call without result for this long delays all that come after it beyond callers' patience.
+MOST_STUCK_SECONDS = 0.7
+# An append that takes longer shows that the store is slow: fewer and larger ones do better.
+SLOW_SECONDS = 0.15
 RETRY_AFTER_SECONDS = 1.0
 MOST_RETRY_AFTER_SECONDS = 4.0
 DEFAULT_MAX_BODY = 262144
@@ -121,6 +123,11 @@
             raise QueueUnknown(host=host, path=path)
         return Target(queue, job)
 
+    @property
+    def slow(self) -> bool:
+        """Whether the store takes long to append."""
+        return max(self._writer.last_took, self._writer.stuck) > SLOW_SECONDS
+
     async def submit(self, target: Target, body: bytes, timeout: float) -> None:
         """Store a job, once for its identifier.
 
@@ -189,7 +196,7 @@
 
     async def _append(self, job: str, record: KeyedRecord, timeout: float) -> None:
         refused = self._clock.now() - self._writer.refused_at < REFUSAL_SECONDS
-        if refused or self._writer.stuck > STUCK_SECONDS:
+        if refused or self._writer.stuck > max(MOST_STUCK_SECONDS, 2 * self._writer.last_took):
             raise StoreDown(job=job, retry_after=self._retry_after())
         try:
             await self._writer.append([record], min(timeout, ACCEPT_SECONDS))
--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -31,6 +31,9 @@
 # Time for which an entry tries alone before it asks another one.
 ALONE_SECONDS = 0.6
 RELAY_SECONDS = 0.5
+# Time for which an answer of a slow store is waited for.
+SLOW_SECONDS = 1.5
+NO_SECONDS = 0.05
 CALL_MARGIN_SECONDS = 0.1
 RELAY_TRIES = 2
 STALE_SECONDS = 1.4
@@ -140,6 +143,9 @@
         Returns the names of all entries.
     clock : Clock
         Source of time.
+    slow : Callable
+        Returns whether this entry's appends take long. The owner then appends for all entries,
+        since a slow store does more with few large calls than with many small ones.
     """
 
     def __init__(
@@ -152,7 +158,9 @@
         owner: Callable[[], str],
         names: Callable[[], set[str]],
         clock: Clock,
+        slow: Callable[[], bool],
     ) -> None:
+        self._slow = slow
         self._local = local
         self._peers = peers
         self._config = config
@@ -171,21 +179,34 @@
             if relayed.reply is not None:
                 return relayed.reply
         until = self._clock.now() + request.timeout
-        alone = 0.0 if self._age() > STALE_SECONDS else ALONE_SECONDS
+        lost = False
+        if self._slow() and request.method != "GET" and self._owner() in self._others():
+            reply = await self._ask(self._owner(), request, SLOW_SECONDS)
+            if reply is not None and reply.code not in UNANSWERED:
+                log.info("collected", extra={"path": request.path, "code": reply.code})
+                return reply
+            lost = reply is None
+            request = request._replace(timeout=until - self._clock.now())
         try:
-            return await self._local.answer(request._replace(timeout=alone or 0.05))
+            return await self._local.answer(request._replace(timeout=self._alone(request)))
         except STORE_FAILURES as exc:
             left = until - self._clock.now()
             relayed = await self._relay(request._replace(timeout=left))
             if relayed.reply is not None and relayed.reply.status == OK:
                 return relayed.reply
-            if isinstance(exc, StoreDown) and relayed.lost:
+            if isinstance(exc, StoreDown) and (lost or relayed.lost):
                 job = exc.fields["job"]
                 raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
             if relayed.reply is None or isinstance(exc, SubmissionUndecided):
                 raise
             return relayed.reply
 
+    def _alone(self, request: CallerRequest) -> float:
+        """Return the seconds for which to try without other entries."""
+        if self._age() > STALE_SECONDS:
+            return NO_SECONDS
+        return min(request.timeout, SLOW_SECONDS if self._slow() else ALONE_SECONDS)
+
     async def _relay(self, request: CallerRequest) -> Relayed:
         """Ask other entries until one answers."""
         lost = False
@@ -202,9 +223,11 @@
                 return Relayed(reply, lost)
         return Relayed(None, lost)
 
-    async def _ask(self, name: str, request: CallerRequest) -> CallerReply | None:
+    async def _ask(
+        self, name: str, request: CallerRequest, most: float = RELAY_SECONDS
+    ) -> CallerReply | None:
         """Return the answer of an entry, None if it may have carried the request out unheard."""
-        timeout = min(RELAY_SECONDS, request.timeout)
+        timeout = min(most, request.timeout)
         passed = request._replace(timeout=timeout, version=self._config.version)
         try:
             return await self._peers.call(name, passed, timeout + CALL_MARGIN_SECONDS)
@@ -217,18 +240,18 @@
         return None
 
     def _choose(self) -> list[str]:
-        now = self._clock.now()
-        others = {
-            name
-            for name in self._names() - {self._peers.instance}
-            if self._avoid.get(name, 0.0) <= now
-        }
+        others = self._others()
         owner = self._owner()
         first = [owner] if owner in others else []
         rest = sorted(others - set(first))
         random.shuffle(rest)
         return (first + rest)[:RELAY_TRIES]
 
+    def _others(self) -> set[str]:
+        now = self._clock.now()
+        names = self._names() - {self._peers.instance}
+        return {name for name in names if self._avoid.get(name, 0.0) <= now}
+
     async def _serve(self, sender: str, request: CallerRequest) -> CallerReply:
         version = self._config.version
         if request.version > version:
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -103,6 +103,7 @@
             self._owner_name,
             lambda: self._entries.names,
             clock,
+            lambda: self._acceptance.slow,
         )
         self._metrics = Metrics()
         traffic = self._store.traffic
--- a/ragworttiller/scheduling/group_commit.py
+++ b/ragworttiller/scheduling/group_commit.py
@@ -14,14 +14,25 @@
     LogUnavailable,
     RagworttillerError,
 )
-from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Store
+from ragworttiller.platform.store import (
+    ANSWER_TIMEOUT_SECONDS,
+    KeyedRecord,
+    Partition,
+    Producer,
+    Store,
+)
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.repeated_append import RepeatedAppend
 
 log = logging.getLogger(__name__)
 
 MAX_BATCH_BYTES = 1_000_000
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.4
+# Time after which an append without a result counts as undecided and is begun anew.
+ROUND_SECONDS = 4.0
+# Time for which the duration of an append tells something of the next one.
+TOOK_MEMORY_SECONDS = 3.0
 
 
 class _Waiting:
@@ -64,8 +75,8 @@
     exclusive : bool
         Whether nobody else writes under the producer's name; being fenced then only means that the
         sequence was broken, and the writer goes on with a higher epoch.
-    attempt_timeout : float, optional
-        Seconds to wait for the answer to one call, those of the store's client by default.
+    patience : float
+        Seconds without an answer after which a call is repeated.
     """
 
     def __init__(
@@ -76,10 +87,12 @@
         clock: Clock,
         exclusive: bool = False,
         first: int = 0,
-        attempt_timeout: float | None = None,
+        patience: float = ANSWER_TIMEOUT_SECONDS,
     ) -> None:
         self._exclusive = exclusive
-        self._attempt_timeout = attempt_timeout
+        self._patience = patience
+        self._took = 0.0
+        self._took_at = float("-inf")
         self._store = store
         self._partition = partition
         self._producer = producer
@@ -100,13 +113,21 @@
     @property
     def failing(self) -> float:
         """Seconds for which no append has succeeded though some were tried, 0 if all is well."""
-        return 0.0 if self._failing_since is None else self._clock.now() - self._failing_since
+        if self._failing_since is None:
+            return self.stuck if self.stuck > self._patience else 0.0
+        return self._clock.now() - self._failing_since
 
     @property
     def stuck(self) -> float:
         """Seconds for which the call under way has had no result, 0 if there is none."""
         return 0.0 if self._begun_at is None else self._clock.now() - self._begun_at
 
+    @property
+    def last_took(self) -> float:
+        """Seconds that the last append took, 0 if that was long ago."""
+        recent = self._clock.now() - self._took_at < TOOK_MEMORY_SECONDS
+        return self._took if recent else 0.0
+
     async def append(self, records: Sequence[KeyedRecord], timeout: float) -> int:
         """Append records and return the partition's end after them.
 
@@ -143,7 +164,8 @@
             while self._queue:
                 self._begun_at = self._clock.now()
                 await self._commit(self._take())
-                self._begun_at = None
+                self._took_at = self._clock.now()
+                self._took, self._begun_at = self.stuck, None
 
     def _take(self) -> list[_Waiting]:
         batch, size = [self._queue.pop(0)], 0
@@ -155,14 +177,9 @@
         undecided, delay = False, RETRY_SECONDS
         records = [record for item in batch for record in item.records]
         while True:
+            attempt = self._attempt(records)
             try:
-                end = await self._store.append(
-                    self._partition,
-                    records,
-                    self._producer,
-                    self._sequence,
-                    timeout=self._attempt_timeout,
-                )
+                end = await attempt.run(self._clock.now() + ROUND_SECONDS)
             except AppendUndecided:
                 undecided = True
                 self._fails()
@@ -177,7 +194,7 @@
                 return
             except AppendOutOfOrder as exc:
                 expected = exc.fields["expected"]
-                if undecided and expected == self._sequence + 1:
+                if (undecided or attempt.undecided) and expected == self._sequence + 1:
                     self._finish(batch, 0)
                     return
                 log.info("sequence corrected", extra=exc.fields)
@@ -188,6 +205,17 @@
             await self._clock.sleep(delay)
             delay = min(2 * delay, MAX_RETRY_SECONDS)
 
+    def _attempt(self, records: Sequence[KeyedRecord]) -> RepeatedAppend:
+        return RepeatedAppend(
+            self._store,
+            self._partition,
+            records,
+            self._producer,
+            self._sequence,
+            self._clock,
+            self._patience,
+        )
+
     def _fails(self) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -220,7 +220,7 @@
             Producer(PRODUCER, term.epoch),
             self._clock,
             first=self._sequence + 1,
-            attempt_timeout=RENEW_TIMEOUT_SECONDS,
+            patience=RENEW_TIMEOUT_SECONDS,
         )
         self._successor = None
         async with anyio.create_task_group() as tasks:
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -16,6 +16,9 @@
     return Answer(status, [("content-type", "application/json")], json.dumps(body or {}).encode())
 
 
+TIMEOUT_SECONDS = 1.0
+
+
 class Service(ABC):
     """Service of the platform."""
 
@@ -81,18 +84,20 @@
             await self._timers.sleep(self.paused_until - self._timers.now())
         if self.cut or self.silent_next:
             self.silent_next = max(self.silent_next - 1, 0)
-            await self._timers.sleep(timeout or 1.0)
+            await self._timers.sleep(timeout or TIMEOUT_SECONDS)
             raise ExchangeBroken("cut")
         if self.late_next:
             self._late.append((self._timers.now() + self.late_next.pop(0), exchange))
-            await self._timers.sleep(timeout or 1.0)
+            await self._timers.sleep(timeout or TIMEOUT_SECONDS)
             raise ExchangeBroken("late")
         if self.lose_next:
             self.lose_next -= 1
             await self.service.answer(*exchange)
-            await self._timers.sleep(timeout or 1.0)
+            await self._timers.sleep(timeout or TIMEOUT_SECONDS)
             raise ExchangeBroken("lost")
-        return await self.service.answer(*exchange)
+        with self._timers.move_on_after(TIMEOUT_SECONDS if timeout is None else timeout):
+            return await self.service.answer(*exchange)
+        raise ExchangeBroken("slow")
 
     async def deliver_late(self) -> None:
         """Carry out the late exchanges that are due."""
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -68,6 +68,8 @@
     ----------
     down : bool
         Whether every call is refused.
+    write_seconds : float
+        Seconds that each append takes, one after the other.
     """
 
     def __init__(self, timers: TimerService, page: int = PAGE_ITEMS) -> None:
@@ -75,6 +77,8 @@
         self._page = page
         self.partitions: dict[tuple[str, int], StoredPartition] = defaultdict(StoredPartition)
         self.down = False
+        self.write_seconds = 0.0
+        self._free_at = 0.0
 
     def partition(self, topic: str) -> StoredPartition:
         """Return the first partition of a topic."""
@@ -98,11 +102,18 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         partition = self.partitions[query["topic"], int(query["part"])]
         if parts.path == "/-/log-append":
+            await self._wait_turn()
             return self._append_call(partition, query, body)
         if parts.path == "/-/log-newest":
             return self._newest(partition, query)
         return await self._read(partition, query)
 
+    async def _wait_turn(self) -> None:
+        now = self._timers.now()
+        self._free_at = max(self._free_at, now) + self.write_seconds
+        if self._free_at > now:
+            await self._timers.sleep(self._free_at - now)
+
     def _append_call(
         self, partition: StoredPartition, query: dict[str, str], body: bytes
     ) -> Answer:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -269,6 +269,7 @@
             lambda: "e2",
             lambda: {"e1", "e2", "e3"},
             rig.timers,
+            lambda: rig.acceptance.slow,
         )
 
     def request(self, method: str = "POST") -> CallerRequest:
@@ -337,6 +338,45 @@
 
         with_entry(body)
 
+    def test_the_owner_appends_for_all_while_the_store_is_slow(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.4
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b"{}")
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            assert peers.asked == []
+            other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+            assert (await relaying.answer(other)).status == 200
+            assert (peers.asked, rig.stored()) == (["e2"], [JOB])
+
+        with_entry(body)
+
+    def test_a_slow_answer_is_waited_for_without_an_owner(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.5
+            relaying = self.relaying(rig, FakePeers())
+            assert (await relaying.answer(self.request())).status == 200
+            rig.service.write_seconds = 0.9
+            other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+            assert (await relaying.answer(other)).status == 200
+
+        with_entry(body)
+
+    def test_what_the_owner_may_have_stored_is_not_refused(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.4
+            peers = FakePeers()
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            rig.service.down = True
+            peers.answers["e3"] = CallerReply(503, b"{}", "store_down", 1.0)
+            other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+            with pytest.raises(SubmissionUndecided):
+                await relaying.answer(other)
+
+        with_entry(body)
+
     def test_a_stale_state_is_asked_for_elsewhere_first(self):
         async def body(rig: EntryRig):
             peers = FakePeers()
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -204,6 +204,66 @@
         assert refusals == [True]
         assert rig.values() == {"a": b"1"}
 
+    @virtual
+    async def test_writers_of_a_slow_store_get_their_turn(self):
+        """Calls that were only repeated after each second would add to the queue for ever."""
+        rig = StoreRig()
+        rig.service.write_seconds = 0.25
+        writers = [
+            GroupCommit(rig.store, PLACE, Producer(f"p{n}", 1), rig.timers) for n in range(12)
+        ]
+        async with anyio.create_task_group() as tasks:
+            for writer in writers:
+                tasks.start_soon(writer.run)
+            async with anyio.create_task_group() as appends:
+                for number, writer in enumerate(writers):
+                    appends.start_soon(writer.append, [KeyedRecord(str(number), b"1")], 6.0)
+            tasks.cancel_scope.cancel()
+        assert len(rig.values()) == 12
+
+    @virtual
+    async def test_a_lost_answer_does_not_wait_for_the_first_call(self):
+        rig = StoreRig()
+        writer = rig.writer()
+
+        async def body():
+            rig.link.lose_next = 1
+            start = rig.timers.now()
+            await writer.append([KeyedRecord("a", b"1")], 10.0)
+            assert rig.timers.now() - start < 1.2
+
+        await while_writing(writer, body)
+
+    @virtual
+    async def test_a_silent_store_is_asked_each_second(self):
+        rig = StoreRig()
+        writer = rig.writer()
+
+        async def body():
+            rig.link.cut = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(writer.append, [KeyedRecord("a", b"1")], 20.0)
+                await rig.timers.sleep(3.7)
+                rig.link.cut = False
+                await rig.timers.sleep(1.0)
+                assert rig.values() == {"a": b"1"}
+
+        await while_writing(writer, body)
+
+    @virtual
+    async def test_the_last_duration_is_told_for_a_while(self):
+        rig = StoreRig()
+        rig.service.write_seconds = 0.4
+        writer = rig.writer()
+
+        async def body():
+            await writer.append([KeyedRecord("a", b"1")], 10.0)
+            assert writer.last_took == pytest.approx(0.4, abs=0.05)
+            await rig.timers.sleep(5.0)
+            assert writer.last_took == 0.0
+
+        await while_writing(writer, body)
+
     @virtual
     async def test_a_higher_epoch_shuts_a_writer_out(self):
         rig = StoreRig()
