Prefer strong entries as standbys, and read records of later versions

Cause: on the grown sites entries have 0.5 to 2 cores, and the successor of an owner was chosen by name or by chance. Change: an entry announces its processor time; standbys and the successor of a planned stop are the strongest. Readers leave out fields that they do not know, at any depth; new fields have defaults. Ruled out: a version number in each record, which tells that a record cannot be read but not what it says. Tests: standbys, records with a field more at each level (seen failing), settings.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -17,6 +17,13 @@
     callers_address: str
     readiness_address: str
     peer_address: str
+    processors: float
+    processor_share: float
+
+    @property
+    def speed(self) -> float:
+        """Processor time that the instance can use, in cores."""
+        return self.processors * self.processor_share
 
 
 class EntryPlatform(NamedTuple):
@@ -67,6 +74,22 @@
             Address("callers_address", "Where callers connect.", sample="10.0.0.1:8080"),
             Address("readiness_address", "Where the balancer asks.", sample="10.0.0.1:8081"),
             Address("peer_address", "Where other entries connect.", sample="10.0.0.1:7400"),
+            Number(
+                "processors",
+                "Processors of this instance; strong instances stand by for the owner.",
+                low=0.01,
+                high=1024,
+                unit="cores",
+                default="1",
+            ),
+            Number(
+                "processor_share",
+                "Part of each processor that this instance can use.",
+                low=0.001,
+                high=1,
+                unit="cores",
+                default="1",
+            ),
         ],
     ),
     Section(
--- a/ragworttiller/scheduling/entries.py
+++ b/ragworttiller/scheduling/entries.py
@@ -35,17 +35,26 @@
     ----------
     peers : NngPeers
         Connections, which follow the entries.
+
+    Attributes
+    ----------
+    names : set of str
+        Names of the entries, this one among them.
+    speeds : dict of str to float
+        Cores that each announced entry can use.
     """
 
     def __init__(self, peers: NngPeers) -> None:
         self._peers = peers
         self.names: set[str] = {peers.instance}
+        self.speeds: dict[str, float] = {}
 
     @override
     def apply(self, record: Record) -> None:
         name = record.key
         if not record.value:
             self.names.discard(name)
+            self.speeds.pop(name, None)
             self._peers.drop_peer(name)
             return
         try:
@@ -54,6 +63,7 @@
             log.warning("entry skipped", extra={"offset": record.offset, "why": str(exc)})
             return
         self.names.add(name)
+        self.speeds[name] = entry.speed
         self._peers.set_peer(name, entry.address, entry.incarnation)
 
 
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -64,6 +64,7 @@
         self._entries = EntryFold(self._peers)
         repair = PeerRepair(self._peers)
         advisor = Advisor(settings.platform.advisor_address or "")
+        self._standbys = PeerStandbys(self._peers, self._entries)
         self._host = CellHost(
             self._store,
             self._config,
@@ -73,7 +74,7 @@
             self._incarnation,
             settings.bounds.longest_lease_ms / 1000,
             status=settings.bounds.status_s,
-            standbys=PeerStandbys(self._peers, self._entries),
+            standbys=self._standbys,
         )
         self._operators = Operators(self._peers, self._entries, self._host, clock)
         self._peers.handle(OwnerHeartbeat, self._heartbeat)
@@ -92,7 +93,7 @@
             clock,
             self._name,
         )
-        record = EntryRecord(instance.peer_address, self._incarnation)
+        record = EntryRecord(instance.peer_address, self._incarnation, instance.speed)
         self._announcer = Announcer(self._store, clock, self._name, record)
         relaying = RelayingCallers(
             LocalCallers(self._acceptance),
@@ -148,8 +149,7 @@
     async def _leave(self, callers: HttpServer) -> None:
         """Hand the ownership over and serve until the balancer sends nothing more."""
         callers.drain()
-        others = sorted(self._entries.names - {self._name})
-        self._host.stop(random.choice(others) if others else "")
+        self._host.stop(next(iter(self._standbys.names()), ""))
         with self._clock.move_on_after(FAREWELL_SECONDS):
             await self._announcer.leave()
         await self._clock.sleep(min(LEAVE_SECONDS, self._settings.bounds.shutdown_grace_s / 2))
--- a/ragworttiller/scheduling/records.py
+++ b/ragworttiller/scheduling/records.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple, TypeVar
+from types import NoneType, UnionType
+from typing import Any, NamedTuple, TypeVar, Union, get_args, get_origin, get_type_hints
 
 import msgspec
 
@@ -97,10 +98,11 @@
 
 
 class EntryRecord(NamedTuple):
-    """Where an entry listens for its peers."""
+    """Where an entry listens for its peers; ``speed`` is what it can use, in cores."""
 
     address: str
     incarnation: int
+    speed: float = 1.0
 
 
 def encode(record: NamedTuple) -> bytes:
@@ -118,10 +120,33 @@
     """
     try:
         return msgspec.msgpack.decode(value, type=form)
+    except msgspec.MsgspecError:
+        return _decode_later(value, form)
+
+
+def _decode_later(value: bytes, form: type[T]) -> T:
+    """Return the record that a later version has written: records only ever grow at their ends."""
+    try:
+        return msgspec.convert(_known(msgspec.msgpack.decode(value), form), form)
     except msgspec.MsgspecError as exc:
         raise Unreadable(what=form.__name__, problem=str(exc)) from exc
 
 
+def _known(value: Any, form: Any) -> Any:
+    """Return a decoded value without the fields that a form does not have."""
+    if get_origin(form) in (Union, UnionType):
+        form = next(choice for choice in get_args(form) if choice is not NoneType)
+    if isinstance(value, dict) and get_origin(form) is dict:
+        return {key: _known(item, get_args(form)[1]) for key, item in value.items()}
+    if isinstance(value, list) and get_origin(form) in (list, tuple):
+        return [_known(item, get_args(form)[0]) for item in value]
+    if isinstance(value, list) and hasattr(form, "_fields"):
+        hints = get_type_hints(form)
+        rows = zip(form._fields, value, strict=False)
+        return [_known(item, hints[field]) for field, item in rows]
+    return value
+
+
 def bits_of(done: set[int], count: int) -> bytes:
     """Return a bitmap of the tasks in ``done``."""
     return sum(1 << index for index in done).to_bytes((count + 7) // 8, "little")
--- a/ragworttiller/scheduling/standbys.py
+++ b/ragworttiller/scheduling/standbys.py
@@ -31,7 +31,7 @@
 
 
 class PeerStandbys(Standbys):
-    """The entries that follow this one by name.
+    """The strongest other entries; of equal ones, those that follow this one by name.
 
     Parameters
     ----------
@@ -53,6 +53,6 @@
     def names(self) -> list[str]:
         """Return the names of the standbys of this entry."""
         own = self._peers.instance
-        others = sorted(self._fold.names - {own})
-        after = [name for name in others if name > own]
-        return [*after, *others][:MOST_STANDBYS]
+        others = sorted(self._fold.names - {own}, key=lambda name: (name < own, name))
+        others.sort(key=lambda name: -self._fold.speeds.get(name, 0.0))
+        return others[:MOST_STANDBYS]
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -62,6 +62,7 @@
         "listen": {"front": free_address(), "ready": free_address()},
         "platform": {"address": store},
         "placement_advisor": advisor,
+        "limits": {"cores": 2, "cpu_share": 0.5},
         "bounds": {
             "max_hold_ms": 6000,
             "stop_grace_ms": 900,
--- /dev/null
+++ b/tests/test_standbys.py
@@ -0,0 +1,60 @@
+"""Tests of which entries stand by for the owner."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ragworttiller.platform.store import Record
+from ragworttiller.scheduling.entries import EntryFold
+from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.records import EntryRecord, encode
+from ragworttiller.scheduling.standbys import MOST_STANDBYS, PeerStandbys
+
+
+class FakePeers:
+    """Connections that only note what is posted."""
+
+    instance = "e3"
+
+    def __init__(self) -> None:
+        self.posted: list[tuple[str, Any]] = []
+
+    def post(self, instance: str, message: Any) -> None:
+        self.posted.append((instance, message))
+
+    def set_peer(self, name: str, address: str, incarnation: int) -> None:
+        pass
+
+    def drop_peer(self, name: str) -> None:
+        pass
+
+
+def standbys(*speeds: float) -> tuple[PeerStandbys, EntryFold, FakePeers]:
+    peers = FakePeers()
+    fold = EntryFold(peers)
+    for number, speed in enumerate(speeds, 1):
+        record = EntryRecord(f"10.0.0.{number}:1", 1, speed)
+        fold.apply(Record(number, f"e{number}", encode(record)))
+    return PeerStandbys(peers, fold), fold, peers
+
+
+class TestPeerStandbys:
+    def test_equal_entries_follow_by_name(self):
+        chosen, _, _ = standbys(1, 1, 1, 1, 1, 1)
+        assert chosen.names() == ["e4", "e5", "e6"]
+
+    def test_the_strongest_come_first(self):
+        chosen, _, _ = standbys(2.0, 0.5, 1.0, 0.5, 1.0, 2.0)
+        assert chosen.names() == ["e6", "e1", "e5"]
+
+    def test_an_entry_that_left_stands_by_no_more(self):
+        chosen, fold, _ = standbys(1, 1, 1)
+        fold.apply(Record(9, "e1", b""))
+        assert chosen.names() == ["e2"]
+
+    def test_each_standby_gets_the_heartbeat(self):
+        chosen, _, peers = standbys(*[1.0] * 9)
+        heartbeat = OwnerHeartbeat(4, True)
+        chosen.tell(heartbeat)
+        assert len(peers.posted) == MOST_STANDBYS
+        assert {message for _, message in peers.posted} == {heartbeat}
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -4,8 +4,10 @@
 
 import json
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import anyio
+import msgspec
 import pytest
 
 from ragworttiller.exceptions import (
@@ -23,7 +25,16 @@
 from ragworttiller.scheduling.feed import Feed, Fold
 from ragworttiller.scheduling.group_commit import GroupCommit
 from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.records import Accepted, Progress, encode
+from ragworttiller.scheduling.records import (
+    Accepted,
+    Claim,
+    EntryRecord,
+    Progress,
+    StageProgress,
+    Withdrawn,
+    decode,
+    encode,
+)
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from standins.platform.service import Link
@@ -424,6 +435,44 @@
         assert retention.expired(1000.0) == []
 
 
+class TestLaterRecords:
+    """Entries of two versions may run at one time: records grow at their ends only."""
+
+    def later(self, record: NamedTuple) -> bytes:
+        """Return a record as a later version may write it, with one more field at each level."""
+
+        def grown(value):
+            if isinstance(value, tuple) and hasattr(value, "_fields"):
+                return [*(grown(item) for item in value), "new"]
+            if isinstance(value, list | tuple):
+                return [grown(item) for item in value]
+            if isinstance(value, dict):
+                return {key: grown(item) for key, item in value.items()}
+            return value
+
+        return msgspec.msgpack.encode(grown(record))
+
+    @pytest.mark.parametrize(
+        "record",
+        [
+            Accepted(QUEUE, decode_job(job_body(step(2), step(1, after=[0]))), 1.0),
+            Progress("", [StageProgress(0, 0, b"\x01", {1: [3]}, {1: "c"})]),
+            Claim("e", 1, 2, 3, ["w1"], [Withdrawn("w2", ["t"], True)], {"q": 1}),
+            EntryRecord("10.0.0.1:1", 1, 0.5),
+        ],
+    )
+    def test_fields_that_are_not_known_are_left_out(self, record: NamedTuple):
+        assert decode(self.later(record), type(record)) == record
+
+    def test_fields_that_came_later_have_defaults(self):
+        assert decode(msgspec.msgpack.encode(["a:1", 7]), EntryRecord) == EntryRecord("a:1", 7)
+
+    @pytest.mark.parametrize("value", [b"", b"\x00", b"\xff\xff", msgspec.msgpack.encode([1])])
+    def test_other_bytes_are_unreadable(self, value: bytes):
+        with pytest.raises(Unreadable):
+            decode(value, Claim)
+
+
 class TestDecoding:
     @pytest.mark.parametrize(
         "body",
