Make the tests' deployment on loopback a stand-in of its own

No behaviour changes. Ruled out: ports of port 0 for entries, since the settings name them before the start. Tests: the same ones pass as before.

--- /dev/null
+++ b/standins/platform/deployment.py
@@ -0,0 +1,222 @@
+"""A deployment on loopback: the platform's stand-ins, and entries as processes of their own."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.abc
+
+from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.platform.store import CONFIG_KEY, CONFIG_TOPIC, RUNNERS_TOPIC
+from ragworttiller.timers import SystemTimers
+from standins.addresses import free_address
+from standins.platform.advisor import AdvisorService
+from standins.platform.http import serve
+from standins.platform.runner import DEFAULT_WORK_SECONDS, Judge, RunnerService
+from standins.platform.service import Service
+from standins.platform.store import StoreService
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+HOST = "h.example"
+PREFIX = "/q/"
+READY_SECONDS = 15.0
+ANSWER_SECONDS = 5.0
+CHECK_SECONDS = 0.05
+
+
+class Reply(NamedTuple):
+    """Answer to a caller; ``retry_after`` is in seconds, None without one."""
+
+    status: int
+    body: bytes
+    retry_after: float | None = None
+
+
+def render(template: str, fields: dict[str, Any]) -> str:
+    """Fill in a template as the platform does, as far as ours goes."""
+
+    def value(path: str, scope: Any) -> str:
+        for name in path.split("."):
+            scope = scope[int(name)] if isinstance(scope, list) else scope.get(name, "")
+        return str(scope)
+
+    def section(found: re.Match[str]) -> str:
+        given = fields.get(found[1])
+        return found[2].replace("{{.}}", str(given)) if given else ""
+
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda found: value(found[1], fields), text)
+
+
+def settings(name: str, store: str, advisor: str = "") -> dict[str, Any]:
+    """Return the fields from which the platform renders an entry's settings."""
+    peer = free_address()
+    return {
+        "node_name": name,
+        "zone": "a",
+        "ip": peer.split(":")[0],
+        "port_range": [int(peer.split(":")[1])],
+        "listen": {"front": free_address(), "ready": free_address()},
+        "platform": {"address": store},
+        "placement_advisor": advisor,
+        "limits": {"cores": 2, "cpu_share": 0.5},
+        "bounds": {
+            "max_hold_ms": 6000,
+            "stop_grace_ms": 900,
+            "grace_s": 6,
+            "gang_timeout_ms": 3000,
+            "status_s": 120,
+        },
+    }
+
+
+class Deployment:
+    """Store, advisor and runners over HTTP, and the entries that were started.
+
+    Parameters
+    ----------
+    folder : Path
+        Receives settings and logs.
+    work : Callable
+        Returns the seconds that a task works, given its name.
+    """
+
+    def __init__(
+        self, folder: Path, work: Callable[[str], float] = lambda task: DEFAULT_WORK_SECONDS
+    ) -> None:
+        self.folder = folder
+        self.timers = SystemTimers()
+        self.store = StoreService(self.timers)
+        self.advisor = AdvisorService(self.timers)
+        self.judge = Judge()
+        self.addresses: dict[str, str] = {}
+        self.entries: dict[str, subprocess.Popen[bytes]] = {}
+        self.fields: dict[str, dict[str, Any]] = {}
+        self._work = work
+
+    async def run(self, tasks: anyio.abc.TaskGroup, runners: int = 3) -> None:
+        """Start the stand-ins in a task group and write the first configuration."""
+        self.addresses["store"] = await self._serve(tasks, self.store)
+        self.addresses["advisor"] = await self._serve(tasks, self.advisor)
+        for number in range(1, runners + 1):
+            name = f"w{number}"
+            service = RunnerService(name, self.timers, self.judge, work=self._work)
+            address = await self._serve(tasks, service)
+            self.store.put(RUNNERS_TOPIC, service.name, service.entry("desk", address))
+        self.configure(1)
+
+    def configure(self, version: int, **fields: Any) -> None:
+        """Write a configuration with one queue."""
+        advice = {"decision_ms": 20, "per_worker_ms": 0, "validity_ms": 2000}
+        route = {"name": "q", "host": HOST, "path_prefix": PREFIX, "service": "desk"}
+        routes = [{**route, "attempts": 2, "placement_advisor": advice, **fields}]
+        value = json.dumps({"version": version, "routes": routes}).encode()
+        self.store.put(CONFIG_TOPIC, CONFIG_KEY, value)
+
+    async def _serve(self, tasks: anyio.abc.TaskGroup, service: Service) -> str:
+        server = serve(service)
+        tasks.start_soon(server.run)
+        return f"127.0.0.1:{server.port}"
+
+    def start(self, name: str) -> None:
+        """Start an entry, again with its earlier addresses."""
+        fields = settings(name, self.addresses["store"], self.addresses["advisor"])
+        self.fields.setdefault(name, fields)
+        path = self.folder / f"{name}.ini"
+        template = (ROOT / "deploy" / "settings.ini").read_text()
+        path.write_text(render(template, self.fields[name]))
+        command = [sys.executable, "-m", "ragworttiller.entry"]
+        environment = {**os.environ, "RAGWORTTILLER_CONFIG": str(path)}
+        with open(self.folder / f"{name}.log", "a") as log:
+            self.entries[name] = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    def lines(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of an entry."""
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    async def call(self, name: str, method: str, path: str, body: bytes = b"") -> Reply:
+        """Send a caller's request to an entry."""
+        return await exchange(self.fields[name]["listen"]["front"], method, path, body)
+
+    async def ready(self, name: str) -> int:
+        """Return the status of an entry's readiness, 0 without an answer."""
+        channels = ChannelSet(self.fields[name]["listen"]["ready"], 1.0)
+        try:
+            return (await channels.request("GET", "/-/ready")).status
+        except (NotSent, ExchangeBroken):
+            return 0
+        finally:
+            await channels.close()
+
+    async def metrics(self, name: str) -> str:
+        """Return an entry's metrics page."""
+        channels = ChannelSet(self.fields[name]["listen"]["ready"], 1.0)
+        try:
+            return (await channels.request("GET", "/metrics")).body.decode()
+        finally:
+            await channels.close()
+
+    async def wait(
+        self, what: Callable[[], Awaitable[bool]], seconds: float = READY_SECONDS
+    ) -> None:
+        """Wait until something holds.
+
+        Raises
+        ------
+        TimeoutError
+            It does not within the time.
+        """
+        with anyio.fail_after(seconds):
+            while not await what():
+                await anyio.sleep(CHECK_SECONDS)
+
+    async def wait_ready(self, *names: str) -> None:
+        """Wait until entries are ready."""
+        for name in names:
+            await self.wait(lambda name=name: self._is_ready(name))  # type: ignore[misc]
+
+    async def _is_ready(self, name: str) -> bool:
+        return await self.ready(name) == 200
+
+    async def wait_state(self, name: str, job: str, state: str) -> None:
+        """Wait until an entry shows a job in a state."""
+
+        async def reached() -> bool:
+            answer = await self.call(name, "GET", PREFIX + job)
+            return answer.status == 200 and json.loads(answer.body)["state"] == state
+
+        await self.wait(reached)
+
+    def end(self) -> None:
+        """End the entries."""
+        for process in self.entries.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+
+async def exchange(address: str, method: str, path: str, body: bytes) -> Reply:
+    """Send a request for the host of the queue, which is not the entry's address."""
+    host, _, port = address.rpartition(":")
+    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
+    data = b""
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        with anyio.fail_after(ANSWER_SECONDS), contextlib.suppress(anyio.EndOfStream):
+            while True:
+                data += await stream.receive()
+    head_of_reply, _, content = data.partition(b"\r\n\r\n")
+    found = re.search(rb"\r\nretry-after: *(\d+)", head_of_reply, re.I)
+    return Reply(int(head_of_reply.split()[1]), content, float(found[1]) if found else None)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
-import os
-import re
 import signal
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import NamedTuple
 
 import anyio
 import pytest
@@ -21,127 +17,17 @@
 from ragworttiller.__main__ import app
 from ragworttiller.config.entry import load_entry
 from ragworttiller.exceptions import SettingsInvalid
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
-from ragworttiller.platform.store import CONFIG_KEY, CONFIG_TOPIC, RUNNERS_TOPIC
-from ragworttiller.timers import SystemTimers
-from standins.platform.advisor import AdvisorService
-from standins.platform.http import serve
-from standins.platform.runner import Judge, RunnerService
-from standins.platform.store import StoreService
+from standins.platform.deployment import ROOT, Deployment, render, settings
 from tests.scheduling_rig import job_body, step
-from tests.test_nng_peers import free_address
 
-ROOT = Path(__file__).resolve().parent.parent
 HOST = "h.example"
 
 
-def render(template: str, fields: dict) -> str:
-    """Fill in a template as the platform does, as far as ours goes."""
-
-    def value(path: str, scope):
-        for name in path.split("."):
-            scope = scope[int(name)] if isinstance(scope, list) else scope.get(name, "")
-        return str(scope)
-
-    def section(found: re.Match) -> str:
-        given = fields.get(found[1])
-        return found[2].replace("{{.}}", str(given)) if given else ""
-
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda found: value(found[1], fields), text)
-
-
-def settings(name: str, store: str, advisor: str = "") -> dict:
-    """Return the fields from which the platform renders an entry's settings."""
-    peer = free_address()
-    return {
-        "node_name": name,
-        "zone": "a",
-        "ip": peer.split(":")[0],
-        "port_range": [int(peer.split(":")[1])],
-        "listen": {"front": free_address(), "ready": free_address()},
-        "platform": {"address": store},
-        "placement_advisor": advisor,
-        "limits": {"cores": 2, "cpu_share": 0.5},
-        "bounds": {
-            "max_hold_ms": 6000,
-            "stop_grace_ms": 900,
-            "grace_s": 6,
-            "gang_timeout_ms": 3000,
-            "status_s": 120,
-        },
-    }
-
-
-class Platform:
-    """Store, advisor and runners over HTTP, and the entries that were started."""
-
-    def __init__(self, folder: Path):
-        self.folder = folder
-        self.timers = SystemTimers()
-        self.store = StoreService(self.timers)
-        self.advisor = AdvisorService(self.timers)
-        self.judge = Judge()
-        self.addresses: dict[str, str] = {}
-        self.entries: dict[str, subprocess.Popen] = {}
-        self.fields: dict[str, dict] = {}
-
-    async def run(self, tasks, runners: int = 3):
-        self.addresses["store"] = await self._serve(tasks, self.store)
-        self.addresses["advisor"] = await self._serve(tasks, self.advisor)
-        for number in range(1, runners + 1):
-            service = RunnerService(f"w{number}", self.timers, self.judge)
-            address = await self._serve(tasks, service)
-            self.store.put(RUNNERS_TOPIC, service.name, service.entry("desk", address))
-        self.configure(1)
-
-    def configure(self, version: int, **fields):
-        advice = {"decision_ms": 20, "per_worker_ms": 0, "validity_ms": 2000}
-        route = {"name": "q", "host": HOST, "path_prefix": "/q/", "service": "desk"}
-        routes = [{**route, "attempts": 2, "placement_advisor": advice, **fields}]
-        value = json.dumps({"version": version, "routes": routes}).encode()
-        self.store.put(CONFIG_TOPIC, CONFIG_KEY, value)
-
-    async def _serve(self, tasks, service) -> str:
-        server = serve(service)
-        tasks.start_soon(server.run)
-        return f"127.0.0.1:{server.port}"
-
-    def start(self, name: str):
-        fields = settings(name, self.addresses["store"], self.addresses["advisor"])
-        self.fields.setdefault(name, fields)
-        path = self.folder / f"{name}.ini"
-        template = (ROOT / "deploy" / "settings.ini").read_text()
-        path.write_text(render(template, self.fields[name]))
-        command = [sys.executable, "-m", "ragworttiller.entry"]
-        environment = {**os.environ, "RAGWORTTILLER_CONFIG": str(path)}
-        with open(self.folder / f"{name}.log", "a") as log:
-            self.entries[name] = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log
-            )
-
-    def lines(self, name: str) -> list[dict]:
-        text = (self.folder / f"{name}.log").read_text()
-        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
-
-    async def call(self, name: str, method: str, path: str, body: bytes = b"") -> Reply:
-        return await exchange(self.fields[name]["listen"]["front"], method, path, body)
-
-    async def ready(self, name: str) -> int:
-        channels = ChannelSet(self.fields[name]["listen"]["ready"], 1.0)
-        try:
-            return (await channels.request("GET", "/-/ready")).status
-        except (NotSent, ExchangeBroken):
-            return 0
-        finally:
-            await channels.close()
-
-    async def metrics(self, name: str) -> str:
-        channels = ChannelSet(self.fields[name]["listen"]["ready"], 1.0)
-        try:
-            return (await channels.request("GET", "/metrics")).body.decode()
-        finally:
-            await channels.close()
+class Platform(Deployment):
+    """A deployment to which tests submit and which they show with the operators' tool."""
+
+    async def submit(self, name: str, job: str, *steps: dict) -> int:
+        return (await self.call(name, "POST", f"/q/{job}", job_body(*steps))).status
 
     async def command(self, name: str, *arguments: str) -> Result:
         """Run a command of the operators' tool against an entry."""
@@ -155,53 +41,6 @@
         assert result.exit_code == 0, result.output
         return json.loads(result.output)
 
-    async def wait(self, what: Callable[[], Awaitable[bool]], seconds: float = 15.0):
-        with anyio.fail_after(seconds):
-            while not await what():
-                await anyio.sleep(0.05)
-
-    async def wait_ready(self, *names: str):
-        for name in names:
-            await self.wait(lambda name=name: self._is_ready(name))
-
-    async def _is_ready(self, name: str) -> bool:
-        return await self.ready(name) == 200
-
-    async def submit(self, name: str, job: str, *steps: dict) -> int:
-        return (await self.call(name, "POST", f"/q/{job}", job_body(*steps))).status
-
-    async def wait_state(self, name: str, job: str, state: str):
-        async def reached() -> bool:
-            answer = await self.call(name, "GET", f"/q/{job}")
-            return answer.status == 200 and json.loads(answer.body)["state"] == state
-
-        await self.wait(reached)
-
-    def end(self):
-        for process in self.entries.values():
-            if process.poll() is None:
-                process.kill()
-            process.wait()
-
-
-class Reply(NamedTuple):
-    status: int
-    body: bytes
-
-
-async def exchange(address: str, method: str, path: str, body: bytes) -> Reply:
-    """Send a request for the host of the queue, which is not the entry's address."""
-    host, _, port = address.rpartition(":")
-    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
-    data = b""
-    async with await anyio.connect_tcp(host, int(port)) as stream:
-        await stream.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        with anyio.fail_after(5), contextlib.suppress(anyio.EndOfStream):
-            while True:
-                data += await stream.receive()
-    head_of_reply, _, content = data.partition(b"\r\n\r\n")
-    return Reply(int(head_of_reply.split()[1]), content)
-
 
 @pytest.fixture()
 def play(tmp_path: Path):
--- a/tests/test_nng_peers.py
+++ b/tests/test_nng_peers.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
 import os
-import socket
 
 import anyio
 import pytest
@@ -23,16 +21,7 @@
 from ragworttiller.process.nng_peers import CONNECTION_CHECK_SECONDS, NngPeers
 from ragworttiller.process.outbox import LOST_READINGS
 from ragworttiller.timers import SystemTimers
-
-PORTS = itertools.cycle(range(22100, 22400))
-
-
-def free_address():
-    for port in PORTS:
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
-    return None
+from standins.addresses import free_address
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -31,6 +31,7 @@
 from ragworttiller.services.runner import Exchange
 from ragworttiller.services.worker import TaskSpec
 from ragworttiller.timers import SystemTimers
+from standins.addresses import free_address
 from standins.directory import DirectoryServer
 from standins.log import LogServer
 from standins.runner import LimitedProtocol, Runner
@@ -73,13 +74,6 @@
     await ChannelSet(address, 2.0).request("POST", target, msgspec.json.encode(value))
 
 
-async def free_address():
-    sock = listen()
-    address = f"127.0.0.1:{port_of(sock)}"
-    sock.close()
-    return address
-
-
 class TestServing:
     def test_sockets_name_their_protocol(self):
         """Without it asyncio leaves Nagle's algorithm on and each answer waits for an ACK."""
@@ -126,7 +120,7 @@
 
     def test_refused_connection_is_surely_not_landed(self):
         async def scenario():
-            platform_log = HttpLog(f"http://{await free_address()}", "a")
+            platform_log = HttpLog(f"http://{free_address()}", "a")
             with pytest.raises(LogUnavailable):
                 await platform_log.append("s", [b"x"])
 
@@ -228,7 +222,7 @@
         async def scenario():
             dialer = HttpRunnerDialer()
             with pytest.raises(RunnerRefused):
-                await dialer.connection("m-0", await free_address()).open()
+                await dialer.connection("m-0", free_address()).open()
             async with runner(break_answers=1) as (standin, address):
                 connection = dialer.connection("m-0", address)
                 await connection.open()
