Order a start again that has no answer, and claim after a release soon

Cause 2: two entries were stopped together and one named the other as successor: 2.9 s without an owner. A released cell may be claimed by any entry after one silent read.

--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -123,9 +123,18 @@
             running.count(None) + ended.count(None),
         )
 
-    async def start(self, order: Start, token: int) -> float:
+    async def start(self, order: Start, token: int, timeout: float | None = None) -> float:
         """Start a task and return the runner's clock in seconds.
 
+        Parameters
+        ----------
+        order : Start
+            The order.
+        token : int
+            Fencing token.
+        timeout : float, optional
+            Seconds to wait for the answer, those of other orders by default.
+
         Raises
         ------
         AppendFenced, OrderRefused, OrderUndecided, RunnerGone
@@ -142,7 +151,8 @@
             body["last_checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return (await self._order("/-/run-start", body)).clock_ms / 1000
+        answer = await self._order("/-/run-start", body, timeout=timeout)
+        return answer.clock_ms / 1000
 
     async def stop(self, task: TaskId, run: int, token: int) -> None:
         """Stop a run; its end is listed later.
@@ -169,9 +179,11 @@
         """Close the idle connections."""
         await self._channels.close()
 
-    async def _order(self, target: str, body: dict[str, Any], wait: float = 0.0) -> _Answer:
+    async def _order(
+        self, target: str, body: dict[str, Any], wait: float = 0.0, timeout: float | None = None
+    ) -> _Answer:
         content = msgspec.json.encode(body)
-        timeout = ORDER_TIMEOUT_SECONDS + wait
+        timeout = timeout or ORDER_TIMEOUT_SECONDS + wait
         try:
             answer = await self._channels.request("POST", target, content, self._headers, timeout)
         except NotSent as exc:
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -31,7 +31,9 @@
 from ragworttiller.scheduling.records import JOBS, PROGRESS_SUFFIX, Claim, encode
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.runs import Run, RunState
 from ragworttiller.scheduling.standbys import NoStandbys, Standbys
+from ragworttiller.scheduling.start_call import call_start
 from ragworttiller.scheduling.term import Term
 
 log = logging.getLogger(__name__)
@@ -208,7 +210,7 @@
             if not self._term.valid:
                 cell.start_refused(run, "term", self._clock.now())
                 return
-            await client.start(start, self._term.epoch)
+            await call_start(client, start, self._term.epoch, lambda: self._wanted(run))
         except OrderRefused as exc:
             reason = exc.fields["reason"]
             log.info("start refused", extra={**extra, "why": reason})
@@ -228,6 +230,14 @@
             return
         self.wake()
 
+    def _wanted(self, run: Run) -> bool:
+        """Return whether a start that has no answer is to be ordered again."""
+        runner = self._cell.runners.get(run.runner)
+        if runner is None or run.key not in runner.runs or not self._term.valid:
+            return False
+        late = runner.clock_at(self._clock.now()) > run.start_deadline
+        return run.state is RunState.STARTING and not late
+
     async def _stop(self, order: StopOrder) -> None:
         run, cell = order.run, self._cell
         client, runner = self._clients.get(run.runner), cell.runners.get(run.runner)
--- a/ragworttiller/scheduling/owner_watch.py
+++ b/ragworttiller/scheduling/owner_watch.py
@@ -42,6 +42,11 @@
         self._last = OwnerHeartbeat(0, False)
         self._heard_at = 0.0
 
+    @property
+    def silent_polls(self) -> int:
+        """Silent reads in a row, the last one ending now."""
+        return self._silent_polls
+
     def news(self) -> None:
         """Record that the store holds a new claim or renewal."""
         self._silent_polls = 0
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership.py
@@ -128,7 +128,7 @@
             return True
         mine = claim.owner == self._name
         if claim.released:
-            return claim.successor == self._name
+            return claim.successor == self._name or self._watch.silent_polls > 0
         return mine and claim.incarnation != self._incarnation
 
     async def claim(self, before: Claim | None) -> Claimed | None:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -151,6 +151,18 @@
 
         with_rig(body)
 
+    def test_a_successor_that_does_not_claim_is_not_waited_for_long(self):
+        async def body(rig: OwnersRig):
+            await settled(rig)
+            first = rig.owner
+            second = "e3" if first.name != "e3" else "e2"
+            rig.kill(second)
+            rig.entries.pop(second)
+            first.host.stop(second)
+            assert await changed(rig, first) < 0.9
+
+        with_rig(body)
+
     def test_a_restarted_owner_claims_at_once(self):
         async def body(rig: OwnersRig):
             await settled(rig)
