--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -158,6 +158,8 @@
             second = "e3" if first.name != "e3" else "e2"
             rig.kill(second)
             rig.entries.pop(second)
+            rig.heartbeats_lost = True
+            await rig.timers.sleep(1.0)
             first.host.stop(second)
             assert await changed(rig, first) < 0.9
 
