Wait longer for a slow store, and let only the owner append while it is slow

Change: an entry that has seen a slow append leaves appends to the owner for 10 s, or until the owner answers fast; a slow answer is waited for 2.2 s (callers wait for 3 s). Only an append that was answered slowly counts, so an outage is not taken for a slow store. Ruled out: processor time of the owner (2.15 cores, renewals on time), reads (two failed a second).

--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -34,13 +34,11 @@
 
 log = logging.getLogger(__name__)
 
-ACCEPT_SECONDS = 1.5
+ACCEPT_SECONDS = 2.2
 # A refusal by the store stands for this long, so that callers do not wait for the next one.
 REFUSAL_SECONDS = 0.3
 # A call without result for this long delays all that come after it beyond callers' patience.
 MOST_STUCK_SECONDS = 0.7
-# An append that takes longer shows that the store is slow: fewer and larger ones do better.
-SLOW_SECONDS = 0.15
 RETRY_AFTER_SECONDS = 1.0
 MOST_RETRY_AFTER_SECONDS = 4.0
 DEFAULT_MAX_BODY = 262144
@@ -123,11 +121,6 @@
             raise QueueUnknown(host=host, path=path)
         return Target(queue, job)
 
-    @property
-    def slow(self) -> bool:
-        """Whether the store takes long to append."""
-        return max(self._writer.last_took, self._writer.stuck) > SLOW_SECONDS
-
     async def submit(self, target: Target, body: bytes, timeout: float) -> None:
         """Store a job, once for its identifier.
 
--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -24,6 +24,7 @@
 from ragworttiller.scheduling.acceptance import Acceptance
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
+from ragworttiller.scheduling.group_commit import GroupCommit
 
 log = logging.getLogger(__name__)
 
@@ -31,8 +32,10 @@
 # Time for which an entry tries alone before it asks another one.
 ALONE_SECONDS = 0.6
 RELAY_SECONDS = 0.5
+# An append that takes longer shows that the store is slow.
+SLOW_APPEND_SECONDS = 0.15
 # Time for which an answer of a slow store is waited for.
-SLOW_SECONDS = 1.5
+SLOW_SECONDS = 2.2
 NO_SECONDS = 0.05
 CALL_MARGIN_SECONDS = 0.1
 RELAY_TRIES = 2
@@ -143,9 +146,9 @@
         Returns the names of all entries.
     clock : Clock
         Source of time.
-    slow : Callable
-        Returns whether this entry's appends take long. The owner then appends for all entries,
-        since a slow store does more with few large calls than with many small ones.
+    writer : GroupCommit
+        Writer of this entry to the jobs. When its appends take long, the owner appends for all
+        entries, since a slow store does more with few large calls than with many small ones.
     """
 
     def __init__(
@@ -158,9 +161,9 @@
         owner: Callable[[], str],
         names: Callable[[], set[str]],
         clock: Clock,
-        slow: Callable[[], bool],
+        writer: GroupCommit,
     ) -> None:
-        self._slow = slow
+        self._writer = writer
         self._local = local
         self._peers = peers
         self._config = config
@@ -180,10 +183,9 @@
                 return relayed.reply
         until = self._clock.now() + request.timeout
         lost = False
-        if self._slow() and request.method != "GET" and self._owner() in self._others():
-            reply = await self._ask(self._owner(), request, SLOW_SECONDS)
+        if self._slow and request.method != "GET" and self._owner() in self._others():
+            reply = await self._collect(request)
             if reply is not None and reply.code not in UNANSWERED:
-                log.info("collected", extra={"path": request.path, "code": reply.code})
                 return reply
             lost = reply is None
             request = request._replace(timeout=until - self._clock.now())
@@ -201,11 +203,28 @@
                 raise
             return relayed.reply
 
+    @property
+    def _slow(self) -> bool:
+        return self._writer.last_took > SLOW_APPEND_SECONDS
+
+    async def _collect(self, request: CallerRequest) -> CallerReply | None:
+        """Let the owner store a submission, and notice when the store is fast again."""
+        began = self._clock.now()
+        reply = await self._ask(self._owner(), request, SLOW_SECONDS)
+        took = self._clock.now() - began
+        if reply is None:
+            return None
+        extra = {"path": request.path, "code": reply.code, "took": round(took, 3)}
+        log.info("collected", extra=extra)
+        if reply.status == OK and took < SLOW_APPEND_SECONDS:
+            self._writer.forget_took()
+        return reply
+
     def _alone(self, request: CallerRequest) -> float:
         """Return the seconds for which to try without other entries."""
         if self._age() > STALE_SECONDS:
             return NO_SECONDS
-        return min(request.timeout, SLOW_SECONDS if self._slow() else ALONE_SECONDS)
+        return min(request.timeout, SLOW_SECONDS if self._slow else ALONE_SECONDS)
 
     async def _relay(self, request: CallerRequest) -> Relayed:
         """Ask other entries until one answers."""
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -104,7 +104,7 @@
             self._owner_name,
             lambda: self._entries.names,
             clock,
-            lambda: self._acceptance.slow,
+            self._writer,
         )
         self._metrics = Metrics()
         traffic = self._store.traffic
--- a/ragworttiller/scheduling/group_commit.py
+++ b/ragworttiller/scheduling/group_commit.py
@@ -32,7 +32,7 @@
 # Time after which an append without a result counts as undecided and is begun anew.
 ROUND_SECONDS = 4.0
 # Time for which the duration of an append tells something of the next one.
-TOOK_MEMORY_SECONDS = 3.0
+TOOK_MEMORY_SECONDS = 10.0
 
 
 class _Waiting:
@@ -128,6 +128,10 @@
         recent = self._clock.now() - self._took_at < TOOK_MEMORY_SECONDS
         return self._took if recent else 0.0
 
+    def forget_took(self) -> None:
+        """Let the duration of the last append tell nothing any more."""
+        self._took = 0.0
+
     async def append(self, records: Sequence[KeyedRecord], timeout: float) -> int:
         """Append records and return the partition's end after them.
 
