--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 demo: env
 	$(BIN)/python -m tools.demo
+	$(BIN)/python -m tools.cell_demo
 
 bench: env
 	$(BIN)/python -m bench
