--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -37,9 +37,7 @@
     """Bounds that the platform sets."""
 
     longest_lease_ms: float
-    stop_grace_ms: float
     shutdown_grace_s: float
-    gang_timeout_ms: float
     status_s: float
 
 
@@ -107,7 +105,6 @@
         EntryBounds,
         [
             _millis("longest_lease_ms", "Longest lease that a runner takes.", "6000"),
-            _millis("stop_grace_ms", "Longest time that a stop takes.", "1000"),
             Number(
                 "shutdown_grace_s",
                 "Time between SIGTERM and SIGKILL.",
@@ -116,7 +113,6 @@
                 unit="seconds",
                 default="6",
             ),
-            _millis("gang_timeout_ms", "Time that members of a gang wait for the others.", "3000"),
             Number(
                 "status_s",
                 "Time for which callers may ask for the state of an ended job.",
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -164,17 +164,6 @@
         """
         await self._order("/-/run-stop", {"task": str(task), "run": run, "fence_token": token})
 
-    async def pace(self, task: TaskId, run: int, percent: int, token: int) -> None:
-        """Let a run work at a share of its speed, in percent.
-
-        Raises
-        ------
-        AppendFenced, OrderRefused, OrderUndecided, RunnerGone
-            As for `hold`.
-        """
-        body = {"task": str(task), "run": run, "percent": percent, "fence_token": token}
-        await self._order("/-/pace", body)
-
     async def close(self) -> None:
         """Close the idle connections."""
         await self._channels.close()
