Let an owner keep the cell while the store is only slow

Change: an owner whose renewals fail is followed after two silent reads (1.2 s) and tells so after 1.2 s. Ruled out: no early claim from such an owner at all; one that is cut off is worth following early.

--- a/ragworttiller/scheduling/owner_watch.py
+++ b/ragworttiller/scheduling/owner_watch.py
@@ -13,6 +13,8 @@
 POLL_SECONDS = 0.6
 # Silent reads in a row after which any entry claims.
 SILENT_POLLS = 3
+# The same for a standby whose owner tells that renewals fail: some only come late.
+SILENT_POLLS_WITHOUT_RENEWAL = 2
 # Time without a heartbeat after which a standby claims, if a read was silent too.
 HEARTBEAT_SILENCE_SECONDS = 0.6
 
@@ -71,6 +73,6 @@
         """Return the seconds until the lack of heartbeats counts, None if it does not."""
         if self._silent_polls == 0 or self._last.epoch != epoch:
             return None
-        if not self._last.renewed:
+        if not self._last.renewed and self._silent_polls >= SILENT_POLLS_WITHOUT_RENEWAL:
             return 0.0
         return self._heard_at + HEARTBEAT_SILENCE_SECONDS - self._clock.now()
--- a/ragworttiller/scheduling/term.py
+++ b/ragworttiller/scheduling/term.py
@@ -16,8 +16,8 @@
 
 # Time for which an owner may act without hearing from the store.
 TERM_SECONDS = 7.0
-# Above the time between renewals and a slow append.
-RENEWED_SECONDS = 0.8
+# Above the time between renewals and the append of a slow store.
+RENEWED_SECONDS = 1.2
 
 
 class OwnerFold(Fold):
