Split the answers to callers into steps

The method that answers had grown to six outcomes. It now collects, answers here or relays, and settles; a later configuration is taken over in one place, also when the owner collects. A cancellation at an entry that is cut off goes the same way as a submission, so an unheard relay is never called refused.

--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -177,48 +177,53 @@
 
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
-        if self._age() > STALE_SECONDS and request.method != "POST":
-            relayed = await self._relay(request)
-            if relayed.reply is not None:
-                return relayed.reply
-        until = self._clock.now() + request.timeout
-        lost = False
-        if self._slow and request.method != "GET" and self._owner() in self._others():
-            reply = await self._collect(request)
-            if reply is not None and reply.code not in UNANSWERED:
+        if request.method == "GET" and self._age() > STALE_SECONDS:
+            reply = (await self._relay(request)).reply
+            if reply is not None:
                 return reply
-            lost = reply is None
-            request = request._replace(timeout=until - self._clock.now())
+        until = self._clock.now() + request.timeout
+        collected = await self._collect(request)
+        if collected.reply is not None:
+            return collected.reply
+        request = request._replace(timeout=until - self._clock.now())
         try:
             return await self._local.answer(request._replace(timeout=self._alone(request)))
         except STORE_FAILURES as exc:
             left = until - self._clock.now()
             relayed = await self._relay(request._replace(timeout=left))
-            if relayed.reply is not None and relayed.reply.status == OK:
-                return relayed.reply
-            if isinstance(exc, StoreDown) and (lost or relayed.lost):
-                job = exc.fields["job"]
-                raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
-            if relayed.reply is None or isinstance(exc, SubmissionUndecided):
-                raise
-            return relayed.reply
-
-    @property
-    def _slow(self) -> bool:
-        return self._writer.last_took > SLOW_APPEND_SECONDS
+            return self._settle(exc, relayed, collected.lost or relayed.lost)
+
+    def _settle(self, exc: RagworttillerError, relayed: Relayed, lost: bool) -> CallerReply:
+        """Return or raise what is known after this entry and others were tried."""
+        reply = relayed.reply
+        if reply is not None and reply.status == OK:
+            return reply
+        if isinstance(exc, StoreDown) and lost:
+            job = exc.fields["job"]
+            raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
+        if reply is None or isinstance(exc, SubmissionUndecided):
+            raise exc
+        return reply
 
-    async def _collect(self, request: CallerRequest) -> CallerReply | None:
-        """Let the owner store a submission, and notice when the store is fast again."""
+    async def _collect(self, request: CallerRequest) -> Relayed:
+        """Let the owner store a submission while the store is slow."""
+        owner = self._owner()
+        if request.method == "GET" or not self._slow or owner not in self._others():
+            return Relayed(None, lost=False)
         began = self._clock.now()
-        reply = await self._ask(self._owner(), request, SLOW_SECONDS)
+        reply = await self._ask(owner, request, SLOW_SECONDS)
         took = self._clock.now() - began
-        if reply is None:
-            return None
+        if reply is None or reply.code in UNANSWERED:
+            return Relayed(None, lost=reply is None)
         extra = {"path": request.path, "code": reply.code, "took": round(took, 3)}
         log.info("collected", extra=extra)
         if reply.status == OK and took < SLOW_APPEND_SECONDS:
             self._writer.forget_took()
-        return reply
+        return Relayed(reply, lost=False)
+
+    @property
+    def _slow(self) -> bool:
+        return self._writer.last_took > SLOW_APPEND_SECONDS
 
     def _alone(self, request: CallerRequest) -> float:
         """Return the seconds for which to try without other entries."""
@@ -232,20 +237,25 @@
         for name in self._choose():
             if request.timeout <= 0:
                 break
-            reply = await self._ask(name, request)
+            reply = await self._ask(name, request, RELAY_SECONDS)
             lost = lost or reply is None
-            if reply is not None and reply.code == LATER_CONFIGURATION:
-                self._config.adopt(reply.body)
-                reply = await self._ask(name, request)
             if reply is not None and reply.code not in UNANSWERED:
                 log.info("relayed", extra={"path": request.path, "entry": name, "code": reply.code})
                 return Relayed(reply, lost)
         return Relayed(None, lost)
 
-    async def _ask(
-        self, name: str, request: CallerRequest, most: float = RELAY_SECONDS
-    ) -> CallerReply | None:
-        """Return the answer of an entry, None if it may have carried the request out unheard."""
+    async def _ask(self, name: str, request: CallerRequest, most: float) -> CallerReply | None:
+        """Return the answer of an entry by the latest configuration that both have.
+
+        It is None if the entry may have carried the request out unheard.
+        """
+        reply = await self._ask_once(name, request, most)
+        if reply is None or reply.code != LATER_CONFIGURATION:
+            return reply
+        self._config.adopt(reply.body)
+        return await self._ask_once(name, request, most)
+
+    async def _ask_once(self, name: str, request: CallerRequest, most: float) -> CallerReply | None:
         timeout = min(most, request.timeout)
         passed = request._replace(timeout=timeout, version=self._config.version)
         try:
