Wait for a slow store for half of a caller's time at most

The owner's own append waits for seconds too, since each of 37 entries has one under way when the store turns slow. Change: 1.4 s, below half of the 3 s that callers wait. Left open: submissions collected at the owner at all times would keep that queue short.

--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/acceptance.py
@@ -34,7 +34,7 @@
 
 log = logging.getLogger(__name__)
 
-ACCEPT_SECONDS = 2.2
+ACCEPT_SECONDS = 1.5
 # A refusal by the store stands for this long, so that callers do not wait for the next one.
 REFUSAL_SECONDS = 0.3
 # A call without result for this long delays all that come after it beyond callers' patience.
--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -35,7 +35,7 @@
 # An append that takes longer shows that the store is slow.
 SLOW_APPEND_SECONDS = 0.15
 # Time for which an answer of a slow store is waited for.
-SLOW_SECONDS = 2.2
+SLOW_SECONDS = 1.4
 NO_SECONDS = 0.05
 CALL_MARGIN_SECONDS = 0.1
 RELAY_TRIES = 2
