Decode JSON of the platform by one function

Cause: four modules of the adapter caught the decoder's error and raised Unreadable, each in lines of its own; the time to come back stood in two modules, the default for standbys in two classes. Change: platform/decoding.py; callers take the constant from acceptance; only the owner fills in that nobody stands by. Texts of errors and behaviour stay.

--- a/ragworttiller/platform/configuration.py
+++ b/ragworttiller/platform/configuration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ragworttiller.exceptions import Unreadable
+from ragworttiller.platform.decoding import decode_json
 
 
 class AdviceCost(NamedTuple):
@@ -90,10 +90,7 @@
     Unreadable
         The bytes are no configuration.
     """
-    try:
-        wire = msgspec.json.decode(value, type=_Configuration)
-    except msgspec.MsgspecError as exc:
-        raise Unreadable(what="configuration", problem=str(exc)) from exc
+    wire = decode_json(value, _Configuration, "configuration")
     guarded = frozenset(service.name for service in wire.services if service.enforce_limits)
     queues = tuple(map(_queue, wire.routes))
     return Configuration(wire.version, queues, guarded, wire.limits.max_body_bytes)
--- a/ragworttiller/platform/listing.py
+++ b/ragworttiller/platform/listing.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ragworttiller.exceptions import Unreadable
+from ragworttiller.platform.decoding import decode_json
 from ragworttiller.resources import Resources
 
 
@@ -47,10 +47,7 @@
     Unreadable
         The bytes are no entry.
     """
-    try:
-        wire = msgspec.json.decode(value, type=_Entry)
-    except msgspec.MsgspecError as exc:
-        raise Unreadable(what=f"entry of runner {runner!r}", problem=str(exc)) from exc
+    wire = decode_json(value, _Entry, f"entry of runner {runner!r}")
     capacity = Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu)
     remaining = None if wire.remaining_ms is None else wire.remaining_ms / 1000
     return RunnerEntry(
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -4,7 +4,7 @@
 
 import base64
 from collections.abc import Sequence
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
@@ -19,8 +19,7 @@
     Unreadable,
 )
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent, Traffic
-
-T = TypeVar("T")
+from ragworttiller.platform.decoding import decode_json
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
@@ -223,7 +222,7 @@
         target = "/-/log-read?" + urlencode(query)
         status, content = await self._read_call(partition, target, wait)
         if status == 410:
-            start = _decode(content, _Expired).first
+            start = decode_json(content, _Expired, _Expired.__name__).first
             raise RecordsExpired(stream=str(partition), start=start, wanted=offset)
         if status != 200 or len(content) < 2 * OFFSET_BYTES:
             raise LogUnavailable(stream=str(partition))
@@ -244,7 +243,7 @@
         if status != 200:
             raise LogUnavailable(stream=str(partition))
         try:
-            page = _decode(content, _Page)
+            page = decode_json(content, _Page, _Page.__name__)
             records = [Record(i.offset, i.key, base64.b64decode(i.value)) for i in page.items]
         except (Unreadable, ValueError) as exc:
             raise LogUnavailable(stream=str(partition)) from exc
@@ -301,10 +300,3 @@
     if not data or len(key) < length:
         return Record(offset, "", b"")
     return Record(offset, key.decode("utf-8", "replace"), data[1 + length :])
-
-
-def _decode(content: bytes, form: type[T]) -> T:
-    try:
-        return msgspec.json.decode(content, type=form)
-    except msgspec.MsgspecError as exc:
-        raise Unreadable(what=form.__name__, problem=str(exc)) from exc
--- a/ragworttiller/platform/submissions.py
+++ b/ragworttiller/platform/submissions.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from ragworttiller.exceptions import InvalidField, RagworttillerError, Unreadable
+from ragworttiller.exceptions import InvalidField, RagworttillerError
+from ragworttiller.platform.decoding import decode_json
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.jobs import JobSpec, Occurrences, StepSpec
 
@@ -54,10 +55,7 @@
     InvalidField
         A field has a value that no job can have.
     """
-    try:
-        wire = msgspec.json.decode(body, type=_Job)
-    except msgspec.MsgspecError as exc:
-        raise Unreadable(what="job", problem=str(exc)) from exc
+    wire = decode_json(body, _Job, "job")
     if len(wire.spec.encode()) > MAX_SPEC_BYTES:
         raise _invalid("spec", "is too long", f"{MAX_SPEC_BYTES} bytes")
     if not wire.steps:
--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -21,7 +21,7 @@
 )
 from ragworttiller.platform.submissions import error_body, pending_body, state_body
 from ragworttiller.process.nng_peers import NngPeers
-from ragworttiller.scheduling.acceptance import Acceptance
+from ragworttiller.scheduling.acceptance import RETRY_AFTER_SECONDS, Acceptance
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.group_commit import GroupCommit
@@ -40,7 +40,6 @@
 CALL_MARGIN_SECONDS = 0.1
 RELAY_TRIES = 2
 STALE_SECONDS = 1.4
-RETRY_AFTER_SECONDS = 1.0
 AVOID_SECONDS = 3.0
 # Code of a reply whose body is a later configuration than that of the entry that asked.
 LATER_CONFIGURATION = "later_configuration"
--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -20,7 +20,7 @@
 from ragworttiller.scheduling.records import JOBS, OWNER
 from ragworttiller.scheduling.retention import Retention
 from ragworttiller.scheduling.runner_fold import RunnerFold
-from ragworttiller.scheduling.standbys import NoStandbys, Standbys
+from ragworttiller.scheduling.standbys import Standbys
 from ragworttiller.scheduling.takeover import Takeover
 from ragworttiller.scheduling.term import TERM_SECONDS, OwnerFold
 
@@ -91,7 +91,7 @@
         self._lease = min(LEASE_SECONDS, longest_lease)
         self._connect = connect
         self._status = status
-        self._standbys = standbys or NoStandbys()
+        self._standbys = standbys
         self._owner: Owner | None = None
         self._claim_read_at: float | None = None
         self._stopping = False
