Let the demo end with its verdict, and let httpcore make its requests

Change: the stand-in answers waiting reads when it closes, the demo closes it before it ends; requests go through httpcore. Ruled out: silencing the server's logger, which would hide real errors.

--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import os
 import re
@@ -14,6 +13,7 @@
 
 import anyio
 import anyio.abc
+import httpcore
 
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
 from ragworttiller.platform.store import CONFIG_KEY, CONFIG_TOPIC, RUNNERS_TOPIC
@@ -199,6 +199,12 @@
 
         await self.wait(reached)
 
+    async def close(self) -> None:
+        """End the entries, and let the stand-ins answer what is in progress."""
+        await anyio.to_thread.run_sync(self.end)
+        self.store.close()
+        await anyio.sleep(CHECK_SECONDS)
+
     def end(self) -> None:
         """End the entries."""
         for process in self.entries.values():
@@ -208,15 +214,22 @@
 
 
 async def exchange(address: str, method: str, path: str, body: bytes) -> Reply:
-    """Send a request for the host of the queue, which is not the entry's address."""
-    host, _, port = address.rpartition(":")
-    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
-    data = b""
-    async with await anyio.connect_tcp(host, int(port)) as stream:
-        await stream.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        with anyio.fail_after(ANSWER_SECONDS), contextlib.suppress(anyio.EndOfStream):
-            while True:
-                data += await stream.receive()
-    head_of_reply, _, content = data.partition(b"\r\n\r\n")
-    found = re.search(rb"\r\nretry-after: *(\d+)", head_of_reply, re.I)
-    return Reply(int(head_of_reply.split()[1]), content, float(found[1]) if found else None)
+    """Send a request for the host of the queue, which is not the entry's address.
+
+    Raises
+    ------
+    httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException
+        No whole answer came.
+    """
+    headers = [("Host", HOST), ("Connection", "close"), ("Content-Length", str(len(body)))]
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), ANSWER_SECONDS)
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(
+            method,
+            f"http://{address}{path}",
+            headers=headers,
+            content=body,
+            extensions={"timeout": timeout},
+        )
+    found = {name.lower(): value for name, value in response.headers}.get(b"retry-after")
+    return Reply(response.status, response.content, float(found) if found else None)
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -79,6 +79,7 @@
         self.down = False
         self.write_seconds = 0.0
         self._free_at = 0.0
+        self._closed = False
 
     def partition(self, topic: str) -> StoredPartition:
         """Return the first partition of a topic."""
@@ -88,6 +89,12 @@
         """Write a record, as the operator and the runners do."""
         self._append(self.partition(topic), [bytes([len(key)]) + key.encode() + value])
 
+    def close(self) -> None:
+        """Answer the reads that wait, and let no later one wait."""
+        self._closed = True
+        for partition in self.partitions.values():
+            partition.grown.set()
+
     def expire(self, topic: str) -> None:
         """Delete all records of a topic but the newest of each key."""
         self.partition(topic).first = self.partition(topic).end
@@ -163,7 +170,7 @@
             return json_answer(410, {"first": partition.first})
         if start >= partition.end and "wait_ms" in query:
             with self._timers.move_on_after(int(query["wait_ms"]) / 1000):
-                while start >= partition.end:
+                while start >= partition.end and not self._closed:
                     await partition.grown.wait()
         records = [len(r).to_bytes(4, "big") + r for r in partition.records[start:]]
         bounds = partition.end.to_bytes(8, "big") + partition.first.to_bytes(8, "big")
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -127,6 +127,16 @@
         found = await rig.store.read(PLACE, 0)
         assert [record.key for record in found.records] == ["", "k"]
 
+    @virtual
+    async def test_reads_that_wait_are_answered_when_the_stand_in_closes(self):
+        rig = StoreRig()
+        start = rig.timers.now()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(rig.store.read, PLACE, 0, 5.0)
+            await rig.timers.sleep(0.1)
+            rig.service.close()
+        assert rig.timers.now() - start < 0.2
+
 
 class TestGroupCommit:
     @virtual
--- a/tools/cell_demo.py
+++ b/tools/cell_demo.py
@@ -17,6 +17,7 @@
 
 import anyio
 import anyio.abc
+import httpcore
 import msgspec
 from rich.console import Console
 from rich.table import Table
@@ -129,7 +130,7 @@
             return await self._deployment.call(
                 self._random.choice(ENTRIES), method, PREFIX + name, body
             )
-        except (OSError, TimeoutError, IndexError, anyio.BrokenResourceError):
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             return None
 
     async def _trouble(self) -> None:
@@ -236,6 +237,7 @@
             async with anyio.create_task_group() as tasks:
                 await deployment.run(tasks, RUNNERS)
                 await day.play()
+                await deployment.close()
                 tasks.cancel_scope.cancel()
         finally:
             deployment.end()
