Order lasting tasks from their last end and occurrences from their due time

Cause: the queue order measured both against the acceptance of their job. Change: the order's inputs belong to a stage. An occurrence counts from its due time; a lasting task from its last end, with the target latency as objective, and it is never placed in the last class. Ruled out: takeover (the owner that restarted them had held the runner lost since 35 s); lack of room (the rule counts only where there is room for the task twice over).

--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -181,7 +181,7 @@
         if stage is not None:
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
-            stage.requeue(run)
+            stage.requeue(run, now)
             self._break_gang(stage, run)
         if reason in ("unhealthy", "room") and runner is not None:
             runner.suspend(now)
@@ -346,7 +346,7 @@
         if stage.spec.checkpoints and end.checkpoint and index not in stage.done:
             stage.checkpoints[index] = end.checkpoint
         if run is not None:
-            stage.requeue(run)
+            stage.requeue(run, now)
             self._break_gang(stage, run)
 
     def _break_gang(self, stage: Stage, run: Run) -> None:
@@ -362,7 +362,7 @@
         self._remove_run(run)
         stage = self._stage(run.task.stage)
         if stage is not None:
-            stage.requeue(run)
+            stage.requeue(run, now)
             self._break_gang(stage, run)
 
     def _remove_run(self, run: Run) -> None:
--- a/ragworttiller/scheduling/cell_view.py
+++ b/ragworttiller/scheduling/cell_view.py
@@ -53,7 +53,7 @@
 
 
 class JobView(TypedDict):
-    """An active job; ``age`` and ``slack`` to its objective are in seconds.
+    """An active job; ``age`` and the ``slack`` of its first unfinished stage are in seconds.
 
     ``wait`` is the reason of its first stage that waits for something other than its predecessors,
     empty if there is none.
@@ -109,15 +109,16 @@
 
     def _job(self, work: JobWork, now: float, wall: float) -> JobView:
         stages = work.stages.values()
-        inputs = work.order_inputs()
+        unfinished = [stage for stage in stages if not stage.complete] or list(stages)
+        inputs = work.order_inputs(unfinished[0], now, wall)
         reasons = [self.wait_reason(work, stage, now, wall) for stage in stages if stage.waiting]
         first = next((r for r in reasons if r is not WaitReason.PREDECESSORS), "")
         return JobView(
             job=work.id,
             queue=work.queue.key,
             priority=inputs.priority,
-            age=round(now - inputs.accepted_at, 3),
-            slack=round(inputs.accepted_at + inputs.objective - inputs.remaining - now, 3),
+            age=round(now - work.accepted_at, 3),
+            slack=round(inputs.since + inputs.objective - inputs.remaining - now, 3),
             waiting=sum(len(stage.waiting) for stage in stages),
             live=sum(len(stage.active_runs) for stage in stages),
             done=sum(len(stage.done) for stage in stages),
--- a/ragworttiller/scheduling/job_work.py
+++ b/ragworttiller/scheduling/job_work.py
@@ -81,16 +81,36 @@
         """Return the stages that a stage depends on."""
         return [self.stages[stage.id._replace(step=step)] for step in stage.spec.after]
 
-    def order_inputs(self) -> OrderInputs:
-        """Return the inputs of the queue order."""
-        ends: dict[StageId, float] = {}
-        for name, stage in self.stages.items():
-            start = max((ends[name._replace(step=s)] for s in stage.spec.after), default=0.0)
-            ends[name] = start if stage.complete else start + stage.spec.estimate
+    def order_inputs(self, stage: Stage, now: float, wall: float) -> OrderInputs:
+        """Return the inputs of the queue order for a stage.
+
+        An occurrence counts from its due time, and a lasting task from its last end.
+
+        Parameters
+        ----------
+        stage : Stage
+            Stage of the job.
+        now, wall : float
+            Time of the owner, and time of day in seconds since the epoch.
+        """
+        since = max(self.accepted_at, now + self.due(stage) - wall)
+        if stage.spec.daemon:
+            since = max(since, stage.requeued_at)
+            return OrderInputs(self.queue.priority, since, self.queue.target_latency, 0.0, True)
         objective = (
             self.queue.slack_factor * self.spec.critical_path_seconds + self.queue.target_latency
         )
-        return OrderInputs(self.queue.priority, self.accepted_at, objective, max(ends.values()))
+        remaining = self._remaining_seconds(stage.id.occurrence)
+        return OrderInputs(self.queue.priority, since, objective, remaining)
+
+    def _remaining_seconds(self, occurrence: int) -> float:
+        """Return the estimated duration of the longest unfinished chain of an occurrence."""
+        ends: list[float] = []
+        for step, spec in enumerate(self.spec.steps):
+            stage = self.stages[StageId(self.id, occurrence, step)]
+            start = max((ends[i] for i in spec.after), default=0.0)
+            ends.append(start if stage.complete else start + spec.estimate)
+        return max(ends)
 
     def progress(self) -> Progress:
         """Return the progress of the job to record."""
--- a/ragworttiller/scheduling/order.py
+++ b/ragworttiller/scheduling/order.py
@@ -11,24 +11,27 @@
 
 
 class OrderInputs(NamedTuple):
-    """Inputs of the queue order for one job; times are in seconds.
+    """Inputs of the queue order for one stage; times are in seconds.
 
-    ``objective`` is the time after ``accepted_at`` by which the job has to end to be on time, and
-    ``remaining`` the estimated duration of the longest chain of its unfinished steps.
+    ``objective`` is the time after ``since`` by which the occurrence of the stage has to end to be
+    on time, and ``remaining`` the estimated duration of the longest chain of its unfinished steps.
+    A stage that ``lasts`` has no end: its objective is the time after ``since`` by which its tasks
+    have to run again.
     """
 
     priority: int
-    accepted_at: float
+    since: float
     objective: float
     remaining: float
+    lasts: bool = False
 
 
 class QueueOrder(ABC):
-    """Order of the waiting jobs."""
+    """Order of the waiting stages."""
 
     @abstractmethod
     def key(self, inputs: OrderInputs, now: float) -> tuple[float, ...]:
-        """Return a sort key; jobs with smaller keys are placed first."""
+        """Return a sort key; stages with smaller keys are placed first."""
 
 
 class ArrivalOrder(QueueOrder):
@@ -36,22 +39,23 @@
 
     @override
     def key(self, inputs: OrderInputs, now: float) -> tuple[float, ...]:
-        return (inputs.priority, inputs.accepted_at)
+        return (inputs.priority, inputs.since)
 
 
 class SlackOrder(QueueOrder):
     """Order by priority, then by slack; late jobs come after those that can be on time.
 
     Jobs expected to end after `LATE_FACTOR` times their objective come last, whatever their
-    priority.
+    priority. A lasting task is worth as much after any wait, so it never does: it would otherwise
+    stand behind every other job for as long as the load lasts.
     """
 
     @override
     def key(self, inputs: OrderInputs, now: float) -> tuple[float, ...]:
         end = now + inputs.remaining
-        if end > inputs.accepted_at + LATE_FACTOR * inputs.objective:
-            return (1, inputs.priority, 2, inputs.accepted_at)
-        slack = inputs.accepted_at + inputs.objective - end
+        if not inputs.lasts and end > inputs.since + LATE_FACTOR * inputs.objective:
+            return (1, inputs.priority, 2, inputs.since)
+        slack = inputs.since + inputs.objective - end
         if slack < 0:
-            return (0, inputs.priority, 1, inputs.accepted_at)
+            return (0, inputs.priority, 1, inputs.since)
         return (0, inputs.priority, 0, slack)
--- a/ragworttiller/scheduling/runs.py
+++ b/ragworttiller/scheduling/runs.py
@@ -80,6 +80,11 @@
         Identifier of the stage.
     spec : StepSpec
         Step that the stage executes.
+
+    Attributes
+    ----------
+    requeued_at : float
+        Time in seconds at which the last run ended without completing its task.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec) -> None:
@@ -93,6 +98,7 @@
         self.last_failed_runner: dict[int, str] = {}
         self.tickets = Tickets()
         self.blocked_since: float | None = None
+        self.requeued_at = float("-inf")
         self._last_run_numbers: dict[int, int] = {}
 
     @property
@@ -156,7 +162,7 @@
         if number not in runs:
             runs.append(number)
 
-    def requeue(self, run: Run) -> None:
+    def requeue(self, run: Run, now: float) -> None:
         """Return the task of an ended run to the waiting tasks if the run is the active one."""
         index = run.task.ordinal
         if self.active_runs.get(index) is not run:
@@ -165,3 +171,4 @@
         if self.spec.checkpoints and run.checkpoint:
             self.checkpoints[index] = run.checkpoint
         self.waiting.append(index)
+        self.requeued_at = now
--- a/ragworttiller/scheduling/stage_planner.py
+++ b/ragworttiller/scheduling/stage_planner.py
@@ -90,10 +90,9 @@
         for work in jobs:
             if not work.open or self._takeover.blocks(work.row):
                 continue
-            stages = list(work.ready(wall))
-            if stages:
-                key = self._order.key(work.order_inputs(), now)
-                rows.extend((key, work, stage) for stage in stages)
+            for stage in work.ready(wall):
+                key = self._order.key(work.order_inputs(stage, now, wall), now)
+                rows.append((key, work, stage))
         rows.sort(key=lambda row: row[0])
         return [(work, stage) for _, work, stage in rows]
 
