Look for expected ends beside the long polls, and listen before the modules load

Cause: ends were noticed in batches. A long poll that got no answer left the owner blind to its runner for 1.5 s, and no long poll can be open while earlier ends wait to be stored, so a slow store did the same. Short runs were late by what passed between their end and its notice. Change: ExpectedEnds asks a runner again shortly after a run should have ended, on another connection, and sooner while orders go unanswered or ends wait to be stored; LongPollOnly is the baseline. Answers may now overtake each other: a list older than the newest one is not read, and an ended run is not brought back. A lost long poll or a single lost look no longer takes a sound runner out. entry.py opens the sockets and only then loads the rest; StartGate lets the first requests wait until the entry can answer, 0.8 s at most. Ruled out: the advisor (first advice within 0.1 s where the quick class was late), room (spread of starts below 0.1 s there); shorter leases, which a slow takeover would let lapse.

--- a/ragworttiller/connection/server.py
+++ b/ragworttiller/connection/server.py
@@ -12,13 +12,14 @@
 import uvicorn
 from typing_extensions import override
 
+from ragworttiller.listeners import LISTEN_BACKLOG, open_listener
+
 if TYPE_CHECKING:
     from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
     from ragworttiller.config.settings import TlsSettings
 
 
-LISTEN_BACKLOG = 2048
 KEEP_ALIVE_SECONDS = 30
 
 
@@ -60,6 +61,8 @@
         Seconds that requests in progress may take after `stop`.
     tls : TlsSettings, optional
         Files for HTTPS; without a certificate the server uses plain HTTP.
+    listener : socket, optional
+        Socket that listens on the address already.
     """
 
     def __init__(
@@ -68,9 +71,9 @@
         app: ASGIApp,
         drain_seconds: float,
         tls: TlsSettings | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
-        host, _, port = address.rpartition(":")
-        self._socket = _listen(host, int(port))
+        self._socket = listener or open_listener(address)
         self._app = _DrainMiddleware(app)
         config = uvicorn.Config(
             self._app,
@@ -114,12 +117,3 @@
     def stop(self) -> None:
         """Accept no new connections; `run` returns when the last request is answered."""
         self._server.should_exit = True
-
-
-def _listen(host: str, port: int) -> socket.socket:
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # asyncio sets TCP_NODELAY only on sockets created with an explicit protocol.
-    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host.strip("[]"), port))
-    return sock
--- a/ragworttiller/entry.py
+++ b/ragworttiller/entry.py
@@ -3,36 +3,22 @@
 from __future__ import annotations
 
 import argparse
-import logging
 import os
-import signal
-import sys
 from pathlib import Path
 
-import anyio
+from ragworttiller.listeners import open_entry_listeners
 
-from ragworttiller import logs
-from ragworttiller.config.entry import EntrySettings, load_entry
-from ragworttiller.exceptions import SettingsInvalid
-from ragworttiller.scheduling.clock import LeaseClock
-from ragworttiller.scheduling.entry_node import EntryNode
-
-log = logging.getLogger(__name__)
-
-EXIT_SETTINGS = 2
 SETTINGS_VARIABLE = "RAGWORTTILLER_CONFIG"
 
 
 def main() -> None:
-    """Run an entry until SIGTERM or SIGINT, then stop it gracefully."""
+    """Listen for callers, then load the other modules and run the entry."""
     path = _arguments().config
-    try:
-        settings = load_entry(path)
-    except SettingsInvalid as exc:
-        sys.stderr.write(f"{exc}\n")
-        sys.exit(EXIT_SETTINGS)
-    logs.set_up(settings.log.level, settings.log.format, settings.instance.name, sys.stdout)
-    anyio.run(_serve, settings, path)
+    listeners = open_entry_listeners(path)
+    # Loading takes a large part of the start, in which callers would be refused.
+    from ragworttiller.entry_process import run_entry
+
+    run_entry(path, listeners)
 
 
 def _arguments() -> argparse.Namespace:
@@ -48,34 +34,5 @@
     return parser.parse_args()
 
 
-async def _serve(settings: EntrySettings, path: Path) -> None:
-    node = EntryNode(settings, LeaseClock())
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_handle_signals, node, path)
-        await node.run()
-        tasks.cancel_scope.cancel()
-
-
-async def _handle_signals(node: EntryNode, path: Path) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for number in signals:
-            if number is signal.SIGHUP:
-                _reload(path)
-            else:
-                log.info("shutdown signal received", extra={"signal": number.name})
-                node.stop()
-
-
-def _reload(path: Path) -> None:
-    """Check the settings again and apply the log level; other changes need a restart."""
-    try:
-        settings = load_entry(path)
-    except SettingsInvalid as exc:
-        log.error("settings not reloaded", extra={"problems": str(exc)})
-        return
-    logging.getLogger().setLevel(settings.log.level.upper())
-    log.info("settings reloaded", extra={"level": settings.log.level})
-
-
 if __name__ == "__main__":
     main()
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -97,7 +97,14 @@
         self._channels = channels or ChannelSet(address, ORDER_TIMEOUT_SECONDS)
         self._headers = [(INSTANCE_HEADER, runner), ("content-type", "application/json")]
 
-    async def hold(self, token: int, seen: int, deadline: float | None, wait: float) -> HoldAnswer:
+    async def hold(
+        self,
+        token: int,
+        seen: int,
+        deadline: float | None,
+        wait: float,
+        timeout: float | None = None,
+    ) -> HoldAnswer:
         """Renew the lease of all running tasks and return running tasks and ended runs.
 
         Parameters
@@ -110,6 +117,8 @@
             End of the lease on the runner's clock, in seconds; by default it is not changed.
         wait : float
             Seconds to wait for a run to end.
+        timeout : float, optional
+            Seconds to wait for the answer; by default as for other orders, after ``wait``.
 
         Raises
         ------
@@ -122,7 +131,7 @@
             body["wait_ms"] = int(wait * 1000)
         if deadline is not None:
             body["deadline_ms"] = int(deadline * 1000)
-        answer = await self._send_order("/-/hold", body, wait)
+        answer = await self._send_order("/-/hold", body, wait, timeout)
         running = [_decode_running(row) for row in answer.running]
         ended = [_decode_ended(row) for row in answer.ended_runs]
         return HoldAnswer(
--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/callers.py
@@ -41,6 +41,9 @@
 MAX_RELAY_ATTEMPTS = 2
 STALE_AGE_SECONDS = 1.4
 AVOID_UNRESPONSIVE_ENTRY_SECONDS = 3.0
+# Time that an entry with a reachable store needs at most to read configuration and jobs.
+MAX_START_SECONDS = 0.8
+READY_CHECK_SECONDS = 0.02
 # Code of a reply whose body is a later configuration than the one of the relaying entry.
 LATER_CONFIGURATION = "later_configuration"
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
@@ -315,6 +318,38 @@
             return error_reply(exc)
 
 
+class StartGate(Callers):
+    """Lets the first requests wait until a starting entry can answer.
+
+    Load pattern: callers whose connections were queued while the process loaded. The wait ends a
+    fixed time after the start of the entry: if it is not ready by then, the store is out of reach.
+
+    Parameters
+    ----------
+    callers : Callers
+        Answers the requests.
+    ready : Callable
+        Returns whether the entry can answer.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, callers: Callers, ready: Callable[[], bool], clock: Clock) -> None:
+        self._callers = callers
+        self._ready = ready
+        self._clock = clock
+        self._opens_at = clock.now() + MAX_START_SECONDS
+
+    @override
+    async def answer(self, request: CallerRequest) -> CallerReply:
+        received_at = self._clock.now()
+        end = min(self._opens_at, received_at + request.timeout)
+        while not self._ready() and self._clock.now() < end:
+            await self._clock.sleep(READY_CHECK_SECONDS)
+        waited = self._clock.now() - received_at
+        return await self._callers.answer(request._replace(timeout=request.timeout - waited))
+
+
 def error_reply(exc: RagworttillerError) -> CallerReply:
     """Return the answer that reports an error to a caller."""
     return CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -11,6 +11,7 @@
 from ragworttiller.scheduling.job_fold import JobFold
 from ragworttiller.scheduling.job_work import JobWork
 from ragworttiller.scheduling.jobs import StageId, StepSpec, TaskId
+from ragworttiller.scheduling.observation import ExpectedEnds, ObservationPolicy
 from ragworttiller.scheduling.order import QueueOrder, SlackOrder
 from ragworttiller.scheduling.orders import Changes, PendingStops, Plan, run_fields
 from ragworttiller.scheduling.placement import FastTightFit, PlacementPolicy
@@ -51,6 +52,8 @@
         Duration of the granted leases, in seconds.
     order, placement, candidate_policy : QueueOrder, PlacementPolicy, CandidatePolicy
         Scheduling policies; the production policies by default.
+    observation : ObservationPolicy
+        Chooses when to look at a runner beside the long poll; `ExpectedEnds` by default.
     """
 
     def __init__(
@@ -64,7 +67,9 @@
         order: QueueOrder | None = None,
         placement: PlacementPolicy | None = None,
         candidate_policy: CandidatePolicy | None = None,
+        observation: ObservationPolicy | None = None,
     ) -> None:
+        self._observation = observation or ExpectedEnds()
         self._epoch = epoch
         self._job_fold = jobs
         self._config = config
@@ -150,16 +155,21 @@
     def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
         """Apply a runner's answer to a hold: its clock, its ended tasks and its running tasks."""
         first = not runner.has_answered
-        runner.record_answer(answer.clock, now)
+        newest = runner.record_answer(answer.clock, now)
         if first:
             runner.assume_earlier_lease(self._lease, now)
         self._takeover.resolve(runner.id)
         for end in sorted(answer.ended):
             if end.number > runner.last_end_seen:
                 runner.last_end_seen = end.number
+                runner.record_end(end.task, end.run)
                 self._apply_end(runner, end, now)
+        if not newest:
+            return
         listed = set()
         for row in answer.running:
+            if runner.has_ended(row.task, row.run):
+                continue
             listed.add((row.task, row.run))
             self._apply_running(runner, row, now)
         self._expire_starts(runner, answer.clock, listed)
@@ -195,10 +205,37 @@
             self._stops.add(run, "runner drains")
         for run in self._pool.filling_runs_to_stop():
             self._stops.add(run, "serving task on the runner")
-        plan = Plan([], self._stops.due(now), [])
+        plan = Plan([], self._stops.due(now), [], self._looks_due(now))
         self._planner.plan(plan, self._jobs.values(), now, wall)
         return plan
 
+    def _looks_due(self, now: float) -> list[RunnerState]:
+        return [
+            runner
+            for runner in self.runners.values()
+            if not runner.look_in_flight and self._observation.look_due(runner, now)
+        ]
+
+    def record_no_answer(self, runner: RunnerState, sent_at: float, now: float) -> None:
+        """Count an order that a runner did not answer, unless it has answered a later one.
+
+        Parameters
+        ----------
+        runner : RunnerState
+            Runner that did not answer.
+        sent_at, now : float
+            Time of the order and current time, in seconds.
+        """
+        self._observation.record_unanswered(now)
+        if runner.last_answer_at <= sent_at:
+            self._pool.record_no_answer(runner)
+
+    def record_unanswered_look(self, runner: RunnerState, sent_at: float, now: float) -> None:
+        """Record a look that a runner did not answer; see `record_no_answer`."""
+        self._observation.record_unanswered(now)
+        if runner.last_answer_at <= sent_at and runner.record_unanswered_look():
+            self._pool.record_no_answer(runner)
+
     def set_entries(self, names: list[str]) -> None:
         """Set the entries among which calls to the advisor are distributed."""
         self._planner.loads.set_entries(names)
@@ -279,6 +316,7 @@
         stage = self._stage(row.task.stage)
         index = row.task.ordinal
         run = Run(row.task, row.run, runner.id, self._step_spec(row.task), now)
+        run.measure_progress_from_next_report()
         run.state = RunState.RUNNING
         runner.add(run)
         work = self._jobs.get(row.task.stage.job)
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+import socket
 
 import anyio
 
@@ -14,7 +15,7 @@
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.acceptance import Acceptance
-from ragworttiller.scheduling.callers import LocalCallers, RelayingCallers
+from ragworttiller.scheduling.callers import LocalCallers, RelayingCallers, StartGate
 from ragworttiller.scheduling.cell_host import CellHost
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
@@ -48,9 +49,17 @@
         Checked settings.
     clock : Clock
         Source of time.
+    listeners : dict, optional
+        Sockets that listen already, by the name of the setting that holds their address.
     """
 
-    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        listeners: dict[str, socket.socket] | None = None,
+    ) -> None:
+        self._listeners = listeners or {}
         self._settings = settings
         self._clock = clock
         instance = settings.instance
@@ -111,17 +120,18 @@
         self._metrics.counter(
             "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
         )
-        self._callers = CallerApp(relaying, lambda: self._acceptance.max_body, self._metrics, clock)
+        gate = StartGate(relaying, lambda: self._acceptance.ready, clock)
+        self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
         self._stopping = anyio.Event()
 
     async def run(self) -> None:
         """Serve until `stop`, then finish requests in progress."""
         instance = self._settings.instance
-        callers = HttpServer(instance.callers_address, self._callers, CLOSE_TIMEOUT_SECONDS)
+        callers = self._server("callers_address", instance.callers_address, self._callers)
         ready_app = ReadyApp(
             self._unready_reasons, self._metrics.exposition, self._operators.answer
         )
-        balancer = HttpServer(instance.readiness_address, ready_app, CLOSE_TIMEOUT_SECONDS)
+        balancer = self._server("readiness_address", instance.readiness_address, ready_app)
         log.info(
             "entry started",
             extra={"incarnation": self._incarnation, "settings": instance._asdict()},
@@ -145,6 +155,10 @@
             tasks.cancel_scope.cancel()
         log.info("entry stopped", extra={"incarnation": self._incarnation})
 
+    def _server(self, setting: str, address: str, app: CallerApp | ReadyApp) -> HttpServer:
+        listener = self._listeners.get(setting)
+        return HttpServer(address, app, CLOSE_TIMEOUT_SECONDS, listener=listener)
+
     def stop(self) -> None:
         """Begin a graceful shutdown."""
         self._stopping.set()
--- a/ragworttiller/scheduling/orders.py
+++ b/ragworttiller/scheduling/orders.py
@@ -7,6 +7,7 @@
 from ragworttiller.scheduling.advice import AdviceCall
 from ragworttiller.scheduling.jobs import TaskId
 from ragworttiller.scheduling.records import Progress
+from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.runs import Run, RunState
 
 STOP_RETRY_SECONDS = 0.5
@@ -29,11 +30,12 @@
 
 
 class Plan(NamedTuple):
-    """Starts, stops and calls to the advisor that are due now."""
+    """Starts, stops, calls to the advisor and looks at runners that are due now."""
 
     starts: list[StartOrder]
     stops: list[StopOrder]
     calls: list[AdviceCall]
+    looks: list[RunnerState]
 
 
 class Changes(NamedTuple):
--- a/ragworttiller/scheduling/owner.py
+++ b/ragworttiller/scheduling/owner.py
@@ -18,7 +18,7 @@
     RagworttillerError,
     RunnerGone,
 )
-from ragworttiller.platform.runners import RunnerClient, Start
+from ragworttiller.platform.runners import HoldAnswer, RunnerClient, Start
 from ragworttiller.platform.store import KeyedRecord, Producer, Store
 from ragworttiller.scheduling.advice import Advice, AdviceCall
 from ragworttiller.scheduling.cell import Cell
@@ -40,6 +40,8 @@
 
 HOLD_WAIT_SECONDS = 0.8
 HOLD_RETRY_SECONDS = 0.1
+# A look returns at once, so a missing answer was lost rather than late.
+LOOK_TIMEOUT_SECONDS = 0.25
 RECORDING_WAIT_SECONDS = 0.5
 MIN_PLAN_INTERVAL_SECONDS = 0.004
 MAX_PLAN_INTERVAL_SECONDS = 0.1
@@ -194,6 +196,9 @@
             self._spawn(self._stop, stop)
         for call in plan.calls:
             self._spawn(self._advise, call)
+        for runner in plan.looks:
+            runner.look_in_flight, runner.last_look_at = True, self._clock.now()
+            self._spawn(self._look, runner)
 
     def _spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
         if self._tasks is not None:
@@ -221,7 +226,7 @@
             log.info("start order refused", extra={**extra, "why": reason})
             cell.mark_start_refused(run, reason, self._clock.now())
             if reason == "unreachable":
-                cell.pool.record_no_answer(runner)
+                cell.record_no_answer(runner, run.started_at, self._clock.now())
         except OrderUndecided:
             log.info("start order undecided", extra=extra)
         except AppendFenced:
@@ -309,17 +314,42 @@
         except RunnerGone:
             cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
         except (OrderRefused, OrderUndecided):
-            cell.pool.record_no_answer(runner)
+            cell.record_no_answer(runner, now + wait, self._clock.now())
             await self._clock.sleep(HOLD_RETRY_SECONDS)
         else:
-            if held.unreadable:
-                extra = {"runner": runner.id, "rows": held.unreadable}
-                log.warning("unreadable task rows of a runner skipped", extra=extra)
-            cell.apply_hold_answer(runner, held, self._clock.now())
-            if runner.has_unrecorded_ends:
-                self._commit_requested.set()
+            self._apply_hold_answer(runner, held)
         self.request_plan()
 
+    async def _look(self, runner: RunnerState) -> None:
+        """Ask a runner for its ended runs beside the long poll, which may be lost."""
+        client, sent_at = self._clients.get(runner.id), self._clock.now()
+        try:
+            if client is None or not self._term.valid:
+                return
+            held = await client.hold(
+                self._term.epoch, runner.last_end_recorded, None, 0.0, LOOK_TIMEOUT_SECONDS
+            )
+        except AppendFenced:
+            self._end_fenced_term(runner.id)
+        except RunnerGone:
+            self._cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+        except (OrderRefused, OrderUndecided) as exc:
+            log.info("look at a runner unanswered", extra={"runner": runner.id, "why": exc.code})
+            self._cell.record_unanswered_look(runner, sent_at, self._clock.now())
+        else:
+            self._apply_hold_answer(runner, held)
+        finally:
+            runner.look_in_flight = False
+        self.request_plan()
+
+    def _apply_hold_answer(self, runner: RunnerState, held: HoldAnswer) -> None:
+        if held.unreadable:
+            extra = {"runner": runner.id, "rows": held.unreadable}
+            log.warning("unreadable task rows of a runner skipped", extra=extra)
+        self._cell.apply_hold_answer(runner, held, self._clock.now())
+        if runner.has_unrecorded_ends:
+            self._commit_requested.set()
+
     async def _wait_recorded(self, runner: RunnerState) -> None:
         """Wait until the effects of a runner's ended runs are stored.
 
--- a/ragworttiller/scheduling/runner_state.py
+++ b/ragworttiller/scheduling/runner_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ragworttiller.platform.listing import RunnerEntry
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.jobs import TaskId
@@ -15,6 +17,9 @@
 FAILURES_TO_SUSPEND = 2
 SUSPEND_STEP_SECONDS = 3.0
 MAX_SUSPEND_SECONDS = 12.0
+# Consecutive unanswered looks that count as a missed call: single ones are lost on the way.
+LOOKS_PER_MISS = 2
+MAX_RECENT_ENDS = 500
 
 
 class RunnerState:
@@ -39,6 +44,10 @@
         Time at which a draining runner may shut down.
     last_end_seen, last_end_recorded : int
         Number of the last end that was processed, and of the last whose effects are stored.
+    look_in_flight : bool
+        Whether a look beside the long poll has no answer yet.
+    last_look_at : float
+        Time at which the last look was sent.
     """
 
     def __init__(self, entry: RunnerEntry) -> None:
@@ -50,6 +59,8 @@
         self.misses = 0
         self.last_end_seen = 0
         self.last_end_recorded = 0
+        self.look_in_flight = False
+        self.last_look_at = float("-inf")
         self.last_answer_at = float("-inf")
         self.suspended_until = 0.0
         self.leaves_at = float("inf")
@@ -61,6 +72,8 @@
         self._filling_runs = 0
         self._clock_reading: tuple[float, float] | None = None
         self._lease_end = 0.0
+        self._unanswered_looks = 0
+        self._recent_ends: deque[tuple[TaskId, int]] = deque(maxlen=MAX_RECENT_ENDS)
 
     @property
     def id(self) -> str:
@@ -133,12 +146,36 @@
             and now >= self.suspended_until
         )
 
-    def record_answer(self, clock: float, now: float) -> None:
-        """Record an answer of the runner with its clock reading, in seconds."""
-        self._clock_reading = (clock, now)
+    def record_answer(self, clock: float, now: float) -> bool:
+        """Record an answer with the runner's clock reading, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the answer is at least as recent as those before. Answers on different
+            connections may overtake each other.
+        """
         self.last_answer_at = now
         self.misses = 0
         self.lost = False
+        self._unanswered_looks = 0
+        if self._clock_reading is not None and clock < self._clock_reading[0]:
+            return False
+        self._clock_reading = (clock, now)
+        return True
+
+    def record_unanswered_look(self) -> bool:
+        """Record a look without an answer and return whether it counts as a missed call."""
+        self._unanswered_looks += 1
+        return self._unanswered_looks % LOOKS_PER_MISS == 0
+
+    def record_end(self, task: TaskId, run: int) -> None:
+        """Record that a run has ended, so that reports from before its end are not believed."""
+        self._recent_ends.append((task, run))
+
+    def has_ended(self, task: TaskId, run: int) -> bool:
+        """Return whether a run was reported as ended."""
+        return (task, run) in self._recent_ends
 
     def clock_at(self, now: float) -> float:
         """Return an estimate of the runner's clock, in seconds."""
--- a/ragworttiller/scheduling/runs.py
+++ b/ragworttiller/scheduling/runs.py
@@ -10,6 +10,7 @@
 from ragworttiller.scheduling.tickets import Tickets
 
 RUNS_PER_EPOCH = 10_000
+MIN_PERCENT_FOR_ESTIMATE = 5
 
 
 class RunState(StrEnum):
@@ -45,6 +46,7 @@
         self.checkpoint = ""
         self.percent = 0.0
         self.progressed_at = now
+        self._progress_base: tuple[float, float] | None = (0.0, now)
         self.load = 0.0
 
     @property
@@ -57,11 +59,34 @@
         """Task and run number, which identify the run on its runner."""
         return self.task, self.number
 
+    @property
+    def expected_end(self) -> float:
+        """Time at which the run should end: from its progress, or its estimate if there is none."""
+        if self._progress_base is None:
+            return self.started_at + self.spec.estimate
+        base_percent, base_at = self._progress_base
+        gained, elapsed = self.percent - base_percent, self.progressed_at - base_at
+        if gained < MIN_PERCENT_FOR_ESTIMATE or elapsed <= 0:
+            return self.started_at + self.spec.estimate
+        return self.progressed_at + elapsed * (100 - self.percent) / gained
+
+    def resume(self, checkpoint: str) -> None:
+        """Start from a checkpoint, empty for none."""
+        self.checkpoint = checkpoint
+        if checkpoint:
+            self.measure_progress_from_next_report()
+
+    def measure_progress_from_next_report(self) -> None:
+        """Leave out work that was done before this owner observed the run."""
+        self._progress_base = None
+
     def observe(self, percent: float, checkpoint: str, load: float, now: float) -> None:
         """Update the run from a report of its runner."""
         if self.state is RunState.STARTING:
             self.state = RunState.RUNNING
             self.progressed_at = now
+        if self._progress_base is None:
+            self._progress_base = (percent, now)
         if percent != self.percent:
             self.percent, self.progressed_at = percent, now
         self.checkpoint = checkpoint or self.checkpoint
@@ -134,7 +159,7 @@
         number = number or self.next_number(index, epoch)
         self._last_run_numbers[index] = number
         run = Run(TaskId(self.id, index), number, runner, self.spec, now)
-        run.checkpoint = self.checkpoints.get(index, "")
+        run.resume(self.checkpoints.get(index, ""))
         self.active_runs[index] = run
         return run
 
--- a/ragworttiller/scheduling/stage_planner.py
+++ b/ragworttiller/scheduling/stage_planner.py
@@ -130,7 +130,7 @@
             runner = self._pool.runners[name]
             run = stage.start(index, name, self._epoch, now, number)
             if checkpoint is not None:
-                run.checkpoint = checkpoint
+                run.resume(checkpoint)
             run.start_deadline = runner.clock_at(now) + START_DEADLINE_SECONDS
             runner.add(run)
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -17,6 +18,7 @@
 from ragworttiller.__main__ import app
 from ragworttiller.config.entry import load_entry
 from ragworttiller.exceptions import SettingsInvalid
+from ragworttiller.listeners import open_entry_listeners
 from standins.platform.deployment import ROOT, Deployment, render, settings_fields
 from tests.scheduling_rig import job_body, step
 
@@ -196,7 +198,7 @@
 
     def test_the_entry_imports_no_command_line_tool(self):
         code = (
-            "import sys, ragworttiller.entry;"
+            "import sys, ragworttiller.entry, ragworttiller.entry_process;"
             "print([m for m in ('typer', 'rich', 'starlette') if m in sys.modules])"
         )
         found = subprocess.run(
@@ -204,6 +206,36 @@
         )
         assert found.stdout.strip() == "[]"
 
+    def test_connections_are_accepted_before_the_other_modules_load(self):
+        code = (
+            "import sys, ragworttiller.entry;"
+            "print([m for m in ('anyio', 'uvicorn', 'asyncio', 'msgspec') if m in sys.modules])"
+        )
+        found = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+        )
+        assert found.stdout.strip() == "[]"
+
+
+class TestEntryListeners:
+    def test_both_addresses_of_an_entry_listen(self, tmp_path: Path):
+        path = tmp_path / "settings.ini"
+        path.write_text("[instance]\ncallers_address = 127.0.0.1:0\n")
+        listeners = open_entry_listeners(path)
+        with listeners["callers_address"] as listener:
+            with socket.create_connection(listener.getsockname(), 1.0):
+                pass
+            assert set(listeners) == {"callers_address"}
+
+    @pytest.mark.parametrize(
+        "text", ["", "no section", "[instance]\ncallers_address = x", "[instance]\n%"]
+    )
+    def test_settings_that_cannot_be_read_open_nothing(self, tmp_path: Path, text: str):
+        path = tmp_path / "settings.ini"
+        path.write_text(text)
+        assert open_entry_listeners(path) == {}
+        assert open_entry_listeners(tmp_path / "missing") == {}
+
 
 class TestEntrySettings:
     def test_the_settings_template_is_valid(self, tmp_path: Path):
