Free and reserve room for constrained stages, and keep room for urgent arrivals

Cause: archive-compress, whose tasks need 31 cores and up to all accelerators of one of the few runners that they are allowed on, was the worst class: small dedup tasks with four times their work to spare lay scattered on the same runners, tickets were renewed each 2.8 s whether room was near or not, and nothing was preempted. Change: CheckpointedVictims stops checkpointed runs of less urgent jobs that can still be on time, where the urgent one could not be, never a member of a gang, a lasting or nearly finished run, at most twice a task. RoomMaker reserves room that is expected within 1.5 s, for stages that at most a third of an upstream's runners may run, and names only those runners in renewed calls. FastTightFit packs accelerators. ArrivalHeadroom lets patient stages wait a small share of their objective while urgent arrivals would use up what is free. Each has a baseline; policies are chosen by name in the settings, stop and restore times come from the template. A takeover reads runners beside the jobs, and catching up ends with the read that reaches the end.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -36,9 +36,22 @@
 class EntryBounds(NamedTuple):
     """Bounds that the platform sets."""
 
-    longest_lease_ms: float
-    shutdown_grace_s: float
-    status_s: float
+    longest_lease_ms: float = 6000.0
+    shutdown_grace_s: float = 6.0
+    status_s: float = 120.0
+    stop_grace_ms: float = 900.0
+    restore_ms: float = 250.0
+
+
+class EntryPolicies(NamedTuple):
+    """Names of the policies by which the owner of the cell decides."""
+
+    order: str = "slack"
+    placement: str = "fast_tight_fit"
+    candidates: str = "useful"
+    observation: str = "expected_ends"
+    preemption: str = "checkpointed"
+    headroom: str = "arrivals"
 
 
 class EntryLog(NamedTuple):
@@ -54,6 +67,7 @@
     instance: EntryInstance
     platform: EntryPlatform
     bounds: EntryBounds
+    policies: EntryPolicies
     log: EntryLog
 
 
@@ -61,6 +75,10 @@
     return Number(name, help, low=0.0, high=3_600_000.0, unit="milliseconds", default=default)
 
 
+def _policy(name: str, help: str, default: str, *others: str) -> Choice:
+    return Choice(name, help, choices=(default, *others), default=default)
+
+
 SECTIONS = (
     Section(
         "instance",
@@ -129,6 +147,28 @@
                 unit="seconds",
                 default="120",
             ),
+            _milliseconds(
+                "stop_grace_ms", "Longest time that a runner takes to stop a run.", "900"
+            ),
+            _milliseconds("restore_ms", "Time that a run takes to resume.", "250"),
+        ],
+    ),
+    Section(
+        "policies",
+        "Policies by which the owner of the cell decides; each has a simple one to compare with.",
+        EntryPolicies,
+        [
+            _policy("order", "Order of the waiting stages.", "slack", "arrival"),
+            _policy("placement", "Choice of a runner for a task.", "fast_tight_fit", "first_fit"),
+            _policy("candidates", "Runners that a call to the advisor names.", "useful", "all"),
+            _policy(
+                "observation",
+                "Looks at runners beside the long polls.",
+                "expected_ends",
+                "long_poll_only",
+            ),
+            _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
+            _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
         ],
     ),
     Section(
--- a/ragworttiller/scheduling/advice_planner.py
+++ b/ragworttiller/scheduling/advice_planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from ragworttiller.scheduling.advice import (
     AdviceCall,
@@ -14,7 +14,7 @@
 from ragworttiller.scheduling.job_work import JobWork
 from ragworttiller.scheduling.placement import suits
 from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Run, RunState, Stage
+from ragworttiller.scheduling.runs import RunState, Stage
 
 # The advisor is called for the first stages of a queue before a runner has room for them: for one
 # stage per RUNNERS_PER_STAGE_AHEAD usable runners, but at least for MIN_STAGES_AHEAD.
@@ -24,7 +24,6 @@
 CALL_GRACE_SECONDS = 2.0
 # Delay before a stage with sufficient tickets is checked again, unless a runner has room.
 RECHECK_DELAY_SECONDS = 0.05
-MIN_PERCENT_FOR_ESTIMATE = 5
 
 
 class AdvicePlanner:
@@ -61,8 +60,22 @@
         self._calls, self._usable, self._now = calls, usable, now
         self._blocked.clear()
 
+    def looks_ahead(self, work: JobWork) -> bool:
+        """Return whether the next blocked stage of a queue is called for before it has room."""
+        max_stages = max(MIN_STAGES_AHEAD, len(self._usable) // RUNNERS_PER_STAGE_AHEAD)
+        return self._blocked[work.queue.name] < max_stages
+
+    def call_seconds(self, work: JobWork) -> float:
+        """Return how long before a start a ticket for one runner has to be asked for."""
+        cost = work.queue.advice
+        return 0.0 if cost is None else call_duration(cost, 1) + AHEAD_MARGIN_SECONDS
+
     def plan_for_blocked(
-        self, work: JobWork, stage: Stage, with_room: Sequence[RunnerState]
+        self,
+        work: JobWork,
+        stage: Stage,
+        with_room: Sequence[RunnerState],
+        room_soon: Collection[str] | None,
     ) -> None:
         """Plan a call for a stage of which not all tasks could be placed.
 
@@ -72,16 +85,20 @@
             The stage and its job; stages are passed in queue order.
         with_room : sequence of RunnerState
             Runners that meet the rules of the stage and have room for one of its tasks.
+        room_soon : collection of str or None
+            Runners on which a task of the stage will fit by the time that a call is answered, None
+            if any runner may be the next.
         """
-        max_stages_ahead = max(MIN_STAGES_AHEAD, len(self._usable) // RUNNERS_PER_STAGE_AHEAD)
-        ahead = self._blocked[work.queue.name] < max_stages_ahead
+        ahead = self.looks_ahead(work)
         self._blocked[work.queue.name] += 1
         if not self._may_plan_call(work, stage):
             return
         if with_room and not ahead:
             self._plan_call(work, stage, with_room, False)
         elif ahead and (with_room or stage.tickets.recheck_at <= self._now):
-            self._plan_call_ahead(work, stage)
+            if room_soon is not None:
+                room_soon = {*room_soon, *(runner.id for runner in with_room)}
+            self._plan_call_ahead(work, stage, room_soon)
 
     def plan_for_successors(self, jobs: Iterable[JobWork]) -> None:
         """Plan calls for stages whose predecessors are about to end."""
@@ -101,10 +118,21 @@
     def _may_plan_call(self, work: JobWork, stage: Stage) -> bool:
         return work.queue.advice is not None and stage.tickets.call_deadline <= self._now
 
-    def _plan_call_ahead(self, work: JobWork, stage: Stage) -> None:
-        """Plan a call that includes runners without room, or delay the next check if none helps."""
-        upstream = work.queue.upstream
-        suitable = [runner for runner in self._usable if suits(runner, upstream, stage.spec)]
+    def _plan_call_ahead(
+        self, work: JobWork, stage: Stage, room_soon: Collection[str] | None = None
+    ) -> None:
+        """Plan a call that includes runners without room, or delay the next check if none helps.
+
+        Of the runners that are known to be allowed, only those in ``room_soon`` are named, since
+        tickets expire; by default all are.
+        """
+        upstream, allowed = work.queue.upstream, stage.tickets.allowed
+        suitable = [
+            runner
+            for runner in self._usable
+            if suits(runner, upstream, stage.spec)
+            and (room_soon is None or runner.id not in allowed or runner.id in room_soon)
+        ]
         if not self._plan_call(work, stage, suitable, True):
             stage.tickets.recheck_at = self._now + RECHECK_DELAY_SECONDS
 
@@ -134,14 +162,6 @@
             for run in predecessor.active_runs.values():
                 if run.state is not RunState.RUNNING:
                     return False
-                if _remaining_seconds(run, predecessor, self._now) > seconds:
+                if run.expected_end - self._now > seconds:
                     return False
         return True
-
-
-def _remaining_seconds(run: Run, stage: Stage, now: float) -> float:
-    """Return the estimated remaining duration of a run, in seconds."""
-    elapsed = run.progressed_at - run.started_at
-    if run.percent >= MIN_PERCENT_FOR_ESTIMATE and elapsed > 0:
-        return elapsed * (100 - run.percent) / run.percent - (now - run.progressed_at)
-    return stage.spec.estimate - (now - run.started_at)
--- a/ragworttiller/scheduling/cell.py
+++ b/ragworttiller/scheduling/cell.py
@@ -6,16 +6,15 @@
 
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
 from ragworttiller.resources import NO_RESOURCES
-from ragworttiller.scheduling.advice import AdviceCall, CandidatePolicy, UsefulCandidates
+from ragworttiller.scheduling.advice import AdviceCall
+from ragworttiller.scheduling.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.job_fold import JobFold
 from ragworttiller.scheduling.job_work import JobWork
 from ragworttiller.scheduling.jobs import StageId, StepSpec, TaskId
-from ragworttiller.scheduling.observation import ExpectedEnds, ObservationPolicy
-from ragworttiller.scheduling.order import QueueOrder, SlackOrder
 from ragworttiller.scheduling.orders import Changes, PendingStops, Plan, run_fields
-from ragworttiller.scheduling.placement import FastTightFit, PlacementPolicy
 from ragworttiller.scheduling.records import JobState
+from ragworttiller.scheduling.room_maker import RoomMaker
 from ragworttiller.scheduling.runner_fold import RunnerFold
 from ragworttiller.scheduling.runner_pool import RunnerPool
 from ragworttiller.scheduling.runner_state import RunnerState
@@ -50,10 +49,8 @@
         Runners on which an earlier owner's tasks may still run.
     lease : float
         Duration of the granted leases, in seconds.
-    order, placement, candidate_policy : QueueOrder, PlacementPolicy, CandidatePolicy
-        Scheduling policies; the production policies by default.
-    observation : ObservationPolicy
-        Chooses when to look at a runner beside the long poll; `ExpectedEnds` by default.
+    policies : CellPolicies, optional
+        Scheduling policies; those of the default settings by default.
     """
 
     def __init__(
@@ -64,12 +61,10 @@
         runners: RunnerFold,
         takeover: Takeover,
         lease: float = LEASE_SECONDS,
-        order: QueueOrder | None = None,
-        placement: PlacementPolicy | None = None,
-        candidate_policy: CandidatePolicy | None = None,
-        observation: ObservationPolicy | None = None,
+        policies: CellPolicies | None = None,
     ) -> None:
-        self._observation = observation or ExpectedEnds()
+        policies = policies or default_policies()
+        self._observation = policies.observation
         self._epoch = epoch
         self._job_fold = jobs
         self._config = config
@@ -88,9 +83,11 @@
             self._pool,
             takeover,
             self._speeds,
-            order or SlackOrder(),
-            placement or FastTightFit(),
-            candidate_policy or UsefulCandidates(),
+            policies.order,
+            policies.placement,
+            policies.candidates,
+            RoomMaker(self._stops, policies.victims, policies.stop_seconds),
+            policies.headroom,
         )
         jobs.touched |= set(jobs.jobs)
 
@@ -205,8 +202,9 @@
             self._stops.add(run, "runner drains")
         for run in self._pool.filling_runs_to_stop():
             self._stops.add(run, "serving task on the runner")
-        plan = Plan([], self._stops.due(now), [], self._looks_due(now))
-        self._planner.plan(plan, self._jobs.values(), now, wall)
+        plan = Plan([], [], [], self._looks_due(now))
+        self._planner.plan(plan, self._jobs, now, wall)
+        plan.stops.extend(self._stops.due(now))
         return plan
 
     def _looks_due(self, now: float) -> list[RunnerState]:
--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/cell_host.py
@@ -5,11 +5,14 @@
 import logging
 from collections.abc import Callable
 
-from ragworttiller.exceptions import RagworttillerError
+import anyio
+
+from ragworttiller.exceptions import LogUnavailable, RagworttillerError
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.platform.store import RUNNERS_TOPIC, Partition, Store
 from ragworttiller.scheduling.advice import Advice
 from ragworttiller.scheduling.cell import LEASE_SECONDS, Cell
+from ragworttiller.scheduling.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.feed import Feed
@@ -58,6 +61,8 @@
         Seconds for which callers can query the state of an ended job.
     standbys : Standbys, optional
         Entries that receive heartbeats while this one owns the cell; none by default.
+    policies : Callable
+        Returns new scheduling policies for an owner; by default those of the default settings.
 
     Attributes
     ----------
@@ -81,7 +86,9 @@
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
         status_seconds: float = ENDED_JOB_QUERY_SECONDS,
         standbys: Standbys | None = None,
+        policies: Callable[[], CellPolicies] = default_policies,
     ) -> None:
+        self._policies = policies
         self._store = store
         self._config = config
         self._advice = advice
@@ -148,20 +155,21 @@
     async def _act_as_owner(self, claimed: Claimed) -> None:
         """Run the owner until the term ends."""
         term = claimed.term
-        await self.jobs_feed.catch_up()
-        now = self._clock.now()
-        takeover = Takeover(claimed.previous, claimed.jobs_end, now, TERM_SECONDS, self._lease)
         runners = RunnerFold()
-        cell = Cell(term.epoch, self.jobs, self._config, runners, takeover, self._lease)
-        listing = Partition(RUNNERS_TOPIC)
         feed = Feed(
             self._store,
-            listing,
+            Partition(RUNNERS_TOPIC),
             runners,
             self._clock,
             RUNNERS_READ_INTERVAL_SECONDS,
             self._runners_changed,
         )
+        await self._catch_up(feed)
+        now = self._clock.now()
+        takeover = Takeover(claimed.previous, claimed.jobs_end, now, TERM_SECONDS, self._lease)
+        cell = Cell(
+            term.epoch, self.jobs, self._config, runners, takeover, self._lease, self._policies()
+        )
         self._owner = Owner(
             cell,
             term,
@@ -183,6 +191,31 @@
             self._owner = None
             self.jobs_feed.min_interval = JOBS_READ_INTERVAL_SECONDS
 
+    async def _catch_up(self, runners_feed: Feed) -> None:
+        """Read the jobs, and meanwhile the runners: with a slow store each read counts.
+
+        Raises
+        ------
+        LogUnavailable
+            The jobs cannot be read.
+        """
+        failure: LogUnavailable | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._read_runners, runners_feed)
+            try:
+                await self.jobs_feed.catch_up()
+            except LogUnavailable as exc:
+                failure = exc
+                tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _read_runners(self, feed: Feed) -> None:
+        try:
+            await feed.catch_up()
+        except LogUnavailable as exc:
+            log.info("runners not read before the takeover", extra={"why": exc.code})
+
     def _jobs_changed(self) -> None:
         if self._owner is not None:
             self._owner.request_plan()
--- /dev/null
+++ b/ragworttiller/scheduling/cell_policies.py
@@ -0,0 +1,75 @@
+"""Scheduling policies of a cell, chosen by name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from ragworttiller.config.entry import EntryBounds, EntryPolicies
+from ragworttiller.scheduling.advice import AllCandidates, CandidatePolicy, UsefulCandidates
+from ragworttiller.scheduling.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.observation import ExpectedEnds, LongPollOnly, ObservationPolicy
+from ragworttiller.scheduling.order import ArrivalOrder, QueueOrder, SlackOrder
+from ragworttiller.scheduling.placement import FastTightFit, FirstFit, PlacementPolicy
+from ragworttiller.scheduling.victims import CheckpointedVictims, NoVictims, VictimPolicy
+
+ORDERS: Mapping[str, Callable[[], QueueOrder]] = {"slack": SlackOrder, "arrival": ArrivalOrder}
+PLACEMENTS: Mapping[str, Callable[[], PlacementPolicy]] = {
+    "fast_tight_fit": FastTightFit,
+    "first_fit": FirstFit,
+}
+CANDIDATES: Mapping[str, Callable[[], CandidatePolicy]] = {
+    "useful": UsefulCandidates,
+    "all": AllCandidates,
+}
+OBSERVATIONS: Mapping[str, Callable[[], ObservationPolicy]] = {
+    "expected_ends": ExpectedEnds,
+    "long_poll_only": LongPollOnly,
+}
+PREEMPTIONS: Mapping[str, Callable[[float, float], VictimPolicy]] = {
+    "checkpointed": CheckpointedVictims,
+    "none": lambda stop_seconds, restore_seconds: NoVictims(),
+}
+HEADROOMS: Mapping[str, Callable[[], HeadroomPolicy]] = {
+    "arrivals": ArrivalHeadroom,
+    "none": NoHeadroom,
+}
+
+
+class CellPolicies(NamedTuple):
+    """Policies of one owner, and the longest time in seconds that a run takes to stop."""
+
+    order: QueueOrder
+    placement: PlacementPolicy
+    candidates: CandidatePolicy
+    observation: ObservationPolicy
+    victims: VictimPolicy
+    headroom: HeadroomPolicy
+    stop_seconds: float
+
+
+def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
+    """Return new policies for an owner; some of them keep what they observe.
+
+    Parameters
+    ----------
+    names : EntryPolicies
+        Names of the policies, from the checked settings.
+    bounds : EntryBounds
+        Bounds that the platform sets.
+    """
+    stop_seconds = bounds.stop_grace_ms / 1000
+    return CellPolicies(
+        ORDERS[names.order](),
+        PLACEMENTS[names.placement](),
+        CANDIDATES[names.candidates](),
+        OBSERVATIONS[names.observation](),
+        PREEMPTIONS[names.preemption](stop_seconds, bounds.restore_ms / 1000),
+        HEADROOMS[names.headroom](),
+        stop_seconds,
+    )
+
+
+def default_policies() -> CellPolicies:
+    """Return the policies that entries use without a setting."""
+    return choose_policies(EntryPolicies(), EntryBounds())
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry_node.py
@@ -17,6 +17,7 @@
 from ragworttiller.scheduling.acceptance import Acceptance
 from ragworttiller.scheduling.callers import LocalCallers, RelayingCallers, StartGate
 from ragworttiller.scheduling.cell_host import CellHost
+from ragworttiller.scheduling.cell_policies import choose_policies
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.config_fold import ConfigFold
 from ragworttiller.scheduling.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
@@ -84,6 +85,7 @@
             settings.bounds.longest_lease_ms / 1000,
             status_seconds=settings.bounds.status_s,
             standbys=self._standbys,
+            policies=lambda: choose_policies(settings.policies, settings.bounds),
         )
         self._operators = Operators(self._peers, self._entries, self._host, clock)
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
--- a/ragworttiller/scheduling/feed.py
+++ b/ragworttiller/scheduling/feed.py
@@ -5,6 +5,7 @@
 import logging
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from enum import Enum, auto
 
 import anyio
 
@@ -28,6 +29,14 @@
         """Apply one record; an empty value means that its key was deleted."""
 
 
+class ReadOutcome(Enum):
+    """Result of one read of a partition."""
+
+    NOTHING_NEW = auto()
+    CAUGHT_UP = auto()
+    BEHIND = auto()
+
+
 class Feed:
     """Delivers the records of a partition to a fold, in order for each key and each once.
 
@@ -95,9 +104,9 @@
         delay = INITIAL_RETRY_DELAY_SECONDS
         while True:
             try:
-                received = await self._read_next()
+                outcome = await self._read_next()
                 delay = INITIAL_RETRY_DELAY_SECONDS
-                if received:
+                if outcome is not ReadOutcome.NOTHING_NEW:
                     await self._clock.sleep(self.min_interval)
             except LogUnavailable as exc:
                 log.info(
@@ -115,19 +124,20 @@
         LogUnavailable
             The store cannot be read.
         """
-        while await self._read(0.0):
-            pass
+        outcome = ReadOutcome.BEHIND
+        while outcome is ReadOutcome.BEHIND:
+            outcome = await self._read(0.0)
 
-    async def _read_next(self) -> bool:
+    async def _read_next(self) -> ReadOutcome:
         return await self._read(self._poll_seconds if self.ready else 0.0)
 
-    async def _read(self, wait: float) -> bool:
-        """Read once and return whether more records may be available."""
+    async def _read(self, wait: float) -> ReadOutcome:
+        """Read once."""
         if self._position is None:
             async with self._lock:
                 if self._position is None:
                     await self._load()
-            return True
+            return ReadOutcome.BEHIND
         asked_at, position = self._clock.now(), self._position
         try:
             result = await self._store.read(self._partition, position, wait)
@@ -138,7 +148,7 @@
             )
             async with self._lock:
                 await self._load()
-            return True
+            return ReadOutcome.BEHIND
         for record in result.records:
             # A concurrent read may have advanced the position; keys it deleted must not reappear.
             if record.offset >= self._position:
@@ -151,7 +161,9 @@
             self._on_change()
         elif wait and next_position >= result.end:
             self._on_empty_poll()
-        return bool(result.records)
+        if next_position < result.end:
+            return ReadOutcome.BEHIND
+        return ReadOutcome.CAUGHT_UP if result.records else ReadOutcome.NOTHING_NEW
 
     async def _load(self) -> None:
         """Load the newest record of each key and delete keys that no longer exist."""
--- a/ragworttiller/scheduling/placement.py
+++ b/ragworttiller/scheduling/placement.py
@@ -9,13 +9,16 @@
 from typing_extensions import override
 
 from ragworttiller.resources import Resources
+from ragworttiller.scheduling.headroom import UpstreamRoom
 from ragworttiller.scheduling.jobs import StepSpec
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.runs import Stage
 
 REMOTE_DATA_FACTOR = 1.5
 FILLED_RUNNER_PENALTY = 5.0
-REMAINING_CPU_WEIGHT = 0.25
+REMAINING_SHARE_WEIGHT = 0.25
+# Fragments of accelerators keep work waiting that needs several of one runner.
+REMAINING_ACCELERATORS_WEIGHT = 1.0
 
 
 class FreeResources:
@@ -26,6 +29,13 @@
             ((runner.free.cpu, runner) for runner in runners), key=lambda row: -row[0]
         )
         self._free = {runner.id: runner.free for _, runner in self._by_free_cpu}
+        self._upstreams = {runner.id: runner.entry.upstream for _, runner in self._by_free_cpu}
+        self._rooms: dict[str, UpstreamRoom] = {}
+        for free_cpu, runner in self._by_free_cpu:
+            room = self.upstream_room(runner.entry.upstream)
+            self._rooms[room.upstream] = room._replace(
+                free=room.free + free_cpu, capacity=room.capacity + runner.entry.capacity.cpu
+            )
 
     def candidates(self, size: Resources) -> list[RunnerState]:
         """Return the runners that have room for a task, those with the most free CPU first."""
@@ -38,6 +48,10 @@
                 rows.append(runner)
         return rows
 
+    def upstream_room(self, upstream: str) -> UpstreamRoom:
+        """Return the free processor time and the capacity of an upstream's runners."""
+        return self._rooms.get(upstream, UpstreamRoom(upstream, 0, 0))
+
     def of_runner(self, runner: str) -> Resources:
         """Return the free resources of a runner."""
         return self._free[runner]
@@ -45,6 +59,8 @@
     def subtract(self, runner: str, size: Resources) -> None:
         """Subtract resources from those free on a runner."""
         self._free[runner] = self._free[runner].minus(size)
+        room = self._rooms[self._upstreams[runner]]
+        self._rooms[room.upstream] = room._replace(free=room.free - size.cpu)
 
 
 def suits(runner: RunnerState, upstream: str, spec: StepSpec) -> bool:
@@ -87,24 +103,37 @@
 
 
 class FastTightFit(PlacementPolicy):
-    """Prefer fast runners near the data, then the one left with the least free CPU.
+    """Prefer fast runners near the data, then the one left with the least free resources.
 
-    A serving task avoids runners on which a filling task runs.
+    A serving task avoids runners on which a filling task runs. Load pattern of the weights: tasks
+    of one accelerator arrive beside tasks that need all accelerators of a runner. Spread by small
+    differences in speed, the small ones would leave no runner whole.
     """
 
     @override
     def score(self, stage: Stage, runner: RunnerState, free: Resources, time_ratio: float) -> float:
         spec = stage.spec
         remote = bool(spec.data_rack) and spec.data_rack not in runner.entry.labels
-        remaining_cpu_share = (free.cpu - spec.reservation.cpu) / max(runner.entry.capacity.cpu, 1)
+        remaining = _remaining_share(spec.reservation, free, runner.entry.capacity)
+        weight = REMAINING_SHARE_WEIGHT
+        if spec.reservation.accelerators:
+            weight = REMAINING_ACCELERATORS_WEIGHT
         joins_filling_task = bool(spec.target) and runner.runs_filling_task
         return (
             time_ratio * (REMOTE_DATA_FACTOR if remote else 1.0)
-            + REMAINING_CPU_WEIGHT * remaining_cpu_share
+            + weight * remaining
             + FILLED_RUNNER_PENALTY * joins_filling_task
         )
 
 
+def _remaining_share(size: Resources, free: Resources, capacity: Resources) -> float:
+    """Return the mean share that a task leaves free, of processors and of accelerators if any."""
+    shares = [(free.cpu - size.cpu) / max(capacity.cpu, 1)]
+    if size.accelerators:
+        shares.append((free.accelerators - size.accelerators) / max(capacity.accelerators, 1))
+    return sum(shares) / len(shares)
+
+
 class Placer:
     """Places tasks of a stage, individually or as a gang.
 
--- /dev/null
+++ b/ragworttiller/scheduling/room_maker.py
@@ -0,0 +1,172 @@
+"""Reserves room that waiting stages are about to get, and frees room by stopping other runs."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Mapping, Sequence
+
+from ragworttiller.resources import Resources
+from ragworttiller.scheduling.forecast import RoomForecast
+from ragworttiller.scheduling.job_work import JobWork
+from ragworttiller.scheduling.order import OrderInputs
+from ragworttiller.scheduling.orders import PendingStops, run_fields
+from ragworttiller.scheduling.placement import FreeResources, suits
+from ragworttiller.scheduling.runner_state import RunnerState
+from ragworttiller.scheduling.runs import Run, RunState, Stage
+from ragworttiller.scheduling.victims import Beneficiary, Candidate, VictimPolicy
+
+log = logging.getLogger(__name__)
+
+# Room is reserved only when it is expected this soon, which bounds the time that it idles.
+RESERVE_AHEAD_SECONDS = 1.5
+MAX_TASKS_PER_STAGE = 4
+# A stage is constrained if it may run on at most this share of the runners of its upstream.
+CONSTRAINED_SHARE = 1 / 3
+
+
+class RoomMaker:
+    """Finds the runners that blocked stages will start on soon.
+
+    A reservation lasts for one planning pass: the room is left out for the stages that come later
+    in queue order, on that runner alone.
+
+    Parameters
+    ----------
+    stops : PendingStops
+        Receives the runs to stop.
+    victims : VictimPolicy
+        Chooses the runs to stop.
+    stop_seconds : float
+        Longest time that a run takes to stop.
+    """
+
+    def __init__(self, stops: PendingStops, victims: VictimPolicy, stop_seconds: float) -> None:
+        self._stops = stops
+        self._victims = victims
+        self._stop_seconds = stop_seconds
+        self._jobs: Mapping[str, JobWork] = {}
+        self._usable: Sequence[RunnerState] = ()
+        self._free = FreeResources(())
+        self._forecast = RoomForecast(0.0, stop_seconds)
+        self._now = 0.0
+        self._wall = 0.0
+
+    def begin(
+        self,
+        jobs: Mapping[str, JobWork],
+        usable: Sequence[RunnerState],
+        free: FreeResources,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Start a new planning pass.
+
+        Parameters
+        ----------
+        jobs : mapping
+            Active jobs, by identifier.
+        usable : sequence of RunnerState
+            Runners on which tasks may start.
+        free : FreeResources
+            Free resources of these runners, from which reservations are subtracted.
+        now, wall : float
+            Time of the owner, and time of day in seconds since the epoch.
+        """
+        self._jobs, self._usable, self._free = jobs, usable, free
+        self._now, self._wall = now, wall
+        self._forecast = RoomForecast(now, self._stop_seconds)
+
+    def make_room(
+        self, work: JobWork, stage: Stage, inputs: OrderInputs, ahead: float
+    ) -> set[str] | None:
+        """Reserve or free room for the waiting tasks of a stage.
+
+        Room is reserved only for a stage that few runners may run. Others soon find room on some
+        runner, and what is reserved for them idles.
+
+        Parameters
+        ----------
+        work, stage, inputs : JobWork, Stage, OrderInputs
+            The stage, its job and its inputs of the queue order.
+        ahead : float
+            Seconds before a start by which its ticket has to be asked for.
+
+        Returns
+        -------
+        set of str or None
+            Runners on which tasks of the stage will fit soon, None if any runner may be the next.
+        """
+        upstream = work.queue.upstream
+        of_upstream = [runner for runner in self._usable if runner.entry.upstream == upstream]
+        runners = {r.id: r for r in of_upstream if self._allowed(work, stage, r)}
+        constrained = len(runners) <= CONSTRAINED_SHARE * len(of_upstream)
+        size = stage.spec.reservation
+        times = {name: self._fits_at(runner, size) for name, runner in runners.items()}
+        chosen: set[str] = set()
+        for _ in range(min(len(stage.waiting), MAX_TASKS_PER_STAGE) if times else 0):
+            name = min(times, key=times.__getitem__)
+            if times[name] - self._now > max(ahead, RESERVE_AHEAD_SECONDS):
+                beneficiary = Beneficiary(inputs, size, times[name])
+                freed = self._free_room(stage, beneficiary, runners.values())
+                if freed is None:
+                    break
+                name = freed
+            elif not constrained:
+                break
+            chosen.add(name)
+            self._free.subtract(name, size)
+            times[name] = self._fits_at(runners[name], size)
+        return chosen if constrained else None
+
+    def _allowed(self, work: JobWork, stage: Stage, runner: RunnerState) -> bool:
+        """Return whether a stage may start on a runner, as far as is known."""
+        if work.queue.advice is not None and runner.id not in stage.tickets.allowed:
+            return False
+        return suits(runner, work.queue.upstream, stage.spec)
+
+    def _fits_at(self, runner: RunnerState, size: Resources) -> float:
+        return self._forecast.fits_at(runner, size, self._free.of_runner(runner.id))
+
+    def _free_room(
+        self, stage: Stage, beneficiary: Beneficiary, runners: Iterable[RunnerState]
+    ) -> str | None:
+        """Stop runs on the runner where the fewest have to be stopped, and return its name."""
+        choices: list[tuple[int, RunnerState, list[Run]]] = []
+        for runner in runners:
+            victims = self._victims.choose(
+                beneficiary, self._free_after_stops(runner), self._candidates(runner), self._now
+            )
+            if victims:
+                choices.append((len(victims), runner, victims))
+        if not choices:
+            return None
+        _, runner, victims = min(choices, key=lambda choice: choice[0])
+        for run in victims:
+            self._stop(run, stage, beneficiary)
+        self._forecast.forget(runner)
+        return runner.id
+
+    def _stop(self, run: Run, stage: Stage, beneficiary: Beneficiary) -> None:
+        self._stops.add(run, f"preempted for {stage.id}")
+        self._jobs[run.task.stage.job].stages[run.task.stage].preemptions[run.task.ordinal] += 1
+        extra = {**run_fields(run), "stage": str(stage.id), "percent": run.percent}
+        extra["wait"] = round(beneficiary.fits_at - self._now, 2)
+        log.info("run preempted", extra=extra)
+
+    def _free_after_stops(self, runner: RunnerState) -> Resources:
+        free = self._free.of_runner(runner.id)
+        for run in runner.runs.values():
+            if run.state is RunState.STOPPING:
+                free = free.plus(run.reservation)
+        return free
+
+    def _candidates(self, runner: RunnerState) -> list[Candidate]:
+        rows: list[Candidate] = []
+        for run in runner.runs.values():
+            work = self._jobs.get(run.task.stage.job)
+            stage = work.stages.get(run.task.stage) if work is not None else None
+            if work is None or stage is None or run.state is not RunState.RUNNING:
+                continue
+            inputs = work.order_inputs(stage, self._now, self._wall)
+            rows.append(Candidate(run, inputs, stage.preemptions[run.task.ordinal]))
+        return rows
--- a/ragworttiller/scheduling/runs.py
+++ b/ragworttiller/scheduling/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import StrEnum
 
 from ragworttiller.resources import Resources
@@ -108,8 +109,12 @@
 
     Attributes
     ----------
+    ready_since : float or None
+        Time in seconds from which its tasks could start, None before the first planning pass then.
     requeued_at : float
         Time in seconds at which the last run ended without completing its task.
+    preemptions : Counter
+        Number of runs of each task that were stopped for more urgent tasks.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec) -> None:
@@ -123,7 +128,9 @@
         self.last_failed_runner: dict[int, str] = {}
         self.tickets = Tickets()
         self.blocked_since: float | None = None
+        self.ready_since: float | None = None
         self.requeued_at = float("-inf")
+        self.preemptions: Counter[int] = Counter()
         self._last_run_numbers: dict[int, int] = {}
 
     @property
--- a/ragworttiller/scheduling/stage_planner.py
+++ b/ragworttiller/scheduling/stage_planner.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from ragworttiller.scheduling.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.advice_planner import AdvicePlanner
+from ragworttiller.scheduling.headroom import HeadroomPolicy
 from ragworttiller.scheduling.job_work import JobWork
-from ragworttiller.scheduling.order import QueueOrder
+from ragworttiller.scheduling.order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.orders import Plan, StartOrder
 from ragworttiller.scheduling.placement import FreeResources, PlacementPolicy, Placer, suits
+from ragworttiller.scheduling.room_maker import RoomMaker
 from ragworttiller.scheduling.runner_pool import RunnerPool
 from ragworttiller.scheduling.runner_state import RunnerState
 from ragworttiller.scheduling.runs import Stage
@@ -37,6 +39,10 @@
         Observed speeds of runners.
     order, placement, candidate_policy : QueueOrder, PlacementPolicy, CandidatePolicy
         Scheduling policies.
+    room_maker : RoomMaker
+        Reserves and frees room for stages that wait.
+    headroom : HeadroomPolicy
+        Limits what patient stages take.
 
     Attributes
     ----------
@@ -53,7 +59,10 @@
         order: QueueOrder,
         placement: PlacementPolicy,
         candidate_policy: CandidatePolicy,
+        room_maker: RoomMaker,
+        headroom: HeadroomPolicy,
     ) -> None:
+        self._headroom = headroom
         self._epoch = epoch
         self._pool = pool
         self._takeover = takeover
@@ -62,39 +71,62 @@
         self._placer = Placer(placement)
         self.loads = EntryLoads()
         self._advice = AdvicePlanner(self.loads, candidate_policy)
+        self._room_maker = room_maker
 
-    def plan(self, plan: Plan, jobs: Collection[JobWork], now: float, wall: float) -> None:
+    def plan(self, plan: Plan, jobs: Mapping[str, JobWork], now: float, wall: float) -> None:
         """Add the starts and advisor calls that are due now to a plan."""
         usable = self._pool.accepting_tasks(now)
         free_resources = FreeResources(usable)
         self._advice.begin(plan.calls, usable, now)
-        for work, stage in self._ready_stages(jobs, now, wall):
+        self._room_maker.begin(jobs, usable, free_resources, now, wall)
+        ready = self._ready_stages(jobs.values(), now, wall)
+        self._record_arrivals(ready, now)
+        for work, stage, inputs in ready:
+            room = free_resources.upstream_room(work.queue.upstream)
+            waited = now - (stage.ready_since or now)
+            allowance = self._headroom.allowance(inputs, waited, room, now)
+            if allowance < stage.spec.reservation.cpu:
+                continue
             with_room = [
                 runner
                 for runner in free_resources.candidates(stage.spec.reservation)
                 if suits(runner, work.queue.upstream, stage.spec)
             ]
-            placed = self._start_placeable(plan, work, stage, with_room, free_resources, now)
+            placed = self._start_placeable(
+                plan, work, stage, with_room, free_resources, allowance, now
+            )
             if not stage.waiting or (placed and stage.spec.gang):
                 continue
             stage.blocked_since = stage.blocked_since or now
-            self._advice.plan_for_blocked(work, stage, with_room)
+            room_soon: set[str] | None = None
+            if self._advice.looks_ahead(work) and not stage.spec.gang:
+                ahead = self._advice.call_seconds(work)
+                room_soon = self._room_maker.make_room(work, stage, inputs, ahead)
+            self._advice.plan_for_blocked(work, stage, with_room, room_soon)
             if self._reserves_for_gang(stage, now):
                 break
-        self._advice.plan_for_successors(jobs)
+        self._advice.plan_for_successors(jobs.values())
+
+    def _record_arrivals(self, ready: list[tuple[JobWork, Stage, OrderInputs]], now: float) -> None:
+        """Tell the headroom policy which stages have become ready."""
+        for work, stage, inputs in ready:
+            if stage.ready_since is None:
+                stage.ready_since = now
+                cpu = len(stage.waiting) * stage.spec.reservation.cpu
+                self._headroom.record_arrival(work.queue.upstream, inputs.priority, cpu, now)
 
     def _ready_stages(
         self, jobs: Collection[JobWork], now: float, wall: float
-    ) -> list[tuple[JobWork, Stage]]:
-        rows: list[tuple[tuple[float, ...], JobWork, Stage]] = []
+    ) -> list[tuple[JobWork, Stage, OrderInputs]]:
+        rows: list[tuple[tuple[float, ...], JobWork, Stage, OrderInputs]] = []
         for work in jobs:
             if not work.open or self._takeover.blocks(work.row):
                 continue
             for stage in work.ready(wall):
-                key = self._order.key(work.order_inputs(stage, now, wall), now)
-                rows.append((key, work, stage))
+                inputs = work.order_inputs(stage, now, wall)
+                rows.append((self._order.key(inputs, now), work, stage, inputs))
         rows.sort(key=lambda row: row[0])
-        return [(work, stage) for _, work, stage in rows]
+        return [row[1:] for row in rows]
 
     def _start_placeable(
         self,
@@ -103,9 +135,13 @@
         stage: Stage,
         with_room: list[RunnerState],
         free_resources: FreeResources,
+        allowance: float,
         now: float,
     ) -> bool:
-        """Start the tasks that can be placed and return whether there were any."""
+        """Start the tasks that can be placed and return whether there were any.
+
+        ``allowance`` limits the processor time that they reserve, in thousandths of a core.
+        """
         if stage.spec.gang and stage.active_runs:
             return False
         if stage.blocked_since and now - stage.blocked_since > AVOID_FAILED_RUNNER_SECONDS:
@@ -116,6 +152,8 @@
         if not with_room:
             return False
         indices = self._takeover.startable(stage)
+        if allowance < len(indices) * stage.spec.reservation.cpu:
+            indices = indices[: int(allowance // stage.spec.reservation.cpu)]
         if stage.spec.gang and len(indices) < stage.spec.tasks:
             return False
         time_ratios = {runner.id: self._speeds.time_ratio(runner.id, now) for runner in with_room}
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -72,6 +72,7 @@
         "bounds": {
             "max_hold_ms": 6000,
             "stop_grace_ms": 900,
+            "restore_ms": 250,
             "grace_s": 6,
             "gang_timeout_ms": 3000,
             "status_s": 120,
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -16,9 +16,17 @@
 from typer.testing import CliRunner
 
 from ragworttiller.__main__ import app
-from ragworttiller.config.entry import load_entry
+from ragworttiller.config.entry import SECTIONS, load_entry
 from ragworttiller.exceptions import SettingsInvalid
 from ragworttiller.listeners import open_entry_listeners
+from ragworttiller.scheduling.cell_policies import (
+    CANDIDATES,
+    HEADROOMS,
+    OBSERVATIONS,
+    ORDERS,
+    PLACEMENTS,
+    PREEMPTIONS,
+)
 from standins.platform.deployment import ROOT, Deployment, render, settings_fields
 from tests.scheduling_rig import job_body, step
 
@@ -246,6 +254,18 @@
         assert read.platform.advisor_address == "127.0.0.1:2"
         assert read.bounds.longest_lease_ms == 6000
 
+    def test_the_settings_offer_the_policies_that_exist(self):
+        (section,) = (section for section in SECTIONS if section.name == "policies")
+        found = {option.name: set(option.allowed.split(", ")) for option in section.options}
+        assert found == {
+            "order": set(ORDERS),
+            "placement": set(PLACEMENTS),
+            "candidates": set(CANDIDATES),
+            "observation": set(OBSERVATIONS),
+            "preemption": set(PREEMPTIONS),
+            "headroom": set(HEADROOMS),
+        }
+
     def test_all_errors_are_reported_at_once(self, tmp_path: Path):
         path = tmp_path / "settings.ini"
         path.write_text("[instance]\nname = x\nother = 1\n[bounds]\nlongest_lease_ms = soon\n")
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -379,6 +379,25 @@
         await TestFeed().run_feed(rig, feed, body)
         assert seen_after[0] < 5.0
 
+    @virtual
+    async def test_records_that_fit_one_answer_are_caught_up_with_in_one_read(self):
+        """Each read of a slow store delays a takeover."""
+        rig = StoreRig()
+        feed = rig.feed()
+        await feed.catch_up()
+        rig.service.put(PARTITION.topic, "k", b"1")
+        reads: list[int] = []
+        read = rig.store.read
+
+        async def counted(partition: Partition, offset: int, wait: float = 0.0):
+            reads.append(offset)
+            return await read(partition, offset, wait)
+
+        rig.store.read = counted
+        await feed.catch_up()
+        assert rig.recording.values == {"k": b"1"}
+        assert len(reads) == 1
+
     @virtual
     async def test_an_older_record_does_not_replace_a_newer_one(self):
         """Pages are no snapshot: a page may have records that are read again from the log later."""
