--- a/ragworttiller/entry_process.py
+++ b/ragworttiller/entry_process.py
@@ -14,7 +14,7 @@
 from ragworttiller.config.entry import EntrySettings, load_entry
 from ragworttiller.exceptions import SettingsInvalid
 from ragworttiller.scheduling.clock import LeaseClock
-from ragworttiller.scheduling.entry_node import EntryNode
+from ragworttiller.scheduling.entry.entry_node import EntryNode
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/platform/advisor.py
+++ b/ragworttiller/platform/advisor.py
@@ -8,7 +8,7 @@
 
 from ragworttiller.exceptions import PlatformUnavailable
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
-from ragworttiller.scheduling.jobs import StageId
+from ragworttiller.scheduling.state.jobs import StageId
 
 ADVISOR_TIMEOUT_SECONDS = 2.0
 
--- a/ragworttiller/platform/names.py
+++ b/ragworttiller/platform/names.py
@@ -5,7 +5,7 @@
 import re
 
 from ragworttiller.exceptions import Unreadable
-from ragworttiller.scheduling.jobs import StageId, TaskId
+from ragworttiller.scheduling.state.jobs import StageId, TaskId
 
 _JOB = re.compile(r"[0-9a-fA-F]{16}")
 _TASK = re.compile(r"([0-9a-fA-F]{16})\.(\d{1,9})\.(\d{1,6})\.(\d{1,6})")
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -15,7 +15,7 @@
 )
 from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
 from ragworttiller.platform.names import task_id
-from ragworttiller.scheduling.jobs import TaskId
+from ragworttiller.scheduling.state.jobs import TaskId
 
 ORDER_TIMEOUT_SECONDS = 0.7
 MISDIRECTED_STATUS = 421
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -187,7 +187,7 @@
             query["at"] = at
         body = b"".join(map(_encode_record, records))
         status, content = await self._append_call(
-            "/-/log-append?" + urlencode(query), body, timeout
+            partition, "/-/log-append?" + urlencode(query), body, timeout
         )
         if status in (429, 503, 507):
             raise LogUnavailable(stream=str(partition))
@@ -228,7 +228,10 @@
         target = "/-/log-read?" + urlencode(query)
         status, content = await self._read_call(partition, target, wait)
         if status == 410:
-            start = decode_json(content, _Expired, _Expired.__name__).first
+            try:
+                start = decode_json(content, _Expired, _Expired.__name__).first
+            except Unreadable as exc:
+                raise LogUnavailable(stream=str(partition)) from exc
             raise RecordsExpired(stream=str(partition), start=start, wanted=offset)
         if status != 200 or len(content) < 2 * OFFSET_BYTES:
             raise LogUnavailable(stream=str(partition))
@@ -261,14 +264,14 @@
         await self._channels.close()
 
     async def _append_call(
-        self, target: str, body: bytes, timeout: float | None
+        self, partition: Partition, target: str, body: bytes, timeout: float | None
     ) -> tuple[int, bytes]:
         try:
             answer = await self._channels.request("POST", target, body, timeout=timeout)
         except NotSent as exc:
-            raise LogUnavailable(stream=target) from exc
+            raise LogUnavailable(stream=str(partition)) from exc
         except ExchangeBroken as exc:
-            raise AppendUndecided(stream=target) from exc
+            raise AppendUndecided(stream=str(partition)) from exc
         self._answer_count += 1
         return answer.status, answer.body
 
--- a/ragworttiller/platform/submissions.py
+++ b/ragworttiller/platform/submissions.py
@@ -9,7 +9,7 @@
 from ragworttiller.exceptions import InvalidField, RagworttillerError
 from ragworttiller.platform.decoding import decode_json
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.jobs import JobSpec, Occurrences, StepSpec
+from ragworttiller.scheduling.state.jobs import JobSpec, Occurrences, StepSpec
 
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 100_000
--- a/ragworttiller/process/ledger.py
+++ b/ragworttiller/process/ledger.py
@@ -22,7 +22,14 @@
     NotReady,
 )
 from ragworttiller.messages import BurnAttempt, LicensedAnswer, LicensedRequest, OutcomeLookup
-from ragworttiller.process.attempts import (
+from ragworttiller.process.ledger_fold import LedgerFold
+from ragworttiller.process.ledger_upkeep import (
+    DEFAULT_LIMITS,
+    MAX_BUDGET_SECONDS,
+    LedgerLimits,
+    LedgerUpkeep,
+)
+from ragworttiller.process.licensed_attempts import (
     COMMIT_TIMEOUT_SECONDS,
     Attempt,
     AttemptRunner,
@@ -33,13 +40,6 @@
     replay,
     request_digest,
 )
-from ragworttiller.process.ledger_fold import LedgerFold
-from ragworttiller.process.ledger_upkeep import (
-    DEFAULT_LIMITS,
-    MAX_BUDGET_SECONDS,
-    LedgerLimits,
-    LedgerUpkeep,
-)
 from ragworttiller.process.membership import Membership
 from ragworttiller.process.shards import ShardService
 from ragworttiller.process.snapshots import SnapshotWriter
--- a/ragworttiller/process/ledger_upkeep.py
+++ b/ragworttiller/process/ledger_upkeep.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple
 
-from ragworttiller.process.attempts import AttemptRunner
 from ragworttiller.process.ledger_fold import LedgerFold
+from ragworttiller.process.licensed_attempts import AttemptRunner
 from ragworttiller.process.snapshots import DEFAULT_RETENTION, Retention
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import ExpireKeys, GiveUp
--- /dev/null
+++ b/ragworttiller/scheduling/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the owner of a cell, without I/O."""
--- a/ragworttiller/scheduling/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -13,9 +13,9 @@
 from typing_extensions import override
 
 from ragworttiller.platform.configuration import AdviceCost
-from ragworttiller.scheduling.jobs import StageId
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Stage
+from ragworttiller.scheduling.state.jobs import StageId
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Stage
 
 SHORT_CALL_SECONDS = 0.15
 MAX_RUNNERS_PER_CALL = 100
@@ -41,6 +41,11 @@
     validity: float
     asked_at: float
 
+    @property
+    def granted_at(self) -> float:
+        """Earliest time at which the advisor may have granted tickets, in seconds."""
+        return self.asked_at + self.duration
+
 
 class Advice(ABC):
     """Access to the advisor through this entry and others."""
@@ -161,7 +166,7 @@
         self, stage: Stage, runners: Sequence[RunnerState], now: float, ahead: bool
     ) -> list[str]:
         tickets, size = stage.tickets, stage.spec.reservation
-        if not tickets.allowed and not tickets.denied:
+        if not tickets.known:
             most_room = sorted(runners, key=lambda r: -r.free.cpu)
             return [r.id for r in most_room[: self.MAX_UNKNOWN]]
         missing = [
--- a/ragworttiller/scheduling/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -5,16 +5,16 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
 
-from ragworttiller.scheduling.advice import (
+from ragworttiller.scheduling.decisions.advice import (
     AdviceCall,
     CandidatePolicy,
     EntryLoads,
     call_duration,
 )
-from ragworttiller.scheduling.job_work import JobWork
-from ragworttiller.scheduling.placement import suits
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import RunState, Stage
+from ragworttiller.scheduling.decisions.task_placement import suits
+from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import RunState, Stage
 
 # The advisor is called for the first stages of a queue before a runner has room for them: for one
 # stage per RUNNERS_PER_STAGE_AHEAD usable runners, but at least for MIN_STAGES_AHEAD.
@@ -94,7 +94,10 @@
         if not self._may_plan_call(work, stage):
             return
         if with_room and not ahead:
-            self._plan_call(work, stage, with_room, False)
+            if stage.tickets.known:
+                self._plan_call(work, stage, with_room, False)
+            else:
+                self._plan_call_ahead(work, stage)
         elif ahead and (with_room or stage.tickets.recheck_at <= self._now):
             if room_soon is not None:
                 room_soon = {*room_soon, *(runner.id for runner in with_room)}
--- a/ragworttiller/scheduling/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -6,12 +6,24 @@
 from typing import NamedTuple
 
 from ragworttiller.config.entry import EntryBounds, EntryPolicies
-from ragworttiller.scheduling.advice import AllCandidates, CandidatePolicy, UsefulCandidates
-from ragworttiller.scheduling.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
-from ragworttiller.scheduling.observation import ExpectedEnds, LongPollOnly, ObservationPolicy
-from ragworttiller.scheduling.order import ArrivalOrder, QueueOrder, SlackOrder
-from ragworttiller.scheduling.placement import FastTightFit, FirstFit, PlacementPolicy
-from ragworttiller.scheduling.victims import CheckpointedVictims, NoVictims, VictimPolicy
+from ragworttiller.scheduling.decisions.advice import (
+    AllCandidates,
+    CandidatePolicy,
+    UsefulCandidates,
+)
+from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.decisions.observation import (
+    ExpectedEnds,
+    LongPollOnly,
+    ObservationPolicy,
+)
+from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, QueueOrder, SlackOrder
+from ragworttiller.scheduling.decisions.task_placement import (
+    FastTightFit,
+    FirstFit,
+    PlacementPolicy,
+)
+from ragworttiller.scheduling.decisions.victims import CheckpointedVictims, NoVictims, VictimPolicy
 
 ORDERS: Mapping[str, Callable[[], QueueOrder]] = {"slack": SlackOrder, "arrival": ArrivalOrder}
 PLACEMENTS: Mapping[str, Callable[[], PlacementPolicy]] = {
--- a/ragworttiller/scheduling/forecast.py
+++ b/ragworttiller/scheduling/decisions/forecast.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import RunState
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import RunState
 
 # Share of the longest stop after which a stopped run has usually ended.
 USUAL_STOP_SHARE = 0.5
--- a/ragworttiller/scheduling/headroom.py
+++ b/ragworttiller/scheduling/decisions/headroom.py
@@ -8,7 +8,7 @@
 
 from typing_extensions import override
 
-from ragworttiller.scheduling.order import OrderInputs
+from ragworttiller.scheduling.decisions.queue_order import OrderInputs
 
 RATE_WINDOW_SECONDS = 3.0
 # Time for which the room kept free lasts at the observed rate of urgent arrivals.
--- a/ragworttiller/scheduling/observation.py
+++ b/ragworttiller/scheduling/decisions/observation.py
@@ -6,8 +6,8 @@
 
 from typing_extensions import override
 
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import RunState
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import RunState
 
 # Time after the expected end of a run by which an intact long poll has usually reported it.
 CALM_MARGIN_SECONDS = 0.25
--- a/ragworttiller/scheduling/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -6,14 +6,14 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.forecast import RoomForecast
-from ragworttiller.scheduling.job_work import JobWork
-from ragworttiller.scheduling.order import OrderInputs
-from ragworttiller.scheduling.orders import PendingStops, run_fields
-from ragworttiller.scheduling.placement import FreeResources, suits
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Run, RunState, Stage
-from ragworttiller.scheduling.victims import Beneficiary, Candidate, VictimPolicy
+from ragworttiller.scheduling.decisions.forecast import RoomForecast
+from ragworttiller.scheduling.decisions.queue_order import OrderInputs
+from ragworttiller.scheduling.decisions.task_placement import FreeResources, suits
+from ragworttiller.scheduling.decisions.victims import Beneficiary, Candidate, VictimPolicy
+from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.orders import PendingStops, run_fields
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 
 log = logging.getLogger(__name__)
 
@@ -116,7 +116,18 @@
             chosen.add(name)
             self._free.subtract(name, size)
             times[name] = self._fits_at(runners[name], size)
-        return chosen if constrained else None
+        if not constrained:
+            return None
+        self._log_reservation(stage, chosen, len(runners))
+        return chosen
+
+    def _log_reservation(self, stage: Stage, chosen: set[str], allowed: int) -> None:
+        """Write a line if room is reserved on a runner on which it was not before."""
+        added = chosen - stage.reserved_on
+        stage.reserved_on = chosen
+        if added:
+            extra = {"stage": str(stage.id), "runners": sorted(added), "allowed": allowed}
+            log.info("room reserved", extra=extra)
 
     def _allowed(self, work: JobWork, stage: Stage, runner: RunnerState) -> bool:
         """Return whether a stage may start on a runner, as far as is known."""
--- a/ragworttiller/scheduling/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -4,19 +4,24 @@
 
 from collections.abc import Collection, Mapping
 
-from ragworttiller.scheduling.advice import CandidatePolicy, EntryLoads
-from ragworttiller.scheduling.advice_planner import AdvicePlanner
-from ragworttiller.scheduling.headroom import HeadroomPolicy
-from ragworttiller.scheduling.job_work import JobWork
-from ragworttiller.scheduling.order import OrderInputs, QueueOrder
-from ragworttiller.scheduling.orders import Plan, StartOrder
-from ragworttiller.scheduling.placement import FreeResources, PlacementPolicy, Placer, suits
-from ragworttiller.scheduling.room_maker import RoomMaker
-from ragworttiller.scheduling.runner_pool import RunnerPool
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Stage
-from ragworttiller.scheduling.speeds import Speeds
-from ragworttiller.scheduling.takeover import Takeover
+from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
+from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
+from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
+from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
+from ragworttiller.scheduling.decisions.room_maker import RoomMaker
+from ragworttiller.scheduling.decisions.task_placement import (
+    FreeResources,
+    PlacementPolicy,
+    Placer,
+    suits,
+)
+from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.orders import Plan, StartOrder
+from ragworttiller.scheduling.state.runner_pool import RunnerPool
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Stage
+from ragworttiller.scheduling.state.speeds import Speeds
+from ragworttiller.scheduling.state.takeover import Takeover
 
 START_DEADLINE_SECONDS = 1.2
 GANG_RESERVE_DELAY_SECONDS = 2.0
--- a/ragworttiller/scheduling/placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -9,10 +9,10 @@
 from typing_extensions import override
 
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.headroom import UpstreamRoom
-from ragworttiller.scheduling.jobs import StepSpec
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Stage
+from ragworttiller.scheduling.decisions.headroom import UpstreamRoom
+from ragworttiller.scheduling.state.jobs import StepSpec
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Stage
 
 REMOTE_DATA_FACTOR = 1.5
 FILLED_RUNNER_PENALTY = 5.0
--- a/ragworttiller/scheduling/victims.py
+++ b/ragworttiller/scheduling/decisions/victims.py
@@ -9,8 +9,8 @@
 from typing_extensions import override
 
 from ragworttiller.resources import NO_RESOURCES, Resources
-from ragworttiller.scheduling.order import LATE_FACTOR, OrderInputs
-from ragworttiller.scheduling.runs import Run, RunState
+from ragworttiller.scheduling.decisions.queue_order import LATE_FACTOR, OrderInputs
+from ragworttiller.scheduling.state.runs import Run, RunState
 
 # A run shorter than this has hardly any work since its last checkpoint to lose.
 MIN_RUN_SECONDS = 1.0
--- /dev/null
+++ b/ragworttiller/scheduling/entry/__init__.py
@@ -0,0 +1,1 @@
+"""One entry: answers to callers, calls between entries, and their wiring."""
--- a/ragworttiller/scheduling/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -20,17 +20,17 @@
 from ragworttiller.platform.store import KeyedRecord
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.feed import Feed
-from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.job_fold import JobFold, JobRow
-from ragworttiller.scheduling.records import (
+from ragworttiller.scheduling.ownership.term import ClaimFold
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import (
     CANCEL_SUFFIX,
     Accepted,
     JobState,
     encode,
 )
-from ragworttiller.scheduling.term import ClaimFold
+from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
+from ragworttiller.scheduling.records.queue_fold import QueueFold
 
 log = logging.getLogger(__name__)
 
@@ -58,7 +58,7 @@
 
     Parameters
     ----------
-    config : ConfigFold
+    config : QueueFold
         Current configuration.
     jobs : JobFold
         Jobs recorded in the store.
@@ -76,7 +76,7 @@
 
     def __init__(
         self,
-        config: ConfigFold,
+        config: QueueFold,
         jobs: JobFold,
         feed: Feed,
         claims: ClaimFold,
--- a/ragworttiller/scheduling/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -21,10 +21,10 @@
 )
 from ragworttiller.platform.submissions import error_body, pending_body, state_body
 from ragworttiller.process.nng_peers import NngPeers
-from ragworttiller.scheduling.acceptance import RETRY_AFTER_SECONDS, Acceptance
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.group_commit import GroupCommit
+from ragworttiller.scheduling.entry.acceptance import RETRY_AFTER_SECONDS, Acceptance
+from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.queue_fold import QueueFold
 
 log = logging.getLogger(__name__)
 
@@ -139,7 +139,7 @@
         Answers requests at this entry.
     peers : NngPeers
         Connections to the other entries.
-    config : ConfigFold
+    config : QueueFold
         Configuration of this entry.
     reconnect : Callable
         Replaces the connections of an entry that does not answer.
@@ -161,7 +161,7 @@
         self,
         local: Callers,
         peers: NngPeers,
-        config: ConfigFold,
+        config: QueueFold,
         reconnect: Callable[[str], None],
         age: Callable[[], float],
         owner: Callable[[], str],
--- a/ragworttiller/scheduling/entries.py
+++ b/ragworttiller/scheduling/entry/entries.py
@@ -10,16 +10,16 @@
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
 from ragworttiller.process.nng_peers import NngPeers
-from ragworttiller.scheduling.advice import Advice, AdviceCall
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.feed import Fold
-from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.peer_messages import (
+from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
+from ragworttiller.scheduling.entry.peer_messages import (
     AdviceReply,
     AdviceRequest,
     ConnectionSuspect,
 )
-from ragworttiller.scheduling.records import ENTRIES, EntryRecord, decode, encode
+from ragworttiller.scheduling.records.feed import Fold
+from ragworttiller.scheduling.records.formats import ENTRIES, EntryRecord, decode, encode
+from ragworttiller.scheduling.records.group_commit import GroupCommit
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -12,9 +12,9 @@
 from ragworttiller.exceptions import BodyTooLarge, RagworttillerError
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.submissions import DEADLINE_HEADER
-from ragworttiller.scheduling.callers import CallerRequest, Callers, error_reply
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.operators import ROOT as OPERATORS_ROOT
+from ragworttiller.scheduling.entry.callers import CallerRequest, Callers, error_reply
+from ragworttiller.scheduling.entry.operators import ROOT as OPERATORS_ROOT
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -14,21 +14,21 @@
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.process.nng_peers import NngPeers
-from ragworttiller.scheduling.acceptance import Acceptance
-from ragworttiller.scheduling.callers import LocalCallers, RelayingCallers, StartGate
-from ragworttiller.scheduling.cell_host import CellHost
-from ragworttiller.scheduling.cell_policies import choose_policies
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
-from ragworttiller.scheduling.entry_api import CallerApp, ReadyApp
-from ragworttiller.scheduling.feed import Feed
-from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.operators import Operators
-from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
-from ragworttiller.scheduling.peer_messages import PEER_CODEC
-from ragworttiller.scheduling.records import ENTRIES, JOBS, EntryRecord
-from ragworttiller.scheduling.standbys import PeerStandbys
+from ragworttiller.scheduling.decisions.cell_policies import choose_policies
+from ragworttiller.scheduling.entry.acceptance import Acceptance
+from ragworttiller.scheduling.entry.callers import LocalCallers, RelayingCallers, StartGate
+from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
+from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
+from ragworttiller.scheduling.entry.operators import Operators
+from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
+from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.ownership.standbys import PeerStandbys
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import ENTRIES, JOBS, EntryRecord
+from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.queue_fold import QueueFold
 
 log = logging.getLogger(__name__)
 
@@ -70,7 +70,7 @@
         self._peers = NngPeers(
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
         )
-        self._config = ConfigFold()
+        self._config = QueueFold()
         self._entries = EntryFold(self._peers)
         reconnector = PeerReconnector(self._peers)
         advisor = Advisor(settings.platform.advisor_address or "")
--- a/ragworttiller/scheduling/operators.py
+++ b/ragworttiller/scheduling/entry/operators.py
@@ -9,11 +9,11 @@
 
 from ragworttiller.exceptions import NotFound, NotReady
 from ragworttiller.process.peers import Peers
-from ragworttiller.scheduling.cell_host import CellHost
-from ragworttiller.scheduling.cell_view import CellView
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.entries import EntryFold
-from ragworttiller.scheduling.peer_messages import ViewReply, ViewRequest
+from ragworttiller.scheduling.entry.entries import EntryFold
+from ragworttiller.scheduling.entry.peer_messages import ViewReply, ViewRequest
+from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.state.cell_view import CellView
 
 ROOT = "/v1/cell"
 VIEW_TIMEOUT_SECONDS = 1.0
--- a/ragworttiller/scheduling/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -6,9 +6,9 @@
 
 from ragworttiller.codec import MessagePackCodec
 from ragworttiller.messages import ErrorReply
-from ragworttiller.scheduling.callers import CallerReply, CallerRequest
-from ragworttiller.scheduling.jobs import StageId
-from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.state.jobs import StageId
 
 
 class AdviceRequest(NamedTuple):
--- /dev/null
+++ b/ragworttiller/scheduling/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of the cell, and the owner that carries out its decisions."""
--- a/ragworttiller/scheduling/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -10,22 +10,22 @@
 from ragworttiller.exceptions import LogUnavailable, RagworttillerError
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.platform.store import RUNNERS_TOPIC, Partition, Store
-from ragworttiller.scheduling.advice import Advice
-from ragworttiller.scheduling.cell import LEASE_SECONDS, Cell
-from ragworttiller.scheduling.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.feed import Feed
-from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.owner import Owner
-from ragworttiller.scheduling.owner_watch import POLL_SECONDS, OwnerHeartbeat
-from ragworttiller.scheduling.ownership import Claimed, Ownership
-from ragworttiller.scheduling.records import JOBS, OWNER
-from ragworttiller.scheduling.retention import Retention
-from ragworttiller.scheduling.runner_fold import RunnerFold
-from ragworttiller.scheduling.standbys import Standbys
-from ragworttiller.scheduling.takeover import Takeover
-from ragworttiller.scheduling.term import TERM_SECONDS, ClaimFold
+from ragworttiller.scheduling.decisions.advice import Advice
+from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
+from ragworttiller.scheduling.ownership.owner import Owner
+from ragworttiller.scheduling.ownership.owner_watch import POLL_SECONDS, OwnerHeartbeat
+from ragworttiller.scheduling.ownership.ownership import Claimed, Ownership
+from ragworttiller.scheduling.ownership.standbys import Standbys
+from ragworttiller.scheduling.ownership.term import TERM_SECONDS, ClaimFold
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import JOBS, OWNER
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.records.retention import Retention
+from ragworttiller.scheduling.records.runner_fold import RunnerFold
+from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS, Cell
+from ragworttiller.scheduling.state.takeover import Takeover
 
 log = logging.getLogger(__name__)
 
@@ -43,7 +43,7 @@
     ----------
     store : Store
         The platform's store.
-    config : ConfigFold
+    config : QueueFold
         Current configuration.
     advice : Advice
         Calls the advisor, through this entry and others.
@@ -77,7 +77,7 @@
     def __init__(
         self,
         store: Store,
-        config: ConfigFold,
+        config: QueueFold,
         advice: Advice,
         clock: Clock,
         name: str,
--- /dev/null
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -0,0 +1,202 @@
+"""Owner of the cell: carries out the decisions of the cell while its term is valid."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from ragworttiller.exceptions import RagworttillerError
+from ragworttiller.platform.runners import RunnerClient
+from ragworttiller.platform.store import Producer, Store
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
+from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.ownership.ownership import PRODUCER, Ownership
+from ragworttiller.scheduling.ownership.recorder import Recorder
+from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
+from ragworttiller.scheduling.ownership.standbys import NoStandbys, Standbys
+from ragworttiller.scheduling.ownership.term import Term
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import JOBS, Claim
+from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.retention import Retention
+from ragworttiller.scheduling.state.owned_cell import Cell
+
+log = logging.getLogger(__name__)
+
+MIN_PLAN_INTERVAL_SECONDS = 0.004
+MAX_PLAN_INTERVAL_SECONDS = 0.1
+HEARTBEAT_INTERVAL_SECONDS = 0.2
+
+
+class Owner:
+    """Carries out the decisions of a cell: orders to runners, calls to the advisor and records.
+
+    Parameters
+    ----------
+    cell : Cell
+        State of the cell, and its decisions.
+    term : Term
+        Term of this owner; orders are sent only while it is valid.
+    store : Store
+        The platform's store.
+    jobs : Feed
+        Feed of the jobs.
+    runners : Feed
+        Feed of the runners; run by this owner.
+    advice : Advice
+        Calls the advisor.
+    clock : Clock
+        Source of time.
+    name : str
+        Name of this instance.
+    incarnation : int
+        Number that identifies this start of the instance.
+    connect : Callable
+        Returns the client of a runner, given its identifier and address.
+    retention : Retention, optional
+        Selects the ended jobs to drop; without it none are dropped.
+    standbys : Standbys, optional
+        Entries that receive heartbeats; none by default.
+    """
+
+    def __init__(
+        self,
+        cell: Cell,
+        term: Term,
+        store: Store,
+        jobs: Feed,
+        runners: Feed,
+        advice: Advice,
+        clock: Clock,
+        name: str,
+        incarnation: int,
+        connect: Callable[[str, str], RunnerClient] = RunnerClient,
+        retention: Retention | None = None,
+        standbys: Standbys | None = None,
+    ) -> None:
+        self._standbys = standbys or NoStandbys()
+        self._cell = cell
+        self._term = term
+        self._jobs_feed = jobs
+        self._runners_feed = runners
+        self._advice = advice
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._writer = GroupCommit(
+            store, JOBS, Producer(PRODUCER, term.epoch), clock, first_sequence=1
+        )
+        self._recorder = Recorder(cell, term, self._writer, clock, retention)
+        self._calls = RunnerCalls(cell, term, clock, self._recorder, connect, self.request_plan)
+        self._plan_requested = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def cell(self) -> Cell:
+        """State of the cell, and its decisions."""
+        return self._cell
+
+    async def run(self, ownership: Ownership) -> None:
+        """Act as the owner until the term ends."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._runners_feed.run)
+            tasks.start_soon(self._writer.run)
+            tasks.start_soon(self._plan_loop, ownership)
+            tasks.start_soon(self._recorder.run)
+            tasks.start_soon(self._heartbeat_loop)
+            await ownership.renew_until_ended(self._term, self.current_claim, self._enroll_runners)
+            tasks.cancel_scope.cancel()
+        log.info("ownership ended", extra={"epoch": self._term.epoch})
+
+    def request_plan(self) -> None:
+        """Request planning because some state has changed."""
+        self._plan_requested.set()
+
+    def current_claim(self) -> Claim:
+        """Return the claim to write with the next renewal."""
+        cell, now = self._cell, self._clock.now()
+        return Claim(
+            self._name,
+            self._incarnation,
+            self._term.epoch,
+            self._jobs_feed.position,
+            cell.pool.roster(),
+            cell.pool.withdraw(now),
+            cell.pending(),
+        )
+
+    def end_if_superseded(self, claim: Claim) -> None:
+        """End the term if a claim has a later epoch."""
+        if claim.epoch > self._term.epoch:
+            log.info(
+                "term superseded by a later claim",
+                extra={"epoch": self._term.epoch, "by": claim.owner},
+            )
+            self._term.end()
+
+    def _enroll_runners(self, claim: Claim) -> None:
+        self._cell.pool.enroll(claim)
+        self.request_plan()
+
+    # Planning
+
+    async def _plan_loop(self, ownership: Ownership) -> None:
+        while True:
+            with self._clock.move_on_after(MAX_PLAN_INTERVAL_SECONDS):
+                await self._plan_requested.wait()
+            self._plan_requested = anyio.Event()
+            self._apply_changes(ownership)
+            if self._term.valid:
+                self._issue_orders()
+            await self._clock.sleep(MIN_PLAN_INTERVAL_SECONDS)
+
+    def _apply_changes(self, ownership: Ownership) -> None:
+        cell = self._cell
+        cell.set_entries(self._advice.entries)
+        cell.refresh(self._clock.now(), self._clock.wall())
+        for runner in self._calls.connect_new():
+            self._spawn(self._calls.hold_loop, runner)
+        if any(r.awaits_enrollment for r in cell.runners.values()):
+            ownership.renew_now()
+
+    def _issue_orders(self) -> None:
+        plan = self._cell.plan(self._clock.now(), self._clock.wall())
+        for start in plan.starts:
+            self._spawn(self._calls.start, start)
+        for stop in plan.stops:
+            self._spawn(self._calls.stop, stop)
+        for call in plan.calls:
+            self._spawn(self._advise, call)
+        for runner in plan.looks:
+            runner.look_in_flight, runner.last_look_at = True, self._clock.now()
+            self._spawn(self._calls.look, runner)
+
+    def _spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(function, *args)
+
+    async def _advise(self, call: AdviceCall) -> None:
+        extra = {"stage": str(call.stage), "entry": call.entry, "named": len(call.runners)}
+        try:
+            tickets = await self._advice.ask(call)
+        except RagworttillerError as exc:
+            log.info("advisor call failed", extra={**extra, "why": exc.code})
+            self._cell.mark_advice_failed(call, self._clock.now())
+        else:
+            elapsed = self._clock.now() - call.asked_at
+            log.info(
+                "advisor call answered",
+                extra={**extra, "good": len(tickets), "took": round(elapsed, 3)},
+            )
+            self._cell.apply_advice(call, tickets, self._clock.now())
+        self.request_plan()
+
+    async def _heartbeat_loop(self) -> None:
+        async for _ in self._clock.ticks(HEARTBEAT_INTERVAL_SECONDS):
+            self._standbys.send(OwnerHeartbeat(self._term.epoch, self._term.recently_renewed))
--- a/ragworttiller/scheduling/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -18,11 +18,11 @@
 )
 from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Store
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.feed import Feed
-from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.owner_watch import OwnerHeartbeat, OwnerWatch
-from ragworttiller.scheduling.records import JOBS, OWNER, OWNER_KEY, Claim, encode
-from ragworttiller.scheduling.term import ClaimFold, Term
+from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat, OwnerWatch
+from ragworttiller.scheduling.ownership.term import ClaimFold, Term
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import JOBS, OWNER, OWNER_KEY, Claim, encode
+from ragworttiller.scheduling.records.group_commit import GroupCommit
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/ragworttiller/scheduling/ownership/recorder.py
@@ -0,0 +1,119 @@
+"""Stores the effects of ended runs, and drops jobs that nobody may query any more."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+
+from ragworttiller.exceptions import AppendFenced, AppendUndecided, LogUnavailable
+from ragworttiller.platform.store import KeyedRecord
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.ownership.term import Term
+from ragworttiller.scheduling.records.formats import PROGRESS_SUFFIX, encode
+from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.retention import Retention
+from ragworttiller.scheduling.state.orders import Changes
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.runner_state import RunnerState
+
+log = logging.getLogger(__name__)
+
+RECORDING_WAIT_SECONDS = 0.5
+APPEND_TIMEOUT_SECONDS = 3.0
+RETENTION_INTERVAL_SECONDS = 10.0
+
+
+class Recorder:
+    """Writes the changes of a cell to the store, for as long as its owner may act.
+
+    Parameters
+    ----------
+    cell : Cell
+        Source of the changes.
+    term : Term
+        Term of the owner; ended when the store has fenced it.
+    writer : GroupCommit
+        Writer of the owner to the jobs; run by the owner.
+    clock : Clock
+        Source of time.
+    retention : Retention, optional
+        Selects the ended jobs to drop; without it none are dropped.
+    """
+
+    def __init__(
+        self,
+        cell: Cell,
+        term: Term,
+        writer: GroupCommit,
+        clock: Clock,
+        retention: Retention | None = None,
+    ) -> None:
+        self._cell = cell
+        self._term = term
+        self._writer = writer
+        self._clock = clock
+        self._retention = retention
+        self._requested = anyio.Event()
+        self._recorded = anyio.Event()
+
+    async def run(self) -> None:
+        """Store changes and drop expired jobs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._commit_loop)
+            if self._retention is not None:
+                tasks.start_soon(self._retention_loop, self._retention)
+
+    def request(self) -> None:
+        """Request that the changes of the cell are stored."""
+        self._requested.set()
+
+    async def wait_recorded(self, runner: RunnerState) -> None:
+        """Wait until the effects of a runner's ended runs are stored.
+
+        The wait is limited, since the lease of the runner is not renewed meanwhile.
+        """
+        with self._clock.move_on_after(RECORDING_WAIT_SECONDS):
+            while runner.has_unrecorded_ends:
+                await self._recorded.wait()
+
+    async def _commit_loop(self) -> None:
+        while True:
+            await self._requested.wait()
+            self._requested = anyio.Event()
+            changes = self._cell.take_changes()
+            if changes.progress or changes.ends:
+                await self._record(changes)
+
+    async def _record(self, changes: Changes) -> None:
+        records = [
+            KeyedRecord(job + PROGRESS_SUFFIX, encode(progress))
+            for job, progress in changes.progress.items()
+        ]
+        try:
+            if records:
+                await self._writer.append(records, APPEND_TIMEOUT_SECONDS)
+        except AppendFenced:
+            self._term.end_fenced("store")
+            return
+        except (LogUnavailable, AppendUndecided) as exc:
+            log.warning("job progress not stored", extra={"jobs": len(records), "why": exc.code})
+            self._cell.restore_changes(changes)
+            self._requested.set()
+            return
+        self._cell.mark_recorded(changes)
+        self._recorded.set()
+        self._recorded = anyio.Event()
+
+    async def _retention_loop(self, retention: Retention) -> None:
+        async for now in self._clock.ticks(RETENTION_INTERVAL_SECONDS):
+            keys = retention.expired(now)
+            if not keys or not self._term.valid:
+                continue
+            try:
+                await self._writer.append(
+                    [KeyedRecord(key, b"") for key in keys], APPEND_TIMEOUT_SECONDS
+                )
+                log.info("ended jobs dropped", extra={"records": len(keys)})
+            except (LogUnavailable, AppendUndecided, AppendFenced) as exc:
+                log.info("ended jobs not dropped", extra={"why": exc.code})
--- /dev/null
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -0,0 +1,194 @@
+"""Orders to runners and their answers: holds, looks, starts and stops."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import anyio
+
+from ragworttiller.exceptions import AppendFenced, OrderRefused, OrderUndecided, RunnerGone
+from ragworttiller.platform.runners import HoldAnswer, RunnerClient, Start
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.ownership.recorder import Recorder
+from ragworttiller.scheduling.ownership.start_call import call_start
+from ragworttiller.scheduling.ownership.term import Term
+from ragworttiller.scheduling.state.orders import StartOrder, StopOrder, run_fields
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Run, RunState
+
+log = logging.getLogger(__name__)
+
+HOLD_WAIT_SECONDS = 0.8
+HOLD_RETRY_SECONDS = 0.1
+# A look returns at once, so a missing answer was lost rather than late.
+LOOK_TIMEOUT_SECONDS = 0.25
+
+
+class RunnerCalls:
+    """Sends the orders of a cell to its runners, and applies what they answer.
+
+    Parameters
+    ----------
+    cell : Cell
+        State of the cell.
+    term : Term
+        Term of the owner; orders are sent only while it is valid.
+    clock : Clock
+        Source of time.
+    recorder : Recorder
+        Stores the effects of ended runs.
+    connect : Callable
+        Returns the client of a runner, given its identifier and address.
+    on_change : Callable
+        Called when the state of the cell has changed.
+    """
+
+    def __init__(
+        self,
+        cell: Cell,
+        term: Term,
+        clock: Clock,
+        recorder: Recorder,
+        connect: Callable[[str, str], RunnerClient],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._cell = cell
+        self._term = term
+        self._clock = clock
+        self._recorder = recorder
+        self._connect = connect
+        self._on_change = on_change
+        self._clients: dict[str, RunnerClient] = {}
+
+    def connect_new(self) -> list[RunnerState]:
+        """Return the runners that are new since the last call; each needs a `hold_loop`."""
+        new = [runner for name, runner in self._cell.runners.items() if name not in self._clients]
+        for runner in new:
+            self._clients[runner.id] = self._connect(runner.id, runner.entry.address)
+        return new
+
+    async def hold_loop(self, runner: RunnerState) -> None:
+        """Send hold orders to a runner until its boot is removed."""
+        client = self._clients[runner.id]
+        try:
+            while runner.id in self._cell.runners:
+                await self._hold(runner, client)
+                if runner.has_unrecorded_ends:
+                    await self._recorder.wait_recorded(runner)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await client.close()
+            self._clients.pop(runner.id, None)
+
+    async def _hold(self, runner: RunnerState, client: RunnerClient) -> None:
+        """Renew the lease of a runner, and apply its answer: running tasks and ended runs."""
+        cell, now = self._cell, self._clock.now()
+        if not self._term.valid:
+            await self._clock.sleep(HOLD_RETRY_SECONDS)
+            return
+        deadline = runner.grant_lease(now, cell.lease)
+        wait = HOLD_WAIT_SECONDS if deadline is not None and not runner.has_unrecorded_ends else 0.0
+        try:
+            held = await client.hold(self._term.epoch, runner.last_end_recorded, deadline, wait)
+        except AppendFenced:
+            self._term.end_fenced(runner.id)
+        except RunnerGone:
+            cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+        except (OrderRefused, OrderUndecided):
+            cell.record_no_answer(runner, now + wait, self._clock.now())
+            await self._clock.sleep(HOLD_RETRY_SECONDS)
+        else:
+            self._apply_hold_answer(runner, held)
+        self._on_change()
+
+    async def look(self, runner: RunnerState) -> None:
+        """Ask a runner for its ended runs beside the long poll, which may be lost."""
+        client, sent_at = self._clients.get(runner.id), self._clock.now()
+        try:
+            if client is None or not self._term.valid:
+                return
+            held = await client.hold(
+                self._term.epoch, runner.last_end_recorded, None, 0.0, LOOK_TIMEOUT_SECONDS
+            )
+        except AppendFenced:
+            self._term.end_fenced(runner.id)
+        except RunnerGone:
+            self._cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+        except (OrderRefused, OrderUndecided) as exc:
+            log.info("look at a runner unanswered", extra={"runner": runner.id, "why": exc.code})
+            self._cell.record_unanswered_look(runner, sent_at, self._clock.now())
+        else:
+            self._apply_hold_answer(runner, held)
+        finally:
+            runner.look_in_flight = False
+        self._on_change()
+
+    def _apply_hold_answer(self, runner: RunnerState, held: HoldAnswer) -> None:
+        if held.unreadable:
+            extra = {"runner": runner.id, "rows": held.unreadable}
+            log.warning("unreadable task rows of a runner skipped", extra=extra)
+        self._cell.apply_hold_answer(runner, held, self._clock.now())
+        if runner.has_unrecorded_ends:
+            self._recorder.request()
+
+    async def start(self, order: StartOrder) -> None:
+        """Order the start of a run."""
+        run, cell = order.run, self._cell
+        client = self._clients.get(run.runner)
+        runner = cell.runners.get(run.runner)
+        if client is None or runner is None:
+            return
+        start = Start(
+            run.task, run.number, order.spec, order.deadline, run.checkpoint, order.ticket
+        )
+        extra = run_fields(run)
+        try:
+            if not self._term.valid:
+                cell.mark_start_refused(run, "term", self._clock.now())
+                return
+            await call_start(client, start, self._term.epoch, lambda: self._start_still_needed(run))
+        except OrderRefused as exc:
+            reason = exc.fields["reason"]
+            log.info("start order refused", extra={**extra, "why": reason})
+            cell.mark_start_refused(run, reason, self._clock.now())
+            if reason == "unreachable":
+                cell.record_no_answer(runner, run.started_at, self._clock.now())
+        except OrderUndecided:
+            log.info("start order undecided", extra=extra)
+        except AppendFenced:
+            self._term.end_fenced(run.runner)
+            return
+        except RunnerGone:
+            cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+        else:
+            log.info("task started", extra={**extra, "epoch": self._term.epoch})
+            cell.mark_started(run, self._clock.now())
+            return
+        self._on_change()
+
+    def _start_still_needed(self, run: Run) -> bool:
+        """Return whether an unanswered start should be retried."""
+        runner = self._cell.runners.get(run.runner)
+        if runner is None or run.key not in runner.runs or not self._term.valid:
+            return False
+        late = runner.clock_at(self._clock.now()) > run.start_deadline
+        return run.state is RunState.STARTING and not late
+
+    async def stop(self, order: StopOrder) -> None:
+        """Order the stop of a run."""
+        run, cell = order.run, self._cell
+        client, runner = self._clients.get(run.runner), cell.runners.get(run.runner)
+        if client is None or runner is None or not self._term.valid:
+            return
+        extra = run_fields(run)
+        try:
+            await client.stop(run.task, run.number, self._term.epoch)
+            log.info("stop order accepted", extra={**extra, "why": order.reason})
+        except (OrderRefused, OrderUndecided) as exc:
+            log.info("stop order failed", extra={**extra, "why": exc.code})
+        except AppendFenced:
+            self._term.end_fenced(run.runner)
+        except RunnerGone:
+            cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
--- a/ragworttiller/scheduling/standbys.py
+++ b/ragworttiller/scheduling/ownership/standbys.py
@@ -7,8 +7,8 @@
 from typing_extensions import override
 
 from ragworttiller.process.peers import Peers
-from ragworttiller.scheduling.entries import EntryFold
-from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.entry.entries import EntryFold
+from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 
 # Tolerates the loss of two standbys at once; each standby costs a continuous stream of messages.
 MAX_STANDBYS = 3
--- a/ragworttiller/scheduling/term.py
+++ b/ragworttiller/scheduling/ownership/term.py
@@ -9,8 +9,8 @@
 from ragworttiller.exceptions import Unreadable
 from ragworttiller.platform.store import Record
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.feed import Fold
-from ragworttiller.scheduling.records import OWNER_KEY, Claim, decode
+from ragworttiller.scheduling.records.feed import Fold
+from ragworttiller.scheduling.records.formats import OWNER_KEY, Claim, decode
 
 log = logging.getLogger(__name__)
 
@@ -95,3 +95,15 @@
     def end(self) -> None:
         """Record that another owner has claimed, or that the ownership was released."""
         self._ended = True
+
+    def end_fenced(self, by: str) -> None:
+        """End the term because an order or append was fenced.
+
+        Parameters
+        ----------
+        by : str
+            The runner, or ``store``, that has heard of a later owner.
+        """
+        extra = {"epoch": self._epoch, "runner": by}
+        log.warning("order or append fenced by a later owner", extra=extra)
+        self.end()
--- a/ragworttiller/scheduling/records.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -11,7 +11,7 @@
 from ragworttiller.exceptions import Unreadable
 from ragworttiller.platform.configuration import Queue
 from ragworttiller.platform.store import Partition
-from ragworttiller.scheduling.jobs import JobSpec, StageId
+from ragworttiller.scheduling.state.jobs import JobSpec, StageId
 
 T = TypeVar("T")
 
--- a/ragworttiller/scheduling/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -22,7 +22,7 @@
     Store,
 )
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.repeated_append import RepeatedAppend
+from ragworttiller.scheduling.records.repeated_append import RepeatedAppend
 
 log = logging.getLogger(__name__)
 
@@ -162,7 +162,7 @@
 
     async def run(self) -> None:
         """Append queued records until cancelled or fenced."""
-        while True:
+        while self._fenced is None:
             await self._append_queued.wait()
             self._append_queued = anyio.Event()
             while self._queue:
@@ -172,7 +172,8 @@
                 self._last_append_seconds, self._call_started_at = self.in_flight_seconds, None
 
     def _next_batch(self) -> list[_PendingAppend]:
-        batch, size = [self._queue.pop(0)], 0
+        batch = [self._queue.pop(0)]
+        size = batch[0].size
         while self._queue and (size := size + self._queue[0].size) < MAX_BATCH_BYTES:
             batch.append(self._queue.pop(0))
         return batch
--- a/ragworttiller/scheduling/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -10,8 +10,8 @@
 from ragworttiller.exceptions import Unreadable
 from ragworttiller.platform.names import is_job_id
 from ragworttiller.platform.store import Record
-from ragworttiller.scheduling.feed import Fold
-from ragworttiller.scheduling.records import (
+from ragworttiller.scheduling.records.feed import Fold
+from ragworttiller.scheduling.records.formats import (
     CANCEL_SUFFIX,
     PROGRESS_SUFFIX,
     Accepted,
--- a/ragworttiller/scheduling/config_fold.py
+++ b/ragworttiller/scheduling/records/queue_fold.py
@@ -9,12 +9,12 @@
 from ragworttiller.exceptions import QueueUnknown, Unreadable
 from ragworttiller.platform.configuration import Configuration, Queue, decode_configuration
 from ragworttiller.platform.store import CONFIG_KEY, Record
-from ragworttiller.scheduling.feed import Fold
+from ragworttiller.scheduling.records.feed import Fold
 
 log = logging.getLogger(__name__)
 
 
-class ConfigFold(Fold):
+class QueueFold(Fold):
     """Newest configuration that this process has read; older versions are ignored."""
 
     def __init__(self) -> None:
--- a/ragworttiller/scheduling/retention.py
+++ b/ragworttiller/scheduling/records/retention.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.records import CANCEL_SUFFIX, PROGRESS_SUFFIX
+from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX, PROGRESS_SUFFIX
+from ragworttiller.scheduling.records.job_fold import JobFold
 
 # Ended jobs are kept longer than callers can query them, by this factor: a submission repeated
 # after its job was dropped would be accepted as a new job.
--- a/ragworttiller/scheduling/runner_fold.py
+++ b/ragworttiller/scheduling/records/runner_fold.py
@@ -9,7 +9,7 @@
 from ragworttiller.exceptions import Unreadable
 from ragworttiller.platform.listing import RunnerEntry, decode_entry
 from ragworttiller.platform.store import Record
-from ragworttiller.scheduling.feed import Fold
+from ragworttiller.scheduling.records.feed import Fold
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/ragworttiller/scheduling/state/__init__.py
@@ -0,0 +1,1 @@
+"""What the owner of a cell knows: jobs, runs and runners."""
--- /dev/null
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -0,0 +1,146 @@
+"""Active jobs of a cell, and which of them have changes to store."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Mapping
+
+from ragworttiller.resources import NO_RESOURCES
+from ragworttiller.scheduling.records.formats import JobState, Progress
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
+from ragworttiller.scheduling.state.orders import PendingStops
+from ragworttiller.scheduling.state.runs import Stage
+from ragworttiller.scheduling.state.speeds import Speeds
+
+log = logging.getLogger(__name__)
+
+UNKNOWN_STEP = StepSpec(1, NO_RESOURCES)
+
+
+class ActiveJobs:
+    """Jobs that are accepted and have not ended, as known to the owner of a cell.
+
+    Parameters
+    ----------
+    fold : JobFold
+        Jobs recorded in the store.
+    config : QueueFold
+        Current configuration.
+    stops : PendingStops
+        Receives the runs of jobs that are cancelled or have ended.
+    speeds : Speeds
+        Observed speeds of runners; samples of ended jobs are discarded.
+
+    Attributes
+    ----------
+    by_id : dict of str to JobWork
+        The jobs by identifier.
+    """
+
+    def __init__(
+        self, fold: JobFold, config: QueueFold, stops: PendingStops, speeds: Speeds
+    ) -> None:
+        self._fold = fold
+        self._config = config
+        self._stops = stops
+        self._speeds = speeds
+        self._changed: dict[str, None] = {}
+        # Removed jobs that the fold still shows as open because it has not read their end yet.
+        self._awaiting_end_record: set[str] = set()
+        self._config_version = 0
+        self.by_id: dict[str, JobWork] = {}
+        fold.touched |= set(fold.jobs)
+
+    def refresh(self, now: float, wall: float) -> None:
+        """Update jobs and queues from the folds."""
+        touched, self._fold.touched = self._fold.touched, set()
+        for job in touched:
+            row = self._fold.jobs.get(job)
+            work = self.by_id.get(job)
+            if row is None:
+                self._stop_job(job, "dropped")
+            elif row.cancelled and work is not None:
+                self._stop_job(job, JobState.CANCELLED)
+            elif not row.open:
+                self._awaiting_end_record.discard(job)
+            elif work is None and job not in self._awaiting_end_record:
+                self.by_id[job] = JobWork(job, row, now, wall)
+                self.by_id[job].queue = self._config.current_queue(self.by_id[job].queue)
+        self._refresh_queues()
+
+    def pending(self) -> dict[str, int]:
+        """Return the number of jobs without a started task, by queue."""
+        counts: dict[str, int] = {}
+        for work in self.by_id.values():
+            name = work.queue.key
+            counts[name] = counts.get(name, 0) + (not work.has_started)
+        return counts
+
+    def stage(self, stage: StageId) -> Stage | None:
+        """Return a stage, None if its job is not active."""
+        work = self.by_id.get(stage.job)
+        return work.stages.get(stage) if work is not None else None
+
+    def step_spec(self, task: TaskId) -> StepSpec:
+        """Return the step of a task, also of an ended job; `UNKNOWN_STEP` if it is not recorded."""
+        row = self._fold.get(task.stage.job)
+        if row is None or row.accepted is None or task.stage.step >= len(row.accepted.job.steps):
+            return UNKNOWN_STEP
+        return row.accepted.job.steps[task.stage.step]
+
+    def mark_changed(self, work: JobWork) -> None:
+        """Record that the progress of a job has changed; if it has ended now, stop its runs."""
+        self._changed[work.id] = None
+        state = work.update_final_state()
+        if state is not None:
+            log.info("job ended", extra={"job": work.id, "state": str(state)})
+            self._stop_all(work, str(state))
+
+    def take_progress(self) -> dict[str, Progress]:
+        """Return the progress of the changed jobs, which then count as unchanged."""
+        progress = {job: self.by_id[job].progress() for job in self._changed if job in self.by_id}
+        self._changed.clear()
+        return progress
+
+    def restore_changed(self, jobs: Iterable[str]) -> None:
+        """Mark jobs whose progress was not stored as changed again."""
+        self._changed.update(dict.fromkeys(jobs))
+
+    def mark_recorded(self, progress: Mapping[str, Progress]) -> None:
+        """Remove the jobs whose end is stored."""
+        for job, row in progress.items():
+            if row.state and job in self.by_id:
+                self._remove_job(self.by_id[job])
+
+    def _refresh_queues(self) -> None:
+        current = self._config.current
+        if current is None or current.version == self._config_version:
+            return
+        self._config_version = current.version
+        for work in self.by_id.values():
+            work.queue = self._config.current_queue(work.queue)
+
+    def _stop_job(self, job: str, reason: str) -> None:
+        work = self.by_id.get(job)
+        if work is None:
+            return
+        log.info("owner stops the runs of a job", extra={"job": job, "why": str(reason)})
+        self._stop_all(work, str(reason))
+        self._remove_job(work)
+
+    def _stop_all(self, work: JobWork, reason: str) -> None:
+        for stage in work.stages.values():
+            stage.waiting.clear()
+            for run in list(stage.active_runs.values()):
+                self._stops.add(run, reason)
+
+    def _remove_job(self, work: JobWork) -> None:
+        self.by_id.pop(work.id, None)
+        for stage in work.stages:
+            self._speeds.discard_stage(stage)
+        if work.row.open:
+            self._awaiting_end_record.add(work.id)
+        self._changed.pop(work.id, None)
--- a/ragworttiller/scheduling/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -5,11 +5,11 @@
 from enum import StrEnum
 from typing import TypedDict
 
-from ragworttiller.scheduling.cell import Cell
-from ragworttiller.scheduling.job_work import JobWork
-from ragworttiller.scheduling.placement import suits
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Stage
+from ragworttiller.scheduling.decisions.task_placement import suits
+from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Stage
 
 
 class WaitReason(StrEnum):
--- a/ragworttiller/scheduling/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -5,11 +5,11 @@
 from collections.abc import Iterator
 
 from ragworttiller.platform.configuration import Queue
-from ragworttiller.scheduling.job_fold import JobRow
-from ragworttiller.scheduling.jobs import JobSpec, StageId
-from ragworttiller.scheduling.order import OrderInputs
-from ragworttiller.scheduling.records import JobState, Progress, stage_id
-from ragworttiller.scheduling.runs import Stage
+from ragworttiller.scheduling.decisions.queue_order import OrderInputs
+from ragworttiller.scheduling.records.formats import JobState, Progress, stage_id
+from ragworttiller.scheduling.records.job_fold import JobRow
+from ragworttiller.scheduling.state.jobs import JobSpec, StageId
+from ragworttiller.scheduling.state.runs import Stage
 
 # Maximum age that a job is given when its owner first reads it.
 MAX_INITIAL_AGE_SECONDS = 60.0
--- a/ragworttiller/scheduling/orders.py
+++ b/ragworttiller/scheduling/state/orders.py
@@ -4,11 +4,11 @@
 
 from typing import NamedTuple
 
-from ragworttiller.scheduling.advice import AdviceCall
-from ragworttiller.scheduling.jobs import TaskId
-from ragworttiller.scheduling.records import Progress
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Run, RunState
+from ragworttiller.scheduling.decisions.advice import AdviceCall
+from ragworttiller.scheduling.records.formats import Progress
+from ragworttiller.scheduling.state.jobs import TaskId
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Run, RunState
 
 STOP_RETRY_SECONDS = 0.5
 
--- /dev/null
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -0,0 +1,214 @@
+"""Decisions of the owner of a cell, without I/O: starts, stops and calls to the advisor."""
+
+from __future__ import annotations
+
+import logging
+
+from ragworttiller.platform.runners import HoldAnswer
+from ragworttiller.scheduling.decisions.advice import AdviceCall
+from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
+from ragworttiller.scheduling.decisions.room_maker import RoomMaker
+from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.records.runner_fold import RunnerFold
+from ragworttiller.scheduling.state.active_jobs import ActiveJobs
+from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
+from ragworttiller.scheduling.state.run_tracker import RunTracker
+from ragworttiller.scheduling.state.runner_pool import RunnerPool
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Run, Stage
+from ragworttiller.scheduling.state.speeds import Speeds
+from ragworttiller.scheduling.state.takeover import Takeover
+
+log = logging.getLogger(__name__)
+
+LEASE_SECONDS = 4.5
+
+
+class Cell:
+    """State of all jobs and runners as known to the owner of the cell.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the ownership, also the fencing token.
+    jobs : JobFold
+        Jobs recorded in the store.
+    config : QueueFold
+        Current configuration.
+    runners : RunnerFold
+        Runners listed by the platform.
+    takeover : Takeover
+        Runners on which an earlier owner's tasks may still run.
+    lease : float
+        Duration of the granted leases, in seconds.
+    policies : CellPolicies, optional
+        Scheduling policies; those of the default settings by default.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        jobs: JobFold,
+        config: QueueFold,
+        runners: RunnerFold,
+        takeover: Takeover,
+        lease: float = LEASE_SECONDS,
+        policies: CellPolicies | None = None,
+    ) -> None:
+        policies = policies or default_policies()
+        self._observation = policies.observation
+        self._epoch = epoch
+        self._takeover = takeover
+        self._lease = lease
+        self._stops = PendingStops()
+        speeds = Speeds()
+        self._active = ActiveJobs(jobs, config, self._stops, speeds)
+        self._tracker = RunTracker(self._active, runners, takeover, self._stops, speeds, lease)
+        self._planner = StagePlanner(
+            epoch,
+            self.pool,
+            takeover,
+            speeds,
+            policies.order,
+            policies.placement,
+            policies.candidates,
+            RoomMaker(self._stops, policies.victims, policies.stop_seconds),
+            policies.headroom,
+        )
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the ownership."""
+        return self._epoch
+
+    @property
+    def lease(self) -> float:
+        """Duration of the granted leases, in seconds."""
+        return self._lease
+
+    @property
+    def takeover(self) -> Takeover:
+        """Runners on which an earlier owner's tasks may still run."""
+        return self._takeover
+
+    @property
+    def pool(self) -> RunnerPool:
+        """Runners of the cell."""
+        return self._tracker.pool
+
+    @property
+    def runners(self) -> dict[str, RunnerState]:
+        """Runners of the cell, by identifier."""
+        return self.pool.runners
+
+    @property
+    def jobs(self) -> dict[str, JobWork]:
+        """Active jobs, by identifier."""
+        return self._active.by_id
+
+    def refresh(self, now: float, wall: float) -> None:
+        """Update jobs, runners and queues from the folds."""
+        self.pool.refresh(now)
+        self._active.refresh(now, wall)
+
+    def pending(self) -> dict[str, int]:
+        """Return the number of jobs without a started task, by queue."""
+        return self._active.pending()
+
+    def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
+        """Apply a runner's answer to a hold: its clock, its ended tasks and its running tasks."""
+        self._tracker.apply_hold_answer(runner, answer, now)
+
+    def mark_started(self, run: Run, now: float) -> None:
+        """Record that a runner has started a run."""
+        self._tracker.mark_started(run, now)
+
+    def mark_start_refused(self, run: Run, reason: str, now: float) -> None:
+        """Requeue the task of a start that was refused or has expired, and so never ran."""
+        self._tracker.mark_start_refused(run, reason, now)
+
+    def plan(self, now: float, wall: float) -> Plan:
+        """Return the starts, stops and advisor calls that are due now."""
+        self.pool.expire_leases(now)
+        for run in self.pool.runs_to_evacuate(now):
+            self._stops.add(run, "runner drains")
+        for run in self.pool.filling_runs_to_stop():
+            self._stops.add(run, "serving task on the runner")
+        plan = Plan([], [], [], self._looks_due(now))
+        self._planner.plan(plan, self._active.by_id, now, wall)
+        plan.stops.extend(self._stops.due(now))
+        return plan
+
+    def _looks_due(self, now: float) -> list[RunnerState]:
+        return [
+            runner
+            for runner in self.runners.values()
+            if not runner.look_in_flight and self._observation.look_due(runner, now)
+        ]
+
+    def record_no_answer(self, runner: RunnerState, sent_at: float, now: float) -> None:
+        """Count an order that a runner did not answer, unless it has answered a later one.
+
+        Parameters
+        ----------
+        runner : RunnerState
+            Runner that did not answer.
+        sent_at, now : float
+            Time of the order and current time, in seconds.
+        """
+        self._observation.record_unanswered(now)
+        if runner.last_answer_at <= sent_at:
+            self.pool.record_no_answer(runner)
+
+    def record_unanswered_look(self, runner: RunnerState, sent_at: float, now: float) -> None:
+        """Record a look that a runner did not answer; see `record_no_answer`."""
+        self._observation.record_unanswered(now)
+        if runner.last_answer_at <= sent_at and runner.record_unanswered_look():
+            self.pool.record_no_answer(runner)
+
+    def set_entries(self, names: list[str]) -> None:
+        """Set the entries among which calls to the advisor are distributed."""
+        self._planner.loads.set_entries(names)
+
+    def apply_advice(self, call: AdviceCall, granted: dict[str, str], now: float) -> None:
+        """Store the tickets and denials that the advisor returned for a call.
+
+        The platform counts the validity of a ticket from its grant, and the answer may be late.
+        """
+        stage = self._end_call(call)
+        if stage is not None:
+            granted_at = min(call.granted_at, now)
+            stage.tickets.record_advice(call.runners, granted, granted_at, call.validity)
+
+    def mark_advice_failed(self, call: AdviceCall, now: float) -> None:
+        """Record that a call to the advisor failed; its entry gets no calls for a while."""
+        self._end_call(call)
+        self._planner.loads.mark_failed(call.entry, now)
+
+    def _end_call(self, call: AdviceCall) -> Stage | None:
+        """Mark a call as ended and return its stage, None if the job is no longer active."""
+        self._planner.loads.end_call(call.entry, call.duration)
+        stage = self._active.stage(call.stage)
+        if stage is not None:
+            stage.tickets.call_deadline = 0.0
+        return stage
+
+    def take_changes(self) -> Changes:
+        """Return the changes to write to the store and clear the set of changed jobs."""
+        ends = {r.id: r.last_end_seen for r in self.runners.values() if r.has_unrecorded_ends}
+        return Changes(self._active.take_progress(), ends)
+
+    def mark_recorded(self, changes: Changes) -> None:
+        """Mark changes as stored: runners may discard their ends, and ended jobs are removed."""
+        for name, number in changes.ends.items():
+            if name in self.runners:
+                runner = self.runners[name]
+                runner.last_end_recorded = max(runner.last_end_recorded, number)
+        self._active.mark_recorded(changes.progress)
+
+    def restore_changes(self, changes: Changes) -> None:
+        """Mark the jobs of changes that were not stored as changed again."""
+        self._active.restore_changed(changes.progress)
--- /dev/null
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -0,0 +1,227 @@
+"""Applies what runners report to the state of a cell: progress, ends and refused starts."""
+
+from __future__ import annotations
+
+import logging
+
+from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
+from ragworttiller.scheduling.records.runner_fold import RunnerFold
+from ragworttiller.scheduling.state.active_jobs import ActiveJobs
+from ragworttiller.scheduling.state.jobs import TaskId
+from ragworttiller.scheduling.state.orders import PendingStops, run_fields
+from ragworttiller.scheduling.state.runner_pool import RunnerPool
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Run, RunState, Stage
+from ragworttiller.scheduling.state.speeds import Speeds
+from ragworttiller.scheduling.state.takeover import Takeover
+
+log = logging.getLogger(__name__)
+
+START_SLACK_SECONDS = 0.05
+MIN_STALL_SECONDS = 1.5
+STALL_ESTIMATE_SHARE = 0.05
+
+
+class RunTracker:
+    """Runs of a cell on its runners, from their start to their end.
+
+    Parameters
+    ----------
+    jobs : ActiveJobs
+        Jobs of the runs.
+    runners : RunnerFold
+        Runners listed by the platform.
+    takeover : Takeover
+        Runners on which an earlier owner's tasks may still run.
+    stops : PendingStops
+        Receives runs that are to be stopped.
+    speeds : Speeds
+        Receives the durations of runs.
+    lease : float
+        Duration of the granted leases, in seconds.
+
+    Attributes
+    ----------
+    pool : RunnerPool
+        Runners of the cell.
+    """
+
+    def __init__(
+        self,
+        jobs: ActiveJobs,
+        runners: RunnerFold,
+        takeover: Takeover,
+        stops: PendingStops,
+        speeds: Speeds,
+        lease: float,
+    ) -> None:
+        self._jobs = jobs
+        self._takeover = takeover
+        self._stops = stops
+        self._speeds = speeds
+        self._lease = lease
+        self.pool = RunnerPool(runners, takeover, self._requeue_run)
+
+    def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
+        """Apply a runner's answer to a hold: its clock, its ended tasks and its running tasks."""
+        first = not runner.has_answered
+        newest = runner.record_answer(answer.clock, now)
+        if first:
+            runner.assume_earlier_lease(self._lease, now)
+        self._takeover.resolve(runner.id)
+        for end in sorted(answer.ended):
+            if end.number > runner.last_end_seen:
+                runner.last_end_seen = end.number
+                runner.record_end(end.task, end.run)
+                self._apply_end(runner, end, now)
+        if not newest:
+            return
+        listed = set()
+        for row in answer.running:
+            if runner.has_ended(row.task, row.run):
+                continue
+            listed.add((row.task, row.run))
+            self._apply_running(runner, row, now)
+        self._expire_starts(runner, answer.clock, listed)
+
+    def mark_started(self, run: Run, now: float) -> None:
+        """Record that a runner has started a run."""
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+            run.progressed_at = now
+
+    def mark_start_refused(self, run: Run, reason: str, now: float) -> None:
+        """Requeue the task of a start that was refused or has expired, and so never ran.
+
+        A refused ticket is discarded; a runner that is unhealthy or has no room is suspended.
+        """
+        runner = self.pool.runners.get(run.runner)
+        stage = self._jobs.stage(run.task.stage)
+        self._remove_run(run)
+        if stage is not None:
+            if reason == "ticket":
+                stage.tickets.drop(run.runner)
+            stage.requeue(run, now)
+            self._break_gang(stage, run)
+        if reason in ("unhealthy", "room") and runner is not None:
+            self._suspend(runner, f"start refused: {reason}", now)
+
+    def _apply_running(self, runner: RunnerState, row: RunningTask, now: float) -> None:
+        run = runner.runs.get((row.task, row.run))
+        if run is None:
+            run = self._add_found_run(runner, row, now)
+        run.observe(row.percent, row.checkpoint, row.load, now)
+        stage = self._jobs.stage(row.task.stage)
+        if stage is not None and self._stalled(stage, run, now):
+            self._suspend(runner, "run without progress", now)
+            self._stops.add(run, "stalled")
+
+    def _suspend(self, runner: RunnerState, reason: str, now: float) -> None:
+        """Suspend a runner, with one line for each suspension."""
+        if runner.suspend(now):
+            seconds = round(runner.suspended_until - now, 1)
+            extra = {"runner": runner.id, "why": reason, "seconds": seconds}
+            log.warning("runner suspended", extra=extra)
+
+    def _stalled(self, stage: Stage, run: Run, now: float) -> bool:
+        spec = stage.spec
+        if run.state is not RunState.RUNNING or spec.daemon or spec.fills or spec.gang:
+            return False
+        return now - run.progressed_at > max(
+            MIN_STALL_SECONDS, STALL_ESTIMATE_SHARE * spec.estimate
+        )
+
+    def _add_found_run(self, runner: RunnerState, row: RunningTask, now: float) -> Run:
+        """Add a reported run that this owner did not start; adopt it if its task is waiting."""
+        stage = self._jobs.stage(row.task.stage)
+        index = row.task.ordinal
+        run = Run(row.task, row.run, runner.id, self._jobs.step_spec(row.task), now)
+        run.measure_progress_from_next_report()
+        run.state = RunState.RUNNING
+        runner.add(run)
+        work = self._jobs.by_id.get(row.task.stage.job)
+        if work is not None and work.open and stage is not None and index in stage.waiting:
+            stage.adopt(run)
+            log.info("run of an earlier owner adopted", extra=run_fields(run))
+        else:
+            self._stops.add(run, "task is not waiting")
+        return run
+
+    def _apply_end(self, runner: RunnerState, end: EndedRun, now: float) -> None:
+        run = runner.runs.get((end.task, end.run))
+        extra = {"task": str(end.task), "run": end.run, "runner": runner.id, "how": end.outcome}
+        log.info("run ended", extra=extra)
+        if run is not None:
+            run.checkpoint = end.checkpoint or run.checkpoint
+            self._remove_run(run)
+            if end.outcome == "done" and not run.checkpoint:
+                run_seconds = now - run.started_at
+                self._speeds.record_duration(runner.id, end.task.stage, run_seconds, now)
+        stage = self._jobs.stage(end.task.stage)
+        work = self._jobs.by_id.get(end.task.stage.job)
+        if stage is None or work is None or end.task.ordinal >= stage.spec.tasks:
+            return
+        if end.outcome == "done" and not stage.spec.daemon:
+            self._apply_done(runner, stage, end, now)
+        else:
+            self._apply_unfinished(runner, stage, end, run, now)
+        self._jobs.mark_changed(work)
+
+    def _apply_done(self, runner: RunnerState, stage: Stage, end: EndedRun, now: float) -> None:
+        """Mark a task as done; if it belongs to a gang, mark all tasks of the gang as done."""
+        runner.record_success(now)
+        finished = range(stage.spec.tasks) if stage.spec.gang else [end.task.ordinal]
+        for index in finished:
+            other = stage.active_runs.get(index)
+            if other is not None and other.number != end.run:
+                self._stops.add(other, "done elsewhere")
+            stage.mark_done(index)
+
+    def _apply_unfinished(
+        self, runner: RunnerState, stage: Stage, end: EndedRun, run: Run | None, now: float
+    ) -> None:
+        index = end.task.ordinal
+        if end.outcome == "failed":
+            if not stage.spec.daemon:
+                stage.add_failed_run(index, end.run)
+                stage.last_failed_runner[index] = runner.id
+            if runner.record_failure(now):
+                self._suspend(runner, "repeated failures", now)
+        if stage.spec.checkpoints and end.checkpoint and index not in stage.done:
+            stage.checkpoints[index] = end.checkpoint
+        if run is not None:
+            stage.requeue(run, now)
+            self._break_gang(stage, run)
+
+    def _break_gang(self, stage: Stage, run: Run) -> None:
+        """Stop the remaining runs of a gang after one has ended or its start was refused."""
+        if not stage.spec.gang:
+            return
+        for other in list(stage.active_runs.values()):
+            if other.number == run.number:
+                self._stops.add(other, "gang incomplete")
+
+    def _requeue_run(self, run: Run, now: float) -> None:
+        """Requeue the task of a run that ended with its runner and was never reported as ended."""
+        self._remove_run(run)
+        stage = self._jobs.stage(run.task.stage)
+        if stage is not None:
+            stage.requeue(run, now)
+            self._break_gang(stage, run)
+
+    def _remove_run(self, run: Run) -> None:
+        self._stops.drop(run)
+        runner = self.pool.runners.get(run.runner)
+        if runner is not None:
+            runner.remove(run)
+
+    def _expire_starts(
+        self, runner: RunnerState, clock: float, listed: set[tuple[TaskId, int]]
+    ) -> None:
+        """Requeue unconfirmed starts whose deadline has passed on the runner's clock."""
+        for run in list(runner.runs.values()):
+            if run.state is not RunState.STARTING or run.key in listed:
+                continue
+            if clock > run.start_deadline + START_SLACK_SECONDS:
+                log.info("unconfirmed start expired", extra=run_fields(run))
+                self.mark_start_refused(run, "late", runner.last_answer_at)
--- a/ragworttiller/scheduling/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -5,11 +5,11 @@
 import logging
 from collections.abc import Callable
 
-from ragworttiller.scheduling.records import Claim, Withdrawn
-from ragworttiller.scheduling.runner_fold import RunnerFold
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.runs import Run, RunState
-from ragworttiller.scheduling.takeover import Takeover
+from ragworttiller.scheduling.records.formats import Claim, Withdrawn
+from ragworttiller.scheduling.records.runner_fold import RunnerFold
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Run, RunState
+from ragworttiller.scheduling.state.takeover import Takeover
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -6,8 +6,8 @@
 
 from ragworttiller.platform.listing import RunnerEntry
 from ragworttiller.resources import NO_RESOURCES, Resources
-from ragworttiller.scheduling.jobs import TaskId
-from ragworttiller.scheduling.runs import Run
+from ragworttiller.scheduling.state.jobs import TaskId
+from ragworttiller.scheduling.state.runs import Run
 
 # The clock of a runner may be 2% slow.
 MIN_CLOCK_RATE = 0.98
@@ -232,22 +232,26 @@
         self._filling_runs += change if run.spec.fills else 0
 
     def record_failure(self, now: float) -> bool:
-        """Record a failed run and return whether the runner is suspended now."""
+        """Record a failed run and return whether the runner is to be suspended for it."""
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_SECONDS]
         self._failures = [*recent, now]
-        if len(self._failures) < FAILURES_TO_SUSPEND and not self._suspensions:
-            return False
-        self.suspend(now)
-        return True
+        return len(self._failures) >= FAILURES_TO_SUSPEND or self.on_probation
+
+    def suspend(self, now: float) -> bool:
+        """Start no tasks on the runner for a while; consecutive suspensions grow longer.
 
-    def suspend(self, now: float) -> None:
-        """Start no tasks on the runner for a while; consecutive suspensions grow longer."""
+        Returns
+        -------
+        bool
+            Whether the suspension is new.
+        """
         if now < self.suspended_until:
-            return
+            return False
         self._suspensions += 1
         self.suspended_until = now + min(
             SUSPEND_STEP_SECONDS * self._suspensions, MAX_SUSPEND_SECONDS
         )
+        return True
 
     def record_success(self, now: float) -> None:
         """Record a task that was done, which ends the probation after a suspension."""
--- a/ragworttiller/scheduling/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -6,9 +6,9 @@
 from enum import StrEnum
 
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.jobs import StageId, StepSpec, TaskId
-from ragworttiller.scheduling.records import StageProgress, decode_bitmap, encode_bitmap
-from ragworttiller.scheduling.tickets import Tickets
+from ragworttiller.scheduling.records.formats import StageProgress, decode_bitmap, encode_bitmap
+from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
+from ragworttiller.scheduling.state.tickets import Tickets
 
 RUNS_PER_EPOCH = 10_000
 MIN_PERCENT_FOR_ESTIMATE = 5
@@ -115,6 +115,8 @@
         Time in seconds at which the last run ended without completing its task.
     preemptions : Counter
         Number of runs of each task that were stopped for more urgent tasks.
+    reserved_on : set of str
+        Runners on which room was reserved for it in the last planning pass that did so.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec) -> None:
@@ -131,6 +133,7 @@
         self.ready_since: float | None = None
         self.requeued_at = float("-inf")
         self.preemptions: Counter[int] = Counter()
+        self.reserved_on: set[str] = set()
         self._last_run_numbers: dict[int, int] = {}
 
     @property
--- a/ragworttiller/scheduling/speeds.py
+++ b/ragworttiller/scheduling/state/speeds.py
@@ -4,7 +4,7 @@
 
 import math
 
-from ragworttiller.scheduling.jobs import StageId
+from ragworttiller.scheduling.state.jobs import StageId
 
 SMOOTHING_FACTOR = 0.2
 MAX_TIME_RATIO = 8.0
--- a/ragworttiller/scheduling/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from ragworttiller.scheduling.job_fold import JobRow
-from ragworttiller.scheduling.records import Claim
-from ragworttiller.scheduling.runs import Stage
+from ragworttiller.scheduling.records.formats import Claim
+from ragworttiller.scheduling.records.job_fold import JobRow
+from ragworttiller.scheduling.state.runs import Stage
 
 # Leases are measured on the runner's clock, which may be 2% slow.
 LEASE_STRETCH_FACTOR = 1.03
--- a/ragworttiller/scheduling/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -29,8 +29,13 @@
         self.recheck_at = 0.0
         self._tickets: dict[str, tuple[str, float]] = {}
 
+    @property
+    def known(self) -> bool:
+        """Whether the advisor has answered about any runner."""
+        return bool(self.allowed or self.denied)
+
     def record_advice(
-        self, named: Iterable[str], granted: dict[str, str], received_at: float, validity: float
+        self, named: Iterable[str], granted: dict[str, str], granted_at: float, validity: float
     ) -> None:
         """Store an answer about the runners ``named``.
 
@@ -40,15 +45,15 @@
             Runners named in the call.
         granted : dict of str to str
             Ticket of each runner that may run the stage.
-        received_at : float
-            Time of the answer, from which the validity is counted, in seconds.
+        granted_at : float
+            Earliest time at which the tickets may have been granted, in seconds.
         validity : float
             Validity of a ticket, in seconds.
         """
         for runner in named:
             (self.allowed if runner in granted else self.denied).add(runner)
         for runner, ticket in granted.items():
-            self._tickets[runner] = (ticket, received_at + validity)
+            self._tickets[runner] = (ticket, granted_at + validity)
 
     def valid_ticket(self, runner: str, now: float) -> str:
         """Return a ticket that is still valid when an order arrives, empty if there is none."""
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -19,14 +19,14 @@
 )
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.advice import Advice, AdviceCall
-from ragworttiller.scheduling.cell_host import CellHost
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.feed import Feed
-from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
-from ragworttiller.scheduling.records import CANCEL_SUFFIX, JOBS, Accepted, JobState, encode
-from ragworttiller.scheduling.standbys import Standbys
+from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
+from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.ownership.standbys import Standbys
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX, JOBS, Accepted, JobState, encode
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.queue_fold import QueueFold
 from standins.platform.runner import RunMonitor, RunnerService
 from standins.platform.service import Link
 from standins.platform.store import StoreService
@@ -72,7 +72,7 @@
         self.store_link = Link(rig.store, rig.timers)
         self.runner_links: dict[str, Link] = {}
         self.store = Store("", 1.0, self.store_link)
-        self.config = ConfigFold()
+        self.config = QueueFold()
         self.config_feed = Feed(self.store, Partition(CONFIG_TOPIC), self.config, rig.timers)
         self.host = CellHost(
             self.store,
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -10,14 +10,14 @@
 from ragworttiller.platform.store import Record
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.cell import Cell
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.jobs import StageId, TaskId
-from ragworttiller.scheduling.orders import Plan, StartOrder
-from ragworttiller.scheduling.records import CANCEL_SUFFIX, Accepted, Claim, encode
-from ragworttiller.scheduling.runner_fold import RunnerFold
-from ragworttiller.scheduling.takeover import Takeover
+from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX, Accepted, Claim, encode
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.records.runner_fold import RunnerFold
+from ragworttiller.scheduling.state.jobs import StageId, TaskId
+from ragworttiller.scheduling.state.orders import Plan, StartOrder
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.takeover import Takeover
 
 QUEUE = Queue("checks", "h", "/q/", "desk", 0, 2, 1.5, 0.25, None)
 JOB = "0123456789abcdef"
@@ -59,7 +59,7 @@
         self.now = 100.0
         self.offset = 0
         self.jobs = JobFold()
-        self.config = ConfigFold()
+        self.config = QueueFold()
         self.listed = RunnerFold()
         self.last_end_numbers: dict[str, int] = {}
         takeover = Takeover(claim, accepted_before, self.now, TERM_SECONDS, LEASE_SECONDS)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -5,15 +5,15 @@
 import pytest
 
 from ragworttiller.platform.configuration import AdviceCost
-from ragworttiller.scheduling.advice import (
+from ragworttiller.scheduling.decisions.advice import (
     AllCandidates,
     EntryLoads,
     UsefulCandidates,
     call_duration,
 )
-from ragworttiller.scheduling.jobs import StageId, StepSpec
-from ragworttiller.scheduling.runs import Stage
-from ragworttiller.scheduling.tickets import Tickets
+from ragworttiller.scheduling.state.jobs import StageId, StepSpec
+from ragworttiller.scheduling.state.runs import Stage
+from ragworttiller.scheduling.state.tickets import Tickets
 from tests.scheduling_rig import JOB, QUEUE, CellRig, step
 
 COST = AdviceCost(0.3, 0.01, 2.5)
@@ -136,6 +136,26 @@
         starts = rig.plan().starts
         assert {(order.run.runner, order.ticket) for order in starts} == {("w2", "t2")}
 
+    def test_a_late_answer_shortens_the_validity_of_its_tickets(self, rig: CellRig):
+        """The platform counts from the grant, however long the answer takes to come back."""
+        rig.submit(step(2), queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.pass_time(call.duration + COST.validity - 0.05)
+        rig.cell.apply_advice(call, {"w2": "t2"}, rig.now)
+        assert rig.plan().starts == []
+
+    def test_the_first_call_names_all_runners_also_of_stages_further_back(self, rig: CellRig):
+        """After a takeover many stages wait; one call each must show where they may run."""
+        rig.cell.set_entries([f"e{n}" for n in range(9)])
+        for number in range(1, 6):
+            rig.submit(step(1, 3000), job=f"{number:016x}", queue=ADVISED)
+        assert {len(call.runners) for call in rig.plan().calls} == {4}
+        rig.submit(step(1, 2000), job="fedcba9876543210")
+        rig.start_all()
+        rig.submit(step(1, 3000), job=JOB, queue=ADVISED)
+        (call,) = rig.plan().calls
+        assert (call.stage.job, len(call.runners)) == (JOB, 4)
+
     def test_a_failed_call_is_retried_by_another_entry(self, rig: CellRig):
         rig.submit(step(2), queue=ADVISED)
         (call,) = rig.plan().calls
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -19,19 +19,19 @@
     Unreadable,
 )
 from ragworttiller.platform.store import Producer, Store
-from ragworttiller.scheduling.acceptance import Acceptance
-from ragworttiller.scheduling.callers import (
+from ragworttiller.scheduling.entry.acceptance import Acceptance
+from ragworttiller.scheduling.entry.callers import (
     CallerReply,
     CallerRequest,
     LocalCallers,
     RelayingCallers,
 )
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.feed import Feed
-from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.records import JOBS, Claim
-from ragworttiller.scheduling.term import ClaimFold
+from ragworttiller.scheduling.ownership.term import ClaimFold
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import JOBS, Claim
+from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.queue_fold import QueueFold
 from standins.platform.service import Link
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
@@ -55,7 +55,7 @@
         client = Store("", 1.0, self.link)
         self.jobs = JobFold()
         self.feed = Feed(client, JOBS, self.jobs, self.timers)
-        self.config = ConfigFold()
+        self.config = QueueFold()
         self.config.adopt(configuration(1))
         self.claims = ClaimFold()
         self.writer = GroupCommit(client, JOBS, Producer("e", 1), self.timers, exclusive=True)
@@ -175,7 +175,7 @@
 
     def test_requests_are_refused_before_there_is_a_configuration(self):
         async def body(rig: EntryRig):
-            rig.acceptance._config = ConfigFold()
+            rig.acceptance._config = QueueFold()
             assert rig.acceptance.max_body > len(BODY)
             with pytest.raises(NotReady) as caught:
                 await rig.call("POST")
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -5,15 +5,15 @@
 import pytest
 
 from ragworttiller.platform.store import Record
-from ragworttiller.scheduling.jobs import StageId
-from ragworttiller.scheduling.records import (
+from ragworttiller.scheduling.records.formats import (
     PROGRESS_SUFFIX,
     Claim,
     JobState,
     Withdrawn,
     encode,
 )
-from ragworttiller.scheduling.speeds import Speeds
+from ragworttiller.scheduling.state.jobs import StageId
+from ragworttiller.scheduling.state.speeds import Speeds
 from tests.scheduling_rig import JOB, LEASE_SECONDS, QUEUE, TERM_SECONDS, CellRig, step, task
 
 OTHER_JOB = "fedcba9876543210"
@@ -345,6 +345,15 @@
         rig.hold("w1", *[(run.task, run.number, "failed") for run in bad])
         assert {order.run.runner for order in rig.plan().starts} <= {"w2"}
 
+    def test_each_suspension_has_one_line(self, rig: CellRig, caplog: pytest.LogCaptureFixture):
+        rig.submit(step(8))
+        bad = [order.run for order in rig.start_all() if order.run.runner == "w1"]
+        with caplog.at_level("WARNING"):
+            for run in bad:
+                rig.hold("w1", (run.task, run.number, "failed"))
+        lines = [row for row in caplog.records if row.message == "runner suspended"]
+        assert [row.why for row in lines] == ["repeated failures"]
+
     def test_a_suspended_runner_gets_one_probe_task_first(self, rig: CellRig):
         runner = rig.cell.runners["w1"]
         runner.suspend(rig.now)
@@ -423,7 +432,7 @@
         assert speeds.time_ratio("slow", 60.0) < 1.1
 
     def test_work_goes_to_the_faster_runner(self, rig: CellRig):
-        rig.cell._speeds._ratios["w1"] = (3.0, rig.now)
+        rig.cell._tracker._speeds._ratios["w1"] = (3.0, rig.now)
         rig.submit(step(2))
         assert {order.run.runner for order in rig.plan().starts} == {"w2"}
 
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -5,8 +5,8 @@
 import pytest
 
 from ragworttiller.platform.configuration import AdviceCost
-from ragworttiller.scheduling.cell_view import CellView, WaitReason
-from ragworttiller.scheduling.records import Claim
+from ragworttiller.scheduling.records.formats import Claim
+from ragworttiller.scheduling.state.cell_view import CellView, WaitReason
 from tests.scheduling_rig import JOB, QUEUE, CellRig, step
 
 ADVISED = QUEUE._replace(advice=AdviceCost(0.3, 0.01, 2.5))
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -19,7 +19,7 @@
 from ragworttiller.config.entry import SECTIONS, load_entry
 from ragworttiller.exceptions import SettingsInvalid
 from ragworttiller.listeners import open_entry_listeners
-from ragworttiller.scheduling.cell_policies import (
+from ragworttiller.scheduling.decisions.cell_policies import (
     CANDIDATES,
     HEADROOMS,
     OBSERVATIONS,
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from ragworttiller.scheduling.cell import Cell
-from ragworttiller.scheduling.cell_policies import default_policies
-from ragworttiller.scheduling.headroom import (
+from ragworttiller.scheduling.decisions.cell_policies import default_policies
+from ragworttiller.scheduling.decisions.headroom import (
     MAX_HOLD_SECONDS,
     ArrivalHeadroom,
     NoHeadroom,
     UpstreamRoom,
 )
-from ragworttiller.scheduling.order import OrderInputs
+from ragworttiller.scheduling.decisions.queue_order import OrderInputs
+from ragworttiller.scheduling.state.owned_cell import Cell
 from tests.scheduling_rig import LEASE_SECONDS, QUEUE, CellRig, step
 
 PATIENT = QUEUE._replace(
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,8 +8,8 @@
 from ragworttiller.exceptions import NoRunner, RunnerBroken
 from ragworttiller.messages import BurnAttempt
 from ragworttiller.process import ledger as ledger_module
-from ragworttiller.process.attempts import MAX_RECORDED_BODY_BYTES
 from ragworttiller.process.ledger import LedgerLimits
+from ragworttiller.process.licensed_attempts import MAX_RECORDED_BODY_BYTES
 from ragworttiller.records import RECORD_CODEC, GiveUp
 from tests.ledger_rig import Rig, rig_of, violations
 
--- a/tests/test_ledger_mutations.py
+++ b/tests/test_ledger_mutations.py
@@ -6,11 +6,11 @@
 
 from ragworttiller.exceptions import RunnerBroken
 from ragworttiller.messages import LicensedAnswer
-from ragworttiller.process import attempts
-from ragworttiller.process.attempts import AttemptRunner
+from ragworttiller.process import licensed_attempts
 from ragworttiller.process.fold import VALID, Committed
 from ragworttiller.process.ledger import Ledger
 from ragworttiller.process.ledger_fold import LedgerFold
+from ragworttiller.process.licensed_attempts import AttemptRunner
 from ragworttiller.records import Intent
 from tests.ledger_rig import FakeSender, Rig, rig_of, violations
 from tests.test_ledger import take_over
@@ -61,7 +61,9 @@
 
 
 def guess_not_run(monkeypatch):
-    monkeypatch.setattr(attempts, "outcome_unknown", lambda key: attempts.not_run(key, "a guess"))
+    monkeypatch.setattr(
+        licensed_attempts, "outcome_unknown", lambda key: licensed_attempts.not_run(key, "a guess")
+    )
 
 
 def send_again(monkeypatch):
--- a/tests/test_observation.py
+++ b/tests/test_observation.py
@@ -5,14 +5,14 @@
 import pytest
 
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
-from ragworttiller.scheduling.observation import (
+from ragworttiller.scheduling.decisions.observation import (
     CALM_MARGIN_SECONDS,
     DISTURBED_MARGIN_SECONDS,
     RECORDING_MARGIN_SECONDS,
     ExpectedEnds,
     LongPollOnly,
 )
-from ragworttiller.scheduling.runs import Run
+from ragworttiller.scheduling.state.runs import Run
 from tests.scheduling_rig import CellRig, step
 
 
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -11,21 +11,21 @@
 from ragworttiller.exceptions import AppendFenced, OrderRefused, OrderUndecided
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
-from ragworttiller.scheduling import cell as cell_module
-from ragworttiller.scheduling import owner as owner_module
-from ragworttiller.scheduling.cell import Cell
-from ragworttiller.scheduling.feed import Feed
-from ragworttiller.scheduling.owner_watch import (
+from ragworttiller.scheduling.ownership import runner_calls
+from ragworttiller.scheduling.ownership.owner_watch import (
     EMPTY_POLLS_BEFORE_CLAIM,
     HEARTBEAT_TIMEOUT_SECONDS,
     OwnerHeartbeat,
     OwnerWatch,
 )
-from ragworttiller.scheduling.ownership import Ownership
-from ragworttiller.scheduling.records import OWNER, OWNER_KEY, Claim, encode
-from ragworttiller.scheduling.runner_state import RunnerState
-from ragworttiller.scheduling.takeover import Takeover
-from ragworttiller.scheduling.term import TERM_SECONDS, ClaimFold, Term
+from ragworttiller.scheduling.ownership.ownership import Ownership
+from ragworttiller.scheduling.ownership.term import TERM_SECONDS, ClaimFold, Term
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import OWNER, OWNER_KEY, Claim, encode
+from ragworttiller.scheduling.state import run_tracker
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.takeover import Takeover
 from ragworttiller.timers import ManualTimers
 from standins.platform.service import Link
 from standins.platform.store import StoreService
@@ -550,7 +550,7 @@
         assert find_violations(range(40))
 
     def test_starts_without_a_deadline_of_their_own(self, monkeypatch: pytest.MonkeyPatch):
-        monkeypatch.setattr(cell_module, "START_SLACK_SECONDS", -1.2)
+        monkeypatch.setattr(run_tracker, "START_SLACK_SECONDS", -1.2)
         assert find_violations(range(40))
 
     def test_a_start_given_up_after_an_unanswered_attempt(self, monkeypatch: pytest.MonkeyPatch):
@@ -560,7 +560,7 @@
             except OrderUndecided as exc:
                 raise OrderRefused(runner="r", order="start", reason="late") from exc
 
-        monkeypatch.setattr(owner_module, "call_start", give_up_after_one_attempt)
+        monkeypatch.setattr(runner_calls, "call_start", give_up_after_one_attempt)
         assert find_violations(range(40))
 
     def test_no_fence_at_the_runners(self, monkeypatch: pytest.MonkeyPatch):
--- a/tests/test_queue_order.py
+++ b/tests/test_queue_order.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ragworttiller.scheduling.order import ArrivalOrder, OrderInputs, SlackOrder
+from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, OrderInputs, SlackOrder
 from tests.scheduling_rig import JOB, QUEUE, CellRig, step
 
 STREAM = QUEUE._replace(name="streams", prefix="/s/", priority=1, target_latency=2.5)
--- a/tests/test_room_maker.py
+++ b/tests/test_room_maker.py
@@ -10,19 +10,19 @@
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
 from ragworttiller.platform.store import Record
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.cell import Cell
-from ragworttiller.scheduling.cell_policies import default_policies
-from ragworttiller.scheduling.forecast import RoomForecast
-from ragworttiller.scheduling.jobs import StageId, StepSpec, TaskId
-from ragworttiller.scheduling.order import OrderInputs
-from ragworttiller.scheduling.placement import FastTightFit, FirstFit
-from ragworttiller.scheduling.runs import Run, RunState, Stage
-from ragworttiller.scheduling.victims import (
+from ragworttiller.scheduling.decisions.cell_policies import default_policies
+from ragworttiller.scheduling.decisions.forecast import RoomForecast
+from ragworttiller.scheduling.decisions.queue_order import OrderInputs
+from ragworttiller.scheduling.decisions.task_placement import FastTightFit, FirstFit
+from ragworttiller.scheduling.decisions.victims import (
     Beneficiary,
     Candidate,
     CheckpointedVictims,
     NoVictims,
 )
+from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 from tests.scheduling_rig import JOB, QUEUE, CellRig, step
 
 STOP_SECONDS, RESTORE_SECONDS = 0.9, 0.6
@@ -191,6 +191,19 @@
         rig.submit(small(1), job=job(3), queue=PATIENT)
         assert {order.run.runner for order in rig.plan().starts} <= {"w2", "w3"}
 
+    def test_each_reservation_has_one_line(
+        self, rig: AcceleratorRig, caplog: pytest.LogCaptureFixture
+    ):
+        rig.submit({**small(2, 2000), "requires": "a"}, job=job(1), queue=PATIENT)
+        rig.start_all()
+        rig.advance(1.0)
+        rig.submit({**whole(), "requires": "a"}, queue=URGENT)
+        with caplog.at_level("INFO"):
+            rig.plan()
+            rig.plan()
+        lines = [row for row in caplog.records if row.message == "room reserved"]
+        assert [(row.stage, row.runners) for row in lines] == [(f"{JOB}.0.0", ["w1"])]
+
     def test_room_that_comes_much_later_is_used_meanwhile(self, rig: AcceleratorRig):
         blocking = step(1, 8000, gpu=3, estimate_ms=20_000, requires="a")
         rig.submit(blocking, job=job(1), queue=URGENT)
--- a/tests/test_standbys.py
+++ b/tests/test_standbys.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from ragworttiller.platform.store import Record
-from ragworttiller.scheduling.entries import EntryFold
-from ragworttiller.scheduling.owner_watch import OwnerHeartbeat
-from ragworttiller.scheduling.records import EntryRecord, encode
-from ragworttiller.scheduling.standbys import MAX_STANDBYS, PeerStandbys
+from ragworttiller.scheduling.entry.entries import EntryFold
+from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
+from ragworttiller.scheduling.ownership.standbys import MAX_STANDBYS, PeerStandbys
+from ragworttiller.scheduling.records.formats import EntryRecord, encode
 
 
 class FakePeers:
--- a/tests/test_start_call.py
+++ b/tests/test_start_call.py
@@ -7,7 +7,7 @@
 
 from ragworttiller.exceptions import AppendFenced, OrderRefused, OrderUndecided
 from ragworttiller.platform.runners import Start
-from ragworttiller.scheduling.start_call import ATTEMPT_TIMEOUTS_SECONDS, call_start
+from ragworttiller.scheduling.ownership.start_call import ATTEMPT_TIMEOUTS_SECONDS, call_start
 from tests.scheduling_rig import task
 
 START = Start(task(), 7, "s", 12.0, "", "")
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -17,15 +17,13 @@
     LogUnavailable,
     Unreadable,
 )
+from ragworttiller.platform.channel import Answer
 from ragworttiller.platform.listing import decode_entry
 from ragworttiller.platform.names import is_job_id, task_id
 from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Record, Store
 from ragworttiller.platform.submissions import decode_job
-from ragworttiller.scheduling.config_fold import ConfigFold
-from ragworttiller.scheduling.feed import Feed, Fold
-from ragworttiller.scheduling.group_commit import GroupCommit
-from ragworttiller.scheduling.job_fold import JobFold
-from ragworttiller.scheduling.records import (
+from ragworttiller.scheduling.records.feed import Feed, Fold
+from ragworttiller.scheduling.records.formats import (
     Accepted,
     Claim,
     EntryRecord,
@@ -35,8 +33,11 @@
     decode,
     encode,
 )
-from ragworttiller.scheduling.retention import Retention
-from ragworttiller.scheduling.runner_fold import RunnerFold
+from ragworttiller.scheduling.records.group_commit import MAX_BATCH_BYTES, GroupCommit
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.records.retention import Retention
+from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from standins.platform.service import Link
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
@@ -127,6 +128,21 @@
         found = await rig.store.read(PARTITION, 0)
         assert [record.key for record in found.records] == ["", "k"]
 
+    @virtual
+    async def test_a_read_with_an_invalid_answer_failed(self):
+        rig = StoreRig()
+        statuses = [200, 410]
+
+        async def invalid(*args: object, **options: object) -> Answer:
+            return Answer(statuses[0], [], b"{")
+
+        rig.link.request = invalid
+        while statuses:
+            with pytest.raises(LogUnavailable) as caught:
+                await rig.store.read(PARTITION, 0)
+            assert caught.value.fields["stream"] == str(PARTITION)
+            statuses.pop(0)
+
     @virtual
     async def test_long_polls_are_answered_when_the_stand_in_closes(self):
         rig = StoreRig()
@@ -166,6 +182,35 @@
         assert len(rig.values()) == 20
         assert rig.link.traffic.calls <= 2
 
+    @virtual
+    async def test_a_call_holds_no_more_than_its_limit_of_bytes(self):
+        rig = StoreRig()
+        writer = rig.writer()
+        record = KeyedRecord("k", b"x" * (MAX_BATCH_BYTES // 2))
+
+        async def body():
+            async with anyio.create_task_group() as tasks:
+                for _ in range(3):
+                    tasks.start_soon(writer.append, [record], 5.0)
+
+        await while_writing(writer, body)
+        assert rig.link.traffic.calls == 3
+
+    @virtual
+    async def test_a_fenced_writer_ends(self):
+        rig = StoreRig()
+        old, new = rig.writer(1), rig.writer(2)
+
+        async def body():
+            await new.append([KeyedRecord("a", b"1")], 5.0)
+
+        await while_writing(new, body)
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(old.run)
+                with pytest.raises(AppendFenced):
+                    await old.append([KeyedRecord("b", b"1")], 5.0)
+
     @virtual
     async def test_a_refused_append_is_not_stored_later(self):
         rig = StoreRig()
@@ -547,13 +592,13 @@
 
     @pytest.mark.parametrize("value", [b"", b"\x00", b"{}", b'{"version":"x"}'])
     def test_an_unreadable_configuration_is_ignored(self, value: bytes):
-        fold = ConfigFold()
+        fold = QueueFold()
         fold.apply(Record(1, "config", b'{"version":3,"routes":[]}'))
         fold.apply(Record(2, "config", value))
         assert fold.current.version == 3
 
     def test_an_older_configuration_is_ignored(self):
-        fold = ConfigFold()
+        fold = QueueFold()
         for version in (3, 2):
             fold.apply(Record(version, "config", json.dumps({"version": version}).encode()))
         assert fold.current.version == 3
@@ -563,7 +608,7 @@
             {"name": "a", "host": "h", "path_prefix": "/a/", "service": "s"},
             {"name": "b", "host": "h", "path_prefix": "/a/b/", "service": "s"},
         ]
-        fold = ConfigFold()
+        fold = QueueFold()
         fold.adopt(json.dumps({"version": 1, "routes": routes}).encode())
         assert fold.find("h", "/a/b/c").name == "b"
         assert fold.find("h", "/a/x").name == "a"
