Bound the time that reserved room idles, and count freed room once

Cause: found by reading. An overdue run counted as ending now, so a slow runner could keep room reserved for as long as it was slow; room reserved for a stage whose ticket did not come idled for good. Two stages of one pass could count on the same stopped runs, and count a preemption twice. Change: an overdue run is expected to take as long again as it is overdue; a reservation lasts 4 s and then leaves the room to others for as long; runs that are to be stopped count as freed and are no candidates any more. Ruled out: a clock for each reserved runner; the stage's is enough, as its tickets are what is missing. The tests of the turn and of the overdue run fail before; the one of two urgent jobs passes before too, since the room that a reservation took had the same effect, and guards the new way.

--- a/ragworttiller/scheduling/decisions/forecast.py
+++ b/ragworttiller/scheduling/decisions/forecast.py
@@ -58,6 +58,8 @@
                     end = run.ordered_at + USUAL_STOP_SHARE * self._stop_seconds
                     rows.append((max(end, self._now), run.reservation))
                 elif not run.spec.daemon:
-                    rows.append((max(run.expected_end, self._now), run.reservation))
+                    # An overdue run is expected to take as long again as it is overdue.
+                    overdue = max(self._now - run.expected_end, 0.0)
+                    rows.append((run.expected_end + 2 * overdue, run.reservation))
             self._ends[runner.id] = sorted(rows, key=lambda row: row[0])
         return self._ends[runner.id]
--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -13,12 +13,14 @@
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import PendingStops, run_fields
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Run, RunState, Stage
+from ragworttiller.scheduling.state.runs import Run, Stage
 
 log = logging.getLogger(__name__)
 
 # Room is reserved only when it is expected this soon, which bounds the time that it idles.
 RESERVE_AHEAD_SECONDS = 1.5
+# Reserved room that is not used, for want of a ticket say, is given to others for as long again.
+MAX_RESERVED_SECONDS = 4.0
 MAX_TASKS_PER_STAGE = 4
 # A stage is constrained if it may run on at most this share of the runners of its upstream.
 CONSTRAINED_SHARE = 1 / 3
@@ -100,31 +102,44 @@
         of_upstream = [runner for runner in self._usable if runner.entry.upstream == upstream]
         runners = {r.id: r for r in of_upstream if self._allowed(work, stage, r)}
         constrained = len(runners) <= CONSTRAINED_SHARE * len(of_upstream)
-        size = stage.spec.reservation
+        reserves = constrained and self._may_reserve(stage)
+        size, reach = stage.spec.reservation, max(ahead, RESERVE_AHEAD_SECONDS)
         times = {name: self._fits_at(runner, size) for name, runner in runners.items()}
         chosen: set[str] = set()
         for _ in range(min(len(stage.waiting), MAX_TASKS_PER_STAGE) if times else 0):
             name = min(times, key=times.__getitem__)
-            if times[name] - self._now > max(ahead, RESERVE_AHEAD_SECONDS):
+            freed = None
+            if times[name] - self._now > reach:
                 beneficiary = Beneficiary(inputs, size, times[name])
                 freed = self._free_room(stage, beneficiary, runners.values())
-                if freed is None:
-                    break
-                name = freed
-            elif not constrained:
+            if freed is None and not (reserves and times[name] - self._now <= reach):
                 break
+            name = freed or name
             chosen.add(name)
             self._free.subtract(name, size)
             times[name] = self._fits_at(runners[name], size)
         if not constrained:
             return None
-        self._log_reservation(stage, chosen, len(runners))
-        return chosen
-
-    def _log_reservation(self, stage: Stage, chosen: set[str], allowed: int) -> None:
-        """Write a line if room is reserved on a runner on which it was not before."""
+        self._record_reservation(stage, chosen, len(runners))
+        soon = {name for name, at in times.items() if at - self._now <= reach}
+        return chosen | soon
+
+    def _may_reserve(self, stage: Stage) -> bool:
+        """Return whether room is reserved for a stage now, rather than left to others in turn."""
+        if stage.reserved_since is None:
+            return True
+        reserved = self._now - stage.reserved_since
+        return reserved < MAX_RESERVED_SECONDS or reserved > 2 * MAX_RESERVED_SECONDS
+
+    def _record_reservation(self, stage: Stage, chosen: set[str], allowed: int) -> None:
+        """Record a reservation, with a line for runners on which there was none before."""
         added = chosen - stage.reserved_on
         stage.reserved_on = chosen
+        if chosen and (
+            stage.reserved_since is None
+            or self._now - stage.reserved_since > 2 * MAX_RESERVED_SECONDS
+        ):
+            stage.reserved_since = self._now
         if added:
             extra = {"stage": str(stage.id), "runners": sorted(added), "allowed": allowed}
             log.info("room reserved", extra=extra)
@@ -167,7 +182,7 @@
     def _free_after_stops(self, runner: RunnerState) -> Resources:
         free = self._free.of_runner(runner.id)
         for run in runner.runs.values():
-            if run.state is RunState.STOPPING:
+            if run in self._stops:
                 free = free.plus(run.reservation)
         return free
 
@@ -176,7 +191,7 @@
         for run in runner.runs.values():
             work = self._jobs.get(run.task.stage.job)
             stage = work.stages.get(run.task.stage) if work is not None else None
-            if work is None or stage is None or run.state is not RunState.RUNNING:
+            if work is None or stage is None or run in self._stops:
                 continue
             inputs = work.order_inputs(stage, self._now, self._wall)
             rows.append(Candidate(run, inputs, stage.preemptions[run.task.ordinal]))
--- a/ragworttiller/scheduling/state/orders.py
+++ b/ragworttiller/scheduling/state/orders.py
@@ -55,6 +55,10 @@
     def __init__(self) -> None:
         self._orders: dict[tuple[TaskId, int], StopOrder] = {}
 
+    def __contains__(self, run: Run) -> bool:
+        """Return whether a run is to be stopped or is stopping."""
+        return run.key in self._orders
+
     def add(self, run: Run, reason: str) -> None:
         """Add a run to stop; the first reason is kept."""
         if run.key not in self._orders:
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -116,7 +116,9 @@
     preemptions : Counter
         Number of runs of each task that were stopped for more urgent tasks.
     reserved_on : set of str
-        Runners on which room was reserved for it in the last planning pass that did so.
+        Runners on which room was reserved for it in the last planning pass.
+    reserved_since : float or None
+        Time in seconds since when room is reserved for it, None if there is no reservation.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec) -> None:
@@ -134,6 +136,7 @@
         self.requeued_at = float("-inf")
         self.preemptions: Counter[int] = Counter()
         self.reserved_on: set[str] = set()
+        self.reserved_since: float | None = None
         self._last_run_numbers: dict[int, int] = {}
 
     @property
--- a/tests/test_room_maker.py
+++ b/tests/test_room_maker.py
@@ -156,6 +156,18 @@
         rig.advance(0.1)
         assert rig.plan().stops == []
 
+    def test_two_urgent_jobs_do_not_count_on_the_same_room(self):
+        rig = AcceleratorRig(2)
+        rig.submit(small(8), job=job(1), queue=PATIENT)
+        rig.start_all()
+        rig.advance(2.0)
+        rig.submit(whole(), job=job(2), queue=URGENT)
+        rig.submit(whole(), job=job(3), queue=URGENT)
+        stops = rig.plan().stops
+        assert len({order.run for order in stops}) == 8
+        stages = rig.cell.jobs[job(1)].stages.values()
+        assert all(set(stage.preemptions.values()) == {1} for stage in stages)
+
     def test_a_ticket_is_asked_for_while_the_runner_is_freed(self, rig: AcceleratorRig):
         rig.cell.set_entries(["e1"])
         rig.submit(small(4), job=job(1), queue=PATIENT)
@@ -191,6 +203,27 @@
         rig.submit(small(1), job=job(3), queue=PATIENT)
         assert {order.run.runner for order in rig.plan().starts} <= {"w2", "w3"}
 
+    def test_reserved_room_that_is_not_used_goes_to_others_in_turn(self, rig: AcceleratorRig):
+        """The advisor answers once and then no more: its runner does not idle for good."""
+        rig.cell.set_entries(["e1"])
+        rig.submit({**whole(), "requires": "a"}, queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.advance(1.0)
+        rig.cell.apply_advice(call, {"w1": "t"}, rig.now - 10.0)
+        waits: list[float] = []
+        began = rig.now
+        for number in range(20, 60):
+            rig.advance(0.25)
+            rig.submit({**small(1, 200), "requires": "a"}, job=job(number), queue=PATIENT)
+            plan = rig.plan()
+            for call in plan.calls:
+                rig.cell.mark_advice_failed(call, rig.now)
+            if plan.starts:
+                waits.append(rig.now - began)
+                break
+        assert waits
+        assert waits[0] < 5.0
+
     def test_each_reservation_has_one_line(
         self, rig: AcceleratorRig, caplog: pytest.LogCaptureFixture
     ):
@@ -309,6 +342,16 @@
             assert forecast.fits_at(runner, size, runner.free) == rig.now + seconds
         assert forecast.fits_at(runner, Resources(0, 0, 5), runner.free) == float("inf")
 
+    def test_an_overdue_run_is_expected_to_take_as_long_again(self, rig: AcceleratorRig):
+        """A slow runner does not keep its room reserved for a stage that waits for it."""
+        rig.submit(small(1, 2000), job=job(1), queue=PATIENT)
+        rig.start_all()
+        runner = rig.cell.runners["w1"]
+        size = Resources(1000, 100, 4)
+        assert RoomForecast(rig.now + 5.0, STOP_SECONDS).fits_at(
+            runner, size, runner.free
+        ) == pytest.approx(rig.now + 8.0)
+
 
 class TestPacking:
     @pytest.mark.parametrize(("policy", "chosen"), [(FastTightFit(), "w2"), (FirstFit(), "w1")])
