--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -52,7 +52,6 @@
     observation: str = "expected_ends"
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
-    stragglers: str = "restart"
 
 
 class EntryLog(NamedTuple):
@@ -168,7 +167,6 @@
                 "expected_ends",
                 "long_poll_only",
             ),
-            _policy("stragglers", "What is done with slow runs.", "restart", "keep"),
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
         ],
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -18,11 +18,6 @@
     ObservationPolicy,
 )
 from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, QueueOrder, SlackOrder
-from ragworttiller.scheduling.decisions.stragglers import (
-    KeepStragglers,
-    RestartStragglers,
-    StragglerPolicy,
-)
 from ragworttiller.scheduling.decisions.task_placement import (
     FastTightFit,
     FirstFit,
@@ -51,10 +46,6 @@
     "arrivals": ArrivalHeadroom,
     "none": NoHeadroom,
 }
-STRAGGLERS: Mapping[str, Callable[[float], StragglerPolicy]] = {
-    "restart": RestartStragglers,
-    "keep": lambda stop_seconds: KeepStragglers(),
-}
 
 
 class CellPolicies(NamedTuple):
@@ -66,7 +57,6 @@
     observation: ObservationPolicy
     victims: VictimPolicy
     headroom: HeadroomPolicy
-    stragglers: StragglerPolicy
     stop_seconds: float
 
 
@@ -88,7 +78,6 @@
         OBSERVATIONS[names.observation](),
         PREEMPTIONS[names.preemption](stop_seconds, bounds.restore_ms / 1000),
         HEADROOMS[names.headroom](),
-        STRAGGLERS[names.stragglers](stop_seconds),
         stop_seconds,
     )
 
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -66,9 +66,7 @@
         self._stops = PendingStops()
         speeds = Speeds()
         self._active = ActiveJobs(jobs, config, self._stops, speeds)
-        self._tracker = RunTracker(
-            self._active, runners, takeover, self._stops, speeds, policies.stragglers, lease
-        )
+        self._tracker = RunTracker(self._active, runners, takeover, self._stops, speeds, lease)
         self._planner = StagePlanner(
             epoch,
             self.pool,
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -5,8 +5,6 @@
 import logging
 
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
-from ragworttiller.scheduling.decisions.stragglers import StragglerPolicy
-from ragworttiller.scheduling.decisions.task_placement import suits
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.jobs import TaskId
@@ -22,10 +20,6 @@
 START_SLACK_SECONDS = 0.05
 MIN_STALL_SECONDS = 1.5
 STALL_ESTIMATE_SHARE = 0.05
-MIN_TYPICAL_SECONDS = 0.05
-MAX_RESTARTS_PER_TASK = 1
-# A run is restarted only if a runner has room whose runs take less than this times the mean.
-MAX_FASTER_RATIO = 1.5
 
 
 class RunTracker:
@@ -43,8 +37,6 @@
         Receives runs that are to be stopped.
     speeds : Speeds
         Receives the durations of runs.
-    stragglers : StragglerPolicy
-        Judges runs by their progress.
     lease : float
         Duration of the granted leases, in seconds.
 
@@ -61,10 +53,8 @@
         takeover: Takeover,
         stops: PendingStops,
         speeds: Speeds,
-        stragglers: StragglerPolicy,
         lease: float,
     ) -> None:
-        self._stragglers = stragglers
         self._jobs = jobs
         self._takeover = takeover
         self._stops = stops
@@ -125,40 +115,6 @@
         if stage is not None and self._stalled(stage, run, now):
             self._suspend(runner, "run without progress", now)
             self._stops.add(run, "stalled")
-        elif stage is not None:
-            self._judge_progress(runner, stage, run, now)
-
-    def _judge_progress(self, runner: RunnerState, stage: Stage, run: Run, now: float) -> None:
-        """Rank a runner down for a slow run, and restart the run elsewhere if that ends sooner."""
-        typical = self._speeds.typical_seconds(stage.id, stage.spec.estimate)
-        projected = run.projected_seconds
-        if projected is None or not self._stragglers.is_slow(run, typical, now):
-            return
-        self._speeds.record_slow(runner.id, projected / max(typical, MIN_TYPICAL_SECONDS), now)
-        index = run.task.ordinal
-        if run in self._stops or stage.restarts[index] >= MAX_RESTARTS_PER_TASK:
-            return
-        if not self._stragglers.restart_ends_sooner(run, typical, now):
-            return
-        if self._has_faster_runner(stage, run, now):
-            stage.restarts[index] += 1
-            extra = {**run_fields(run), "projected": round(projected, 2)}
-            extra |= {"typical": round(typical, 2), "percent": run.percent}
-            log.info("slow run restarted", extra=extra)
-            self._stops.add(run, "slow")
-
-    def _has_faster_runner(self, stage: Stage, run: Run, now: float) -> bool:
-        work = self._jobs.by_id.get(stage.id.job)
-        if work is None:
-            return False
-        return any(
-            other.id != run.runner
-            and stage.spec.reservation.fits(other.free)
-            and suits(other, work.queue.upstream, stage.spec)
-            and (work.queue.advice is None or other.id in stage.tickets.allowed)
-            and self._speeds.time_ratio(other.id, now) < MAX_FASTER_RATIO
-            for other in self.pool.accepting_tasks(now)
-        )
 
     def _suspend(self, runner: RunnerState, reason: str, now: float) -> None:
         """Suspend a runner, with one line for each suspension."""
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -61,23 +61,15 @@
         return self.task, self.number
 
     @property
-    def projected_seconds(self) -> float | None:
-        """Duration of the whole task at the observed rate, None before enough progress."""
+    def expected_end(self) -> float:
+        """Time at which the run should end: from its progress, or its estimate if there is none."""
         if self._progress_base is None:
-            return None
+            return self.started_at + self.spec.estimate
         base_percent, base_at = self._progress_base
         gained, elapsed = self.percent - base_percent, self.progressed_at - base_at
         if gained < MIN_PERCENT_FOR_ESTIMATE or elapsed <= 0:
-            return None
-        return elapsed * 100 / gained
-
-    @property
-    def expected_end(self) -> float:
-        """Time at which the run should end: from its progress, or its estimate if there is none."""
-        projected = self.projected_seconds
-        if projected is None:
             return self.started_at + self.spec.estimate
-        return self.progressed_at + projected * (100 - self.percent) / 100
+        return self.progressed_at + elapsed * (100 - self.percent) / gained
 
     def resume(self, checkpoint: str) -> None:
         """Start from a checkpoint, empty for none."""
@@ -123,8 +115,6 @@
         Time in seconds at which the last run ended without completing its task.
     preemptions : Counter
         Number of runs of each task that were stopped for more urgent tasks.
-    restarts : Counter
-        Number of runs of each task that were stopped because they were slow.
     reserved_on : set of str
         Runners on which room was reserved for it in the last planning pass.
     reserved_since : float or None
@@ -145,7 +135,6 @@
         self.ready_since: float | None = None
         self.requeued_at = float("-inf")
         self.preemptions: Counter[int] = Counter()
-        self.restarts: Counter[int] = Counter()
         self.reserved_on: set[str] = set()
         self.reserved_since: float | None = None
         self._last_run_numbers: dict[int, int] = {}
--- a/ragworttiller/scheduling/state/speeds.py
+++ b/ragworttiller/scheduling/state/speeds.py
@@ -24,16 +24,6 @@
         ratio, at = self._ratios.get(runner, (1.0, now))
         return 1.0 + (ratio - 1.0) * math.exp(-(now - at) / DECAY_SECONDS)
 
-    def typical_seconds(self, stage: StageId, estimate: float) -> float:
-        """Return the mean duration of a stage's ended tasks, or the estimate if none has ended."""
-        total, count = self._stages.get(stage, (0.0, 0))
-        return total / count if count else estimate
-
-    def record_slow(self, runner: str, ratio: float, now: float) -> None:
-        """Record that a runner was seen to be slow; earlier samples no longer count."""
-        if ratio > self.time_ratio(runner, now):
-            self._ratios[runner] = (min(ratio, MAX_TIME_RATIO), now)
-
     def record_duration(self, runner: str, stage: StageId, seconds: float, now: float) -> None:
         """Record the duration of a task on a runner, in seconds."""
         total, count = self._stages.get(stage, (0.0, 0))
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -26,7 +26,6 @@
     ORDERS,
     PLACEMENTS,
     PREEMPTIONS,
-    STRAGGLERS,
 )
 from standins.platform.deployment import ROOT, Deployment, render, settings_fields
 from tests.scheduling_rig import job_body, step
@@ -265,7 +264,6 @@
             "observation": set(OBSERVATIONS),
             "preemption": set(PREEMPTIONS),
             "headroom": set(HEADROOMS),
-            "stragglers": set(STRAGGLERS),
         }
 
     def test_all_errors_are_reported_at_once(self, tmp_path: Path):
