Look ended runs up in constant time

Cause: found by reading. Whether a reported run has ended was looked up in a list of up to 500, for each row of each answer. Change: a dict with the same bound. Ruled out: a smaller bound; an answer may be seconds old, and a runner ends some ten runs a second.

--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from ragworttiller.platform.listing import RunnerEntry
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.state.jobs import TaskId
@@ -73,7 +71,7 @@
         self._clock_reading: tuple[float, float] | None = None
         self._lease_end = 0.0
         self._unanswered_looks = 0
-        self._recent_ends: deque[tuple[TaskId, int]] = deque(maxlen=MAX_RECENT_ENDS)
+        self._recent_ends: dict[tuple[TaskId, int], None] = {}
 
     @property
     def id(self) -> str:
@@ -171,7 +169,9 @@
 
     def record_end(self, task: TaskId, run: int) -> None:
         """Record that a run has ended, so that reports from before its end are not believed."""
-        self._recent_ends.append((task, run))
+        self._recent_ends[task, run] = None
+        if len(self._recent_ends) > MAX_RECENT_ENDS:
+            del self._recent_ends[next(iter(self._recent_ends))]
 
     def has_ended(self, task: TaskId, run: int) -> bool:
         """Return whether a run was reported as ended."""
