Search for runs to stop at intervals, and know constrained stages by denials

Each blocked stage collected candidates on each runner in each pass, and stages that the advisor had not been asked about were offered to entries that had no turn left. Where calls name a part of the runners, a stage with few known tickets counted as constrained though most runners were unknown. Change: candidates are collected only where stopping helps, at most each 0.2 s a stage, only of less urgent jobs with checkpoints; a stage that no entry can call for is checked again after 0.05 s; a stage is constrained if the advisor has denied it on two thirds of the runners. Ruled out: an index of runs by priority; the searches are rare enough now.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -22,7 +22,7 @@
 RUNNERS_PER_STAGE_AHEAD = 8
 AHEAD_MARGIN_SECONDS = 0.3
 CALL_GRACE_SECONDS = 2.0
-# Delay before a stage with sufficient tickets is checked again, unless a runner has room.
+# Delay before a stage is checked again that has sufficient tickets, or that no entry can call for.
 RECHECK_DELAY_SECONDS = 0.05
 
 
@@ -96,7 +96,7 @@
         if with_room and not ahead:
             if stage.tickets.known:
                 self._plan_call(work, stage, with_room, False)
-            else:
+            elif stage.tickets.recheck_at <= self._now:
                 self._plan_call_ahead(work, stage)
         elif ahead and (with_room or stage.tickets.recheck_at <= self._now):
             if room_soon is not None:
@@ -150,6 +150,7 @@
         duration = call_duration(cost, len(names))
         entry = self._loads.assign(duration, self._now)
         if entry is None:
+            stage.tickets.recheck_at = self._now + RECHECK_DELAY_SECONDS
             return True
         wait = self._loads.backlog(entry) - duration
         stage.tickets.call_deadline = self._now + wait + duration + CALL_GRACE_SECONDS
--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -11,6 +11,7 @@
 from ragworttiller.scheduling.decisions.task_placement import FreeResources, suits
 from ragworttiller.scheduling.decisions.victims import Beneficiary, Candidate, VictimPolicy
 from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.jobs import StageId
 from ragworttiller.scheduling.state.orders import PendingStops, run_fields
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run, Stage
@@ -22,6 +23,8 @@
 # Reserved room that is not used, for want of a ticket say, is given to others for as long again.
 MAX_RESERVED_SECONDS = 4.0
 MAX_TASKS_PER_STAGE = 4
+# A search for runs to stop looks at every runner that a stage may use.
+PREEMPTION_CHECK_SECONDS = 0.2
 # A stage is constrained if it may run on at most this share of the runners of its upstream.
 CONSTRAINED_SHARE = 1 / 3
 
@@ -47,9 +50,10 @@
         self._victims = victims
         self._stop_seconds = stop_seconds
         self._jobs: Mapping[str, JobWork] = {}
-        self._usable: Sequence[RunnerState] = ()
+        self._by_upstream: dict[str, list[RunnerState]] = {}
         self._free = FreeResources(())
         self._forecast = RoomForecast(0.0, stop_seconds)
+        self._inputs: dict[StageId, OrderInputs] = {}
         self._now = 0.0
         self._wall = 0.0
 
@@ -74,9 +78,13 @@
         now, wall : float
             Time of the owner, and time of day in seconds since the epoch.
         """
-        self._jobs, self._usable, self._free = jobs, usable, free
+        self._jobs, self._free = jobs, free
+        self._by_upstream = {}
+        for runner in usable:
+            self._by_upstream.setdefault(runner.entry.upstream, []).append(runner)
         self._now, self._wall = now, wall
         self._forecast = RoomForecast(now, self._stop_seconds)
+        self._inputs = {}
 
     def make_room(
         self, work: JobWork, stage: Stage, inputs: OrderInputs, ahead: float
@@ -98,10 +106,11 @@
         set of str or None
             Runners on which tasks of the stage will fit soon, None if any runner may be the next.
         """
-        upstream = work.queue.upstream
-        of_upstream = [runner for runner in self._usable if runner.entry.upstream == upstream]
+        of_upstream = self._by_upstream.get(work.queue.upstream, [])
+        constrained = self._constrained(work, stage, of_upstream)
+        if self._was_checked(stage) and not constrained:
+            return None
         runners = {r.id: r for r in of_upstream if self._allowed(work, stage, r)}
-        constrained = len(runners) <= CONSTRAINED_SHARE * len(of_upstream)
         reserves = constrained and self._may_reserve(stage)
         size, reach = stage.spec.reservation, max(ahead, RESERVE_AHEAD_SECONDS)
         times = {name: self._fits_at(runner, size) for name, runner in runners.items()}
@@ -119,6 +128,7 @@
             self._free.subtract(name, size)
             times[name] = self._fits_at(runners[name], size)
         if not constrained:
+            stage.preemption_checked_at = self._now
             return None
         self._record_reservation(stage, chosen, len(runners))
         soon = {name for name, at in times.items() if at - self._now <= reach}
@@ -144,6 +154,20 @@
             extra = {"stage": str(stage.id), "runners": sorted(added), "allowed": allowed}
             log.info("room reserved", extra=extra)
 
+    def _was_checked(self, stage: Stage) -> bool:
+        """Return whether runs to stop for a stage were searched for a moment ago."""
+        return self._now < stage.preemption_checked_at + PREEMPTION_CHECK_SECONDS
+
+    def _constrained(self, work: JobWork, stage: Stage, of_upstream: Sequence[RunnerState]) -> bool:
+        """Return whether only few of an upstream's runners may run a stage.
+
+        Runners that the advisor was not asked about count as allowed.
+        """
+        denied = len(stage.tickets.denied) if work.queue.advice is not None else 0
+        if stage.spec.label:
+            denied += sum(stage.spec.label not in runner.entry.labels for runner in of_upstream)
+        return len(of_upstream) - denied <= CONSTRAINED_SHARE * len(of_upstream)
+
     def _allowed(self, work: JobWork, stage: Stage, runner: RunnerState) -> bool:
         """Return whether a stage may start on a runner, as far as is known."""
         if work.queue.advice is not None and runner.id not in stage.tickets.allowed:
@@ -157,10 +181,18 @@
         self, stage: Stage, beneficiary: Beneficiary, runners: Iterable[RunnerState]
     ) -> str | None:
         """Stop runs on the runner where the fewest have to be stopped, and return its name."""
+        if self._was_checked(stage):
+            return None
+        stage.preemption_checked_at = self._now
+        if not self._victims.helps(beneficiary, self._now):
+            return None
         choices: list[tuple[int, RunnerState, list[Run]]] = []
         for runner in runners:
+            candidates = self._candidates(runner, beneficiary.inputs.priority)
+            if not candidates:
+                continue
             victims = self._victims.choose(
-                beneficiary, self._free_after_stops(runner), self._candidates(runner), self._now
+                beneficiary, self._free_after_stops(runner), candidates, self._now
             )
             if victims:
                 choices.append((len(victims), runner, victims))
@@ -186,13 +218,21 @@
                 free = free.plus(run.reservation)
         return free
 
-    def _candidates(self, runner: RunnerState) -> list[Candidate]:
+    def _candidates(self, runner: RunnerState, priority: int) -> list[Candidate]:
+        """Return the runs of less urgent jobs that can be stopped at a checkpoint."""
         rows: list[Candidate] = []
         for run in runner.runs.values():
+            if not run.spec.checkpoints or run in self._stops:
+                continue
             work = self._jobs.get(run.task.stage.job)
             stage = work.stages.get(run.task.stage) if work is not None else None
-            if work is None or stage is None or run in self._stops:
+            if work is None or stage is None or work.queue.priority <= priority:
                 continue
-            inputs = work.order_inputs(stage, self._now, self._wall)
-            rows.append(Candidate(run, inputs, stage.preemptions[run.task.ordinal]))
+            preemptions = stage.preemptions[run.task.ordinal]
+            rows.append(Candidate(run, self._order_inputs(work, stage), preemptions))
         return rows
+
+    def _order_inputs(self, work: JobWork, stage: Stage) -> OrderInputs:
+        if stage.id not in self._inputs:
+            self._inputs[stage.id] = work.order_inputs(stage, self._now, self._wall)
+        return self._inputs[stage.id]
--- a/ragworttiller/scheduling/decisions/victims.py
+++ b/ragworttiller/scheduling/decisions/victims.py
@@ -43,6 +43,18 @@
 class VictimPolicy(ABC):
     """Chooses which runs of a runner to stop."""
 
+    @abstractmethod
+    def helps(self, beneficiary: Beneficiary, now: float) -> bool:
+        """Return whether stopping other runs can let a task's job be on time.
+
+        Parameters
+        ----------
+        beneficiary : Beneficiary
+            Task that needs room.
+        now : float
+            Time in seconds.
+        """
+
     @abstractmethod
     def choose(
         self,
@@ -51,7 +63,7 @@
         candidates: Sequence[Candidate],
         now: float,
     ) -> list[Run]:
-        """Return the runs to stop, none if stopping does not help or costs too much.
+        """Return the runs to stop, none if stopping them is not enough or costs too much.
 
         Parameters
         ----------
@@ -69,6 +81,10 @@
 class NoVictims(VictimPolicy):
     """Stop nothing; the baseline."""
 
+    @override
+    def helps(self, beneficiary: Beneficiary, now: float) -> bool:
+        return False
+
     @override
     def choose(
         self,
@@ -100,6 +116,18 @@
         self._stop_seconds = stop_seconds
         self._loss_seconds = stop_seconds + restore_seconds
 
+    @override
+    def helps(self, beneficiary: Beneficiary, now: float) -> bool:
+        inputs = beneficiary.inputs
+        if inputs.lasts or beneficiary.fits_at - now <= self._loss_seconds:
+            return False
+        deadline = inputs.since + LATE_FACTOR * inputs.objective
+        if now + self._stop_seconds + inputs.remaining > deadline:
+            return False
+        return beneficiary.fits_at + inputs.remaining > (
+            inputs.since + MAX_WAIT_SHARE * inputs.objective
+        )
+
     @override
     def choose(
         self,
@@ -108,8 +136,6 @@
         candidates: Sequence[Candidate],
         now: float,
     ) -> list[Run]:
-        if not self._gains(beneficiary, now):
-            return []
         eligible = [row for row in candidates if self._eligible(row, beneficiary, now)]
         eligible.sort(key=lambda row: -row.run.expected_end)
         chosen: list[Run] = []
@@ -121,18 +147,6 @@
                 free = free.plus(row.run.reservation)
         return chosen if beneficiary.size.fits(free) else []
 
-    def _gains(self, beneficiary: Beneficiary, now: float) -> bool:
-        """Return whether stopping lets a job be on time that otherwise may not be."""
-        inputs = beneficiary.inputs
-        if inputs.lasts or beneficiary.fits_at - now <= self._loss_seconds:
-            return False
-        deadline = inputs.since + LATE_FACTOR * inputs.objective
-        if now + self._stop_seconds + inputs.remaining > deadline:
-            return False
-        return beneficiary.fits_at + inputs.remaining > (
-            inputs.since + MAX_WAIT_SHARE * inputs.objective
-        )
-
     def _eligible(self, row: Candidate, beneficiary: Beneficiary, now: float) -> bool:
         run, spec = row.run, row.run.spec
         if not spec.checkpoints or spec.daemon or spec.gang or spec.fills:
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -115,6 +115,8 @@
         Time in seconds at which the last run ended without completing its task.
     preemptions : Counter
         Number of runs of each task that were stopped for more urgent tasks.
+    preemption_checked_at : float
+        Time in seconds of the last search for runs to stop for it.
     reserved_on : set of str
         Runners on which room was reserved for it in the last planning pass.
     reserved_since : float or None
@@ -135,6 +137,7 @@
         self.ready_since: float | None = None
         self.requeued_at = float("-inf")
         self.preemptions: Counter[int] = Counter()
+        self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
         self.reserved_since: float | None = None
         self._last_run_numbers: dict[int, int] = {}
--- a/tests/test_room_maker.py
+++ b/tests/test_room_maker.py
@@ -224,6 +224,20 @@
         assert waits
         assert waits[0] < 5.0
 
+    def test_runners_that_were_not_asked_about_may_still_be_allowed(self):
+        """Of many runners only some are named in a call: few known ones are no constraint."""
+        rig = AcceleratorRig(9)
+        rig.cell.set_entries(["e1"])
+        rig.submit(small(36, 2000), job=job(1), queue=PATIENT)
+        rig.start_all()
+        rig.advance(1.0)
+        rig.submit(whole(), queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.cell.apply_advice(call._replace(runners=("w1", "w2")), {"w1": "t"}, rig.now)
+        rig.plan()
+        stage = next(iter(rig.cell.jobs[JOB].stages.values()))
+        assert stage.reserved_on == set()
+
     def test_each_reservation_has_one_line(
         self, rig: AcceleratorRig, caplog: pytest.LogCaptureFixture
     ):
@@ -321,13 +335,12 @@
 
     def test_a_job_that_is_on_time_anyway_stops_nothing(self):
         patient = self.URGENT._replace(inputs=OrderInputs(1, 100.0, 60.0, 5.0))
-        rows = [self.candidate(n) for n in range(4)]
-        assert self.POLICY.choose(patient, Resources(9000, 0, 0), rows, 100.0) == []
+        assert self.POLICY.helps(self.URGENT, 100.0)
+        assert not self.POLICY.helps(patient, 100.0)
 
     def test_a_job_that_room_comes_for_soon_stops_nothing(self):
         soon = self.URGENT._replace(fits_at=101.0)
-        rows = [self.candidate(n) for n in range(4)]
-        assert self.POLICY.choose(soon, Resources(9000, 0, 0), rows, 100.0) == []
+        assert not self.POLICY.helps(soon, 100.0)
 
 
 class TestForecast:
