Remove names that nobody uses

Cause: found by the wording work: backfill.NEVER, Bookings.holds_of, Waiter.refused, Demo._owners, the view of the routing model, and three fields of LiveCell have no reader. Change: removed. Figures: linter, type checker and the tests of routing, cell and configuration pass. Conclusion: no behaviour changes.

--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -15,7 +15,6 @@
 from ragworttiller.process.membership import FixedMembership
 from ragworttiller.request.sender import UpstreamRequest
 from ragworttiller.routing.dispatcher import Dispatcher
-from ragworttiller.routing.runner import Runner
 from ragworttiller.routing.settings import FixedUpstreams, UpstreamSettings
 from ragworttiller.services.directory import Listing
 from ragworttiller.services.runner import Exchange
@@ -180,11 +179,6 @@
             sum(d.count for d in self.decisions.values()),
         )
 
-    def view(self, runner: int) -> list[Runner]:
-        """Return each entry's view of one runner."""
-        name = self.runners[runner].name
-        return [self.entries[entry].routers[UPSTREAM].table.runners[name] for entry in self.names]
-
     def _record_error(self, exc: RagworttillerError, started: float, measured: bool) -> None:
         if not measured:
             return
--- a/ragworttiller/process/backfill.py
+++ b/ragworttiller/process/backfill.py
@@ -9,8 +9,6 @@
 from ragworttiller.placement.rules import Rules
 from ragworttiller.resources import NO_RESOURCES, Resources
 
-NEVER = float("inf")
-
 
 class Release(NamedTuple):
     """Room that a running task is expected to free on a worker at a monotonic time."""
--- a/ragworttiller/process/bookings.py
+++ b/ragworttiller/process/bookings.py
@@ -191,10 +191,6 @@
             self._free_hold(key)
         return VALID
 
-    def holds_of(self, decision: str) -> list[HoldKey]:
-        """Return the keys of a decision's holds."""
-        return [key for key in self.holds if key[0] == decision]
-
     def to_dump(self) -> BookingsDump:
         """Return the state for a snapshot."""
         return BookingsDump(
--- a/ragworttiller/routing/upstream.py
+++ b/ragworttiller/routing/upstream.py
@@ -230,9 +230,7 @@
         """
         while (waiter := self._queue.first()) is not None:
             now = self._timers.now()
-            if not self._admission.can_answer_within(waiter.deadline - now):
-                waiter.refused = True
-            else:
+            if self._admission.can_answer_within(waiter.deadline - now):
                 runners = self._table.eligible(now, waiter.probe)
                 if not runners:
                     return
--- a/ragworttiller/routing/waiting.py
+++ b/ragworttiller/routing/waiting.py
@@ -23,14 +23,13 @@
         Runners to choose only if no other has capacity.
     """
 
-    __slots__ = ("deadline", "probe", "tried", "choice", "refused", "_event")
+    __slots__ = ("deadline", "probe", "tried", "choice", "_event")
 
     def __init__(self, deadline: float, probe: bool, tried: Container[str]) -> None:
         self.deadline = deadline
         self.probe = probe
         self.tried = tried
         self.choice: RoutingChoice | None = None
-        self.refused = False
         self._event = anyio.Event()
 
     async def wait(self) -> None:
--- a/tests/live_cell.py
+++ b/tests/live_cell.py
@@ -44,9 +44,6 @@
         self.balancer: Balancer
         self.operator: Operator
         self.started = 0.0
-        self.disturbed = 0.0
-        self.restored = 0.0
-        self.versions: dict[str, int] = {}
 
     async def __aenter__(self) -> LiveCell:
         await self._stack.__aenter__()
--- a/tools/cell_demo.py
+++ b/tools/cell_demo.py
@@ -75,7 +75,6 @@
         self._console = console
         self._random = random.Random(SEED)
         self._started_at = 0.0
-        self._owners: list[str] = []
         self._open_jobs = 0
         self.jobs: list[Job] = []
 
