Share the check of loaded modules between two tests

Cause: two tests of the entry's imports stood twice but for their names. Change: one function that returns the modules that a new process has loaded. Ruled out: nothing. Conclusion: both assert what they did.

--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -205,24 +205,21 @@
         with_platform(body)
 
     def test_the_entry_imports_no_command_line_tool(self):
-        code = (
-            "import sys, ragworttiller.entry, ragworttiller.entry_process;"
-            "print([m for m in ('typer', 'rich', 'starlette') if m in sys.modules])"
-        )
-        found = subprocess.run(
-            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
-        )
-        assert found.stdout.strip() == "[]"
+        loaded = modules_loaded_by("ragworttiller.entry, ragworttiller.entry_process")
+        assert loaded.isdisjoint({"typer", "rich", "starlette"})
 
     def test_connections_are_accepted_before_the_other_modules_load(self):
-        code = (
-            "import sys, ragworttiller.entry;"
-            "print([m for m in ('anyio', 'uvicorn', 'asyncio', 'msgspec') if m in sys.modules])"
-        )
-        found = subprocess.run(
-            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
-        )
-        assert found.stdout.strip() == "[]"
+        loaded = modules_loaded_by("ragworttiller.entry")
+        assert loaded.isdisjoint({"anyio", "uvicorn", "asyncio", "msgspec"})
+
+
+def modules_loaded_by(modules: str) -> set[str]:
+    """Return the modules that a new process has loaded after importing some."""
+    code = f"import sys, json, {modules}; print(json.dumps(list(sys.modules)))"
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    return set(json.loads(found.stdout))
 
 
 class TestEntryListeners:
