Log which tasks wait for long, and what is known of the runners with room

Cause: what a lasting task waits for could be seen in the operators' view at the moment only; the collected log of the incident shows starts and ends of others. Change: the owner writes up to five lines (tasks wait) each 2 s, lasting tasks first: reason, wait, suitable runners, those with room, and those of them about which the advisor was not asked. Ends are kept by task. Ruled out: a line for each waiting stage and pass: the owner writes some 190 lines a second already.

--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -20,6 +20,7 @@
 from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
 from ragworttiller.scheduling.ownership.standbys import NoStandbys, Standbys
 from ragworttiller.scheduling.ownership.term import Term
+from ragworttiller.scheduling.ownership.wait_log import WaitLog
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS, Claim
 from ragworttiller.scheduling.records.group_commit import GroupCommit
@@ -93,6 +94,7 @@
         )
         self._recorder = Recorder(cell, term, self._writer, clock, retention)
         self._calls = RunnerCalls(cell, term, clock, self._recorder, connect, self.request_plan)
+        self._wait_log = WaitLog(cell, clock)
         self._plan_requested = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -110,6 +112,7 @@
             tasks.start_soon(self._plan_loop, ownership)
             tasks.start_soon(self._recorder.run)
             tasks.start_soon(self._heartbeat_loop)
+            tasks.start_soon(self._wait_log.run)
             await ownership.renew_until_ended(self._term, self.current_claim, self._enroll_runners)
             tasks.cancel_scope.cancel()
         log.info("ownership ended", extra={"epoch": self._term.epoch})
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -52,6 +52,22 @@
     wait: str
 
 
+class LongWait(TypedDict):
+    """A stage whose tasks wait for long, and what is known of the runners that could take one.
+
+    ``seconds`` is the wait of its first task. ``with_room`` counts the suitable runners that have
+    room for a task, and ``not_asked`` those of them about which the advisor was not asked.
+    """
+
+    stage: str
+    waiting: int
+    seconds: float
+    why: str
+    suitable: int
+    with_room: int
+    not_asked: int
+
+
 class JobView(TypedDict):
     """An active job; ``age`` and the ``slack`` of its first unfinished stage are in seconds.
 
@@ -107,6 +123,39 @@
         work = self._cell.jobs.get(job)
         return [self._stage(work, s, now, wall) for s in work.stages.values()] if work else []
 
+    def long_waits(self, now: float, wall: float, min_seconds: float, most: int) -> list[LongWait]:
+        """Return the stages that wait for at least ``min_seconds``, ``most`` of them at most.
+
+        Stages of lasting tasks come first: they may wait for no other reason than want of room.
+        """
+        rows = [
+            (not stage.spec.daemon, -stage.longest_wait(now), work, stage)
+            for work in self._cell.jobs.values()
+            if work.open
+            for stage in work.ready(wall)
+            if stage.longest_wait(now) >= min_seconds
+        ]
+        rows.sort(key=lambda row: row[:2])
+        return [self._long_wait(work, stage, now, wall) for _, _, work, stage in rows[:most]]
+
+    def _long_wait(self, work: JobWork, stage: Stage, now: float, wall: float) -> LongWait:
+        suitable = self._suitable_runners(work, stage, now)
+        with_room = [r.id for r in suitable if stage.spec.reservation.fits(r.free)]
+        known = stage.tickets.allowed | stage.tickets.denied
+        return LongWait(
+            stage=str(stage.id),
+            waiting=len(stage.waiting),
+            seconds=round(stage.longest_wait(now), 3),
+            why=str(self.wait_reason(work, stage, now, wall)),
+            suitable=len(suitable),
+            with_room=len(with_room),
+            not_asked=sum(name not in known for name in with_room),
+        )
+
+    def _suitable_runners(self, work: JobWork, stage: Stage, now: float) -> list[RunnerState]:
+        usable = self._cell.pool.accepting_tasks(now)
+        return [r for r in usable if suits(r, work.queue.upstream, stage.spec)]
+
     def _job(self, work: JobWork, now: float, wall: float) -> JobView:
         stages = work.stages.values()
         unfinished = [stage for stage in stages if not stage.complete] or list(stages)
@@ -143,8 +192,7 @@
             return WaitReason.NOT_DUE
         if not work.predecessors_complete(stage):
             return WaitReason.PREDECESSORS
-        usable = self._cell.pool.accepting_tasks(now)
-        suitable = [r for r in usable if suits(r, work.queue.upstream, stage.spec)]
+        suitable = self._suitable_runners(work, stage, now)
         if not suitable:
             return WaitReason.NO_RUNNER_SUITS
         with_room = [r for r in suitable if stage.spec.reservation.fits(r.free)]
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -95,7 +95,7 @@
         """
         since = max(self.accepted_at, now + self.due(stage) - wall)
         if stage.spec.daemon:
-            since = max(since, stage.requeued_at)
+            since = max(since, stage.last_requeued_at)
             return OrderInputs(self.queue.priority, since, self.queue.target_latency, 0.0, True)
         objective = (
             self.queue.slack_factor * self.spec.critical_path_seconds + self.queue.target_latency
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -111,8 +111,8 @@
     ----------
     ready_since : float or None
         Time in seconds from which its tasks could start, None before the first planning pass then.
-    requeued_at : float
-        Time in seconds at which the last run ended without completing its task.
+    requeued_at : dict of int to float
+        Time in seconds at which the last run of a task ended without completing it, by index.
     preemptions : Counter
         Number of runs of each task that were stopped for more urgent tasks.
     preemption_checked_at : float
@@ -135,7 +135,7 @@
         self.tickets = Tickets()
         self.blocked_since: float | None = None
         self.ready_since: float | None = None
-        self.requeued_at = float("-inf")
+        self.requeued_at: dict[int, float] = {}
         self.preemptions: Counter[int] = Counter()
         self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
@@ -147,6 +147,17 @@
         """Whether every task has ended as done."""
         return len(self.done) == self.spec.tasks
 
+    @property
+    def last_requeued_at(self) -> float:
+        """Time in seconds of the last end that did not complete its task, -inf if there is none."""
+        return max(self.requeued_at.values(), default=float("-inf"))
+
+    def longest_wait(self, now: float) -> float:
+        """Return for how many seconds the first of the waiting tasks could have started."""
+        ready_since = now if self.ready_since is None else self.ready_since
+        waiting_since = (self.requeued_at.get(index, ready_since) for index in self.waiting)
+        return now - min(waiting_since, default=now)
+
     @property
     def has_started(self) -> bool:
         """Whether a task has started."""
@@ -212,4 +223,4 @@
         if self.spec.checkpoints and run.checkpoint:
             self.checkpoints[index] = run.checkpoint
         self.waiting.append(index)
-        self.requeued_at = now
+        self.requeued_at[index] = now
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -61,6 +61,39 @@
         assert waits(rig) == [WaitReason.NOT_DUE]
 
 
+class TestLongWaits:
+    def test_a_stage_that_waits_for_long_shows_its_runners_with_room(self, rig: CellRig):
+        rig.cell.set_entries(["e1"])
+        rig.submit(step(1), queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.cell.apply_advice(call, {}, rig.now)
+        rig.add_runner("w3")
+        rig.plan()
+        rig.pass_time(3.0)
+        (row,) = CellView(rig.cell).long_waits(rig.now, rig.now, 2.0, 5)
+        assert (row["why"], row["seconds"]) == (WaitReason.ADVICE, pytest.approx(3.0))
+        assert (row["with_room"], row["not_asked"]) == (3, 1)
+
+    def test_lasting_tasks_come_first_and_others_are_left_out(self, rig: CellRig):
+        for job in ("00000000000000aa", "00000000000000bb"):
+            rig.submit(step(1, 9000), job=job)
+        rig.submit(step(1, 9000, daemon=True))
+        rig.plan()
+        rig.pass_time(3.0)
+        rows = CellView(rig.cell).long_waits(rig.now, rig.now, 2.0, 2)
+        assert [row["stage"][:16] for row in rows] == [JOB, "00000000000000aa"]
+        assert CellView(rig.cell).long_waits(rig.now, rig.now, 4.0, 2) == []
+
+    def test_a_task_that_ended_waits_since_its_end(self, rig: CellRig):
+        rig.submit(step(1, daemon=True))
+        (order,) = rig.start_all()
+        rig.pass_time(5.0)
+        rig.hold(order.run.runner, (order.run.task, order.run.number, "stopped"))
+        rig.pass_time(2.5)
+        (row,) = CellView(rig.cell).long_waits(rig.now, rig.now, 2.0, 5)
+        assert row["seconds"] == pytest.approx(2.5)
+
+
 class TestLists:
     def test_jobs_show_their_tasks_and_slack(self, rig: CellRig):
         rig.submit(step(9, 1000))
