--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -181,3 +181,61 @@
         only.run.percent, only.run.progressed_at = 60.0, rig.now
         (ahead,) = rig.plan().calls
         assert ahead.stage == StageId(JOB, 0, 1)
+
+
+class TestRunnersThatCanTakeATask:
+    """A call names runners on which a task of the stage can start, before any others.
+
+    There are more runners than tickets that calls for one task can keep valid.
+    """
+
+    RUNNERS = 30
+
+    @pytest.fixture()
+    def rig(self) -> CellRig:
+        rig = CellRig(self.RUNNERS)
+        rig.cell.set_entries(["e1", "e2"])
+        return rig
+
+    def start_allowed(self, rig: CellRig, seconds: float) -> list[str]:
+        """Return the runners of the starts while the advisor allows all that it is asked about."""
+        starts: list[str] = []
+        for _ in range(round(seconds / 0.5)):
+            plan = rig.plan()
+            for order in plan.starts:
+                rig.cell.mark_started(order.run, rig.now)
+                starts.append(order.run.runner)
+            rig.pass_time(0.5)
+            for call in plan.calls:
+                rig.cell.apply_advice(call, dict.fromkeys(call.runners, "t"), rig.now)
+        return starts
+
+    def replace_runner(self, rig: CellRig) -> None:
+        """Let a runner of the lasting job leave, and a new one come, long after all tickets."""
+        rig.pass_time(5.0)
+        (left,) = rig.cell.runners["w1"].runs.values()
+        rig.list_runner("w1", state="draining")
+        rig.hold("w1", (left.task, left.number, "stopped"))
+        rig.add_runner("new")
+
+    def test_a_lasting_task_runs_again_though_all_known_runners_are_at_its_limit(
+        self, rig: CellRig
+    ):
+        rig.submit(step(self.RUNNERS, daemon=True, anti_affinity=1), queue=ADVISED)
+        assert len(self.start_allowed(rig, 1.0)) == self.RUNNERS
+        self.replace_runner(rig)
+        assert self.start_allowed(rig, 9.0) == ["new"]
+
+    def test_a_lasting_task_runs_again_though_all_known_runners_are_full(self, rig: CellRig):
+        rig.submit(step(self.RUNNERS, 4000, daemon=True), queue=ADVISED)
+        assert len(self.start_allowed(rig, 1.0)) == self.RUNNERS
+        self.replace_runner(rig)
+        assert self.start_allowed(rig, 9.0) == ["new"]
+
+    def test_runners_on_which_a_lasting_stage_is_at_its_limit_are_not_asked_about(
+        self, rig: CellRig
+    ):
+        rig.submit(step(self.RUNNERS + 1, daemon=True, anti_affinity=1), queue=ADVISED)
+        assert len(self.start_allowed(rig, 1.0)) == self.RUNNERS
+        rig.pass_time(5.0)
+        assert rig.plan().calls == []
