Ask the advisor first about runners that can take a task now

Callers saw: a lasting task stopped as its runner left and did not run again for 12 s though there was room. Cause: once as many runners are known to be allowed as tasks wait, a call that looks ahead named only these, by free processor time. Runners on which the stage is at its limit of tasks have room and cannot take one; full runners cannot either. New runners, about which nobody had asked, were never named, while tickets expired and were renewed for the same few. Change: a call names allowed runners that can take a task now; if these are too few, also unknown ones that can, as many as the share allowed so far makes necessary. Runners of a lasting stage at its limit are not named. Placement and the choice of names share one check of limit and probation. Ruled out: order of the queue and headroom (no line held back while a ticket was usable), belief of the owner. Conclusion: the class is a choice limited to what is known already, by room that cannot be used.

--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 from typing_extensions import override
 
 from ragworttiller.platform.configuration import AdviceCost
+from ragworttiller.scheduling.decisions.task_placement import accepts_another
 from ragworttiller.scheduling.state.jobs import StageId
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Stage
@@ -151,11 +153,19 @@
         return [runner.id for runner in runners][:MAX_RUNNERS_PER_CALL]
 
 
+class _Names(NamedTuple):
+    """Runners by what the advisor has said of them, those with the most free CPU first."""
+
+    allowed: list[str]
+    unknown: list[str]
+
+
 class UsefulCandidates(CandidatePolicy):
     """Name only runners that have no valid ticket and were not denied.
 
-    Allowed runners come first; unknown ones are added only if there are too few allowed ones for
-    the waiting tasks.
+    Allowed runners that can take a task now come first. If they are too few for the waiting tasks,
+    unknown ones that can are added, so that new runners are considered however many are known.
+    Runners that cannot take a task yet fill up a call that looks ahead.
     """
 
     MAX_UNKNOWN = 30
@@ -165,21 +175,41 @@
     def choose_runners(
         self, stage: Stage, runners: Sequence[RunnerState], now: float, ahead: bool
     ) -> list[str]:
-        tickets, size = stage.tickets, stage.spec.reservation
+        tickets, needed = stage.tickets, len(stage.waiting)
         if not tickets.known:
             most_room = sorted(runners, key=lambda r: -r.free.cpu)
             return [r.id for r in most_room[: self.MAX_UNKNOWN]]
-        missing = [
-            r for r in runners if r.id not in tickets.denied and not tickets.valid_ticket(r.id, now)
-        ]
-        useful = [r for r in missing if ahead or size.fits(r.free)]
-        useful.sort(key=lambda r: -r.free.cpu)
-        known_allowed = [r.id for r in useful if r.id in tickets.allowed]
-        needed = len(stage.waiting)
-        unknown = [r.id for r in useful if r.id not in tickets.allowed]
-        if len(known_allowed) >= needed:
-            return known_allowed[: needed + self.SPARE_TICKETS]
-        return known_allowed + unknown[: self.MAX_UNKNOWN]
+        ready, later = _group_by_room(stage, runners, now)
+        if len(ready.allowed) >= needed:
+            return ready.allowed[: needed + self.SPARE_TICKETS]
+        if not ahead:
+            later = _Names([], [])
+        allowed = ready.allowed + later.allowed
+        if len(allowed) < needed:
+            return allowed + (ready.unknown + later.unknown)[: self.MAX_UNKNOWN]
+        missing = needed + self.SPARE_TICKETS - len(ready.allowed)
+        count = min(math.ceil(missing / tickets.allowed_share), self.MAX_UNKNOWN)
+        return allowed[: needed + self.SPARE_TICKETS] + ready.unknown[:count]
+
+
+def _group_by_room(
+    stage: Stage, runners: Sequence[RunnerState], now: float
+) -> tuple[_Names, _Names]:
+    """Return the runners without ticket or denial that can take a task of a stage now, and later.
+
+    A runner on which a lasting stage is at its limit belongs to neither.
+    """
+    ready, later = _Names([], []), _Names([], [])
+    tickets, running = stage.tickets, stage.runs_by_runner()
+    for runner in sorted(runners, key=lambda r: -r.free.cpu):
+        if runner.id in tickets.denied or tickets.valid_ticket(runner.id, now):
+            continue
+        accepts = accepts_another(runner, stage, running[runner.id])
+        if stage.spec.daemon and not accepts:
+            continue
+        group = ready if accepts and stage.spec.reservation.fits(runner.free) else later
+        (group.allowed if runner.id in tickets.allowed else group.unknown).append(runner.id)
+    return ready, later
 
 
 def call_duration(cost: AdviceCost, count: int) -> float:
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -74,6 +74,24 @@
     )
 
 
+def accepts_another(runner: RunnerState, stage: Stage, running: int) -> bool:
+    """Return whether a runner may take one more task of a stage, regardless of its free resources.
+
+    Parameters
+    ----------
+    runner : RunnerState
+        Runner that suits the stage.
+    stage : Stage
+        Stage of the task.
+    running : int
+        Number of the stage's tasks that run there.
+    """
+    limit = stage.spec.per_runner
+    if limit and running >= limit:
+        return False
+    return not (runner.on_probation and (runner.probe_running or running))
+
+
 class PlacementPolicy(ABC):
     """Ranks the runners that have room for a task."""
 
@@ -159,7 +177,7 @@
         A gang is placed whole or not at all.
         """
         size = stage.spec.reservation
-        on_runner = Counter(run.runner for run in stage.active_runs.values())
+        on_runner = stage.runs_by_runner()
         chosen: dict[int, str] = {}
         for index in indices:
             best: RunnerState | None = None
@@ -188,12 +206,9 @@
     def _allowed(
         self, stage: Stage, index: int, runner: RunnerState, on_runner: Counter[str]
     ) -> bool:
-        limit = stage.spec.per_runner
-        if limit and on_runner[runner.id] >= limit:
+        if not accepts_another(runner, stage, on_runner[runner.id]):
             return False
-        if runner.on_probation and (
-            runner.probe_running or on_runner[runner.id] or index in stage.failed_runs
-        ):
+        if runner.on_probation and index in stage.failed_runs:
             return False
         return stage.last_failed_runner.get(index) != runner.id
 
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -163,6 +163,10 @@
         """Whether a task has started."""
         return bool(self.done or self.active_runs or self._last_run_numbers or self.failed_runs)
 
+    def runs_by_runner(self) -> Counter[str]:
+        """Return the number of active runs on each runner that has any."""
+        return Counter(run.runner for run in self.active_runs.values())
+
     def restore(self, progress: StageProgress) -> None:
         """Restore the progress that an earlier owner recorded."""
         self.done = {index for index in decode_bitmap(progress.done) if index < self.spec.tasks}
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -34,6 +34,11 @@
         """Whether the advisor has answered about any runner."""
         return bool(self.allowed or self.denied)
 
+    @property
+    def allowed_share(self) -> float:
+        """Share of the runners asked about that may run the stage; one must be allowed."""
+        return len(self.allowed) / (len(self.allowed) + len(self.denied))
+
     def record_advice(
         self, named: Iterable[str], granted: dict[str, str], granted_at: float, validity: float
     ) -> None:
