Reserve and free room only where a stage can take it

Callers would see: patient tasks kept out of free room, or stopped, for a stage that cannot start there. Change: reservations and preemption leave out runners that accept no further task of the stage. Evidence: two tests that failed before: room of the only runner was reserved for a second task of a stage with a limit of one, and two runs were stopped for it. Conclusion: limit and probation are checked in one place for placement, advice and reservations.

--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -8,7 +8,11 @@
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.forecast import RoomForecast
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
-from ragworttiller.scheduling.decisions.task_placement import FreeResources, suits
+from ragworttiller.scheduling.decisions.task_placement import (
+    FreeResources,
+    accepts_another,
+    suits,
+)
 from ragworttiller.scheduling.decisions.victims import Beneficiary, Candidate, VictimPolicy
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import StageId
@@ -114,25 +118,48 @@
         reserves = constrained and self._may_reserve(stage)
         size, reach = stage.spec.reservation, max(ahead, RESERVE_AHEAD_SECONDS)
         times = {name: self._fits_at(runner, size) for name, runner in runners.items()}
+        chosen = self._take_room(stage, inputs, runners, times, reach, reserves)
+        if not constrained:
+            stage.preemption_checked_at = self._now
+            return None
+        self._record_reservation(stage, chosen, len(runners))
+        soon = {name for name, at in times.items() if at - self._now <= reach}
+        return chosen | soon
+
+    def _take_room(
+        self,
+        stage: Stage,
+        inputs: OrderInputs,
+        runners: Mapping[str, RunnerState],
+        times: dict[str, float],
+        reach: float,
+        reserves: bool,
+    ) -> set[str]:
+        """Reserve or free room for the first waiting tasks of a stage, and return the runners.
+
+        ``times`` are the times from which a task fits on the ``runners``; they are updated. Room
+        that comes within ``reach`` seconds is reserved if ``reserves``; for later room, runs are
+        stopped.
+        """
+        running = stage.runs_by_runner()
         chosen: set[str] = set()
-        for _ in range(min(len(stage.waiting), MAX_TASKS_PER_STAGE) if times else 0):
-            name = min(times, key=times.__getitem__)
+        for _ in range(min(len(stage.waiting), MAX_TASKS_PER_STAGE)):
+            accepting = [r for r in runners.values() if accepts_another(r, stage, running[r.id])]
+            if not accepting:
+                break
+            name = min((r.id for r in accepting), key=times.__getitem__)
             freed = None
             if times[name] - self._now > reach:
-                beneficiary = Beneficiary(inputs, size, times[name])
-                freed = self._free_room(stage, beneficiary, runners.values())
+                beneficiary = Beneficiary(inputs, stage.spec.reservation, times[name])
+                freed = self._free_room(stage, beneficiary, accepting)
             if freed is None and not (reserves and times[name] - self._now <= reach):
                 break
             name = freed or name
             chosen.add(name)
-            self._free.subtract(name, size)
-            times[name] = self._fits_at(runners[name], size)
-        if not constrained:
-            stage.preemption_checked_at = self._now
-            return None
-        self._record_reservation(stage, chosen, len(runners))
-        soon = {name for name, at in times.items() if at - self._now <= reach}
-        return chosen | soon
+            running[name] += 1
+            self._free.subtract(name, stage.spec.reservation)
+            times[name] = self._fits_at(runners[name], stage.spec.reservation)
+        return chosen
 
     def _may_reserve(self, stage: Stage) -> bool:
         """Return whether room is reserved for a stage now, rather than left to others in turn."""
--- a/tests/test_room_maker.py
+++ b/tests/test_room_maker.py
@@ -238,6 +238,24 @@
         stage = next(iter(rig.cell.jobs[JOB].stages.values()))
         assert stage.reserved_on == set()
 
+    def test_no_room_is_reserved_where_a_stage_is_at_its_limit(self, rig: AcceleratorRig):
+        """One of two tasks runs on the only runner, which takes no second one."""
+        pair = step(2, 4000, gpu=2, requires="a", anti_affinity=1, estimate_ms=5000)
+        rig.submit(pair, queue=URGENT)
+        assert len(rig.start_all()) == 1
+        rig.submit({**small(1), "requires": "a"}, job=job(1), queue=PATIENT)
+        assert [order.run.runner for order in rig.plan().starts] == ["w1"]
+
+    def test_nothing_is_stopped_where_a_stage_is_at_its_limit(self, rig: AcceleratorRig):
+        rig.submit({**small(2), "requires": "a"}, job=job(1), queue=PATIENT)
+        rig.start_all()
+        rig.advance(2.0)
+        pair = step(2, 4000, gpu=2, requires="a", anti_affinity=1, estimate_ms=5000)
+        rig.submit(pair, queue=URGENT)
+        assert len(rig.start_all()) == 1
+        rig.advance(0.5)
+        assert rig.plan().stops == []
+
     def test_each_reservation_has_one_line(
         self, rig: AcceleratorRig, caplog: pytest.LogCaptureFixture
     ):
