Count only denials of present runners when a stage counts as constrained

Callers would see: room kept from patient tasks for a stage that many runners may run, after runners were replaced. Cause: the number of all denials ever was taken off the number of present runners. Change: the present runners that are neither denied nor without the label are counted. Evidence: a test that failed before: two of three runners denied and replaced, room reserved on the third. Conclusion: the sets of a job's known runners still grow with the runners that come and go; that is open.

--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -190,10 +190,13 @@
 
         Runners that the advisor was not asked about count as allowed.
         """
-        denied = len(stage.tickets.denied) if work.queue.advice is not None else 0
-        if stage.spec.label:
-            denied += sum(stage.spec.label not in runner.entry.labels for runner in of_upstream)
-        return len(of_upstream) - denied <= CONSTRAINED_SHARE * len(of_upstream)
+        label = stage.spec.label
+        denied = stage.tickets.denied if work.queue.advice is not None else frozenset()
+        possible = sum(
+            runner.id not in denied and (not label or label in runner.entry.labels)
+            for runner in of_upstream
+        )
+        return possible <= CONSTRAINED_SHARE * len(of_upstream)
 
     def _allowed(self, work: JobWork, stage: Stage, runner: RunnerState) -> bool:
         """Return whether a stage may start on a runner, as far as is known."""
--- a/tests/test_room_maker.py
+++ b/tests/test_room_maker.py
@@ -256,6 +256,23 @@
         rig.advance(0.5)
         assert rig.plan().stops == []
 
+    def test_denials_of_runners_that_have_gone_are_no_constraint(self):
+        """Two denied runners are replaced; the new ones were not asked about."""
+        rig = AcceleratorRig(3)
+        rig.cell.set_entries(["e1"])
+        rig.submit(small(12, 2000), job=job(1), queue=PATIENT)
+        rig.start_all()
+        rig.advance(1.0)
+        rig.submit(whole(), queue=ADVISED)
+        (call,) = rig.plan().calls
+        rig.cell.apply_advice(call, {"w1": "t"}, rig.now)
+        for old, new in (("w2", "w4"), ("w3", "w5")):
+            rig.cell.pool.remove_ended_boot(rig.cell.runners[old], rig.now, "replaced")
+            rig.add_runner(new)
+        rig.plan()
+        stage = next(iter(rig.cell.jobs[JOB].stages.values()))
+        assert stage.reserved_on == set()
+
     def test_each_reservation_has_one_line(
         self, rig: AcceleratorRig, caplog: pytest.LogCaptureFixture
     ):
