Say limit, not planned, for a stage at its limit on all runners with room

Cause: the view asked for room and a ticket, not whether the runner accepts one more task of the stage. Ruled out: nothing. Conclusion: the reasons name each check of placement but the order of the queue.

--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -49,6 +49,11 @@
         rig.cell.apply_advice(call, {}, rig.now)
         assert waits(rig) == [WaitReason.DENIED]
 
+    def test_all_runners_with_room_are_at_the_limit_of_the_stage(self, rig: CellRig):
+        rig.submit(step(3, anti_affinity=1))
+        rig.start_all()
+        assert waits(rig) == [WaitReason.LIMIT]
+
     def test_unresolved_runners_of_an_earlier_owner(self):
         rig = CellRig(1, Claim("e0", 1, 1, 0, ["w1", "gone"], [], {}), accepted_before=1000)
         rig.submit(step(1))
