Move a run off a draining runner only where another runner can take its task

Callers would see: a lasting task stopped at the first word that its runner leaves, and away until another takes it, though the runner works on for seconds and no other may take it. Cause: any usable runner with room counted as a place, also of another upstream, without the label, at the stage's limit or denied by the advisor; and the same room counted for every run that was moved. Change: decisions/evacuation.py chooses the runs by the checks of placement and takes room once in a pass. Evidence: four tests that failed before, one for each wrong place and one for room counted twice. Conclusion: a run may still be moved towards a runner about which the advisor was not asked.

--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -7,6 +7,7 @@
 from ragworttiller.platform.runners import HoldAnswer
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
+from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
 from ragworttiller.scheduling.records.job_fold import JobFold
@@ -133,7 +134,7 @@
     def plan(self, now: float, wall: float) -> Plan:
         """Return the starts, stops and advisor calls that are due now."""
         self.pool.expire_leases(now)
-        for run in self.pool.runs_to_evacuate(now):
+        for run in self._runs_to_evacuate(now):
             self._stops.add(run, "runner drains")
         for run in self.pool.filling_runs_to_stop():
             self._stops.add(run, "serving task on the runner")
@@ -142,6 +143,11 @@
         plan.stops.extend(self._stops.due(now))
         return plan
 
+    def _runs_to_evacuate(self, now: float) -> list[Run]:
+        draining = [r for r in self.runners.values() if r.entry.draining and r.runs]
+        usable = self.pool.accepting_tasks(now) if draining else []
+        return runs_to_evacuate(draining, usable, self.jobs, now)
+
     def _looks_due(self, now: float) -> list[RunnerState]:
         return [
             runner
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -8,13 +8,11 @@
 from ragworttiller.scheduling.records.formats import Claim, Withdrawn
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Run, RunState
+from ragworttiller.scheduling.state.runs import Run
 from ragworttiller.scheduling.state.takeover import Takeover
 
 log = logging.getLogger(__name__)
 
-EVACUATE_BEFORE_LEAVING_SECONDS = 1.0
-
 
 class RunnerPool:
     """Boots of runners known to the owner.
@@ -121,19 +119,6 @@
             ):
                 self._mark_lost(runner, now, "its lease has expired")
 
-    def runs_to_evacuate(self, now: float) -> list[Run]:
-        """Return the runs to move off draining runners, if another runner has room for them."""
-        draining = [r for r in self.runners.values() if r.entry.draining and r.runs]
-        others = self.accepting_tasks(now) if draining else []
-        return [
-            run
-            for runner in draining
-            for run in runner.runs.values()
-            if run.state is RunState.RUNNING
-            and _should_evacuate(run, runner, now)
-            and any(run.reservation.fits(other.free) for other in others)
-        ]
-
     def filling_runs_to_stop(self) -> list[Run]:
         """Return the filling runs on runners that also run a task with a latency bound."""
         return [
@@ -153,9 +138,3 @@
         log.warning("runner lost", extra={"runner": runner.id, "why": reason, "tasks": len(runs)})
         for run in runs:
             self._on_run_end(run, now)
-
-
-def _should_evacuate(run: Run, runner: RunnerState, now: float) -> bool:
-    if run.spec.daemon:
-        return True
-    return run.spec.checkpoints and now > runner.leaves_at - EVACUATE_BEFORE_LEAVING_SECONDS
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -79,11 +79,16 @@
         self.cell.pool.enroll(Claim("e", 1, 1, 0, list(names), [], {}))
 
     def list_runner(
-        self, name: str, cpu: int = 4000, labels: tuple[str, ...] = ("a",), state: str = "ready"
+        self,
+        name: str,
+        cpu: int = 4000,
+        labels: tuple[str, ...] = ("a",),
+        state: str = "ready",
+        service: str = "desk",
     ) -> None:
         """Add a runner's entry to the platform's list, or replace it."""
         capacity = {"cpu": cpu, "mem_mb": 8000}
-        row = {"service": "desk", "address": f"{name}:1", "capacity": capacity, "state": state}
+        row = {"service": service, "address": f"{name}:1", "capacity": capacity, "state": state}
         row["labels"] = list(labels)
         self.listed.apply(Record(self._next(), name, json.dumps(row).encode()))
         self.cell.refresh(self.now, self.now)
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.platform.store import Record
 from ragworttiller.scheduling.records.formats import (
     PROGRESS_SUFFIX,
@@ -414,6 +415,42 @@
         rig.list_runner(first.run.runner, state="draining")
         assert rig.plan().stops == []
 
+    def test_nothing_moves_for_room_on_another_upstream(self):
+        rig = CellRig(1)
+        rig.list_runner("x1", service="archive")
+        rig.hold("x1")
+        rig.enroll("x1")
+        rig.submit(step(1, daemon=True))
+        (only,) = rig.start_all()
+        rig.list_runner(only.run.runner, state="draining")
+        assert rig.plan().stops == []
+
+    def test_nothing_moves_for_room_where_the_stage_is_at_its_limit(self, rig: CellRig):
+        rig.submit(step(2, daemon=True, anti_affinity=1))
+        first, _ = rig.start_all()
+        rig.list_runner(first.run.runner, state="draining")
+        assert rig.plan().stops == []
+
+    def test_nothing_moves_for_room_that_the_advisor_has_denied(self, rig: CellRig):
+        rig.cell.set_entries(["e1"])
+        rig.submit(step(1, daemon=True), queue=QUEUE._replace(advice=AdviceCost(0.3, 0.01, 2.5)))
+        (call,) = rig.plan().calls
+        rig.cell.apply_advice(call, {"w1": "t"}, rig.now)
+        rig.start_all()
+        rig.list_runner("w1", state="draining")
+        assert rig.plan().stops == []
+
+    def test_two_tasks_do_not_move_for_the_same_room(self, rig: CellRig):
+        rig.submit(step(2, 2000, daemon=True))
+        orders = rig.start_all()
+        (runner,) = {order.run.runner for order in orders}
+        (other,) = {"w1", "w2"} - {runner}
+        rig.submit(step(1, 2000), job=OTHER_JOB)
+        (blocking,) = rig.start_all()
+        assert blocking.run.runner == other
+        rig.list_runner(runner, state="draining")
+        assert len(rig.plan().stops) == 1
+
     def test_other_tasks_continue(self, rig: CellRig):
         rig.submit(step(1))
         (only,) = rig.start_all()
