Tell limit from probation, and log the first runners that a call names

Operators saw: one reason for a runner at the limit of a stage and for one on probation, and of a call to the advisor only how many runners it named. Change: a reason probation; up to three names in the lines of calls. Ruled out: all names, up to 100 in a line.

--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -86,12 +86,17 @@
     running : int
         Number of the stage's tasks that run there.
     """
-    limit = stage.spec.per_runner
-    if limit and running >= limit:
+    if at_limit(stage, running):
         return False
     return not (runner.on_probation and (runner.probe_running or running))
 
 
+def at_limit(stage: Stage, running: int) -> bool:
+    """Return whether a runner with ``running`` tasks of a stage may run no more of them."""
+    limit = stage.spec.per_runner
+    return bool(limit) and running >= limit
+
+
 class PlacementPolicy(ABC):
     """Ranks the runners that have room for a task."""
 
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -32,6 +32,7 @@
 MIN_PLAN_INTERVAL_SECONDS = 0.004
 MAX_PLAN_INTERVAL_SECONDS = 0.1
 HEARTBEAT_INTERVAL_SECONDS = 0.2
+MAX_NAMES_LOGGED = 3
 
 
 class Owner:
@@ -185,7 +186,12 @@
             self._tasks.start_soon(function, *args)
 
     async def _advise(self, call: AdviceCall) -> None:
-        extra = {"stage": str(call.stage), "entry": call.entry, "named": len(call.runners)}
+        extra: dict[str, object] = {
+            "stage": str(call.stage),
+            "entry": call.entry,
+            "named": len(call.runners),
+            "first": call.runners[:MAX_NAMES_LOGGED],
+        }
         try:
             tickets = await self._advice.ask(call)
         except RagworttillerError as exc:
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import TypedDict
 
-from ragworttiller.scheduling.decisions.task_placement import accepts_another, suits
+from ragworttiller.scheduling.decisions.task_placement import accepts_another, at_limit, suits
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -21,6 +21,7 @@
     NO_RUNNER_SUITS = "no_runner_suits"
     NO_ROOM = "no_room"
     LIMIT = "limit"
+    PROBATION = "probation"
     ADVICE = "advice"
     DENIED = "denied"
     GANG = "gang"
@@ -200,9 +201,12 @@
         if not with_room:
             return WaitReason.NO_ROOM
         running = stage.runs_by_runner()
-        with_room = [r for r in with_room if accepts_another(r, stage, running[r.id])]
+        with_room = [r for r in with_room if not at_limit(stage, running[r.id])]
         if not with_room:
             return WaitReason.LIMIT
+        with_room = [r for r in with_room if accepts_another(r, stage, running[r.id])]
+        if not with_room:
+            return WaitReason.PROBATION
         if work.queue.advice and not any(stage.tickets.valid_ticket(r.id, now) for r in with_room):
             denied = all(r.id in stage.tickets.denied for r in with_room)
             return WaitReason.DENIED if denied else WaitReason.ADVICE
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -54,6 +54,16 @@
         rig.start_all()
         assert waits(rig) == [WaitReason.LIMIT]
 
+    def test_the_only_runner_with_room_is_on_probation(self, rig: CellRig):
+        rig.submit(step(1, 4000), job="00000000000000aa")
+        (blocking,) = rig.start_all()
+        (other,) = {"w1", "w2"} - {blocking.run.runner}
+        rig.cell.runners[other].suspend(rig.now)
+        rig.pass_time(3.5)
+        rig.submit(step(2))
+        assert len(rig.start_all()) == 1
+        assert waits(rig) == [WaitReason.PROBATION]
+
     def test_unresolved_runners_of_an_earlier_owner(self):
         rig = CellRig(1, Claim("e0", 1, 1, 0, ["w1", "gone"], [], {}), accepted_before=1000)
         rig.submit(step(1))
