Leave runners full of lasting tasks out of calls to the advisor

Callers would see: an urgent task waiting while runners that it may use become free again and again. Cause: a call that looks ahead filled up with allowed runners without room, also those full of lasting tasks, which become free with no end of a run. As many of them as tasks wait kept the call from naming runners that turn over. Change: a runner on which a task would not fit beside the lasting ones is not named. One test more for the order and the number of names. Ruled out: a larger number of names: the same runners would come first. Conclusion: tickets that are still valid do not count towards those needed; that is open.

--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -197,17 +197,18 @@
 ) -> tuple[_Names, _Names]:
     """Return the runners without ticket or denial that can take a task of a stage now, and later.
 
-    A runner on which a lasting stage is at its limit belongs to neither.
+    A runner on which a lasting stage is at its limit, or that is full of lasting tasks, belongs to
+    neither.
     """
     ready, later = _Names([], []), _Names([], [])
-    tickets, running = stage.tickets, stage.runs_by_runner()
+    tickets, running, size = stage.tickets, stage.runs_by_runner(), stage.spec.reservation
     for runner in sorted(runners, key=lambda r: -r.free.cpu):
         if runner.id in tickets.denied or tickets.valid_ticket(runner.id, now):
             continue
         accepts = accepts_another(runner, stage, running[runner.id])
-        if stage.spec.daemon and not accepts:
+        if stage.spec.daemon and not accepts or not size.fits(runner.free_of_lasting_tasks):
             continue
-        group = ready if accepts and stage.spec.reservation.fits(runner.free) else later
+        group = ready if accepts and size.fits(runner.free) else later
         (group.allowed if runner.id in tickets.allowed else group.unknown).append(runner.id)
     return ready, later
 
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -65,6 +65,7 @@
         self._suspensions = 0
         self._failures: list[float] = []
         self._used = NO_RESOURCES
+        self._used_by_lasting = NO_RESOURCES
         self._free = entry.capacity
         self._serving_runs = 0
         self._filling_runs = 0
@@ -88,6 +89,11 @@
         """Unreserved resources; may be negative after a takeover."""
         return self._free
 
+    @property
+    def free_of_lasting_tasks(self) -> Resources:
+        """Resources that no lasting task reserves: those that are free now, or will be."""
+        return self.entry.capacity.minus(self._used_by_lasting)
+
     @property
     def has_unrecorded_ends(self) -> bool:
         """Whether the effects of some end are not stored yet."""
@@ -213,12 +219,16 @@
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
         self._used = self._used.plus(run.reservation)
+        if run.spec.daemon:
+            self._used_by_lasting = self._used_by_lasting.plus(run.reservation)
         self._update_usage(run, 1)
 
     def remove(self, run: Run) -> None:
         """Remove a run that has ended and free its resources."""
         if self.runs.pop(run.key, None) is not None:
             self._used = self._used.minus(run.reservation)
+            if run.spec.daemon:
+                self._used_by_lasting = self._used_by_lasting.minus(run.reservation)
             self._update_usage(run, -1)
 
     def update(self, entry: RunnerEntry) -> None:
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.scheduling.decisions.advice import (
+    AdviceCall,
     AllCandidates,
     EntryLoads,
     UsefulCandidates,
@@ -190,6 +191,7 @@
     """
 
     RUNNERS = 30
+    QUEUE = QUEUE._replace(advice=AdviceCost(0.6, 0.01, 2.0))
 
     @pytest.fixture()
     def rig(self) -> CellRig:
@@ -198,18 +200,33 @@
         return rig
 
     def start_allowed(self, rig: CellRig, seconds: float) -> list[str]:
-        """Return the runners of the starts while the advisor allows all that it is asked about."""
+        """Return the runners of the starts while the advisor allows all that it is asked about.
+
+        Its answers take as long as the calls; runs end after their estimate, lasting ones never.
+        """
         starts: list[str] = []
-        for _ in range(round(seconds / 0.5)):
+        answers: list[tuple[float, AdviceCall]] = []
+        end = rig.now + seconds
+        while rig.now < end:
+            for at, call in [row for row in answers if row[0] <= rig.now]:
+                answers.remove((at, call))
+                rig.cell.apply_advice(call, dict.fromkeys(call.runners, "t"), rig.now)
+            self.end_runs(rig)
             plan = rig.plan()
             for order in plan.starts:
                 rig.cell.mark_started(order.run, rig.now)
                 starts.append(order.run.runner)
-            rig.pass_time(0.5)
-            for call in plan.calls:
-                rig.cell.apply_advice(call, dict.fromkeys(call.runners, "t"), rig.now)
+            answers += [(rig.now + call.wait + call.duration, call) for call in plan.calls]
+            rig.pass_time(0.1)
         return starts
 
+    def end_runs(self, rig: CellRig) -> None:
+        """End the runs that have taken as long as estimated."""
+        for name, runner in rig.cell.runners.items():
+            for run in list(runner.runs.values()):
+                if not run.spec.daemon and rig.now >= run.started_at + run.spec.estimate:
+                    rig.hold(name, (run.task, run.number, "done"))
+
     def replace_runner(self, rig: CellRig) -> None:
         """Let a runner of the lasting job leave, and a new one come, long after all tickets."""
         rig.pass_time(5.0)
@@ -221,21 +238,48 @@
     def test_a_lasting_task_runs_again_though_all_known_runners_are_at_its_limit(
         self, rig: CellRig
     ):
-        rig.submit(step(self.RUNNERS, daemon=True, anti_affinity=1), queue=ADVISED)
+        rig.submit(step(self.RUNNERS, daemon=True, anti_affinity=1), queue=self.QUEUE)
         assert len(self.start_allowed(rig, 1.0)) == self.RUNNERS
         self.replace_runner(rig)
-        assert self.start_allowed(rig, 9.0) == ["new"]
+        assert self.start_allowed(rig, 2.0) == ["new"]
 
     def test_a_lasting_task_runs_again_though_all_known_runners_are_full(self, rig: CellRig):
-        rig.submit(step(self.RUNNERS, 4000, daemon=True), queue=ADVISED)
+        rig.submit(step(self.RUNNERS, 4000, daemon=True), queue=self.QUEUE)
         assert len(self.start_allowed(rig, 1.0)) == self.RUNNERS
         self.replace_runner(rig)
-        assert self.start_allowed(rig, 9.0) == ["new"]
+        assert self.start_allowed(rig, 2.0) == ["new"]
 
     def test_runners_on_which_a_lasting_stage_is_at_its_limit_are_not_asked_about(
         self, rig: CellRig
     ):
-        rig.submit(step(self.RUNNERS + 1, daemon=True, anti_affinity=1), queue=ADVISED)
+        rig.submit(step(self.RUNNERS + 1, daemon=True, anti_affinity=1), queue=self.QUEUE)
         assert len(self.start_allowed(rig, 1.0)) == self.RUNNERS
         rig.pass_time(5.0)
         assert rig.plan().calls == []
+
+    def test_an_urgent_task_gets_a_runner_that_turns_over(self, rig: CellRig):
+        """All others are full of lasting tasks, and less urgent ones take each room at once."""
+        rig.submit(step(self.RUNNERS, 4000, daemon=True), job="00000000000000aa")
+        rig.start_all()
+        rig.submit(step(1, 4000), queue=self.QUEUE)
+        self.start_allowed(rig, 4.0)
+        patient = QUEUE._replace(name="patient", prefix="/p/", priority=2)
+        rig.submit(step(200, 4000, estimate_ms=3500), job="00000000000000bb", queue=patient)
+        rig.add_runner("turning")
+        self.start_allowed(rig, 8.0)
+        assert not rig.cell.jobs[JOB].stages[StageId(JOB, 0, 0)].waiting
+
+    def test_new_runners_are_asked_about_by_the_share_that_was_allowed(self, rig: CellRig):
+        """One in five was allowed; of these one is free, the others are full for a while."""
+        waiting = stage(rig, tasks=2, cpu=3000)
+        known = [f"w{n}" for n in range(1, 16)]
+        waiting.tickets.record_advice(known, dict.fromkeys(known[:3], "t"), rig.now - 10.0, 2.5)
+        for name in ("w1", "w2"):
+            rig.list_runner(name, labels=("x",))
+        rig.submit(step(2, 4000, requires="x"))
+        assert len(rig.start_all()) == 2
+        runners = list(rig.cell.runners.values())
+        named = UsefulCandidates().choose_runners(waiting, runners, rig.now, True)
+        assert named[:3] == ["w3", "w1", "w2"]
+        assert len(named) == 3 + 3 * 5
+        assert not set(named[3:]) & set(known)
