Name at most 100 runners in a call to the advisor

Callers would see: wide lasting jobs that do not start again after a pause in which all their tickets ran out, and other jobs without advice meanwhile. A refused call marks its entry as failed, and the same names go to the next one. Change: the planner of calls cuts the names, for all policies. Ruled out: that the platform refuses such calls was not tried; the page says at most 100. Conclusion: the limit stood in the baseline policy alone.

--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -128,7 +128,9 @@
     def choose_runners(
         self, stage: Stage, runners: Sequence[RunnerState], now: float, ahead: bool
     ) -> list[str]:
-        """Return the runners to ask about; none if a call is not useful now.
+        """Return the runners to ask about, the most useful first; none if a call is not useful now.
+
+        A call names `MAX_RUNNERS_PER_CALL` of them at most.
 
         Parameters
         ----------
@@ -150,7 +152,7 @@
     def choose_runners(
         self, stage: Stage, runners: Sequence[RunnerState], now: float, ahead: bool
     ) -> list[str]:
-        return [runner.id for runner in runners][:MAX_RUNNERS_PER_CALL]
+        return [runner.id for runner in runners]
 
 
 class _Names(NamedTuple):
--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 
 from ragworttiller.scheduling.decisions.advice import (
+    MAX_RUNNERS_PER_CALL,
     AdviceCall,
     CandidatePolicy,
     EntryLoads,
@@ -147,6 +148,7 @@
         names = self._candidate_policy.choose_runners(stage, runners, self._now, ahead)
         if cost is None or not names:
             return False
+        names = names[:MAX_RUNNERS_PER_CALL]
         duration = call_duration(cost, len(names))
         entry = self._loads.assign(duration, self._now)
         if entry is None:
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.scheduling.decisions.advice import (
+    MAX_RUNNERS_PER_CALL,
     AdviceCall,
     AllCandidates,
     EntryLoads,
@@ -111,6 +112,17 @@
         assert UsefulCandidates().choose_runners(waiting, runners, rig.now, False) == []
         assert len(UsefulCandidates().choose_runners(waiting, runners, rig.now, True)) == 2
 
+    def test_a_call_names_no_more_runners_than_the_advisor_accepts(self):
+        """Wide stages whose tickets have all expired would name over a hundred."""
+        rig = CellRig(130)
+        rig.cell.set_entries(["e1"])
+        rig.submit(step(120, 3000, daemon=True), queue=ADVISED)
+        names = [f"w{n}" for n in range(1, 131)]
+        tickets = rig.cell.jobs[JOB].stages[StageId(JOB, 0, 0)].tickets
+        tickets.record_advice(names, dict.fromkeys(names, "t"), rig.now - 10.0, 2.5)
+        (call,) = rig.plan().calls
+        assert len(call.runners) == MAX_RUNNERS_PER_CALL
+
 
 class TestTickets:
     def test_a_ticket_is_not_used_just_before_it_expires(self):
