End a probation when its probe is a lasting task that goes on running

Callers would see: tasks waiting, lasting ones too, while a runner with room takes nothing for as long as a lasting task runs there. Cause: a suspended runner gets one task for a trial, and only a task that is done ended the trial; one that lasts never is. All room of that runner was closed to every stage. Change: a lasting trial task that has run for the window in which failures are counted (4 s) ends it, with a line.

--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -111,6 +111,8 @@
         if run is None:
             run = self._add_found_run(runner, row, now)
         run.observe(row.percent, row.checkpoint, row.load, now)
+        if runner.record_lasting_probe(run, now):
+            log.info("probation ended", extra=run_fields(run))
         stage = self._jobs.stage(row.task.stage)
         if stage is not None and self._stalled(stage, run, now):
             self._suspend(runner, "run without progress", now)
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -263,6 +263,21 @@
         )
         return True
 
+    def record_lasting_probe(self, run: Run, now: float) -> bool:
+        """Count a lasting probe that has run for the failure window as a success.
+
+        Returns
+        -------
+        bool
+            Whether this has ended the probation.
+        """
+        if not self.on_probation or not run.spec.daemon or run.started_at < self.suspended_until:
+            return False
+        if now - run.started_at < FAILURE_WINDOW_SECONDS:
+            return False
+        self.record_success(now)
+        return True
+
     def record_success(self, now: float) -> None:
         """Record a task that was done, which ends the probation after a suspension."""
         self._failures.clear()
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -366,6 +366,22 @@
         rig.hold("w1", (run.task, run.number, "done"))
         assert [order.run.runner for order in rig.plan().starts].count("w1") == 3
 
+    def test_a_lasting_probe_does_not_close_its_runner_for_good(
+        self, caplog: pytest.LogCaptureFixture
+    ):
+        rig = CellRig(1)
+        rig.cell.runners["w1"].suspend(rig.now)
+        rig.pass_time(3.5)
+        rig.submit(step(2, daemon=True))
+        assert len(rig.start_all()) == 1
+        rig.pass_time(3.0)
+        assert rig.start_all() == []
+        with caplog.at_level("INFO"):
+            rig.pass_time(1.5)
+        assert len(rig.start_all()) == 1
+        lines = [row for row in caplog.records if row.message == "probation ended"]
+        assert [row.runner for row in lines] == ["w1"]
+
     def test_a_stalled_task_is_stopped(self, rig: CellRig):
         rig.submit(step(1))
         (only,) = rig.start_all()
