Let a waiting gang hold back only what takes its room

Callers would see: lasting tasks, and tasks of another upstream, that do not start for 4 s though there is room. Cause: a gang that waited over 2 s ended the planning pass, for every later stage and its calls to the advisor: also on upstreams that the gang cannot use, for lasting tasks, and for a gang that fits nowhere even with all else ended. Change: only later stages of its upstream are held back, no lasting ones, and only if the gang fits where the advisor has not denied it, within its limit, beside the lasting tasks.

--- a/ragworttiller/resources.py
+++ b/ragworttiller/resources.py
@@ -46,6 +46,19 @@
             self.accelerators - other.accelerators,
         )
 
+    def copies_in(self, room: Resources, most: int) -> int:
+        """Return how many times this amount fits into ``room`` for every resource, up to a limit.
+
+        Parameters
+        ----------
+        room : Resources
+            Amounts that are free; negative ones have room for none.
+        most : int
+            Upper limit.
+        """
+        counts = [free // needed for needed, free in zip(self, room, strict=True) if needed]
+        return max(min([most, *counts]), 0)
+
     def maximum(self, other: Resources) -> Resources:
         """Return the larger amount of each resource."""
         return Resources(
--- a/ragworttiller/scheduling/decisions/evacuation.py
+++ b/ragworttiller/scheduling/decisions/evacuation.py
@@ -64,8 +64,7 @@
     stage = work.stages.get(run.task.stage)
     if stage is None:
         return None
-    denied = stage.tickets.denied if work.queue.advice is not None else frozenset()
-    running = stage.runs_by_runner()
+    denied, running = work.denied_runners(stage), stage.runs_by_runner()
     for other in usable:
         if (
             other.id not in denied
--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -191,7 +191,7 @@
         Runners that the advisor was not asked about count as allowed.
         """
         label = stage.spec.label
-        denied = stage.tickets.denied if work.queue.advice is not None else frozenset()
+        denied = work.denied_runners(stage)
         possible = sum(
             runner.id not in denied and (not label or label in runner.entry.labels)
             for runner in of_upstream
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
@@ -86,7 +86,10 @@
         self._room_maker.begin(jobs, usable, free_resources, now, wall)
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
+        held_back: set[str] = set()
         for work, stage, inputs in ready:
+            if work.queue.upstream in held_back and not inputs.lasts:
+                continue
             room = free_resources.upstream_room(work.queue.upstream)
             waited = now - (stage.ready_since or now)
             allowance = self._headroom.allowance(inputs, waited, room, now)
@@ -108,8 +111,8 @@
                 ahead = self._advice.call_seconds(work)
                 room_soon = self._room_maker.make_room(work, stage, inputs, ahead)
             self._advice.plan_for_blocked(work, stage, with_room, room_soon)
-            if self._reserves_for_gang(stage, now):
-                break
+            if self._reserves_for_gang(work, stage, usable, now):
+                held_back.add(work.queue.upstream)
         self._advice.plan_for_successors(jobs.values())
 
     def _record_arrivals(self, ready: list[tuple[JobWork, Stage, OrderInputs]], now: float) -> None:
@@ -180,11 +183,27 @@
             plan.starts.append(StartOrder(run, work.spec.spec, run.start_deadline, ticket))
         return True
 
-    def _reserves_for_gang(self, stage: Stage, now: float) -> bool:
-        """Return whether later stages must not start, to free room for a gang that waits long."""
+    def _reserves_for_gang(
+        self, work: JobWork, stage: Stage, usable: Iterable[RunnerState], now: float
+    ) -> bool:
+        """Return whether later stages must not start, to free room for a gang that waits long.
+
+        Lasting tasks start all the same: few have to, and the room that they take stays taken.
+        """
         if not stage.spec.gang or stage.active_runs or stage.blocked_since is None:
             return False
         waited = now - stage.blocked_since
-        return (
-            GANG_RESERVE_DELAY_SECONDS < waited < GANG_RESERVE_DELAY_SECONDS + GANG_RESERVE_SECONDS
-        )
+        if not 0 < waited - GANG_RESERVE_DELAY_SECONDS < GANG_RESERVE_SECONDS:
+            return False
+        return _fits_whole(work, stage, usable)
+
+
+def _fits_whole(work: JobWork, stage: Stage, usable: Iterable[RunnerState]) -> bool:
+    """Return whether all tasks of a stage fit at once while only lasting tasks run."""
+    spec, denied = stage.spec, work.denied_runners(stage)
+    places = sum(
+        spec.reservation.copies_in(runner.free_of_lasting_tasks, spec.per_runner or spec.tasks)
+        for runner in usable
+        if runner.id not in denied and suits(runner, work.queue.upstream, spec)
+    )
+    return places >= spec.tasks
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 
 from ragworttiller.platform.configuration import Queue
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
@@ -81,6 +81,10 @@
         """Return the stages that a stage depends on."""
         return [self.stages[stage.id._replace(step=step)] for step in stage.spec.after]
 
+    def denied_runners(self, stage: Stage) -> Set[str]:
+        """Return the runners on which the advisor does not allow a stage, as far as is known."""
+        return stage.tickets.denied if self.queue.advice is not None else frozenset()
+
     def order_inputs(self, stage: Stage, now: float, wall: float) -> OrderInputs:
         """Return the inputs of the queue order for a stage.
 
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -17,6 +17,7 @@
 from ragworttiller.scheduling.state.speeds import Speeds
 from tests.scheduling_rig import JOB, LEASE_SECONDS, QUEUE, TERM_SECONDS, CellRig, step, task
 
+LATER = QUEUE._replace(name="later", prefix="/l/", priority=1)
 OTHER_JOB = "fedcba9876543210"
 
 
@@ -245,6 +246,47 @@
         assert len(starts) == 8
         assert {order.run.number for order in starts} == {1}
 
+    def waiting_gang(self, rig: CellRig) -> None:
+        """Let a gang that does not fit wait until it reserves room."""
+        rig.submit(step(4, 1000))
+        rig.start_all()
+        rig.submit(step(8, 1000, gang=True, estimate_ms=9000), job=OTHER_JOB)
+        for _ in range(5):
+            assert rig.plan().starts == []
+            rig.pass_time(0.5)
+
+    def test_a_waiting_gang_holds_later_stages_back(self, rig: CellRig):
+        self.waiting_gang(rig)
+        rig.submit(step(1), job="00000000000000aa", queue=LATER)
+        assert rig.plan().starts == []
+
+    def test_a_waiting_gang_holds_no_lasting_task_back(self, rig: CellRig):
+        self.waiting_gang(rig)
+        rig.submit(step(1, daemon=True), job="00000000000000aa", queue=LATER)
+        assert len(rig.plan().starts) == 1
+
+    def test_a_waiting_gang_holds_nothing_back_on_another_upstream(self, rig: CellRig):
+        rig.list_runner("x1", service="archive")
+        rig.hold("x1")
+        rig.enroll("x1")
+        self.waiting_gang(rig)
+        archive = LATER._replace(name="archive", prefix="/a/", upstream="archive")
+        rig.submit(step(1), job="00000000000000aa", queue=archive)
+        assert [order.run.runner for order in rig.plan().starts] == ["x1"]
+
+    @pytest.mark.parametrize(
+        "gang",
+        [step(3, gang=True, anti_affinity=1), step(9, 1000, gang=True), step(5, 2000, gang=True)],
+        ids=["limit", "cell", "fragments"],
+    )
+    def test_a_gang_that_cannot_start_holds_nothing_back(self, rig: CellRig, gang: dict):
+        rig.submit({**gang, "estimate_ms": 9000}, job=OTHER_JOB)
+        for _ in range(5):
+            assert rig.plan().starts == []
+            rig.pass_time(0.5)
+        rig.submit(step(1), job="00000000000000aa", queue=LATER)
+        assert len(rig.plan().starts) == 1
+
     def test_one_done_member_completes_the_gang(self, rig: CellRig):
         rig.submit(step(2, gang=True))
         first, second = rig.start_all()
