Try failed tasks on runners on probation if there are no others

Callers would see: a job that never goes on while the cell is idle. Cause: a task that has failed once never was the trial task of a runner on probation, and only a trial that is done ends a probation. With all runners on probation and only failed tasks left, nothing started for good. A failed task first in line also kept the others of its stage waiting. Change: once a stage is blocked for 2 s and all runners that it may use are on probation, its failed tasks may be trials; one that finds no runner is passed over. Ruled out: lifting the rule for every stage blocked for 2 s: a failed task would use up its attempts on bad runners. Conclusion: no probation is without an end now.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
@@ -100,6 +100,7 @@
                 for runner in free_resources.candidates(stage.spec.reservation)
                 if suits(runner, work.queue.upstream, stage.spec)
             ]
+            self._relax_avoidance(work, stage, usable, now)
             placed = self._start_placeable(
                 plan, work, stage, with_room, free_resources, allowance, now
             )
@@ -136,6 +137,19 @@
         rows.sort(key=lambda row: row[0])
         return [row[1:] for row in rows]
 
+    def _relax_avoidance(
+        self, work: JobWork, stage: Stage, usable: Iterable[RunnerState], now: float
+    ) -> None:
+        """Let tasks that have failed start on more runners once their stage is blocked for long."""
+        stage.tries_failed_on_probation = False
+        if now - (stage.blocked_since or now) <= AVOID_FAILED_RUNNER_SECONDS:
+            return
+        stage.last_failed_runner.clear()
+        if stage.failed_runs:
+            stage.tries_failed_on_probation = all(
+                runner.on_probation for runner in _possible_runners(work, stage, usable)
+            )
+
     def _start_placeable(
         self,
         plan: Plan,
@@ -152,8 +166,6 @@
         """
         if stage.spec.gang and stage.active_runs:
             return False
-        if stage.blocked_since and now - stage.blocked_since > AVOID_FAILED_RUNNER_SECONDS:
-            stage.last_failed_runner.clear()
         needs_ticket = work.queue.advice is not None
         if needs_ticket:
             with_room = [r for r in with_room if stage.tickets.valid_ticket(r.id, now)]
@@ -200,10 +212,19 @@
 
 def _fits_whole(work: JobWork, stage: Stage, usable: Iterable[RunnerState]) -> bool:
     """Return whether all tasks of a stage fit at once while only lasting tasks run."""
-    spec, denied = stage.spec, work.denied_runners(stage)
+    spec = stage.spec
     places = sum(
         spec.reservation.copies_in(runner.free_of_lasting_tasks, spec.per_runner or spec.tasks)
-        for runner in usable
-        if runner.id not in denied and suits(runner, work.queue.upstream, spec)
+        for runner in _possible_runners(work, stage, usable)
     )
     return places >= spec.tasks
+
+
+def _possible_runners(
+    work: JobWork, stage: Stage, usable: Iterable[RunnerState]
+) -> Iterator[RunnerState]:
+    """Yield the runners that suit a stage and that the advisor has not denied."""
+    denied = work.denied_runners(stage)
+    for runner in usable:
+        if runner.id not in denied and suits(runner, work.queue.upstream, stage.spec):
+            yield runner
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -200,7 +200,7 @@
                 if stage.spec.gang:
                     self._return_resources(chosen, free_resources, size)
                     return {}
-                if index in stage.last_failed_runner:
+                if index in stage.last_failed_runner or index in stage.failed_runs:
                     continue
                 break
             chosen[index] = best.id
@@ -213,7 +213,11 @@
     ) -> bool:
         if not accepts_another(runner, stage, on_runner[runner.id]):
             return False
-        if runner.on_probation and index in stage.failed_runs:
+        if (
+            runner.on_probation
+            and index in stage.failed_runs
+            and not stage.tries_failed_on_probation
+        ):
             return False
         return stage.last_failed_runner.get(index) != runner.id
 
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -111,6 +111,8 @@
     ----------
     ready_since : float or None
         Time in seconds from which its tasks could start, None before the first planning pass then.
+    tries_failed_on_probation : bool
+        Whether tasks that have failed may start on runners on probation, for want of others.
     requeued_at : dict of int to float
         Time in seconds at which the last run of a task ended without completing it, by index.
     preemptions : Counter
@@ -135,6 +137,7 @@
         self.tickets = Tickets()
         self.blocked_since: float | None = None
         self.ready_since: float | None = None
+        self.tries_failed_on_probation = False
         self.requeued_at: dict[int, float] = {}
         self.preemptions: Counter[int] = Counter()
         self.preemption_checked_at = float("-inf")
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -408,6 +408,29 @@
         rig.hold("w1", (run.task, run.number, "done"))
         assert [order.run.runner for order in rig.plan().starts].count("w1") == 3
 
+    def after_ends_with_all_runners_suspended(self, rig: CellRig, *outcomes: str) -> None:
+        rig.submit(step(2, 3000))
+        for order, how in zip(rig.start_all(), outcomes, strict=True):
+            rig.hold(order.run.runner, (order.run.task, order.run.number, how))
+        for runner in rig.cell.runners.values():
+            runner.suspend(rig.now)
+        rig.pass_time(3.5)
+
+    def test_failed_tasks_start_again_though_all_runners_are_on_probation(self, rig: CellRig):
+        self.after_ends_with_all_runners_suspended(rig, "failed", "failed")
+        assert rig.start_all() == []
+        rig.pass_time(2.5)
+        assert len(rig.start_all()) == 2
+
+    def test_a_failed_task_does_not_keep_others_from_runners_on_probation(self, rig: CellRig):
+        self.after_ends_with_all_runners_suspended(rig, "stopped", "failed")
+        (stage,) = rig.cell.jobs[JOB].stages.values()
+        (failed,) = stage.failed_runs
+        assert stage.waiting[-1] == failed
+        stage.last_failed_runner.clear()
+        (order,) = rig.start_all()
+        assert order.run.task.ordinal != failed
+
     def test_a_lasting_probe_does_not_close_its_runner_for_good(
         self, caplog: pytest.LogCaptureFixture
     ):
