Move no more runs to a runner than it takes of their stage

Callers would see: two lasting tasks of a stage with a limit stopped for one place, one of them away in vain. Cause: the runs already moved to a runner in a pass counted for its room and not for the limit of the stage. Change: they count for both. Ruled out: nothing. Conclusion: evacuation asks what placement asks.

--- a/ragworttiller/scheduling/decisions/evacuation.py
+++ b/ragworttiller/scheduling/decisions/evacuation.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.task_placement import accepts_another, suits
 from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.jobs import StageId
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Run, RunState
+from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 
 EVACUATE_BEFORE_LEAVING_SECONDS = 1.0
 
@@ -36,17 +38,27 @@
         Time in seconds.
     """
     free = {runner.id: runner.free for runner in usable}
+    running: dict[StageId, Counter[str]] = {}
     moved: list[Run] = []
+    for run in _due_runs(draining, now):
+        work = jobs.get(run.task.stage.job)
+        stage = work.stages.get(run.task.stage) if work is not None else None
+        if work is None or stage is None:
+            continue
+        on_runner = running.setdefault(stage.id, stage.runs_by_runner())
+        target = _find_target(work, stage, usable, free, on_runner)
+        if target is not None:
+            free[target] = free[target].minus(run.reservation)
+            on_runner[target] += 1
+            moved.append(run)
+    return moved
+
+
+def _due_runs(draining: Iterable[RunnerState], now: float) -> Iterator[Run]:
     for runner in draining:
         for run in runner.runs.values():
-            work = jobs.get(run.task.stage.job)
-            if work is None or not _is_due(run, runner, now):
-                continue
-            target = _find_target(run, work, usable, free)
-            if target is not None:
-                free[target] = free[target].minus(run.reservation)
-                moved.append(run)
-    return moved
+            if _is_due(run, runner, now):
+                yield run
 
 
 def _is_due(run: Run, runner: RunnerState, now: float) -> bool:
@@ -58,19 +70,20 @@
 
 
 def _find_target(
-    run: Run, work: JobWork, usable: Sequence[RunnerState], free: Mapping[str, Resources]
+    work: JobWork,
+    stage: Stage,
+    usable: Sequence[RunnerState],
+    free: Mapping[str, Resources],
+    on_runner: Counter[str],
 ) -> str | None:
-    """Return a runner that can take the task of a run, as far as is known."""
-    stage = work.stages.get(run.task.stage)
-    if stage is None:
-        return None
-    denied, running = work.denied_runners(stage), stage.runs_by_runner()
+    """Return a runner that can take a task of a stage, as far as is known."""
+    denied = work.denied_runners(stage)
     for other in usable:
         if (
             other.id not in denied
-            and suits(other, work.queue.upstream, run.spec)
-            and accepts_another(other, stage, running[other.id])
-            and run.reservation.fits(free[other.id])
+            and suits(other, work.queue.upstream, stage.spec)
+            and accepts_another(other, stage, on_runner[other.id])
+            and stage.spec.reservation.fits(free[other.id])
         ):
             return other.id
     return None
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -521,6 +521,14 @@
         rig.list_runner("w1", state="draining")
         assert rig.plan().stops == []
 
+    def test_two_tasks_do_not_move_to_a_runner_that_takes_one_of_them(self):
+        rig = CellRig(3)
+        rig.submit(step(2, daemon=True, anti_affinity=1))
+        orders = rig.start_all()
+        for order in orders:
+            rig.list_runner(order.run.runner, state="draining")
+        assert len(rig.plan().stops) == 1
+
     def test_two_tasks_do_not_move_for_the_same_room(self, rig: CellRig):
         rig.submit(step(2, 2000, daemon=True))
         orders = rig.start_all()
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -5,6 +5,8 @@
 import pytest
 
 from ragworttiller.platform.configuration import AdviceCost
+from ragworttiller.scheduling.clock import LeaseClock
+from ragworttiller.scheduling.ownership.wait_log import WaitLog
 from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.state.cell_view import CellView, WaitReason
 from tests.scheduling_rig import JOB, QUEUE, CellRig, step
@@ -109,6 +111,20 @@
         assert row["seconds"] == pytest.approx(2.5)
 
 
+class TestWaitLog:
+    def test_there_are_at_most_five_lines_at_a_time(
+        self, rig: CellRig, caplog: pytest.LogCaptureFixture
+    ):
+        for number in range(7):
+            rig.submit(step(1, 9000), job=f"{number:016x}")
+        rig.plan()
+        rig.pass_time(3.0)
+        with caplog.at_level("INFO"):
+            WaitLog(rig.cell, LeaseClock()).write(rig.now, rig.now)
+        lines = [row for row in caplog.records if row.message == "tasks wait"]
+        assert [row.why for row in lines] == [WaitReason.NO_RUNNER_SUITS] * 5
+
+
 class TestLists:
     def test_jobs_show_their_tasks_and_slack(self, rig: CellRig):
         rig.submit(step(9, 1000))
