Say in two docstrings why lasting tasks come first

Cause: last reading as a newcomer: two sentences did not give the reason. Change: docstrings only. Ruled out: nothing. Conclusion: no behaviour changes.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -200,7 +200,7 @@
     ) -> bool:
         """Return whether later stages must not start, to free room for a gang that waits long.
 
-        Lasting tasks start all the same: few have to, and the room that they take stays taken.
+        Lasting tasks start all the same, since each has to run whenever there is room for it.
         """
         if not stage.spec.gang or stage.active_runs or stage.blocked_since is None:
             return False
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -128,7 +128,7 @@
     def long_waits(self, now: float, wall: float, min_seconds: float, most: int) -> list[LongWait]:
         """Return the stages that wait for at least ``min_seconds``, ``most`` of them at most.
 
-        Stages of lasting tasks come first: they may wait for no other reason than want of room.
+        Stages of lasting tasks come first, since each has to run whenever there is room for it.
         """
         rows = [
             (not stage.spec.daemon, -stage.longest_wait(now), work, stage)
