Log by what proof a runner counts as ended or settled

What callers saw: a task on two runners. Cause: not touched here, no logic changes. The lines of an owner could not tell the three hypotheses of the incident apart: they named neither the claim that it relied on, nor why a runner was settled, nor for how long it had been silent, nor that a second run was found. Added: takeover began, runner of an earlier owner settled (why, after), second run of a task found; the address in runner listed; silence, misses, listing and the rest of the lease in runner lost.

--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -68,7 +68,7 @@
         newest = runner.record_answer(answer.clock, now)
         if first:
             runner.assume_earlier_lease(self._lease, now)
-        self._takeover.resolve(runner.id)
+        self._takeover.resolve(runner.id, "it answered", now)
         for end in sorted(answer.ended):
             if end.number > runner.last_end_seen:
                 runner.last_end_seen = end.number
@@ -146,6 +146,10 @@
             stage.adopt(run)
             log.info("run of an earlier owner adopted", extra=run_fields(run))
         else:
+            other = stage.active_runs.get(index) if stage is not None else None
+            if other is not None:
+                extra = {**run_fields(run), "other": other.number, "on": other.runner}
+                log.warning("second run of a task found", extra=extra)
             self._stops.add(run, "task is not waiting")
         return run
 
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -80,7 +80,8 @@
             runner = self.runners.get(entry.runner)
             if runner is None:
                 runner = self.runners[entry.runner] = RunnerState(entry)
-                log.info("runner listed", extra={"runner": entry.runner})
+                extra = {"runner": entry.runner, "address": entry.address}
+                log.info("runner listed", extra=extra)
             if entry.draining and not runner.entry.draining:
                 log.info("runner drains", extra={"runner": entry.runner, "left": entry.remaining})
                 runner.leaves_at = now + (entry.remaining or 0.0)
@@ -102,7 +103,7 @@
 
     def remove_ended_boot(self, runner: RunnerState, now: float, reason: str) -> None:
         """Remove a boot that has certainly ended, and all its runs."""
-        self._takeover.resolve(runner.id)
+        self._takeover.resolve(runner.id, reason, now)
         self._mark_lost(runner, now, reason)
         self.runners.pop(runner.id, None)
         self._ended_boots.add(runner.id)
@@ -135,6 +136,18 @@
         runner.lost = True
         runner.enrolled = False
         runs = list(runner.runs.values())
-        log.warning("runner lost", extra={"runner": runner.id, "why": reason, "tasks": len(runs)})
+        log.warning(
+            "runner lost",
+            extra={
+                "runner": runner.id,
+                "why": reason,
+                "tasks": len(runs),
+                "address": runner.entry.address,
+                "listed": runner.listed,
+                "misses": runner.misses,
+                "silent": runner.silent_seconds(now),
+                "lease_left": runner.lease_left(now),
+            },
+        )
         for run in runs:
             self._on_run_end(run, now)
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -208,6 +208,20 @@
         """Assume that an earlier owner may have granted a lease just before the first answer."""
         self._lease_end = max(self._lease_end, self.clock_at(now) + duration)
 
+    def silent_seconds(self, now: float) -> float | None:
+        """Return the seconds since the last answer, None if there was none."""
+        return round(now - self.last_answer_at, 3) if self.has_answered else None
+
+    def lease_left(self, now: float) -> float | None:
+        """Return the longest time in seconds for which the lease may last, None if unknown.
+
+        It counts on the slowest allowed clock, and is negative once the lease has expired.
+        """
+        if self._clock_reading is None:
+            return None
+        clock, at = self._clock_reading
+        return round((self._lease_end - clock) / MIN_CLOCK_RATE - (now - at), 3)
+
     def lease_expired(self, now: float) -> bool:
         """Return whether the lease has certainly expired, even on the slowest allowed clock."""
         if self._clock_reading is None:
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import logging
+
 from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.records.job_fold import JobRow
 from ragworttiller.scheduling.state.runs import Stage
 
+log = logging.getLogger(__name__)
+
 # Leases are measured on the runner's clock, which may be 2% slow.
 LEASE_STRETCH_FACTOR = 1.03
 EXPIRY_MARGIN_SECONDS = 0.3
@@ -36,6 +40,7 @@
         self, claim: Claim | None, accepted_before: int, now: float, term: float, lease: float
     ) -> None:
         self._accepted_before = accepted_before
+        self._began_at = now
         expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
         self._unresolved_until: dict[str, float] = {}
         self._withdrawn: dict[str, frozenset[str]] = {}
@@ -48,20 +53,33 @@
                 now + (term_seconds if row.renewed else 0.0) + expiry_seconds
             )
             self._withdrawn[row.runner] = frozenset(row.tasks)
+        log.info(
+            "takeover began",
+            extra={
+                "owner": claim.owner,
+                "epoch": claim.epoch,
+                "roster": len(claim.roster),
+                "withdrawn": {row.runner: len(row.tasks) for row in claim.withdrawn},
+            },
+        )
 
     @property
     def unresolved(self) -> list[str]:
         """Runners that may still run tasks unknown to the new owner."""
         return list(self._unresolved_until)
 
-    def resolve(self, runner: str) -> None:
+    def resolve(self, runner: str, reason: str, now: float) -> None:
         """Record that a runner has answered the new owner, or that its boot has ended."""
-        self._unresolved_until.pop(runner, None)
+        if self._unresolved_until.pop(runner, None) is None:
+            return
+        seconds = round(now - self._began_at, 3)
+        extra = {"runner": runner, "why": reason, "after": seconds}
+        log.info("runner of an earlier owner settled", extra=extra)
 
     def expire(self, now: float) -> None:
         """Resolve the runners on which all runs of the earlier owner have ended by now."""
         for name in [name for name, until in self._unresolved_until.items() if until <= now]:
-            del self._unresolved_until[name]
+            self.resolve(name, "its lease has expired", now)
 
     def blocks(self, row: JobRow) -> bool:
         """Return whether no task of the job may start yet."""
