--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -47,6 +47,8 @@
         Whether connections are refused.
     silent_next : int
         Number of next exchanges that are neither carried out nor answered.
+    silent_target : str
+        Part of the targets whose exchanges are neither carried out nor answered; empty for none.
     lose_next : int
         Number of next exchanges that are carried out but get no answer.
     late_next : list of float
@@ -66,6 +68,7 @@
         self.late_next: list[float] = []
         self.paused_until = 0.0
         self.silent_next = 0
+        self.silent_target = ""
 
     async def request(
         self,
@@ -82,7 +85,8 @@
             raise NotSent("refused")
         while self.paused_until > self._timers.now():
             await self._timers.sleep(self.paused_until - self._timers.now())
-        if self.cut or self.silent_next:
+        silent = bool(self.silent_target) and self.silent_target in target
+        if self.cut or self.silent_next or silent:
             self.silent_next = max(self.silent_next - 1, 0)
             await self._timers.sleep(timeout or DEFAULT_TIMEOUT_SECONDS)
             raise ExchangeBroken("cut")
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -242,6 +242,23 @@
 
         with_rig(body, work=3.0)
 
+    def test_a_replaced_owner_starts_no_job_that_was_accepted_after_it_was_replaced(self):
+        """It may still read jobs though the claim of its successor does not reach it."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            first = rig.owner
+            for entry in rig.entries.values():
+                entry.link("w1").cut = entry is not first
+            first.store_link.silent_target = OWNER.topic
+            await wait_new_owner(rig, first)
+            await rig.submit(job_id(1), step(8))
+            await rig.timers.sleep(0.5)
+            assert {run // 10_000 for _, run, _ in rig.monitor.starts} == {1}
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=2, work=3.0)
+
     def test_a_cancelled_job_stops(self):
         async def body(rig: OwnersRig):
             await start_entries(rig)
--- a/tests/test_start_call.py
+++ b/tests/test_start_call.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ragworttiller.exceptions import AppendFenced, OrderRefused, OrderUndecided
-from ragworttiller.platform.runners import Start
+from ragworttiller.platform.channel import Answer
+from ragworttiller.platform.runners import RunnerClient, Start
 from ragworttiller.scheduling.ownership.start_call import ATTEMPT_TIMEOUTS_SECONDS, call_start
 from tests.scheduling_rig import task
 
@@ -76,3 +77,27 @@
     def test_a_later_owner_is_reported_at_any_attempt(self):
         with pytest.raises(AppendFenced):
             call(FakeClient(undecided(), AppendFenced(stream="w1", epoch=9)))
+
+
+class FixedAnswer:
+    """Channels on which every exchange has the same answer."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+
+    async def request(self, *exchange: object, **options: object) -> Answer:
+        return self.answer
+
+
+class TestAnswers:
+    @pytest.mark.parametrize("status", [500, 502, 504])
+    def test_an_error_of_the_server_does_not_prove_that_a_run_has_not_started(self, status: int):
+        client = RunnerClient("w1", "", FixedAnswer(Answer(status, [], b"")))
+        with pytest.raises(OrderUndecided):
+            anyio.run(client.start, START, 3)
+
+    @pytest.mark.parametrize("status", [400, 409, 429, 503])
+    def test_a_refusal_is_final(self, status: int):
+        client = RunnerClient("w1", "", FixedAnswer(Answer(status, [], b"")))
+        with pytest.raises(OrderRefused):
+            anyio.run(client.start, START, 3)
