Do not take another list entry at its address for the end of a runner

What callers saw: a task on two runners at once (TWICE), ordered by one owner, while its first runner was up. Cause: a runner that the platform did not list was removed, with all its runs, when another boot was listed at its address. The list drops a boot that is silent to the store, and keeps or lists again boots that have ended: the other one may be the older. Its tasks started elsewhere at once, its lease not waited for. Change: only a boot that answers in its place, or its lease, ends a runner that has runs. A boot that follows at the address answers the next call, so a real crash is noticed as before. Ruled out: comparing the times of entries (list times are the store's, and an entry can be written late).

--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -86,13 +86,9 @@
                 log.info("runner drains", extra={"runner": entry.runner, "left": entry.remaining})
                 runner.leaves_at = now + (entry.remaining or 0.0)
             runner.update(entry)
-        runner_by_address = {entry.address: entry.runner for entry in entries.values()}
-        for name, runner in list(self.runners.items()):
-            runner.listed = name in entries
-            successor = runner_by_address.get(runner.entry.address)
-            if not runner.listed and successor not in (None, name):
-                self.remove_ended_boot(runner, now, "another boot has its address")
-            elif not runner.listed and runner.removable and runner.lease_expired(now):
+        for runner in list(self.runners.values()):
+            runner.listed = runner.id in entries
+            if not runner.listed and runner.removable and runner.lease_expired(now):
                 self.remove_ended_boot(runner, now, "the platform no longer lists it")
 
     def record_no_answer(self, runner: RunnerState) -> None:
