Settle no runner of an earlier owner because its list entry is gone

What callers saw: a task on two runners at once, ordered by two owners. Cause: a runner that had not answered the new owner, was not listed and had missed one call was removed as ended, which also settled it for the takeover. Old tasks then started elsewhere 0.2 s after the claim, though the earlier owner's lease there lasts up to 12 s. Change: only a boot that answers in its place ends a runner for a takeover. A runner without runs that is not listed and does not answer is forgotten, not ended, and only once it is settled. Ruled out: waiting for several missed calls, which prove nothing either. Conclusion: a dead runner that the list drops now holds the old jobs back until its lease has expired, 12 s at most; that is the price, to be measured.

--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -88,8 +88,8 @@
             runner.update(entry)
         for runner in list(self.runners.values()):
             runner.listed = runner.id in entries
-            if not runner.listed and runner.removable and runner.lease_expired(now):
-                self.remove_ended_boot(runner, now, "the platform no longer lists it")
+            if not runner.listed and self._forgettable(runner, now):
+                self._forget(runner)
 
     def record_no_answer(self, runner: RunnerState) -> None:
         """Count a call that a runner did not answer."""
@@ -126,6 +126,16 @@
             if run.spec.fills
         ]
 
+    def _forgettable(self, runner: RunnerState, now: float) -> bool:
+        """Return whether no run of any owner can be on a runner that does not answer."""
+        settled = not self._takeover.is_unresolved(runner.id)
+        return settled and runner.removable and runner.lease_expired(now)
+
+    def _forget(self, runner: RunnerState) -> None:
+        """Stop calling a runner without runs; it may be listed again if it has not ended."""
+        del self.runners[runner.id]
+        log.info("runner forgotten", extra={"runner": runner.id})
+
     def _mark_lost(self, runner: RunnerState, now: float, reason: str) -> None:
         if runner.lost:
             return
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -68,6 +68,10 @@
         """Runners that may still run tasks unknown to the new owner."""
         return list(self._unresolved_until)
 
+    def is_unresolved(self, runner: str) -> bool:
+        """Return whether a runner may still run tasks unknown to the new owner."""
+        return runner in self._unresolved_until
+
     def resolve(self, runner: str, reason: str, now: float) -> None:
         """Record that a runner has answered the new owner, or that its boot has ended."""
         if self._unresolved_until.pop(runner, None) is None:
