Ignore what a boot answers after it was removed

Cause: a call in flight to a boot that was removed could still be answered. Its running tasks were adopted on a state that nobody looked at any more, so they neither waited nor ended; the loop of holds went on with that state when the boot was listed again. Change: answers and holds count only for the state that the pool has. Ruled out: cancelling the call, whose answer may be in the buffers already.

--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -73,7 +73,7 @@
         """Send hold orders to a runner until its boot is removed."""
         client = self._clients[runner.id]
         try:
-            while runner.id in self._cell.runners:
+            while self._cell.runners.get(runner.id) is runner:
                 await self._hold(runner, client)
                 if runner.has_unrecorded_ends:
                     await self._recorder.wait_recorded(runner)
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -63,7 +63,13 @@
         self.pool = RunnerPool(runners, takeover, self._requeue_run)
 
     def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
-        """Apply a runner's answer to a hold: its clock, its ended tasks and its running tasks."""
+        """Apply a runner's answer to a hold: its clock, its ended tasks and its running tasks.
+
+        An answer that comes after its boot was removed is ignored: its tasks wait again.
+        """
+        if self.pool.runners.get(runner.id) is not runner:
+            log.info("answer of a removed runner ignored", extra={"runner": runner.id})
+            return
         first = not runner.has_answered
         newest = runner.record_answer(answer.clock, now)
         if first:
