Hand on of a silent runner what the earlier claim tells of it

What callers saw: a task on two runners at once, ordered by two owners, the first and the third. Cause: an owner that took over and had not heard from a draining runner yet called it withdrawn without tasks in its own claim. To the next owner no task of the first could run there, and it started them elsewhere. Change: while a runner of an earlier owner is not settled, the claim says of it what the earlier claim said, and nothing where that said nothing: then all older jobs wait for it. Ruled out: leaving such runners out of the roster, which says that nothing can run there. Conclusion: a claim says only what its owner knows.

--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -52,12 +52,18 @@
         return sorted({*not_lost, *self._takeover.unresolved})
 
     def withdraw(self, now: float) -> list[Withdrawn]:
-        """Exclude unreachable and draining runners from further starts, and return them."""
-        withdrawn: list[Withdrawn] = []
+        """Exclude unreachable and draining runners from further starts, and return them.
+
+        What runs on a runner that has not answered since the takeover is known only from the claim
+        before it.
+        """
+        withdrawn = self._takeover.withdrawn
         for runner in self.runners.values():
             suspect = runner.suspect(now)
             if runner.lost or not (suspect or runner.entry.draining):
                 continue
+            if self._takeover.is_unresolved(runner.id):
+                continue
             runner.enrolled = False
             tasks = sorted({str(task) for task, _ in runner.runs})
             withdrawn.append(Withdrawn(runner.id, tasks, renewed=not suspect))
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from ragworttiller.scheduling.records.formats import Claim
+from ragworttiller.scheduling.records.formats import Claim, Withdrawn
 from ragworttiller.scheduling.records.job_fold import JobRow
 from ragworttiller.scheduling.state.runs import Stage
 
@@ -68,6 +68,18 @@
         """Runners that may still run tasks unknown to the new owner."""
         return list(self._unresolved_until)
 
+    @property
+    def withdrawn(self) -> list[Withdrawn]:
+        """Unresolved runners on which no more than the tasks named may run.
+
+        They count as renewed, since this owner renews their leases once they answer.
+        """
+        return [
+            Withdrawn(name, sorted(tasks), renewed=True)
+            for name, tasks in self._withdrawn.items()
+            if name in self._unresolved_until
+        ]
+
     def is_unresolved(self, runner: str) -> bool:
         """Return whether a runner may still run tasks unknown to the new owner."""
         return runner in self._unresolved_until
