Renew no lease that the stored claim calls not renewed

What callers saw: a task on two runners at once, ordered by two owners. Cause: a claim says of a runner out of reach that its lease is not renewed, so that a successor waits for the lease alone and not for the term too. But the owner renewed it again with the first answer, before another claim was stored, and so did a successor whose claim repeats the earlier one. With the store out of reach for such an owner, the next one started the tasks up to 7 s too early. Change: the lease stays as the claim says until a claim that says otherwise is stored; holds wait 0.1 s meanwhile. A claim is due at once when a runner can be used again, so this takes milliseconds while the store answers. Ruled out: waiting for the term in every case, 12 s for each task of a dead runner. Conclusion: while the store is away, runs on a runner that was silent just before lapse instead.

--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -101,6 +101,8 @@
             await self._clock.sleep(HOLD_RETRY_SECONDS)
         else:
             self._apply_hold_answer(runner, held)
+            if runner.renewal_withheld:
+                await self._clock.sleep(HOLD_RETRY_SECONDS)
         self._on_change()
 
     async def look(self, runner: RunnerState) -> None:
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -65,16 +65,22 @@
             if self._takeover.is_unresolved(runner.id):
                 continue
             runner.enrolled = False
+            runner.renewal_withheld = suspect
             tasks = sorted({str(task) for task, _ in runner.runs})
             withdrawn.append(Withdrawn(runner.id, tasks, renewed=not suspect))
         return withdrawn
 
     def enroll(self, claim: Claim) -> None:
-        """Allow starts on the runners named in a claim that the store has accepted."""
-        withdrawn = {row.runner for row in claim.withdrawn}
-        for name in set(claim.roster) - withdrawn:
-            if name in self.runners:
-                self.runners[name].enrolled = True
+        """Allow starts and renewals on the runners named in a claim that the store has accepted."""
+        withdrawn = {row.runner: row for row in claim.withdrawn}
+        for name in claim.roster:
+            runner, row = self.runners.get(name), withdrawn.get(name)
+            if runner is None:
+                continue
+            if row is None:
+                runner.enrolled = True
+            if row is None or row.renewed:
+                runner.renewal_withheld = False
 
     def refresh(self, now: float) -> None:
         """Update the runners from the platform's list."""
@@ -86,6 +92,7 @@
             runner = self.runners.get(entry.runner)
             if runner is None:
                 runner = self.runners[entry.runner] = RunnerState(entry)
+                runner.renewal_withheld = self._takeover.called_not_renewed(runner.id)
                 extra = {"runner": entry.runner, "address": entry.address}
                 log.info("runner listed", extra=extra)
             if entry.draining and not runner.entry.draining:
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -32,6 +32,8 @@
     ----------
     enrolled : bool
         Whether the stored claim names the runner as one on which tasks may start.
+    renewal_withheld : bool
+        Whether the stored claim, or the one being written, says that the lease is not renewed.
     listed : bool
         Whether the platform lists the runner.
     lost : bool
@@ -52,6 +54,7 @@
         self.entry = entry
         self.runs: dict[tuple[TaskId, int], Run] = {}
         self.enrolled = False
+        self.renewal_withheld = False
         self.listed = True
         self.lost = False
         self.misses = 0
@@ -198,7 +201,7 @@
         duration : float
             Duration of the lease, in seconds.
         """
-        if not self.has_answered or self.suspect(now) or self.lost:
+        if not self.has_answered or self.renewal_withheld or self.suspect(now) or self.lost:
             return None
         end = self.clock_at(now) + duration
         self._lease_end = max(self._lease_end, end)
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -44,6 +44,7 @@
         expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
         self._unresolved_until: dict[str, float] = {}
         self._withdrawn: dict[str, frozenset[str]] = {}
+        self._not_renewed: set[str] = set()
         if claim is None:
             return
         term_seconds = 0.0 if claim.released else term
@@ -53,6 +54,8 @@
                 now + (term_seconds if row.renewed else 0.0) + expiry_seconds
             )
             self._withdrawn[row.runner] = frozenset(row.tasks)
+            if not row.renewed:
+                self._not_renewed.add(row.runner)
         log.info(
             "takeover began",
             extra={
@@ -80,6 +83,10 @@
             if name in self._unresolved_until
         ]
 
+    def called_not_renewed(self, runner: str) -> bool:
+        """Return whether the last claim says that the lease of a runner is not renewed."""
+        return runner in self._not_renewed
+
     def is_unresolved(self, runner: str) -> bool:
         """Return whether a runner may still run tasks unknown to the new owner."""
         return runner in self._unresolved_until
