Start no task on a runner that the stored claim no longer names

What callers saw: a task on two runners at once, ordered by two owners. Cause: a runner that was lost while a claim naming it was on its way was enrolled by that claim, and stayed enrolled by the next one, which no longer names it. Once it answered, tasks started there that the claim does not tell a successor to wait for. Change: a lost runner is not enrolled when a claim is built, so that only a later stored claim can do so. Ruled out: enrolling only runners that are not lost when the claim is stored, which leaves one lost before and answering after. Conclusion: starts need a stored claim that names the runner, at every moment.

--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -60,9 +60,11 @@
         withdrawn = self._takeover.withdrawn
         for runner in self.runners.values():
             suspect = runner.suspect(now)
-            if runner.lost or not (suspect or runner.entry.draining):
+            if runner.lost:
+                # It may have been enrolled by a claim that was on its way when it was lost.
+                runner.enrolled = False
                 continue
-            if self._takeover.is_unresolved(runner.id):
+            if self._takeover.is_unresolved(runner.id) or not (suspect or runner.entry.draining):
                 continue
             runner.enrolled = False
             runner.renewal_withheld = suspect
