Wait for a start as long as it may keep its runner at work

What callers saw: a task on two runners at once, ordered by one owner. The owner counted only its holds. While holds carried no new deadline, a runner that fell silent just after a start counted as lost at once, and the task started elsewhere beside it. Change: a start extends the lease that is waited for. Ruled out: no starts before a hold has renewed the lease, which costs a round trip after each return. Conclusion: the end of the lease is at least the end of every order given.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -189,7 +189,7 @@
             run = stage.start(index, name, self._epoch, now, number)
             if checkpoint is not None:
                 run.resume(checkpoint)
-            run.start_deadline = runner.clock_at(now) + START_DEADLINE_SECONDS
+            run.start_deadline = runner.grant_start(now, START_DEADLINE_SECONDS)
             runner.add(run)
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
             plan.starts.append(StartOrder(run, work.spec.spec, run.start_deadline, ticket))
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -207,6 +207,20 @@
         self._lease_end = max(self._lease_end, end)
         return end
 
+    def grant_start(self, now: float, duration: float) -> float:
+        """Return the deadline of a start on the runner's clock, which also extends the lease.
+
+        Parameters
+        ----------
+        now : float
+            Time of the owner, in seconds.
+        duration : float
+            Time in seconds after which the runner is to ignore the start.
+        """
+        deadline = self.clock_at(now) + duration
+        self._lease_end = max(self._lease_end, deadline)
+        return deadline
+
     def assume_earlier_lease(self, duration: float, now: float) -> None:
         """Assume that an earlier owner may have granted a lease just before the first answer."""
         self._lease_end = max(self._lease_end, self.clock_at(now) + duration)
