Take no error of a server for the refusal of an order

What callers would see: a task on two runners at once. Cause: a start answered with 500, 502 or 504 counted as refused, so that the task started elsewhere at once. The platform names 429 and 503 as the only server errors after which nothing was done. Change: other server errors leave the order undecided; the deadline of the start settles it. Ruled out: nothing else turns a status into a refusal. Conclusion: only 4xx, 429 and 503 refuse.

--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -20,6 +20,8 @@
 ORDER_TIMEOUT_SECONDS = 0.7
 MISDIRECTED_STATUS = 421
 UNHEALTHY_STATUSES = (429, 503)
+# Any other error of a server does not say whether the order was carried out.
+MIN_SERVER_ERROR_STATUS = 500
 FENCED_REASON = "fence"
 INSTANCE_HEADER = "Ragworttiller-Target-Instance"
 
@@ -201,6 +203,8 @@
             raise RunnerGone(runner=self._runner)
         if answer.status in UNHEALTHY_STATUSES:
             raise OrderRefused(runner=self._runner, order=target, reason="unhealthy")
+        if answer.status >= MIN_SERVER_ERROR_STATUS:
+            raise OrderUndecided(runner=self._runner, order=target)
         try:
             decoded = msgspec.json.decode(answer.body or b"{}", type=_Answer)
         except msgspec.MsgspecError as exc:
