End the term of a replaced owner before it reads jobs accepted since

Cause: a takeover lets jobs accepted after it start at once, though runners have not answered yet, since no earlier owner may act on them. Nothing told the earlier owner: it reads jobs and claims on different connections, and started such jobs on runners that its successor had not reached, until it read the claim or an order was fenced. Change: the append that fences the jobs' partition now carries a record, OwnerChange. Who reads a job after it has read it, and ends a term of an earlier epoch before planning. The newest records of each key are applied together, after the last page, and the key sorts behind all jobs. An owner that is just being set up checks for later owners too. Ruled out: a stored renewal before each start of a new job (a call to the store for each job); holding new jobs back at a takeover until all runners have answered (12 s for one dead runner). Conclusion: no cost but a record a takeover.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -184,6 +184,7 @@
             Retention(self.jobs, self._status_seconds),
             self._standbys,
         )
+        self._end_if_superseded()
         self.jobs_feed.min_interval = OWNER_JOBS_READ_INTERVAL_SECONDS
         try:
             await self._owner.run(self._ownership)
@@ -218,6 +219,7 @@
 
     def _jobs_changed(self) -> None:
         if self._owner is not None:
+            self._end_if_superseded()
             self._owner.request_plan()
         else:
             self.jobs.touched.clear()
@@ -227,11 +229,17 @@
             self._owner.request_plan()
 
     def _claim_changed(self) -> None:
-        claim = self.claims.claim
         self._claim_read_at = self._clock.now()
-        if self._owner is not None and claim is not None:
-            self._owner.end_if_superseded(claim)
+        self._end_if_superseded()
         self._ownership.record_claim()
 
+    def _end_if_superseded(self) -> None:
+        """End the term of the owner before it acts on anything read after a later owner's claim."""
+        if self._owner is None:
+            return
+        self._owner.end_if_superseded(self.jobs.owner_epoch, "jobs")
+        if self.claims.claim is not None:
+            self._owner.end_if_superseded(self.claims.claim.epoch, "claims")
+
     def _claim_poll_empty(self) -> None:
         self._ownership.record_empty_poll()
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -135,13 +135,19 @@
             cell.pending(),
         )
 
-    def end_if_superseded(self, claim: Claim) -> None:
-        """End the term if a claim has a later epoch."""
-        if claim.epoch > self._term.epoch:
-            log.info(
-                "term superseded by a later claim",
-                extra={"epoch": self._term.epoch, "by": claim.owner},
-            )
+    def end_if_superseded(self, epoch: int, source: str) -> None:
+        """End the term if an owner of a later epoch was read of.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the owner.
+        source : str
+            Where it was read: ``claims`` or ``jobs``.
+        """
+        if epoch > self._term.epoch and not self._term.ended:
+            extra = {"epoch": self._term.epoch, "by": epoch, "read": source}
+            log.info("term superseded by a later claim", extra=extra)
             self._term.end()
 
     def _enroll_runners(self, claim: Claim) -> None:
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -21,7 +21,15 @@
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat, OwnerWatch
 from ragworttiller.scheduling.ownership.term import ClaimFold, Term
 from ragworttiller.scheduling.records.feed import Feed
-from ragworttiller.scheduling.records.formats import JOBS, OWNER, OWNER_KEY, Claim, encode
+from ragworttiller.scheduling.records.formats import (
+    JOBS,
+    OWNER,
+    OWNER_CHANGE_KEY,
+    OWNER_KEY,
+    Claim,
+    OwnerChange,
+    encode,
+)
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 
 log = logging.getLogger(__name__)
@@ -182,8 +190,12 @@
             return self._fold.claim == claim
 
     async def _fence_jobs_partition(self, producer: Producer) -> int:
-        """Fence earlier owners in the jobs' partition and return its end."""
-        return await self._append_with_retries(JOBS, [], producer, 0)
+        """Fence earlier owners in the jobs' partition and return its end.
+
+        The record tells an earlier owner that still reads jobs to act on none that follow.
+        """
+        record = KeyedRecord(OWNER_CHANGE_KEY, encode(OwnerChange(producer.epoch)))
+        return await self._append_with_retries(JOBS, [record], producer, 0)
 
     async def _append_with_retries(
         self,
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -168,11 +168,11 @@
     async def _load(self) -> None:
         """Load the newest record of each key and delete keys that no longer exist."""
         asked_at = self._clock.now()
-        page = await self._store.read_newest(self._partition)
-        start, keys = page.end, self._apply_page(page)
-        while page.after:
-            page = await self._store.read_newest(self._partition, page.after)
-            keys |= self._apply_page(page)
+        pages = [await self._store.read_newest(self._partition)]
+        while pages[-1].after:
+            pages.append(await self._store.read_newest(self._partition, pages[-1].after))
+        # Applied together: with half of them, an owner could act on jobs without their later state.
+        start, keys = pages[0].end, set[str]().union(*map(self._apply_page, pages))
         for key, offset in list(self._offsets.items()):
             if key not in keys and offset < start:
                 self._apply(Record(start, key, b""))
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -20,6 +20,8 @@
 ENTRIES = Partition("keyed.entries", 0)
 
 OWNER_KEY = "owner"
+# Sorts after all jobs: a reader of the newest records by key that misses it has read no later job.
+OWNER_CHANGE_KEY = "owner"
 PROGRESS_SUFFIX = "/progress"
 CANCEL_SUFFIX = "/cancel"
 
@@ -97,6 +99,12 @@
     released: bool = False
 
 
+class OwnerChange(NamedTuple):
+    """Record among the jobs after which only the owner of this epoch, or a later one, may act."""
+
+    epoch: int
+
+
 class EntryRecord(NamedTuple):
     """Address at which an entry listens for its peers; ``speed`` is the cores it can use."""
 
--- a/ragworttiller/scheduling/records/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -13,9 +13,11 @@
 from ragworttiller.scheduling.records.feed import Fold
 from ragworttiller.scheduling.records.formats import (
     CANCEL_SUFFIX,
+    OWNER_CHANGE_KEY,
     PROGRESS_SUFFIX,
     Accepted,
     JobState,
+    OwnerChange,
     Progress,
     decode,
 )
@@ -70,11 +72,14 @@
         Rows by the job's identifier.
     touched : set of str
         Jobs that have changed since the set was last cleared.
+    owner_epoch : int
+        Epoch of the last owner that has taken over, 0 before the first.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobRow] = {}
         self.touched: set[str] = set()
+        self.owner_epoch = 0
 
     def get(self, job: str) -> JobRow | None:
         """Return the row of an accepted job, None if there is none."""
@@ -83,6 +88,9 @@
 
     @override
     def apply(self, record: Record) -> None:
+        if record.key == OWNER_CHANGE_KEY:
+            self._apply_owner_change(record)
+            return
         job, slash, kind = record.key.partition("/")
         if not is_job_id(job):
             log.warning(
@@ -99,6 +107,17 @@
             return
         self.touched.add(job)
 
+    def _apply_owner_change(self, record: Record) -> None:
+        try:
+            epoch = decode(record.value, OwnerChange).epoch
+        except Unreadable as exc:
+            log.error(
+                "unreadable owner change skipped",
+                extra={"offset": record.offset, "why": str(exc)},
+            )
+            return
+        self.owner_epoch = max(self.owner_epoch, epoch)
+
     def _apply_accepted(self, job: str, record: Record) -> None:
         if not record.value:
             self.jobs.pop(job, None)
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -403,6 +403,20 @@
         assert "k4" not in rig.recording.values
         assert len(rig.recording.values) == 6
 
+    @virtual
+    async def test_no_page_is_applied_before_the_last_one_was_read(self):
+        rig = StoreRig(page=2)
+        feed = rig.feed()
+        for n in range(5):
+            rig.service.put(PARTITION.topic, f"k{n}", b"v")
+        rig.link.silent_target = "after=k1"
+        with pytest.raises(LogUnavailable):
+            await feed.catch_up()
+        assert rig.recording.values == {}
+        rig.link.silent_target = ""
+        await feed.catch_up()
+        assert len(rig.recording.values) == 5
+
     @virtual
     async def test_an_unresponsive_connection_is_abandoned_in_time(self):
         """A configuration has to be in force within 2 s, and 3 s after a connection went silent."""
