Wait out an earlier owner's lease with its estimate of the clock

What callers would see: a task on two runners at once for at most 0.1 s. Cause: a lease ends at a time on the runner's clock that its owner estimates from an answer up to a term old. On a slow clock the estimate runs ahead by 2% of that, 0.14 s. After a takeover the lease was counted from the first answer without it; the wait for runners that never answer has had this margin all along. Change: the same margin. Evidence: the test failed before. Ruled out: a bound on the age of the estimate, which would end leases early. Conclusion: both ways of waiting for an earlier owner use one margin.

--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -13,7 +13,7 @@
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 from ragworttiller.scheduling.state.speeds import Speeds
-from ragworttiller.scheduling.state.takeover import Takeover
+from ragworttiller.scheduling.state.takeover import EXPIRY_MARGIN_SECONDS, Takeover
 
 log = logging.getLogger(__name__)
 
@@ -73,7 +73,7 @@
         first = not runner.has_answered
         newest = runner.record_answer(answer.clock, now)
         if first:
-            runner.assume_earlier_lease(self._lease, now)
+            runner.assume_earlier_lease(self._lease + EXPIRY_MARGIN_SECONDS, now)
         self._takeover.resolve(runner.id, "it answered", now)
         for end in sorted(answer.ended):
             if end.number > runner.last_end_seen:
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -12,6 +12,7 @@
 
 # Leases are measured on the runner's clock, which may be 2% slow.
 LEASE_STRETCH_FACTOR = 1.03
+# An owner grants leases by an estimate of that clock, which may have run ahead for a term.
 EXPIRY_MARGIN_SECONDS = 0.3
 
 
--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -7,6 +7,7 @@
 from ragworttiller.platform.runners import HoldAnswer, RunningTask
 from ragworttiller.platform.store import Record
 from ragworttiller.scheduling.records.formats import Claim, Withdrawn
+from ragworttiller.scheduling.state.runner_state import MIN_CLOCK_RATE
 from tests.scheduling_rig import JOB, LEASE_SECONDS, TERM_SECONDS, CellRig, step, task
 
 KNOWN_BEFORE = 100
@@ -150,6 +151,16 @@
         rig.pass_time(1.5, order.run.runner)
         assert [order.run.runner for order in rig.plan().starts] == [other]
 
+    def test_the_lease_of_an_earlier_owner_counts_as_long_as_its_clock_may_have_run_ahead(self):
+        """It grants by an estimate of the runner's clock, which is up to a term old."""
+        rig = takeover()
+        rig.hold("w1", running=((task(0), 1),))
+        latest_end = LEASE_SECONDS + TERM_SECONDS * (1 - MIN_CLOCK_RATE)
+        rig.pass_time(latest_end / MIN_CLOCK_RATE, "w1")
+        assert rig.plan().starts == []
+        rig.pass_time(0.5, "w1")
+        assert len(rig.plan().starts) == 1
+
 
 class TestLateAnswers:
     def test_a_task_is_not_lost_to_a_late_answer_of_a_removed_boot(self):
