Tell a successor which runners a releasing owner has never reached

What callers would see: a task on two runners at once, ordered by the first and the third of three owners. Cause: an owner that releases the cell spares its successor the wait for its term. But it also handed on runners that it had never reached itself; the owner before it, frozen for instance, may still be within its own term and order there. The successor waited for the lease alone, 5 s, in place of 12 s. Change: a claim names the runners that are not settled, and these are waited for in full. The claim is built by the cell, without I/O, so that tests of one owner's claim read what the next one reads. Evidence: the test failed with the line that waits left out; its counterpart holds the short wait otherwise. Ruled out: no short wait after a release at all, which costs 7 s at every planned stop with a dead runner. Conclusion: the field is the last of the record, so entries of both versions read it.

--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -124,16 +124,8 @@
 
     def current_claim(self) -> Claim:
         """Return the claim to write with the next renewal."""
-        cell, now = self._cell, self._clock.now()
-        return Claim(
-            self._name,
-            self._incarnation,
-            self._term.epoch,
-            self._jobs_feed.position,
-            cell.pool.roster(),
-            cell.pool.withdraw(now),
-            cell.pending(),
-        )
+        position = self._jobs_feed.position
+        return self._cell.claim(self._name, self._incarnation, position, self._clock.now())
 
     def end_if_superseded(self, epoch: int, source: str) -> None:
         """End the term if an owner of a later epoch was read of.
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -85,7 +85,8 @@
 
     ``roster`` names the runners to which orders may be sent, ``withdrawn`` those of them on which
     no more tasks start. ``pending`` counts, by queue, the jobs before ``position`` that have not
-    started. ``successor`` is set when the owner releases its ownership.
+    started. ``successor`` is set when the owner releases its ownership. ``unsettled`` names the
+    runners of the roster that have not answered this owner, so that an earlier one may order there.
     """
 
     owner: str
@@ -97,6 +98,7 @@
     pending: dict[str, int]
     successor: str = ""
     released: bool = False
+    unsettled: list[str] = []
 
 
 class OwnerChange(NamedTuple):
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -10,6 +10,7 @@
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
+from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
@@ -115,6 +116,31 @@
         self.pool.refresh(now)
         self._active.refresh(now, wall)
 
+    def claim(self, owner: str, incarnation: int, position: int, now: float) -> Claim:
+        """Return the claim to write next: all that a successor must know of this owner's runs.
+
+        Parameters
+        ----------
+        owner : str
+            Name of this instance.
+        incarnation : int
+            Number that identifies this start of the instance.
+        position : int
+            Offset of the next record of the jobs to read.
+        now : float
+            Time in seconds.
+        """
+        return Claim(
+            owner,
+            incarnation,
+            self._epoch,
+            position,
+            self.pool.roster(),
+            self.pool.withdraw(now),
+            self.pending(),
+            unsettled=self._takeover.unresolved,
+        )
+
     def pending(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         return self._active.pending()
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -51,18 +51,21 @@
         term_seconds = 0.0 if claim.released else term
         self._unresolved_until = dict.fromkeys(claim.roster, now + term_seconds + expiry_seconds)
         for row in claim.withdrawn:
-            self._unresolved_until[row.runner] = (
-                now + (term_seconds if row.renewed else 0.0) + expiry_seconds
-            )
+            if not row.renewed:
+                self._unresolved_until[row.runner] = now + expiry_seconds
             self._withdrawn[row.runner] = frozenset(row.tasks)
             if not row.renewed:
                 self._not_renewed.add(row.runner)
+        # The owner before the one that has released them may still be within its term.
+        for name in claim.unsettled:
+            self._unresolved_until[name] = now + term + expiry_seconds
         log.info(
             "takeover began",
             extra={
                 "owner": claim.owner,
                 "epoch": claim.epoch,
                 "roster": len(claim.roster),
+                "unsettled": len(claim.unsettled),
                 "withdrawn": {row.runner: len(row.tasks) for row in claim.withdrawn},
             },
         )
--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -42,9 +42,7 @@
 
 def next_claim(rig: CellRig) -> Claim:
     """Return the claim that the owner writes next."""
-    pool = rig.cell.pool
-    withdrawn = pool.withdraw(rig.now)
-    return Claim("e2", 1, 2, 0, pool.roster(), withdrawn, {})
+    return rig.cell.claim("e2", 1, 0, rig.now)
 
 
 class TestListEntries:
@@ -120,6 +118,29 @@
         rig.cell.pool.enroll(next_claim(rig))
         assert state.grant_lease(rig.now, LEASE_SECONDS) is not None
 
+    def test_a_released_claim_does_not_vouch_for_runners_that_its_owner_never_reached(self):
+        """The owner before may still be within its term, and order there."""
+        rig = self.successor_of_a_release(takeover())
+        rig.pass_time(LEASE_SECONDS + 1.0)
+        assert rig.plan().starts == []
+        rig.pass_time(TERM_SECONDS)
+        assert len(rig.plan().starts) == 1
+
+    def test_a_released_claim_vouches_for_runners_that_its_owner_has_reached(self):
+        first = takeover()
+        first.hold("w1")
+        rig = self.successor_of_a_release(first)
+        assert rig.plan().starts == []
+        rig.pass_time(LEASE_SECONDS + 1.0)
+        assert len(rig.plan().starts) == 1
+
+    def successor_of_a_release(self, first: CellRig) -> CellRig:
+        """Return the cell of an owner with one old job that reaches w2 only."""
+        rig = CellRig(0, next_claim(first)._replace(released=True, successor="e3"), KNOWN_BEFORE)
+        rig.submit(step(1))
+        rig.add_runner("w2")
+        return rig
+
     def test_no_task_starts_on_a_runner_that_the_stored_claim_no_longer_names(self):
         rig = CellRig(2)
         state = rig.cell.runners["w1"]
