Leave an append undecided that a failing server answered

What callers would see: a job answered 503, "surely not stored, never will be", that is stored and runs; an owner would take a progress record, or a claim, for not stored that is. Cause: Store.append took any status that it does not know for a refusal if the body was JSON, so 500, 502 and 504 from the store or a proxy before it proved that nothing was appended. A body that is not JSON was undecided already. Change: Answer.refused says which statuses prove that nothing was done (4xx and 503); the store adds 507. Ruled out: the invented HTTP log of the daemon (services/http.py) is undecided for all but 200 and 503.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -18,6 +18,7 @@
 
 MAX_IDLE_SECONDS = 4.0
 MAX_IDLE_CHANNELS = 8
+UNAVAILABLE = 503
 # A channel sets or omits these headers itself; values from the request are dropped.
 CHANNEL_HEADERS = frozenset({"host", "content-length", "connection", "transfer-encoding", "expect"})
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
@@ -46,6 +47,15 @@
     headers: list[tuple[str, str]]
     body: bytes
 
+    @property
+    def refused(self) -> bool:
+        """Whether the status says that the server has not carried out the request.
+
+        Other statuses of 500 or more do not: a server may fail, or a proxy lose the answer,
+        after the request was carried out.
+        """
+        return 400 <= self.status < 500 or self.status == UNAVAILABLE
+
     @property
     def content_type(self) -> str:
         """Value of the ``Content-Type`` header, or the default type if there is none."""
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import logging
 from collections.abc import Sequence
 from typing import NamedTuple
 from urllib.parse import urlencode
@@ -18,13 +19,23 @@
     RecordsExpired,
     Unreadable,
 )
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent, Traffic
+from ragworttiller.platform.channel import (
+    Answer,
+    ChannelSet,
+    ExchangeBroken,
+    NotSent,
+    Traffic,
+)
 from ragworttiller.platform.decoding import decode_json
 
+log = logging.getLogger(__name__)
+
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 READ_MAX_KB = 1024
 ANSWER_TIMEOUT_SECONDS = 1.0
+# Too many calls, unavailable, out of space: nothing was appended, whatever the body says.
+REFUSAL_STATUSES = (429, 503, 507)
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 RUNNERS_TOPIC = "keyed.servers"
@@ -186,13 +197,20 @@
         if at is not None:
             query["at"] = at
         body = b"".join(map(_encode_record, records))
-        status, content = await self._append_call(
+        reply = await self._append_call(
             partition, "/-/log-append?" + urlencode(query), body, timeout
         )
-        if status in (429, 503, 507):
+        status = reply.status
+        if status in REFUSAL_STATUSES:
             raise LogUnavailable(stream=str(partition))
+        if status != 200 and not reply.refused:
+            log.warning(
+                "append answered without a result",
+                extra={"partition": str(partition), "status": status},
+            )
+            raise AppendUndecided(stream=str(partition))
         try:
-            answer = msgspec.json.decode(content, type=_Appended)
+            answer = msgspec.json.decode(reply.body, type=_Appended)
         except msgspec.MsgspecError as exc:
             raise AppendUndecided(stream=str(partition)) from exc
         if status == 200:
@@ -265,7 +283,7 @@
 
     async def _append_call(
         self, partition: Partition, target: str, body: bytes, timeout: float | None
-    ) -> tuple[int, bytes]:
+    ) -> Answer:
         try:
             answer = await self._channels.request("POST", target, body, timeout=timeout)
         except NotSent as exc:
@@ -273,7 +291,7 @@
         except ExchangeBroken as exc:
             raise AppendUndecided(stream=str(partition)) from exc
         self._answer_count += 1
-        return answer.status, answer.body
+        return answer
 
     async def _read_call(self, partition: Partition, target: str, wait: float) -> tuple[int, bytes]:
         try:
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -96,6 +96,33 @@
         tasks.cancel_scope.cancel()
 
 
+class FixedAnswer:
+    """Channels on which every exchange has the same answer."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+
+    async def request(self, *exchange: object, **options: object) -> Answer:
+        return self.answer
+
+
+class TestAppendStatuses:
+    def append(self, status: int, body: bytes) -> None:
+        store = Store("", 1.0, FixedAnswer(Answer(status, [], body)))
+        anyio.run(store.append, PARTITION, [KeyedRecord("k", b"1")])
+
+    @pytest.mark.parametrize("body", [b"", b"{}", b'{"error": "upstream failed"}'])
+    @pytest.mark.parametrize("status", [202, 302, 500, 502, 504])
+    def test_an_error_of_the_server_does_not_prove_that_nothing_was_appended(self, status, body):
+        with pytest.raises(AppendUndecided):
+            self.append(status, body)
+
+    @pytest.mark.parametrize("status", [400, 404, 413, 429, 503, 507])
+    def test_a_refusal_is_final(self, status):
+        with pytest.raises(LogUnavailable):
+            self.append(status, b"{}")
+
+
 class TestStore:
     @virtual
     async def test_an_append_without_producer_is_never_a_retry(self):
