Take no hold answer without a clock for a runner's statement

What callers would see: a task on two runners. An answer 200 with an empty body counted as a runner that runs nothing: a takeover then settles the runner and starts again what runs there. A row of a running task whose progress or checkpoint was unreadable was left out, with the same effect; an end with an added field was left out, and its start was later called expired, so the task ran again. Cause: RunnerClient.hold filled in what was missing: no clock is clock 0, no rows are no runs; a row was read whole or not at all, and an end with exactly five fields. Change: without clock_ms a hold is undecided, with a log line. Of a running row only task and run must be readable, of an ended one number, task, run and outcome; fields added at the end are ignored. Ruled out: a body that is no JSON, or null in place of a list, was undecided already. Lists that are missing beside a clock still count as empty, since a runner may leave empty lists out. Conclusion: fixed, for the platform's client; no record shows such answers.

--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -76,7 +76,7 @@
 
 
 class _Answer(msgspec.Struct):
-    clock_ms: float = 0.0
+    clock_ms: float | None = None
     reason: str = ""
     running: list[list[Any]] = []
     ended_runs: list[list[Any]] = []
@@ -135,6 +135,10 @@
         if deadline is not None:
             body["deadline_ms"] = int(deadline * 1000)
         answer = await self._send_order("/-/hold", body, wait, timeout)
+        if answer.clock_ms is None:
+            # Without the runner's clock, empty lists are no statement of the runner.
+            log.warning("hold answered without a clock", extra={"runner": self._runner})
+            raise OrderUndecided(runner=self._runner, order="/-/hold")
         running = [_decode_running(row) for row in answer.running]
         ended = [_decode_ended(row) for row in answer.ended_runs]
         return HoldAnswer(
@@ -173,7 +177,7 @@
         if order.ticket:
             body["ticket"] = order.ticket
         answer = await self._send_order("/-/run-start", body, timeout=timeout)
-        return answer.clock_ms / 1000
+        return (answer.clock_ms or 0.0) / 1000
 
     async def stop(self, task: TaskId, run: int, token: int) -> None:
         """Stop a run; a later `hold` reports its end.
@@ -221,17 +225,34 @@
 
 
 def _decode_running(row: list[Any]) -> RunningTask | None:
+    """Return a running task, None if its name or run is unreadable."""
     try:
-        task, run, checkpoint, percent, *rest = row
-        load = float(rest[0]) if rest else 0.0
-        return RunningTask(task_id(task), int(run), checkpoint or "", float(percent), load)
+        task, run, *rest = row
+        name, number = task_id(task), int(run)
     except (Unreadable, TypeError, ValueError):
         return None
+    checkpoint, percent, load = (rest + [None] * 3)[:3]
+    return RunningTask(name, number, _text(checkpoint), _number(percent), _number(load))
 
 
 def _decode_ended(row: list[Any]) -> EndedRun | None:
+    """Return an ended run, None if its number, name, run or outcome is unreadable."""
     try:
-        number, task, run, outcome, checkpoint = row
-        return EndedRun(int(number), task_id(task), int(run), outcome, checkpoint or "")
+        number, task, run, outcome, *rest = row
+        checkpoint = _text(rest[0]) if rest else ""
+        return EndedRun(int(number), task_id(task), int(run), outcome, checkpoint)
     except (Unreadable, TypeError, ValueError):
         return None
+
+
+def _text(value: Any) -> str:
+    """Return a field that may be missing, as text."""
+    return value if isinstance(value, str) else ""
+
+
+def _number(value: Any) -> float:
+    """Return a field that may be missing or no number, 0 then."""
+    try:
+        return float(value)
+    except (TypeError, ValueError):
+        return 0.0
--- a/tests/test_start_call.py
+++ b/tests/test_start_call.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import anyio
+import msgspec
 import pytest
 
 from ragworttiller.exceptions import AppendFenced, OrderRefused, OrderUndecided
 from ragworttiller.platform.channel import Answer
-from ragworttiller.platform.runners import RunnerClient, Start
+from ragworttiller.platform.runners import HoldAnswer, RunnerClient, Start
 from ragworttiller.scheduling.ownership.start_call import ATTEMPT_TIMEOUTS_SECONDS, call_start
 from tests.scheduling_rig import task
 
@@ -104,3 +105,28 @@
         client = RunnerClient("w1", "", FixedAnswer(Answer(status, [], b"")))
         with pytest.raises(OrderRefused):
             anyio.run(client.start, START, 3)
+
+
+class TestHoldAnswers:
+    def hold(self, body: bytes) -> HoldAnswer:
+        client = RunnerClient("w1", "", FixedAnswer(Answer(200, [], body)))
+        return anyio.run(client.hold, 3, 0, None, 0.0)
+
+    @pytest.mark.parametrize("body", [b"", b"{}", b'{"running": [], "ended_runs": []}'])
+    def test_a_body_without_the_clock_of_the_runner_does_not_prove_that_nothing_runs(
+        self, body: bytes
+    ):
+        with pytest.raises(OrderUndecided):
+            self.hold(body)
+
+    @pytest.mark.parametrize("rest", [[None, None, 0], ["", "?", 0], ["", 1.0, None], []])
+    def test_a_run_is_not_left_out_because_its_progress_cannot_be_read(self, rest: list[object]):
+        row = [str(task()), 7, *rest]
+        answer = self.hold(msgspec.json.encode({"clock_ms": 5, "running": [row]}))
+        assert [(run.task, run.run) for run in answer.running] == [(task(), 7)]
+
+    @pytest.mark.parametrize("rest", [[None], ["c1", "added later"], []])
+    def test_an_end_is_not_left_out_because_of_its_later_fields(self, rest: list[object]):
+        row = [4, str(task()), 7, "done", *rest]
+        answer = self.hold(msgspec.json.encode({"clock_ms": 5, "ended_runs": [row]}))
+        assert [(end.number, end.run, end.outcome) for end in answer.ended] == [(4, 7, "done")]
