Wait out every lease that a silent worker may hold

What callers would see: a task on two workers at once. A worker that is cut off right after a start, or while its shard's leases get shorter, runs on under a lease that its owner already calls lapsed. Cause: WorkerKeeper measured the lapse from its last renewal with the lease of the present. A start grants a lease of its own, up to 8 s after the last renewal of an idle worker; and a lease granted in a time of many tasks (45 s at 400) was waited out for the 18 s of few. Refused connections, among them connects that time out, moved neither. Change: LeaseBook, a module without I/O, keeps the latest end of all leases of a worker; each renewal and start that may have arrived is recorded at its end with the duration that it named. A line is logged for each task that is ended by it. The mutation of test_cell_interleavings.py that leaves out the proof of a stop also makes LeaseBook call every lease lapsed, since the check moved there; it is as strict. Ruled out: an address that changes and a cancelled call, since both are recorded as grants; an owner's own pause, since it only makes the time since its last grant longer, unless another owner renews (reported apart). Left: after a takeover the lease is taken from the tasks of the present, not from those that the earlier owner saw. Conclusion: fixed for the leases that an owner grants on its own shard's workers.

--- a/ragworttiller/process/cell_state.py
+++ b/ragworttiller/process/cell_state.py
@@ -14,6 +14,7 @@
 from ragworttiller.process.cell_fold import CellFold
 from ragworttiller.process.cell_rows import JobRow
 from ragworttiller.process.fold import Committed
+from ragworttiller.process.lease_book import LeaseBook
 from ragworttiller.process.membership import Membership
 from ragworttiller.process.peers import Peers
 from ragworttiller.process.stream import Stream
@@ -118,6 +119,8 @@
         Wall-clock time at which a task became pending again.
     lease : float
         Duration of the leases that are granted, in seconds.
+    leases : LeaseBook
+        Ends of the leases on this shard's workers.
     on_stop : Callable
         Called with the worker of a new stop request.
     on_start : Callable
@@ -135,6 +138,7 @@
         self.stops: dict[str, dict[Attempt, StopRequest]] = {}
         self.pending_since: dict[str, float] = {}
         self.lease = 0.0
+        self.leases = LeaseBook()
         self._listing: Listing | None = None
         self._listed: dict[str, ListedWorker] = {}
         self._ends: dict[str, anyio.Event] = {}
--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -192,8 +192,10 @@
             job = self._state.fold.jobs.get(job_of(task))
             if running is None or job is None or task in self._state.planned:
                 continue
-            if job.submitted.idempotent or not listed:
-                self._state.record_task_end(task, running.attempt, LOST)
+            if not job.submitted.idempotent and listed:
+                continue
+            if self._state.record_task_end(task, running.attempt, LOST):
+                log.warning("task %s ended: the leases of worker %s have lapsed", task, worker)
         for decision, task in list(row.holds):
             hold = self._state.fold.bookings.holds[decision, task]
             self._report_to_home(worker, (task, hold.attempt), "lapsed" if listed else LOST)
--- a/ragworttiller/process/task_starter.py
+++ b/ragworttiller/process/task_starter.py
@@ -175,13 +175,17 @@
             return
         for plan in plans:
             state.sent_starts[plan.task, plan.attempt] = SentStart(worker, state.now(), False)
+        specs, may_have_started = [self._spec(plan) for plan in plans], True
         try:
-            answers = await client.start([self._spec(plan) for plan in plans])
+            answers = await client.start(specs)
         except WorkerUnreachable:
             answers = []
             self._rooms.set_reporting(worker, False)
         except WorkerRefused as exc:
-            answers = [exc.code] * len(plans)
+            answers, may_have_started = [exc.code] * len(plans), False
+        finally:
+            if may_have_started and plans[0].shard == state.context.shard:
+                state.leases.record_grant(worker, specs[0].lease, state.now())
         self._handle_answers(worker, plans, answers)
 
     def _handle_answers(self, worker: str, plans: list[TaskPlan], answers: list[str]) -> None:
--- a/ragworttiller/process/worker_keeper.py
+++ b/ragworttiller/process/worker_keeper.py
@@ -11,6 +11,7 @@
 
 from ragworttiller.exceptions import WorkerRefused, WorkerUnreachable
 from ragworttiller.process.cell_state import Attempt, CellState
+from ragworttiller.process.lease_book import LAPSE_MARGIN_SECONDS
 from ragworttiller.process.room_view import RoomView
 from ragworttiller.process.task_endings import TaskEndings
 from ragworttiller.resources import NO_RESOURCES
@@ -24,7 +25,6 @@
 IDLE_VISIT_PERIOD_SECONDS = 8.0
 STOP_VISIT_PERIOD_SECONDS = 0.25
 MIN_VISIT_DELAY_SECONDS = 0.25
-LAPSE_MARGIN_SECONDS = 3.0
 MAX_UNANSWERED_VISITS = 3
 CALL_TIMEOUT_SECONDS = 2.5
 REPORT_BYTES = 70
@@ -59,7 +59,6 @@
         self.due = False
         self.visited_at = now
         self.unanswered = 0
-        self.renewed_at = now
         self.missing_since: dict[Attempt, float] = {}
 
 
@@ -121,9 +120,13 @@
                 watch.scope.cancel()
                 del self._watches[name]
                 self._rooms.set_reporting(name, False)
+                self._state.leases.forget_lapsed(name, self._state.now())
         for name, address in addresses.items():
             if name not in self._watches:
-                watch = self._watches[name] = _WatchedWorker(name, address, self._state.now())
+                now = self._state.now()
+                watch = self._watches[name] = _WatchedWorker(name, address, now)
+                # An earlier owner may have renewed the leases until now.
+                self._state.leases.record_grant(name, self._timing.lease, now)
                 tasks.start_soon(self._visit_loop, watch)
 
     def _addresses(self) -> dict[str, str]:
@@ -166,11 +169,9 @@
             self._handle_failed_visit(watch)
             return
         except WorkerUnreachable:
-            watch.renewed_at = self._state.now()
             watch.unanswered += 1
             self._handle_failed_visit(watch)
             return
-        watch.renewed_at = self._state.now()
         watch.unanswered = 0
         if not self._state.context.stream.ready:
             return
@@ -179,9 +180,17 @@
             await self._process_reports(watch, client, reports, asked_at)
 
     async def _renew(self, watch: _WatchedWorker, client: Worker) -> list[TaskReport]:
-        with self._state.context.timers.move_on_after(CALL_TIMEOUT_SECONDS):
-            return await client.renew(self._timing.lease)
-        raise WorkerUnreachable(worker=watch.name)
+        lease, may_be_granted = self._timing.lease, True
+        try:
+            with self._state.context.timers.move_on_after(CALL_TIMEOUT_SECONDS):
+                return await client.renew(lease)
+            raise WorkerUnreachable(worker=watch.name)
+        except WorkerRefused:
+            may_be_granted = False
+            raise
+        finally:
+            if may_be_granted:
+                self._state.leases.record_grant(watch.name, lease, self._state.now())
 
     async def _send_stops(self, watch: _WatchedWorker, client: Worker) -> None:
         stop_requests = self._state.stops.get(watch.name, {})
@@ -201,7 +210,7 @@
 
     def _leases_lapsed(self, watch: _WatchedWorker) -> bool:
         """Return whether every lease of a worker that does not answer has lapsed."""
-        return self._state.now() - watch.renewed_at > self._lapse_seconds()
+        return self._state.leases.lapsed(watch.name, self._state.now())
 
     def _lapse_seconds(self) -> float:
         return self._timing.lease + LAPSE_MARGIN_SECONDS
--- a/tests/test_cell_interleavings.py
+++ b/tests/test_cell_interleavings.py
@@ -14,6 +14,7 @@
 
 from ragworttiller.process.bookings import Bookings
 from ragworttiller.process.cell_fold import CellFold
+from ragworttiller.process.lease_book import LeaseBook
 from ragworttiller.process.license_proof import LicenseProof
 from ragworttiller.process.task_endings import TaskEndings
 from ragworttiller.process.worker_keeper import WorkerKeeper
@@ -220,6 +221,7 @@
     "an earlier start is ignored": [(CellFold, "_task_obstacle", ignore_earlier_start)],
     "a task is started again without proof of its stop": [
         (WorkerKeeper, "_lapse_seconds", lambda self: 0.0),
+        (LeaseBook, "lapsed", lambda self, worker, now: True),
         (LicenseProof, "cannot_send", assume_cannot_send),
         (TaskEndings, "_is_listed", lambda self, worker: False),
     ],
