End what has lapsed on a worker that never answers

What callers would see: tasks of a worker that takes connections but answers nothing (paused, or its answers are cut) stay "running" for ever, though their leases have lapsed and they are idempotent. Cause: after the lapse the keeper visits the worker again; that visit, unanswered, may renew leases, so the lapse that was waited for was never acted on. Change: what has lapsed is ended before the next visit. Evidence: tests/test_lease_ends.py::TestUnansweredRenewals failed before: one start in 120 s, where a second one was due; it passes now without a violation. Ruled out: a refused connection ended tasks already (test_cell_safety.py::TestLeases). A delay, not a task on two workers; found beside the lapse.

--- a/ragworttiller/process/worker_keeper.py
+++ b/ragworttiller/process/worker_keeper.py
@@ -160,6 +160,8 @@
         if watch.unanswered >= MAX_UNANSWERED_VISITS:
             if not self._leases_lapsed(watch):
                 return
+            # A further visit may renew leases, so what has lapsed is ended before it.
+            self._handle_failed_visit(watch)
             watch.unanswered = 0
         asked_at = self._state.now()
         try:
--- a/tests/test_lease_ends.py
+++ b/tests/test_lease_ends.py
@@ -55,3 +55,15 @@
             await rig.advance(120.0)
             assert rig.violations == []
             assert [event.task for event in rig.starts].count(f"{one}/0") == 2
+
+
+class TestUnansweredRenewals:
+    @scenario
+    async def test_tasks_of_a_worker_that_never_answers_run_elsewhere(self):
+        async with Rig(workers=2).running() as rig:
+            job = await rig.submit("job", **LONG)
+            await rig.advance(1.0)
+            rig.fleet.workers[rig.starts[0].worker].lose_answers = 10**6
+            await rig.advance(120.0)
+            assert rig.violations == []
+            assert [event.task for event in rig.starts].count(f"{job}/0") == 2
