Judge an end on another shard's worker by the start too

What callers would see: a task on two workers at once, or a worker with more work than it holds, for jobs that run on workers of other shards. Cause: the worker's shard called a held task lapsed, or never started, by its own renewals; the home shard, which sends the start, recorded that without asking when its start was sent. A start after the last renewal (up to 8 s on an idle worker) was so given up while its lease ran. And an attempt that the home shard has not licensed, or has not read, counted as ended: its hold was released, while the decision could still be made. Change: SentStart keeps until when its lease may last; reasons that no report of the worker gives (never started, lapsed, and the new "gone" for a worker that is no longer listed) are recorded only after that. For a start of an earlier owner this counts from the proof that it sends no more. Evidence: tests/test_remote_ends.py::TestHeldTasks failed before: [6.0] with 'already runs on w0', an unlicensed task and one of an unknown job with their ids in the answer, where none is due. All pass now. Ruled out: the settling of decisions (an abort is recorded first, the first decision wins). Conclusion: fixed. An older owner of a worker's shard says "lost" for "gone", which counts as before.

--- a/ragworttiller/process/cell_state.py
+++ b/ragworttiller/process/cell_state.py
@@ -76,12 +76,14 @@
 
     ``at`` is the monotonic time at which the call ended, or began while it is in progress; a report
     of the worker that is requested later shows whether the start arrived. ``answered`` is whether
-    the worker answered.
+    the worker answered. ``leased_until`` is when the lease that the command granted has ended,
+    infinite while the call is in progress.
     """
 
     worker: str
     at: float
     answered: bool
+    leased_until: float
 
 
 class PlannedTask(NamedTuple):
--- a/ragworttiller/process/lease_book.py
+++ b/ragworttiller/process/lease_book.py
@@ -7,6 +7,11 @@
 MIN_CLOCK_RATE = 0.98
 
 
+def lease_end(lease: float, now: float) -> float:
+    """Return the time at which a lease that was granted by now has ended on every clock."""
+    return now + lease / MIN_CLOCK_RATE + LAPSE_MARGIN_SECONDS
+
+
 class LeaseBook:
     """Latest end of all leases that an owner may have granted, by worker.
 
@@ -19,7 +24,7 @@
 
     def record_grant(self, worker: str, lease: float, now: float) -> None:
         """Record that leases of ``lease`` seconds may have been granted until now."""
-        end = now + lease / MIN_CLOCK_RATE + LAPSE_MARGIN_SECONDS
+        end = lease_end(lease, now)
         self._ends[worker] = max(end, self._ends.get(worker, end))
 
     def lapsed(self, worker: str, now: float) -> bool:
--- a/ragworttiller/process/license_proof.py
+++ b/ragworttiller/process/license_proof.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import logging
 from typing import NamedTuple
 
 from ragworttiller.exceptions import RagworttillerError
 from ragworttiller.messages import CellCall
+from ragworttiller.process.bookings import trim
 from ragworttiller.process.cell_state import CellState
 
+log = logging.getLogger(__name__)
+
 ABSENT_SECONDS = 60.0
 HOLDER_CALL_TIMEOUT_SECONDS = 2.0
+KEPT_PROOFS = 1000
 DISOWNED = "disowned"
 
 _active_holders: set[str] = set()
@@ -60,9 +65,27 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
         self._absent_since: dict[str, float] = {}
+        self._proven_at: dict[str, float] = {}
 
     async def cannot_send(self, name: str) -> bool:
         """Return whether the holder provably sends nothing more under its licenses."""
+        proven = await self._determine(name)
+        if not proven:
+            self._proven_at.pop(name, None)
+        elif name not in self._proven_at:
+            log.info("owner %s provably sends no more starts", name)
+            self._proven_at[name] = self._state.now()
+            trim(self._proven_at, KEPT_PROOFS)
+        return proven
+
+    def proven_at(self, name: str) -> float | None:
+        """Return since when `cannot_send` has found the proof for a holder, None without it.
+
+        A start of the holder may have been sent until then.
+        """
+        return self._proven_at.get(name)
+
+    async def _determine(self, name: str) -> bool:
         context = self._state.context
         holder = parse_holder(name)
         if holder.instance == context.membership.instance:
--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -20,6 +20,10 @@
 
 LOST = "lost"
 NEVER_STARTED = "never_started"
+LAPSED = "lapsed"
+GONE = "gone"
+# Reasons that no report of the worker gives: what they prove depends on when the start was sent.
+UNREPORTED = (NEVER_STARTED, LAPSED, GONE)
 PREEMPTED = "preempted"
 ORPHAN_CHECK_PERIOD_SECONDS = 2.0
 MAX_OVERDUE_SECONDS = 0.5
@@ -29,7 +33,11 @@
 
 
 class RemoteEnd(NamedTuple):
-    """End of a task on a worker of this shard; ``home`` is the shard of its job."""
+    """End of a task on a worker of this shard; ``home`` is the shard of its job.
+
+    ``reason`` is one of a `TaskEnded`, or `LAPSED` or `GONE` if the leases of a silent worker have
+    lapsed that the platform lists, or no longer lists.
+    """
 
     home: int
     decision: str
@@ -198,7 +206,7 @@
                 log.warning("task %s ended: the leases of worker %s have lapsed", task, worker)
         for decision, task in list(row.holds):
             hold = self._state.fold.bookings.holds[decision, task]
-            self._report_to_home(worker, (task, hold.attempt), "lapsed" if listed else LOST)
+            self._report_to_home(worker, (task, hold.attempt), LAPSED if listed else GONE)
 
     def _is_listed(self, worker: str) -> bool:
         return worker in self._state.listed_workers()
--- a/ragworttiller/process/task_starter.py
+++ b/ragworttiller/process/task_starter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 from ragworttiller.process.cell_rows import JobRow, job_of
 from ragworttiller.process.cell_state import CellState, PlannedTask, SentStart, commit_failed
 from ragworttiller.process.fold import Committed
+from ragworttiller.process.lease_book import lease_end
 from ragworttiller.process.room_view import RoomView
 from ragworttiller.process.task_endings import NEVER_STARTED, TaskEndings
 from ragworttiller.records import HoldDecided, TaskStarted
@@ -174,7 +176,9 @@
         if not plans or client is None:
             return
         for plan in plans:
-            state.sent_starts[plan.task, plan.attempt] = SentStart(worker, state.now(), False)
+            state.sent_starts[plan.task, plan.attempt] = SentStart(
+                worker, state.now(), False, math.inf
+            )
         specs, may_have_started = [self._spec(plan) for plan in plans], True
         try:
             answers = await client.start(specs)
@@ -186,13 +190,16 @@
         finally:
             if may_have_started and plans[0].shard == state.context.shard:
                 state.leases.record_grant(worker, specs[0].lease, state.now())
-        self._handle_answers(worker, plans, answers)
+        self._handle_answers(worker, plans, answers, specs[0].lease)
 
-    def _handle_answers(self, worker: str, plans: list[TaskPlan], answers: list[str]) -> None:
+    def _handle_answers(
+        self, worker: str, plans: list[TaskPlan], answers: list[str], lease: float
+    ) -> None:
         state = self._state
         for plan in plans:
+            now = state.now()
             state.sent_starts[plan.task, plan.attempt] = SentStart(
-                worker, state.now(), bool(answers)
+                worker, now, bool(answers), lease_end(lease, now)
             )
             state.on_start(worker)
             row = state.fold.jobs.get(job_of(plan.task))
