End no license of an earlier owner before its start

What callers would see: a task on two workers at once after a takeover, while the earlier owner is paused between its license and its start, or comes back late. Cause: (1) a silent worker's tasks were ended by the lapse of leases that nobody had granted yet: the earlier owner's start could still come. (2) A license that no report listed was kept as an orphan for 60 s and ended as soon as its owner was known to be gone, though a start sent before that was listed by then. Change: LicenseProof tells since when it holds. A license of an earlier owner that no report has listed is ended by a report asked for after the proof, and on a silent worker a lease after the proof. A reported attempt is no orphan any more, and its leases are those of the new owner's renewals. Evidence: tests/test_remote_ends.py::TestEarlierOwners failed before: (1) with 6 violations, (2) in all 13 cases from 6 s to 0 s before the proof ('already runs on'). All pass now. Ruled out: an owner that wakes after the proof, which docs/design-cell.md names as left. Cost: when an owner and a worker are lost together, tasks that the new owner never saw wait for the proof, 60 s off the list, and a lease more. Conclusion: fixed up to that limit.

--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -10,6 +10,7 @@
 from ragworttiller.process.cell_rows import JobRow, Running, index_of, job_of
 from ragworttiller.process.cell_state import Attempt, CellState
 from ragworttiller.process.learning import Learner
+from ragworttiller.process.lease_book import lease_end
 from ragworttiller.process.license_proof import LicenseProof
 from ragworttiller.process.quarantine import Quarantine
 from ragworttiller.process.retries import STABLE_SECONDS, Retries
@@ -28,7 +29,7 @@
 ORPHAN_CHECK_PERIOD_SECONDS = 2.0
 MAX_OVERDUE_SECONDS = 0.5
 MAX_REPORTED_HELD_ENDS = 1000
-ORPHAN_SECONDS = 60.0
+ORPHAN_SECONDS = 300.0
 END_REASONS = {"done": "done", "failed": "failed", "checkpointed": PREEMPTED, "lapsed": LOST}
 
 
@@ -53,6 +54,13 @@
     at: float
 
 
+class _Orphan(NamedTuple):
+    """License of an earlier owner that no report has listed, when this was last seen."""
+
+    holder: str
+    seen_at: float
+
+
 class TaskEndings:
     """Records the ends of licensed tasks, and reports those of other shards' jobs.
 
@@ -84,21 +92,22 @@
         self._learner = learner
         self._sizes = sizes
         self._proof = LicenseProof(state)
-        self._orphans: dict[Attempt, tuple[str, float]] = {}
+        self._orphans: dict[Attempt, _Orphan] = {}
         self._reported_held_ends: dict[Attempt, None] = {}
         self._expected: dict[str, list[_ExpectedEnd]] = {}
         self.on_remote_end: Callable[[RemoteEnd], None] = lambda end: None
 
     async def run(self) -> None:
-        """Start probes of workers and end orphaned licenses of earlier owners, until cancelled."""
+        """Start probes of workers and look for proof on earlier owners, until cancelled."""
         async for now in self._state.context.timers.ticks(ORPHAN_CHECK_PERIOD_SECONDS):
             self._quarantine.start_probes(now)
-            for key, (holder, seen_at) in list(self._orphans.items()):
-                if now - seen_at > ORPHAN_SECONDS:
-                    del self._orphans[key]
-                elif await self._proof.cannot_send(holder):
-                    del self._orphans[key]
-                    self._state.record_task_end(*key, LOST)
+            self._orphans = {
+                key: orphan
+                for key, orphan in self._orphans.items()
+                if now - orphan.seen_at <= ORPHAN_SECONDS
+            }
+            for holder in {orphan.holder for orphan in self._orphans.values()}:
+                await self._proof.cannot_send(holder)
 
     def is_licensed(self, worker: str, report: TaskReport) -> bool:
         """Return whether the reported attempt is licensed or held on the worker."""
@@ -122,6 +131,9 @@
         key = (report.task, report.attempt)
         row = self._state.fold.jobs.get(job_of(report.task))
         running = self._state.fold.running(report.task)
+        self._orphans.pop(key, None)
+        if running is not None and running.holder != self._state.holder:
+            self._state.reported.add(key)
         if running is None or row is None:
             self._handle_held(worker, report)
         elif report.state == "running":
@@ -172,19 +184,24 @@
                 missing.append((key[1], hold.attempt))
         return missing
 
-    def end_missing_attempt(self, worker: str, key: Attempt) -> None:
+    def end_missing_attempt(self, worker: str, key: Attempt, asked_at: float) -> None:
         """End an attempt that its worker has not listed for longer than a lease.
 
-        A license of an earlier owner is ended only once that owner can no longer send its start.
+        A license of an earlier owner is ended only by a report that was requested, at
+        ``asked_at``, after that owner could provably no longer send its start.
         """
         running = self._state.fold.running(key[0])
         if running is None or running.shard != self._state.context.shard:
             self._report_to_home(worker, key, NEVER_STARTED)
-        elif running.holder == self._state.holder:
+            return
+        if running.holder == self._state.holder:
             sent = self._state.sent_starts.get(key)
             self._state.record_task_end(*key, LOST if sent and sent.answered else NEVER_STARTED)
-        else:
-            self._orphans[key] = (running.holder, self._state.now())
+            return
+        proven_at = self._find_proof(key, running)
+        if proven_at is not None and asked_at > proven_at:
+            log.info("task %s ended: worker %s lists no start of its earlier owner", key[0], worker)
+            self._state.record_task_end(*key, LOST)
 
     def end_lapsed_tasks(self, worker: str) -> None:
         """End the tasks of an unresponsive worker whose leases have all expired.
@@ -202,12 +219,34 @@
                 continue
             if not job.submitted.idempotent and listed:
                 continue
+            if not self._start_lapsed((task, running.attempt), running):
+                continue
             if self._state.record_task_end(task, running.attempt, LOST):
                 log.warning("task %s ended: the leases of worker %s have lapsed", task, worker)
         for decision, task in list(row.holds):
             hold = self._state.fold.bookings.holds[decision, task]
             self._report_to_home(worker, (task, hold.attempt), LAPSED if listed else GONE)
 
+    def _find_proof(self, key: Attempt, running: Running) -> float | None:
+        """Return since when the earlier owner of a license provably sends no more.
+
+        Without the proof, `run` looks for it from now on.
+        """
+        proven_at = self._proof.proven_at(running.holder) if key in self._orphans else None
+        self._orphans[key] = _Orphan(running.holder, self._state.now())
+        return proven_at
+
+    def _start_lapsed(self, key: Attempt, running: Running) -> bool:
+        """Return whether the lease that a start granted has lapsed, if an earlier owner sent it.
+
+        The leases that this owner granted are known. A start that a worker has reported was sent
+        before; any other one may be sent until its owner provably sends no more.
+        """
+        if running.holder == self._state.holder or key in self._state.reported:
+            return True
+        proven_at = self._find_proof(key, running)
+        return proven_at is not None and self._state.now() > lease_end(self._state.lease, proven_at)
+
     def _is_listed(self, worker: str) -> bool:
         return worker in self._state.listed_workers()
 
--- a/ragworttiller/process/worker_keeper.py
+++ b/ragworttiller/process/worker_keeper.py
@@ -277,5 +277,5 @@
         for key in self._endings.missing_attempts(watch.name, seen, asked_at):
             since = missing[key] = watch.missing_since.get(key, asked_at)
             if self._state.now() - since > self._lapse_seconds():
-                self._endings.end_missing_attempt(watch.name, key)
+                self._endings.end_missing_attempt(watch.name, key, asked_at)
         watch.missing_since = missing
--- a/tests/test_remote_ends.py
+++ b/tests/test_remote_ends.py
@@ -9,9 +9,10 @@
 from ragworttiller.hashing import shard_of
 from ragworttiller.process.jobs import home_shard, job_id
 from ragworttiller.process.task_endings import NEVER_STARTED
-from ragworttiller.records import cell_stream
+from ragworttiller.records import TaskStarted, cell_stream
 from ragworttiller.resources import Resources
 from tests.cell_rig import SIZE, Rig, scenario
+from tests.test_cell_safety import owners
 from tests.test_lease_ends import LONG, cut_after_start
 
 SMALL = Resources(100, 128, 0)
@@ -75,3 +76,43 @@
         async with rig_of_two_shards().running() as rig:
             remote_tasks = home_cell(rig)._remote_tasks
             assert await remote_tasks.record_ends([(f"j{HOME:03d}-unknown/0", 1, "done")]) == []
+
+
+class TestEarlierOwners:
+    @scenario
+    async def test_a_license_of_an_earlier_owner_does_not_lapse_before_its_start_is_sent(self):
+        async with Rig(workers=2, members=("a", "b")).running() as rig:
+            first, second = owners(rig)
+            rig.instances[first].start_gate.close()
+            rig.submit_soon("job", **LONG)
+            await rig.until(lambda: rig.records(TaskStarted))
+            worker = rig.fleet.workers[rig.records(TaskStarted)[0].worker]
+            rig.instances[first].pause()
+            rig.instances[second].membership.set_members([second])
+            worker.down = True
+            await rig.advance(30.0)
+            worker.down = False
+            rig.instances[first].resume()
+            rig.instances[first].start_gate.open()
+            await rig.advance(30.0)
+            assert rig.violations == []
+
+    @pytest.mark.parametrize("delay", [n / 2 for n in range(-12, 1)])
+    @scenario
+    async def test_a_start_sent_before_its_owner_is_known_to_be_gone_is_found(self, delay):
+        async with Rig(workers=2, members=("a", "b")).running() as rig:
+            first, second = owners(rig)
+            rig.instances[first].start_gate.close()
+            rig.submit_soon("job", idempotent=False, run_time=60.0)
+            await rig.until(lambda: rig.records(TaskStarted))
+            rig.instances[first].pause()
+            rig.instances[second].membership.set_members([second])
+            rig.members = [second]
+            rig.list_workers()
+            await rig.advance(80.0 + delay)
+            rig.instances[first].resume()
+            rig.instances[first].start_gate.open()
+            await rig.advance(1.0)
+            rig.instances[first].scope.cancel()
+            await rig.advance(30.0)
+            assert rig.violations == []
