Take no unknown state of a task for its end

What callers would see: tasks started again and again beside their own runs, once workers report a state that this version does not know, for example one between running and stopped. Cause: every state but "running" counted as an end, and one without a meaning of its own as "lost". Change: TaskReport.ended is true for the five states of the protocol; any other counts as running, with one log line a worker and state. Ruled out: unknown answers to a start count as refusals by name; a worker that says anything but "ok" has not started the task by the interface's contract. No known worker reports such a state.

--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -136,7 +136,7 @@
             self._state.reported.add(key)
         if running is None or row is None:
             self._handle_held(worker, report)
-        elif report.state == "running":
+        elif not report.ended:
             self._handle_running(worker, report, row, running)
         else:
             reason = self._end_reason(worker, key, report.state)
@@ -298,7 +298,7 @@
             self._quarantine.record_no_result(worker, report.task)
 
     def _handle_held(self, worker: str, report: TaskReport) -> None:
-        if report.state == "running":
+        if not report.ended:
             return
         key = (report.task, report.attempt)
         reason = self._end_reason(worker, key, report.state)
--- a/ragworttiller/process/worker_keeper.py
+++ b/ragworttiller/process/worker_keeper.py
@@ -59,6 +59,7 @@
         self.due = False
         self.visited_at = now
         self.unanswered = 0
+        self.unknown_states: set[str] = set()
         self.missing_since: dict[Attempt, float] = {}
 
 
@@ -234,6 +235,7 @@
         self, watch: _WatchedWorker, client: Worker, reports: list[TaskReport], asked_at: float
     ) -> None:
         endings = self._endings
+        self._log_unknown_states(watch, reports)
         unknown = [report for report in reports if not endings.is_known(watch.name, report)]
         if unknown and await self._state.context.stream.refresh(REFRESH_TIMEOUT_SECONDS):
             unknown = []
@@ -246,14 +248,20 @@
         self._stop_unlicensed(watch, unlicensed)
         self._drop_confirmed_stops(watch, reports)
         self._end_missing_attempts(watch, {(r.task, r.attempt) for r in reports}, asked_at)
-        ended = [(r.task, r.attempt) for r in unlicensed if r.state != "running"]
+        ended = [(r.task, r.attempt) for r in unlicensed if r.ended]
         if ended:
             await client.forget(ended)
 
+    def _log_unknown_states(self, watch: _WatchedWorker, reports: list[TaskReport]) -> None:
+        states = {report.state for report in reports if not report.known}
+        for state in states - watch.unknown_states:
+            log.warning("worker %s: tasks in unknown state %r count as running", watch.name, state)
+        watch.unknown_states |= states
+
     def _stop_unlicensed(self, watch: _WatchedWorker, unlicensed: list[TaskReport]) -> None:
         use = NO_RESOURCES
         for report in unlicensed:
-            if report.state == "running":
+            if not report.ended:
                 log.warning("worker %s runs task %s without a license", watch.name, report.task)
                 use = use.plus(report.usage)
                 key = (report.task, report.attempt)
@@ -263,10 +271,9 @@
     def _drop_confirmed_stops(self, watch: _WatchedWorker, reports: list[TaskReport]) -> None:
         """Drop the stops that the worker has carried out."""
         stop_requests = self._state.stops.get(watch.name, {})
-        states = {(report.task, report.attempt): report.state for report in reports}
+        ended = {(report.task, report.attempt): report.ended for report in reports}
         for key, request in list(stop_requests.items()):
-            state = states.get(key)
-            if state not in (None, "running") or (state is None and request.reason == UNLICENSED):
+            if ended.get(key, request.reason == UNLICENSED):
                 del stop_requests[key]
 
     def _end_missing_attempts(
--- a/ragworttiller/services/worker.py
+++ b/ragworttiller/services/worker.py
@@ -7,6 +7,9 @@
 
 from ragworttiller.resources import Resources
 
+RUNNING = "running"
+ENDED_STATES = frozenset({"done", "failed", "stopped", "checkpointed", "lapsed"})
+
 
 class TaskSpec(NamedTuple):
     """Task to start: ``task`` is ``job/index``; ``limit`` is what the worker reserves for it.
@@ -26,7 +29,8 @@
     """Task as the worker sees it.
 
     ``state`` is ``running``, ``done``, ``failed``, ``stopped``, ``checkpointed`` or ``lapsed``.
-    ``usage`` may be out of date. ``ran`` is the run time so far in seconds.
+    A state that is none of these says nothing about an end. ``usage`` may be out of date. ``ran``
+    is the run time so far in seconds.
     """
 
     task: str
@@ -35,6 +39,16 @@
     usage: Resources
     ran: float
 
+    @property
+    def ended(self) -> bool:
+        """Whether the worker says that the task has ended."""
+        return self.state in ENDED_STATES
+
+    @property
+    def known(self) -> bool:
+        """Whether this version knows the state."""
+        return self.ended or self.state == RUNNING
+
 
 class Worker(ABC):
     """Sends commands to one worker. Each command is idempotent for one task and attempt."""
