Take no single reading of the list for a lost worker

What callers would see: a task that must not run twice runs again, after the leases of its silent worker have lapsed, because the platform's list was not read yet (an entry that starts in an outage of the platform) or omits the worker in one reading. Cause: TaskEndings looked at the list of the moment; an empty one lists nobody. Ruled out: nothing ran at once in two places here: the leases had lapsed. Conclusion: fixed. That a task which must not run twice is run again at all once its worker is gone is the documented choice (docs/design-cell.md); it rests on a list.

--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -37,7 +37,7 @@
     """End of a task on a worker of this shard; ``home`` is the shard of its job.
 
     ``reason`` is one of a `TaskEnded`, or `LAPSED` or `GONE` if the leases of a silent worker have
-    lapsed that the platform lists, or no longer lists.
+    lapsed that is not declared gone, or is.
     """
 
     home: int
@@ -206,7 +206,7 @@
     def end_lapsed_tasks(self, worker: str) -> None:
         """End the tasks of an unresponsive worker whose leases have all expired.
 
-        A task that is not idempotent stays booked while the platform lists its worker.
+        A task that is not idempotent stays booked until its worker is declared gone.
         """
         row = self._state.fold.bookings.workers.get(worker)
         if row is None:
@@ -248,7 +248,9 @@
         return proven_at is not None and self._state.now() > lease_end(self._state.lease, proven_at)
 
     def _is_listed(self, worker: str) -> bool:
-        return worker in self._state.listed_workers()
+        """Return whether a worker is not declared gone; one reading of the list proves nothing."""
+        row = self._state.fold.bookings.workers.get(worker)
+        return row is not None and row.declared.state != "gone"
 
     def _should_be_listed(self, task: str, running: Running, asked_at: float) -> bool:
         """Return whether a report must list a licensed task; end one whose start was never sent."""
