End no license whose earlier owner may still renew

What callers would see: a task on two workers at once, while two instances own its shard and the later one does not reach the task's worker: the earlier one renews the lease, the later one calls it lapsed. Cause: an owner measured the lapse by its own renewals, as if nobody else renewed. Change: on a silent worker a license of an earlier owner is ended only a lease after that owner provably serves no more. The proof is looked for from the takeover on, every 2 s for each earlier owner of a running license, so that it is there when a worker is lost later; the list of orphans is gone. Ruled out: a planned hand-over, since the earlier owner's process says that it stopped. Left: tasks that the later owner licensed itself, and what the earlier owner ends while the later one renews. Cost: if owner and worker are lost within a lease of each other, tasks wait 60 s and a lease, as far as the owner's instance is not started again. Conclusion: fixed for licenses of earlier owners.

--- a/ragworttiller/process/cell_state.py
+++ b/ragworttiller/process/cell_state.py
@@ -115,8 +115,6 @@
         Tasks that are being placed, until their start command is answered.
     sent_starts : dict of (str, int) to SentStart
         Start commands by task and attempt.
-    reported : set of (str, int)
-        Attempts licensed by earlier owners that a worker has reported: their start was sent.
     stops : dict of str to dict of (str, int) to StopRequest
         Stops that workers have not confirmed, by worker, task and attempt.
     pending_since : dict of str to float
@@ -139,7 +137,6 @@
         self.fold: CellFold = context.stream.fold
         self.planned: dict[str, PlannedTask] = {}
         self.sent_starts: dict[Attempt, SentStart] = {}
-        self.reported: set[Attempt] = set()
         self.stops: dict[str, dict[Attempt, StopRequest]] = {}
         self.pending_since: dict[str, float] = {}
         self.lease = 0.0
@@ -259,7 +256,6 @@
     def discard_ended_attempts(self) -> None:
         """Discard entries of attempts and jobs that have ended."""
         self._ending = {key for key in self._ending if self._is_running(key)}
-        self.reported = {key for key in self.reported if self._is_running(key)}
         self.sent_starts = {
             key: sent for key, sent in self.sent_starts.items() if self._is_running(key)
         }
--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -26,10 +26,9 @@
 # Reasons that no report of the worker gives: what they prove depends on when the start was sent.
 UNREPORTED = (NEVER_STARTED, LAPSED, GONE)
 PREEMPTED = "preempted"
-ORPHAN_CHECK_PERIOD_SECONDS = 2.0
+PROOF_PERIOD_SECONDS = 2.0
 MAX_OVERDUE_SECONDS = 0.5
 MAX_REPORTED_HELD_ENDS = 1000
-ORPHAN_SECONDS = 300.0
 END_REASONS = {"done": "done", "failed": "failed", "checkpointed": PREEMPTED, "lapsed": LOST}
 
 
@@ -54,13 +53,6 @@
     at: float
 
 
-class _Orphan(NamedTuple):
-    """License of an earlier owner that no report has listed, when this was last seen."""
-
-    holder: str
-    seen_at: float
-
-
 class TaskEndings:
     """Records the ends of licensed tasks, and reports those of other shards' jobs.
 
@@ -92,21 +84,15 @@
         self._learner = learner
         self._sizes = sizes
         self._proof = LicenseProof(state)
-        self._orphans: dict[Attempt, _Orphan] = {}
         self._reported_held_ends: dict[Attempt, None] = {}
         self._expected: dict[str, list[_ExpectedEnd]] = {}
         self.on_remote_end: Callable[[RemoteEnd], None] = lambda end: None
 
     async def run(self) -> None:
         """Start probes of workers and look for proof on earlier owners, until cancelled."""
-        async for now in self._state.context.timers.ticks(ORPHAN_CHECK_PERIOD_SECONDS):
+        async for now in self._state.context.timers.ticks(PROOF_PERIOD_SECONDS):
             self._quarantine.start_probes(now)
-            self._orphans = {
-                key: orphan
-                for key, orphan in self._orphans.items()
-                if now - orphan.seen_at <= ORPHAN_SECONDS
-            }
-            for holder in {orphan.holder for orphan in self._orphans.values()}:
+            for holder in self._earlier_holders():
                 await self._proof.cannot_send(holder)
 
     def is_licensed(self, worker: str, report: TaskReport) -> bool:
@@ -131,9 +117,6 @@
         key = (report.task, report.attempt)
         row = self._state.fold.jobs.get(job_of(report.task))
         running = self._state.fold.running(report.task)
-        self._orphans.pop(key, None)
-        if running is not None and running.holder != self._state.holder:
-            self._state.reported.add(key)
         if running is None or row is None:
             self._handle_held(worker, report)
         elif not report.ended:
@@ -198,7 +181,7 @@
             sent = self._state.sent_starts.get(key)
             self._state.record_task_end(*key, LOST if sent and sent.answered else NEVER_STARTED)
             return
-        proven_at = self._find_proof(key, running)
+        proven_at = self._proof.proven_at(running.holder)
         if proven_at is not None and asked_at > proven_at:
             log.info("task %s ended: worker %s lists no start of its earlier owner", key[0], worker)
             self._state.record_task_end(*key, LOST)
@@ -219,7 +202,7 @@
                 continue
             if not job.submitted.idempotent and listed:
                 continue
-            if not self._start_lapsed((task, running.attempt), running):
+            if not self._earlier_leases_lapsed(running):
                 continue
             if self._state.record_task_end(task, running.attempt, LOST):
                 log.warning("task %s ended: the leases of worker %s have lapsed", task, worker)
@@ -227,24 +210,20 @@
             hold = self._state.fold.bookings.holds[decision, task]
             self._report_to_home(worker, (task, hold.attempt), LAPSED if listed else GONE)
 
-    def _find_proof(self, key: Attempt, running: Running) -> float | None:
-        """Return since when the earlier owner of a license provably sends no more.
+    def _earlier_holders(self) -> set[str]:
+        """Return the earlier owners that licensed running tasks."""
+        rows = self._state.fold.jobs.values()
+        holders = {running.holder for row in rows for running in row.running.values()}
+        return holders - {self._state.holder}
 
-        Without the proof, `run` looks for it from now on.
-        """
-        proven_at = self._proof.proven_at(running.holder) if key in self._orphans else None
-        self._orphans[key] = _Orphan(running.holder, self._state.now())
-        return proven_at
-
-    def _start_lapsed(self, key: Attempt, running: Running) -> bool:
-        """Return whether the lease that a start granted has lapsed, if an earlier owner sent it.
+    def _earlier_leases_lapsed(self, running: Running) -> bool:
+        """Return whether the leases have lapsed that the owner of a license may have granted.
 
-        The leases that this owner granted are known. A start that a worker has reported was sent
-        before; any other one may be sent until its owner provably sends no more.
+        An earlier owner may send starts, and renew, until it provably serves no more.
         """
-        if running.holder == self._state.holder or key in self._state.reported:
+        if running.holder == self._state.holder:
             return True
-        proven_at = self._find_proof(key, running)
+        proven_at = self._proof.proven_at(running.holder)
         return proven_at is not None and self._state.now() > lease_end(self._state.lease, proven_at)
 
     def _is_listed(self, worker: str) -> bool:
--- a/tests/test_remote_ends.py
+++ b/tests/test_remote_ends.py
@@ -8,6 +8,7 @@
 
 from ragworttiller.hashing import shard_of
 from ragworttiller.process.jobs import home_shard, job_id
+from ragworttiller.process.license_proof import ABSENT_SECONDS
 from ragworttiller.process.task_endings import NEVER_STARTED
 from ragworttiller.records import TaskStarted, cell_stream
 from ragworttiller.resources import Resources
@@ -97,7 +98,7 @@
             await rig.advance(30.0)
             assert rig.violations == []
 
-    @pytest.mark.parametrize("delay", [n / 2 for n in range(-12, 1)])
+    @pytest.mark.parametrize("delay", [n / 2 for n in range(-6, 5)])
     @scenario
     async def test_a_start_sent_before_its_owner_is_known_to_be_gone_is_found(self, delay):
         async with Rig(workers=2, members=("a", "b")).running() as rig:
@@ -109,7 +110,7 @@
             rig.instances[second].membership.set_members([second])
             rig.members = [second]
             rig.list_workers()
-            await rig.advance(80.0 + delay)
+            await rig.advance(ABSENT_SECONDS + delay)
             rig.instances[first].resume()
             rig.instances[first].start_gate.open()
             await rig.advance(1.0)
--- /dev/null
+++ b/tests/test_two_owners_leases.py
@@ -0,0 +1,81 @@
+"""Tests of the leases of tasks while two instances own their shard at once."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from ragworttiller.exceptions import WorkerRefused
+from tests.cell_rig import GatedFleet, GatedWorker, Rig, scenario
+from tests.test_cell_safety import owners
+from tests.test_lease_ends import LONG
+
+
+class Cuts:
+    """Workers out of reach, each for one instance only."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.cut: set[tuple[GatedFleet, str]] = set()
+        connect = GatedFleet.worker
+        monkeypatch.setattr(
+            GatedFleet, "worker", lambda fleet, *args: CutWorker(self, fleet, connect(fleet, *args))
+        )
+
+    def add(self, rig: Rig, instance: str, worker: str) -> None:
+        self.cut.add((rig.instances[instance].fleet, worker))
+
+
+class CutWorker:
+    """Worker that one instance cannot connect to while it is cut."""
+
+    def __init__(self, cuts: Cuts, fleet: GatedFleet, worker: GatedWorker) -> None:
+        self._cuts = cuts
+        self._fleet = fleet
+        self._worker = worker
+
+    def __getattr__(self, name: str) -> Any:
+        async def call(*arguments: Any) -> Any:
+            worker = self._worker._target._name
+            if (self._fleet, worker) in self._cuts.cut:
+                raise WorkerRefused(worker=worker, reason="cut")
+            return await getattr(self._worker, name)(*arguments)
+
+        return call
+
+
+async def run_cut(
+    monkeypatch: pytest.MonkeyPatch, cut_earlier: bool, cut_later: bool, after: float = 0.0
+) -> Rig:
+    """Let a second owner begin beside the first; cut a busy worker from one or both.
+
+    The second owner is cut ``after`` seconds from its begin.
+    """
+    cuts = Cuts(monkeypatch)
+    async with Rig(workers=2, members=("a", "b")).running() as rig:
+        first, second = owners(rig)
+        rig.submit_soon("job", **LONG)
+        await rig.until(lambda: rig.starts)
+        await rig.advance(3.0)
+        worker = rig.starts[0].worker
+        if cut_earlier:
+            cuts.add(rig, first, worker)
+        if cut_later and not after:
+            cuts.add(rig, second, worker)
+        rig.instances[second].membership.set_members([second])
+        await rig.advance(after)
+        if cut_later:
+            cuts.add(rig, second, worker)
+        await rig.advance(60.0)
+        return rig
+
+
+class TestRenewalsOfAnotherOwner:
+    @pytest.mark.parametrize("after", [0.0, 5.0])
+    @scenario
+    async def test_a_task_is_not_ended_by_a_later_owner_while_the_earlier_one_renews_it(
+        self, monkeypatch, after
+    ):
+        rig = await run_cut(monkeypatch, cut_earlier=False, cut_later=True, after=after)
+        assert rig.violations == []
+        assert len(rig.starts) == 1
