Renew no draining runner before the claim that says so is stored

Cause: a runner whose lease the stored claim calls not renewed was renewed as soon as a claim was built that calls it draining and renewed, stored or not. Change: building a claim can only withhold the renewal; storing one allows it. Evidence: the test failed before; the reviewer has the same with whole owners on virtual time. Ruled out: the same for starts, which have been allowed by stored claims alone.

--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -67,7 +67,7 @@
             if self._takeover.is_unresolved(runner.id) or not (suspect or runner.entry.draining):
                 continue
             runner.enrolled = False
-            runner.renewal_withheld = suspect
+            runner.renewal_withheld = runner.renewal_withheld or suspect
             tasks = sorted({str(task) for task, _ in runner.runs})
             withdrawn.append(Withdrawn(runner.id, tasks, renewed=not suspect))
         return withdrawn
--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -110,6 +110,21 @@
         rig.cell.pool.enroll(next_claim(rig))
         assert state.grant_lease(rig.now, LEASE_SECONDS) is not None
 
+    def test_a_draining_runner_is_not_renewed_before_the_claim_that_says_so_is_stored(self):
+        rig = CellRig(2)
+        state = rig.cell.runners["w1"]
+        rig.now += 1.0
+        rig.cell.pool.record_no_answer(state)
+        rig.hold("w2")
+        rig.cell.pool.enroll(next_claim(rig))
+        rig.list_runner("w1", state="draining")
+        rig.hold("w1")
+        in_flight = next_claim(rig)
+        assert [row.renewed for row in in_flight.withdrawn] == [True]
+        assert state.grant_lease(rig.now, LEASE_SECONDS) is None
+        rig.cell.pool.enroll(in_flight)
+        assert state.grant_lease(rig.now, LEASE_SECONDS) is not None
+
     def test_a_successor_renews_no_lease_that_the_stored_claim_calls_ended(self):
         rig = takeover(Withdrawn("w1", [str(task(0))]))
         rig.hold("w1", running=((task(0), 1),))
