Count a job that was submitted again as known to earlier owners

What callers would see: a task on two runners at once, ordered by two owners, after a submission that was in flight for seconds or came again through an entry that lags; found by a reviewer, not seen in a run. Cause: an owner that has just started loads the newest record of each key. Of a job that was submitted again after its claim, this is the later one, so the job counted as accepted since the takeover and started at once. Change: jobs before the end of what was loaded count as known to earlier owners too. Evidence: the test failed before: four tasks on w9 beside their runs on w1. Ruled out: entries that read on from before the claim keep the first record of a job. Conclusion: fixed; only an entry that loads during its takeover waits longer for jobs accepted meanwhile.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -166,7 +166,8 @@
         )
         await self._catch_up(feed)
         now = self._clock.now()
-        takeover = Takeover(claimed.previous, claimed.jobs_end, now, TERM_SECONDS, self._lease)
+        known_before = max(claimed.jobs_end, self.jobs_feed.loaded_end)
+        takeover = Takeover(claimed.previous, known_before, now, TERM_SECONDS, self._lease)
         cell = Cell(
             term.epoch, self.jobs, self._config, runners, takeover, self._lease, self._policies()
         )
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -82,6 +82,7 @@
         self._offsets: dict[str, int] = {}
         self._position: int | None = None
         self._current_at = float("-inf")
+        self._loaded_end = 0
         self.min_interval = min_interval
 
     @property
@@ -94,6 +95,11 @@
         """Whether the newest record of each key has been loaded."""
         return self._position is not None
 
+    @property
+    def loaded_end(self) -> int:
+        """Offset before which a record may have replaced earlier ones of its key, unread."""
+        return self._loaded_end
+
     @property
     def age(self) -> float:
         """Seconds since the fold was last known to be up to date."""
@@ -176,6 +182,8 @@
         for key, offset in list(self._offsets.items()):
             if key not in keys and offset < start:
                 self._apply(Record(start, key, b""))
+        offsets = [record.offset for page in pages for record in page.records]
+        self._loaded_end = max(start, *(offset + 1 for offset in offsets), 0)
         self._position = start
         self._current_at = asked_at
         self._on_change()
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -21,7 +21,15 @@
 from ragworttiller.scheduling.ownership.ownership import Ownership
 from ragworttiller.scheduling.ownership.term import TERM_SECONDS, ClaimFold, Term
 from ragworttiller.scheduling.records.feed import Feed
-from ragworttiller.scheduling.records.formats import OWNER, OWNER_KEY, Claim, encode
+from ragworttiller.scheduling.records.formats import (
+    JOBS,
+    OWNER,
+    OWNER_CHANGE_KEY,
+    OWNER_KEY,
+    Claim,
+    OwnerChange,
+    encode,
+)
 from ragworttiller.scheduling.state import run_tracker
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -259,6 +267,33 @@
 
         with_rig(body, runners=2, work=3.0)
 
+    def test_a_job_submitted_again_after_the_takeover_counts_as_known_before(self):
+        """Of each key the newest record is loaded, which hides that the job is older."""
+
+        async def body(rig: OwnersRig):
+            rig.add_entry("e1")
+            await rig.timers.sleep(3.0)
+            await rig.submit(job_id(1), step(8))
+            await rig.timers.sleep(0.5)
+            assert len(rig.monitor.starts) == 8
+            rig.kill("e1")
+            second = rig.add_entry("e2")
+            for name in rig.runners:
+                second.link(name).cut = True
+            second.store_link.silent_target = f"log-newest?topic={JOBS.topic}"
+            records = rig.store.partition(JOBS.topic).records
+            taken_over = KeyedRecord(OWNER_CHANGE_KEY, encode(OwnerChange(2)))
+            while not any(record.endswith(taken_over.value) for record in records[1:]):
+                await rig.timers.sleep(0.01)
+            await rig.submit(job_id(1), step(8))
+            second.store_link.silent_target = ""
+            rig.add_runner("w9")
+            await rig.timers.sleep(3.0)
+            assert second.host.owner is not None
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=2, work=20.0)
+
     def test_a_cancelled_job_stops(self):
         async def body(rig: OwnersRig):
             await start_entries(rig)
