End the present runs of a boot whose end an older call has shown

Cause: a boot that was forgotten and listed again has a new state. A call of the old one, still on its way, that another boot answers removed the new state without ending its runs. Change: the end of a boot ends the runs of the state that the pool has. Ruled out: ignoring the call, since the boot has ended all the same. Conclusion: fixed; a gap since boots are forgotten rather than ended.

--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -115,8 +115,9 @@
     def remove_ended_boot(self, runner: RunnerState, now: float, reason: str) -> None:
         """Remove a boot that has certainly ended, and all its runs."""
         self._takeover.resolve(runner.id, reason, now)
-        self._mark_lost(runner, now, reason)
-        self.runners.pop(runner.id, None)
+        current = self.runners.pop(runner.id, None)
+        if current is not None:
+            self._mark_lost(current, now, reason)
         self._ended_boots.add(runner.id)
 
     def expire_leases(self, now: float) -> None:
--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -199,6 +199,21 @@
 
 
 class TestLateAnswers:
+    def test_no_task_is_lost_with_a_boot_that_was_forgotten_and_listed_again(self):
+        """The call that shows its end may have been sent before it was forgotten."""
+        rig = CellRig(1)
+        old = rig.cell.runners["w1"]
+        rig.now += LEASE_SECONDS + 2.0
+        miss_call(rig, "w1")
+        unlist(rig, "w1")
+        assert "w1" not in rig.cell.runners
+        rig.add_runner("w1")
+        rig.submit(step(1))
+        assert [order.run.runner for order in rig.start_all()] == ["w1"]
+        rig.cell.pool.remove_ended_boot(old, rig.now, "another boot answers")
+        rig.add_runner("w3")
+        assert [order.run.runner for order in rig.plan().starts] == ["w3"]
+
     def test_a_task_is_not_lost_to_a_late_answer_of_a_removed_boot(self):
         rig = CellRig(2)
         rig.submit(step(1))
