Conclude nothing from rows that an answer leaves out

Cause: a runner lists 500 ended runs at a time, and rows that cannot be read are left out. Such an answer settled a takeover, and an unconfirmed start that it did not list was called expired. Change: an answer says whether there may be more ends; then no start expires by it, and, as with unreadable rows, no takeover is settled. The next hold lists the others. Ruled out: the running rows, which have no limit.

--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -23,6 +23,7 @@
 ORDER_TIMEOUT_SECONDS = 0.7
 MISDIRECTED_STATUS = 421
 UNHEALTHY_STATUSES = (429, 503)
+MAX_LISTED_ENDS = 500
 FENCED_REASON = "fence"
 INSTANCE_HEADER = "Ragworttiller-Target-Instance"
 
@@ -55,13 +56,14 @@
     """Answer to a hold order.
 
     ``clock`` is the runner's clock in seconds; ``unreadable`` counts the rows left out because they
-    could not be decoded.
+    could not be decoded. ``more_ends`` is whether the runner may have more ended runs to list.
     """
 
     clock: float
     running: list[RunningTask]
     ended: list[EndedRun]
     unreadable: int
+    more_ends: bool = False
 
 
 class Start(NamedTuple):
@@ -146,6 +148,7 @@
             [row for row in running if row],
             [row for row in ended if row],
             running.count(None) + ended.count(None),
+            more_ends=len(ended) >= MAX_LISTED_ENDS,
         )
 
     async def start(self, order: Start, token: int, timeout: float | None = None) -> float:
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -74,7 +74,8 @@
         newest = runner.record_answer(answer.clock, now)
         if first:
             runner.assume_earlier_lease(self._lease + EXPIRY_MARGIN_SECONDS, now)
-        self._takeover.resolve(runner.id, "it answered", now)
+        if not answer.unreadable and not answer.more_ends:
+            self._takeover.resolve(runner.id, "it answered", now)
         for end in sorted(answer.ended):
             if end.number > runner.last_end_seen:
                 runner.last_end_seen = end.number
@@ -88,7 +89,8 @@
                 continue
             listed.add((row.task, row.run))
             self._apply_running(runner, row, now)
-        self._expire_starts(runner, answer.clock, listed)
+        if not answer.more_ends:
+            self._expire_starts(runner, answer.clock, listed)
 
     def mark_started(self, run: Run, now: float) -> None:
         """Record that a runner has started a run."""
--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -4,6 +4,8 @@
 
 import json
 
+import pytest
+
 from ragworttiller.platform.runners import HoldAnswer, RunningTask
 from ragworttiller.platform.store import Record
 from ragworttiller.scheduling.records.formats import Claim, Withdrawn
@@ -198,6 +200,32 @@
         assert len(rig.plan().starts) == 1
 
 
+class TestPartialAnswers:
+    """An answer lists a limited number of ends, and may have rows that cannot be read."""
+
+    @pytest.mark.parametrize(("unreadable", "more_ends"), [(0, True), (1, False)])
+    def test_an_answer_that_leaves_out_rows_settles_no_takeover(
+        self, unreadable: int, more_ends: bool
+    ):
+        rig = takeover()
+        answer = HoldAnswer(rig.now, [], [], unreadable, more_ends)
+        rig.cell.apply_hold_answer(rig.cell.runners["w1"], answer, rig.now)
+        assert rig.plan().starts == []
+        rig.hold("w1")
+        assert len(rig.plan().starts) == 1
+
+    def test_a_start_whose_end_may_be_left_out_does_not_expire(self):
+        rig = CellRig(2)
+        rig.submit(step(1))
+        (order,) = rig.plan().starts
+        state = rig.cell.runners[order.run.runner]
+        rig.now += 2.0
+        rig.cell.apply_hold_answer(state, HoldAnswer(rig.now, [], [], 0, more_ends=True), rig.now)
+        assert rig.plan().starts == []
+        rig.cell.apply_hold_answer(state, HoldAnswer(rig.now, [], [], 0), rig.now)
+        assert len(rig.plan().starts) == 1
+
+
 class TestLateAnswers:
     def test_no_task_is_lost_with_a_boot_that_was_forgotten_and_listed_again(self):
         """The call that shows its end may have been sent before it was forgotten."""
--- a/tests/test_start_call.py
+++ b/tests/test_start_call.py
@@ -119,6 +119,11 @@
         with pytest.raises(OrderUndecided):
             self.hold(body)
 
+    def test_a_full_list_of_ends_says_that_there_may_be_more(self):
+        rows = [[n, str(task(n)), 1, "done", ""] for n in range(1, 501)]
+        assert self.hold(msgspec.json.encode({"clock_ms": 5, "ended_runs": rows})).more_ends
+        assert not self.hold(msgspec.json.encode({"clock_ms": 5, "ended_runs": rows[1:]})).more_ends
+
     @pytest.mark.parametrize("rest", [[None, None, 0], ["", "?", 0], ["", 1.0, None], []])
     def test_a_run_is_not_left_out_because_its_progress_cannot_be_read(self, rest: list[object]):
         row = [str(task()), 7, *rest]
