Hand on a lease that nobody renews as one that nobody renews

What callers would see: tasks that were on a dead runner wait 12 s after a second change of owner, in place of 5 s; found by a reviewer. Cause: the claim of an owner that had not reached such a runner called its lease renewed, to be safe: it would renew it with the first answer. Since renewals are withheld until a claim allows them, that is not so. Change: the row of the last claim is handed on as it is, and is not waited for by the term of any owner. A runner whose answer settles nothing yet asks for no claim of its own, which would not name it either. Evidence: the cases renewed=False failed before, as did the wait of the third owner. Conclusion: liveness only.

--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -164,7 +164,7 @@
         cell.refresh(self._clock.now(), self._clock.wall())
         for runner in self._calls.connect_new():
             self._spawn(self._calls.hold_loop, runner)
-        if any(r.awaits_enrollment for r in cell.runners.values()):
+        if cell.pool.awaits_enrollment:
             ownership.renew_now()
 
     def _issue_orders(self) -> None:
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -42,6 +42,14 @@
         self._ended_boots: set[str] = set()
         self.runners: dict[str, RunnerState] = {}
 
+    @property
+    def awaits_enrollment(self) -> bool:
+        """Whether tasks could start on some runner once the stored claim names it."""
+        return any(
+            runner.awaits_enrollment and not self._takeover.is_unresolved(runner.id)
+            for runner in self.runners.values()
+        )
+
     def accepting_tasks(self, now: float) -> list[RunnerState]:
         """Return the runners on which tasks may start."""
         return [runner for runner in self.runners.values() if runner.accepts_tasks(now)]
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -44,8 +44,7 @@
         self._began_at = now
         expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
         self._unresolved_until: dict[str, float] = {}
-        self._withdrawn: dict[str, frozenset[str]] = {}
-        self._not_renewed: set[str] = set()
+        self._withdrawn: dict[str, Withdrawn] = {}
         if claim is None:
             return
         term_seconds = 0.0 if claim.released else term
@@ -53,12 +52,11 @@
         for row in claim.withdrawn:
             if not row.renewed:
                 self._unresolved_until[row.runner] = now + expiry_seconds
-            self._withdrawn[row.runner] = frozenset(row.tasks)
-            if not row.renewed:
-                self._not_renewed.add(row.runner)
+            self._withdrawn[row.runner] = row
         # The owner before the one that has released them may still be within its term.
         for name in claim.unsettled:
-            self._unresolved_until[name] = now + term + expiry_seconds
+            if not self.called_not_renewed(name):
+                self._unresolved_until[name] = now + term + expiry_seconds
         log.info(
             "takeover began",
             extra={
@@ -77,19 +75,13 @@
 
     @property
     def withdrawn(self) -> list[Withdrawn]:
-        """Unresolved runners on which no more than the tasks named may run.
-
-        They count as renewed, since this owner renews their leases once they answer.
-        """
-        return [
-            Withdrawn(name, sorted(tasks), renewed=True)
-            for name, tasks in self._withdrawn.items()
-            if name in self._unresolved_until
-        ]
+        """Unresolved runners on which no more than the tasks named may run, as last claimed."""
+        return [row for row in self._withdrawn.values() if row.runner in self._unresolved_until]
 
     def called_not_renewed(self, runner: str) -> bool:
         """Return whether the last claim says that the lease of a runner is not renewed."""
-        return runner in self._not_renewed
+        row = self._withdrawn.get(runner)
+        return row is not None and not row.renewed
 
     def is_unresolved(self, runner: str) -> bool:
         """Return whether a runner may still run tasks unknown to the new owner."""
@@ -117,10 +109,8 @@
     def startable(self, stage: Stage) -> list[int]:
         """Return the waiting tasks of a stage that certainly do not run on any runner."""
         waiting = list(reversed(stage.waiting))
-        unresolved_tasks = [
-            self._withdrawn[name] for name in self._unresolved_until if name in self._withdrawn
-        ]
-        if not unresolved_tasks:
+        elsewhere = {task for row in self.withdrawn for task in row.tasks}
+        if not elsewhere:
             return waiting
         name = str(stage.id)
-        return [i for i in waiting if not any(f"{name}.{i}" in tasks for tasks in unresolved_tasks)]
+        return [index for index in waiting if f"{name}.{index}" not in elsewhere]
--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -93,8 +93,9 @@
         assert "w1" in claim.roster
         assert [row for row in claim.withdrawn if row.runner == "w1"] == []
 
-    def test_what_an_earlier_claim_tells_of_a_silent_runner_is_handed_on(self):
-        row = Withdrawn("w1", [str(task(5))], renewed=True)
+    @pytest.mark.parametrize("renewed", [True, False])
+    def test_what_an_earlier_claim_tells_of_a_silent_runner_is_handed_on(self, renewed: bool):
+        row = Withdrawn("w1", [str(task(5))], renewed)
         rig = takeover(row)
         for state in ("ready", "draining"):
             rig.list_runner("w1", state=state)
@@ -143,6 +144,16 @@
         rig.pass_time(TERM_SECONDS)
         assert len(rig.plan().starts) == 1
 
+    @pytest.mark.parametrize("released", [True, False])
+    def test_a_lease_that_no_owner_renews_is_not_waited_for_by_the_term_again(self, released: bool):
+        first = takeover(Withdrawn("w1", [str(task(0))]))
+        rig = CellRig(0, next_claim(first)._replace(released=released), KNOWN_BEFORE)
+        rig.submit(step(1))
+        rig.add_runner("w2")
+        assert rig.plan().starts == []
+        rig.pass_time(LEASE_SECONDS + 1.0)
+        assert len(rig.plan().starts) == 1
+
     def test_a_released_claim_vouches_for_runners_that_its_owner_has_reached(self):
         first = takeover()
         first.hold("w1")
@@ -211,6 +222,7 @@
         answer = HoldAnswer(rig.now, [], [], unreadable, more_ends)
         rig.cell.apply_hold_answer(rig.cell.runners["w1"], answer, rig.now)
         assert rig.plan().starts == []
+        assert not rig.cell.pool.awaits_enrollment
         rig.hold("w1")
         assert len(rig.plan().starts) == 1
 
