Move checkpointed tasks in time off runners first listed as draining

What callers would see: work thrown away after a change of owner; found by a reviewer. Cause: the time at which a runner leaves was noted when its entry changed to draining. An owner that lists it as draining from the start never saw the change, and counted it as staying for good. Change: it is noted with the first entry that says so. Ruled out: nothing else reads that time. Conclusion: fixed.

--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -105,7 +105,7 @@
                 runner.renewal_withheld = self._takeover.called_not_renewed(runner.id)
                 extra = {"runner": entry.runner, "address": entry.address}
                 log.info("runner listed", extra=extra)
-            if entry.draining and not runner.entry.draining:
+            if entry.draining and runner.leaves_at == float("inf"):
                 log.info("runner drains", extra={"runner": entry.runner, "left": entry.remaining})
                 runner.leaves_at = now + (entry.remaining or 0.0)
             runner.update(entry)
--- a/tests/test_runner_conditions.py
+++ b/tests/test_runner_conditions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragworttiller.platform.configuration import AdviceCost
-from tests.scheduling_rig import JOB, QUEUE, CellRig, step
+from tests.scheduling_rig import JOB, QUEUE, CellRig, step, task
 
 OTHER_JOB = "fedcba9876543210"
 
@@ -102,6 +102,13 @@
         rig.hold(only.run.runner, (only.run.task, 1, "stopped"))
         assert rig.plan().starts[0].run.runner != only.run.runner
 
+    def test_a_checkpointed_task_moves_in_time_off_a_runner_first_listed_as_draining(self):
+        rig = CellRig(1)
+        rig.submit(step(1, checkpoints=True))
+        rig.list_runner("w2", state="draining")
+        rig.hold("w2", running=((task(), 1),))
+        assert [order.run.runner for order in rig.plan().stops] == ["w2"]
+
     def test_nothing_moves_without_room_elsewhere(self, rig: CellRig):
         rig.submit(step(2, 4000, daemon=True))
         first, _ = rig.start_all()
