Name the command modules after their commands

commands/view.py held the commands of the group 'cell', and commands/cell.py those of workers, upstreams and instances. The first is now cell.py, the second inventory.py, and its docstring names the drains too. Behaviour does not change: commands, options and help are the same (tests/test_commands.py, tests/test_reference.py and tests/test_cell_view.py pass; the help of the four groups was shown).

--- a/ragworttiller/__main__.py
+++ b/ragworttiller/__main__.py
@@ -9,11 +9,11 @@
 from ragworttiller.commands import (
     cell,
     config,
+    inventory,
     jobs,
     requests,
     status,
     templates,
-    view,
     workspaces,
 )
 from ragworttiller.commands.client import Client
@@ -34,12 +34,12 @@
 app.add_typer(templates.app, name="templates")
 app.add_typer(jobs.app, name="jobs")
 app.add_typer(requests.app, name="requests")
-app.add_typer(cell.workers, name="workers")
-app.add_typer(cell.upstreams, name="upstreams")
-app.add_typer(cell.instances, name="instances")
+app.add_typer(inventory.workers, name="workers")
+app.add_typer(inventory.upstreams, name="upstreams")
+app.add_typer(inventory.instances, name="instances")
 app.add_typer(workspaces.app, name="workspaces")
 app.add_typer(status.decisions, name="decisions")
-app.add_typer(view.app, name="cell")
+app.add_typer(cell.app, name="cell")
 app.command()(status.status)
 app.command()(codes)
 app.command()(explain)
