Split relaying from answering callers

scheduling/entry/callers.py answered callers from the store, relayed requests to other entries, and made callers wait for a starting entry. Relaying has most of its constants and a rig of its own in the tests: it is now relaying_callers.py, and its tests are in tests/test_relaying_callers.py. Behaviour does not change: classes, messages and constants are moved unchanged. In the text format of the log, which names the module, three lines of relays now name relaying_callers.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -17,11 +17,12 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
-from ragworttiller.scheduling.entry.callers import LocalCallers, RelayingCallers, StartGate
+from ragworttiller.scheduling.entry.callers import LocalCallers, StartGate
 from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
+from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import PeerStandbys
--- /dev/null
+++ b/tests/test_relaying_callers.py
@@ -0,0 +1,218 @@
+"""Tests of the answers of an entry to callers through other entries."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.exceptions import PeerUnreachable, SubmissionUndecided
+from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from tests.entry_rig import BODY, EntryRig, configuration, with_entry
+from tests.scheduling_rig import JOB, QUEUE
+
+
+class FakePeers:
+    """Connections to other entries, with answers set by the test."""
+
+    instance = "e1"
+
+    def __init__(self):
+        self.answers: dict[str, CallerReply | Exception] = {}
+        self.asked: list[str] = []
+
+    def handle(self, message_type, handler):
+        self.serve = handler
+
+    async def call(self, name, message, timeout):
+        self.asked.append(name)
+        answer = self.answers.get(name, PeerUnreachable(instance=name))
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class TestRelays:
+    def relaying(self, rig: EntryRig, peers: FakePeers, age: float = 0.0) -> RelayingCallers:
+        self.reconnected: list[str] = []
+        return RelayingCallers(
+            rig.callers,
+            peers,
+            rig.config,
+            self.reconnected.append,
+            lambda: age,
+            lambda: "e2",
+            lambda: {"e1", "e2", "e3"},
+            rig.timers,
+            rig.writer,
+        )
+
+    def request(self, method: str = "POST") -> CallerRequest:
+        return CallerRequest(method, QUEUE.host, QUEUE.prefix + JOB, BODY, 2.0)
+
+    def test_an_entry_that_reaches_the_store_asks_no_other_entry(self):
+        async def body(rig: EntryRig):
+            peers = FakePeers()
+            reply = await self.relaying(rig, peers).answer(self.request())
+            assert (reply.status, peers.asked) == (200, [])
+
+        with_entry(body)
+
+    def test_another_entry_is_asked_when_the_store_refuses(self):
+        async def body(rig: EntryRig):
+            rig.service.down = True
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b"{}")
+            reply = await self.relaying(rig, peers).answer(self.request())
+            assert (reply.status, peers.asked) == (200, ["e2"])
+
+        with_entry(body)
+
+    def test_an_unknown_outcome_does_not_become_a_refusal(self):
+        async def body(rig: EntryRig):
+            rig.link.cut = True
+            peers = FakePeers()
+            peers.answers = dict.fromkeys(("e2", "e3"), CallerReply(503, b"{}", "store_down", 1.0))
+            with pytest.raises(SubmissionUndecided):
+                await self.relaying(rig, peers).answer(self.request())
+
+        with_entry(body)
+
+    @pytest.mark.parametrize("second", [None, CallerReply(503, b"{}", "store_down", 1.0)])
+    def test_a_job_that_an_unresponsive_entry_may_have_stored_is_not_refused(
+        self, second: CallerReply | None
+    ):
+        async def body(rig: EntryRig):
+            rig.service.down = True
+            peers = FakePeers()
+            if second is not None:
+                peers.answers["e3"] = second
+            with pytest.raises(SubmissionUndecided):
+                await self.relaying(rig, peers).answer(self.request())
+            assert peers.asked[0] == "e2"
+
+        with_entry(body)
+
+    def test_a_refusal_by_all_is_a_refusal(self):
+        async def body(rig: EntryRig):
+            rig.service.down = True
+            peers = FakePeers()
+            peers.answers = dict.fromkeys(("e2", "e3"), CallerReply(503, b"{}", "store_down", 1.0))
+            assert (await self.relaying(rig, peers).answer(self.request())).status == 503
+
+        with_entry(body)
+
+    def test_entries_that_do_not_answer_are_avoided(self):
+        async def body(rig: EntryRig):
+            rig.service.down = True
+            peers = FakePeers()
+            peers.answers["e3"] = CallerReply(200, b"{}")
+            relaying = self.relaying(rig, peers)
+            for _ in range(2):
+                assert (await relaying.answer(self.request())).status == 200
+            assert peers.asked == ["e2", "e3", "e3"]
+            assert self.reconnected == ["e2"]
+
+        with_entry(body)
+
+    def test_the_owner_appends_for_all_while_the_store_is_slow(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.4
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b"{}")
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            assert peers.asked == []
+            other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+            assert (await relaying.answer(other)).status == 200
+            assert (peers.asked, rig.stored()) == (["e2"], [JOB])
+
+        with_entry(body)
+
+    def test_an_entry_appends_itself_once_the_store_is_fast_again(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.4
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b"{}")
+            relaying = self.relaying(rig, peers)
+            for number in range(3):
+                path = f"{QUEUE.prefix}{number:016x}"
+                assert (await relaying.answer(self.request()._replace(path=path))).status == 200
+            assert peers.asked == ["e2"]
+            assert len(rig.stored()) == 2
+
+        with_entry(body)
+
+    def test_a_slow_answer_is_waited_for_without_an_owner(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.5
+            relaying = self.relaying(rig, FakePeers())
+            assert (await relaying.answer(self.request())).status == 200
+            rig.service.write_seconds = 0.9
+            other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+            assert (await relaying.answer(other)).status == 200
+
+        with_entry(body)
+
+    def test_a_job_that_the_owner_may_have_stored_is_not_refused(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.4
+            peers = FakePeers()
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            rig.service.down = True
+            peers.answers["e3"] = CallerReply(503, b"{}", "store_down", 1.0)
+            other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+            with pytest.raises(SubmissionUndecided):
+                await relaying.answer(other)
+
+        with_entry(body)
+
+    def test_an_entry_with_stale_states_asks_another_entry_first(self):
+        async def body(rig: EntryRig):
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b'{"state":"completed"}')
+            relaying = self.relaying(rig, peers, age=5.0)
+            assert (await relaying.answer(self.request("GET"))).body == b'{"state":"completed"}'
+
+        with_entry(body)
+
+    def test_a_relayed_request_is_answered_here(self):
+        async def body(rig: EntryRig):
+            peers = FakePeers()
+            self.relaying(rig, peers)
+            assert (await peers.serve("e2", self.request()._replace(version=1))).status == 200
+            rig.service.down = True
+            rig.link.refused = True
+            refused = self.request()._replace(version=1, path=QUEUE.prefix + "00000000000000bb")
+            assert (await peers.serve("e2", refused)).code == "store_down"
+
+        with_entry(body)
+
+    def test_an_entry_with_an_older_configuration_does_not_answer(self):
+        """A relayed request must not be answered under an older version than at its first entry."""
+
+        async def body(rig: EntryRig):
+            peers = FakePeers()
+            self.relaying(rig, peers)
+            later = self.request("GET")._replace(version=2)
+            assert (await peers.serve("e2", later)).status == 503
+
+        with_entry(body)
+
+    def test_a_later_configuration_is_adopted_first(self):
+        async def body(rig: EntryRig):
+            other = EntryRig(rig.service, rig.timers)
+            other.config.adopt(configuration(2, "/new/"))
+            await other.feed.catch_up()
+            peers, others = FakePeers(), FakePeers()
+            self.relaying(other, others)
+
+            async def call(name, message, timeout):
+                return await others.serve("e1", message)
+
+            peers.call = call
+            relaying = self.relaying(rig, peers, age=5.0)
+            reply = await relaying.answer(self.request("GET")._replace(path=QUEUE.prefix))
+            assert (reply.status, rig.config.version) == (404, 2)
+
+        with_entry(body)
