Keep the settings of the log in one place

The daemon and an entry on the platform have the same section 'log', which was written twice, with two types of the same fields (LogSettings, EntryLog). It is now in config/log_section.py, with LogSettings. Names, texts, defaults and allowed values of the settings do not change. Checked: a dump of all sections of both files, and 'ragworttiller config sample', are byte for byte as before; tests/test_config.py, test_reference.py, test_logs.py and test_commands.py pass.

--- a/ragworttiller/config/defaults.py
+++ b/ragworttiller/config/defaults.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 
 from ragworttiller.config.base import Problem, Section, read_sections
+from ragworttiller.config.log_section import LOG_SECTION
 from ragworttiller.config.options import (
     Address,
-    Choice,
     ExistingFile,
     Integer,
     Number,
@@ -17,7 +17,6 @@
 from ragworttiller.config.settings import (
     InstanceSettings,
     LimitSettings,
-    LogSettings,
     MembershipSettings,
     OperatorSettings,
     PlatformSettings,
@@ -178,25 +177,7 @@
             ),
         ],
     ),
-    Section(
-        "log",
-        "Log lines of this process.",
-        LogSettings,
-        [
-            Choice(
-                "level",
-                "Least severe level that is written.",
-                choices=("debug", "info", "warning", "error"),
-                default="info",
-            ),
-            Choice(
-                "format",
-                "JSON objects or readable text, one line each.",
-                choices=("json", "text"),
-                default="json",
-            ),
-        ],
-    ),
+    LOG_SECTION,
     Section(
         "tls",
         "HTTPS for callers and operators; plain HTTP without a certificate.",
--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -6,7 +6,9 @@
 from typing import NamedTuple
 
 from ragworttiller.config.base import Section, read_sections
+from ragworttiller.config.log_section import LOG_SECTION
 from ragworttiller.config.options import Address, Choice, Number, Text
+from ragworttiller.config.settings import LogSettings
 
 
 class EntryInstance(NamedTuple):
@@ -54,13 +56,6 @@
     headroom: str = "arrivals"
 
 
-class EntryLog(NamedTuple):
-    """Level and format of the log lines of this process."""
-
-    level: str
-    format: str
-
-
 class EntrySettings(NamedTuple):
     """All settings of an entry."""
 
@@ -68,7 +63,7 @@
     platform: EntryPlatform
     bounds: EntryBounds
     policies: EntryPolicies
-    log: EntryLog
+    log: LogSettings
 
 
 def _milliseconds(name: str, help: str, default: str) -> Number:
@@ -171,25 +166,7 @@
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
         ],
     ),
-    Section(
-        "log",
-        "Log lines of this process.",
-        EntryLog,
-        [
-            Choice(
-                "level",
-                "Least severe level that is written.",
-                choices=("debug", "info", "warning", "error"),
-                default="info",
-            ),
-            Choice(
-                "format",
-                "JSON objects or readable text, one line each.",
-                choices=("json", "text"),
-                default="json",
-            ),
-        ],
-    ),
+    LOG_SECTION,
 )
 
 
