Measure both kinds of decisions in one way

bench/decisions.py computed the cost of placement and of routing decisions by the same lines, written twice. Both now add their durations to _Durations, which gives the cost by the same formulas. Checked: placement_cost and routing_cost were run at their smallest sizes before and after; both gave their four numbers, of the same order. Behaviour does not change.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -50,6 +50,28 @@
     rate: float
 
 
+class _Durations:
+    """Durations of decisions."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._total = 0.0
+        self._histogram = HdrHistogram(1, 10**9, 3)
+
+    def add(self, seconds: float) -> None:
+        self._count += 1
+        self._total += seconds
+        self._histogram.record_value(int(seconds * 1e9))
+
+    def cost(self) -> Cost:
+        return Cost(
+            self._total / self._count * 1e6,
+            self._histogram.get_value_at_percentile(50) / 1000,
+            self._histogram.get_value_at_percentile(99) / 1000,
+            self._count / self._total,
+        )
+
+
 class _ChurningCell:
     """Cell whose tasks end in random order while others are placed."""
 
@@ -98,19 +120,11 @@
     for _ in range(round(workers * TASKS_PER_WORKER)):
         churning.place(churning.next_demand())
     churning.policy = policy_named(policy, rng)
-    histogram = HdrHistogram(1, 10**9, 3)
-    total = 0.0
+    durations = _Durations()
     for _ in range(DECISIONS):
         churning.end_random_task()
-        taken = churning.place(churning.next_demand())
-        total += taken
-        histogram.record_value(int(taken * 1e9))
-    return Cost(
-        total / DECISIONS * 1e6,
-        histogram.get_value_at_percentile(50) / 1000,
-        histogram.get_value_at_percentile(99) / 1000,
-        DECISIONS / total,
-    )
+        durations.add(churning.place(churning.next_demand()))
+    return durations.cost()
 
 
 def routing_cost(runners: int) -> Cost:
@@ -126,23 +140,15 @@
     ]
     router.update(listed, ENTRIES)
     exchange = Exchange("GET", "/", [], b"")
-    histogram = HdrHistogram(1, 10**9, 3)
-    total = 0.0
+    durations = _Durations()
     for number in range(DECISIONS):
         request = UpstreamRequest(f"r{number}", "ws", "checks", exchange, 0, 1.0)
         started = time.perf_counter()
         runner = router.try_acquire_runner(request, True, (), "first attempt")
         assert runner is not None
         runner.record_answer(timers.now(), 0.01, False)
-        taken = time.perf_counter() - started
-        total += taken
-        histogram.record_value(int(taken * 1e9))
-    return Cost(
-        total / DECISIONS * 1e6,
-        histogram.get_value_at_percentile(50) / 1000,
-        histogram.get_value_at_percentile(99) / 1000,
-        DECISIONS / total,
-    )
+        durations.add(time.perf_counter() - started)
+    return durations.cost()
 
 
 def _no_connection_pool() -> RunnerConnectionPool:
