Split the acceptance of jobs from the calls to a cell shard

process/cell_calls.py answered all calls to the owner of a cell shard, and also accepted submitted jobs: checks of feasibility and quotas, the record, and the check that a repeated key belongs to the same job. Acceptance is now JobSubmissions in process/job_submissions.py. The status of a job, which both need, is status_of in process/job_status.py. Behaviour does not change: verbs, their order in the error of an unknown verb, records and errors are the same; the code is moved, with the one-line _job_exists written out.

--- a/ragworttiller/process/cell.py
+++ b/ragworttiller/process/cell.py
@@ -18,6 +18,7 @@
 from ragworttiller.process.gangs import Gangs
 from ragworttiller.process.hold_client import HoldClient
 from ragworttiller.process.hold_server import HoldServer
+from ragworttiller.process.job_submissions import JobSubmissions
 from ragworttiller.process.learning import Learner
 from ragworttiller.process.license_proof import begin_serving, end_serving
 from ragworttiller.process.lifecycle import Lifecycle
@@ -168,7 +169,7 @@
             self._scheduler,
             self._placer,
             self._rooms,
-            self._quotas,
+            JobSubmissions(state, self._quotas),
             self._holds,
             self._remote_tasks,
         )
--- a/ragworttiller/process/cell_calls.py
+++ b/ragworttiller/process/cell_calls.py
@@ -5,38 +5,19 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
-from ragworttiller.exceptions import (
-    InvalidField,
-    KeyReused,
-    NotFound,
-    NotReady,
-    RagworttillerError,
-)
+from ragworttiller.exceptions import InvalidField, NotReady, RagworttillerError
 from ragworttiller.process.cell_rows import JobRow
-from ragworttiller.process.cell_state import (
-    CANCELLED,
-    COMMIT_TIMEOUT_SECONDS,
-    CellState,
-    commit_failed,
-)
-from ragworttiller.process.feasibility import Feasibility
+from ragworttiller.process.cell_state import CANCELLED, CellState, commit_failed
 from ragworttiller.process.hold_client import HoldReply, HoldRequest
 from ragworttiller.process.hold_server import HoldServer
-from ragworttiller.process.job_rules import rules_in
-from ragworttiller.process.job_status import (
-    JobStatus,
-    WorkerStatus,
-    ended_status,
-    open_status,
-)
+from ragworttiller.process.job_status import JobStatus, WorkerStatus, status_of
+from ragworttiller.process.job_submissions import JobSubmissions
 from ragworttiller.process.placer import Placer
-from ragworttiller.process.quotas import Quotas
 from ragworttiller.process.remote_tasks import RemoteTasks
 from ragworttiller.process.room_view import RoomView
 from ragworttiller.process.scheduler import Scheduler
-from ragworttiller.records import JobEnded, JobSubmitted
+from ragworttiller.records import JobEnded
 from ragworttiller.resources import Resources
-from ragworttiller.version.template import JobSpec
 
 READY_TIMEOUT_SECONDS = 2.0
 RETRY_AFTER_SECONDS = 2.0
@@ -59,8 +40,8 @@
         Explains why a job has no room.
     rooms : RoomView
         Reasons for which workers get no new tasks.
-    quotas : Quotas
-        Limits of workspaces.
+    submissions : JobSubmissions
+        Accepts submitted jobs.
     holds : HoldServer
         Handles hold and release requests of other shards.
     remote_tasks : RemoteTasks
@@ -73,7 +54,7 @@
         scheduler: Scheduler,
         placer: Placer,
         rooms: RoomView,
-        quotas: Quotas,
+        submissions: JobSubmissions,
         holds: HoldServer,
         remote_tasks: RemoteTasks,
     ) -> None:
@@ -81,12 +62,11 @@
         self._scheduler = scheduler
         self._placer = placer
         self._rooms = rooms
-        self._quotas = quotas
+        self._submissions = submissions
         self._holds = holds
         self._remote_tasks = remote_tasks
-        self._feasibility = Feasibility()
         self._verbs: dict[str, Verb] = {
-            "submit": self._submit,
+            "submit": self._submissions.submit,
             "status": self._status,
             "wait": self._wait,
             "cancel": self._cancel,
@@ -126,79 +106,24 @@
             )
         return await handler(arguments)
 
-    async def _submit(self, arguments: dict[str, Any]) -> JobStatus:
-        job, workspace = arguments["job"], arguments["workspace"]
-        template = arguments["template"]
-        spec = _spec(arguments["spec"])
-        if self._job_exists(job):
-            return self._status_if_same_job(job, template, spec)
-        work = f"{workspace}/{template}"
-        listing = self._state.context.listing()
-        self._feasibility.check(spec, rules_in(spec.rules), listing, work)
-        concurrent_tasks = 1 if spec.kind == "batch" else spec.tasks
-        self._quotas.check_need(workspace, spec.need, concurrent_tasks)
-        await self._state.context.stream.commit(
-            self._record(arguments, spec), COMMIT_TIMEOUT_SECONDS
-        )
-        return self._status_if_same_job(job, template, spec)
-
-    def _record(self, arguments: dict[str, Any], spec: JobSpec) -> JobSubmitted:
-        now = self._state.wall()
-        deadline = None if spec.deadline_seconds is None else now + spec.deadline_seconds
-        return JobSubmitted(
-            self._state.context.stream.record_id(),
-            arguments["job"],
-            arguments["workspace"],
-            arguments["template"],
-            arguments["version"],
-            spec.kind,
-            spec.tasks,
-            spec.need,
-            spec.urgency,
-            deadline,
-            spec.run_time,
-            spec.idempotent,
-            {**spec.rules, "arguments": spec.arguments},
-            now,
-        )
-
-    def _status_if_same_job(self, job: str, template: str, spec: JobSpec) -> JobStatus:
-        """Return the status of a key's job if it has the requested template and arguments.
-
-        The arguments of a job that has ended are not kept and therefore not compared.
-
-        Raises
-        ------
-        KeyReused
-            The key belongs to another job.
-        """
-        status = self._status_of(job)
-        row = self._state.fold.jobs.get(job)
-        same = status["template"] == template
-        if row is not None and same:
-            same = row.submitted.rules.get("arguments") == spec.arguments
-        if not same:
-            raise KeyReused(key=job)
-        return status
-
     async def _status(self, arguments: dict[str, Any]) -> JobStatus:
-        return self._status_of(arguments["job"])
+        return status_of(self._state, arguments["job"])
 
     async def _wait(self, arguments: dict[str, Any]) -> JobStatus:
         """Return the status of a job once it and its tasks have ended, or after the timeout."""
         job = arguments["job"]
-        self._status_of(job)
+        status_of(self._state, job)
         if job in self._state.fold.jobs:
             await self._state.wait_for_job_end(job, min(arguments["timeout"], MAX_WAIT_SECONDS))
-        return self._status_of(job)
+        return status_of(self._state, job)
 
     async def _cancel(self, arguments: dict[str, Any]) -> JobStatus:
         job = arguments["job"]
-        self._status_of(job)
+        status_of(self._state, job)
         row = self._state.fold.jobs.get(job)
         if row is not None and not row.state:
             await self._commit_cancellations([job])
-        return self._status_of(job)
+        return status_of(self._state, job)
 
     async def _cancel_matching(self, arguments: dict[str, Any]) -> int:
         """Cancel the matching open jobs of a workspace; return the number cancelled."""
@@ -232,7 +157,7 @@
     async def _explain(self, arguments: dict[str, Any]) -> str:
         """Return what keeps a job's tasks pending, else why the job ended, or an empty string."""
         job = arguments["job"]
-        status = self._status_of(job)
+        status = status_of(self._state, job)
         row = self._state.fold.jobs.get(job)
         if row is None or row.state or not status["tasks"]["pending"]:
             return status["reason"]
@@ -281,24 +206,6 @@
         for worker, task, attempt, reason, checkpoint in arguments["stops"]:
             self._state.request_stop(worker, (task, attempt), reason, checkpoint)
 
-    def _job_exists(self, job: str) -> bool:
-        return job in self._state.fold.jobs or job in self._state.fold.ended
-
-    def _status_of(self, job: str) -> JobStatus:
-        row = self._state.fold.jobs.get(job)
-        if row is not None:
-            return open_status(row, self._state.wall())
-        ended = self._state.fold.ended.get(job)
-        if ended is not None:
-            return ended_status(job, ended)
-        raise NotFound(kind="job", name=job)
-
-
-def _spec(fields: list[Any]) -> JobSpec:
-    """Decode the job that an entry instantiated from a template."""
-    spec = JobSpec(*fields)
-    return spec._replace(need=Resources(*spec.need))
-
 
 def _matches(row: JobRow, selector: dict[str, Any]) -> bool:
     """Return whether a job's fields equal all those of a selector."""
--- a/ragworttiller/process/job_status.py
+++ b/ragworttiller/process/job_status.py
@@ -4,7 +4,9 @@
 
 from typing import TypedDict
 
+from ragworttiller.exceptions import NotFound
 from ragworttiller.process.cell_rows import TASK_STATES, EndedJob, JobRow
+from ragworttiller.process.cell_state import CellState
 from ragworttiller.resources import Resources
 
 
@@ -40,7 +42,24 @@
     blocks: list[str]
 
 
-def open_status(row: JobRow, wall: float) -> JobStatus:
+def status_of(state: CellState, job: str) -> JobStatus:
+    """Return the status of a job.
+
+    Raises
+    ------
+    NotFound
+        The shard knows no such job.
+    """
+    row = state.fold.jobs.get(job)
+    if row is not None:
+        return _open_status(row, state.wall())
+    ended = state.fold.ended.get(job)
+    if ended is not None:
+        return _ended_status(job, ended)
+    raise NotFound(kind="job", name=job)
+
+
+def _open_status(row: JobRow, wall: float) -> JobStatus:
     """Return the status of a job that has not ended or still has running tasks."""
     job = row.submitted
     waited = row.waited if row.waited >= 0 else max(0.0, wall - job.at)
@@ -57,7 +76,7 @@
     )
 
 
-def ended_status(job: str, ended: EndedJob) -> JobStatus:
+def _ended_status(job: str, ended: EndedJob) -> JobStatus:
     """Return the status of a job that has ended."""
     return JobStatus(
         job=job,
