Number the jobs of the scheduling tests in one place

Three test files had a function 'job' of their own for the identifier of a numbered job, and four wrote its format out. It is now job_id in tests/scheduling_rig.py, named as in tests/owners_rig.py, and the word job is left to the parameters. Identifiers and tests are the same. Checked: the seven test files pass.

--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -25,6 +25,11 @@
 LEASE_SECONDS = 4.5
 
 
+def job_id(number: int) -> str:
+    """Return the identifier of a numbered job."""
+    return f"{number:016x}"
+
+
 def job_body(*steps: dict[str, Any], **fields: Any) -> bytes:
     """Return the body of a submission."""
     return json.dumps({"spec": "s", "steps": list(steps), **fields}).encode()
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -16,7 +16,7 @@
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec
 from ragworttiller.scheduling.state.runs import Stage
 from ragworttiller.scheduling.state.tickets import Tickets
-from tests.scheduling_rig import JOB, QUEUE, CellRig, step
+from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 COST = AdviceCost(0.3, 0.01, 2.5)
 ADVISED = QUEUE._replace(advice=COST)
@@ -161,7 +161,7 @@
         """After a takeover many stages wait; one call each must show where they may run."""
         rig.cell.set_entries([f"e{n}" for n in range(9)])
         for number in range(1, 6):
-            rig.submit(step(1, 3000), job=f"{number:016x}", queue=ADVISED)
+            rig.submit(step(1, 3000), job=job_id(number), queue=ADVISED)
         assert {len(call.runners) for call in rig.plan().calls} == {4}
         rig.submit(step(1, 2000), job="fedcba9876543210")
         rig.start_all()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -17,7 +17,7 @@
 from ragworttiller.scheduling.records.formats import JOBS, Claim
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from tests.entry_rig import BODY, EntryRig, with_entry
-from tests.scheduling_rig import JOB, QUEUE
+from tests.scheduling_rig import JOB, QUEUE, job_id
 
 
 class TestSubmissions:
@@ -162,7 +162,7 @@
     def test_jobs_that_the_owner_has_not_counted_are_pending(self):
         async def body(rig: EntryRig):
             for number in range(3):
-                await rig.call("POST", f"{number:016x}")
+                await rig.call("POST", job_id(number))
             await rig.timers.sleep(0.5)
             assert (await rig.call("GET", "")).body == b'{"pending":3}'
             counts = {f"{QUEUE.host} {QUEUE.prefix}": 1}
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -9,7 +9,7 @@
 from ragworttiller.scheduling.ownership.wait_log import WaitLog
 from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.state.cell_view import CellView, WaitReason
-from tests.scheduling_rig import JOB, QUEUE, CellRig, step
+from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 ADVISED = QUEUE._replace(advice=AdviceCost(0.3, 0.01, 2.5))
 
@@ -116,7 +116,7 @@
         self, rig: CellRig, caplog: pytest.LogCaptureFixture
     ):
         for number in range(7):
-            rig.submit(step(1, 9000), job=f"{number:016x}")
+            rig.submit(step(1, 9000), job=job_id(number))
         rig.plan()
         rig.pass_time(3.0)
         with caplog.at_level("INFO"):
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -15,7 +15,7 @@
 )
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
 from ragworttiller.scheduling.state.owned_cell import Cell
-from tests.scheduling_rig import LEASE_SECONDS, QUEUE, CellRig, step
+from tests.scheduling_rig import LEASE_SECONDS, QUEUE, CellRig, job_id, step
 
 PATIENT = QUEUE._replace(
     name="patient", prefix="/p/", priority=2, slack_factor=4.0, target_latency=3.0
@@ -24,10 +24,6 @@
 STEADY_SECONDS = 6.0
 
 
-def job(number: int) -> str:
-    return f"{number:016x}"
-
-
 def urgent_wait(rig: CellRig) -> float:
     """Return the longest wait of urgent stages while a burst of patient tasks arrives."""
     ends: list[tuple[float, str, tuple]] = []
@@ -36,8 +32,8 @@
     while rig.now < began + STEADY_SECONDS + 4.0:
         number += 1
         if number % 5 == 0:
-            rig.submit(step(2, 1000, estimate_ms=350), job=job(number))
-            waiting[job(number)] = rig.now
+            rig.submit(step(2, 1000, estimate_ms=350), job=job_id(number))
+            waiting[job_id(number)] = rig.now
         if rig.now > began + STEADY_SECONDS:
             name = f"f{number:015x}"
             rig.submit(step(4, 1000, estimate_ms=8000), job=name, queue=PATIENT)
--- a/tests/test_queue_order.py
+++ b/tests/test_queue_order.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, OrderInputs, SlackOrder
-from tests.scheduling_rig import JOB, QUEUE, CellRig, step
+from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 STREAM = QUEUE._replace(name="streams", prefix="/s/", priority=1, target_latency=2.5)
 URGENT = QUEUE._replace(priority=0)
@@ -16,10 +16,6 @@
     return CellRig(1)
 
 
-def job(number: int) -> str:
-    return f"{number:016x}"
-
-
 class TestLastingTasks:
     def test_a_restart_under_a_stream_of_jobs_does_not_wait_for_an_empty_queue(self, rig: CellRig):
         """A lasting task that fails long after its acceptance starts before later jobs."""
@@ -28,7 +24,7 @@
         rig.pass_time(30.0)
         rig.hold("w1", (stream.run.task, 1, "failed"))
         for number in range(1, 9):
-            rig.submit(step(1, 4000), job=job(number), queue=STREAM)
+            rig.submit(step(1, 4000), job=job_id(number), queue=STREAM)
         (order,) = rig.start_all()
         assert order.run.task == stream.run.task
 
@@ -37,9 +33,9 @@
         (stream,) = rig.start_all()
         rig.pass_time(30.0)
         rig.hold("w1", (stream.run.task, 1, "failed"))
-        rig.submit(step(1, 4000), job=job(1), queue=URGENT)
+        rig.submit(step(1, 4000), job=job_id(1), queue=URGENT)
         (order,) = rig.start_all()
-        assert order.run.task.stage.job == job(1)
+        assert order.run.task.stage.job == job_id(1)
 
     def test_its_objective_counts_from_its_last_end(self, rig: CellRig):
         rig.submit(step(1, 4000, daemon=True), queue=STREAM)
@@ -57,7 +53,7 @@
         due = rig.now + 60.0
         rig.submit(step(1, 4000), times=1, first_run_ms=due * 1000, interval_ms=1000)
         rig.pass_time(60.1)
-        rig.submit(step(1, 4000, estimate_ms=9000), job=job(1))
+        rig.submit(step(1, 4000, estimate_ms=9000), job=job_id(1))
         (order,) = rig.start_all()
         assert order.run.task.stage.job == JOB
 
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -8,7 +8,7 @@
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from tests.entry_rig import BODY, EntryRig, configuration, with_entry
-from tests.scheduling_rig import JOB, QUEUE
+from tests.scheduling_rig import JOB, QUEUE, job_id
 
 
 class FakePeers:
@@ -135,7 +135,7 @@
             peers.answers["e2"] = CallerReply(200, b"{}")
             relaying = self.relaying(rig, peers)
             for number in range(3):
-                path = f"{QUEUE.prefix}{number:016x}"
+                path = QUEUE.prefix + job_id(number)
                 assert (await relaying.answer(self.request()._replace(path=path))).status == 200
             assert peers.asked == ["e2"]
             assert len(rig.stored()) == 2
--- a/tests/test_room_maker.py
+++ b/tests/test_room_maker.py
@@ -17,7 +17,7 @@
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runs import Run, RunState, Stage
-from tests.scheduling_rig import JOB, QUEUE, CellRig, step
+from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 STOP_SECONDS = 0.9
 URGENT = QUEUE._replace(
@@ -29,10 +29,6 @@
 ADVISED = URGENT._replace(advice=AdviceCost(0.9, 0.01, 2.0))
 
 
-def job(number: int) -> str:
-    return f"{number:016x}"
-
-
 class AcceleratorRig(CellRig):
     """A cell whose runners have 16 processors and four accelerators each."""
 
@@ -84,7 +80,7 @@
     began, number = rig.now, 1000
     ends = {run: run.started_at + 10.0 for run in rig.cell.runners["w1"].runs.values()}
     while rig.now < began + limit:
-        rig.submit(small(1), job=job(number), queue=PATIENT)
+        rig.submit(small(1), job=job_id(number), queue=PATIENT)
         plan = rig.plan()
         for order in plan.starts:
             rig.cell.mark_started(order.run, rig.now)
@@ -106,7 +102,7 @@
 class TestPreemption:
     def test_a_whole_runner_is_freed_for_a_job_that_only_it_can_run(self, rig: AcceleratorRig):
         """A stream of small patient tasks leaves no runner whole; the urgent job starts anyway."""
-        rig.submit(small(4), job=job(1), queue=PATIENT)
+        rig.submit(small(4), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(2.0)
         rig.submit(whole(), queue=URGENT)
@@ -121,14 +117,14 @@
         rig.cell.refresh(rig.now, rig.now)
         rig.hold("w1")
         rig.enroll("w1")
-        rig.submit(small(4), job=job(1), queue=PATIENT)
+        rig.submit(small(4), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(2.0)
         rig.submit(whole(), queue=URGENT)
         assert seconds_until_start(rig, JOB) > 6.0
 
     def test_a_preempted_task_resumes_from_its_checkpoint(self, rig: AcceleratorRig):
-        rig.submit(small(4), job=job(1), queue=PATIENT)
+        rig.submit(small(4), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(2.0)
         rig.submit(whole(), queue=URGENT)
@@ -142,7 +138,7 @@
         assert {order.run.checkpoint for order in rig.start_all()} == {"c7"}
 
     def test_nothing_more_is_stopped_while_stops_are_in_progress(self, rig: AcceleratorRig):
-        rig.submit(small(4), job=job(1), queue=PATIENT)
+        rig.submit(small(4), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(2.0)
         rig.submit(whole(), queue=URGENT)
@@ -152,19 +148,19 @@
 
     def test_two_urgent_jobs_do_not_count_on_the_same_room(self):
         rig = AcceleratorRig(2)
-        rig.submit(small(8), job=job(1), queue=PATIENT)
+        rig.submit(small(8), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(2.0)
-        rig.submit(whole(), job=job(2), queue=URGENT)
-        rig.submit(whole(), job=job(3), queue=URGENT)
+        rig.submit(whole(), job=job_id(2), queue=URGENT)
+        rig.submit(whole(), job=job_id(3), queue=URGENT)
         stops = rig.plan().stops
         assert len({order.run for order in stops}) == 8
-        stages = rig.cell.jobs[job(1)].stages.values()
+        stages = rig.cell.jobs[job_id(1)].stages.values()
         assert all(set(stage.preemptions.values()) == {1} for stage in stages)
 
     def test_a_ticket_is_asked_for_while_the_runner_is_freed(self, rig: AcceleratorRig):
         rig.cell.set_entries(["e1"])
-        rig.submit(small(4), job=job(1), queue=PATIENT)
+        rig.submit(small(4), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(2.0)
         rig.submit(whole(), queue=ADVISED)
@@ -188,13 +184,13 @@
 
     def test_room_that_a_stage_gets_soon_is_kept_from_later_ones(self, rig: AcceleratorRig):
         """Two accelerators are free, the other two soon: a patient task does not take one."""
-        rig.submit({**small(2, 2000), "requires": "a"}, job=job(1), queue=PATIENT)
+        rig.submit({**small(2, 2000), "requires": "a"}, job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(1.0)
         rig.submit({**whole(), "requires": "a"}, queue=URGENT)
-        rig.submit({**small(1), "requires": "a"}, job=job(2), queue=PATIENT)
+        rig.submit({**small(1), "requires": "a"}, job=job_id(2), queue=PATIENT)
         assert rig.plan().starts == []
-        rig.submit(small(1), job=job(3), queue=PATIENT)
+        rig.submit(small(1), job=job_id(3), queue=PATIENT)
         assert {order.run.runner for order in rig.plan().starts} <= {"w2", "w3"}
 
     def test_reserved_room_that_is_not_used_goes_to_others_in_turn(self, rig: AcceleratorRig):
@@ -208,7 +204,7 @@
         began = rig.now
         for number in range(20, 60):
             rig.advance(0.25)
-            rig.submit({**small(1, 200), "requires": "a"}, job=job(number), queue=PATIENT)
+            rig.submit({**small(1, 200), "requires": "a"}, job=job_id(number), queue=PATIENT)
             plan = rig.plan()
             for call in plan.calls:
                 rig.cell.mark_advice_failed(call, rig.now)
@@ -222,7 +218,7 @@
         """Of many runners only some are named in a call: few known ones are no constraint."""
         rig = AcceleratorRig(9)
         rig.cell.set_entries(["e1"])
-        rig.submit(small(36, 2000), job=job(1), queue=PATIENT)
+        rig.submit(small(36, 2000), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(1.0)
         rig.submit(whole(), queue=ADVISED)
@@ -237,11 +233,11 @@
         pair = step(2, 4000, gpu=2, requires="a", anti_affinity=1, estimate_ms=5000)
         rig.submit(pair, queue=URGENT)
         assert len(rig.start_all()) == 1
-        rig.submit({**small(1), "requires": "a"}, job=job(1), queue=PATIENT)
+        rig.submit({**small(1), "requires": "a"}, job=job_id(1), queue=PATIENT)
         assert [order.run.runner for order in rig.plan().starts] == ["w1"]
 
     def test_nothing_is_stopped_where_a_stage_is_at_its_limit(self, rig: AcceleratorRig):
-        rig.submit({**small(2), "requires": "a"}, job=job(1), queue=PATIENT)
+        rig.submit({**small(2), "requires": "a"}, job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(2.0)
         pair = step(2, 4000, gpu=2, requires="a", anti_affinity=1, estimate_ms=5000)
@@ -254,7 +250,7 @@
         """Two denied runners are replaced; the new ones were not asked about."""
         rig = AcceleratorRig(3)
         rig.cell.set_entries(["e1"])
-        rig.submit(small(12, 2000), job=job(1), queue=PATIENT)
+        rig.submit(small(12, 2000), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(1.0)
         rig.submit(whole(), queue=ADVISED)
@@ -270,7 +266,7 @@
     def test_each_reservation_has_one_line(
         self, rig: AcceleratorRig, caplog: pytest.LogCaptureFixture
     ):
-        rig.submit({**small(2, 2000), "requires": "a"}, job=job(1), queue=PATIENT)
+        rig.submit({**small(2, 2000), "requires": "a"}, job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(1.0)
         rig.submit({**whole(), "requires": "a"}, queue=URGENT)
@@ -282,26 +278,26 @@
 
     def test_room_that_comes_much_later_is_used_meanwhile(self, rig: AcceleratorRig):
         blocking = step(1, 8000, gpu=3, estimate_ms=20_000, requires="a")
-        rig.submit(blocking, job=job(1), queue=URGENT)
+        rig.submit(blocking, job=job_id(1), queue=URGENT)
         rig.start_all()
         rig.submit({**whole(), "requires": "a"}, queue=URGENT)
-        rig.submit({**small(1), "requires": "a"}, job=job(2), queue=PATIENT)
-        assert [order.run.task.stage.job for order in rig.start_all()] == [job(2)]
+        rig.submit({**small(1), "requires": "a"}, job=job_id(2), queue=PATIENT)
+        assert [order.run.task.stage.job for order in rig.start_all()] == [job_id(2)]
 
     def test_a_stage_that_many_runners_may_run_reserves_nothing(self):
         rig = AcceleratorRig(1)
-        rig.submit(small(2, 2000), job=job(1), queue=PATIENT)
+        rig.submit(small(2, 2000), job=job_id(1), queue=PATIENT)
         rig.start_all()
         rig.advance(1.0)
         rig.submit(whole(), queue=URGENT)
-        rig.submit(small(1), job=job(2), queue=PATIENT)
+        rig.submit(small(1), job=job_id(2), queue=PATIENT)
         assert len(rig.plan().starts) == 1
 
     def test_tickets_are_renewed_when_room_is_near(self, rig: AcceleratorRig):
         """Calls to the advisor take a second of an entry each: none is made without need."""
         rig.cell.set_entries(["e1"])
         blocking = step(1, 8000, gpu=4, estimate_ms=9000, requires="a")
-        rig.submit(blocking, job=job(1), queue=URGENT)
+        rig.submit(blocking, job=job_id(1), queue=URGENT)
         rig.start_all()
         rig.submit({**whole(), "requires": "a"}, queue=ADVISED)
         (call,) = rig.plan().calls
@@ -320,8 +316,8 @@
 
 class TestForecast:
     def test_room_comes_with_the_ends_of_runs(self, rig: AcceleratorRig):
-        rig.submit(small(2, 2000), job=job(1), queue=PATIENT)
-        rig.submit(small(2, 6000), job=job(2), queue=PATIENT)
+        rig.submit(small(2, 2000), job=job_id(1), queue=PATIENT)
+        rig.submit(small(2, 6000), job=job_id(2), queue=PATIENT)
         rig.start_all()
         runner = rig.cell.runners["w1"]
         forecast = RoomForecast(rig.now, STOP_SECONDS)
@@ -332,7 +328,7 @@
 
     def test_an_overdue_run_is_expected_to_take_as_long_again(self, rig: AcceleratorRig):
         """A slow runner does not keep its room reserved for a stage that waits for it."""
-        rig.submit(small(1, 2000), job=job(1), queue=PATIENT)
+        rig.submit(small(1, 2000), job=job_id(1), queue=PATIENT)
         rig.start_all()
         runner = rig.cell.runners["w1"]
         size = Resources(1000, 100, 4)
@@ -346,7 +342,7 @@
     def test_small_tasks_fill_the_runner_that_is_in_use(self, policy, chosen):
         """A slightly faster whole runner stays whole for tasks that need all accelerators."""
         rig = AcceleratorRig(2)
-        rig.submit(step(1, 1000, gpu=3), job=job(1))
+        rig.submit(step(1, 1000, gpu=3), job=job_id(1))
         (order,) = rig.start_all()
         used = order.run.runner
         runners = sorted(rig.cell.runners.values(), key=lambda runner: runner.id == used)
