Give the tests of the spread of configuration a file of their own

tests/test_registry.py had 405 lines: the registry, and how its changes reach all instances while the log or instances fail. The latter is now in tests/test_config_spread.py, beside the module version/spread.py. The names of the instances and the time limit, which both use, are in tests/config_cell.py. docs/PROOFS.md and docs/design-configuration.md name the new file. No test changes. Checked: the sorted lines of the old file and the new ones differ in imports and these two constants only; both files, tests/test_config_machine.py and tests/test_proofs.py pass.

--- a/tests/config_cell.py
+++ b/tests/config_cell.py
@@ -21,6 +21,9 @@
 from standins.memory import MemoryLog
 from standins.peers import MemoryNetwork
 
+NAMES = ["a", "b", "c", "d"]
+# Longest time until an accepted change must be in force everywhere.
+IN_FORCE_SECONDS = 4.0
 KINDS = {"template": lambda _body: None, "quota": lambda _body: None}
 
 
