Describe the parameters of ten more classes

The house style has a Parameters section at each class with a constructor; ten classes of the package and the stand-in directory had none, and GroupCommit listed its parameters in another order than its constructor. Only docstrings change.

--- a/ragworttiller/config/base.py
+++ b/ragworttiller/config/base.py
@@ -35,6 +35,13 @@
     """The text of an option is not an allowed value.
 
     It is internal to this package: `Section.read` converts it to a `Problem`.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong with the text.
+    allowed : str
+        What is allowed in its place.
     """
 
     def __init__(self, problem: str, allowed: str) -> None:
--- a/ragworttiller/config/options.py
+++ b/ragworttiller/config/options.py
@@ -107,7 +107,13 @@
 
 
 class Choice(Option[str]):
-    """One of a fixed set of values."""
+    """One of a fixed set of values.
+
+    Parameters
+    ----------
+    choices : tuple of str
+        Allowed values.
+    """
 
     type_name: ClassVar[str] = "choice"
 
@@ -191,7 +197,13 @@
 
 
 class ListOf(Option[list[Any]]):
-    """List of values of another option type, separated by commas or line breaks."""
+    """List of values of another option type, separated by commas or line breaks.
+
+    Parameters
+    ----------
+    item : Option
+        Option of one value; it also gives the list its name and help.
+    """
 
     type_name: ClassVar[str] = "list"
 
--- a/ragworttiller/connection/connection_pool.py
+++ b/ragworttiller/connection/connection_pool.py
@@ -20,6 +20,11 @@
     """Exchange assigned to a connection.
 
     ``sent`` is whether bytes of the request may have been written.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Request to send.
     """
 
     __slots__ = (
--- a/ragworttiller/connection/status_api.py
+++ b/ragworttiller/connection/status_api.py
@@ -28,7 +28,23 @@
 
 
 class StatusApi:
-    """Endpoints without a token: liveness, readiness, metrics, members, decisions."""
+    """Endpoints without a token: liveness, readiness, metrics, members, decisions.
+
+    Parameters
+    ----------
+    readiness : Callable
+        Returns whether the instance may receive new callers.
+    status : Callable
+        Returns the state of the instance.
+    membership : Membership
+        Live instances.
+    listing : Callable
+        Returns the platform's list, None before it was read.
+    decisions : DecisionLog
+        Latest decisions.
+    metrics : Metrics
+        Metrics of the process.
+    """
 
     def __init__(
         self,
--- a/ragworttiller/process/cell_rows.py
+++ b/ragworttiller/process/cell_rows.py
@@ -55,6 +55,13 @@
 
     ``states`` and ``attempts`` are indexed by task. ``started_at`` is the time of the first license
     in wall-clock seconds, 0 before it.
+
+    Parameters
+    ----------
+    submitted : JobSubmitted
+        Record of the job.
+    offset : int
+        Offset of that record.
     """
 
     __slots__ = (
--- a/ragworttiller/process/heartbeats.py
+++ b/ragworttiller/process/heartbeats.py
@@ -32,6 +32,15 @@
 
     A first row relayed by another instance may be stale. The instance is suspected until its
     heartbeat advances.
+
+    Parameters
+    ----------
+    row : MemberRow
+        First row.
+    now : float
+        Time in seconds.
+    direct : bool
+        Whether the instance sent the row itself.
     """
 
     def __init__(self, row: MemberRow, now: float, direct: bool) -> None:
--- a/ragworttiller/process/membership.py
+++ b/ragworttiller/process/membership.py
@@ -58,7 +58,17 @@
 
 
 class FixedMembership(Membership):
-    """Membership that changes only by `set_members`, for tests and single processes."""
+    """Membership that changes only by `set_members`, for tests and single processes.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    members : list of str
+        Names of the first members.
+    incarnation : int
+        Number that identifies this start of the instance.
+    """
 
     def __init__(self, instance: str, members: list[str], incarnation: int = 1) -> None:
         super().__init__()
--- a/ragworttiller/routing/settings.py
+++ b/ragworttiller/routing/settings.py
@@ -50,7 +50,13 @@
 
 
 class FixedUpstreams(UpstreamSource):
-    """The same constant settings for every upstream, for tests and single processes."""
+    """The same constant settings for every upstream, for tests and single processes.
+
+    Parameters
+    ----------
+    settings : UpstreamSettings
+        Settings of every upstream.
+    """
 
     def __init__(self, settings: UpstreamSettings = DEFAULT_UPSTREAM) -> None:
         self._settings = settings
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -22,7 +22,13 @@
 
 
 class FreeResources:
-    """Free resources of runners while several tasks are placed in one pass."""
+    """Free resources of runners while several tasks are placed in one pass.
+
+    Parameters
+    ----------
+    runners : iterable of RunnerState
+        Runners on which tasks may be placed.
+    """
 
     def __init__(self, runners: Iterable[RunnerState]) -> None:
         self._by_free_cpu = sorted(
--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -70,11 +70,11 @@
         Name and epoch of this writer.
     clock : Clock
         Source of time.
-    first_sequence : int
-        First sequence number.
     exclusive : bool
         Whether this is the only writer under the producer's name. Being fenced then only means that
         the sequence was broken, and the writer continues with a higher epoch.
+    first_sequence : int
+        First sequence number.
     retry_interval : float
         Seconds without an answer after which a call is first retried.
     """
--- a/standins/directory.py
+++ b/standins/directory.py
@@ -25,7 +25,15 @@
 
 
 class DirectoryServer:
-    """Directory of entries, runners and workers; changes become visible after ``lag`` seconds."""
+    """Directory of entries, runners and workers.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of time.
+    lag : float
+        Seconds after which a change becomes visible.
+    """
 
     def __init__(self, timers: TimerService, lag: float) -> None:
         self._timers = timers
