Give delays and offsets the names that they have elsewhere

- A delay before a retry is RETRY_DELAY_SECONDS in stream, commits and jobs too; a pause is a stopped process.
- The delay before an entry announces itself again has a name of its own; it was the margin of calls.
- The oldest offset that the store keeps is Slice.start, as in LogSlice and RecordsExpired, where first is the offset of the first entry.
The key 'first' in the store's answers is the platform's and stays.
Values and behaviour do not change.

--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -69,11 +69,11 @@
 class Slice(NamedTuple):
     """Records of a partition from one offset on.
 
-    ``first`` is the oldest offset that the store keeps, ``end`` the offset of the next append.
+    ``start`` is the oldest offset that the store keeps, ``end`` the offset of the next append.
     """
 
     end: int
-    first: int
+    start: int
     records: list[Record]
 
 
@@ -310,14 +310,14 @@
 
 def _decode_slice(content: bytes, offset: int) -> Slice:
     end = int.from_bytes(content[:OFFSET_BYTES], "big")
-    first = int.from_bytes(content[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
+    start = int.from_bytes(content[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
     records: list[Record] = []
     position = 2 * OFFSET_BYTES
     while position + LENGTH_BYTES <= len(content):
-        start = position + LENGTH_BYTES
-        position = start + int.from_bytes(content[position:start], "big")
-        records.append(_decode_record(offset + len(records), content[start:position]))
-    return Slice(end, first, records)
+        record_start = position + LENGTH_BYTES
+        position = record_start + int.from_bytes(content[position:record_start], "big")
+        records.append(_decode_record(offset + len(records), content[record_start:position]))
+    return Slice(end, start, records)
 
 
 def _decode_record(offset: int, data: bytes) -> Record:
--- a/ragworttiller/process/commits.py
+++ b/ragworttiller/process/commits.py
@@ -19,7 +19,7 @@
 from ragworttiller.services.log import Log
 from ragworttiller.timers import TimerService
 
-RETRY_PAUSE_SECONDS = 0.2
+RETRY_DELAY_SECONDS = 0.2
 POST_DELAY_SECONDS = 0.05
 POST_AND_WAIT_DELAY_SECONDS = 0.25
 MAX_APPEND_BYTES = 256 * 1024
@@ -204,7 +204,7 @@
         return True
 
     async def _requeue(self, batch: list[_QueuedRecord]) -> None:
-        await self._timers.sleep(RETRY_PAUSE_SECONDS)
+        await self._timers.sleep(RETRY_DELAY_SECONDS)
         for item in batch:
             if item.record_id in self._posted:
                 self._queued_posts.append(item)
--- a/ragworttiller/process/jobs.py
+++ b/ragworttiller/process/jobs.py
@@ -37,7 +37,7 @@
 CALL_TIMEOUT_SECONDS = 4.0
 CANCEL_MATCHING_TIMEOUT_SECONDS = 30.0
 RETRY_WINDOW_SECONDS = 8.0
-RETRY_PAUSE_SECONDS = 0.2
+RETRY_DELAY_SECONDS = 0.2
 MAX_WAIT_CALL_SECONDS = 20.0
 
 
@@ -248,7 +248,7 @@
                 if self._timers.now() >= end:
                     raise
                 log.info("call of %s to shard %d failed, retrying: %s", verb, shard, exc)
-            await self._timers.sleep(RETRY_PAUSE_SECONDS)
+            await self._timers.sleep(RETRY_DELAY_SECONDS)
 
     async def _call_once(
         self, shard: int, verb: str, arguments: dict[str, Any], timeout: float
--- a/ragworttiller/process/stream.py
+++ b/ragworttiller/process/stream.py
@@ -27,7 +27,7 @@
 log = logging.getLogger(__name__)
 
 READ_WAIT_SECONDS = 5.0
-RETRY_PAUSE_SECONDS = 0.2
+RETRY_DELAY_SECONDS = 0.2
 SNAPSHOT_SEARCH_RECORDS = 2000
 
 IN_SNAPSHOT = Verdict(False, "in_snapshot")
@@ -252,7 +252,7 @@
                 slice_ = await self._log.read(self._name, self._next_offset, wait)
             except LogUnavailable:
                 self._commits.log_up = False
-                await self._timers.sleep(RETRY_PAUSE_SECONDS)
+                await self._timers.sleep(RETRY_DELAY_SECONDS)
                 continue
             self._commits.log_up = True
             self._read_at = self._timers.now()
--- a/ragworttiller/scheduling/entry/entries.py
+++ b/ragworttiller/scheduling/entry/entries.py
@@ -24,6 +24,7 @@
 log = logging.getLogger(__name__)
 
 ANNOUNCE_TIMEOUT_SECONDS = 5.0
+ANNOUNCE_RETRY_DELAY_SECONDS = 0.5
 CALL_MARGIN_SECONDS = 0.5
 ADVISOR_MARGIN_SECONDS = 1.0
 
@@ -112,7 +113,7 @@
                 return
             except RagworttillerError as exc:
                 log.warning("write of the entry record failed", extra={"why": exc.code})
-                await self._clock.sleep(CALL_MARGIN_SECONDS)
+                await self._clock.sleep(ANNOUNCE_RETRY_DELAY_SECONDS)
 
 
 class PeerReconnector:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -19,7 +19,7 @@
 from ragworttiller.process.commits import (
     POST_AND_WAIT_DELAY_SECONDS,
     POST_DELAY_SECONDS,
-    RETRY_PAUSE_SECONDS,
+    RETRY_DELAY_SECONDS,
 )
 from ragworttiller.process.ledger_fold import LedgerFold
 from ragworttiller.process.snapshots import Retention, SnapshotWriter
@@ -167,7 +167,7 @@
                 done.append(None)
 
             rig.tasks.start_soon(_post_and_flush)
-            again = POST_DELAY_SECONDS + RETRY_PAUSE_SECONDS
+            again = POST_DELAY_SECONDS + RETRY_DELAY_SECONDS
             await rig.timers.advance(POST_AND_WAIT_DELAY_SECONDS + again)
             assert done == []
             await rig.timers.advance(again)
