Separate the handlers of messages from the sockets

process/nng_peers.py sends and receives batches of envelopes, and it also ran the handlers of messages and turned their errors into replies. Behaviour does not change: the same replies and log messages; in the text format of the log, which names the module, two messages about handlers now name message_handlers.

--- a/ragworttiller/process/nng_peers.py
+++ b/ragworttiller/process/nng_peers.py
@@ -16,9 +16,10 @@
 from typing_extensions import override
 
 from ragworttiller.codec import Codec
-from ragworttiller.exceptions import InvalidField, PeerUnreachable, RagworttillerError
-from ragworttiller.messages import ENVELOPE_CODEC, PAYLOAD_CODEC, Envelope, ErrorReply
+from ragworttiller.exceptions import InvalidField, PeerUnreachable
+from ragworttiller.messages import ENVELOPE_CODEC, PAYLOAD_CODEC, Envelope
 from ragworttiller.process.calls import ANY_INCARNATION, Call, CallTable
+from ragworttiller.process.message_handlers import MessageHandlers
 from ragworttiller.process.outbox import Outbox, QueuedEnvelope
 from ragworttiller.process.peers import Handler, Peers
 from ragworttiller.timers import TimerService
@@ -73,7 +74,7 @@
         self._incarnation = incarnation
         self._address = address
         self._timers = timers
-        self._handlers: dict[type, Handler] = {}
+        self._handlers = MessageHandlers()
         self._outboxes: dict[str, Outbox] = {}
         self._sockets: dict[str, pynng.Push0] = {}
         self._connection_lost_callbacks: list[Callable[[str], None]] = []
@@ -162,7 +163,7 @@
 
     @override
     def handle(self, message_type: type, handler: Handler) -> None:
-        self._handlers[message_type] = handler
+        self._handlers.add(message_type, handler)
 
     @override
     async def call(self, instance: str, message: Any, timeout: float) -> Any:
@@ -291,21 +292,7 @@
             self._tasks.start_soon(self._run_handler, envelope, message)
 
     async def _run_handler(self, envelope: Envelope, message: Any) -> None:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            log.warning(
-                "message %s from %s dropped because it has no handler",
-                type(message).__name__,
-                envelope.sender,
-            )
-            return
-        try:
-            reply = await handler(envelope.sender, message)
-        except RagworttillerError as exc:
-            reply = ErrorReply(exc.body())
-        except Exception:
-            log.exception("handler of message %s failed", type(message).__name__)
-            reply = ErrorReply(RagworttillerError().body())
+        reply = await self._handlers.answer(envelope.sender, message)
         if envelope.correlation and reply is not None:
             self._send_reply(envelope, reply)
 
