Shorten the wiring of an instance

The membership, the dispatcher and the metrics now have methods of their own, as streams, ledgers and cells had, and the callers' endpoints are made with the others of the HTTP server. The order in which components are made is the same, but for the callers' endpoints, whose constructor only keeps its arguments. Behaviour does not change.

--- a/ragworttiller/process/node.py
+++ b/ragworttiller/process/node.py
@@ -105,41 +105,12 @@
         self._listing = ListingPoller(self._directory, timers, platform.list_period)
         self._fleet = HttpWorkerFleet(platform.log_timeout)
         self._peers = NngPeers(instance.name, incarnation, instance.peer_address, timers)
-        row = MemberRow(
-            instance.name,
-            incarnation,
-            0,
-            "live",
-            instance.peer_address,
-            instance.http_address,
-            instance.failure_domain,
-            0,
-        )
-        membership = settings.membership
-        self._membership = GossipMembership(
-            self._peers,
-            self._listing.current,
-            row,
-            timers,
-            membership.heartbeat_period,
-            membership.fanout,
-            membership.suspect_after,
-            rng,
-        )
+        self._membership = self._create_membership(incarnation, rng)
         self._budget = AppendBudget(timers, settings.limits.appends_per_second)
         self._config = self._create_stream(CONFIG_STREAM, ConfigFold())
         self._registry = Registry(self._config, self._peers, self._membership, timers, ITEM_CHECKS)
         self._drains = Drains(self._registry, self._listing.current)
-        self._dispatcher = Dispatcher(
-            HttpRunnerDialer(platform.log_timeout),
-            self._drains.listing,
-            self._peers,
-            self._membership,
-            RegistryUpstreams(self._registry),
-            timers,
-            self._decisions,
-            rng,
-        )
+        self._dispatcher = self._create_dispatcher(rng)
         shards = settings.shards
         self._rooms = ShardRooms(timers.now)
         self._ledgers = ShardHost(
@@ -160,28 +131,9 @@
             timers,
             self._rooms,
         )
-        self._callers = CallerApi(
-            self._dispatcher,
-            self._licensed,
-            self._metrics,
-            timers,
-            settings.limits.max_body_bytes,
-            settings.limits.request_timeout,
-        )
         self._server = self._create_http_server()
         self._decisions.subscribe(self._record_wait)
-        register_metrics(
-            self._metrics,
-            self._peers,
-            self._membership,
-            self._budget,
-            self._decisions,
-            {
-                "log": lambda: self._log.traffic,
-                "workers": lambda: self._fleet.traffic,
-                "list": lambda: self._directory.traffic,
-            },
-        )
+        self._register_metrics()
 
     async def run(self) -> None:
         """Serve until `stop` is called, then hand over shards and finish open requests."""
@@ -233,6 +185,41 @@
         await self._membership.announce_stop()
         tasks.cancel_scope.cancel()
 
+    def _create_membership(self, incarnation: int, rng: random.Random) -> GossipMembership:
+        instance, membership = self._settings.instance, self._settings.membership
+        row = MemberRow(
+            instance.name,
+            incarnation,
+            0,
+            "live",
+            instance.peer_address,
+            instance.http_address,
+            instance.failure_domain,
+            0,
+        )
+        return GossipMembership(
+            self._peers,
+            self._listing.current,
+            row,
+            self._timers,
+            membership.heartbeat_period,
+            membership.fanout,
+            membership.suspect_after,
+            rng,
+        )
+
+    def _create_dispatcher(self, rng: random.Random) -> Dispatcher:
+        return Dispatcher(
+            HttpRunnerDialer(self._settings.platform.log_timeout),
+            self._drains.listing,
+            self._peers,
+            self._membership,
+            RegistryUpstreams(self._registry),
+            self._timers,
+            self._decisions,
+            rng,
+        )
+
     def _create_stream(self, name: str, fold: Fold) -> Stream:
         return Stream(name, self._log, fold, self._timers, self._budget, self._membership.holder)
 
@@ -258,6 +245,14 @@
 
     def _create_http_server(self) -> HttpServer:
         settings = self._settings
+        callers = CallerApi(
+            self._dispatcher,
+            self._licensed,
+            self._metrics,
+            self._timers,
+            settings.limits.max_body_bytes,
+            settings.limits.request_timeout,
+        )
         status = StatusApi(
             self._readiness,
             self._status,
@@ -274,7 +269,7 @@
             Starlette(
                 routes=[
                     *status.routes(),
-                    *self._callers.routes(),
+                    *callers.routes(),
                     *operators.routes(),
                     *drains.routes(),
                 ]
@@ -283,6 +278,20 @@
             settings.tls,
         )
 
+    def _register_metrics(self) -> None:
+        register_metrics(
+            self._metrics,
+            self._peers,
+            self._membership,
+            self._budget,
+            self._decisions,
+            {
+                "log": lambda: self._log.traffic,
+                "workers": lambda: self._fleet.traffic,
+                "list": lambda: self._directory.traffic,
+            },
+        )
+
     def _record_wait(self, decision: Decision) -> None:
         if decision.chosen is not None:
             self._metrics.record_wait(decision.kind, decision.waited)
