--- a/ragworttiller/process/snapshots.py
+++ b/ragworttiller/process/snapshots.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ragworttiller.records import SnapshotPart
 from ragworttiller.timers import TimerService
@@ -30,13 +30,42 @@
     ]
 
 
-class SnapshotAssembler:
-    """Assembles snapshots from their parts as they are read."""
+class SnapshotReader:
+    """Assembles snapshots from their parts as they are read.
+
+    Attributes
+    ----------
+    as_of : int
+        Offset before which the latest complete snapshot covers all records, 1 without one.
+    size : int
+        Size of the latest complete snapshot in bytes.
+    bytes_since : int
+        Bytes of the records read since the latest complete snapshot.
+    """
 
     def __init__(self) -> None:
+        self.as_of = 1
+        self.size = 0
+        self.bytes_since = 0
         self._parts: dict[str, dict[int, bytes]] = {}
 
-    def add(self, part: SnapshotPart) -> bytes | None:
+    def read(self, record: Any, size: int) -> bytes | None:
+        """Read a record of ``size`` bytes; return the state if it completes a snapshot."""
+        self.bytes_since += size
+        if not isinstance(record, SnapshotPart):
+            return None
+        state = self._add(record)
+        if state is not None and record.as_of >= self.as_of:
+            self.as_of = record.as_of
+            self.size = len(state)
+            self.bytes_since = 0
+        return state
+
+    def clear(self) -> None:
+        """Discard the parts of incomplete snapshots."""
+        self._parts.clear()
+
+    def _add(self, part: SnapshotPart) -> bytes | None:
         """Add a part; return the state once all parts of the snapshot were added."""
         parts = self._parts.setdefault(part.snapshot, {})
         parts[part.part] = part.data
@@ -45,10 +74,6 @@
         del self._parts[part.snapshot]
         return b"".join(parts[number] for number in range(part.parts))
 
-    def clear(self) -> None:
-        """Discard all parts."""
-        self._parts.clear()
-
 
 class Retention(NamedTuple):
     """Minimum retention of each stream: ``records`` in number, ``seconds`` in age."""
--- a/ragworttiller/process/stream.py
+++ b/ragworttiller/process/stream.py
@@ -19,7 +19,7 @@
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.commits import CommitQueue
 from ragworttiller.process.fold import VALID, Committed, Fold, Verdict
-from ragworttiller.process.snapshots import SnapshotAssembler, split_snapshot
+from ragworttiller.process.snapshots import SnapshotReader, split_snapshot
 from ragworttiller.records import RECORD_CODEC, SnapshotPart
 from ragworttiller.services.log import Log, LogSlice
 from ragworttiller.timers import TimerService
@@ -85,10 +85,7 @@
         self._next_offset = 1
         self._start_found = False
         self._ready = anyio.Event()
-        self._snapshots = SnapshotAssembler()
-        self._snapshot_as_of = 1
-        self._snapshot_bytes = 0
-        self._bytes_since_snapshot = 0
+        self._snapshots = SnapshotReader()
         self._search: _SnapshotSearch | None = None
         self._expired: RecordsExpired | None = None
         self._peer_state_loaded = False
@@ -120,17 +117,17 @@
     @property
     def snapshot_as_of(self) -> int:
         """Offset before which the latest complete snapshot covers all records, 1 without one."""
-        return self._snapshot_as_of
+        return self._snapshots.as_of
 
     @property
     def snapshot_bytes(self) -> int:
         """Size of the latest complete snapshot in bytes."""
-        return self._snapshot_bytes
+        return self._snapshots.size
 
     @property
     def bytes_since_snapshot(self) -> int:
         """Bytes of the records read since the latest complete snapshot."""
-        return self._bytes_since_snapshot
+        return self._snapshots.bytes_since
 
     @property
     def ready(self) -> bool:
@@ -326,12 +323,7 @@
         except InvalidField as exc:
             log.error("stream %s: skipped undecodable entry %d: %s", self._name, offset, exc)
             return
-        self._bytes_since_snapshot += len(data)
-        state = self._snapshots.add(record) if isinstance(record, SnapshotPart) else None
-        if state is not None and record.as_of >= self._snapshot_as_of:
-            self._snapshot_as_of = record.as_of
-            self._snapshot_bytes = len(state)
-            self._bytes_since_snapshot = 0
+        state = self._snapshots.read(record, len(data))
         if self._search is None:
             self._apply(offset, record)
             return
