Remove three definitions that nothing uses

RoomIndex.total_capacity, MemoryDirectory in standins/memory.py and log_stats in tools/processes.py are named nowhere else in the package, stand-ins, tests, tools, benchmarks or docs (looked up by word). Behaviour does not change. Checked: tests/test_placement.py, test_standins.py, test_processes.py and test_cell_parts.py pass; mypy, ruff and black find nothing.

--- a/ragworttiller/placement/index.py
+++ b/ragworttiller/placement/index.py
@@ -113,10 +113,6 @@
         except KeyError:
             raise NotFound(kind="worker", name=name) from None
 
-    def total_capacity(self) -> Resources:
-        """Return the capacity of all schedulable workers together."""
-        return self._capacity
-
     def total_free(self) -> Resources:
         """Return the free room of all schedulable workers together."""
         return self._room
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -11,12 +11,10 @@
 from ragworttiller.exceptions import (
     AppendUndecided,
     LogUnavailable,
-    PlatformUnavailable,
     WorkerRefused,
     WorkerUnreachable,
 )
 from ragworttiller.resources import Resources
-from ragworttiller.services.directory import Directory, Listing
 from ragworttiller.services.log import Log, LogSlice
 from ragworttiller.services.worker import TaskReport, TaskSpec, Worker, WorkerFleet
 from ragworttiller.timers import TimerService
@@ -111,29 +109,6 @@
         return self._streams[stream].append(records)
 
 
-class MemoryDirectory(Directory):
-    """In-process directory.
-
-    Attributes
-    ----------
-    listing : Listing
-        What `list` returns; tests replace it.
-    down : bool
-        Refuse every call.
-    """
-
-    def __init__(self, listing: Listing | None = None) -> None:
-        self.listing = listing or Listing([], [], [])
-        self.down = False
-
-    @override
-    async def list(self) -> Listing:
-        await anyio.lowlevel.checkpoint()
-        if self.down:
-            raise PlatformUnavailable(service="list")
-        return self.listing
-
-
 class MemoryWorker(Worker):
     """Client of an in-process worker.
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -163,11 +163,6 @@
         self._drains.append(RunnerDrain(runner, time.monotonic()))
         await self._control(self._platform_channels, "PUT", f"/directory/runners/{runner}", row)
 
-    async def log_stats(self) -> dict[str, dict[str, int]]:
-        """Return the log's counters by instance."""
-        answer = await self._control(self._platform_channels, "GET", "/stats")
-        return dict(msgspec.json.decode(answer.body))
-
     async def history(self) -> RunHistory:
         """Return the journals of runners and workers, and the stops and drains of this cell."""
         served: list[ServedRequest] = []
