Import the gates of paused processes from their file

Cause: a test of two owners' leases, written beside the move of the gates to tests/gates.py, imported them from the old place. Checked: all tests are collected again. No logic changes.

--- a/tests/test_two_owners_leases.py
+++ b/tests/test_two_owners_leases.py
@@ -7,7 +7,8 @@
 import pytest
 
 from ragworttiller.exceptions import WorkerRefused
-from tests.cell_rig import GatedFleet, GatedWorker, Rig, scenario
+from tests.cell_rig import Rig, scenario
+from tests.gates import GatedFleet, GatedWorker
 from tests.test_cell_safety import owners
 from tests.test_lease_ends import LONG
 
