Ask the earlier owner for its end, and wait for its term only without it

Change: the new owner asks the earlier one (OwnerReplaced). Its answer ends its term and says so; an answer of another start at the address that the claim names shows that it has ended, as two processes cannot listen there. Then the lease alone remains, 5 s. Without an answer the term counts from when the last claim was read, not from the takeover. Runners that the earlier owner had not reached are waited for in full: the owner before it may order. Ruled out: the record of the entries, which a late append can turn back to an earlier start; the name alone, as a replaced machine may share it; a shorter term, which ends work in outages of the store. Conclusion: an owner that is gone for good, with its machine, is still waited for in full.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -24,6 +24,11 @@
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.ownership.earlier_owner import (
+    EarlierOwnerPeer,
+    OwnerReplaced,
+    TermEnded,
+)
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import PeerStandbys
 from ragworttiller.scheduling.records.feed import Feed
@@ -87,9 +92,12 @@
             status_seconds=settings.bounds.status_s,
             standbys=self._standbys,
             policies=lambda: choose_policies(settings.policies, settings.bounds),
+            address=instance.peer_address,
+            earlier_owner=EarlierOwnerPeer(self._peers),
         )
         self._operators = Operators(self._peers, self._entries, self._host, clock)
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
+        self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
         self._entries_feed = Feed(
             self._store, ENTRIES, self._entries, clock, poll_seconds=ENTRIES_POLL_SECONDS
@@ -186,6 +194,10 @@
     async def _handle_heartbeat(self, sender: str, heartbeat: OwnerHeartbeat) -> None:
         self._host.record_heartbeat(heartbeat)
 
+    async def _handle_owner_replaced(self, sender: str, message: OwnerReplaced) -> TermEnded:
+        self._host.record_later_owner(message.epoch)
+        return TermEnded(self._incarnation, self._settings.instance.peer_address)
+
     def _owner_name(self) -> str:
         claim = self._host.claims.claim
         return claim.owner if claim else ""
--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -7,6 +7,7 @@
 from ragworttiller.codec import MessagePackCodec
 from ragworttiller.messages import ErrorReply
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.ownership.earlier_owner import OwnerReplaced, TermEnded
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.state.jobs import StageId
 
@@ -52,5 +53,7 @@
         7: OwnerHeartbeat,
         8: ViewRequest,
         9: ViewReply,
+        10: OwnerReplaced,
+        11: TermEnded,
     }
 )
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -13,6 +13,10 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.advice import Advice
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
+from ragworttiller.scheduling.ownership.earlier_owner import (
+    EarlierOwner,
+    UnreachableEarlierOwner,
+)
 from ragworttiller.scheduling.ownership.owner import Owner
 from ragworttiller.scheduling.ownership.owner_watch import POLL_SECONDS, OwnerHeartbeat
 from ragworttiller.scheduling.ownership.ownership import Claimed, Ownership
@@ -33,6 +37,7 @@
 OWNER_JOBS_READ_INTERVAL_SECONDS = 0.03
 RUNNERS_READ_INTERVAL_SECONDS = 0.4
 CLAIM_RETRY_INTERVAL_SECONDS = 0.3
+EARLIER_OWNER_RETRY_SECONDS = 0.3
 ENDED_JOB_QUERY_SECONDS = 120.0
 
 
@@ -63,6 +68,10 @@
         Entries that receive heartbeats while this one owns the cell; none by default.
     policies : Callable
         Returns new scheduling policies for an owner; by default those of the default settings.
+    address : str
+        Address at which this instance listens for its peers.
+    earlier_owner : EarlierOwner, optional
+        Asks the earlier owner after a takeover; by default its term is waited out.
 
     Attributes
     ----------
@@ -87,7 +96,12 @@
         status_seconds: float = ENDED_JOB_QUERY_SECONDS,
         standbys: Standbys | None = None,
         policies: Callable[[], CellPolicies] = default_policies,
+        address: str = "",
+        earlier_owner: EarlierOwner | None = None,
     ) -> None:
+        self._address = address
+        self._earlier_owner = earlier_owner or UnreachableEarlierOwner()
+        self._later_epoch = 0
         self._policies = policies
         self._store = store
         self._config = config
@@ -116,7 +130,9 @@
             poll_seconds=POLL_SECONDS,
             on_empty_poll=self._claim_poll_empty,
         )
-        self._ownership = Ownership(store, self.claims_feed, self.claims, clock, name, incarnation)
+        self._ownership = Ownership(
+            store, self.claims_feed, self.claims, clock, name, incarnation, address
+        )
 
     @property
     def owner(self) -> Owner | None:
@@ -132,12 +148,13 @@
         """Claim the cell whenever it may be claimed, until cancelled or stopped."""
         while True:
             previous = await self._ownership.wait_claimable()
+            previous_read_at = self._claim_read_at or self._clock.now()
             if self._stopping:
                 return
             try:
                 claimed = await self._ownership.claim(previous)
                 if claimed is not None:
-                    await self._act_as_owner(claimed)
+                    await self._act_as_owner(claimed, previous_read_at)
             except RagworttillerError as exc:
                 log.warning("claim or takeover of the cell failed", extra={"why": exc.code})
                 await self._clock.sleep(CLAIM_RETRY_INTERVAL_SECONDS)
@@ -152,8 +169,21 @@
         """Record a heartbeat of the owner."""
         self._ownership.record_heartbeat(heartbeat)
 
-    async def _act_as_owner(self, claimed: Claimed) -> None:
-        """Run the owner until the term ends."""
+    def record_later_owner(self, epoch: int) -> None:
+        """Record that another entry owns the cell: this one no longer acts under earlier epochs."""
+        self._later_epoch = max(self._later_epoch, epoch)
+        self._end_if_superseded()
+
+    async def _act_as_owner(self, claimed: Claimed, previous_read_at: float) -> None:
+        """Run the owner until the term ends.
+
+        Parameters
+        ----------
+        claimed : Claimed
+            Ownership that was just claimed.
+        previous_read_at : float
+            Time at which the last claim of the earlier owner was read; it was sent before.
+        """
         term = claimed.term
         runners = RunnerFold()
         feed = Feed(
@@ -167,7 +197,8 @@
         await self._catch_up(feed)
         now = self._clock.now()
         known_before = max(claimed.jobs_end, self.jobs_feed.loaded_end)
-        takeover = Takeover(claimed.previous, known_before, now, TERM_SECONDS, self._lease)
+        term_left = max(previous_read_at + TERM_SECONDS - now, 0.0)
+        takeover = Takeover(claimed.previous, known_before, now, term_left, self._lease)
         cell = Cell(
             term.epoch, self.jobs, self._config, runners, takeover, self._lease, self._policies()
         )
@@ -181,6 +212,7 @@
             self._clock,
             self._name,
             self._incarnation,
+            self._address,
             self._connect,
             Retention(self.jobs, self._status_seconds),
             self._standbys,
@@ -188,11 +220,24 @@
         self._end_if_superseded()
         self.jobs_feed.min_interval = OWNER_JOBS_READ_INTERVAL_SECONDS
         try:
-            await self._owner.run(self._ownership)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._ask_earlier_owner, claimed, takeover)
+                await self._owner.run(self._ownership)
+                tasks.cancel_scope.cancel()
         finally:
             self._owner = None
             self.jobs_feed.min_interval = JOBS_READ_INTERVAL_SECONDS
 
+    async def _ask_earlier_owner(self, claimed: Claimed, takeover: Takeover) -> None:
+        """Ask the earlier owner to state its end, as long as runners have to be waited for."""
+        previous, epoch = claimed.previous, claimed.term.epoch
+        while previous is not None and not previous.released and takeover.unresolved:
+            if await self._earlier_owner.has_ended(previous, epoch):
+                log.info("earlier owner has ended", extra={"owner": previous.owner, "epoch": epoch})
+                takeover.record_owner_ended(self._clock.now())
+                return
+            await self._clock.sleep(EARLIER_OWNER_RETRY_SECONDS)
+
     async def _catch_up(self, runners_feed: Feed) -> None:
         """Read the jobs, and meanwhile the runners: with a slow store each read counts.
 
@@ -238,6 +283,7 @@
         """End the term of the owner before it acts on anything read after a later owner's claim."""
         if self._owner is None:
             return
+        self._owner.end_if_superseded(self._later_epoch, "peer")
         self._owner.end_if_superseded(self.jobs.owner_epoch, "jobs")
         if self.claims.claim is not None:
             self._owner.end_if_superseded(self.claims.claim.epoch, "claims")
--- /dev/null
+++ b/ragworttiller/scheduling/ownership/earlier_owner.py
@@ -0,0 +1,91 @@
+"""Asks the earlier owner of the cell to state that it gives no more orders."""
+
+from __future__ import annotations
+
+import logging
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+from typing_extensions import override
+
+from ragworttiller.exceptions import RagworttillerError
+from ragworttiller.process.peers import Peers
+from ragworttiller.scheduling.records.formats import Claim
+
+log = logging.getLogger(__name__)
+
+ANSWER_TIMEOUT_SECONDS = 0.5
+
+
+class OwnerReplaced(NamedTuple):
+    """Tells an entry that another one owns the cell with this epoch."""
+
+    epoch: int
+
+
+class TermEnded(NamedTuple):
+    """States that an entry gives no orders as an owner of an earlier epoch, and will give none.
+
+    ``address`` is that at which it listens for its peers: any other start there has ended.
+    """
+
+    incarnation: int
+    address: str
+
+
+class EarlierOwner(ABC):
+    """Access to the entry that owned the cell before."""
+
+    @abstractmethod
+    async def has_ended(self, claim: Claim, epoch: int) -> bool:
+        """Return whether the owner that wrote a claim provably gives no more orders.
+
+        Parameters
+        ----------
+        claim : Claim
+            Last claim of the earlier owner.
+        epoch : int
+            Epoch of the present owner.
+        """
+
+
+class UnreachableEarlierOwner(EarlierOwner):
+    """No access: its term is waited out."""
+
+    @override
+    async def has_ended(self, claim: Claim, epoch: int) -> bool:
+        return False
+
+
+class EarlierOwnerPeer(EarlierOwner):
+    """Asks the entry of that name, by its own statement or that of a later start at its address.
+
+    Parameters
+    ----------
+    peers : Peers
+        Connections to the other entries.
+    """
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+
+    @override
+    async def has_ended(self, claim: Claim, epoch: int) -> bool:
+        try:
+            answer = await self._peers.call(
+                claim.owner, OwnerReplaced(epoch), ANSWER_TIMEOUT_SECONDS
+            )
+        except RagworttillerError as exc:
+            log.info("earlier owner unreachable", extra={"owner": claim.owner, "why": exc.code})
+            return False
+        return proves_end(claim, answer)
+
+
+def proves_end(claim: Claim, answer: TermEnded) -> bool:
+    """Return whether a statement proves that the owner that wrote a claim gives no more orders.
+
+    It is the statement of that owner, or of an entry that started later at the same address.
+    """
+    if answer.incarnation == claim.incarnation:
+        return True
+    return bool(claim.address) and answer.address == claim.address
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -58,6 +58,8 @@
         Name of this instance.
     incarnation : int
         Number that identifies this start of the instance.
+    address : str
+        Address at which this instance listens for its peers.
     connect : Callable
         Returns the client of a runner, given its identifier and address.
     retention : Retention, optional
@@ -77,6 +79,7 @@
         clock: Clock,
         name: str,
         incarnation: int,
+        address: str = "",
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
         retention: Retention | None = None,
         standbys: Standbys | None = None,
@@ -90,6 +93,7 @@
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
+        self._address = address
         self._writer = GroupCommit(
             store, JOBS, Producer(PRODUCER, term.epoch), clock, first_sequence=1
         )
@@ -124,8 +128,8 @@
 
     def current_claim(self) -> Claim:
         """Return the claim to write with the next renewal."""
-        position = self._jobs_feed.position
-        return self._cell.claim(self._name, self._incarnation, position, self._clock.now())
+        position, now = self._jobs_feed.position, self._clock.now()
+        return self._cell.claim(self._name, self._incarnation, position, now, self._address)
 
     def end_if_superseded(self, epoch: int, source: str) -> None:
         """End the term if an owner of a later epoch was read of.
@@ -135,7 +139,7 @@
         epoch : int
             Epoch of the owner.
         source : str
-            Where it was read: ``claims`` or ``jobs``.
+            Where it was read: ``claims``, ``jobs`` or ``peer``.
         """
         if epoch > self._term.epoch and not self._term.ended:
             extra = {"epoch": self._term.epoch, "by": epoch, "read": source}
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -73,6 +73,8 @@
         Name of this instance.
     incarnation : int
         Number that identifies this start of the instance.
+    address : str
+        Address at which this instance listens for its peers.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         clock: Clock,
         name: str,
         incarnation: int,
+        address: str = "",
     ) -> None:
         self._store = store
         self._feed = feed
@@ -90,6 +93,7 @@
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
+        self._address = address
         self._watch = OwnerWatch(clock)
         self._sequence = 0
         self._changed = anyio.Event()
@@ -161,7 +165,17 @@
         epoch = previous.epoch + 1 if previous else 1
         roster = previous.roster if previous else []
         withdrawn = previous.withdrawn if previous else []
-        claim = Claim(self._name, self._incarnation, epoch, 0, roster, withdrawn, {})
+        claim = Claim(
+            self._name,
+            self._incarnation,
+            epoch,
+            0,
+            roster,
+            withdrawn,
+            {},
+            unsettled=roster,
+            address=self._address,
+        )
         producer = Producer(PRODUCER, epoch)
         sent_at = self._clock.now()
         if not await self._append_claim(claim, producer):
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -87,6 +87,7 @@
     no more tasks start. ``pending`` counts, by queue, the jobs before ``position`` that have not
     started. ``successor`` is set when the owner releases its ownership. ``unsettled`` names the
     runners of the roster that have not answered this owner, so that an earlier one may order there.
+    ``address`` is that at which the owner listens for its peers.
     """
 
     owner: str
@@ -99,6 +100,7 @@
     successor: str = ""
     released: bool = False
     unsettled: list[str] = []
+    address: str = ""
 
 
 class OwnerChange(NamedTuple):
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -116,7 +116,9 @@
         self.pool.refresh(now)
         self._active.refresh(now, wall)
 
-    def claim(self, owner: str, incarnation: int, position: int, now: float) -> Claim:
+    def claim(
+        self, owner: str, incarnation: int, position: int, now: float, address: str = ""
+    ) -> Claim:
         """Return the claim to write next: all that a successor must know of this owner's runs.
 
         Parameters
@@ -129,6 +131,8 @@
             Offset of the next record of the jobs to read.
         now : float
             Time in seconds.
+        address : str
+            Address at which this instance listens for its peers.
         """
         return Claim(
             owner,
@@ -139,6 +143,7 @@
             self.pool.withdraw(now),
             self.pending(),
             unsettled=self._takeover.unresolved,
+            address=address,
         )
 
     def pending(self) -> dict[str, int]:
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -32,7 +32,7 @@
     now : float
         Time of the new claim, in seconds.
     term : float
-        Seconds for which the earlier owner may act without an answer from the store.
+        Seconds for which the earlier owner may still act without an answer from the store.
     lease : float
         Duration of the leases that it granted, in seconds.
     """
@@ -42,21 +42,22 @@
     ) -> None:
         self._accepted_before = accepted_before
         self._began_at = now
-        expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
+        self._expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
+        self._reached_by_earlier_owner: frozenset[str] = frozenset()
         self._unresolved_until: dict[str, float] = {}
         self._withdrawn: dict[str, Withdrawn] = {}
         if claim is None:
             return
-        term_seconds = 0.0 if claim.released else term
-        self._unresolved_until = dict.fromkeys(claim.roster, now + term_seconds + expiry_seconds)
-        for row in claim.withdrawn:
-            if not row.renewed:
-                self._unresolved_until[row.runner] = now + expiry_seconds
-            self._withdrawn[row.runner] = row
-        # The owner before the one that has released them may still be within its term.
-        for name in claim.unsettled:
-            if not self.called_not_renewed(name):
-                self._unresolved_until[name] = now + term + expiry_seconds
+        self._withdrawn = {row.runner: row for row in claim.withdrawn}
+        # On the others, the owner before that one may still be within its term.
+        self._reached_by_earlier_owner = frozenset(claim.roster) - frozenset(claim.unsettled)
+        until = now + term + self._expiry_seconds
+        self._unresolved_until = dict.fromkeys(claim.roster, until)
+        for name in claim.roster:
+            if self.called_not_renewed(name):
+                self._unresolved_until[name] = now + self._expiry_seconds
+        if claim.released:
+            self.record_owner_ended(now)
         log.info(
             "takeover began",
             extra={
@@ -95,6 +96,12 @@
         extra = {"runner": runner, "why": reason, "after": seconds}
         log.info("runner of an earlier owner settled", extra=extra)
 
+    def record_owner_ended(self, now: float) -> None:
+        """Record that the earlier owner has given its last order: its leases remain."""
+        for name in self._reached_by_earlier_owner & self._unresolved_until.keys():
+            until = min(self._unresolved_until[name], now + self._expiry_seconds)
+            self._unresolved_until[name] = until
+
     def expire(self, now: float) -> None:
         """Resolve the runners on which all runs of the earlier owner have ended by now."""
         for name in [name for name, until in self._unresolved_until.items() if until <= now]:
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -21,10 +21,18 @@
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
 from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.ownership.earlier_owner import EarlierOwner, TermEnded, proves_end
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import Standbys
 from ragworttiller.scheduling.records.feed import Feed
-from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX, JOBS, Accepted, JobState, encode
+from ragworttiller.scheduling.records.formats import (
+    CANCEL_SUFFIX,
+    JOBS,
+    Accepted,
+    Claim,
+    JobState,
+    encode,
+)
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from standins.platform.runner import RunMonitor, RunnerService
@@ -63,12 +71,27 @@
                 entry.host.record_heartbeat(heartbeat)
 
 
+class RigEarlierOwner(EarlierOwner):
+    """Reaches every running entry, unless `peers_cut` is set; its name is its address."""
+
+    def __init__(self, rig: OwnersRig):
+        self._rig = rig
+
+    async def has_ended(self, claim: Claim, epoch: int) -> bool:
+        entry = self._rig.entries[claim.owner]
+        if self._rig.peers_cut or entry.scope.cancel_called:
+            return False
+        entry.host.record_later_owner(epoch)
+        return proves_end(claim, TermEnded(entry.incarnation, entry.name))
+
+
 class Entry:
     """One entry: its host, its links, and the scope that ends it."""
 
     def __init__(self, rig: OwnersRig, name: str, incarnation: int):
         self.rig = rig
         self.name = name
+        self.incarnation = incarnation
         self.store_link = Link(rig.store, rig.timers)
         self.runner_links: dict[str, Link] = {}
         self.store = Store("", 1.0, self.store_link)
@@ -83,6 +106,8 @@
             incarnation,
             connect=self.connect,
             standbys=RigStandbys(rig, name),
+            address=name,
+            earlier_owner=RigEarlierOwner(rig),
         )
         self.scope = anyio.CancelScope()
 
@@ -120,6 +145,7 @@
         self.sizes: dict[str, Resources] = {}
         self.client = Store("", 1.0, Link(self.store, self.timers))
         self.heartbeats_lost = False
+        self.peers_cut = False
         self._incarnation = 0
         self.store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(CONFIG).encode())
         for number in range(1, runners + 1):
