--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -38,7 +39,7 @@
 from standins.platform.runner import RunMonitor, RunnerService
 from standins.platform.service import Link
 from standins.platform.store import StoreService
-from standins.virtual_time import LoopTimers
+from standins.virtual_time import LoopTimers, run_virtual
 from tests.scheduling_rig import QUEUE, job_body
 
 CONFIG = {
@@ -216,3 +217,19 @@
 
 def job_id(number: int) -> str:
     return f"{number:016x}"
+
+
+def with_rig(body: Callable[[OwnersRig], Awaitable[None]], runners: int = 3, work: float = 0.5):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            await body(OwnersRig(tasks, runners, work))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+async def start_entries(rig: OwnersRig, names: tuple[str, ...] = ("e1", "e2", "e3")):
+    for name in names:
+        rig.add_entry(name)
+    await rig.timers.sleep(2.0)
+    assert rig.owner is not None
