Let a new boot answer at the address of an old one in the stand-ins

Tests of owners had one link per runner id, no boot that follows another, no draining and no list changes, so they could not show what an old boot's client gets from its successor.

- A runner takes the deadline of a start that is refused as old or is a repeat, as PROTOCOL.md says, and may need time for a stop.
- A link may carry orders out without an answer.
Orders of an entry that was killed are still carried out late, and late orders no longer wait for each other.
- The rig reads the store once for all jobs that it waits for.

Not modelled: max_hold_ms, room and 500 ends at a time, checkpoints that are written while a task runs, and gangs.

--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -72,6 +72,7 @@
         self.ends_at = ends_at
         self.size = size
         self.checkpoint = checkpoint
+        self.stopped = False
 
     def percent_done(self, now: float) -> int:
         """Return the share of the work that is done at ``now``, in percent."""
@@ -99,6 +100,8 @@
         Speed of the runner's clock, as a multiple of real time.
     size : Callable
         Returns the size of a task, given its name.
+    stop_seconds : float
+        Seconds that a stop takes.
     """
 
     def __init__(
@@ -111,6 +114,7 @@
         fails: Callable[[str, int], bool] = lambda task, run: False,
         rate: float = 1.0,
         size: Callable[[str], Resources] = lambda task: NO_RESOURCES,
+        stop_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.capacity = capacity
@@ -120,6 +124,7 @@
         self._fails = fails
         self._rate = rate
         self._size = size
+        self._stop_seconds = stop_seconds
         self._fence_token = 0
         self._lease_end = 0.0
         self._last_end_number = 0
@@ -140,14 +145,29 @@
         self.end_due_runs()
         return sorted(self._running)
 
-    def record(self, upstream: str, address: str, state: str = "ready") -> bytes:
-        """Return the record that the runner writes into the store."""
+    def record(
+        self, upstream: str, address: str, state: str = "ready", remaining: float | None = None
+    ) -> bytes:
+        """Return the record that the runner writes into the store.
+
+        Parameters
+        ----------
+        upstream, address : str
+            Service and ``host:port``.
+        state : str
+            ``ready`` or ``draining``.
+        remaining : float, optional
+            Minimum seconds until a draining runner leaves; left out by default.
+        """
         capacity = {
             "cpu": self.capacity.cpu,
             "mem_mb": self.capacity.memory,
             "gpu": self.capacity.accelerators,
         }
-        row = {"service": upstream, "address": address, "state": state, "capacity": capacity}
+        row: dict[str, Any] = {"service": upstream, "address": address, "state": state}
+        row["capacity"] = capacity
+        if remaining is not None:
+            row["remaining_ms"] = int(remaining * 1000)
         return json.dumps({**row, "labels": ["a", "r1-1"], "zone": "a", "seq": 1}).encode()
 
     @override
@@ -172,7 +192,7 @@
         now, lease_expiry = self._timers.now(), self._lease_end / self._rate
         for task, row in list(self._running.items()):
             if row.ends_at <= min(now, lease_expiry):
-                self._end(task, "failed" if self._fails(task, row.run) else "done")
+                self._end(task, self._outcome(task, row))
             elif now > lease_expiry:
                 self._end(task, "lapsed")
 
@@ -182,8 +202,15 @@
             self._monitor.record_end(task, row.run, self.name)
         self._running.clear()
 
+    def _outcome(self, task: str, row: _Run) -> str:
+        if row.stopped:
+            return "stopped"
+        return "failed" if self._fails(task, row.run) else "done"
+
     def _start(self, command: dict[str, Any]) -> Answer:
         task, run = command["task"], command["run"]
+        # The deadline counts for all runs here, also if this start is a repeat or is refused.
+        self._lease_end = max(self._lease_end, command["deadline_ms"] / 1000)
         row = self._running.get(task)
         if row is not None and row.run == run:
             return self._reply(200)
@@ -191,7 +218,6 @@
             return self._reply(409, {"reason": "old"})
         if command["deadline_ms"] / 1000 <= self.clock:
             return self._reply(409, {"reason": "late"})
-        self._lease_end = max(self._lease_end, command["deadline_ms"] / 1000)
         self._monitor.record_start(task, run, self.name)
         now = self._timers.now()
         checkpoint = command.get("last_checkpoint", "")
@@ -208,8 +234,11 @@
         task, run = command["task"], command["run"]
         self._highest_run[task] = max(self._highest_run.get(task, 0), run)
         row = self._running.get(task)
-        if row is not None and row.run == run:
-            self._end(task, "stopped")
+        ends_at = self._timers.now() + self._stop_seconds
+        if row is not None and row.run == run and ends_at < row.ends_at:
+            row.ends_at, row.stopped = ends_at, True
+            self.end_due_runs()
+            self._wake_holds()
         return self._reply(200)
 
     async def _hold(self, command: dict[str, Any]) -> Answer:
@@ -238,6 +267,9 @@
         self._last_end_number += 1
         self._ended.append((self._last_end_number, task, row.run, end_state, row.checkpoint))
         self._monitor.record_end(task, row.run, self.name)
+        self._wake_holds()
+
+    def _wake_holds(self) -> None:
         self._run_ended.set()
         self._run_ended = anyio.Event()
 
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -5,8 +5,11 @@
 import json
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from contextlib import suppress
 from typing import Any
 
+import anyio
+
 from ragworttiller.platform.channel import Answer, ExchangeBroken, NotSent, Traffic
 from ragworttiller.timers import TimerService
 
@@ -43,6 +46,8 @@
     ----------
     cut : bool
         Whether exchanges are neither carried out nor answered.
+    unanswered : bool
+        Whether exchanges are carried out but get no answer.
     refused : bool
         Whether connections are refused.
     silent_next : int
@@ -63,6 +68,7 @@
         self._delayed: list[tuple[float, tuple[str, str, bytes, dict[str, str]]]] = []
         self.traffic = Traffic()
         self.cut = False
+        self.unanswered = False
         self.refused = False
         self.lose_next = 0
         self.late_next: list[float] = []
@@ -94,8 +100,8 @@
             self._delayed.append((self._timers.now() + self.late_next.pop(0), exchange))
             await self._timers.sleep(timeout or DEFAULT_TIMEOUT_SECONDS)
             raise ExchangeBroken("late")
-        if self.lose_next:
-            self.lose_next -= 1
+        if self.unanswered or self.lose_next:
+            self.lose_next = max(self.lose_next - 1, 0)
             await self.service.answer(*exchange)
             await self._timers.sleep(timeout or DEFAULT_TIMEOUT_SECONDS)
             raise ExchangeBroken("lost")
@@ -103,13 +109,31 @@
             return await self.service.answer(*exchange)
         raise ExchangeBroken("slow")
 
+    @property
+    def delivery_due(self) -> bool:
+        """Whether a delayed exchange is to be carried out now."""
+        return any(at <= self._timers.now() for at, _ in self._delayed)
+
     async def deliver_late(self) -> None:
         """Carry out the delayed exchanges that are due."""
         now = self._timers.now()
         due = [exchange for at, exchange in self._delayed if at <= now]
         self._delayed = [row for row in self._delayed if row[0] > now]
-        for exchange in due:
+        async with anyio.create_task_group() as tasks:
+            for exchange in due:
+                tasks.start_soon(self._carry_out_late, exchange)
+
+    async def _carry_out_late(self, exchange: tuple[str, str, bytes, dict[str, str]]) -> None:
+        with suppress(NotSent, ExchangeBroken):
             await self.service.answer(*exchange)
 
+    def lift_faults(self) -> None:
+        """Carry out and answer all exchanges from now on; delayed ones remain."""
+        self.cut = self.unanswered = self.refused = False
+        self.lose_next = self.silent_next = 0
+        self.late_next = []
+        self.paused_until = 0.0
+        self.silent_target = ""
+
     async def close(self) -> None:
         """Do nothing: there is no connection."""
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -36,6 +36,7 @@
 )
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from standins.platform.machine import Machine
 from standins.platform.runner import RunMonitor, RunnerService
 from standins.platform.service import Link
 from standins.platform.store import StoreService
@@ -111,18 +112,25 @@
             earlier_owner=RigEarlierOwner(rig),
         )
         self.scope = anyio.CancelScope()
+        self.stopping = False
 
     @property
     def links(self) -> list[Link]:
         return [self.store_link, *self.runner_links.values()]
 
-    def link(self, runner: str) -> Link:
-        if runner not in self.runner_links:
-            self.runner_links[runner] = Link(self.rig.runners[runner], self.rig.timers)
-        return self.runner_links[runner]
+    def link(self, machine: str) -> Link:
+        """Return the link to a machine, on which each of its boots answers."""
+        if machine not in self.runner_links:
+            self.runner_links[machine] = Link(self.rig.machines[machine], self.rig.timers)
+        return self.runner_links[machine]
 
     def connect(self, runner: str, address: str) -> RunnerClient:
-        return RunnerClient(runner, address, self.link(runner))
+        return RunnerClient(runner, address, self.link(address.split(":")[0]))
+
+    def stop(self, successor: str):
+        """Stop as planned, in favour of a successor."""
+        self.stopping = True
+        self.host.stop(successor)
 
     async def run(self):
         with self.scope:
@@ -140,41 +148,94 @@
         self.timers = LoopTimers()
         self.store = StoreService(self.timers)
         self.monitor = RunMonitor()
-        self.runners: dict[str, RunnerService] = {}
+        self.machines: dict[str, Machine] = {}
         self.entries: dict[str, Entry] = {}
+        self.started_entries: list[Entry] = []
         self.work = work
+        self.work_by_job: dict[str, float] = {}
+        self.failing: set[str] = set()
+        self.stop_seconds = 0.0
         self.sizes: dict[str, Resources] = {}
         self.client = Store("", 1.0, Link(self.store, self.timers))
         self.heartbeats_lost = False
         self.peers_cut = False
+        self.draining: dict[str, float] = {}
+        self._boots = 0
         self._incarnation = 0
         self.store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(CONFIG).encode())
         for number in range(1, runners + 1):
             self.add_runner(f"w{number}")
 
-    def add_runner(self, name: str, address: str = ""):
-        size = Resources(4000, 8000, 0)
-        self.runners[name] = RunnerService(
+    @property
+    def runners(self) -> dict[str, RunnerService]:
+        """Boots that are up, by identifier."""
+        boots = [machine.boot for machine in self.machines.values()]
+        return {boot.name: boot for boot in boots if boot is not None}
+
+    def add_runner(self, name: str):
+        """Add a machine whose first boot has its name."""
+        self.machines[name] = Machine(name, self.timers)
+        self.boot(name, name)
+
+    def boot(self, machine: str, name: str):
+        """Start a boot on a machine that is off, and list it."""
+        self.machines[machine].boot = RunnerService(
             name,
             self.timers,
             self.monitor,
-            size,
-            work=lambda task: self.work,
+            Resources(4000, 8000, 0),
+            work=self.work_seconds,
+            fails=self.fails,
             rate=0.98,
             size=lambda task: self.sizes.get(task.split(".")[0], Resources(1000, 100, 0)),
+            stop_seconds=self.stop_seconds,
         )
-        entry = self.runners[name].record("desk", address or f"{name}:1")
-        self.store.put(RUNNERS_TOPIC, name, entry)
+        self.list_boot(machine)
+
+    def new_boot_name(self, machine: str) -> str:
+        """Return an identifier that no boot has had."""
+        self._boots += 1
+        return f"{machine}-boot{self._boots}"
+
+    def list_boot(self, machine: str):
+        """Write the record of the boot that is up on a machine."""
+        boot, address = self.machines[machine].boot, self.machines[machine].address
+        remaining = self.draining.get(machine)
+        state = "ready" if remaining is None else "draining"
+        if boot is not None:
+            self.list_entry(boot.name, boot.record("desk", address, state, remaining))
+
+    def list_entry(self, runner: str, entry: bytes = b""):
+        """Write the record of a runner, empty to drop it from the list."""
+        self.store.put(RUNNERS_TOPIC, runner, entry)
+
+    def work_seconds(self, task: str) -> float:
+        """Return the run time of a task."""
+        return self.work_by_job.get(task.split(".")[0], self.work)
+
+    def fails(self, task: str, run: int) -> bool:
+        """Return whether a run fails at its end."""
+        return task.split(".")[0] in self.failing
 
     def add_entry(self, name: str) -> Entry:
+        """Start an entry; an earlier start of the same name ends."""
+        if name in self.entries:
+            self.kill(name)
         self._incarnation += 1
         entry = self.entries[name] = Entry(self, name, self._incarnation)
+        self.started_entries.append(entry)
         self.tasks.start_soon(entry.run)
         return entry
 
     def kill(self, name: str):
         self.entries[name].scope.cancel()
 
+    def restart_killed(self):
+        """Start all entries that were killed."""
+        for entry in list(self.entries.values()):
+            if entry.scope.cancel_called:
+                self.add_entry(entry.name)
+
     @property
     def owner(self) -> Entry | None:
         """First running entry that acts as the owner of the cell."""
@@ -198,21 +259,24 @@
             except (LogUnavailable, AppendUndecided):
                 await self.timers.sleep(0.2)
 
-    async def state(self, job: str) -> JobState:
+    async def states(self, jobs: Iterable[str]) -> list[JobState]:
         fold = JobFold()
         await Feed(self.client, JOBS, fold, self.timers).catch_up()
-        row = fold.get(job)
-        assert row is not None
-        return row.state
+        rows = [fold.get(job) for job in jobs]
+        assert None not in rows
+        return [row.state for row in rows if row is not None]
 
     async def wait_completed(self, *jobs: str, within: float = 60.0) -> float:
         """Wait until the jobs are completed and return the seconds that it took."""
         start = self.timers.now()
         while self.timers.now() < start + within:
-            if all([await self.state(job) == JobState.COMPLETED for job in jobs]):
+            states = await self.states(jobs)
+            if all(state == JobState.COMPLETED for state in states):
                 return self.timers.now() - start
             await self.timers.sleep(0.1)
-        raise AssertionError(f"not completed: {[await self.state(job) for job in jobs]}")
+        states = dict(zip(jobs, map(str, await self.states(jobs)), strict=True))
+        unfinished = {job: state for job, state in states.items() if state != JobState.COMPLETED}
+        raise AssertionError(f"not completed: {unfinished}")
 
 
 def job_id(number: int) -> str:
