Run jobs among reborn runners, list changes, drains and splits

tests/fault_injector.py gains faults at single runners and their list entries and storms of several faults around one machine; tests/claim_faults.py has faults of owners that follow each other while a runner is out of reach; tests/soak.py runs one to three injectors at once, drawn from the seed, with short, long, checkpointed, lasting and cancelled jobs. After 40 s the faults are lifted: no task may have run twice, overbooked its runner or be lost.

An owner that is cut off with some runners may act for 7 s, but its leases on the others expire after 4.6 s. It takes them for expired although a successor renews them since 1.4 s, and starts their tasks again. TestSplits shows it without a seed.

--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,166 @@
+"""Jobs of many kinds under random faults, and what must hold of them afterwards."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from tests.claim_faults import ClaimFaults
+from tests.fault_injector import (
+    EntryFaults,
+    FaultInjector,
+    MachineStorms,
+    RunnerFaults,
+    deliver_late,
+    lift_faults,
+)
+from tests.owners_rig import OwnersRig, job_id, start_entries, with_rig
+from tests.scheduling_rig import step
+
+InjectorChoice = Callable[[OwnersRig, int], list[FaultInjector]]
+
+FAULT_SECONDS = 40.0
+SECONDS_TO_END = 120.0
+LASTING_TASKS = 2
+MAX_LASTING_JOBS = 3
+
+
+class Workload:
+    """Submits jobs all the time: short, long, checkpointed, lasting and cancelled ones."""
+
+    def __init__(self, rig: OwnersRig, seed: int):
+        self.rig = rig
+        self.rng = random.Random(f"{seed} jobs")
+        self.finite: list[str] = []
+        self.lasting: list[str] = []
+        self.to_cancel: list[str] = []
+        self._number = 0
+
+    async def run(self):
+        kinds = (self.short, self.long, self.long, self.checkpointed, self.cancelled, self.last)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._number += 1
+                job = job_id(self._number)
+                tasks.start_soon(self.rng.choice(kinds), job)
+                await self.rig.timers.sleep(self.rng.uniform(0.8, 2.5))
+
+    async def short(self, job: str):
+        self.rig.work_by_job[job] = self.rng.uniform(0.5, 3.0)
+        await self.rig.submit(job, step(5), step(2, after=[0]))
+        self.finite.append(job)
+
+    async def long(self, job: str):
+        self.rig.work_by_job[job] = self.rng.uniform(6.0, 14.0)
+        await self.rig.submit(job, step(3))
+        self.finite.append(job)
+
+    async def checkpointed(self, job: str):
+        self.rig.work_by_job[job] = self.rng.uniform(3.0, 7.0)
+        await self.rig.submit(job, step(4, checkpoints=True))
+        self.finite.append(job)
+
+    async def cancelled(self, job: str):
+        self.rig.work_by_job[job] = 60.0
+        seconds = self.rng.uniform(0.2, 6.0)
+        await self.rig.submit(job, step(4))
+        self.to_cancel.append(job)
+        await self.rig.timers.sleep(seconds)
+        await self.rig.cancel(job)
+
+    async def last(self, job: str):
+        """Submit tasks that last and fail at times, unless there are enough."""
+        if len(self.lasting) >= MAX_LASTING_JOBS:
+            return
+        self.rig.work_by_job[job] = self.rng.uniform(5.0, 15.0)
+        self.rig.failing.add(job)
+        await self.rig.submit(job, step(LASTING_TASKS, daemon=True))
+        self.lasting.append(job)
+
+
+class Judge:
+    """Checks that nothing was lost once the faults are lifted."""
+
+    def __init__(self, rig: OwnersRig, work: Workload):
+        self.rig = rig
+        self.work = work
+
+    async def problems(self) -> list[str]:
+        """Return the tasks that ran twice, overbooked their runner or were lost."""
+        lost: list[str] = []
+        for check in (self._jobs_end, self._lasting_run, self._cancelled_stop):
+            try:
+                await check()
+            except AssertionError as exc:
+                lost.append(f"lost: {exc}")
+        return [*self.rig.monitor.violations, *lost]
+
+    async def _jobs_end(self):
+        await self.rig.wait_completed(*self.work.finite, within=SECONDS_TO_END)
+
+    async def _lasting_run(self):
+        """Each lasting task is at work, though each may just have failed."""
+        expected = {f"{j}.0.0.{i}" for j in self.work.lasting for i in range(LASTING_TASKS)}
+        seen: set[str] = set()
+        until = self.rig.timers.now() + 20.0
+        while not expected <= seen and self.rig.timers.now() < until:
+            await self.rig.timers.sleep(0.2)
+            seen |= self._running()
+        assert expected <= seen, f"lasting tasks not at work: {sorted(expected - seen)}"
+
+    async def _cancelled_stop(self):
+        for job in [*self.work.lasting, *self.work.to_cancel]:
+            await self.rig.cancel(job)
+        until = self.rig.timers.now() + 15.0
+        while self._running() and self.rig.timers.now() < until:
+            await self.rig.timers.sleep(0.2)
+        assert not self._running(), f"still at work: {sorted(self._running())}"
+
+    def _running(self) -> set[str]:
+        return {task for boot in self.rig.runners.values() for task in boot.running}
+
+
+def choose_injectors(rig: OwnersRig, seed: int) -> list[FaultInjector]:
+    """Return one to three injectors that act at once; too many faults let no task start."""
+    kinds = (MachineStorms, ClaimFaults, RunnerFaults, EntryFaults)
+    rng = random.Random(f"{seed} injectors")
+    return [rng.choice(kinds)(rig, f"{seed} {n}") for n in range(rng.randrange(1, 4))]
+
+
+def storms(rig: OwnersRig, seed: int) -> list[FaultInjector]:
+    """Return two injectors of storms around single machines."""
+    return [MachineStorms(rig, f"{seed} {n}") for n in range(2)]
+
+
+def claim_faults(*names: str) -> InjectorChoice:
+    """Return a choice of one injector of some of the faults of claims, by name."""
+
+    def choose(rig: OwnersRig, seed: int) -> list[FaultInjector]:
+        return [ClaimFaults(rig, str(seed), names)]
+
+    return choose
+
+
+def run_soak(seed: int, choice: InjectorChoice = choose_injectors) -> list[str]:
+    """Run jobs while the injectors act, and return the problems that were found."""
+    problems: list[str] = []
+
+    async def body(rig: OwnersRig):
+        rig.stop_seconds = 0.3
+        await start_entries(rig)
+        work = Workload(rig, seed)
+        injectors = choice(rig, seed)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(deliver_late, rig)
+            tasks.start_soon(work.run)
+            for injector in injectors:
+                tasks.start_soon(injector.run, FAULT_SECONDS)
+            await rig.timers.sleep(FAULT_SECONDS)
+            tasks.cancel_scope.cancel()
+        lift_faults(rig)
+        problems.extend(await Judge(rig, work).problems())
+
+    with_rig(body, runners=5)
+    return problems
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -2,123 +2,27 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-
 import anyio
 import pytest
 
 from ragworttiller.exceptions import OrderRefused, OrderUndecided
+from ragworttiller.platform import runners
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.scheduling.ownership import runner_calls
+from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.state import run_tracker
 from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.takeover import Takeover
-from standins.platform.service import Link
-from tests.owners_rig import Entry, OwnersRig, job_id, start_entries, with_rig
+from tests.fault_injector import EntryFaults, deliver_late
+from tests.owners_rig import OwnersRig, job_id, start_entries, with_rig
 from tests.scheduling_rig import step
+from tests.soak import InjectorChoice, claim_faults, run_soak, storms
 
 JOB_COUNT = 9
 
 
-class FaultInjector:
-    """Injects faults at random times, most of them at the owner."""
-
-    def __init__(self, rig: OwnersRig, seed: int):
-        self.rig = rig
-        self.rng = random.Random(seed)
-        self.faults = (
-            self.restart,
-            self.pause,
-            self.late_orders,
-            self.lose_answers,
-            self.store_down,
-            self.cut,
-            self.cut_runner,
-            self.cut_runner_and_kill,
-            self.expire,
-            self.lose_heartbeats,
-            self.slow_store,
-        )
-
-    async def run(self, seconds: float):
-        end = self.rig.timers.now() + seconds
-        while self.rig.timers.now() < end:
-            await self.rig.timers.sleep(self.rng.uniform(0.2, 2.0))
-            entry = self.rig.owner if self.rng.random() < 0.7 else None
-            entry = entry or self.rig.entries[self.rng.choice(sorted(self.rig.entries))]
-            await self.rng.choice(self.faults)(entry)
-
-    async def deliver_late(self):
-        while True:
-            await self.rig.timers.sleep(0.05)
-            for entry in list(self.rig.entries.values()):
-                for link in entry.links:
-                    await link.deliver_late()
-
-    async def restart(self, entry: Entry):
-        self.rig.kill(entry.name)
-        await self.rig.timers.sleep(self.rng.uniform(0.0, 2.0))
-        self.rig.add_entry(entry.name)
-
-    async def pause(self, entry: Entry):
-        until = self.rig.timers.now() + self.rng.uniform(1.0, 13.0)
-        for link in entry.links:
-            link.paused_until = until
-
-    async def late_orders(self, entry: Entry):
-        for link in self.random_links(entry):
-            link.late_next = [self.rng.uniform(0.3, 3.0) for _ in range(4)]
-
-    async def lose_answers(self, entry: Entry):
-        for link in self.random_links(entry):
-            link.lose_next = self.rng.randrange(4)
-
-    async def store_down(self, entry: Entry):
-        self.rig.store.down = True
-        await self.rig.timers.sleep(self.rng.uniform(0.5, 5.0))
-        self.rig.store.down = False
-
-    async def cut(self, entry: Entry):
-        links = self.random_links(entry)
-        for link in links:
-            link.cut = True
-        await self.rig.timers.sleep(self.rng.uniform(0.5, 6.0))
-        for link in links:
-            link.cut = False
-
-    async def cut_runner(self, entry: Entry, then: Callable[[], None] = lambda: None):
-        runner = self.rng.choice(sorted(self.rig.runners))
-        links = [e.link(runner) for e in self.rig.entries.values()]
-        for link in links:
-            link.cut = True
-        then()
-        await self.rig.timers.sleep(self.rng.uniform(1.0, 8.0))
-        for link in links:
-            link.cut = False
-
-    async def cut_runner_and_kill(self, entry: Entry):
-        await self.cut_runner(entry, lambda: self.rig.kill(entry.name))
-        self.rig.add_entry(entry.name)
-
-    async def expire(self, entry: Entry):
-        self.rig.store.expire("keyed.jobs")
-
-    async def lose_heartbeats(self, entry: Entry):
-        self.rig.heartbeats_lost = True
-        await self.rig.timers.sleep(self.rng.uniform(0.5, 4.0))
-        self.rig.heartbeats_lost = False
-
-    async def slow_store(self, entry: Entry):
-        self.rig.store.write_seconds = self.rng.uniform(0.05, 0.8)
-        await self.rig.timers.sleep(self.rng.uniform(0.5, 5.0))
-        self.rig.store.write_seconds = 0.0
-
-    def random_links(self, entry: Entry) -> list[Link]:
-        return [link for link in entry.links if self.rng.random() < 0.6]
-
-
 def run_with_faults(seed: int) -> OwnersRig:
     """Run the cell with random faults and return its rig."""
     rigs: list[OwnersRig] = []
@@ -126,9 +30,9 @@
     async def body(rig: OwnersRig):
         rigs.append(rig)
         await start_entries(rig)
-        injector = FaultInjector(rig, seed)
+        injector = EntryFaults(rig, seed)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(injector.deliver_late)
+            tasks.start_soon(deliver_late, rig)
             tasks.start_soon(injector.run, 40.0)
             for number in range(JOB_COUNT):
                 await rig.submit(job_id(number), step(5, 1000), step(2, 1000, after=[0]))
@@ -137,8 +41,7 @@
         rig.store.down, rig.heartbeats_lost, rig.store.write_seconds = False, False, 0.0
         for entry in rig.entries.values():
             for link in entry.links:
-                link.cut, link.paused_until, link.lose_next = False, 0.0, 0
-                link.late_next = []
+                link.lift_faults()
         await rig.wait_completed(*map(job_id, range(JOB_COUNT)), within=120.0)
 
     with_rig(body, runners=4, work=2.5)
@@ -152,6 +55,33 @@
         assert rig.monitor.violations == []
 
 
+class TestSplits:
+    def test_a_replaced_owner_does_not_take_leases_for_expired_that_its_successor_renews(self):
+        """Cut off with one runner, it may act for longer than the leases last that it granted."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            await rig.submit(job_id(1), step(6))
+            await rig.timers.sleep(0.6)
+            first = rig.owner
+            free = min(rig.runners, key=lambda name: len(rig.runners[name].running))
+            for entry in rig.entries.values():
+                for runner in rig.machines:
+                    entry.link(runner).cut = (entry is first) != (runner == free)
+            first.store_link.cut = True
+            await rig.timers.sleep(9.0)
+            assert rig.monitor.violations == []
+            assert len(rig.monitor.starts) >= 6
+
+        with_rig(body, work=12.0)
+
+
+class TestSoak:
+    @pytest.mark.parametrize("seed", range(16))
+    def test_no_task_runs_twice_or_is_lost_among_reborn_runners_and_cuts(self, seed: int):
+        assert run_soak(seed) == []
+
+
 def find_violations(seeds: range) -> list[str]:
     violations: list[str] = []
     for seed in seeds:
@@ -216,3 +146,53 @@
 
         monkeypatch.setattr(RunnerClient, "_send_order", order_without_fence)
         assert find_violations(range(40))
+
+
+def find_problems(choice: InjectorChoice) -> list[str]:
+    """Return the problems of the first soak in which there are any."""
+    return next(filter(None, (run_soak(seed, choice) for seed in range(40))), [])
+
+
+class TestMutationsOfProofs:
+    """Without any one of the proofs of an end, the soak finds a violation."""
+
+    def test_another_list_entry_at_its_address_taken_for_an_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        refresh = RunnerPool.refresh
+
+        def refresh_by_address(self: RunnerPool, now: float):
+            refresh(self, now)
+            listed = {entry.address for entry in self._listed.entries.values()}
+            for runner in list(self.runners.values()):
+                if not runner.listed and runner.entry.address in listed:
+                    self.remove_ended_boot(runner, now, "another boot has its address")
+
+        monkeypatch.setattr(RunnerPool, "refresh", refresh_by_address)
+        assert find_problems(storms)
+
+    def test_a_dropped_entry_and_a_missed_call_taken_for_an_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        refresh = RunnerPool.refresh
+
+        def refresh_by_list(self: RunnerPool, now: float):
+            refresh(self, now)
+            for runner in list(self.runners.values()):
+                if not runner.listed and runner.misses and not runner.has_answered:
+                    self.remove_ended_boot(runner, now, "the platform no longer lists it")
+
+        monkeypatch.setattr(RunnerPool, "refresh", refresh_by_list)
+        assert find_problems(storms)
+
+    def test_a_silent_runner_handed_on_without_tasks(self, monkeypatch: pytest.MonkeyPatch):
+        monkeypatch.setattr(Takeover, "is_unresolved", lambda self, runner: False)
+        assert find_problems(claim_faults("owners_in_a_row"))
+
+    def test_calls_not_addressed_to_one_boot(self, monkeypatch: pytest.MonkeyPatch):
+        monkeypatch.setattr(runners, "INSTANCE_HEADER", "Unknown-Header")
+        assert find_problems(storms)
+
+    def test_a_replaced_owner_that_acts_on_later_jobs(self, monkeypatch: pytest.MonkeyPatch):
+        monkeypatch.setattr(CellHost, "_end_if_superseded", lambda self: None)
+        assert find_problems(claim_faults("hide_claim"))
