End runs only as of a time at which the cell was still owned

What callers would see, and what both cases of the incident look like: a task on two runners at once, ordered by two owners. Cause: an owner that is cut off from the store and from most runners acts for 7 s more. Its successor reaches a runner after 1 s, adopts its runs and renews its lease. 4.6 s after the last answer the first owner called that lease expired and started the same tasks on a runner that the successor had not reached. A boot that another one answers for, and the leases of an owner before it, counted in the same way; the successor may have recorded ends. Change: leases and boots end runs only as of the last stored renewal, when no later owner existed; a renewal is asked for at once when that is all that is missing. Ruled out: a term shorter than a lease, which stops work in outages of the store. While the store is away, tasks of a runner that fails wait for its return.

--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -148,6 +148,7 @@
 
     def _enroll_runners(self, claim: Claim) -> None:
         self._cell.pool.enroll(claim)
+        self._cell.pool.owned_at = self._term.renewed_at
         self.request_plan()
 
     # Planning
@@ -168,7 +169,7 @@
         cell.refresh(self._clock.now(), self._clock.wall())
         for runner in self._calls.connect_new():
             self._spawn(self._calls.hold_loop, runner)
-        if cell.pool.awaits_enrollment:
+        if cell.pool.awaits_enrollment or cell.pool.awaits_ownership(self._clock.now()):
             ownership.renew_now()
 
     def _issue_orders(self) -> None:
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -85,7 +85,7 @@
     async def _hold(self, runner: RunnerState, client: RunnerClient) -> None:
         """Renew the lease of a runner, and apply its answer: running tasks and ended runs."""
         cell, now = self._cell, self._clock.now()
-        if not self._term.valid:
+        if not self._term.valid or runner.ended_at is not None:
             await self._clock.sleep(HOLD_RETRY_SECONDS)
             return
         deadline = runner.grant_lease(now, cell.lease)
@@ -95,7 +95,7 @@
         except AppendFenced:
             self._term.end_fenced(runner.id)
         except RunnerGone:
-            cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+            cell.pool.record_ended_boot(runner, self._clock.now())
         except (OrderRefused, OrderUndecided):
             cell.record_no_answer(runner, now + wait, self._clock.now())
             await self._clock.sleep(HOLD_RETRY_SECONDS)
@@ -117,7 +117,7 @@
         except AppendFenced:
             self._term.end_fenced(runner.id)
         except RunnerGone:
-            self._cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+            self._cell.pool.record_ended_boot(runner, self._clock.now())
         except (OrderRefused, OrderUndecided) as exc:
             log.info("look at a runner unanswered", extra={"runner": runner.id, "why": exc.code})
             self._cell.record_unanswered_look(runner, sent_at, self._clock.now())
@@ -163,7 +163,7 @@
             self._term.end_fenced(run.runner)
             return
         except RunnerGone:
-            cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+            cell.pool.record_ended_boot(runner, self._clock.now())
         else:
             log.info("task started", extra={**extra, "epoch": self._term.epoch})
             cell.mark_started(run, self._clock.now())
@@ -193,4 +193,4 @@
         except AppendFenced:
             self._term.end_fenced(run.runner)
         except RunnerGone:
-            cell.pool.remove_ended_boot(runner, self._clock.now(), "another boot answers")
+            cell.pool.record_ended_boot(runner, self._clock.now())
--- a/ragworttiller/scheduling/ownership/term.py
+++ b/ragworttiller/scheduling/ownership/term.py
@@ -78,6 +78,11 @@
         """Whether the owner may give orders now."""
         return not self._ended and self._clock.now() - self._renewed_at < TERM_SECONDS
 
+    @property
+    def renewed_at(self) -> float:
+        """Time at which the last stored renewal was sent: no later owner had claimed by then."""
+        return self._renewed_at
+
     @property
     def recently_renewed(self) -> bool:
         """Whether the last renewal is recent enough to assume that the store is reachable."""
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -164,7 +164,7 @@
 
     def plan(self, now: float, wall: float) -> Plan:
         """Return the starts, stops and advisor calls that are due now."""
-        self.pool.expire_leases(now)
+        self.pool.end_runs(now)
         for run in self._runs_to_evacuate(now):
             self._stops.add(run, "runner drains")
         for run in self.pool.filling_runs_to_stop():
@@ -183,7 +183,9 @@
         return [
             runner
             for runner in self.runners.values()
-            if not runner.look_in_flight and self._observation.look_due(runner, now)
+            if not runner.look_in_flight
+            and runner.ended_at is None
+            and self._observation.look_due(runner, now)
         ]
 
     def record_no_answer(self, runner: RunnerState, sent_at: float, now: float) -> None:
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -30,6 +30,9 @@
     ----------
     runners : dict
         States by identifier.
+    owned_at : float
+        Latest time at which no later owner had claimed, in seconds. What a runner did since may be
+        known to a later owner only, which renews its lease and records its ends.
     """
 
     def __init__(
@@ -41,6 +44,15 @@
         # The platform may keep listing a boot for a while after it has ended.
         self._ended_boots: set[str] = set()
         self.runners: dict[str, RunnerState] = {}
+        self.owned_at = float("-inf")
+
+    def awaits_ownership(self, now: float) -> bool:
+        """Return whether an end of runs counts only once the ownership was proved after it."""
+        return self._takeover.expires_between(self.owned_at, now) or any(
+            self._has_ended(runner, now) and not self._has_ended(runner, self.owned_at)
+            for runner in self.runners.values()
+            if not runner.lost
+        )
 
     @property
     def awaits_enrollment(self) -> bool:
@@ -120,26 +132,35 @@
         if runner.misses == 1:
             log.info("runner does not answer", extra={"runner": runner.id})
 
-    def remove_ended_boot(self, runner: RunnerState, now: float, reason: str) -> None:
-        """Remove a boot that has certainly ended, and all its runs."""
-        self._takeover.resolve(runner.id, reason, now)
-        current = self.runners.pop(runner.id, None)
-        if current is not None:
-            self._mark_lost(current, now, reason)
-        self._ended_boots.add(runner.id)
+    def record_ended_boot(self, runner: RunnerState, now: float) -> None:
+        """Record that another boot answers in place of one, which has ended with all its runs."""
+        current = self.runners.get(runner.id)
+        if current is not None and current.ended_at is None:
+            current.ended_at = now
+            current.enrolled = False
 
-    def expire_leases(self, now: float) -> None:
-        """Mark unreachable runners as lost once their leases have certainly expired."""
-        self._takeover.expire(now)
+    def end_runs(self, now: float) -> None:
+        """End the runs of boots and leases that had ended while this owner still owned the cell."""
+        self._takeover.expire(min(now, self.owned_at))
         for runner in list(self.runners.values()):
-            if (
-                runner.misses
-                and runner.has_answered
-                and not runner.lost
-                and runner.lease_expired(now)
-            ):
+            if runner.ended_at is not None and runner.ended_at <= self.owned_at:
+                self._remove_ended_boot(runner, now)
+            elif not runner.lost and self._has_ended(runner, min(now, self.owned_at)):
                 self._mark_lost(runner, now, "its lease has expired")
 
+    def _has_ended(self, runner: RunnerState, by: float) -> bool:
+        """Return whether all runs of a silent runner had certainly ended by a time."""
+        if runner.ended_at is not None:
+            return runner.ended_at <= by
+        return runner.misses > 0 and runner.has_answered and runner.lease_expired(by)
+
+    def _remove_ended_boot(self, runner: RunnerState, now: float) -> None:
+        reason = "another boot answers"
+        self._takeover.resolve(runner.id, reason, now)
+        del self.runners[runner.id]
+        self._mark_lost(runner, now, reason)
+        self._ended_boots.add(runner.id)
+
     def filling_runs_to_stop(self) -> list[Run]:
         """Return the filling runs on runners that also run a task with a latency bound."""
         return [
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -38,6 +38,8 @@
         Whether the platform lists the runner.
     lost : bool
         Whether the runner is unreachable and all its runs have certainly ended.
+    ended_at : float or None
+        Time at which another boot was known to answer in its place, None before.
     misses : int
         Number of consecutive calls that the runner did not answer.
     leaves_at : float
@@ -57,6 +59,7 @@
         self.renewal_withheld = False
         self.listed = True
         self.lost = False
+        self.ended_at: float | None = None
         self.misses = 0
         self.last_end_seen = 0
         self.last_end_recorded = 0
@@ -111,6 +114,7 @@
     def awaits_enrollment(self) -> bool:
         """Whether tasks could start on the runner once the stored claim names it."""
         waiting = self.has_answered and not self.enrolled and self.misses == 0
+        waiting = waiting and self.ended_at is None
         return waiting and self.listed and not self.entry.draining
 
     @property
@@ -146,6 +150,7 @@
         return (
             self.listed
             and self.enrolled
+            and self.ended_at is None
             and not self.entry.draining
             and not self.lost
             and self.misses == 0
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -102,10 +102,14 @@
             until = min(self._unresolved_until[name], now + self._expiry_seconds)
             self._unresolved_until[name] = until
 
-    def expire(self, now: float) -> None:
-        """Resolve the runners on which all runs of the earlier owner have ended by now."""
-        for name in [name for name, until in self._unresolved_until.items() if until <= now]:
-            self.resolve(name, "its lease has expired", now)
+    def expire(self, by: float) -> None:
+        """Resolve the runners on which all runs of the earlier owner had ended by a time."""
+        for name in [name for name, until in self._unresolved_until.items() if until <= by]:
+            self.resolve(name, "its lease has expired", by)
+
+    def expires_between(self, start: float, end: float) -> bool:
+        """Return whether the runs of the earlier owner on some runner have ended in a time span."""
+        return any(start < until <= end for until in self._unresolved_until.values())
 
     def blocks(self, row: JobRow) -> bool:
         """Return whether no task of the job may start yet."""
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -74,14 +74,19 @@
 
 
 class RigEarlierOwner(EarlierOwner):
-    """Reaches every running entry, unless `peers_cut` is set; its name is its address."""
+    """Reaches the running entries that reach the store, unless `peers_cut` is set.
+
+    The name of an entry is its address.
+    """
 
     def __init__(self, rig: OwnersRig):
         self._rig = rig
 
     async def has_ended(self, claim: Claim, epoch: int) -> bool:
         entry = self._rig.entries[claim.owner]
-        if self._rig.peers_cut or entry.scope.cancel_called:
+        paused = entry.store_link.paused_until > self._rig.timers.now()
+        ended = entry.scope.cancel_called
+        if self._rig.peers_cut or ended or paused or entry.store_link.cut:
             return False
         entry.host.record_later_owner(epoch)
         return proves_end(claim, TermEnded(entry.incarnation, entry.name))
@@ -279,10 +284,6 @@
         raise AssertionError(f"not completed: {unfinished}")
 
 
-def job_id(number: int) -> str:
-    return f"{number:016x}"
-
-
 def with_rig(body: Callable[[OwnersRig], Awaitable[None]], runners: int = 3, work: float = 0.5):
     async def main():
         async with anyio.create_task_group() as tasks:
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -115,9 +115,16 @@
         self.cell.refresh(self.now, self.now)
 
     def plan(self) -> Plan:
-        """Return the current plan of the cell."""
+        """Return the current plan of the cell, as after a renewal that was just stored."""
+        self.cell.pool.owned_at = self.now
         return self.cell.plan(self.now, self.now)
 
+    def end_boot(self, runner: str) -> None:
+        """Apply that another boot answers in place of a runner, while the cell is owned."""
+        self.cell.pool.record_ended_boot(self.cell.runners[runner], self.now)
+        self.cell.pool.owned_at = self.now
+        self.cell.pool.end_runs(self.now)
+
     def start_all(self) -> list[StartOrder]:
         """Return the planned starts after marking all of them as started."""
         starts = self.plan().starts
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,8 +16,8 @@
     deliver_late,
     lift_faults,
 )
-from tests.owners_rig import OwnersRig, job_id, start_entries, with_rig
-from tests.scheduling_rig import step
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import job_id, step
 
 InjectorChoice = Callable[[OwnersRig, int], list[FaultInjector]]
 
@@ -150,6 +150,7 @@
     async def body(rig: OwnersRig):
         rig.stop_seconds = 0.3
         await start_entries(rig)
+        rig.peers_cut = random.Random(f"{seed} peers").random() < 0.7
         work = Workload(rig, seed)
         injectors = choice(rig, seed)
         async with anyio.create_task_group() as tasks:
--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -79,7 +79,7 @@
 
     def test_another_boot_that_answers_settles_a_runner_after_a_takeover(self):
         rig = takeover()
-        rig.cell.pool.remove_ended_boot(rig.cell.runners["w1"], rig.now, "another boot answers")
+        rig.end_boot("w1")
         assert len(rig.plan().starts) == 1
 
 
@@ -250,7 +250,7 @@
         rig.add_runner("w1")
         rig.submit(step(1))
         assert [order.run.runner for order in rig.start_all()] == ["w1"]
-        rig.cell.pool.remove_ended_boot(old, rig.now, "another boot answers")
+        rig.cell.pool.record_ended_boot(old, rig.now)
         rig.add_runner("w3")
         assert [order.run.runner for order in rig.plan().starts] == ["w3"]
 
@@ -259,7 +259,38 @@
         rig.submit(step(1))
         (order,) = rig.start_all()
         state = rig.cell.runners[order.run.runner]
-        rig.cell.pool.remove_ended_boot(state, rig.now, "another boot answers")
+        rig.end_boot(state.id)
         row = RunningTask(order.run.task, order.run.number, "", 10.0, 0.0)
         rig.cell.apply_hold_answer(state, HoldAnswer(rig.now, [row], [], 0), rig.now)
         assert [again.run.task for again in rig.plan().starts] == [order.run.task]
+
+
+class TestReplacedOwners:
+    """A successor may have renewed a lease, or recorded an end, that its predecessor knows not."""
+
+    def test_no_task_starts_again_before_the_ownership_is_proved_after_its_lease(self):
+        rig = CellRig(2)
+        rig.submit(step(1))
+        (order,) = rig.start_all()
+        silent = order.run.runner
+        rig.pass_time(LEASE_SECONDS + 1.0, silent)
+        assert rig.cell.plan(rig.now, rig.now).starts == []
+        assert rig.cell.pool.awaits_ownership(rig.now)
+        assert len(rig.plan().starts) == 1
+        assert not rig.cell.pool.awaits_ownership(rig.now)
+
+    def test_no_task_starts_again_before_the_ownership_is_proved_after_its_boot(self):
+        rig = CellRig(2)
+        rig.submit(step(1))
+        (order,) = rig.start_all()
+        rig.now += 0.5
+        rig.cell.pool.record_ended_boot(rig.cell.runners[order.run.runner], rig.now)
+        assert rig.cell.plan(rig.now, rig.now).starts == []
+        assert rig.cell.pool.awaits_ownership(rig.now)
+        assert len(rig.plan().starts) == 1
+
+    def test_no_old_task_starts_before_the_ownership_is_proved_after_an_earlier_lease(self):
+        rig = takeover()
+        rig.pass_time(TERM_SECONDS + LEASE_SECONDS + 1.0, "w1")
+        assert rig.cell.plan(rig.now, rig.now).starts == []
+        assert len(rig.plan().starts) == 1
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -220,11 +220,11 @@
     def test_another_boot_at_the_address_frees_the_tasks_at_once(self, rig: CellRig):
         rig.submit(step(1))
         (only,) = rig.start_all()
-        rig.cell.pool.remove_ended_boot(rig.cell.runners[only.run.runner], rig.now, "another boot")
+        rig.end_boot(only.run.runner)
         assert len(rig.plan().starts) == 1
 
     def test_an_ended_boot_is_not_added_again_from_a_stale_list(self, rig: CellRig):
-        rig.cell.pool.remove_ended_boot(rig.cell.runners["w1"], rig.now, "another boot")
+        rig.end_boot("w1")
         rig.cell.refresh(rig.now, rig.now)
         assert list(rig.cell.runners) == ["w2"]
 
--- a/tests/test_earlier_owner.py
+++ b/tests/test_earlier_owner.py
@@ -5,10 +5,10 @@
 import pytest
 
 from ragworttiller.scheduling.ownership.earlier_owner import TermEnded, proves_end
-from ragworttiller.scheduling.records.formats import Claim
-from tests.owners_rig import OwnersRig, job_id
-from tests.scheduling_rig import LEASE_SECONDS, CellRig, step
-from tests.test_owners import start_entries, wait_new_owner, with_rig
+from ragworttiller.scheduling.records.formats import OWNER, Claim
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import LEASE_SECONDS, CellRig, job_id, step
+from tests.test_owners import wait_new_owner
 
 CLAIM = Claim("e1", 7, 1, 0, ["w1", "w2"], [], {}, address="a1")
 
@@ -85,7 +85,7 @@
             term = first.host.owner._term
             for entry in rig.entries.values():
                 entry.link("w1").cut = entry is not first
-            first.store_link.cut = True
+            first.store_link.silent_target = OWNER.topic
             await wait_new_owner(rig, first)
             await rig.timers.sleep(0.2)
             assert term.ended
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -16,8 +16,8 @@
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.takeover import Takeover
 from tests.fault_injector import EntryFaults, deliver_late
-from tests.owners_rig import OwnersRig, job_id, start_entries, with_rig
-from tests.scheduling_rig import step
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import job_id, step
 from tests.soak import InjectorChoice, claim_faults, run_soak, storms
 
 JOB_COUNT = 9
@@ -166,7 +166,7 @@
             listed = {entry.address for entry in self._listed.entries.values()}
             for runner in list(self.runners.values()):
                 if not runner.listed and runner.entry.address in listed:
-                    self.remove_ended_boot(runner, now, "another boot has its address")
+                    self._remove_ended_boot(runner, now)
 
         monkeypatch.setattr(RunnerPool, "refresh", refresh_by_address)
         assert find_problems(storms)
@@ -180,7 +180,7 @@
             refresh(self, now)
             for runner in list(self.runners.values()):
                 if not runner.listed and runner.misses and not runner.has_answered:
-                    self.remove_ended_boot(runner, now, "the platform no longer lists it")
+                    self._remove_ended_boot(runner, now)
 
         monkeypatch.setattr(RunnerPool, "refresh", refresh_by_list)
         assert find_problems(storms)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -29,8 +29,8 @@
 from standins.platform.service import Link
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
-from tests.owners_rig import Entry, OwnersRig, job_id, start_entries, with_rig
-from tests.scheduling_rig import step
+from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import job_id, step
 
 
 async def wait_new_owner(rig: OwnersRig, first: Entry) -> float:
--- a/tests/test_room_maker.py
+++ b/tests/test_room_maker.py
@@ -257,7 +257,7 @@
         (call,) = rig.plan().calls
         rig.cell.apply_advice(call, {"w1": "t"}, rig.now)
         for old, new in (("w2", "w4"), ("w3", "w5")):
-            rig.cell.pool.remove_ended_boot(rig.cell.runners[old], rig.now, "replaced")
+            rig.end_boot(old)
             rig.add_runner(new)
         rig.plan()
         stage = next(iter(rig.cell.jobs[JOB].stages.values()))
