End no silent worker's tasks while another owner renews

What callers would see: a task on two workers at once, while two instances own its shard and one of them does not reach the task's worker: it calls the lease lapsed that the other one renews. Cause: the lapse was measured by the grants of one owner; docs/design-cell.md said that two owners cost void records only, but the end of a task is valid whoever appends it. A silent worker's tasks are ended only 3 s after the lapse, after a read to the log's end, and a lease after all other recorded owners and all holders of running licenses provably serve no more. Evidence: tests/test_two_owners_leases.py::...::test_a_task_is_not_ended_by_an_earlier_owner_while_the_later_one_renews_it failed before with 5 violations ('already runs on'); it passes now, and a task that both lost runs elsewhere once the membership is one again. Now the begin shares an append with other posts. Ruled out: older instances skip the new record with an error line and judge all others as before. Left: an owner that renews but cannot append for 3 s while the other one can; leases after a takeover are reckoned from the tasks of the present. Conclusion: fixed up to what is left, which only a fence at the workers would close.

--- a/ragworttiller/process/cell.py
+++ b/ragworttiller/process/cell.py
@@ -41,6 +41,7 @@
 from ragworttiller.process.task_sizes import TaskSizes
 from ragworttiller.process.task_starter import TaskStarter
 from ragworttiller.process.worker_keeper import WorkerKeeper
+from ragworttiller.records import OwnerBegan
 from ragworttiller.resources import NO_RESOURCES
 from ragworttiller.services.directory import Listing
 from ragworttiller.services.worker import WorkerFleet
@@ -199,6 +200,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._context.stream.run)
+                tasks.start_soon(self._announce)
                 tasks.start_soon(self._keeper.run)
                 tasks.start_soon(self._snapshots.run)
                 await self._context.stream.wait_ready()
@@ -216,6 +218,12 @@
                 await self._context.timers.sleep(HAND_OVER_POLL_SECONDS)
             await self._context.stream.flush()
 
+    async def _announce(self) -> None:
+        """Record the begin of this owner."""
+        stream = self._context.stream
+        await stream.post_and_wait(OwnerBegan(stream.record_id(), self.holder))
+        self._state.began = True
+
     async def _schedule(self, tasks: TaskGroup) -> None:
         """Apply changes of the platform's list and of jobs, and place pending tasks."""
         preempted_at = 0.0
--- a/ragworttiller/process/cell_fold.py
+++ b/ragworttiller/process/cell_fold.py
@@ -32,6 +32,7 @@
     HoldReleased,
     JobEnded,
     JobSubmitted,
+    OwnerBegan,
     TaskEnded,
     TaskResized,
     TaskStarted,
@@ -41,6 +42,7 @@
 
 KEPT_ENDED_JOBS = 2000
 KEPT_DECISIONS = 2000
+KEPT_OWNERS = 8
 
 
 class _Dump(msgspec.Struct, array_like=True):
@@ -50,6 +52,7 @@
     jobs: list[JobDump]
     ended: dict[str, EndedJob]
     decided: dict[str, bool]
+    owners: list[str] = []
 
 
 class CellFold(Fold):
@@ -70,6 +73,8 @@
         Most recently ended jobs, oldest first.
     decided : dict of str to bool
         Most recent decisions on this shard's jobs, oldest first; True for a commit.
+    owners : dict of str to None
+        Names of the latest owners of the shard, oldest first.
     open_jobs : dict of str to int
         Number of ``jobs`` by workspace.
     use : dict of str to Resources
@@ -77,7 +82,8 @@
     changed_jobs : set of str
         Jobs that changed since the set was last emptied.
     on_change : Callable
-        Called after each valid record, and after a snapshot was loaded.
+        Called after each valid record that changes bookings or jobs, and after a snapshot was
+        loaded.
     """
 
     def __init__(self, shard: int) -> None:
@@ -92,6 +98,7 @@
             HoldPlaced: lambda offset, record: self.bookings.place_hold(offset, record),
             HoldReleased: lambda offset, record: self.bookings.release(record),
             HoldDecided: self._hold_decided,
+            OwnerBegan: self._owner_began,
         }
         self.on_change: Callable[[], None] = lambda: None
         self.reset()
@@ -107,7 +114,7 @@
         if applier is None:
             return Verdict(False, "record of another stream")
         verdict = applier(offset, record)
-        if verdict.valid:
+        if verdict.valid and not isinstance(record, OwnerBegan):
             self.on_change()
         return verdict
 
@@ -117,6 +124,7 @@
         self.jobs: dict[str, JobRow] = {}
         self.ended: dict[str, EndedJob] = {}
         self.decided: dict[str, bool] = {}
+        self.owners: dict[str, None] = {}
         self.use: dict[str, Resources] = {}
         self.open_jobs: dict[str, int] = {}
         self.changed_jobs: set[str] = set()
@@ -124,7 +132,7 @@
     @override
     def dump(self) -> bytes:
         jobs = [JobDump.from_row(row) for row in self.jobs.values()]
-        state = _Dump(self.bookings.to_dump(), jobs, self.ended, self.decided)
+        state = _Dump(self.bookings.to_dump(), jobs, self.ended, self.decided, list(self.owners))
         return msgspec.msgpack.encode(state)
 
     @override
@@ -133,6 +141,7 @@
         dump = msgspec.msgpack.decode(data, type=_Dump)
         self.bookings.load(dump.bookings)
         self.ended, self.decided = dump.ended, dump.decided
+        self.owners = dict.fromkeys(dump.owners)
         for job in dump.jobs:
             row = job.to_row()
             name = row.submitted.job
@@ -271,6 +280,12 @@
             self._license(offset, record, placed)
         return Verdict(True, "", True)
 
+    def _owner_began(self, offset: int, record: OwnerBegan) -> Verdict:
+        self.owners.pop(record.holder, None)
+        self.owners[record.holder] = None
+        trim(self.owners, KEPT_OWNERS)
+        return VALID
+
     def _commit_obstacle(self, record: HoldDecided) -> str:
         booked: dict[str, Resources] = {}
         tasks: set[str] = set()
--- a/ragworttiller/process/cell_state.py
+++ b/ragworttiller/process/cell_state.py
@@ -127,6 +127,8 @@
         Called with the worker of a new stop request.
     on_start : Callable
         Called with the worker of a new start.
+    began : bool
+        Whether the log has the record of this owner's begin.
     stopping : bool
         Whether the shard is being handed over.
     """
@@ -146,6 +148,7 @@
         self._ends: dict[str, anyio.Event] = {}
         self.on_stop: Callable[[str], None] = lambda worker: None
         self.on_start: Callable[[str], None] = lambda worker: None
+        self.began = False
         self.stopping = False
         self._ending: set[Attempt] = set()
         self._changed = anyio.Event()
--- a/ragworttiller/process/task_endings.py
+++ b/ragworttiller/process/task_endings.py
@@ -27,6 +27,7 @@
 UNREPORTED = (NEVER_STARTED, LAPSED, GONE)
 PREEMPTED = "preempted"
 PROOF_PERIOD_SECONDS = 2.0
+REFRESH_TIMEOUT_SECONDS = 2.0
 MAX_OVERDUE_SECONDS = 0.5
 MAX_REPORTED_HELD_ENDS = 1000
 END_REASONS = {"done": "done", "failed": "failed", "checkpointed": PREEMPTED, "lapsed": LOST}
@@ -92,8 +93,9 @@
         """Start probes of workers and look for proof on earlier owners, until cancelled."""
         async for now in self._state.context.timers.ticks(PROOF_PERIOD_SECONDS):
             self._quarantine.start_probes(now)
-            for holder in self._earlier_holders():
-                await self._proof.cannot_send(holder)
+            for owner in self._other_owners():
+                if self._proof.proven_at(owner) is None:
+                    await self._proof.cannot_send(owner)
 
     def is_licensed(self, worker: str, report: TaskReport) -> bool:
         """Return whether the reported attempt is licensed or held on the worker."""
@@ -202,28 +204,35 @@
                 continue
             if not job.submitted.idempotent and listed:
                 continue
-            if not self._earlier_leases_lapsed(running):
-                continue
             if self._state.record_task_end(task, running.attempt, LOST):
                 log.warning("task %s ended: the leases of worker %s have lapsed", task, worker)
         for decision, task in list(row.holds):
             hold = self._state.fold.bookings.holds[decision, task]
             self._report_to_home(worker, (task, hold.attempt), LAPSED if listed else GONE)
 
-    def _earlier_holders(self) -> set[str]:
-        """Return the earlier owners that licensed running tasks."""
+    def _other_owners(self) -> set[str]:
+        """Return the other owners that are known: recent ones, and those that licensed tasks."""
         rows = self._state.fold.jobs.values()
         holders = {running.holder for row in rows for running in row.running.values()}
-        return holders - {self._state.holder}
+        return (holders | self._state.fold.owners.keys()) - {self._state.holder}
 
-    def _earlier_leases_lapsed(self, running: Running) -> bool:
-        """Return whether the leases have lapsed that the owner of a license may have granted.
+    async def may_be_renewed(self) -> bool:
+        """Return whether another owner may hold leases on this shard's workers now.
 
-        An earlier owner may send starts, and renew, until it provably serves no more.
+        Each owner records its begin, so the log tells of all others. One that serves no more may
+        have renewed until that was proven.
         """
-        if running.holder == self._state.holder:
+        if not self._state.began or self._other_owner_serves():
             return True
-        proven_at = self._proof.proven_at(running.holder)
+        if not await self._state.context.stream.refresh(REFRESH_TIMEOUT_SECONDS):
+            return True
+        return self._other_owner_serves()
+
+    def _other_owner_serves(self) -> bool:
+        return any(not self._leases_lapsed_of(owner) for owner in self._other_owners())
+
+    def _leases_lapsed_of(self, owner: str) -> bool:
+        proven_at = self._proof.proven_at(owner)
         return proven_at is not None and self._state.now() > lease_end(self._state.lease, proven_at)
 
     def _is_listed(self, worker: str) -> bool:
--- a/ragworttiller/process/worker_keeper.py
+++ b/ragworttiller/process/worker_keeper.py
@@ -27,6 +27,7 @@
 MIN_VISIT_DELAY_SECONDS = 0.25
 MAX_UNANSWERED_VISITS = 3
 CALL_TIMEOUT_SECONDS = 2.5
+MAX_BEGIN_SECONDS = 3.0
 REPORT_BYTES = 70
 REPORT_BYTES_PER_SECOND = 2000
 REFRESH_TIMEOUT_SECONDS = 2.0
@@ -159,21 +160,21 @@
 
     async def _visit(self, watch: _WatchedWorker, client: Worker) -> None:
         if watch.unanswered >= MAX_UNANSWERED_VISITS:
-            if not self._leases_lapsed(watch):
+            if self._must_wait(watch):
                 return
             # A further visit may renew leases, so what has lapsed is ended before it.
-            self._handle_failed_visit(watch)
+            await self._handle_failed_visit(watch)
             watch.unanswered = 0
         asked_at = self._state.now()
         try:
             await self._send_stops(watch, client)
             reports = await self._renew(watch, client)
         except WorkerRefused:
-            self._handle_failed_visit(watch)
+            await self._handle_failed_visit(watch)
             return
         except WorkerUnreachable:
             watch.unanswered += 1
-            self._handle_failed_visit(watch)
+            await self._handle_failed_visit(watch)
             return
         watch.unanswered = 0
         if not self._state.context.stream.ready:
@@ -205,15 +206,25 @@
                 with self._state.context.timers.move_on_after(CALL_TIMEOUT_SECONDS):
                     await client.stop(keys, checkpoint)
 
-    def _handle_failed_visit(self, watch: _WatchedWorker) -> None:
+    async def _handle_failed_visit(self, watch: _WatchedWorker) -> None:
         """Exclude a worker whose visit failed, and end its tasks if its leases have lapsed."""
         self._rooms.set_reporting(watch.name, False)
-        if self._leases_lapsed(watch) and self._state.context.stream.ready:
+        row = self._state.fold.bookings.workers.get(watch.name)
+        if row is None or row.idle or not self._state.context.stream.ready:
+            return
+        if self._must_wait(watch):
+            return
+        if await self._endings.may_be_renewed():
+            log.info("worker %s is silent, but another owner may renew its leases", watch.name)
+        elif not self._must_wait(watch):
             self._endings.end_lapsed_tasks(watch.name)
 
-    def _leases_lapsed(self, watch: _WatchedWorker) -> bool:
-        """Return whether every lease of a worker that does not answer has lapsed."""
-        return self._state.leases.lapsed(watch.name, self._state.now())
+    def _must_wait(self, watch: _WatchedWorker) -> bool:
+        """Return whether nothing on a worker can be ended by lapsed leases yet.
+
+        An owner that renewed before the lapse has recorded its begin `MAX_BEGIN_SECONDS` later.
+        """
+        return not self._state.leases.lapsed(watch.name, self._state.now() - MAX_BEGIN_SECONDS)
 
     def _lapse_seconds(self) -> float:
         return self._timing.lease + LAPSE_MARGIN_SECONDS
--- a/ragworttiller/records.py
+++ b/ragworttiller/records.py
@@ -257,6 +257,16 @@
     at: float = 0.0
 
 
+class OwnerBegan(NamedTuple):
+    """Begin of an owner of a shard, which renews leases from about then on.
+
+    It changes no verdict. ``holder`` is the owner's name in its licenses.
+    """
+
+    id: str
+    holder: str
+
+
 RECORD_TYPES: dict[int, type] = {
     1: SnapshotPart,
     2: Publish,
@@ -274,6 +284,7 @@
     26: HoldPlaced,
     27: HoldReleased,
     28: HoldDecided,
+    29: OwnerBegan,
 }
 
 RECORD_CODEC = MessagePackCodec(RECORD_TYPES)
--- a/tests/test_two_owners_leases.py
+++ b/tests/test_two_owners_leases.py
@@ -7,6 +7,8 @@
 import pytest
 
 from ragworttiller.exceptions import WorkerRefused
+from ragworttiller.process.cell_fold import CellFold
+from ragworttiller.records import OwnerBegan
 from tests.cell_rig import Rig, scenario
 from tests.gates import GatedFleet, GatedWorker
 from tests.test_cell_safety import owners
@@ -72,6 +74,14 @@
 
 
 class TestRenewalsOfAnotherOwner:
+    @scenario
+    async def test_a_task_is_not_ended_by_an_earlier_owner_while_the_later_one_renews_it(
+        self, monkeypatch
+    ):
+        rig = await run_cut(monkeypatch, cut_earlier=True, cut_later=False)
+        assert rig.violations == []
+        assert len(rig.starts) == 1
+
     @pytest.mark.parametrize("after", [0.0, 5.0])
     @scenario
     async def test_a_task_is_not_ended_by_a_later_owner_while_the_earlier_one_renews_it(
@@ -80,3 +90,38 @@
         rig = await run_cut(monkeypatch, cut_earlier=False, cut_later=True, after=after)
         assert rig.violations == []
         assert len(rig.starts) == 1
+
+    @scenario
+    async def test_a_task_that_two_owners_lost_runs_elsewhere_once_one_is_left(self, monkeypatch):
+        cuts = Cuts(monkeypatch)
+        async with Rig(workers=2, members=("a", "b")).running() as rig:
+            first, second = owners(rig)
+            rig.submit_soon("job", **LONG)
+            await rig.until(lambda: rig.starts)
+            for instance in (first, second):
+                cuts.add(rig, instance, rig.starts[0].worker)
+            rig.instances[second].membership.set_members([second])
+            await rig.advance(60.0)
+            assert len(rig.starts) == 1
+            rig.set_members(["a", "b"])
+            await rig.advance(60.0)
+            assert len(rig.starts) == 2
+            assert rig.violations == []
+
+
+class TestBegin:
+    @scenario
+    async def test_each_owner_records_its_begin_once(self):
+        async with Rig(workers=2, members=("a", "b")).running() as rig:
+            first, second = owners(rig)
+            rig.kill(first)
+            await rig.advance(5.0)
+            assert [record.holder[0] for record in rig.records(OwnerBegan)] == [first, second]
+
+    def test_the_owners_are_kept_in_snapshots(self):
+        fold = CellFold(0)
+        for number in range(12):
+            fold.apply(number + 1, OwnerBegan(f"r{number}", f"a@{number}"))
+        copy = CellFold(0)
+        copy.load(fold.dump())
+        assert list(copy.owners) == [f"a@{number}" for number in range(4, 12)]
