Send no abandoned request on a connection that opens late

What callers would see: a request answered "not run" (the runner was overloaded) that runs. Cause: a kept connection that turns out closed is replaced by a new one. A request whose time ran out as that one opened was reported as not sent, and then sent; only the first open of a connection was followed by a check. Change: the same check follows the second open, with a log line. Evidence: tests/test_connection_pool.py::TestAbandonedExchange::test_nothing_is_sent_on_a_connection_that_opened_too_late failed before: 2 requests sent where 1 is due, with a connection that opens without a further wait. Whether the real connection can write before its cancellation arrives was not shown. Ruled out: a request on a kept connection or after the first open. Conclusion: fixed.

--- a/ragworttiller/connection/connection_pool.py
+++ b/ragworttiller/connection/connection_pool.py
@@ -134,14 +134,17 @@
                 await self._connection.open()
             if delivery.abandoned:
                 return
-            delivery.finish(await self._exchange(delivery, fresh), None)
+            answer = await self._exchange(delivery, fresh)
+            if answer is not None:
+                delivery.finish(answer, None)
         except RunnerRefused as exc:
             delivery.sent = False
             delivery.finish(None, exc)
         except RunnerBroken as exc:
             delivery.finish(None, exc)
 
-    async def _exchange(self, delivery: Delivery, fresh: bool) -> Answer:
+    async def _exchange(self, delivery: Delivery, fresh: bool) -> Answer | None:
+        """Carry an exchange; return None if it was abandoned before it was sent."""
         delivery.sent = True
         try:
             return await self._connection.exchange(delivery.exchange)
@@ -152,6 +155,9 @@
         await self._connection.close()
         self._connection = self._pool.connection()
         await self._connection.open()
+        if delivery.abandoned:
+            log.info("abandoned request was not sent on a new connection")
+            return None
         delivery.sent = True
         return await self._connection.exchange(delivery.exchange)
 
