--- a/tests/test_boot_ends.py
+++ b/tests/test_boot_ends.py
@@ -67,6 +67,7 @@
         miss_call(rig, "w1")
         unlist(rig, "w1")
         assert rig.cell.takeover.unresolved == ["w1"]
+        assert "w1" in rig.cell.runners, "nobody would hear the boot that answers in its place"
         assert rig.plan().starts == []
         rig.pass_time(TERM_SECONDS + LEASE_SECONDS + 1.0, "w1")
         assert [order.run.runner for order in rig.plan().starts] == ["w2"]
--- a/tests/test_earlier_owner.py
+++ b/tests/test_earlier_owner.py
@@ -78,6 +78,17 @@
 
         with_rig(body, work=2.0)
 
+    def test_an_owner_that_was_replaced_while_it_took_over_orders_nothing(self):
+        async def body(rig: OwnersRig):
+            entry = rig.add_entry("e1")
+            entry.host.record_later_owner(1000)
+            await rig.submit(job_id(1), step(3))
+            await rig.timers.sleep(5.0)
+            assert entry.host.claims.claim is not None
+            assert [runner._fence_token for runner in rig.runners.values()] == [0, 0, 0]
+
+        with_rig(body)
+
     def test_an_owner_without_the_store_ends_its_term_when_its_successor_asks(self):
         async def body(rig: OwnersRig):
             await start_entries(rig)
--- a/tests/test_record_formats.py
+++ b/tests/test_record_formats.py
@@ -14,6 +14,8 @@
 from ragworttiller.platform.store import Record
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.scheduling.records.formats import (
+    OWNER_CHANGE_KEY,
+    PROGRESS_SUFFIX,
     Accepted,
     Claim,
     EntryRecord,
@@ -30,6 +32,12 @@
 from tests.scheduling_rig import JOB, QUEUE, job_body, step
 
 
+class TestOwnerChange:
+    def test_its_key_comes_after_those_of_all_jobs(self):
+        """Pages of the newest records are read in the order of their keys."""
+        assert f"{'f' * 16}{PROGRESS_SUFFIX}" < OWNER_CHANGE_KEY
+
+
 class TestRetention:
     def test_ended_jobs_are_dropped_after_a_while_and_open_ones_never(self):
         fold = JobFold()
