Count an earlier owner's term from its last renewal, also an equal one

What callers would see: a task on two runners at once, ordered by two owners. Cause: the time was taken before the claimant read the claims for the last time. A renewal read then with the same content as the one before passed for it, though its sender's term runs from the later one, up to 2 s. Change: the time is that of the last claim read once the claimant has checked that nothing else was claimed. Evidence: the test fails with the time taken before that read. Ruled out: comparing offsets, which changes the claim.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -148,13 +148,12 @@
         """Claim the cell whenever it may be claimed, until cancelled or stopped."""
         while True:
             previous = await self._ownership.wait_claimable()
-            previous_read_at = self._claim_read_at or self._clock.now()
             if self._stopping:
                 return
             try:
                 claimed = await self._ownership.claim(previous)
                 if claimed is not None:
-                    await self._act_as_owner(claimed, previous_read_at)
+                    await self._act_as_owner(claimed)
             except RagworttillerError as exc:
                 log.warning("claim or takeover of the cell failed", extra={"why": exc.code})
                 await self._clock.sleep(CLAIM_RETRY_INTERVAL_SECONDS)
@@ -174,16 +173,8 @@
         self._later_epoch = max(self._later_epoch, epoch)
         self._end_if_superseded()
 
-    async def _act_as_owner(self, claimed: Claimed, previous_read_at: float) -> None:
-        """Run the owner until the term ends.
-
-        Parameters
-        ----------
-        claimed : Claimed
-            Ownership that was just claimed.
-        previous_read_at : float
-            Time at which the last claim of the earlier owner was read; it was sent before.
-        """
+    async def _act_as_owner(self, claimed: Claimed) -> None:
+        """Run the owner until the term ends."""
         term = claimed.term
         runners = RunnerFold()
         feed = Feed(
@@ -197,7 +188,7 @@
         await self._catch_up(feed)
         now = self._clock.now()
         known_before = max(claimed.jobs_end, self.jobs_feed.loaded_end)
-        term_left = max(previous_read_at + TERM_SECONDS - now, 0.0)
+        term_left = max(claimed.previous_read_at + TERM_SECONDS - now, 0.0)
         takeover = Takeover(claimed.previous, known_before, now, term_left, self._lease)
         cell = Cell(
             term.epoch, self.jobs, self._config, runners, takeover, self._lease, self._policies()
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -48,12 +48,13 @@
     """Ownership that was just claimed.
 
     ``jobs_end`` is the end of the jobs' partition when earlier owners were fenced, ``previous`` the
-    last claim of an earlier owner.
+    last claim of an earlier owner, which was read at ``previous_read_at`` and so sent before.
     """
 
     term: Term
     jobs_end: int
     previous: Claim | None
+    previous_read_at: float
 
 
 class Ownership:
@@ -96,12 +97,14 @@
         self._address = address
         self._watch = OwnerWatch(clock)
         self._sequence = 0
+        self._claim_read_at = clock.now()
         self._changed = anyio.Event()
         self._successor: str | None = None
         self._renewal_requested = anyio.Event()
 
     def record_claim(self) -> None:
         """Record that a claim or renewal of any entry was read."""
+        self._claim_read_at = self._clock.now()
         self._watch.record_claim()
         self._notify()
 
@@ -162,6 +165,8 @@
         await self._feed.catch_up()
         if self._fold.claim != previous:
             return None
+        # A renewal with the content of the one before may have been read just now.
+        read_at = self._claim_read_at
         epoch = previous.epoch + 1 if previous else 1
         roster = previous.roster if previous else []
         withdrawn = previous.withdrawn if previous else []
@@ -182,7 +187,7 @@
             return None
         end = await self._fence_jobs_partition(producer)
         log.info("cell claimed", extra={"epoch": epoch, "jobs_end": end, "roster": len(roster)})
-        return Claimed(Term(epoch, self._clock, sent_at), end, previous)
+        return Claimed(Term(epoch, self._clock, sent_at), end, previous, read_at)
 
     async def _append_claim(self, claim: Claim, producer: Producer) -> bool:
         """Append a claim, which fences earlier owners, and return whether it was appended.
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -385,6 +385,28 @@
 
         run_virtual(main)
 
+    def test_the_term_of_the_earlier_owner_counts_from_its_last_renewal_though_it_looks_the_same(
+        self,
+    ):
+        async def main():
+            timers = LoopTimers()
+            service = StoreService(timers)
+            first, _, link = await self.claimant(service, "e1", timers)
+            await first.claim(None)
+            second, later, _ = await self.claimant(service, "e2", timers)
+            second._feed._on_change = second.record_claim
+            claim = later.claim
+            await timers.sleep(2.0)
+            store = Store("", 1.0, link)
+            renewal = [KeyedRecord(OWNER_KEY, encode(claim))]
+            await store.append(OWNER, renewal, Producer("owner", 1), first._sequence + 1)
+            sent_at = timers.now()
+            await timers.sleep(1.0)
+            claimed = await second.claim(claim)
+            assert claimed.previous_read_at >= sent_at
+
+        run_virtual(main)
+
     def test_the_earlier_owner_cannot_renew_after_a_claim(self):
         """With such a renewal, it could start tasks on runners that the claim does not name."""
 
