Count the jobs that have not started in the first renewal too

Suspected cause, by reading: an owner wrote its first renewal before its first planning pass, with its position in the jobs and no count of those before it, and the next one up to 0.5 s later. Change: the jobs are read into the cell before the first renewal. Evidence: the test failed before.

--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -110,6 +110,8 @@
 
     async def run(self, ownership: Ownership) -> None:
         """Act as the owner until the term ends."""
+        # The first renewal is written before the first planning pass.
+        self._cell.refresh(self._clock.now(), self._clock.wall())
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._runners_feed.run)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -23,6 +23,7 @@
     OWNER_KEY,
     Claim,
     OwnerChange,
+    decode,
     encode,
 )
 from ragworttiller.timers import ManualTimers
@@ -267,6 +268,25 @@
 
         with_rig(body, runners=2, work=20.0)
 
+    def test_the_first_renewal_counts_the_jobs_that_have_not_started(self):
+        """Entries show the count, so that none of these jobs may be left out."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            await rig.submit(job_id(1), step(1, 5000))
+            await rig.timers.sleep(0.5)
+            first = rig.owner
+            rig.kill(first.name)
+            await wait_new_owner(rig, first)
+            await rig.timers.sleep(0.05)
+            records = rig.store.partition(OWNER.topic).records
+            claims = [decode(record[1 + record[0] :], Claim) for record in records]
+            renewals = [claim for claim in claims if claim.epoch == 2 and claim.position]
+            assert renewals
+            assert {sum(claim.pending.values()) for claim in renewals} == {1}
+
+        with_rig(body)
+
     def test_a_cancelled_job_stops(self):
         async def body(rig: OwnersRig):
             await start_entries(rig)
