--- /dev/null
+++ b/bench/steps.py
@@ -0,0 +1,44 @@
+"""Counts the elementary steps of Python code, which are the same on each machine."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from types import FrameType
+
+CALL_EVENTS = frozenset({"call", "c_call"})
+
+
+class StepCounter:
+    """Counts the calls of functions, Python's own and those of C, while it is active."""
+
+    def __init__(self) -> None:
+        self._steps = 0
+
+    @property
+    def steps(self) -> int:
+        """Number of calls counted so far."""
+        return self._steps
+
+    @contextmanager
+    def counting(self) -> Iterator[None]:
+        """Count the calls made in the body of the ``with`` statement, on this thread."""
+        previous = sys.getprofile()
+        sys.setprofile(self._record)
+        try:
+            yield
+        finally:
+            sys.setprofile(previous)
+
+    def _record(self, frame: FrameType, event: str, argument: object) -> None:
+        if event in CALL_EVENTS:
+            self._steps += 1
+
+
+def steps_of(function: Callable[[], object]) -> int:
+    """Return the number of steps that a function takes."""
+    counter = StepCounter()
+    with counter.counting():
+        function()
+    return counter.steps
