Parse answers by httptools, and ask an owner that seems lost before it is replaced

Cause: a call cost the owner about 1 ms of a processor, most of it in the client library's parser and its cancel scopes; an owner that is only busy renews late, which other entries took for its death. Change: platform/exchange.py formats a request and parses its answer by httptools on a connection of httpcore. Before an entry claims, it asks the owner of the last claim; that one says that it acts if its last renewal is no older than 1.2 s plus three times the lag of its event loop. One that is gone, paused or cut off gives no such answer within 0.3 s. The new test of a busy owner fails without the question. Ruled out: longer timeouts for all, since a stopped owner has to be replaced within a second. Requests with line ends in a header are refused before a byte is sent, as the library did.

--- a/ragworttiller/platform/advisor.py
+++ b/ragworttiller/platform/advisor.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from ragworttiller.exceptions import PlatformUnavailable
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.platform.channel import ChannelSet
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.scheduling.state.jobs import StageId
 
 ADVISOR_TIMEOUT_SECONDS = 2.0
--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -1,7 +1,8 @@
 """HTTP connections that do not use the connection pool of httpcore.
 
 A channel carries one exchange at a time. It is closed after a failed or cancelled exchange, so that
-a late answer is never returned for a later request.
+a late answer is never returned for a later request. Connections are those of httpcore; answers are
+parsed by httptools, since an owner at the largest deployments makes a thousand calls a second.
 """
 
 from __future__ import annotations
@@ -10,18 +11,25 @@
 import socket
 import time
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from contextlib import suppress
 
 import anyio
 import httpcore
-from typing_extensions import override
+import httptools
+
+from ragworttiller.platform.exchange import (
+    Answer,
+    AnswerParser,
+    ExchangeBroken,
+    NotSent,
+    request_head,
+)
 
 MAX_IDLE_SECONDS = 4.0
 MAX_IDLE_CHANNELS = 8
-UNAVAILABLE = 503
+READ_BYTES = 65_536
 # A channel sets or omits these headers itself; values from the request are dropped.
 CHANNEL_HEADERS = frozenset({"host", "content-length", "connection", "transfer-encoding", "expect"})
-DEFAULT_CONTENT_TYPE = "application/octet-stream"
 # Unanswered probes reveal a peer that became unreachable while a read is waiting.
 KEEP_ALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -40,37 +48,6 @@
 )
 
 
-class Answer(NamedTuple):
-    """Complete answer of a server."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-    @property
-    def refused(self) -> bool:
-        """Whether the status says that the server has not carried out the request.
-
-        Other statuses of 500 or more do not: a server may fail, or a proxy lose the answer,
-        after the request was carried out.
-        """
-        return 400 <= self.status < 500 or self.status == UNAVAILABLE
-
-    @property
-    def content_type(self) -> str:
-        """Value of the ``Content-Type`` header, or the default type if there is none."""
-        values = {name.lower(): value for name, value in self.headers}
-        return values.get("content-type", DEFAULT_CONTENT_TYPE)
-
-
-class NotSent(Exception):
-    """No byte of the request was written."""
-
-
-class ExchangeBroken(Exception):
-    """At least part of the request was written, and no complete answer arrived."""
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``host:port``, optionally with ``http://`` before and a path after.
 
@@ -100,37 +77,6 @@
         self.bytes_in = 0
 
 
-class _CountedStream(httpcore.AsyncNetworkStream):
-    """Network stream that counts bytes and writes the head and body of a request at once."""
-
-    def __init__(self, stream: httpcore.AsyncNetworkStream, traffic: Traffic) -> None:
-        self._stream = stream
-        self._traffic = traffic
-        self._unsent: list[bytes] = []
-
-    @override
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        if self._unsent:
-            unsent, self._unsent = b"".join(self._unsent), []
-            self._traffic.bytes_out += len(unsent)
-            await self._stream.write(unsent, timeout)
-        data = await self._stream.read(max_bytes, timeout)
-        self._traffic.bytes_in += len(data)
-        return data
-
-    @override
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        self._unsent.append(buffer)
-
-    @override
-    async def aclose(self) -> None:
-        await self._stream.aclose()
-
-    @override
-    def get_extra_info(self, info: str) -> Any:
-        return self._stream.get_extra_info(info)
-
-
 class Channel:
     """One HTTP connection.
 
@@ -151,11 +97,10 @@
         self._host = host
         self._port = port
         self._connect_timeout = connect_timeout
-        self._origin = httpcore.Origin(b"http", host.encode(), port)
         host_text = f"[{host}]" if ":" in host else host
-        self._host_header = (b"host", f"{host_text}:{port}".encode())
+        self._host_header = ("host", f"{host_text}:{port}")
         self._poll: select.poll | None = None
-        self._connection: httpcore.AsyncHTTP11Connection | None = None
+        self._stream: httpcore.AsyncNetworkStream | None = None
         self._used_at = 0.0
 
     @property
@@ -165,7 +110,7 @@
         It must be open and have been used within the last `MAX_IDLE_SECONDS`; the server must have
         neither closed it nor written to it since the last answer.
         """
-        if self._connection is None or self._poll is None or self._connection.is_closed():
+        if self._stream is None or self._poll is None:
             return False
         if time.monotonic() - self._used_at > MAX_IDLE_SECONDS:
             return False
@@ -182,15 +127,13 @@
         await self.close()
         backend = httpcore.AnyIOBackend()
         try:
-            stream = await backend.connect_tcp(
+            self._stream = await backend.connect_tcp(
                 self._host, self._port, self._connect_timeout, socket_options=KEEP_ALIVE_OPTIONS
             )
         except _NETWORK_FAILURES as exc:
             raise NotSent(str(exc)) from exc
         self._poll = select.poll()
-        self._poll.register(stream.get_extra_info("socket"), select.POLLIN)
-        counted = _CountedStream(stream, self._traffic)
-        self._connection = httpcore.AsyncHTTP11Connection(self._origin, counted)
+        self._poll.register(self._stream.get_extra_info("socket"), select.POLLIN)
         self._used_at = time.monotonic()
 
     async def request(
@@ -201,62 +144,57 @@
         Raises
         ------
         NotSent
-            The connection was not usable.
+            The connection was not usable, or the request has a character that HTTP does not allow.
         ExchangeBroken
             The exchange failed, possibly after part of the request was written.
         """
         if not self.usable:
             await self.close()
             raise NotSent("the connection is closed")
-        request = httpcore.Request(
-            method,
-            httpcore.URL(scheme=b"http", host=self._host, port=self._port, target=target),
-            headers=self._headers(headers, body),
-            content=body or None,
-        )
+        head = request_head(method, target, [self._host_header, *_own_headers(headers, body)])
         self._traffic.calls += 1
-        complete = False
+        parser = AnswerParser(method)
+        reusable = False
         try:
-            answer = await self._exchange(request)
-            complete = True
-        except _NETWORK_FAILURES as exc:
+            await self._exchange(head + body, parser)
+            reusable = parser.reusable
+        except (*_NETWORK_FAILURES, httptools.HttpParserError) as exc:
             raise ExchangeBroken(str(exc)) from exc
         finally:
-            if not complete:
+            if not reusable:
                 await self.close()
+        answer = parser.answer()
         self._used_at = time.monotonic()
         return answer
 
     async def close(self) -> None:
         """Close the connection."""
-        connection, self._connection, self._poll = self._connection, None, None
-        if connection is not None:
+        stream, self._stream, self._poll = self._stream, None, None
+        if stream is not None:
             with anyio.CancelScope(shield=True):
-                await connection.aclose()
-
-    def _headers(
-        self, headers: Sequence[tuple[str, str]], body: bytes
-    ) -> list[tuple[bytes, bytes]]:
-        pairs = [self._host_header, (b"content-length", b"%d" % len(body))]
-        pairs.extend(
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in headers
-            if name.lower() not in CHANNEL_HEADERS
-        )
-        return pairs
-
-    async def _exchange(self, request: httpcore.Request) -> Answer:
-        assert self._connection is not None
-        response = await self._connection.handle_async_request(request)
-        try:
-            body = await response.aread()
-        finally:
-            await response.aclose()
-        headers = [
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-            for name, value in response.headers
-        ]
-        return Answer(response.status, headers, body)
+                await stream.aclose()
+
+    async def _exchange(self, request: bytes, parser: AnswerParser) -> None:
+        """Write a request and read until its answer is complete."""
+        stream = self._stream
+        assert stream is not None
+        self._traffic.bytes_out += len(request)
+        # A server may refuse a request, and close, before it has read all of it.
+        with suppress(httpcore.WriteError):
+            await stream.write(request)
+        while not parser.complete:
+            data = await stream.read(READ_BYTES)
+            self._traffic.bytes_in += len(data)
+            if data:
+                parser.feed(data)
+            elif not parser.end():
+                raise httpcore.RemoteProtocolError("the connection ended before the answer")
+
+
+def _own_headers(headers: Sequence[tuple[str, str]], body: bytes) -> list[tuple[str, str]]:
+    """Return the headers of a request with the length of its body, less those of the channel."""
+    kept = [row for row in headers if row[0].lower() not in CHANNEL_HEADERS]
+    return [("content-length", str(len(body))), *kept]
 
 
 class ChannelSet:
--- /dev/null
+++ b/ragworttiller/platform/exchange.py
@@ -0,0 +1,153 @@
+"""One HTTP exchange: the head of its request, and its answer parsed by httptools."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import httptools
+
+UNAVAILABLE = 503
+FIRST_FINAL_STATUS = 200
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+# In a header these would begin another one, and in a target end it.
+FORBIDDEN_IN_HEADER = re.compile(r"[\r\n\0]")
+FORBIDDEN_IN_TARGET = re.compile(r"[\s\0]")
+
+
+class NotSent(Exception):
+    """No byte of the request was written."""
+
+
+class ExchangeBroken(Exception):
+    """At least part of the request was written, and no complete answer arrived."""
+
+
+class Answer(NamedTuple):
+    """Complete answer of a server."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    @property
+    def refused(self) -> bool:
+        """Whether the status says that the server has not carried out the request.
+
+        Other statuses of 500 or more do not: a server may fail, or a proxy lose the answer,
+        after the request was carried out.
+        """
+        return 400 <= self.status < 500 or self.status == UNAVAILABLE
+
+    @property
+    def content_type(self) -> str:
+        """Value of the ``Content-Type`` header, or the default type if there is none."""
+        values = {name.lower(): value for name, value in self.headers}
+        return values.get("content-type", DEFAULT_CONTENT_TYPE)
+
+
+def request_head(method: str, target: str, headers: Sequence[tuple[str, str]]) -> bytes:
+    """Return the head of a request.
+
+    Raises
+    ------
+    NotSent
+        The method, the target or a header has a character that HTTP does not allow there.
+    """
+    if FORBIDDEN_IN_TARGET.search(method + target):
+        raise NotSent("invalid character in the request line")
+    lines = [f"{name}: {value}" for name, value in headers]
+    if any(FORBIDDEN_IN_HEADER.search(line) for line in lines):
+        raise NotSent("invalid character in a header")
+    try:
+        return "\r\n".join([f"{method} {target} HTTP/1.1", *lines, "", ""]).encode("latin-1")
+    except UnicodeEncodeError as exc:
+        raise NotSent("invalid character in the request") from exc
+
+
+class AnswerParser:
+    """Parser of one answer.
+
+    Parameters
+    ----------
+    method : str
+        Method of the request; the answer to ``HEAD`` has no body.
+    """
+
+    def __init__(self, method: str) -> None:
+        self._without_body = method == "HEAD"
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._status = 0
+        self._in_body = False
+        self._complete = False
+        self._keeps_alive = False
+        self._more_than_one = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer was read."""
+        return self._complete
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another exchange."""
+        return self._complete and self._keeps_alive and not self._more_than_one
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes from the connection.
+
+        Raises
+        ------
+        httptools.HttpParserError
+            They are no valid answer.
+        """
+        self._parser.feed_data(data)
+
+    def end(self) -> bool:
+        """Parse the end of the connection, and return whether it completes the answer."""
+        names = {name for name, _ in self._headers}
+        if self._in_body and not names & {"content-length", "transfer-encoding"}:
+            self._complete = True
+        return self._complete
+
+    def answer(self) -> Answer:
+        """Return the complete answer."""
+        return Answer(self._status, self._headers, b"".join(self._body))
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; a second one was not asked for."""
+        self._more_than_one = self._complete
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header."""
+        if not self._complete:
+            self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """End the headers."""
+        if self._complete:
+            return
+        self._status = self._parser.get_status_code()
+        if self._status < FIRST_FINAL_STATUS:
+            self._headers.clear()
+            return
+        self._in_body = True
+        self._keeps_alive = self._parser.should_keep_alive()
+        # The parser would wait for the body that the headers describe.
+        self._complete = self._without_body
+        self._keeps_alive = self._keeps_alive and not self._without_body
+
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body."""
+        if not self._complete:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """End an answer, unless it is an interim one."""
+        if self._in_body:
+            self._complete = True
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -14,7 +14,8 @@
     RunnerGone,
     Unreadable,
 )
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.platform.channel import ChannelSet
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.platform.names import task_id
 from ragworttiller.scheduling.state.jobs import TaskId
 
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -19,14 +19,9 @@
     RecordsExpired,
     Unreadable,
 )
-from ragworttiller.platform.channel import (
-    Answer,
-    ChannelSet,
-    ExchangeBroken,
-    NotSent,
-    Traffic,
-)
+from ragworttiller.platform.channel import ChannelSet, Traffic
 from ragworttiller.platform.decoding import decode_json
+from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -26,7 +26,9 @@
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import (
     EarlierOwnerPeer,
+    OwnerQuery,
     OwnerReplaced,
+    OwnerStatus,
     TermEnded,
 )
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
@@ -98,6 +100,7 @@
         self._operators = Operators(self._peers, self._entries, self._host, clock)
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
         self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
+        self._peers.handle(OwnerQuery, self._handle_owner_query)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
         self._entries_feed = Feed(
             self._store, ENTRIES, self._entries, clock, poll_seconds=ENTRIES_POLL_SECONDS
@@ -198,6 +201,9 @@
         self._host.record_later_owner(message.epoch)
         return TermEnded(self._incarnation, self._settings.instance.peer_address)
 
+    async def _handle_owner_query(self, sender: str, message: OwnerQuery) -> OwnerStatus:
+        return OwnerStatus(self._host.acts_as_owner(message.epoch))
+
     def _owner_name(self) -> str:
         claim = self._host.claims.claim
         return claim.owner if claim else ""
--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -7,7 +7,12 @@
 from ragworttiller.codec import MessagePackCodec
 from ragworttiller.messages import ErrorReply
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
-from ragworttiller.scheduling.ownership.earlier_owner import OwnerReplaced, TermEnded
+from ragworttiller.scheduling.ownership.earlier_owner import (
+    OwnerQuery,
+    OwnerReplaced,
+    OwnerStatus,
+    TermEnded,
+)
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.state.jobs import StageId
 
@@ -55,5 +60,7 @@
         9: ViewReply,
         10: OwnerReplaced,
         11: TermEnded,
+        12: OwnerQuery,
+        13: OwnerStatus,
     }
 )
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -23,7 +23,7 @@
 from ragworttiller.scheduling.ownership.standbys import Standbys
 from ragworttiller.scheduling.ownership.term import TERM_SECONDS, ClaimFold
 from ragworttiller.scheduling.records.feed import Feed
-from ragworttiller.scheduling.records.formats import JOBS, OWNER
+from ragworttiller.scheduling.records.formats import JOBS, OWNER, Claim
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.retention import Retention
@@ -150,6 +150,8 @@
             previous = await self._ownership.wait_claimable()
             if self._stopping:
                 return
+            if previous is not None and await self._only_seems_lost(previous):
+                continue
             try:
                 claimed = await self._ownership.claim(previous)
                 if claimed is not None:
@@ -173,6 +175,19 @@
         self._later_epoch = max(self._later_epoch, epoch)
         self._end_if_superseded()
 
+    def acts_as_owner(self, epoch: int) -> bool:
+        """Return whether this entry owns the cell with an epoch, and renews its term."""
+        return self._owner is not None and self._owner.acts_with(epoch)
+
+    async def _only_seems_lost(self, claim: Claim) -> bool:
+        """Return whether the owner that wrote a claim says that it acts: it may only be busy."""
+        if claim.released or claim.owner == self._name:
+            return False
+        acting = await self._earlier_owner.is_acting(claim)
+        extra = {"owner": claim.owner, "epoch": claim.epoch, "acting": acting}
+        log.info("owner that seems lost was asked", extra=extra)
+        return acting
+
     async def _act_as_owner(self, claimed: Claimed) -> None:
         """Run the owner until the term ends."""
         term = claimed.term
--- a/ragworttiller/scheduling/ownership/earlier_owner.py
+++ b/ragworttiller/scheduling/ownership/earlier_owner.py
@@ -1,4 +1,4 @@
-"""Asks the earlier owner of the cell to state that it gives no more orders."""
+"""Asks another entry whether it still owns the cell, or whether it gives no more orders."""
 
 from __future__ import annotations
 
@@ -15,6 +15,8 @@
 log = logging.getLogger(__name__)
 
 ANSWER_TIMEOUT_SECONDS = 0.5
+# Part of the time in which a stopped owner is to be replaced.
+QUERY_TIMEOUT_SECONDS = 0.3
 
 
 class OwnerReplaced(NamedTuple):
@@ -33,8 +35,24 @@
     address: str
 
 
+class OwnerQuery(NamedTuple):
+    """Asks an entry whether it acts as the owner of this epoch."""
+
+    epoch: int
+
+
+class OwnerStatus(NamedTuple):
+    """States whether an entry acts as the owner that it was asked about."""
+
+    acting: bool
+
+
 class EarlierOwner(ABC):
-    """Access to the entry that owned the cell before."""
+    """Access to the entry that owned the cell before, or that seems to have stopped."""
+
+    @abstractmethod
+    async def is_acting(self, claim: Claim) -> bool:
+        """Return whether the owner that wrote a claim says that it acts, and renews its term."""
 
     @abstractmethod
     async def has_ended(self, claim: Claim, epoch: int) -> bool:
@@ -52,6 +70,10 @@
 class UnreachableEarlierOwner(EarlierOwner):
     """No access: its term is waited out."""
 
+    @override
+    async def is_acting(self, claim: Claim) -> bool:
+        return False
+
     @override
     async def has_ended(self, claim: Claim, epoch: int) -> bool:
         return False
@@ -69,6 +91,17 @@
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
 
+    @override
+    async def is_acting(self, claim: Claim) -> bool:
+        try:
+            answer = await self._peers.call(
+                claim.owner, OwnerQuery(claim.epoch), QUERY_TIMEOUT_SECONDS
+            )
+        except RagworttillerError as exc:
+            log.info("owner unreachable", extra={"owner": claim.owner, "why": exc.code})
+            return False
+        return bool(answer.acting)
+
     @override
     async def has_ended(self, claim: Claim, epoch: int) -> bool:
         try:
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -21,7 +21,7 @@
 from ragworttiller.scheduling.ownership.recorder import Recorder
 from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
 from ragworttiller.scheduling.ownership.standbys import NoStandbys, Standbys
-from ragworttiller.scheduling.ownership.term import Term
+from ragworttiller.scheduling.ownership.term import RECENT_RENEWAL_SECONDS, Term
 from ragworttiller.scheduling.ownership.wait_log import WaitLog
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS, Claim
@@ -33,6 +33,8 @@
 
 MAX_PLAN_INTERVAL_SECONDS = 0.1
 HEARTBEAT_INTERVAL_SECONDS = 0.2
+# Steps of the event loop on the way of one renewal: its call, its answer and the next interval.
+LAGS_A_RENEWAL = 3
 MAX_NAMES_LOGGED = 3
 
 
@@ -137,6 +139,16 @@
         """Request planning because some state has changed."""
         self._plan_requested.set()
 
+    def acts_with(self, epoch: int) -> bool:
+        """Return whether this is the owner of an epoch and renews its term as fast as it can.
+
+        A busy owner handles the answer to a renewal, and sends the next one, as late as its event
+        loop runs.
+        """
+        if epoch != self._term.epoch:
+            return False
+        return self._term.renewed_within(RECENT_RENEWAL_SECONDS + LAGS_A_RENEWAL * self.pace.lag)
+
     def current_claim(self) -> Claim:
         """Return the claim to write with the next renewal."""
         position, now = self._jobs_feed.position, self._clock.now()
--- a/ragworttiller/scheduling/ownership/term.py
+++ b/ragworttiller/scheduling/ownership/term.py
@@ -86,7 +86,11 @@
     @property
     def recently_renewed(self) -> bool:
         """Whether the last renewal is recent enough to assume that the store is reachable."""
-        return self.valid and self._clock.now() - self._renewed_at < RECENT_RENEWAL_SECONDS
+        return self.renewed_within(RECENT_RENEWAL_SECONDS)
+
+    def renewed_within(self, seconds: float) -> bool:
+        """Return whether the owner may act and its last stored renewal is at most so old."""
+        return self.valid and self._clock.now() - self._renewed_at < seconds
 
     @property
     def ended(self) -> bool:
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -81,11 +81,10 @@
 
     def predecessors_complete(self, stage: Stage) -> bool:
         """Return whether all stages that a stage depends on are complete."""
+        if not stage.spec.after:
+            return True
         steps = self._by_occurrence[stage.id.occurrence]
-        for step in stage.spec.after:
-            if not steps[step].complete:
-                return False
-        return True
+        return all(steps[step].complete for step in stage.spec.after)
 
     def predecessors(self, stage: Stage) -> list[Stage]:
         """Return the stages that a stage depends on."""
--- a/ragworttiller/services/http.py
+++ b/ragworttiller/services/http.py
@@ -13,7 +13,8 @@
     LogUnavailable,
     PlatformUnavailable,
 )
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent, Traffic
+from ragworttiller.platform.channel import ChannelSet, Traffic
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.resources import Resources
 from ragworttiller.services.directory import (
     Directory,
--- a/ragworttiller/services/http_runner.py
+++ b/ragworttiller/services/http_runner.py
@@ -5,13 +5,8 @@
 from typing_extensions import override
 
 from ragworttiller.exceptions import RunnerBroken, RunnerRefused
-from ragworttiller.platform.channel import (
-    Channel,
-    ExchangeBroken,
-    NotSent,
-    Traffic,
-    split_address,
-)
+from ragworttiller.platform.channel import Channel, Traffic, split_address
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.services.runner import Answer, Exchange, RunnerConnection, RunnerDialer
 
 CONNECT_TIMEOUT_SECONDS = 0.5
--- a/ragworttiller/services/http_worker.py
+++ b/ragworttiller/services/http_worker.py
@@ -8,7 +8,8 @@
 from typing_extensions import override
 
 from ragworttiller.exceptions import WorkerRefused, WorkerUnreachable
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent, Traffic
+from ragworttiller.platform.channel import ChannelSet, Traffic
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.services.worker import TaskReport, TaskSpec, Worker, WorkerFleet
 
 OK = 200
--- a/ragworttiller/services/runner.py
+++ b/ragworttiller/services/runner.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-from ragworttiller.platform.channel import DEFAULT_CONTENT_TYPE, Answer
+from ragworttiller.platform.exchange import DEFAULT_CONTENT_TYPE, Answer
 
 __all__ = ["DEFAULT_CONTENT_TYPE", "Answer", "Exchange", "RunnerConnection", "RunnerDialer"]
 
--- a/standins/platform/advisor.py
+++ b/standins/platform/advisor.py
@@ -6,7 +6,7 @@
 
 from typing_extensions import override
 
-from ragworttiller.platform.channel import Answer
+from ragworttiller.platform.exchange import Answer
 from ragworttiller.timers import TimerService
 from standins.platform.service import Service, json_answer
 
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -15,7 +15,8 @@
 import anyio.abc
 import httpcore
 
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.platform.channel import ChannelSet
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.platform.store import CONFIG_KEY, CONFIG_TOPIC, RUNNERS_TOPIC
 from ragworttiller.timers import SystemTimers
 from standins.addresses import free_address
--- a/standins/platform/machine.py
+++ b/standins/platform/machine.py
@@ -4,7 +4,7 @@
 
 from typing_extensions import override
 
-from ragworttiller.platform.channel import Answer, ExchangeBroken, NotSent
+from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
 from ragworttiller.timers import TimerService
 from standins.platform.runner import RunnerService
 from standins.platform.service import DEFAULT_TIMEOUT_SECONDS, Service
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -9,7 +9,7 @@
 import anyio
 from typing_extensions import override
 
-from ragworttiller.platform.channel import Answer
+from ragworttiller.platform.exchange import Answer
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.timers import TimerService
 from standins.platform.service import Service, json_answer
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -10,7 +10,8 @@
 
 import anyio
 
-from ragworttiller.platform.channel import Answer, ExchangeBroken, NotSent, Traffic
+from ragworttiller.platform.channel import Traffic
+from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
 from ragworttiller.timers import TimerService
 
 
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -9,7 +9,7 @@
 import anyio
 from typing_extensions import override
 
-from ragworttiller.platform.channel import Answer
+from ragworttiller.platform.exchange import Answer
 from ragworttiller.timers import TimerService
 from standins.platform.service import Service, json_answer
 
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -82,11 +82,18 @@
     def __init__(self, rig: OwnersRig):
         self._rig = rig
 
-    async def has_ended(self, claim: Claim, epoch: int) -> bool:
-        entry = self._rig.entries[claim.owner]
+    def _reaches(self, entry: Entry) -> bool:
         paused = entry.store_link.paused_until > self._rig.timers.now()
         ended = entry.scope.cancel_called
-        if self._rig.peers_cut or ended or paused or entry.store_link.cut:
+        return not (self._rig.peers_cut or ended or paused or entry.store_link.cut)
+
+    async def is_acting(self, claim: Claim) -> bool:
+        entry = self._rig.entries[claim.owner]
+        return self._reaches(entry) and entry.host.acts_as_owner(claim.epoch)
+
+    async def has_ended(self, claim: Claim, epoch: int) -> bool:
+        entry = self._rig.entries[claim.owner]
+        if not self._reaches(entry):
             return False
         entry.host.record_later_owner(epoch)
         return proves_end(claim, TermEnded(entry.incarnation, entry.name))
--- /dev/null
+++ b/tests/test_busy_owner.py
@@ -0,0 +1,46 @@
+"""Tests of an owner that is busy: it is neither replaced nor takes longer to replace once dead."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.scheduling.ownership.owner import Owner
+from ragworttiller.scheduling.ownership.ownership import Ownership
+from ragworttiller.scheduling.ownership.pace_log import NO_PACE
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+
+LAG_SECONDS = 0.7
+MINUTE_SECONDS = 60.0
+
+
+@pytest.fixture()
+def busy_owner(monkeypatch):
+    """Let each step of a renewal come late, as in an owner whose planning passes are long."""
+    write = Ownership._write_renewal
+
+    async def write_late(self, *arguments):
+        await self._clock.sleep(2 * LAG_SECONDS)
+        await write(self, *arguments)
+
+    monkeypatch.setattr(Ownership, "_write_renewal", write_late)
+    monkeypatch.setattr(Owner, "pace", NO_PACE._replace(lag=LAG_SECONDS))
+
+
+class TestBusyOwner:
+    def test_a_busy_owner_keeps_the_cell_for_a_minute(self, busy_owner):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            await rig.timers.sleep(MINUTE_SECONDS)
+            assert {e.host.claims.claim.epoch for e in rig.entries.values()} == {1}
+
+        with_rig(body)
+
+    def test_a_busy_owner_that_cannot_reach_the_store_is_replaced(self, busy_owner):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            owner = rig.owner
+            owner.store_link.cut = True
+            await rig.timers.sleep(6.0)
+            assert rig.owner is not owner
+
+        with_rig(body)
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ragworttiller.exceptions import AppendConflict, AppendUndecided, LogUnavailable
-from ragworttiller.platform.channel import Answer
+from ragworttiller.platform.exchange import Answer
 from ragworttiller.platform.store import KeyedRecord, Partition, Record, Store
 from ragworttiller.scheduling.records.feed import Feed
 from standins.platform.service import Link
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -11,7 +11,8 @@
 import anyio
 import msgspec
 
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.platform.channel import ChannelSet
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.services.runner import Answer
 from standins.checker import SAFE_METHODS, CallerAnswer, ReportedOutcome
 
--- a/tools/operator.py
+++ b/tools/operator.py
@@ -8,7 +8,7 @@
 import anyio
 import msgspec
 
-from ragworttiller.platform.channel import ExchangeBroken, NotSent
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from standins.checker import AcceptedChange, ObservedVersion
 from tools.callers import Balancer
 from tools.plan import TOKEN
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -16,7 +16,8 @@
 import anyio
 import msgspec
 
-from ragworttiller.platform.channel import ChannelSet, ExchangeBroken, NotSent
+from ragworttiller.platform.channel import ChannelSet
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.services.runner import Answer
 from standins.agent import TaskEvent, Violation
 from standins.checker import PlannedStop, RunHistory, RunnerDrain
