Wait for the answer of an owner as long as its claim says that it lags, and show its pace

Cause: the time for the answer was that of an idle owner. Change: a renewal states how late the owner's event loop runs, from the pace log; who asks it waits 0.3 s and three times that, 2 s at most. An owner without lag is replaced as soon as before. The pace is on the metrics address too.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -130,10 +130,7 @@
             self._writer,
         )
         self._metrics = Metrics()
-        traffic = self._store.traffic
-        self._metrics.counter(
-            "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
-        )
+        self._register_metrics()
         gate = StartGate(relaying, lambda: self._acceptance.ready, clock)
         self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
         self._stopping = anyio.Event()
@@ -173,6 +170,23 @@
         listener = self._listeners.get(setting)
         return HttpServer(address, app, CLOSE_TIMEOUT_SECONDS, listener=listener)
 
+    def _register_metrics(self) -> None:
+        traffic, host = self._store.traffic, self._host
+        self._metrics.counter(
+            "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
+        )
+        for name, help_text, reading in (
+            ("owner_planning_share", "Share of time in passes.", lambda: host.pace.planning),
+            ("owner_longest_pass_seconds", "Longest pass.", lambda: host.pace.longest),
+            ("owner_lag_seconds", "Longest delay of a timer.", lambda: host.pace.lag),
+            (
+                "owner_waiting_jobs",
+                "Open jobs with a stage that waits.",
+                lambda: float(sum(host.pace.waiting.values())),
+            ),
+        ):
+            self._metrics.gauge(name, help_text, reading)
+
     def stop(self) -> None:
         """Begin a graceful shutdown."""
         self._stopping.set()
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -20,6 +20,7 @@
 from ragworttiller.scheduling.ownership.owner import Owner
 from ragworttiller.scheduling.ownership.owner_watch import POLL_SECONDS, OwnerHeartbeat
 from ragworttiller.scheduling.ownership.ownership import Claimed, Ownership
+from ragworttiller.scheduling.ownership.pace_log import NO_PACE, OwnerPace
 from ragworttiller.scheduling.ownership.standbys import Standbys
 from ragworttiller.scheduling.ownership.term import TERM_SECONDS, ClaimFold
 from ragworttiller.scheduling.records.feed import Feed
@@ -139,6 +140,11 @@
         """Running owner, None while this entry does not own the cell."""
         return self._owner
 
+    @property
+    def pace(self) -> OwnerPace:
+        """Pace of the running owner, `NO_PACE` while this entry does not own the cell."""
+        return NO_PACE if self._owner is None else self._owner.pace
+
     @property
     def seconds_since_renewal(self) -> float:
         """Seconds since a claim or a renewal was read, -1 before the first."""
--- a/ragworttiller/scheduling/ownership/earlier_owner.py
+++ b/ragworttiller/scheduling/ownership/earlier_owner.py
@@ -17,6 +17,9 @@
 ANSWER_TIMEOUT_SECONDS = 0.5
 # Part of the time in which a stopped owner is to be replaced.
 QUERY_TIMEOUT_SECONDS = 0.3
+# A busy owner reads a question, and sends its answer, as late as its event loop runs.
+LAGS_AN_ANSWER = 3
+MAX_QUERY_TIMEOUT_SECONDS = 2.0
 
 
 class OwnerReplaced(NamedTuple):
@@ -93,10 +96,9 @@
 
     @override
     async def is_acting(self, claim: Claim) -> bool:
+        timeout = query_timeout(claim)
         try:
-            answer = await self._peers.call(
-                claim.owner, OwnerQuery(claim.epoch), QUERY_TIMEOUT_SECONDS
-            )
+            answer = await self._peers.call(claim.owner, OwnerQuery(claim.epoch), timeout)
         except RagworttillerError as exc:
             log.info("owner unreachable", extra={"owner": claim.owner, "why": exc.code})
             return False
@@ -114,6 +116,11 @@
         return proves_end(claim, answer)
 
 
+def query_timeout(claim: Claim) -> float:
+    """Return how long to wait for the answer of the owner that wrote a claim, in seconds."""
+    return min(QUERY_TIMEOUT_SECONDS + LAGS_AN_ANSWER * claim.lag, MAX_QUERY_TIMEOUT_SECONDS)
+
+
 def proves_end(claim: Claim, answer: TermEnded) -> bool:
     """Return whether a statement proves that the owner that wrote a claim gives no more orders.
 
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -118,6 +118,11 @@
         """Pace of the last interval of the pace log."""
         return self._pace_log.pace
 
+    @property
+    def lag(self) -> float:
+        """How late the event loop has run lately, in seconds."""
+        return self._pace_log.lag
+
     async def run(self, ownership: Ownership) -> None:
         """Act as the owner until the term ends."""
         # The first renewal is written before the first planning pass.
@@ -147,12 +152,13 @@
         """
         if epoch != self._term.epoch:
             return False
-        return self._term.renewed_within(RECENT_RENEWAL_SECONDS + LAGS_A_RENEWAL * self.pace.lag)
+        return self._term.renewed_within(RECENT_RENEWAL_SECONDS + LAGS_A_RENEWAL * self.lag)
 
     def current_claim(self) -> Claim:
         """Return the claim to write with the next renewal."""
         position, now = self._jobs_feed.position, self._clock.now()
-        return self._cell.claim(self._name, self._incarnation, position, now, self._address)
+        claim = self._cell.claim(self._name, self._incarnation, position, now, self._address)
+        return claim._replace(lag=round(self.lag, 1))
 
     def end_if_superseded(self, epoch: int, source: str) -> None:
         """End the term if an owner of a later epoch was read of.
--- a/ragworttiller/scheduling/ownership/pace_log.py
+++ b/ragworttiller/scheduling/ownership/pace_log.py
@@ -53,8 +53,14 @@
         self._cell = cell
         self._clock = clock
         self._passes: list[float] = []
+        self._lag = 0.0
         self.pace = NO_PACE
 
+    @property
+    def lag(self) -> float:
+        """Longest delay of a timer in this interval and the last one, in seconds."""
+        return max(self._lag, self.pace.lag)
+
     def record_pass(self, seconds: float) -> None:
         """Record the duration of a planning pass, in seconds."""
         self._passes.append(seconds)
@@ -62,21 +68,20 @@
     async def run(self) -> None:
         """Write lines until cancelled."""
         while True:
-            began, lag = self._clock.now(), 0.0
+            began = self._clock.now()
             for _ in range(TICKS_PER_INTERVAL):
                 due = self._clock.now() + INTERVAL_SECONDS / TICKS_PER_INTERVAL
                 await self._clock.sleep(INTERVAL_SECONDS / TICKS_PER_INTERVAL)
-                lag = max(lag, self._clock.now() - due)
-            self.write(self._clock.now() - began, lag)
+                self.record_delay(self._clock.now() - due)
+            self.write(self._clock.now() - began)
 
-    def write(self, seconds: float, lag: float) -> None:
-        """Write the line of an interval.
+    def record_delay(self, seconds: float) -> None:
+        """Record how late a timer ran, in seconds."""
+        self._lag = max(self._lag, seconds)
 
-        Parameters
-        ----------
-        seconds, lag : float
-            Duration of the interval, and the longest delay of a timer within it.
-        """
+    def write(self, seconds: float) -> None:
+        """Write the line of an interval that lasted some seconds."""
+        lag, self._lag = self._lag, 0.0
         passes, self._passes = self._passes, []
         self.pace = OwnerPace(
             len(passes),
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -87,7 +87,8 @@
     no more tasks start. ``pending`` counts, by queue, the jobs before ``position`` that have not
     started. ``successor`` is set when the owner releases its ownership. ``unsettled`` names the
     runners of the roster that have not answered this owner, so that an earlier one may order there.
-    ``address`` is that at which the owner listens for its peers.
+    ``address`` is that at which the owner listens for its peers, ``lag`` how late its event loop
+    runs, in seconds.
     """
 
     owner: str
@@ -101,6 +102,7 @@
     released: bool = False
     unsettled: list[str] = []
     address: str = ""
+    lag: float = 0.0
 
 
 class OwnerChange(NamedTuple):
