--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "config",
     "membership",
     "cell",
+    "owner",
 )
 
 
