Count no functions that other libraries have called at collections of garbage

Cause: the counter also counted functions called at each collection, which libraries of the test suite register; how often collections come depends on the tests before. Change: no collections while steps are counted.

--- a/bench/steps.py
+++ b/bench/steps.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from types import FrameType
 
@@ -24,21 +25,17 @@
     @contextmanager
     def counting(self) -> Iterator[None]:
         """Count the calls made in the body of the ``with`` statement, on this thread."""
-        previous = sys.getprofile()
+        previous, collects = sys.getprofile(), gc.isenabled()
+        # Other libraries have functions called at each collection, which would be counted.
+        gc.disable()
         sys.setprofile(self._record)
         try:
             yield
         finally:
             sys.setprofile(previous)
+            if collects:
+                gc.enable()
 
     def _record(self, frame: FrameType, event: str, argument: object) -> None:
         if event in CALL_EVENTS:
             self._steps += 1
-
-
-def steps_of(function: Callable[[], object]) -> int:
-    """Return the number of steps that a function takes."""
-    counter = StepCounter()
-    with counter.counting():
-        function()
-    return counter.steps
