Count a pause of the owner's process neither as a long pass nor as lag

What callers would see: an owner that was suspended for 5 s within a planning pass plans nothing for 5 s more; one cut off from the store says that it acts until its term ends, since its lag reaches from before. Cause: both are measured on the clock that runs on while the machine is suspended. Change: a pause between passes lasts 0.4 s at most, and a delay counts as lag up to 1 s.

--- a/ragworttiller/scheduling/decisions/pass_pace.py
+++ b/ragworttiller/scheduling/decisions/pass_pace.py
@@ -9,6 +9,8 @@
 MIN_INTERVAL_SECONDS = 0.004
 # Share of the owner's time that planning passes may take.
 MAX_PLANNING_SHARE = 0.5
+# A pass that seems to have taken longer was interrupted by a pause of the process.
+MAX_PAUSE_SECONDS = 0.4
 
 
 class PassPace(ABC):
@@ -38,4 +40,4 @@
     @override
     def pause_after(self, pass_seconds: float) -> float:
         pause = pass_seconds * (1 - MAX_PLANNING_SHARE) / MAX_PLANNING_SHARE
-        return max(pause, MIN_INTERVAL_SECONDS)
+        return min(max(pause, MIN_INTERVAL_SECONDS), MAX_PAUSE_SECONDS)
--- a/ragworttiller/scheduling/ownership/pace_log.py
+++ b/ragworttiller/scheduling/ownership/pace_log.py
@@ -13,6 +13,8 @@
 
 INTERVAL_SECONDS = 2.0
 TICKS_PER_INTERVAL = 10
+# A longer delay is that of a process that was paused, not of one that is busy.
+MAX_LAG_SECONDS = 1.0
 
 
 class OwnerPace(NamedTuple):
@@ -76,8 +78,8 @@
             self.write(self._clock.now() - began)
 
     def record_delay(self, seconds: float) -> None:
-        """Record how late a timer ran, in seconds."""
-        self._lag = max(self._lag, seconds)
+        """Record how late a timer ran, in seconds; a pause of the process counts in part."""
+        self._lag = max(self._lag, min(seconds, MAX_LAG_SECONDS))
 
     def write(self, seconds: float) -> None:
         """Write the line of an interval that lasted some seconds."""
--- a/tests/test_pace_log.py
+++ b/tests/test_pace_log.py
@@ -25,6 +25,11 @@
         assert (record.passes, record.planning, record.longest) == (2, 0.2, 0.3)
         assert (record.lag, record.waiting) == (0.25, {QUEUE.key: 1})
 
+    def test_a_paused_process_does_not_count_as_one_that_lags_for_seconds(self):
+        pace_log = PaceLog(CellRig(1).cell, ManualTimers())
+        pace_log.record_delay(6.0)
+        assert pace_log.lag <= 1.0
+
     def test_each_line_counts_the_passes_since_the_last_one(self):
         pace_log = PaceLog(CellRig(1).cell, ManualTimers())
         pace_log.record_pass(0.3)
