Close a connection whose request was refused or written in part

What callers would see: a socket left open for each request with an invalid character, or an answer read after half a request on a connection that is then used again. Cause: the head was formatted outside the block that closes, and a write error was swallowed without a line. Change: both end with the connection closed; a write error is logged. Evidence: both new tests fail on the code before. Ruled out: nothing else of the client was changed.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
+import logging
 import select
 import socket
 import time
 from collections.abc import Sequence
-from contextlib import suppress
 
 import anyio
 import httpcore
@@ -25,6 +25,8 @@
     request_head,
 )
 
+log = logging.getLogger(__name__)
+
 MAX_IDLE_SECONDS = 4.0
 MAX_IDLE_CHANNELS = 8
 READ_BYTES = 65_536
@@ -151,13 +153,13 @@
         if not self.usable:
             await self.close()
             raise NotSent("the connection is closed")
-        head = request_head(method, target, [self._host_header, *_own_headers(headers, body)])
-        self._traffic.calls += 1
         parser = AnswerParser(method)
         reusable = False
         try:
-            await self._exchange(head + body, parser)
-            reusable = parser.reusable
+            head = request_head(method, target, [self._host_header, *_own_headers(headers, body)])
+            self._traffic.calls += 1
+            written = await self._exchange(head + body, parser)
+            reusable = written and parser.reusable
         except (*_NETWORK_FAILURES, httptools.HttpParserError) as exc:
             raise ExchangeBroken(str(exc)) from exc
         finally:
@@ -174,14 +176,18 @@
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
-    async def _exchange(self, request: bytes, parser: AnswerParser) -> None:
-        """Write a request and read until its answer is complete."""
+    async def _exchange(self, request: bytes, parser: AnswerParser) -> bool:
+        """Read the answer to a request, and return whether the request was written whole."""
         stream = self._stream
         assert stream is not None
         self._traffic.bytes_out += len(request)
-        # A server may refuse a request, and close, before it has read all of it.
-        with suppress(httpcore.WriteError):
+        written = False
+        try:
             await stream.write(request)
+            written = True
+        except httpcore.WriteError as exc:
+            # A server may refuse a request, and close, before it has read all of it.
+            log.info("request not written whole", extra={"why": str(exc), "port": self._port})
         while not parser.complete:
             data = await stream.read(READ_BYTES)
             self._traffic.bytes_in += len(data)
@@ -189,6 +195,7 @@
                 parser.feed(data)
             elif not parser.end():
                 raise httpcore.RemoteProtocolError("the connection ended before the answer")
+        return written
 
 
 def _own_headers(headers: Sequence[tuple[str, str]], body: bytes) -> list[tuple[str, str]]:
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,57 @@
+"""Tests of one HTTP connection: when it is closed, and when it is used again."""
+
+from __future__ import annotations
+
+import anyio
+import httpcore
+import pytest
+
+from ragworttiller.platform.channel import Channel, Traffic
+from ragworttiller.platform.exchange import NotSent
+
+ANSWER = b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n"
+
+
+def with_channel(body):
+    async def scenario():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+        async def serve(stream):
+            async with stream:
+                await stream.send(ANSWER)
+                await anyio.sleep(1.0)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            await body(Channel("127.0.0.1", port, 1.0, Traffic()))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+class TestChannel:
+    def test_a_refused_request_leaves_no_open_connection(self, monkeypatch):
+        async def body(channel: Channel):
+            await channel.open()
+            monkeypatch.setattr(Channel, "usable", True)
+            with pytest.raises(NotSent, match="invalid character"):
+                await channel.request("GET", "/", [("x", "a\r\ny: b")], b"")
+            assert channel._stream is None
+
+        with_channel(body)
+
+    def test_a_connection_is_not_used_again_after_a_request_was_written_in_part(self, monkeypatch):
+        async def body(channel: Channel):
+            await channel.open()
+            monkeypatch.setattr(Channel, "usable", True)
+
+            async def write(data: bytes, timeout: float | None = None) -> None:
+                raise httpcore.WriteError
+
+            monkeypatch.setattr(channel._stream, "write", write)
+            answer = await channel.request("POST", "/", [], b"body")
+            assert answer.status == 413
+            assert channel._stream is None
+
+        with_channel(body)
