Show in a test that a task which crashes its runners is started without end

Change: the stand-in runner reports each start, and a machine of the rig crashes 10 ms after a deadly one and returns 3 s later.

--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -102,6 +102,8 @@
         Returns the size of a task, given its name.
     stop_seconds : float
         Seconds that a stop takes.
+    on_start : Callable
+        Called with the name of each task that starts.
     """
 
     def __init__(
@@ -115,6 +117,7 @@
         rate: float = 1.0,
         size: Callable[[str], Resources] = lambda task: NO_RESOURCES,
         stop_seconds: float = 0.0,
+        on_start: Callable[[str], None] = lambda task: None,
     ) -> None:
         self.name = name
         self.capacity = capacity
@@ -125,6 +128,7 @@
         self._rate = rate
         self._size = size
         self._stop_seconds = stop_seconds
+        self._on_start = on_start
         self._fence_token = 0
         self._lease_end = 0.0
         self._last_end_number = 0
@@ -228,6 +232,7 @@
             self._monitor.violations.append(
                 f"{task} overbooks {self.name}: {used} thousandths of a core in use"
             )
+        self._on_start(task)
         return self._reply(200)
 
     def _stop(self, command: dict[str, Any]) -> Answer:
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -49,6 +49,8 @@
         {"name": "checks", "host": "h", "path_prefix": "/q/", "service": "desk", "attempts": 2}
     ],
 }
+CRASH_DELAY_SECONDS = 0.01
+RETURN_SECONDS = 3.0
 
 
 class NoAdvice(Advice):
@@ -166,6 +168,7 @@
         self.work = work
         self.work_by_job: dict[str, float] = {}
         self.failing: set[str] = set()
+        self.deadly: set[str] = set()
         self.stop_seconds = 0.0
         self.sizes: dict[str, Resources] = {}
         self.client = Store("", 1.0, Link(self.store, self.timers))
@@ -201,9 +204,25 @@
             rate=0.98,
             size=lambda task: self.sizes.get(task.split(".")[0], Resources(1000, 100, 0)),
             stop_seconds=self.stop_seconds,
+            on_start=lambda task: self._on_start(machine, task),
         )
         self.list_boot(machine)
 
+    def _on_start(self, machine: str, task: str):
+        if task in self.deadly:
+            self.tasks.start_soon(self.crash_and_return, machine)
+
+    async def crash_and_return(self, machine: str):
+        """Crash the boot of a machine in a moment; the next boot follows some seconds later."""
+        await self.timers.sleep(CRASH_DELAY_SECONDS)
+        if self.machines[machine].boot is None:
+            return
+        self.machines[machine].refuses = True
+        self.machines[machine].crash()
+        await self.timers.sleep(RETURN_SECONDS)
+        if self.machines[machine].boot is None:
+            self.boot(machine, self.new_boot_name(machine))
+
     def new_boot_name(self, machine: str) -> str:
         """Return an identifier that no boot has had."""
         self._boots += 1
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -9,19 +9,36 @@
 
 SCHEDULES = sorted((Path(__file__).resolve().parent.parent / "deploy" / "days").glob("*.toml"))
 FIELDS = {"plan", "faults", "closing"}
+# Days that the users sent stay as they were sent.
+SENT_DAYS = {"deadly"}
+SENT_FIELDS = {"name", "faults"}
+OWN_SCHEDULES = [path for path in SCHEDULES if path.stem not in SENT_DAYS]
 
 
 def test_at_least_five_schedules_exist():
-    assert len(SCHEDULES) >= 5
+    assert len(OWN_SCHEDULES) >= 5
+
+
+@pytest.mark.parametrize("path", OWN_SCHEDULES, ids=lambda path: path.stem)
+def test_own_days_have_planned_work_and_a_final_fault(path: Path):
+    schedule = tomllib.loads(path.read_text())
+    assert set(schedule) == FIELDS
+    assert schedule["closing"]["kind"]
+
+
+@pytest.mark.parametrize("name", sorted(SENT_DAYS))
+def test_sent_days_have_a_name_and_faults(name: str):
+    (path,) = [path for path in SCHEDULES if path.stem == name]
+    schedule = tomllib.loads(path.read_text())
+    assert set(schedule) == SENT_FIELDS
+    assert schedule["name"] == name
 
 
 @pytest.mark.parametrize("path", SCHEDULES, ids=lambda path: path.stem)
 class TestFiles:
     def test_each_event_has_a_time_and_a_kind(self, path: Path):
         schedule = tomllib.loads(path.read_text())
-        assert set(schedule) == FIELDS
-        assert schedule["closing"]["kind"]
-        for row in [*schedule["plan"], *schedule["faults"]]:
+        for row in [*schedule.get("plan", []), *schedule["faults"]]:
             assert row["at"] >= 0
             assert row["kind"]
 
--- /dev/null
+++ b/tests/test_deadly_tasks.py
@@ -0,0 +1,94 @@
+"""Tests that a task that crashes its runners ends, and costs the tasks beside it little."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import anyio
+import pytest
+
+from ragworttiller.scheduling.records.formats import JobState
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import job_id, step
+
+# Two starts may follow the third crash under a task.
+MAX_STARTS = 5
+DEADLY, INNOCENT = job_id(1), job_id(2)
+DEADLY_TASK = f"{DEADLY}.0.0.0"
+
+
+def starts_of(rig: OwnersRig) -> Counter[str]:
+    """Return the number of starts of each task."""
+    return Counter(task for task, _, _ in rig.monitor.starts)
+
+
+async def kill_the_owner_after_each_crash(rig: OwnersRig, delay: float):
+    """Kill the owner some time after each start of the deadly task, and start it again."""
+    seen = 0
+    while True:
+        await rig.timers.sleep(0.005)
+        count = starts_of(rig)[DEADLY_TASK]
+        if count > seen and rig.owner is not None:
+            seen = count
+            await rig.timers.sleep(delay)
+            owner = rig.owner
+            if owner is not None:
+                rig.kill(owner.name)
+                await rig.timers.sleep(0.5)
+                rig.add_entry(owner.name)
+
+
+async def state_of(rig: OwnersRig, job: str) -> JobState:
+    return (await rig.states([job]))[0]
+
+
+async def wait_failed(rig: OwnersRig, job: str, within: float = 60.0):
+    with rig.timers.move_on_after(within):
+        while await state_of(rig, job) != JobState.FAILED:
+            await rig.timers.sleep(0.2)
+
+
+class TestDeadlyTask:
+    """A task that crashes each runner that starts it."""
+
+    def test_it_is_given_up_before_it_has_crashed_runner_after_runner(self):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            rig.deadly = {DEADLY_TASK}
+            await rig.submit(DEADLY, step(3))
+            await wait_failed(rig, DEADLY)
+            await rig.timers.sleep(20.0)
+            assert await state_of(rig, DEADLY) == JobState.FAILED
+            assert starts_of(rig)[DEADLY_TASK] <= MAX_STARTS
+            assert not rig.monitor.violations
+
+        with_rig(body, runners=4)
+
+    def test_tasks_beside_it_are_not_given_up(self):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            rig.work_by_job[INNOCENT] = 2.5
+            rig.deadly = {DEADLY_TASK}
+            await rig.submit(INNOCENT, step(10))
+            await rig.submit(DEADLY, step(1))
+            await rig.wait_completed(INNOCENT, within=40.0)
+            await wait_failed(rig, DEADLY)
+            assert await state_of(rig, DEADLY) == JobState.FAILED
+            assert starts_of(rig)[DEADLY_TASK] <= MAX_STARTS
+
+        with_rig(body, runners=4)
+
+    @pytest.mark.parametrize("delay", [0.0, 0.3, 2.0, 3.2, 4.0])
+    def test_its_crashes_outlive_a_change_of_owner(self, delay: float):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            rig.deadly = {DEADLY_TASK}
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kill_the_owner_after_each_crash, rig, delay)
+                await rig.submit(DEADLY, step(1))
+                await wait_failed(rig, DEADLY, within=150.0)
+                tasks.cancel_scope.cancel()
+            assert await state_of(rig, DEADLY) == JobState.FAILED
+            assert starts_of(rig)[DEADLY_TASK] <= MAX_STARTS
+
+        with_rig(body, runners=4)
