Suspect tasks whose runners crash, try them apart, and give them up

Cause: nothing was kept of a run that ended with its runner. The task was put back as if it had never started. Change: each loss of a runner is recorded under the tasks that had started there in the last 10 s (crash_blame). One that started last is suspected at once, the others the second time. A suspected task starts only as a trial, where the least work is lost, while nothing else starts there (trials), and on a quarter of the runners at most. It is cleared once it has run twice as long as it took its runners to crash, and given up after two trials among three crashes, or four crashes that it is blamed for (crash_rules). A runner that had crashed lately, or that is only out of reach, proves nothing. A crash stays in the job's progress, and a trial is stored before its start is ordered; a claim names at once the tasks on a runner whose address refuses connections, so a successor blames them too. Ruled out: giving up after two crashes, since an innocent task is blamed once by bad luck and may then meet one crash of another cause. Open: the test with owners killed 5 ms after the start of an unsuspected task, before the crash, stays red: nobody knows then what ran.

--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -26,6 +26,8 @@
 UNHEALTHY_STATUSES = (429, 503)
 MAX_LISTED_ENDS = 500
 FENCED_REASON = "fence"
+# Given for a runner at whose address nothing listens; runners themselves do not.
+UNREACHABLE_REASON = "unreachable"
 INSTANCE_HEADER = "Ragworttiller-Target-Instance"
 
 
@@ -205,7 +207,9 @@
         try:
             answer = await self._channels.request("POST", target, content, self._headers, timeout)
         except NotSent as exc:
-            raise OrderRefused(runner=self._runner, order=target, reason="unreachable") from exc
+            raise OrderRefused(
+                runner=self._runner, order=target, reason=UNREACHABLE_REASON
+            ) from exc
         except ExchangeBroken as exc:
             raise OrderUndecided(runner=self._runner, order=target) from exc
         if answer.status == MISDIRECTED_STATUS:
--- /dev/null
+++ b/ragworttiller/scheduling/decisions/crash_blame.py
@@ -0,0 +1,52 @@
+"""Decides which tasks a lost runner may have crashed of.
+
+Load pattern: a task that crashes its runner, often within milliseconds, on runners that each start
+several tasks a second and run a dozen. So the tasks that started last are suspected at once, and
+the others only if another runner is lost under them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ragworttiller.scheduling.records.formats import Blame, Crash
+from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Run
+
+# Orders of one planning pass reach a runner within this time.
+SAME_START_SECONDS = 0.05
+# A runner that crashes later after the start of a task is not attributed to it.
+MAX_CRASH_SECONDS = 10.0
+
+
+def blame_runs(runner: RunnerState, now: float) -> list[tuple[Run, Crash]]:
+    """Return the runs that a lost runner may have crashed of, each with what speaks for it.
+
+    A draining runner leaves as planned. One of which no other boot answers may only be out of
+    reach, and one that has crashed lately may crash of itself.
+    """
+    runs = list(runner.runs.values())
+    if not runs or runner.entry.draining:
+        return []
+    silent_since = now if runner.silent_since is None else runner.silent_since
+    latest = max(run.started_at for run in runs)
+    together = [run for run in runs if run.started_at >= latest - SAME_START_SECONDS]
+    if len(together) == 1 and together[0].trial:
+        # Nothing has started beside it: that explains the crash.
+        sure = runner.ended_at is not None and silent_since >= runner.unsound_until
+        blame = Blame.TRIAL if sure else Blame.LATEST
+        return _with_crashes(runner.id, together, silent_since, blame)
+    beside = [run for run in runs if run not in together]
+    rows = _with_crashes(runner.id, together, silent_since, Blame.LATEST)
+    return rows + _with_crashes(runner.id, beside, silent_since, Blame.BESIDE)
+
+
+def _with_crashes(
+    runner: str, runs: Sequence[Run], silent_since: float, blame: Blame
+) -> list[tuple[Run, Crash]]:
+    rows = []
+    for run in runs:
+        seconds = max(silent_since - run.started_at, 0.0)
+        if seconds <= MAX_CRASH_SECONDS:
+            rows.append((run, Crash(runner, round(seconds, 3), str(blame))))
+    return rows
--- /dev/null
+++ b/ragworttiller/scheduling/decisions/crash_rules.py
@@ -0,0 +1,50 @@
+"""Rules for a task whose runners crashed: when it is tried, when it is cleared, when given up.
+
+Load pattern: some tasks crash every runner that starts them, at once or after some seconds, in a
+cell where runners also crash for reasons of their own, alone or a rack at a time. So a task is
+given up only after trials, in which nothing starts beside it. One that has run for longer than it
+took its runners to crash is cleared: the crashes had another cause.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ragworttiller.scheduling.records.formats import Blame, Crash
+
+MIN_TRIAL_SECONDS = 0.3
+# The longest time for which a trial keeps other tasks from starting on its runner.
+MAX_EXCLUSIVE_SECONDS = 5.0
+# How much longer than at its crashes a task has to run to be cleared.
+TRIAL_STRETCH = 2.0
+CRASHES_BESIDE_TO_SUSPECT = 2
+TRIALS_TO_GIVE_UP = 2
+CRASHES_TO_GIVE_UP = 3
+# Without proof by trials. One crash may be unknown, and the platform allows five starts.
+BLAMED_TO_GIVE_UP = 4
+
+
+def is_suspect(crashes: Sequence[Crash]) -> bool:
+    """Return whether a task may start only as a trial, given the crashes under it."""
+    return any(row.blame != Blame.BESIDE for row in crashes) or (
+        len(crashes) >= CRASHES_BESIDE_TO_SUSPECT
+    )
+
+
+def trial_seconds(crashes: Sequence[Crash]) -> float:
+    """Return for how long a task has to run on a runner to be cleared of its crashes."""
+    longest = max((row.seconds for row in crashes), default=0.0)
+    return max(TRIAL_STRETCH * longest, MIN_TRIAL_SECONDS)
+
+
+def exclusive_seconds(crashes: Sequence[Crash]) -> float:
+    """Return for how long nothing else starts on the runner of a trial, in seconds."""
+    return min(trial_seconds(crashes), MAX_EXCLUSIVE_SECONDS)
+
+
+def gives_up(crashes: Sequence[Crash]) -> bool:
+    """Return whether a task with these crashes is not started again."""
+    trials = sum(row.blame == Blame.TRIAL for row in crashes)
+    blamed = sum(row.blame != Blame.BESIDE for row in crashes)
+    proved = trials >= TRIALS_TO_GIVE_UP and len(crashes) >= CRASHES_TO_GIVE_UP
+    return proved or blamed >= BLAMED_TO_GIVE_UP
--- a/ragworttiller/scheduling/decisions/free_resources.py
+++ b/ragworttiller/scheduling/decisions/free_resources.py
@@ -11,6 +11,8 @@
 from ragworttiller.scheduling.state.jobs import StepSpec
 from ragworttiller.scheduling.state.runner_state import RunnerState
 
+NOTHING_FITS = Resources(-1, -1, -1)
+
 
 class FreeResources:
     """Runners on which tasks may start, and what is free on them.
@@ -94,6 +96,10 @@
         """Return the free resources of a runner."""
         return self._free[runner]
 
+    def close(self, runner: str) -> None:
+        """Place no more tasks on a runner in this pass."""
+        self.subtract(runner, self._free[runner].minus(NOTHING_FITS))
+
     def subtract(self, runner: str, size: Resources) -> None:
         """Subtract resources from those free on a runner."""
         self._free[runner] = self._free[runner].minus(size)
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Collection, Iterator, Mapping
 
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
+from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
@@ -13,13 +15,15 @@
 from ragworttiller.scheduling.decisions.runner_rules import suits
 from ragworttiller.scheduling.decisions.task_placement import PlacementPolicy, Placer
 from ragworttiller.scheduling.state.job_work import JobWork
-from ragworttiller.scheduling.state.orders import Plan, StartOrder
+from ragworttiller.scheduling.state.orders import Plan, StartOrder, run_fields
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Stage
+from ragworttiller.scheduling.state.runs import Run, Stage
 from ragworttiller.scheduling.state.speeds import Speeds
 from ragworttiller.scheduling.state.takeover import Takeover
 
+log = logging.getLogger(__name__)
+
 START_DEADLINE_SECONDS = 1.2
 GANG_RESERVE_DELAY_SECONDS = 2.0
 GANG_RESERVE_SECONDS = 4.0
@@ -81,6 +85,7 @@
         free_resources = FreeResources(usable)
         self._advice.begin(plan.calls, free_resources, len(usable), now)
         self._room_maker.begin(jobs, free_resources, now, wall)
+        self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
         held_back: set[str] = set()
@@ -164,7 +169,8 @@
             with_room = free_resources.with_room(upstream, stage.spec)
         if not with_room:
             return False
-        indices = self._takeover.startable(stage)
+        # A trial of an earlier owner may still run.
+        indices = [index for index in self._takeover.startable(stage) if index not in stage.trials]
         if allowance < len(indices) * stage.spec.reservation.cpu:
             indices = indices[: int(allowance // stage.spec.reservation.cpu)]
         if stage.spec.gang and len(indices) < stage.spec.tasks:
@@ -184,10 +190,21 @@
                 run.resume(checkpoint)
             run.start_deadline = runner.grant_start(now, START_DEADLINE_SECONDS)
             runner.add(run)
+            if stage.is_suspect(index):
+                self._begin_trial(stage, run, runner, now)
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
-            plan.starts.append(StartOrder(run, work.spec.spec, run.start_deadline, ticket))
+            order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
+            plan.starts.append(order)
         return True
 
+    def _begin_trial(self, stage: Stage, run: Run, runner: RunnerState, now: float) -> None:
+        rows = stage.crashes[run.task.ordinal]
+        seconds = exclusive_seconds(rows)
+        stage.trials[run.task.ordinal] = runner.id
+        runner.begin_trial(run, now + seconds)
+        extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
+        log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
+
     def _reserves_for_gang(
         self, work: JobWork, stage: Stage, free: FreeResources, now: float
     ) -> bool:
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -11,6 +11,7 @@
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.runner_rules import accepts_another
+from ragworttiller.scheduling.decisions.trials import Trials
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Stage
 
@@ -88,10 +89,16 @@
     ----------
     policy : PlacementPolicy
         Ranks the runners that have room.
+
+    Attributes
+    ----------
+    trials : Trials
+        Chooses the runners of tasks that are suspected of crashing them.
     """
 
     def __init__(self, policy: PlacementPolicy) -> None:
         self._policy = policy
+        self.trials = Trials()
 
     def place(
         self,
@@ -113,17 +120,20 @@
             self._score(scores, stage, runner, free_resources, on_runner, time_ratios)
         chosen: dict[int, str] = {}
         for index in indices:
+            suspect = stage.is_suspect(index)
             best = self._best(stage, index, scores, by_id)
             if best is None:
                 if stage.spec.gang:
                     self._return_resources(chosen, free_resources, size)
                     return {}
-                if index in stage.last_failed_runner or index in stage.failed_runs:
+                if suspect or index in stage.last_failed_runner or index in stage.failed_runs:
                     continue
                 break
             chosen[index] = best.id
             on_runner[best.id] += 1
             free_resources.subtract(best.id, size)
+            if suspect:
+                free_resources.close(best.id)
             self._score(scores, stage, best, free_resources, on_runner, time_ratios)
         return chosen
 
@@ -155,6 +165,8 @@
                 for name, score in scores.items()
                 if self._may_retry(stage, index, by_id[name])
             }
+        if scores and stage.is_suspect(index):
+            return self.trials.choose([by_id[name] for name in scores], stage.spec.gang)
         return by_id[min(scores, key=scores.__getitem__)] if scores else None
 
     def _may_retry(self, stage: Stage, index: int, runner: RunnerState) -> bool:
--- /dev/null
+++ b/ragworttiller/scheduling/decisions/trials.py
@@ -0,0 +1,69 @@
+"""Chooses the runner on which a task that is suspected of crashing runners is tried."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ragworttiller.scheduling.state.runner_state import RunnerState
+
+MAX_TRIAL_SHARE = 0.25
+# What a lasting task on the runner counts, in seconds of its work: it has to be placed again.
+LASTING_TASK_SECONDS = 10.0
+# What a runner that has crashed lately counts, in thousandths of a core times seconds.
+UNSOUND_COST = 1e6
+
+
+class Trials:
+    """Trials of one planning pass.
+
+    Load pattern: a crash leaves a few suspected tasks, and a rack that crashes leaves dozens at
+    once. Each is tried where the least work is lost if its runner crashes, and only a share of the
+    runners has a trial at a time, so that all other tasks go on starting.
+    """
+
+    def __init__(self) -> None:
+        self._slots = 0
+        self._now = 0.0
+
+    def begin(self, runners: int, on_trial: int, now: float) -> None:
+        """Start a new planning pass.
+
+        Parameters
+        ----------
+        runners, on_trial : int
+            Number of runners on which tasks may start, and of those with a trial beside them.
+        now : float
+            Time in seconds.
+        """
+        most = max(int((runners + on_trial) * MAX_TRIAL_SHARE), 1)
+        self._slots = most - on_trial
+        self._now = now
+
+    def choose(
+        self, runners: Iterable[RunnerState], must_start: bool = False
+    ) -> RunnerState | None:
+        """Return the runner for one more trial, None if there is none now.
+
+        Parameters
+        ----------
+        runners : iterable of RunnerState
+            Runners that can take the task.
+        must_start : bool
+            Whether the trial may exceed the share, since a gang starts whole or not at all.
+        """
+        if self._slots <= 0 and not must_start:
+            return None
+        chosen = min(runners, key=self._harm, default=None)
+        if chosen is not None:
+            self._slots -= 1
+        return chosen
+
+    def _harm(self, runner: RunnerState) -> float:
+        """Return the work that is lost if a runner crashes, in thousandths of a core times s."""
+        harm = UNSOUND_COST if self._now < runner.unsound_until else 0.0
+        for run in runner.runs.values():
+            seconds = LASTING_TASK_SECONDS
+            if not run.spec.daemon:
+                seconds = 0.0 if run.checkpoint else self._now - run.started_at
+            harm += run.reservation.cpu * (seconds + 1.0)
+        return harm
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -201,11 +201,15 @@
         cell.refresh(self._clock.now(), self._clock.wall())
         for runner in self._calls.connect_new():
             self._spawn(self._calls.hold_loop, runner)
-        if cell.pool.awaits_enrollment or cell.pool.awaits_ownership(self._clock.now()):
+        pool = cell.pool
+        awaits = pool.awaits_enrollment or pool.awaits_withdrawal
+        if awaits or pool.awaits_ownership(self._clock.now()):
             ownership.renew_now()
 
     def _issue_orders(self) -> None:
         plan = self._cell.plan(self._clock.now(), self._clock.wall())
+        if self._cell.has_changed_jobs:
+            self._recorder.request()
         for start in plan.starts:
             self._spawn(self._calls.start, start)
         for stop in plan.stops:
--- a/ragworttiller/scheduling/ownership/recorder.py
+++ b/ragworttiller/scheduling/ownership/recorder.py
@@ -56,6 +56,8 @@
         self._retention = retention
         self._requested = anyio.Event()
         self._recorded = anyio.Event()
+        self._begun = 0
+        self._stored = 0
 
     async def run(self) -> None:
         """Store changes and drop expired jobs until cancelled."""
@@ -68,6 +70,18 @@
         """Request that the changes of the cell are stored."""
         self._requested.set()
 
+    async def store_now(self) -> bool:
+        """Store all changes made until now, and return whether that was done within the wait.
+
+        The wait is limited: while the store is away no other owner can take over.
+        """
+        target = self._begun + 1
+        self.request()
+        with self._clock.move_on_after(RECORDING_WAIT_SECONDS):
+            while self._stored < target:
+                await self._recorded.wait()
+        return self._stored >= target
+
     async def wait_recorded(self, runner: RunnerState) -> None:
         """Wait until the effects of a runner's ended runs are stored.
 
@@ -81,11 +95,15 @@
         while True:
             await self._requested.wait()
             self._requested = anyio.Event()
+            self._begun += 1
             changes = self._cell.take_changes()
-            if changes.progress or changes.ends:
-                await self._record(changes)
+            if not (changes.progress or changes.ends) or await self._record(changes):
+                self._stored = self._begun
+                self._recorded.set()
+                self._recorded = anyio.Event()
 
-    async def _record(self, changes: Changes) -> None:
+    async def _record(self, changes: Changes) -> bool:
+        """Store changes and return whether they are stored."""
         records = [
             KeyedRecord(job + PROGRESS_SUFFIX, encode(progress))
             for job, progress in changes.progress.items()
@@ -95,15 +113,14 @@
                 await self._writer.append(records, APPEND_TIMEOUT_SECONDS)
         except AppendFenced:
             self._term.end_fenced("store")
-            return
+            return False
         except (LogUnavailable, AppendUndecided) as exc:
             log.warning("job progress not stored", extra={"jobs": len(records), "why": exc.code})
             self._cell.restore_changes(changes)
             self._requested.set()
-            return
+            return False
         self._cell.mark_recorded(changes)
-        self._recorded.set()
-        self._recorded = anyio.Event()
+        return True
 
     async def _retention_loop(self, retention: Retention) -> None:
         async for now in self._clock.ticks(RETENTION_INTERVAL_SECONDS):
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -8,7 +8,12 @@
 import anyio
 
 from ragworttiller.exceptions import AppendFenced, OrderRefused, OrderUndecided, RunnerGone
-from ragworttiller.platform.runners import HoldAnswer, RunnerClient, Start
+from ragworttiller.platform.runners import (
+    UNREACHABLE_REASON,
+    HoldAnswer,
+    RunnerClient,
+    Start,
+)
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.ownership.recorder import Recorder
 from ragworttiller.scheduling.ownership.start_call import call_start
@@ -96,8 +101,9 @@
             self._term.end_fenced(runner.id)
         except RunnerGone:
             cell.pool.record_ended_boot(runner, self._clock.now())
-        except (OrderRefused, OrderUndecided):
-            cell.record_no_answer(runner, now + wait, self._clock.now())
+        except (OrderRefused, OrderUndecided) as exc:
+            refused = exc.fields.get("reason") == UNREACHABLE_REASON
+            cell.record_no_answer(runner, now + wait, self._clock.now(), refused)
             await self._clock.sleep(HOLD_RETRY_SECONDS)
         else:
             self._apply_hold_answer(runner, held)
@@ -146,6 +152,8 @@
             run.task, run.number, order.spec, order.deadline, run.checkpoint, order.ticket
         )
         extra = run_fields(run)
+        if order.trial:
+            await self._store_trial(run)
         try:
             if not self._term.valid:
                 cell.mark_start_refused(run, "term", self._clock.now())
@@ -155,8 +163,8 @@
             reason = exc.fields["reason"]
             log.info("start order refused", extra={**extra, "why": reason})
             cell.mark_start_refused(run, reason, self._clock.now())
-            if reason == "unreachable":
-                cell.record_no_answer(runner, run.started_at, self._clock.now())
+            if reason == UNREACHABLE_REASON:
+                cell.record_no_answer(runner, run.started_at, self._clock.now(), True)
         except OrderUndecided:
             log.info("start order undecided", extra=extra)
         except AppendFenced:
@@ -170,6 +178,13 @@
             return
         self._on_change()
 
+    async def _store_trial(self, run: Run) -> None:
+        """Store that a task is tried, so that its crash outlives this owner."""
+        self._cell.announce_trial(run)
+        if not await self._recorder.store_now():
+            log.warning("trial not stored before its start", extra=run_fields(run))
+        run.started_at = self._clock.now()
+
     def _start_still_needed(self, run: Run) -> bool:
         """Return whether an unanswered start should be retried."""
         runner = self._cell.runners.get(run.runner)
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -47,12 +47,32 @@
     wall: float
 
 
+class Blame(StrEnum):
+    """What speaks for a task having crashed its runner.
+
+    It was tried there, with nothing starting beside it; it started last; or it only ran there.
+    """
+
+    TRIAL = "trial"
+    LATEST = "latest"
+    BESIDE = "beside"
+
+
+class Crash(NamedTuple):
+    """Loss of a runner under a task that had run there for ``seconds``."""
+
+    runner: str
+    seconds: float
+    blame: str
+
+
 class StageProgress(NamedTuple):
     """Ended and checkpointed tasks of one stage.
 
     ``done`` has one bit for each task, the lowest first. ``failures`` has the numbers of the failed
-    runs, so that an end that is reported again counts once; it and ``checkpoints`` are keyed by the
-    index of the task.
+    runs, so that an end that is reported again counts once; it, ``checkpoints``, ``crashes`` and
+    ``trials`` are keyed by the index of the task. ``trials`` has the runner on which a task is
+    tried; it is written before the start.
     """
 
     occurrence: int
@@ -60,6 +80,8 @@
     done: bytes
     failures: dict[int, list[int]]
     checkpoints: dict[int, str]
+    crashes: dict[int, list[Crash]] = {}
+    trials: dict[int, str] = {}
 
 
 class Progress(NamedTuple):
@@ -72,12 +94,14 @@
 class Withdrawn(NamedTuple):
     """Runner on which the owner starts no more tasks, and the tasks that it may still run.
 
-    ``renewed`` is whether the owner keeps renewing its lease, as on a draining runner.
+    ``renewed`` is whether the owner keeps renewing its lease, as on a draining runner. Nothing
+    listens at the address of a ``silent`` one; its tasks are those that started last first.
     """
 
     runner: str
     tasks: list[str]
     renewed: bool = False
+    silent: bool = False
 
 
 class Claim(NamedTuple):
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -7,7 +7,7 @@
 
 from ragworttiller.resources import NO_RESOURCES
 from ragworttiller.scheduling.records.formats import JobState, Progress
-from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
@@ -38,6 +38,8 @@
     ----------
     by_id : dict of str to JobWork
         The jobs by identifier.
+    inherited_trials : set of StageId
+        Stages with trials of an earlier owner that are not settled.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self._awaiting_end_record: set[str] = set()
         self._config_version = 0
         self.by_id: dict[str, JobWork] = {}
+        self.inherited_trials: set[StageId] = set()
         fold.touched |= set(fold.jobs)
 
     def refresh(self, now: float, wall: float) -> None:
@@ -67,10 +70,14 @@
             elif not row.open:
                 self._awaiting_end_record.discard(job)
             elif work is None and job not in self._awaiting_end_record:
-                self.by_id[job] = JobWork(job, row, now, wall)
-                self.by_id[job].queue = self._config.current_queue(self.by_id[job].queue)
+                self._add_job(job, row, now, wall)
         self._refresh_queues()
 
+    def _add_job(self, job: str, row: JobRow, now: float, wall: float) -> None:
+        work = self.by_id[job] = JobWork(job, row, now, wall)
+        work.queue = self._config.current_queue(work.queue)
+        self.inherited_trials.update(s.id for s in work.stages.values() if s.trials)
+
     def pending(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         counts: dict[str, int] = {}
@@ -91,6 +98,11 @@
             return UNKNOWN_STEP
         return row.accepted.job.steps[task.stage.step]
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether the progress of some job has changed and is not being stored."""
+        return bool(self._changed)
+
     def mark_changed(self, work: JobWork) -> None:
         """Record that the progress of a job has changed; if it has ended now, stop its runs."""
         self._changed[work.id] = None
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Set
 
 from ragworttiller.platform.configuration import Queue
+from ragworttiller.scheduling.decisions.crash_rules import gives_up
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
 from ragworttiller.scheduling.records.formats import JobState, Progress, stage_id
 from ragworttiller.scheduling.records.job_fold import JobRow
@@ -130,9 +131,7 @@
 
     def progress(self) -> Progress:
         """Return the progress of the job to record."""
-        stages = [
-            s.progress() for s in self.stages.values() if s.done or s.failed_runs or s.checkpoints
-        ]
+        stages = [stage.progress() for stage in self.stages.values() if stage.has_progress]
         return Progress(str(self.state), stages)
 
     def update_final_state(self) -> JobState | None:
@@ -141,11 +140,14 @@
             return None
         if self.complete:
             self.state = JobState.COMPLETED
-        elif any(self._attempts_exhausted(stage) for stage in self.stages.values()):
+        elif any(self._given_up(stage) for stage in self.stages.values()):
             self.state = JobState.FAILED
         return JobState(self.state) if self.state else None
 
-    def _attempts_exhausted(self, stage: Stage) -> bool:
+    def _given_up(self, stage: Stage) -> bool:
+        """Return whether some task of a stage is not started again."""
+        if any(gives_up(rows) for rows in stage.crashes.values()):
+            return True
         if stage.spec.daemon:
             return False
         return any(len(runs) >= self.queue.attempts for runs in stage.failed_runs.values())
--- a/ragworttiller/scheduling/state/orders.py
+++ b/ragworttiller/scheduling/state/orders.py
@@ -14,12 +14,16 @@
 
 
 class StartOrder(NamedTuple):
-    """Order to start a run; ``deadline`` is on the runner's clock, in seconds."""
+    """Order to start a run; ``deadline`` is on the runner's clock, in seconds.
+
+    The start of a ``trial`` is recorded first.
+    """
 
     run: Run
     spec: str
     deadline: float
     ticket: str
+    trial: bool = False
 
 
 class StopOrder(NamedTuple):
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -165,6 +165,7 @@
     def plan(self, now: float, wall: float) -> Plan:
         """Return the starts, stops and advisor calls that are due now."""
         self.pool.end_runs(now)
+        self._tracker.settle_inherited()
         for run in self._runs_to_evacuate(now):
             self._stops.add(run, "runner drains")
         for run in self.pool.filling_runs_to_stop():
@@ -189,7 +190,9 @@
             and self._observation.look_due(runner, now)
         ]
 
-    def record_no_answer(self, runner: RunnerState, sent_at: float, now: float) -> None:
+    def record_no_answer(
+        self, runner: RunnerState, sent_at: float, now: float, refused: bool = False
+    ) -> None:
         """Count an order that a runner did not answer, unless it has answered a later one.
 
         Parameters
@@ -198,16 +201,18 @@
             Runner that did not answer.
         sent_at, now : float
             Time of the order and current time, in seconds.
+        refused : bool
+            Whether nothing listens at its address.
         """
         self._observation.record_unanswered(now)
         if runner.last_answer_at <= sent_at:
-            self.pool.record_no_answer(runner)
+            self.pool.record_no_answer(runner, now, refused)
 
     def record_unanswered_look(self, runner: RunnerState, sent_at: float, now: float) -> None:
         """Record a look that a runner did not answer; see `record_no_answer`."""
         self._observation.record_unanswered(now)
         if runner.last_answer_at <= sent_at and runner.record_unanswered_look():
-            self.pool.record_no_answer(runner)
+            self.pool.record_no_answer(runner, now)
 
     def set_entries(self, names: list[str]) -> None:
         """Set the entries among which calls to the advisor are distributed."""
@@ -236,6 +241,17 @@
             stage.tickets.call_deadline = 0.0
         return stage
 
+    @property
+    def has_changed_jobs(self) -> bool:
+        """Whether the progress of some job has changed and is not being stored."""
+        return self._active.has_changes
+
+    def announce_trial(self, run: Run) -> None:
+        """Let the trial of a run be stored, before its start is ordered."""
+        work = self.jobs.get(run.task.stage.job)
+        if work is not None:
+            self._active.mark_changed(work)
+
     def take_changes(self) -> Changes:
         """Return the changes to write to the store and clear the set of changed jobs."""
         ends = {r.id: r.last_end_seen for r in self.runners.values() if r.has_unrecorded_ends}
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -13,6 +13,9 @@
 
 log = logging.getLogger(__name__)
 
+# Runners that crash of themselves tend to do so again within this time.
+UNSOUND_SECONDS = 20.0
+
 
 class RunnerPool:
     """Boots of runners known to the owner.
@@ -23,8 +26,8 @@
         Runners listed by the platform.
     takeover : Takeover
         Runners on which an earlier owner's tasks may still run.
-    on_run_end : Callable
-        Called with each run that has certainly ended with its runner, and the current time.
+    on_lost : Callable
+        Called with a runner whose runs have all certainly ended with it, and the current time.
 
     Attributes
     ----------
@@ -36,17 +39,21 @@
     """
 
     def __init__(
-        self, listed: RunnerFold, takeover: Takeover, on_run_end: Callable[[Run, float], None]
+        self,
+        listed: RunnerFold,
+        takeover: Takeover,
+        on_lost: Callable[[RunnerState, float], None],
     ) -> None:
         self._listed = listed
         self._takeover = takeover
-        self._on_run_end = on_run_end
+        self._on_lost = on_lost
         # The platform may keep listing a boot for a while after it has ended.
         self._ended_boots: set[str] = set()
         self._list_version = -1
         self._unlisted: list[RunnerState] = []
         # Runners that have missed a call or ended, the only ones whose runs may have ended unseen.
         self._doubtful: dict[str, RunnerState] = {}
+        self._unsound_until: dict[str, float] = {}
         self.runners: dict[str, RunnerState] = {}
         self.owned_at = float("-inf")
 
@@ -67,10 +74,19 @@
             if not runner.enrolled
         )
 
+    @property
+    def awaits_withdrawal(self) -> bool:
+        """Whether a claim should tell at once what may have ended with some runner."""
+        return any(runner.awaits_withdrawal for runner in self._doubtful.values())
+
     def accepting_tasks(self, now: float) -> list[RunnerState]:
         """Return the runners on which tasks may start."""
         return [runner for runner in self.runners.values() if runner.accepts_tasks(now)]
 
+    def on_trial(self, now: float) -> int:
+        """Return the number of runners on which a suspected task is being tried."""
+        return sum(runner.on_trial(now) for runner in self.runners.values())
+
     def roster(self) -> list[str]:
         """Return the runners that may receive orders or may still run tasks."""
         not_lost = [name for name, runner in self.runners.items() if not runner.lost]
@@ -89,12 +105,14 @@
                 # It may have been enrolled by a claim that was on its way when it was lost.
                 runner.enrolled = False
                 continue
-            if self._takeover.is_unresolved(runner.id) or not (suspect or runner.entry.draining):
+            leaves = suspect or runner.refuses or runner.entry.draining
+            if self._takeover.is_unresolved(runner.id) or not leaves:
                 continue
             runner.enrolled = False
             runner.renewal_withheld = runner.renewal_withheld or suspect
-            tasks = sorted({str(task) for task, _ in runner.runs})
-            withdrawn.append(Withdrawn(runner.id, tasks, renewed=not suspect))
+            silent = runner.misses > 0 and not runner.entry.draining
+            row = Withdrawn(runner.id, runner.latest_tasks(), not suspect, silent)
+            withdrawn.append(row)
         return withdrawn
 
     def enroll(self, claim: Claim) -> None:
@@ -128,6 +146,7 @@
             if runner is None:
                 runner = self.runners[entry.runner] = RunnerState(entry)
                 runner.renewal_withheld = self._takeover.called_not_renewed(runner.id)
+                runner.unsound_until = self._unsound_until.get(entry.address, float("-inf"))
                 extra = {"runner": entry.runner, "address": entry.address}
                 log.info("runner listed", extra=extra)
             if entry.draining and runner.leaves_at == float("inf"):
@@ -138,9 +157,9 @@
             runner.listed = runner.id in entries
         self._unlisted = [runner for runner in self.runners.values() if not runner.listed]
 
-    def record_no_answer(self, runner: RunnerState) -> None:
-        """Count a call that a runner did not answer."""
-        runner.misses += 1
+    def record_no_answer(self, runner: RunnerState, now: float, refused: bool = False) -> None:
+        """Count a call that a runner did not answer; nothing listens there if it ``refused``."""
+        runner.record_miss(now, refused)
         self._doubtful[runner.id] = runner
         if runner.misses == 1:
             log.info("runner does not answer", extra={"runner": runner.id})
@@ -181,11 +200,20 @@
 
     def _remove_ended_boot(self, runner: RunnerState, now: float) -> None:
         reason = "another boot answers"
-        self._takeover.resolve(runner.id, reason, now)
+        self._takeover.resolve(runner.id, reason, now, lost=True)
         del self.runners[runner.id]
+        self._record_unsound(runner, now)
         self._mark_lost(runner, now, reason)
         self._ended_boots.add(runner.id)
 
+    def _record_unsound(self, runner: RunnerState, now: float) -> None:
+        """Record that a boot has ended, unless a trial explains it."""
+        if any(run.trial for run in runner.runs.values()):
+            return
+        rows = self._unsound_until.items()
+        self._unsound_until = {address: until for address, until in rows if until > now}
+        self._unsound_until[runner.entry.address] = now + UNSOUND_SECONDS
+
     def filling_runs_to_stop(self) -> list[Run]:
         """Return the filling runs on runners that also run a task with a latency bound."""
         return [
@@ -211,13 +239,12 @@
             return
         runner.lost = True
         runner.enrolled = False
-        runs = list(runner.runs.values())
         log.warning(
             "runner lost",
             extra={
                 "runner": runner.id,
                 "why": reason,
-                "tasks": len(runs),
+                "tasks": len(runner.runs),
                 "address": runner.entry.address,
                 "listed": runner.listed,
                 "misses": runner.misses,
@@ -225,5 +252,4 @@
                 "lease_left": runner.lease_left(now),
             },
         )
-        for run in runs:
-            self._on_run_end(run, now)
+        self._on_lost(runner, now)
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -50,6 +50,12 @@
         Time at which another boot was known to answer in its place, None before.
     misses : int
         Number of consecutive calls that the runner did not answer.
+    silent_since : float or None
+        Time of the first of these calls, None if there is none.
+    refuses : bool
+        Whether nothing listened at its address at the last call.
+    unsound_until : float
+        Time until which a crash may be the runner's own fault: a boot at its address has ended.
     leaves_at : float
         Time at which a draining runner may shut down.
     last_end_seen, last_end_recorded : int
@@ -73,6 +79,9 @@
         self.lost = False
         self.ended_at: float | None = None
         self.misses = 0
+        self.silent_since: float | None = None
+        self.refuses = False
+        self.unsound_until = float("-inf")
         self.last_end_seen = 0
         self.last_end_recorded = 0
         self.look_in_flight = False
@@ -91,6 +100,8 @@
         self._lease_end = 0.0
         self._unanswered_looks = 0
         self._recent_ends: dict[tuple[TaskId, int], None] = {}
+        self._trial: Run | None = None
+        self._trial_until = 0.0
 
     @property
     def has_answered(self) -> bool:
@@ -158,8 +169,35 @@
             and self.misses == 0
             and now - self.last_answer_at < MAX_ANSWER_AGE_SECONDS
             and now >= self.suspended_until
+            and not self.on_trial(now)
         )
 
+    def begin_trial(self, run: Run, until: float) -> None:
+        """Let no other task start here until a time in seconds, or until the run has ended."""
+        run.trial = True
+        self._trial, self._trial_until = run, until
+
+    def on_trial(self, now: float) -> bool:
+        """Return whether no task starts here because another one is being tried."""
+        return self._trial is not None and self._trial.key in self.runs and now < self._trial_until
+
+    @property
+    def awaits_withdrawal(self) -> bool:
+        """Whether the stored claim should tell at once what may have ended with the runner."""
+        return self.refuses and self.enrolled and bool(self.runs)
+
+    def latest_tasks(self) -> list[str]:
+        """Return the tasks on the runner, those that started last first."""
+        runs = sorted(self.runs.values(), key=lambda run: (-run.started_at, run.task))
+        return list(dict.fromkeys(str(run.task) for run in runs))
+
+    def record_miss(self, now: float, refused: bool = False) -> None:
+        """Record a call that the runner did not answer; nothing listens there if it ``refused``."""
+        self.misses += 1
+        self.refuses = refused
+        if self.silent_since is None:
+            self.silent_since = now
+
     def record_answer(self, clock: float, now: float) -> bool:
         """Record an answer with the runner's clock reading, in seconds.
 
@@ -172,6 +210,8 @@
         self.last_answer_at = now
         self.next_look_at = float("-inf")
         self.misses = 0
+        self.silent_since = None
+        self.refuses = False
         self.lost = False
         self._unanswered_looks = 0
         if self._clock_reading is not None and clock < self._clock_reading[0]:
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -6,7 +6,13 @@
 from enum import StrEnum
 
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.records.formats import StageProgress, decode_bitmap, encode_bitmap
+from ragworttiller.scheduling.decisions.crash_rules import is_suspect
+from ragworttiller.scheduling.records.formats import (
+    Crash,
+    StageProgress,
+    decode_bitmap,
+    encode_bitmap,
+)
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
 from ragworttiller.scheduling.state.tickets import Tickets
 
@@ -33,6 +39,8 @@
         Time at which the percentage last changed, or at which the run started.
     ordered_at : float
         Time of the last start or stop order.
+    trial : bool
+        Whether nothing else starts on its runner for a while, since its task is suspected.
     """
 
     def __init__(self, task: TaskId, number: int, runner: str, spec: StepSpec, now: float) -> None:
@@ -45,6 +53,7 @@
         self.ordered_at = now
         self.start_deadline = 0.0
         self.checkpoint = ""
+        self.trial = False
         self.percent = 0.0
         self.progressed_at = now
         self._progress_base: tuple[float, float] | None = (0.0, now)
@@ -123,6 +132,10 @@
         Runners on which room was reserved for it in the last planning pass.
     reserved_since : float or None
         Time in seconds since when room is reserved for it, None if there is no reservation.
+    crashes : dict of int to list of Crash
+        Runners lost under a task since it last outlived its trial, by index.
+    trials : dict of int to str
+        Runner on which a task is tried, by index.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec) -> None:
@@ -133,6 +146,8 @@
         self.active_runs: dict[int, Run] = {}
         self.failed_runs: dict[int, list[int]] = {}
         self.checkpoints: dict[int, str] = {}
+        self.crashes: dict[int, list[Crash]] = {}
+        self.trials: dict[int, str] = {}
         self.last_failed_runner: dict[int, str] = {}
         self.tickets = Tickets()
         self.blocked_since: float | None = None
@@ -164,7 +179,13 @@
     @property
     def has_started(self) -> bool:
         """Whether a task has started."""
-        return bool(self.done or self.active_runs or self._last_run_numbers or self.failed_runs)
+        ended = self.done or self.failed_runs or self.crashes
+        return bool(ended or self.active_runs or self._last_run_numbers)
+
+    @property
+    def has_progress(self) -> bool:
+        """Whether there is something to record about a task."""
+        return bool(self.done or self.failed_runs or self.checkpoints or self.crashes)
 
     def runs_by_runner(self) -> Counter[str]:
         """Return the number of active runs on each runner that has any."""
@@ -176,6 +197,8 @@
         self.waiting = [index for index in self.waiting if index not in self.done]
         self.failed_runs = {index: list(runs) for index, runs in progress.failures.items()}
         self.checkpoints = dict(progress.checkpoints)
+        self.crashes = {index: list(rows) for index, rows in progress.crashes.items()}
+        self.trials = dict(progress.trials)
 
     def progress(self) -> StageProgress:
         """Return the progress of the stage to record."""
@@ -185,6 +208,8 @@
             encode_bitmap(self.done, self.spec.tasks),
             {index: list(runs) for index, runs in self.failed_runs.items()},
             {i: text for i, text in self.checkpoints.items() if i not in self.done},
+            {index: list(rows) for index, rows in self.crashes.items()},
+            dict(self.trials),
         )
 
     def start(self, index: int, runner: str, epoch: int, now: float, number: int = 0) -> Run:
@@ -211,6 +236,7 @@
     def mark_done(self, index: int) -> None:
         """Record that a task has ended as done."""
         self.active_runs.pop(index, None)
+        self.clear_crashes(index)
         if index in self.waiting:
             self.waiting.remove(index)
         self.done.add(index)
@@ -221,12 +247,28 @@
         if number not in runs:
             runs.append(number)
 
+    def add_crash(self, index: int, crash: Crash) -> None:
+        """Record the loss of a runner under a task once."""
+        rows = self.crashes.setdefault(index, [])
+        if all(row.runner != crash.runner for row in rows):
+            rows.append(crash)
+
+    def is_suspect(self, index: int) -> bool:
+        """Return whether a task starts only as a trial."""
+        return index in self.crashes and is_suspect(self.crashes[index])
+
+    def clear_crashes(self, index: int) -> None:
+        """Record that a task has outlived what its runners crashed of."""
+        self.crashes.pop(index, None)
+        self.trials.pop(index, None)
+
     def requeue(self, run: Run, now: float) -> None:
         """Return the task of an ended run to the waiting tasks if the run is the active one."""
         index = run.task.ordinal
         if self.active_runs.get(index) is not run:
             return
         del self.active_runs[index]
+        self.trials.pop(index, None)
         if self.spec.checkpoints and run.checkpoint:
             self.checkpoints[index] = run.checkpoint
         self.waiting.append(index)
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -46,6 +46,7 @@
         self._reached_by_earlier_owner: frozenset[str] = frozenset()
         self._unresolved_until: dict[str, float] = {}
         self._withdrawn: dict[str, Withdrawn] = {}
+        self._lost: list[Withdrawn] = []
         if claim is None:
             return
         self._withdrawn = {row.runner: row for row in claim.withdrawn}
@@ -88,10 +89,13 @@
         """Return whether a runner may still run tasks unknown to the new owner."""
         return runner in self._unresolved_until
 
-    def resolve(self, runner: str, reason: str, now: float) -> None:
-        """Record that a runner has answered the new owner, or that its boot has ended."""
+    def resolve(self, runner: str, reason: str, now: float, lost: bool = False) -> None:
+        """Record that a runner has answered the new owner, or that it was ``lost``."""
         if self._unresolved_until.pop(runner, None) is None:
             return
+        row = self._withdrawn.get(runner)
+        if lost and row is not None and row.silent:
+            self._lost.append(row)
         seconds = round(now - self._began_at, 3)
         extra = {"runner": runner, "why": reason, "after": seconds}
         log.info("runner of an earlier owner settled", extra=extra)
@@ -105,7 +109,12 @@
     def expire(self, by: float) -> None:
         """Resolve the runners on which all runs of the earlier owner had ended by a time."""
         for name in [name for name, until in self._unresolved_until.items() if until <= by]:
-            self.resolve(name, "its lease has expired", by)
+            self.resolve(name, "its lease has expired", by, lost=True)
+
+    def take_lost(self) -> list[Withdrawn]:
+        """Return the silent runners lost since the last call, and the tasks that were on them."""
+        lost, self._lost = self._lost, []
+        return lost
 
     def expires_between(self, start: float, end: float) -> bool:
         """Return whether the runs of the earlier owner on some runner have ended in a time span."""
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -214,10 +214,10 @@
 
     async def crash_and_return(self, machine: str):
         """Crash the boot of a machine in a moment; the next boot follows some seconds later."""
+        self.machines[machine].refuses = True
         await self.timers.sleep(CRASH_DELAY_SECONDS)
         if self.machines[machine].boot is None:
             return
-        self.machines[machine].refuses = True
         self.machines[machine].crash()
         await self.timers.sleep(RETURN_SECONDS)
         if self.machines[machine].boot is None:
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -38,6 +38,19 @@
                 rig.add_entry(owner.name)
 
 
+async def kill_the_owner_at_each_trial(rig: OwnersRig):
+    """Kill the owner at each start of the deadly task but the first, and start it again."""
+    seen = 1
+    while True:
+        await rig.timers.sleep(0.001)
+        count = starts_of(rig)[DEADLY_TASK]
+        if count > seen and rig.owner is not None:
+            seen, owner = count, rig.owner
+            rig.kill(owner.name)
+            await rig.timers.sleep(0.5)
+            rig.add_entry(owner.name)
+
+
 async def state_of(rig: OwnersRig, job: str) -> JobState:
     return (await rig.states([job]))[0]
 
@@ -92,3 +105,17 @@
             assert starts_of(rig)[DEADLY_TASK] <= MAX_STARTS
 
         with_rig(body, runners=4)
+
+    def test_a_trial_outlives_an_owner_that_is_killed_at_its_start(self):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            rig.deadly = {DEADLY_TASK}
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kill_the_owner_at_each_trial, rig)
+                await rig.submit(DEADLY, step(1))
+                await wait_failed(rig, DEADLY, within=150.0)
+                tasks.cancel_scope.cancel()
+            assert await state_of(rig, DEADLY) == JobState.FAILED
+            assert starts_of(rig)[DEADLY_TASK] <= MAX_STARTS
+
+        with_rig(body, runners=4)
