--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -104,6 +104,9 @@
         Seconds that a stop takes.
     on_start : Callable
         Called with the name of each task that starts.
+    born : int
+        Time of its start in milliseconds, by which boots of one identifier differ; its clock starts
+        then. If it is 0, the runner does not tell it, and its clock is that of the timers.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         size: Callable[[str], Resources] = lambda task: NO_RESOURCES,
         stop_seconds: float = 0.0,
         on_start: Callable[[str], None] = lambda task: None,
+        born: int = 0,
     ) -> None:
         self.name = name
         self.capacity = capacity
@@ -129,6 +133,8 @@
         self._size = size
         self._stop_seconds = stop_seconds
         self._on_start = on_start
+        self._born = born
+        self._born_at = timers.now() if born else 0.0
         self._fence_token = 0
         self._lease_end = 0.0
         self._last_end_number = 0
@@ -141,7 +147,7 @@
     @property
     def clock(self) -> float:
         """The runner's own clock, in seconds."""
-        return self._timers.now() * self._rate
+        return (self._timers.now() - self._born_at) * self._rate
 
     @property
     def running(self) -> list[str]:
@@ -172,6 +178,8 @@
         row["capacity"] = capacity
         if remaining is not None:
             row["remaining_ms"] = int(remaining * 1000)
+        if self._born:
+            row["born"] = self._born
         return json.dumps({**row, "labels": ["a", "r1-1"], "zone": "a", "seq": 1}).encode()
 
     @override
@@ -193,7 +201,7 @@
 
     def end_due_runs(self) -> None:
         """End the runs that are complete or whose lease has expired."""
-        now, lease_expiry = self._timers.now(), self._lease_end / self._rate
+        now, lease_expiry = self._timers.now(), self._born_at + self._lease_end / self._rate
         for task, row in list(self._running.items()):
             if row.ends_at <= min(now, lease_expiry):
                 self._end(task, self._outcome(task, row))
@@ -265,7 +273,8 @@
         running = [
             [t, r.run, r.checkpoint, r.percent_done(now), 0] for t, r in self._running.items()
         ]
-        return self._reply(200, {"running": running, "ended_runs": [list(r) for r in self._ended]})
+        lists = {"running": running, "ended_runs": [list(r) for r in self._ended]}
+        return self._reply(200, {**lists, "born": self._born} if self._born else lists)
 
     def _end(self, task: str, end_state: str) -> None:
         row = self._running.pop(task)
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -157,7 +157,9 @@
 class OwnersRig:
     """Entries, runners and the store of one cell."""
 
-    def __init__(self, tasks: TaskGroup, runners: int = 3, work: float = 0.5):
+    def __init__(
+        self, tasks: TaskGroup, runners: int = 3, work: float = 0.5, keeps_ids: bool = False
+    ):
         self.tasks = tasks
         self.timers = LoopTimers()
         self.store = StoreService(self.timers)
@@ -169,6 +171,8 @@
         self.work_by_job: dict[str, float] = {}
         self.failing: set[str] = set()
         self.deadly: set[str] = set()
+        # Whether the next boot of a machine keeps the identifier of the one before.
+        self.keeps_ids = keeps_ids
         self.stop_seconds = 0.0
         self.sizes: dict[str, Resources] = {}
         self.client = Store("", 1.0, Link(self.store, self.timers))
@@ -205,6 +209,7 @@
             size=lambda task: self.sizes.get(task.split(".")[0], Resources(1000, 100, 0)),
             stop_seconds=self.stop_seconds,
             on_start=lambda task: self._on_start(machine, task),
+            born=int(self.timers.wall() * 1000) if self.keeps_ids else 0,
         )
         self.list_boot(machine)
 
@@ -224,7 +229,9 @@
             self.boot(machine, self.new_boot_name(machine))
 
     def new_boot_name(self, machine: str) -> str:
-        """Return an identifier that no boot has had."""
+        """Return the identifier of the next boot, by default one that no boot has had."""
+        if self.keeps_ids:
+            return machine
         self._boots += 1
         return f"{machine}-boot{self._boots}"
 
@@ -310,10 +317,15 @@
         raise AssertionError(f"not completed: {unfinished}")
 
 
-def with_rig(body: Callable[[OwnersRig], Awaitable[None]], runners: int = 3, work: float = 0.5):
+def with_rig(
+    body: Callable[[OwnersRig], Awaitable[None]],
+    runners: int = 3,
+    work: float = 0.5,
+    keeps_ids: bool = False,
+):
     async def main():
         async with anyio.create_task_group() as tasks:
-            await body(OwnersRig(tasks, runners, work))
+            await body(OwnersRig(tasks, runners, work, keeps_ids))
             tasks.cancel_scope.cancel()
 
     run_virtual(main)
