Take no trial for proof when other runners are lost at the same moment

What callers saw: nothing yet. Cause: runners that share a cause crash during trials too, and the first time they are sound. Change: a trial proves nothing if another runner without a trial fell silent within 0.1 s and stayed so. Its task is still blamed. Evidence: the first new test fails without the change; the second keeps a call that was only missed from counting. Ruled out: comparing the seconds of the crashes, since tasks that crash late vary.

--- a/ragworttiller/scheduling/decisions/crash_blame.py
+++ b/ragworttiller/scheduling/decisions/crash_blame.py
@@ -19,11 +19,20 @@
 MAX_CRASH_SECONDS = 10.0
 
 
-def blame_runs(runner: RunnerState, now: float) -> list[tuple[Run, Crash]]:
+def blame_runs(runner: RunnerState, alone: bool, now: float) -> list[tuple[Run, Crash]]:
     """Return the runs that a lost runner may have crashed of, each with what speaks for it.
 
     A draining runner leaves as planned. One of which no other boot answers may only be out of
-    reach, and one that has crashed lately may crash of itself.
+    reach, one that has crashed lately may crash of itself, and several at once have another cause.
+
+    Parameters
+    ----------
+    runner : RunnerState
+        Lost runner, with its runs.
+    alone : bool
+        Whether no other runner without a trial was lost at the same moment.
+    now : float
+        Time in seconds.
     """
     runs = list(runner.runs.values())
     if not runs or runner.entry.draining:
@@ -33,7 +42,8 @@
     together = [run for run in runs if run.started_at >= latest - SAME_START_SECONDS]
     if len(together) == 1 and together[0].trial:
         # Nothing has started beside it: that explains the crash.
-        sure = runner.ended_at is not None and silent_since >= runner.unsound_until
+        sound = silent_since >= runner.unsound_until
+        sure = alone and sound and runner.ended_at is not None
         blame = Blame.TRIAL if sure else Blame.LATEST
         return _with_crashes(runner.id, together, silent_since, blame)
     beside = [run for run in runs if run not in together]
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -22,6 +22,7 @@
     NO_ROOM = "no_room"
     LIMIT = "limit"
     PROBATION = "probation"
+    TRIAL = "trial"
     ADVICE = "advice"
     DENIED = "denied"
     GANG = "gang"
@@ -210,7 +211,10 @@
         if work.queue.advice and not any(stage.tickets.valid_ticket(r.id, now) for r in with_room):
             denied = all(r.id in stage.tickets.denied for r in with_room)
             return WaitReason.DENIED if denied else WaitReason.ADVICE
-        return WaitReason.GANG if stage.spec.gang else WaitReason.PLANNED
+        if stage.spec.gang:
+            return WaitReason.GANG
+        suspected = all(stage.is_suspect(index) for index in stage.waiting)
+        return WaitReason.TRIAL if suspected else WaitReason.PLANNED
 
 
 def _state(runner: RunnerState, now: float) -> str:
@@ -222,4 +226,6 @@
         return "draining"
     if runner.misses:
         return "unreached"
+    if runner.on_trial(now):
+        return "trial"
     return "resting" if now < runner.suspended_until else "not_enrolled"
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -234,7 +234,7 @@
 
     def _requeue_runs(self, runner: RunnerState, now: float) -> None:
         """Requeue the tasks of a lost runner's runs, which were never reported as ended."""
-        blamed = blame_runs(runner, now)
+        blamed = blame_runs(runner, self.pool.was_lost_alone(runner), now)
         for run in list(runner.runs.values()):
             self._remove_run(run)
             runner.remove(run)
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -15,6 +15,8 @@
 
 # Runners that crash of themselves tend to do so again within this time.
 UNSOUND_SECONDS = 20.0
+# Runners that share a cause, as a rack does, fall silent within this time.
+SAME_MOMENT_SECONDS = 0.1
 
 
 class RunnerPool:
@@ -54,6 +56,8 @@
         # Runners that have missed a call or ended, the only ones whose runs may have ended unseen.
         self._doubtful: dict[str, RunnerState] = {}
         self._unsound_until: dict[str, float] = {}
+        # Boots without a trial that have not answered since a time, also those that have ended.
+        self._silent_since: dict[str, float] = {}
         self.runners: dict[str, RunnerState] = {}
         self.owned_at = float("-inf")
 
@@ -160,10 +164,28 @@
     def record_no_answer(self, runner: RunnerState, now: float, refused: bool = False) -> None:
         """Count a call that a runner did not answer; nothing listens there if it ``refused``."""
         runner.record_miss(now, refused)
+        if runner.misses == 1 and not runner.runs_trial:
+            recent = now - UNSOUND_SECONDS
+            self._silent_since = {k: at for k, at in self._silent_since.items() if at > recent}
+            self._silent_since[runner.id] = now
         self._doubtful[runner.id] = runner
         if runner.misses == 1:
             log.info("runner does not answer", extra={"runner": runner.id})
 
+    def was_lost_alone(self, runner: RunnerState) -> bool:
+        """Return whether no other runner without a trial fell silent at the same moment."""
+        if runner.silent_since is None:
+            return True
+        return not any(
+            abs(at - runner.silent_since) <= SAME_MOMENT_SECONDS
+            for name, at in self._silent_since.items()
+            if name != runner.id and self._is_silent(name)
+        )
+
+    def _is_silent(self, name: str) -> bool:
+        runner = self.runners.get(name)
+        return runner is None or runner.silent_since is not None
+
     def record_ended_boot(self, runner: RunnerState, now: float) -> None:
         """Record that another boot answers in place of one, which has ended with all its runs."""
         current = self.runners.get(runner.id)
@@ -208,7 +230,7 @@
 
     def _record_unsound(self, runner: RunnerState, now: float) -> None:
         """Record that a boot has ended, unless a trial explains it."""
-        if any(run.trial for run in runner.runs.values()):
+        if runner.runs_trial:
             return
         rows = self._unsound_until.items()
         self._unsound_until = {address: until for address, until in rows if until > now}
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -145,6 +145,11 @@
         """Whether a task runs here whose processor time is not reserved."""
         return self._filling_runs > 0
 
+    @property
+    def runs_trial(self) -> bool:
+        """Whether a task that is or was tried runs here."""
+        return any(run.trial for run in self.runs.values())
+
     @property
     def probe_running(self) -> bool:
         """Whether a task started after the last suspension is running."""
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -129,6 +129,32 @@
         crash_runner(rig, "w1-again")
         assert stage_of(rig).crashes[0][-1].blame == Blame.LATEST
 
+    def test_runners_that_crash_at_the_same_moment_are_no_proof_against_a_trial(self):
+        rig = CellRig(2)
+        rig.submit(step(1))
+        stage_of(rig).crashes[0] = [crash(Blame.LATEST, "w0")]
+        (order,) = rig.start_all()
+        (other,) = set(rig.cell.runners) - {order.run.runner}
+        rig.now += 0.2
+        for name in (other, order.run.runner):
+            rig.cell.pool.record_no_answer(rig.cell.runners[name], rig.now)
+        rig.now += 3.0
+        rig.end_boot(other)
+        rig.end_boot(order.run.runner)
+        assert stage_of(rig).crashes[0][-1].blame == Blame.LATEST
+
+    def test_a_call_that_another_runner_missed_at_the_same_moment_takes_no_proof_away(self):
+        rig = CellRig(2)
+        rig.submit(step(1))
+        stage_of(rig).crashes[0] = [crash(Blame.LATEST, "w0")]
+        (order,) = rig.start_all()
+        (other,) = set(rig.cell.runners) - {order.run.runner}
+        rig.now += 0.2
+        rig.cell.pool.record_no_answer(rig.cell.runners[other], rig.now)
+        rig.hold(other)
+        crash_runner(rig, order.run.runner)
+        assert stage_of(rig).crashes[0][-1].blame == Blame.TRIAL
+
     def test_an_address_is_unsound_after_a_crash_that_no_trial_explains(self):
         rig = CellRig(1)
         address = rig.cell.runners["w1"].entry.address
