Name boots by identifier and birth, and let no order reach the next boot

Cause: everything was kept by the runner's id. The owner skipped ends numbered up to the count of the earlier life as seen, and its next hold acknowledged them, so the runner forgot them and nobody had recorded them. The class: state of one boot applied to the next. By the same cause clocks, leases, tickets, rosters and the fencing token, which the next boot has forgotten. Change: a boot is named ID@BORN wherever the system keeps something of it; the adapter alone knows both parts. Holds, starts and stops do not name the birth, and an acknowledgement that arrives too late cannot be taken back, so each connection to a runner begins with a hold that acknowledges and renews nothing, and carries orders only if that boot answered: a connection never reaches another process. A later boot that answers ends those before it, also for a takeover. The advisor is asked by id. Ruled out: a hold without acknowledgement after each missed call (a start may reach the next boot unseen in between); the clock of a start's answer as the sign (it comes too late). Runners that tell no birth are called as before.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -11,7 +11,7 @@
 import select
 import socket
 import time
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 import httpcore
@@ -20,6 +20,7 @@
 from ragworttiller.platform.exchange import (
     Answer,
     AnswerParser,
+    Exchange,
     ExchangeBroken,
     NotSent,
     request_head,
@@ -213,12 +214,19 @@
         ``host:port``, with or without ``http://``.
     timeout : float
         Seconds to wait for a connection, and for an answer unless the request sets its own.
+
+    Attributes
+    ----------
+    on_open : Callable or None
+        Called with each new connection before it carries a request, to find out who answers on it.
+        A connection never reaches another process than the one that accepted it.
     """
 
     def __init__(self, address: str, timeout: float) -> None:
         self._host, self._port = split_address(address)
         self._timeout = timeout
         self._idle: list[Channel] = []
+        self.on_open: Callable[[Exchange], Awaitable[None]] | None = None
         self._traffic = Traffic()
 
     @property
@@ -239,7 +247,7 @@
         Raises
         ------
         NotSent
-            The connection failed before a byte was written.
+            The connection failed before a byte of the request was written.
         ExchangeBroken
             The exchange failed, or no complete answer arrived within the timeout.
         """
@@ -271,4 +279,27 @@
             await channel.close()
         channel = Channel(self._host, self._port, self._timeout, self._traffic)
         await channel.open()
+        if self.on_open is not None:
+            await self._greet(channel, self.on_open)
         return channel
+
+    async def _greet(
+        self, channel: Channel, on_open: Callable[[Exchange], Awaitable[None]]
+    ) -> None:
+        """Make the first exchange of a connection, which is closed if that fails."""
+
+        async def exchange(
+            method: str, target: str, body: bytes, headers: Sequence[tuple[str, str]]
+        ) -> Answer:
+            return await channel.request(method, target, headers, body)
+
+        greeted = False
+        try:
+            with anyio.fail_after(self._timeout):
+                await on_open(exchange)
+            greeted = True
+        except (ExchangeBroken, TimeoutError) as exc:
+            raise NotSent("the first exchange of the connection failed") from exc
+        finally:
+            if not greeted:
+                await channel.close()
--- a/ragworttiller/platform/exchange.py
+++ b/ragworttiller/platform/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
 import httptools
@@ -47,6 +47,10 @@
         return values.get("content-type", DEFAULT_CONTENT_TYPE)
 
 
+# Sends a request with its method, target, body and headers, and returns the answer.
+Exchange = Callable[[str, str, bytes, Sequence[tuple[str, str]]], Awaitable[Answer]]
+
+
 def request_head(method: str, target: str, headers: Sequence[tuple[str, str]]) -> bytes:
     """Return the head of a request.
 
--- a/ragworttiller/platform/listing.py
+++ b/ragworttiller/platform/listing.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
+from ragworttiller.platform.boots import boot_name
 from ragworttiller.platform.decoding import decode_json
 from ragworttiller.resources import Resources
 
 
 class RunnerEntry(NamedTuple):
-    """State that a runner reports about itself.
+    """State that a runner reports about itself; ``runner`` is the name of its boot.
 
     ``remaining`` is the minimum time in seconds until the runner leaves, None if not reported.
     """
@@ -40,6 +41,7 @@
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     labels: list[str] = []
     remaining_ms: float | None = None
+    born: int = 0
 
 
 def decode_entry(runner: str, value: bytes) -> RunnerEntry:
@@ -54,7 +56,7 @@
     capacity = Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu)
     remaining = None if wire.remaining_ms is None else wire.remaining_ms / 1000
     return RunnerEntry(
-        runner,
+        boot_name(runner, wire.born),
         wire.service,
         wire.address,
         wire.zone,
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -14,8 +14,9 @@
     RunnerGone,
     Unreadable,
 )
+from ragworttiller.platform.boots import born_at, runner_id
 from ragworttiller.platform.channel import ChannelSet
-from ragworttiller.platform.exchange import ExchangeBroken, NotSent
+from ragworttiller.platform.exchange import Answer, Exchange, ExchangeBroken, NotSent
 from ragworttiller.platform.names import task_id
 from ragworttiller.scheduling.state.jobs import TaskId
 
@@ -25,6 +26,7 @@
 MISDIRECTED_STATUS = 421
 UNHEALTHY_STATUSES = (429, 503)
 MAX_LISTED_ENDS = 500
+HOLD_TARGET = "/-/hold"
 FENCED_REASON = "fence"
 # Given for a runner at whose address nothing listens; runners themselves do not.
 UNREACHABLE_REASON = "unreachable"
@@ -85,15 +87,20 @@
     reason: str = ""
     running: list[list[Any]] = []
     ended_runs: list[list[Any]] = []
+    born: int | None = None
 
 
 class RunnerClient:
     """Client of one boot of a runner.
 
+    A later boot may have the same identifier. So each connection begins with a hold that changes
+    nothing, and orders are sent only on one on which this boot has answered: what one boot has
+    counted is never told to the next.
+
     Parameters
     ----------
     runner : str
-        Identifier of the boot.
+        Name of the boot.
     address : str
         ``host:port``.
     channels : ChannelSet, optional
@@ -102,8 +109,13 @@
 
     def __init__(self, runner: str, address: str, channels: ChannelSet | None = None) -> None:
         self._runner = runner
+        self._born = born_at(runner)
+        self._token = 0
         self._channels = channels or ChannelSet(address, ORDER_TIMEOUT_SECONDS)
-        self._headers = [(INSTANCE_HEADER, runner), ("content-type", "application/json")]
+        if self._born:
+            self._channels.on_open = self._identify
+        headers = [(INSTANCE_HEADER, runner_id(runner)), ("content-type", "application/json")]
+        self._headers = headers
 
     async def hold(
         self,
@@ -139,11 +151,12 @@
             body["wait_ms"] = int(wait * 1000)
         if deadline is not None:
             body["deadline_ms"] = int(deadline * 1000)
-        answer = await self._send_order("/-/hold", body, wait, timeout)
+        answer = await self._send_order(HOLD_TARGET, body, wait, timeout)
+        self._check_boot(answer, HOLD_TARGET)
         if answer.clock_ms is None:
             # Without the runner's clock, empty lists are no statement of the runner.
             log.warning("hold answered without a clock", extra={"runner": self._runner})
-            raise OrderUndecided(runner=self._runner, order="/-/hold")
+            raise OrderUndecided(runner=self._runner, order=HOLD_TARGET)
         running = [_decode_running(row) for row in answer.running]
         ended = [_decode_ended(row) for row in answer.ended_runs]
         return HoldAnswer(
@@ -202,6 +215,7 @@
     async def _send_order(
         self, target: str, body: dict[str, Any], wait: float = 0.0, timeout: float | None = None
     ) -> _Answer:
+        self._token = body["fence_token"]
         content = msgspec.json.encode(body)
         timeout = timeout or ORDER_TIMEOUT_SECONDS + wait
         try:
@@ -212,6 +226,32 @@
             ) from exc
         except ExchangeBroken as exc:
             raise OrderUndecided(runner=self._runner, order=target) from exc
+        return self._decode(answer, target)
+
+    async def _identify(self, exchange: Exchange) -> None:
+        """Find out which boot answers on a new connection.
+
+        Raises
+        ------
+        AppendFenced, OrderRefused, OrderUndecided, RunnerGone
+            As for `hold`; OrderUndecided is also raised for an answer of an earlier boot.
+        """
+        body = msgspec.json.encode({"fence_token": self._token, "last_seen": 0})
+        answer = await exchange("POST", HOLD_TARGET, body, self._headers)
+        self._check_boot(self._decode(answer, HOLD_TARGET), HOLD_TARGET)
+
+    def _check_boot(self, answer: _Answer, target: str) -> None:
+        """Raise RunnerGone for the answer of a later boot, OrderUndecided for an earlier one's."""
+        if not self._born or answer.born is None or answer.born == self._born:
+            return
+        extra = {"runner": self._runner, "born": answer.born}
+        log.info("another boot answers under the identifier", extra=extra)
+        if answer.born > self._born:
+            raise RunnerGone(runner=self._runner)
+        raise OrderUndecided(runner=self._runner, order=target)
+
+    def _decode(self, answer: Answer, target: str) -> _Answer:
+        """Return the decoded answer to an order that was carried out."""
         if answer.status == MISDIRECTED_STATUS:
             raise RunnerGone(runner=self._runner)
         if answer.status in UNHEALTHY_STATUSES:
@@ -227,7 +267,7 @@
         if answer.status == 200:
             return decoded
         if decoded.reason == FENCED_REASON:
-            raise AppendFenced(stream=self._runner, epoch=body["fence_token"])
+            raise AppendFenced(stream=self._runner, epoch=self._token)
         reason = decoded.reason or f"status {answer.status}"
         raise OrderRefused(runner=self._runner, order=target, reason=reason)
 
--- a/ragworttiller/scheduling/entry/entries.py
+++ b/ragworttiller/scheduling/entry/entries.py
@@ -8,6 +8,7 @@
 
 from ragworttiller.exceptions import PeerUnreachable, RagworttillerError, Unreadable
 from ragworttiller.platform.advisor import Advisor
+from ragworttiller.platform.boots import runner_id
 from ragworttiller.platform.store import KeyedRecord, Producer, Record, Store
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
@@ -171,13 +172,20 @@
     @override
     async def ask(self, call: AdviceCall) -> dict[str, str]:
         timeout = call.wait + call.duration + ADVISOR_MARGIN_SECONDS
-        request = AdviceRequest(call.stage, list(call.runners), timeout)
-        if call.entry == self._peers.instance:
-            return (await self._serve(call.entry, request)).tickets
+        # The advisor knows runners, not their boots.
+        boots = {runner_id(boot): boot for boot in call.runners}
+        request = AdviceRequest(call.stage, list(boots), timeout)
+        tickets = await self._request_tickets(call.entry, request)
+        return {boots[name]: ticket for name, ticket in tickets.items() if name in boots}
+
+    async def _request_tickets(self, entry: str, request: AdviceRequest) -> dict[str, str]:
+        """Return the tickets for runners, by identifier, that an entry has asked for."""
+        if entry == self._peers.instance:
+            return (await self._serve(entry, request)).tickets
         try:
-            reply = await self._peers.call(call.entry, request, timeout + CALL_MARGIN_SECONDS)
+            reply = await self._peers.call(entry, request, request.timeout + CALL_MARGIN_SECONDS)
         except PeerUnreachable:
-            self._reconnector.reconnect_both_ends(call.entry)
+            self._reconnector.reconnect_both_ends(entry)
             raise
         return reply.tickets
 
--- a/ragworttiller/scheduling/records/runner_fold.py
+++ b/ragworttiller/scheduling/records/runner_fold.py
@@ -7,6 +7,7 @@
 from typing_extensions import override
 
 from ragworttiller.exceptions import Unreadable
+from ragworttiller.platform.boots import replaces
 from ragworttiller.platform.listing import RunnerEntry, decode_entry
 from ragworttiller.platform.store import Record
 from ragworttiller.scheduling.records.feed import Fold
@@ -15,7 +16,7 @@
 
 
 class RunnerFold(Fold):
-    """Listed runners, by identifier.
+    """Listed runners, by the name of their boot; of one runner only the latest boot is listed.
 
     Attributes
     ----------
@@ -28,16 +29,34 @@
     def __init__(self) -> None:
         self.entries: dict[str, RunnerEntry] = {}
         self.version = 0
+        self._boots: dict[str, str] = {}
 
     @override
     def apply(self, record: Record) -> None:
         self.version += 1
         if not record.value:
-            self.entries.pop(record.key, None)
+            self._drop(record.key)
             return
         try:
-            self.entries[record.key] = decode_entry(record.key, record.value)
+            self._list(record.key, decode_entry(record.key, record.value))
         except Unreadable as exc:
             log.warning(
                 "unreadable runner entry skipped", extra={"offset": record.offset, "why": str(exc)}
             )
+
+    def _list(self, runner: str, entry: RunnerEntry) -> None:
+        """Replace the entry of a runner, unless it is one of an earlier boot that arrives late."""
+        listed = self._boots.get(runner, entry.runner)
+        if replaces(listed, entry.runner):
+            log.info("entry of an earlier boot ignored", extra={"boot": entry.runner})
+            return
+        if listed != entry.runner:
+            log.info("runner has started again", extra={"boot": entry.runner, "earlier": listed})
+            self._drop(runner)
+        self._boots[runner] = entry.runner
+        self.entries[entry.runner] = entry
+
+    def _drop(self, runner: str) -> None:
+        boot = self._boots.pop(runner, None)
+        if boot is not None:
+            del self.entries[boot]
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -83,6 +83,7 @@
         newest = runner.record_answer(answer.clock, now)
         if first:
             runner.assume_earlier_lease(self._lease + EXPIRY_MARGIN_SECONDS, now)
+            self.pool.record_later_boot(runner, now)
         if not answer.unreadable and not answer.more_ends:
             self._takeover.resolve(runner.id, "it answered", now)
         for end in sorted(answer.ended):
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from ragworttiller.platform.boots import replaces
 from ragworttiller.scheduling.records.formats import Claim, Withdrawn
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -186,6 +187,13 @@
         runner = self.runners.get(name)
         return runner is None or runner.silent_since is not None
 
+    def record_later_boot(self, runner: RunnerState, now: float) -> None:
+        """Record that a boot has answered: those of its runner before it have ended."""
+        self._takeover.record_later_boot(runner.id, now)
+        for other in self.runners.values():
+            if replaces(runner.id, other.id):
+                self.record_ended_boot(other, now)
+
     def record_ended_boot(self, runner: RunnerState, now: float) -> None:
         """Record that another boot answers in place of one, which has ended with all its runs."""
         current = self.runners.get(runner.id)
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from ragworttiller.platform.boots import replaces
 from ragworttiller.scheduling.records.formats import Claim, Withdrawn
 from ragworttiller.scheduling.records.job_fold import JobRow
 from ragworttiller.scheduling.state.runs import Stage
@@ -106,10 +107,16 @@
             until = min(self._unresolved_until[name], now + self._expiry_seconds)
             self._unresolved_until[name] = until
 
+    def record_later_boot(self, boot: str, now: float) -> None:
+        """Record that a boot has answered: those of its runner before it have ended."""
+        for name, until in self._unresolved_until.items():
+            if replaces(boot, name):
+                self._unresolved_until[name] = min(until, now)
+
     def expire(self, by: float) -> None:
         """Resolve the runners on which all runs of the earlier owner had ended by a time."""
         for name in [name for name, until in self._unresolved_until.items() if until <= by]:
-            self.resolve(name, "its lease has expired", by, lost=True)
+            self.resolve(name, "its lease has expired or its runner started again", by, lost=True)
 
     def take_lost(self) -> list[Withdrawn]:
         """Return the silent runners lost since the last call, and the tasks that were on them."""
--- a/standins/platform/machine.py
+++ b/standins/platform/machine.py
@@ -45,6 +45,11 @@
         """Address at which the boots answer, ``host:port``."""
         return f"{self.name}:1"
 
+    @property
+    @override
+    def process(self) -> object:
+        return self.boot
+
     @override
     async def answer(
         self, method: str, target: str, body: bytes, headers: dict[str, str]
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -4,14 +4,14 @@
 
 import json
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from typing import Any
 
 import anyio
 
 from ragworttiller.platform.channel import Traffic
-from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
+from ragworttiller.platform.exchange import Answer, Exchange, ExchangeBroken, NotSent
 from ragworttiller.timers import TimerService
 
 
@@ -26,6 +26,11 @@
 class Service(ABC):
     """Service of the platform."""
 
+    @property
+    def process(self) -> object:
+        """Process that answers now."""
+        return self
+
     @abstractmethod
     async def answer(
         self, method: str, target: str, body: bytes, headers: dict[str, str]
@@ -76,6 +81,8 @@
         self.paused_until = 0.0
         self.silent_next = 0
         self.silent_target = ""
+        self.on_open: Callable[[Exchange], Awaitable[None]] | None = None
+        self._connected_to: object = None
 
     async def request(
         self,
@@ -85,13 +92,38 @@
         headers: Sequence[tuple[str, str]] = (),
         timeout: float | None = None,
     ) -> Answer:
-        """Carry out an exchange, subject to the faults of the link."""
+        """Carry out an exchange, subject to the faults of the link.
+
+        A connection that was open to another process than the one that answers now is replaced.
+        """
+        if self.on_open is not None and self._connected_to is not self.service.process:
+            await self._connect(self.on_open)
+        return await self._exchange(method, target, body, headers, timeout)
+
+    async def _connect(self, on_open: Callable[[Exchange], Awaitable[None]]) -> None:
+        process, self._connected_to = self.service.process, None
+        try:
+            await on_open(self._exchange)
+        except ExchangeBroken as exc:
+            raise NotSent("the first exchange of the connection failed") from exc
+        self._connected_to = process
+
+    async def _exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Sequence[tuple[str, str]] = (),
+        timeout: float | None = None,
+    ) -> Answer:
         self.traffic.calls += 1
         exchange = (method, target, body, {k.lower(): v for k, v in headers})
         if self.refused:
             raise NotSent("refused")
         while self.paused_until > self._timers.now():
             await self._timers.sleep(self.paused_until - self._timers.now())
+        if self._reset:
+            raise ExchangeBroken("the process on the other end has ended")
         silent = bool(self.silent_target) and self.silent_target in target
         if self.cut or self.silent_next or silent:
             self.silent_next = max(self.silent_next - 1, 0)
@@ -110,6 +142,12 @@
             return await self.service.answer(*exchange)
         raise ExchangeBroken("slow")
 
+    @property
+    def _reset(self) -> bool:
+        """Whether the open connection was to a process that has ended."""
+        process = self._connected_to
+        return process is not None and process is not self.service.process
+
     @property
     def delivery_due(self) -> bool:
         """Whether a delayed exchange is to be carried out now."""
@@ -125,6 +163,8 @@
                 tasks.start_soon(self._carry_out_late, exchange)
 
     async def _carry_out_late(self, exchange: tuple[str, str, bytes, dict[str, str]]) -> None:
+        if self._reset:
+            return
         with suppress(NotSent, ExchangeBroken):
             await self.service.answer(*exchange)
 
--- a/tests/test_reborn_runners.py
+++ b/tests/test_reborn_runners.py
@@ -73,3 +73,35 @@
             assert await rig.states([LATER]) == [JobState.COMPLETED]
 
         with_rig(body, runners=2, keeps_ids=True)
+
+
+class TestForgottenFence:
+    def test_a_replaced_owner_starts_nothing_on_a_runner_that_has_forgotten_the_next_one(self):
+        """Cut off from the store and from all else, it acts for its term on what it last knew."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            rig.peers_cut = True
+            rig.work_by_job = {EARLIER: 2.6, LATER: 6.0}
+            await rig.submit(EARLIER, step(8))
+            await rig.timers.sleep(0.5)
+            await rig.submit(LATER, step(3))
+            await rig.timers.sleep(0.5)
+            first = rig.owner
+            assert first is not None
+            for link in [first.store_link, *map(first.link, rig.machines)]:
+                link.cut = True
+            await rig.timers.sleep(2.6)
+            second = next(e for e in rig.entries.values() if e is not first and e.host.owner)
+            second.link("w1").cut = True
+            rig.machines["w1"].refuses = True
+            rig.machines["w1"].crash()
+            rig.boot("w1", "w1")
+            first.link("w1").cut = False
+            await rig.timers.sleep(6.0)
+            second.link("w1").cut = False
+            assert rig.monitor.violations == []
+            await rig.wait_completed(EARLIER, LATER, within=60.0)
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=2, keeps_ids=True)
