Give no innocent task up for a runner that crashes of itself, nor a deadly one too late

What callers saw: nothing yet. Cause: the next boot at an address may be listed before the end of the last one is proved, and then counted as sound; an adopted run was blamed as if it had started at its adoption; a trial that an earlier owner had stored weighed nothing beside the claim that named its task behind others; trials were started unstored while the store was away; four crashes of which one was in a trial were not enough. Change: each of these; a task is given up after three crashes (two proved by trials), four (one proved, or blamed for all) or five. Ruled out: not counting a crash on an unsound runner towards five, since the platform counts it.

--- a/ragworttiller/scheduling/decisions/crash_blame.py
+++ b/ragworttiller/scheduling/decisions/crash_blame.py
@@ -38,8 +38,11 @@
     if not runs or runner.entry.draining:
         return []
     silent_since = now if runner.silent_since is None else runner.silent_since
-    latest = max(run.started_at for run in runs)
-    together = [run for run in runs if run.started_at >= latest - SAME_START_SECONDS]
+    # An adopted run has outlived its start, whenever that was.
+    latest = max((run.started_at for run in runs if not run.adopted), default=float("inf"))
+    together = [
+        run for run in runs if run.started_at >= latest - SAME_START_SECONDS and not run.adopted
+    ]
     if len(together) == 1 and together[0].trial:
         # Nothing has started beside it: that explains the crash.
         sound = silent_since >= runner.unsound_until
--- a/ragworttiller/scheduling/decisions/crash_rules.py
+++ b/ragworttiller/scheduling/decisions/crash_rules.py
@@ -18,10 +18,11 @@
 # How much longer than at its crashes a task has to run to be cleared.
 TRIAL_STRETCH = 2.0
 CRASHES_BESIDE_TO_SUSPECT = 2
-TRIALS_TO_GIVE_UP = 2
-CRASHES_TO_GIVE_UP = 3
-# Without proof by trials. One crash may be unknown, and the platform allows five starts.
-BLAMED_TO_GIVE_UP = 4
+# Crashes at which a task is given up, by how many of them were in a trial that proves it.
+CRASHES_TO_GIVE_UP = {0: 4, 1: 4, 2: 3}
+MAX_TRIALS_COUNTED = max(CRASHES_TO_GIVE_UP)
+# The platform allows two starts after the third crash.
+MAX_STARTS = 5
 
 
 def is_suspect(crashes: Sequence[Crash]) -> bool:
@@ -46,5 +47,7 @@
     """Return whether a task with these crashes is not started again."""
     trials = sum(row.blame == Blame.TRIAL for row in crashes)
     blamed = sum(row.blame != Blame.BESIDE for row in crashes)
-    proved = trials >= TRIALS_TO_GIVE_UP and len(crashes) >= CRASHES_TO_GIVE_UP
-    return proved or blamed >= BLAMED_TO_GIVE_UP
+    if blamed and len(crashes) >= MAX_STARTS:
+        return True
+    counted = len(crashes) if trials else blamed
+    return counted >= CRASHES_TO_GIVE_UP[min(trials, MAX_TRIALS_COUNTED)]
--- a/ragworttiller/scheduling/ownership/recorder.py
+++ b/ragworttiller/scheduling/ownership/recorder.py
@@ -71,10 +71,7 @@
         self._requested.set()
 
     async def store_now(self) -> bool:
-        """Store all changes made until now, and return whether that was done within the wait.
-
-        The wait is limited: while the store is away no other owner can take over.
-        """
+        """Store all changes made until now, and return whether that was done within the wait."""
         target = self._begun + 1
         self.request()
         with self._clock.move_on_after(RECORDING_WAIT_SECONDS):
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -152,8 +152,10 @@
             run.task, run.number, order.spec, order.deadline, run.checkpoint, order.ticket
         )
         extra = run_fields(run)
-        if order.trial:
-            await self._store_trial(run)
+        if order.trial and not await self._store_trial(run):
+            log.info("start order refused", extra={**extra, "why": "trial not stored"})
+            cell.mark_start_refused(run, "trial not stored", self._clock.now())
+            return
         try:
             if not self._term.valid:
                 cell.mark_start_refused(run, "term", self._clock.now())
@@ -178,12 +180,15 @@
             return
         self._on_change()
 
-    async def _store_trial(self, run: Run) -> None:
-        """Store that a task is tried, so that its crash outlives this owner."""
+    async def _store_trial(self, run: Run) -> bool:
+        """Store that a task is tried, so that its crash outlives this owner; return whether it is.
+
+        While the store is away, only suspected tasks wait for its return.
+        """
         self._cell.announce_trial(run)
-        if not await self._recorder.store_now():
-            log.warning("trial not stored before its start", extra=run_fields(run))
+        stored = await self._recorder.store_now()
         run.started_at = self._clock.now()
+        return stored
 
     def _start_still_needed(self, run: Run) -> bool:
         """Return whether an unanswered start should be retried."""
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -247,6 +247,10 @@
         rows = self._unsound_until.items()
         self._unsound_until = {address: until for address, until in rows if until > now}
         self._unsound_until[runner.entry.address] = now + UNSOUND_SECONDS
+        # The next boot may have been listed before.
+        for other in self.runners.values():
+            if other.entry.address == runner.entry.address:
+                other.unsound_until = now + UNSOUND_SECONDS
 
     def filling_runs_to_stop(self) -> list[Run]:
         """Return the filling runs on runners that also run a task with a latency bound."""
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -8,6 +8,7 @@
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.crash_rules import is_suspect
 from ragworttiller.scheduling.records.formats import (
+    Blame,
     Crash,
     StageProgress,
     decode_bitmap,
@@ -41,6 +42,8 @@
         Time of the last start or stop order.
     trial : bool
         Whether nothing else starts on its runner for a while, since its task is suspected.
+    adopted : bool
+        Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
     """
 
     def __init__(self, task: TaskId, number: int, runner: str, spec: StepSpec, now: float) -> None:
@@ -54,6 +57,7 @@
         self.start_deadline = 0.0
         self.checkpoint = ""
         self.trial = False
+        self.adopted = False
         self.percent = 0.0
         self.progressed_at = now
         self._progress_base: tuple[float, float] | None = (0.0, now)
@@ -229,6 +233,7 @@
     def adopt(self, run: Run) -> None:
         """Add a run that an earlier owner started."""
         index = run.task.ordinal
+        run.adopted = True
         self.waiting.remove(index)
         self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
         self.active_runs[index] = run
@@ -248,10 +253,14 @@
             runs.append(number)
 
     def add_crash(self, index: int, crash: Crash) -> None:
-        """Record the loss of a runner under a task once."""
+        """Record the loss of a runner under a task once, with the most that speaks for it."""
         rows = self.crashes.setdefault(index, [])
-        if all(row.runner != crash.runner for row in rows):
-            rows.append(crash)
+        for position, row in enumerate(rows):
+            if row.runner == crash.runner:
+                if row.blame == Blame.BESIDE:
+                    rows[position] = crash
+                return
+        rows.append(crash)
 
     def is_suspect(self, index: int) -> bool:
         """Return whether a task starts only as a trial."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from ragworttiller.scheduling.records.formats import JobState
 from tests.claim_faults import ClaimFaults
 from tests.fault_injector import (
     EntryFaults,
@@ -30,21 +31,31 @@
 class Workload:
     """Submits jobs all the time: short, long, checkpointed, lasting and cancelled ones."""
 
-    def __init__(self, rig: OwnersRig, seed: int):
+    def __init__(self, rig: OwnersRig, seed: int, deadly: bool = False):
         self.rig = rig
         self.rng = random.Random(f"{seed} jobs")
+        self.kinds = (
+            self.short,
+            self.long,
+            self.long,
+            self.checkpointed,
+            self.cancelled,
+            self.last,
+        )
+        if deadly:
+            self.kinds = (*self.kinds, self.deadly)
+        self.crashing: list[str] = []
         self.finite: list[str] = []
         self.lasting: list[str] = []
         self.to_cancel: list[str] = []
         self._number = 0
 
     async def run(self):
-        kinds = (self.short, self.long, self.long, self.checkpointed, self.cancelled, self.last)
         async with anyio.create_task_group() as tasks:
             while True:
                 self._number += 1
                 job = job_id(self._number)
-                tasks.start_soon(self.rng.choice(kinds), job)
+                tasks.start_soon(self.rng.choice(self.kinds), job)
                 await self.rig.timers.sleep(self.rng.uniform(0.8, 2.5))
 
     async def short(self, job: str):
@@ -52,6 +63,14 @@
         await self.rig.submit(job, step(5), step(2, after=[0]))
         self.finite.append(job)
 
+    async def deadly(self, job: str):
+        """Submit one job in all whose last task crashes each runner that starts it."""
+        if self.crashing:
+            return
+        self.rig.deadly.add(f"{job}.0.0.1")
+        await self.rig.submit(job, step(2))
+        self.crashing.append(job)
+
     async def long(self, job: str):
         self.rig.work_by_job[job] = self.rng.uniform(6.0, 14.0)
         await self.rig.submit(job, step(3))
@@ -90,7 +109,12 @@
     async def problems(self) -> list[str]:
         """Return the tasks that ran twice, overbooked their runner or were lost."""
         lost: list[str] = []
-        for check in (self._jobs_end, self._lasting_run, self._cancelled_stop):
+        for check in (
+            self._jobs_end,
+            self._deadly_fail,
+            self._lasting_run,
+            self._cancelled_stop,
+        ):
             try:
                 await check()
             except AssertionError as exc:
@@ -100,6 +124,16 @@
     async def _jobs_end(self):
         await self.rig.wait_completed(*self.work.finite, within=SECONDS_TO_END)
 
+    async def _deadly_fail(self):
+        """Check that a job with a task that crashes its runners has failed."""
+        until = self.rig.timers.now() + SECONDS_TO_END
+        jobs = self.work.crashing
+        while self.rig.timers.now() < until:
+            if all(state == JobState.FAILED for state in await self.rig.states(jobs)):
+                return
+            await self.rig.timers.sleep(0.2)
+        raise AssertionError(f"not given up: {jobs}")
+
     async def _lasting_run(self):
         """Each lasting task is at work, though each may just have failed."""
         expected = {f"{j}.0.0.{i}" for j in self.work.lasting for i in range(LASTING_TASKS)}
@@ -143,15 +177,24 @@
     return choose
 
 
-def run_soak(seed: int, choice: InjectorChoice = choose_injectors) -> list[str]:
-    """Run jobs while the injectors act, and return the problems that were found."""
+def run_soak(
+    seed: int,
+    choice: InjectorChoice = choose_injectors,
+    keeps_ids: bool = False,
+    deadly: bool = False,
+) -> list[str]:
+    """Run jobs while the injectors act, and return the problems that were found.
+
+    Boots keep the identifiers of their machines if ``keeps_ids``; one job crashes its runners if
+    ``deadly``.
+    """
     problems: list[str] = []
 
     async def body(rig: OwnersRig):
         rig.stop_seconds = 0.3
         await start_entries(rig)
         rig.peers_cut = random.Random(f"{seed} peers").random() < 0.7
-        work = Workload(rig, seed)
+        work = Workload(rig, seed, deadly)
         injectors = choice(rig, seed)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(deliver_late, rig)
@@ -163,5 +206,5 @@
         lift_faults(rig)
         problems.extend(await Judge(rig, work).problems())
 
-    with_rig(body, runners=5)
+    with_rig(body, runners=5, keeps_ids=keeps_ids)
     return problems
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -59,6 +59,13 @@
         assert not gives_up([trial, trial])
         assert gives_up([latest, trial, trial])
 
+    def test_a_task_is_given_up_before_a_sixth_start_whatever_is_known_of_its_crashes(self):
+        latest, trial, beside = crash(Blame.LATEST), crash(Blame.TRIAL), crash(Blame.BESIDE)
+        assert gives_up([beside, latest, trial, latest])
+        assert gives_up([latest] * 4)
+        assert not gives_up([beside, beside, latest, latest])
+        assert gives_up([beside, beside, latest, latest, latest])
+
     def test_a_task_that_runs_beside_others_is_never_given_up_for_it(self):
         assert not gives_up([crash(Blame.BESIDE)] * 20)
 
@@ -96,6 +103,14 @@
         crash_runner(rig, "w1")
         assert stage_of(rig).crashes == {}
 
+    def test_a_run_that_was_adopted_is_not_blamed_as_the_last_to_start(self):
+        rig = second_owner(trials={})
+        rig.list_runner("w1")
+        rig.hold("w1", running=((task(), 1),))
+        rig.now += 0.2
+        crash_runner(rig, "w1")
+        assert [row.blame for row in stage_of(rig).crashes[0]] == [Blame.LATEST, Blame.BESIDE]
+
     def test_a_task_that_has_run_for_long_is_not_blamed(self):
         rig = CellRig(1)
         rig.submit(step(1, daemon=True))
@@ -129,6 +144,15 @@
         crash_runner(rig, "w1-again")
         assert stage_of(rig).crashes[0][-1].blame == Blame.LATEST
 
+    def test_a_boot_that_was_listed_before_the_end_of_the_last_one_is_unsound_too(self):
+        rig = CellRig(0)
+        rig.add_runner("w1@1")
+        rig.list_runner("w1@2")
+        later = rig.cell.runners["w1@2"]
+        later.entry = later.entry._replace(address=rig.cell.runners["w1@1"].entry.address)
+        crash_runner(rig, "w1@1")
+        assert later.unsound_until > rig.now
+
     def test_runners_that_crash_at_the_same_moment_are_no_proof_against_a_trial(self):
         rig = CellRig(2)
         rig.submit(step(1))
@@ -285,6 +309,15 @@
         rig.plan()
         assert [row.runner for row in stage_of(rig).crashes[0]] == ["w0", "w1"]
 
+    def test_a_trial_weighs_more_than_the_claim_that_names_its_task_behind_others(self):
+        row = Withdrawn("w1", [str(task(job=OTHER)), str(task())], renewed=True, silent=True)
+        rig = second_owner(row, trials={0: "w1"})
+        rig.list_runner("w1")
+        rig.add_runner("w2")
+        rig.end_boot("w1")
+        rig.plan()
+        assert [row.blame for row in stage_of(rig).crashes[0]] == [Blame.LATEST, Blame.LATEST]
+
     def test_an_unreadable_task_of_a_claim_harms_nothing(self):
         row = Withdrawn("w1", ["no task", str(task())], renewed=True, silent=True)
         rig = second_owner(row, trials={})
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -10,6 +10,7 @@
 from ragworttiller.scheduling.records.formats import JobState
 from tests.owners_rig import OwnersRig, start_entries, with_rig
 from tests.scheduling_rig import job_id, step
+from tests.soak import run_soak
 
 # Two starts may follow the third crash under a task.
 MAX_STARTS = 5
@@ -119,3 +120,15 @@
             assert starts_of(rig)[DEADLY_TASK] <= MAX_STARTS
 
         with_rig(body, runners=4)
+
+
+class TestSoak:
+    """Deadly tasks, and runners that restart under their identifiers, amid random faults."""
+
+    @pytest.mark.parametrize("seed", [5, 7, 27, 36])
+    def test_a_deadly_task_is_given_up_and_no_other_amid_faults(self, seed: int):
+        assert run_soak(seed, deadly=True) == []
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_nothing_runs_twice_or_is_lost_while_runners_keep_their_identifiers(self, seed: int):
+        assert run_soak(seed, keeps_ids=True, deadly=True) == []
