--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ragworttiller.exceptions import OrderRefused, OrderUndecided
-from ragworttiller.platform import runners
+from ragworttiller.platform import listing, runners
+from ragworttiller.platform.exchange import Exchange
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.scheduling.ownership import runner_calls
 from ragworttiller.scheduling.ownership.cell_host import CellHost
@@ -18,7 +19,7 @@
 from tests.fault_injector import EntryFaults, deliver_late
 from tests.owners_rig import OwnersRig, start_entries, with_rig
 from tests.scheduling_rig import job_id, step
-from tests.soak import InjectorChoice, claim_faults, run_soak, storms
+from tests.soak import InjectorChoice, choose_injectors, claim_faults, run_soak, storms
 
 JOB_COUNT = 9
 
@@ -148,9 +149,10 @@
         assert find_violations(range(90, 130))
 
 
-def find_problems(choice: InjectorChoice) -> list[str]:
+def find_problems(choice: InjectorChoice = choose_injectors, keeps_ids: bool = False) -> list[str]:
     """Return the problems of the first soak in which there are any."""
-    return next(filter(None, (run_soak(seed, choice) for seed in range(40))), [])
+    soaks = (run_soak(seed, choice, keeps_ids) for seed in range(40))
+    return next(filter(None, soaks), [])
 
 
 class TestMutationsOfProofs:
@@ -189,6 +191,17 @@
         monkeypatch.setattr(Takeover, "is_unresolved", lambda self, runner: False)
         assert find_problems(claim_faults("owners_in_a_row"))
 
+    def test_boots_named_by_identifier_alone(self, monkeypatch: pytest.MonkeyPatch):
+        monkeypatch.setattr(listing, "boot_name", lambda runner, born: runner)
+        assert find_problems(keeps_ids=True)
+
+    def test_connections_that_carry_orders_to_any_boot(self, monkeypatch: pytest.MonkeyPatch):
+        async def ask_nothing(self: RunnerClient, exchange: Exchange):
+            pass
+
+        monkeypatch.setattr(RunnerClient, "_identify", ask_nothing)
+        assert find_problems(keeps_ids=True)
+
     def test_calls_not_addressed_to_one_boot(self, monkeypatch: pytest.MonkeyPatch):
         monkeypatch.setattr(runners, "INSTANCE_HEADER", "Unknown-Header")
         assert find_problems(storms)
