Let an unexpected error end a call, a record, a job or an owner, not the process

What callers would see: one error that no code expects, in a call to one runner, a planning pass, a job or a record, took the whole entry down with all requests in progress; the next owner met the same record or job and went down in turn. Cause: only errors with codes were caught; all else left the task groups of feeds and owner, and so the process. Change: a guard around each record's fold, each job's state, each call of the owner, and the owner. Each logs a traceback. An owner that ends this way renews no more, so another entry takes over. Evidence: five tests, all failing before. Ruled out: guarding the planning pass itself, which would keep a cell with an owner that never plans.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -165,6 +165,10 @@
             except RagworttillerError as exc:
                 log.warning("claim or takeover of the cell failed", extra={"why": exc.code})
                 await self._clock.sleep(CLAIM_RETRY_INTERVAL_SECONDS)
+            except Exception:
+                # The entry goes on serving callers, and another one takes the cell over.
+                log.exception("owner ended by an unexpected error")
+                await self._clock.sleep(CLAIM_RETRY_INTERVAL_SECONDS)
 
     def stop(self, successor: str) -> None:
         """Stop claiming, and release the ownership to another entry."""
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -222,7 +222,17 @@
 
     def _spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
         if self._tasks is not None:
-            self._tasks.start_soon(function, *args)
+            self._tasks.start_soon(self._guard, function, *args)
+
+    async def _guard(
+        self, function: Callable[..., Coroutine[Any, Any, None]], *args: object
+    ) -> None:
+        """Make a call, of which no error may end the others."""
+        try:
+            await function(*args)
+        except Exception:
+            extra = {"epoch": self._term.epoch, "call": function.__name__}
+            log.exception("call of the owner ended by an unexpected error", extra=extra)
 
     async def _advise(self, call: AdviceCall) -> None:
         extra: dict[str, object] = {
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -200,4 +200,8 @@
             self._offsets[record.key] = record.offset
         else:
             self._offsets.pop(record.key, None)
-        self._fold.apply(record)
+        try:
+            self._fold.apply(record)
+        except Exception:
+            extra = {"partition": str(self._partition), "offset": record.offset}
+            log.exception("record skipped after an unexpected error", extra=extra)
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -74,7 +74,12 @@
         self._refresh_queues()
 
     def _add_job(self, job: str, row: JobRow, now: float, wall: float) -> None:
-        work = self.by_id[job] = JobWork(job, row, now, wall)
+        try:
+            work = JobWork(job, row, now, wall)
+        except Exception:
+            log.exception("job skipped after an unexpected error", extra={"job": job})
+            return
+        self.by_id[job] = work
         work.queue = self._config.current_queue(work.queue)
         self.inherited_trials.update(s.id for s in work.stages.values() if s.trials)
 
--- /dev/null
+++ b/tests/test_unexpected_errors.py
@@ -0,0 +1,93 @@
+"""Tests that an unexpected error ends as little as it can: a call, a record, a job, an owner."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.platform.store import Record
+from ragworttiller.scheduling.records.formats import JOBS
+from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.state import active_jobs
+from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.owned_cell import Cell
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import JOB, CellRig, job_id, step
+
+BAD = job_id(7)
+
+
+class TestOwner:
+    def test_an_error_in_a_call_to_one_runner_harms_no_other(self, monkeypatch):
+        apply = Cell.apply_hold_answer
+
+        def fail_at_w1(self, runner, answer, now):
+            if runner.id == "w1":
+                raise ZeroDivisionError
+            apply(self, runner, answer, now)
+
+        monkeypatch.setattr(Cell, "apply_hold_answer", fail_at_w1)
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            await rig.submit(JOB, step(6))
+            await rig.wait_completed(JOB, within=20.0)
+            assert rig.owner.host.claims.claim.epoch == 1
+
+        with_rig(body)
+
+    def test_an_owner_whose_planning_fails_is_replaced_and_its_entry_lives(self, monkeypatch):
+        plan = Cell.plan
+
+        def fail_in_epoch_1(self, now, wall):
+            if self.epoch == 1:
+                raise ZeroDivisionError
+            return plan(self, now, wall)
+
+        monkeypatch.setattr(Cell, "plan", fail_in_epoch_1)
+
+        async def body(rig: OwnersRig):
+            for name in ("e1", "e2", "e3"):
+                rig.add_entry(name)
+            await rig.timers.sleep(1.0)
+            await rig.submit(JOB, step(3))
+            await rig.wait_completed(JOB, within=30.0)
+            assert not any(entry.scope.cancel_called for entry in rig.entries.values())
+
+        with_rig(body)
+
+
+class TestJobs:
+    def test_a_job_that_cannot_be_worked_on_harms_no_other(self, monkeypatch):
+        class FailingWork(JobWork):
+            def __init__(self, job, row, now, wall):
+                if job == BAD:
+                    raise IndexError(job)
+                super().__init__(job, row, now, wall)
+
+        monkeypatch.setattr(active_jobs, "JobWork", FailingWork)
+        rig = CellRig(1)
+        rig.submit(step(1), job=BAD)
+        rig.submit(step(1))
+        assert [order.run.task.stage.job for order in rig.plan().starts] == [JOB]
+
+
+class TestFeed:
+    @pytest.mark.parametrize("failing", [0, 1])
+    def test_a_record_whose_fold_fails_harms_no_other(self, monkeypatch, failing: int):
+        apply = JobFold.apply
+
+        def fail(self, record: Record):
+            if record.key == job_id(failing):
+                raise RecursionError
+            apply(self, record)
+
+        monkeypatch.setattr(JobFold, "apply", fail)
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            for number in range(2):
+                rig.store.put(JOBS.topic, job_id(number), b"")
+            await rig.submit(JOB, step(1))
+            await rig.wait_completed(JOB, within=20.0)
+
+        with_rig(body)
