Withdraw a runner at once only if its address refuses connections

What callers would see: an owner on a busy machine, whose connections time out, would have withdrawn healthy runners and renewed its claim for each. Cause: a connection that was not opened in time counted as one that was refused. Change: the two are told apart. Evidence: a test of the channel.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -134,7 +134,7 @@
                 self._host, self._port, self._connect_timeout, socket_options=KEEP_ALIVE_OPTIONS
             )
         except _NETWORK_FAILURES as exc:
-            raise NotSent(str(exc)) from exc
+            raise NotSent(str(exc), refused=isinstance(exc, httpcore.ConnectError)) from exc
         self._poll = select.poll()
         self._poll.register(self._stream.get_extra_info("socket"), select.POLLIN)
         self._used_at = time.monotonic()
--- a/ragworttiller/platform/exchange.py
+++ b/ragworttiller/platform/exchange.py
@@ -17,7 +17,19 @@
 
 
 class NotSent(Exception):
-    """No byte of the request was written."""
+    """No byte of the request was written.
+
+    Parameters
+    ----------
+    reason : str
+        What went wrong.
+    refused : bool
+        Whether the connection was refused: nothing listens at the address.
+    """
+
+    def __init__(self, reason: str, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class ExchangeBroken(Exception):
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -28,8 +28,10 @@
 MAX_LISTED_ENDS = 500
 HOLD_TARGET = "/-/hold"
 FENCED_REASON = "fence"
-# Given for a runner at whose address nothing listens; runners themselves do not.
+# Reasons that no runner gives: no connection was opened, or none is accepted at the address.
 UNREACHABLE_REASON = "unreachable"
+UNUSED_ADDRESS_REASON = "nothing listens"
+NOT_SENT_REASONS = (UNREACHABLE_REASON, UNUSED_ADDRESS_REASON)
 INSTANCE_HEADER = "Ragworttiller-Target-Instance"
 
 
@@ -221,9 +223,8 @@
         try:
             answer = await self._channels.request("POST", target, content, self._headers, timeout)
         except NotSent as exc:
-            raise OrderRefused(
-                runner=self._runner, order=target, reason=UNREACHABLE_REASON
-            ) from exc
+            reason = UNUSED_ADDRESS_REASON if exc.refused else UNREACHABLE_REASON
+            raise OrderRefused(runner=self._runner, order=target, reason=reason) from exc
         except ExchangeBroken as exc:
             raise OrderUndecided(runner=self._runner, order=target) from exc
         return self._decode(answer, target)
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -9,7 +9,8 @@
 
 from ragworttiller.exceptions import AppendFenced, OrderRefused, OrderUndecided, RunnerGone
 from ragworttiller.platform.runners import (
-    UNREACHABLE_REASON,
+    NOT_SENT_REASONS,
+    UNUSED_ADDRESS_REASON,
     HoldAnswer,
     RunnerClient,
     Start,
@@ -102,7 +103,7 @@
         except RunnerGone:
             cell.pool.record_ended_boot(runner, self._clock.now())
         except (OrderRefused, OrderUndecided) as exc:
-            refused = exc.fields.get("reason") == UNREACHABLE_REASON
+            refused = exc.fields.get("reason") == UNUSED_ADDRESS_REASON
             cell.record_no_answer(runner, now + wait, self._clock.now(), refused)
             await self._clock.sleep(HOLD_RETRY_SECONDS)
         else:
@@ -165,8 +166,9 @@
             reason = exc.fields["reason"]
             log.info("start order refused", extra={**extra, "why": reason})
             cell.mark_start_refused(run, reason, self._clock.now())
-            if reason == UNREACHABLE_REASON:
-                cell.record_no_answer(runner, run.started_at, self._clock.now(), True)
+            if reason in NOT_SENT_REASONS:
+                refused = reason == UNUSED_ADDRESS_REASON
+                cell.record_no_answer(runner, run.started_at, self._clock.now(), refused)
         except OrderUndecided:
             log.info("start order undecided", extra=extra)
         except AppendFenced:
--- a/standins/platform/machine.py
+++ b/standins/platform/machine.py
@@ -57,7 +57,7 @@
         boot = self.boot
         if boot is None:
             if self.refuses:
-                raise NotSent("off")
+                raise NotSent("off", refused=True)
             await self._timers.sleep(DEFAULT_TIMEOUT_SECONDS)
             raise ExchangeBroken("off")
         answers: list[Answer] = []
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -55,3 +55,18 @@
             assert channel._stream is None
 
         with_channel(body)
+
+    def test_a_refused_connection_is_told_from_one_that_times_out(self, monkeypatch):
+        async def body(channel: Channel):
+            failures = [httpcore.ConnectError(), TimeoutError()]
+
+            async def connect(self, *args, **kwargs):
+                raise failures.pop(0)
+
+            monkeypatch.setattr(httpcore.AnyIOBackend, "connect_tcp", connect)
+            for refused in (True, False):
+                with pytest.raises(NotSent) as caught:
+                    await channel.open()
+                assert caught.value.refused is refused
+
+        with_channel(body)
