Wait for other entries by the owner's own lag, and replace a silent connection once

The owner's event loop ran 0.5 s to 0.8 s late, so it read answers after it had given the calls up. And each call that failed replaced the connection, which ends all other calls on it: they failed at once and replaced the next one in turn. Change: the wait for an answer counts twice the owner's lag; a call replaces only the connection that it was sent on.

--- a/ragworttiller/scheduling/entry/entries.py
+++ b/ragworttiller/scheduling/entry/entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from typing_extensions import override
 
@@ -28,6 +29,8 @@
 ANNOUNCE_RETRY_DELAY_SECONDS = 0.5
 CALL_MARGIN_SECONDS = 0.5
 ADVISOR_MARGIN_SECONDS = 1.0
+# Steps of this entry's event loop on the way of a call: sending it, and reading its answer.
+LAGS_A_CALL = 2
 
 
 class EntryFold(Fold):
@@ -120,24 +123,45 @@
 class PeerReconnector:
     """Replaces unresponsive connections at both ends, since each end sends over its own.
 
+    Load pattern: many calls to one entry are in flight when its connection is replaced, which ends
+    them all. They say nothing about the next connection.
+
     Parameters
     ----------
     peers : NngPeers
         Connections to the other entries.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, peers: NngPeers) -> None:
+    def __init__(self, peers: NngPeers, clock: Clock) -> None:
         self._peers = peers
+        self._clock = clock
+        self._replaced_at: dict[str, float] = {}
         peers.handle(ConnectionSuspect, self._handle_suspect)
 
-    def reconnect_both_ends(self, name: str) -> None:
-        """Replace the connections to and from an entry that did not answer."""
+    def reconnect_both_ends(self, name: str, sent_at: float) -> None:
+        """Replace the connections to and from an entry that did not answer.
+
+        Parameters
+        ----------
+        name : str
+            Name of the entry.
+        sent_at : float
+            Time of the unanswered call, in seconds. A connection that was opened later is kept.
+        """
+        if sent_at <= self._replaced_at.get(name, float("-inf")):
+            return
         log.info("connection to an entry replaced", extra={"entry": name})
-        self._peers.reconnect(name)
+        self._replace(name)
         self._peers.post(name, ConnectionSuspect())
 
+    def _replace(self, name: str) -> None:
+        self._replaced_at[name] = self._clock.now()
+        self._peers.reconnect(name)
+
     async def _handle_suspect(self, sender: str, message: ConnectionSuspect) -> None:
-        self._peers.reconnect(sender)
+        self._replace(sender)
 
 
 class PeerAdvice(Advice):
@@ -153,12 +177,24 @@
         Client of the advisor.
     reconnector : PeerReconnector
         Replaces connections of entries that do not answer.
+    clock : Clock
+        Source of time.
+    lag : Callable
+        Returns how late the event loop of this entry runs, in seconds.
     """
 
     def __init__(
-        self, peers: NngPeers, fold: EntryFold, advisor: Advisor, reconnector: PeerReconnector
+        self,
+        peers: NngPeers,
+        fold: EntryFold,
+        advisor: Advisor,
+        reconnector: PeerReconnector,
+        clock: Clock,
+        lag: Callable[[], float],
     ) -> None:
         self._reconnector = reconnector
+        self._clock = clock
+        self._lag = lag
         self._fold = fold
         self._peers = peers
         self._advisor = advisor
@@ -182,10 +218,12 @@
         """Return the tickets for runners, by identifier, that an entry has asked for."""
         if entry == self._peers.instance:
             return (await self._serve(entry, request)).tickets
+        sent_at = self._clock.now()
+        timeout = request.timeout + CALL_MARGIN_SECONDS + LAGS_A_CALL * self._lag()
         try:
-            reply = await self._peers.call(entry, request, request.timeout + CALL_MARGIN_SECONDS)
+            reply = await self._peers.call(entry, request, timeout)
         except PeerUnreachable:
-            self._reconnector.reconnect_both_ends(entry)
+            self._reconnector.reconnect_both_ends(entry, sent_at)
             raise
         return reply.tickets
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -80,13 +80,15 @@
         )
         self._config = QueueFold()
         self._entries = EntryFold(self._peers)
-        reconnector = PeerReconnector(self._peers)
+        reconnector = PeerReconnector(self._peers, clock)
         advisor = Advisor(settings.platform.advisor_address or "")
         self._standbys = PeerStandbys(self._peers, self._entries)
         self._host = CellHost(
             self._store,
             self._config,
-            PeerAdvice(self._peers, self._entries, advisor, reconnector),
+            PeerAdvice(
+                self._peers, self._entries, advisor, reconnector, clock, lambda: self._host.lag
+            ),
             clock,
             self._name,
             self._incarnation,
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -96,7 +96,7 @@
         local: Callers,
         peers: NngPeers,
         config: QueueFold,
-        reconnect: Callable[[str], None],
+        reconnect: Callable[[str, float], None],
         age: Callable[[], float],
         owner: Callable[[], str],
         names: Callable[[], set[str]],
@@ -217,12 +217,13 @@
     ) -> CallerReply | None:
         timeout = min(max_timeout, request.timeout)
         forwarded = request._replace(timeout=timeout, version=self._config.version)
+        sent_at = self._clock.now()
         try:
             return await self._peers.call(name, forwarded, timeout + CALL_MARGIN_SECONDS)
         except PeerUnreachable:
             log.info("relay to another entry failed", extra={"path": request.path, "entry": name})
             self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
-            self._reconnect(name)
+            self._reconnect(name, sent_at)
         except RagworttillerError as exc:
             return error_reply(exc)
         return None
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -145,6 +145,11 @@
         """Pace of the running owner, `NO_PACE` while this entry does not own the cell."""
         return NO_PACE if self._owner is None else self._owner.pace
 
+    @property
+    def lag(self) -> float:
+        """How late the event loop of the running owner runs, in seconds, 0 without one."""
+        return 0.0 if self._owner is None else self._owner.lag
+
     @property
     def seconds_since_renewal(self) -> float:
         """Seconds since a claim or a renewal was read, -1 before the first."""
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -38,7 +38,7 @@
             rig.callers,
             peers,
             rig.config,
-            self.reconnected.append,
+            lambda name, sent_at: self.reconnected.append(name),
             lambda: age,
             lambda: "e2",
             lambda: {"e1", "e2", "e3"},
