--- a/bench/owner.py
+++ b/bench/owner.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterator, Sequence
 
-from bench.owner_model import BURST_LOAD, CHECKS, OwnerModel, Second
+from bench.owner_load import BURST_LOAD, CHECKS
+from bench.owner_model import OwnerModel, Second
 from bench.table import Row, verdict
 from ragworttiller.scheduling.decisions.pass_pace import MAX_PLANNING_SHARE
 
--- a/bench/owner_model.py
+++ b/bench/owner_model.py
@@ -16,8 +16,9 @@
 
 import msgspec
 
+from bench.owner_load import ALLOWED_SHARE, CHECKS, UPSTREAM, Arrivals, Load
 from bench.steps import StepCounter
-from ragworttiller.platform.configuration import AdviceCost, Queue
+from ragworttiller.platform.configuration import Queue
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
 from ragworttiller.platform.store import Record
 from ragworttiller.resources import Resources
@@ -27,19 +28,13 @@
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
-from ragworttiller.scheduling.state.jobs import JobSpec, StageId, StepSpec
+from ragworttiller.scheduling.state.jobs import JobSpec, StageId
 from ragworttiller.scheduling.state.orders import Plan, StartOrder
 from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS, Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run
 from ragworttiller.scheduling.state.takeover import Takeover
 
-UPSTREAM = "marking"
-CHECKS = Queue("checks", "h", "/c/", UPSTREAM, 0, 4, 2.0, 0.25, AdviceCost(0.039, 0.00056, 2.5))
-BATCHES = Queue("batches", "h", "/b/", UPSTREAM, 2, 2, 2.0, 1.2, AdviceCost(0.546, 0.0078, 2.5))
-WATCHES = Queue("watches", "h", "/w/", UPSTREAM, 1, 4, 2.0, 2.5, AdviceCost(0.585, 0.00845, 2.5))
-ALLOWED_SHARE = {CHECKS.name: 0.7, BATCHES.name: 0.35, WATCHES.name: 0.35}
-
 RUNNER_SIZES = (1.0, 1.0, 0.5, 2.0)
 RUNNER_CPU = 16_000
 RUNNER_MEMORY = 32_768
@@ -51,47 +46,6 @@
 MIN_ADVANCE_SECONDS = 1e-6
 # A new owner's runners need an answer and an enrolment before anything starts.
 ENROL_SECONDS = 0.2
-START_DELAY_SECONDS = 1.0
-
-
-class Costs(NamedTuple):
-    """Processor time of the owner in seconds: of a step, a call to a runner and an event."""
-
-    step: float = 1.2e-7
-    call: float = 0.00025
-    event: float = 0.00005
-
-
-class Load(NamedTuple):
-    """Size of the cell, its arrivals a second and the burst of checks."""
-
-    runners: int = 270
-    entries: int = 97
-    checks: float = 25.6
-    batches: float = 3.65
-    watches: float = 0.05
-    first_watches: int = 8
-    burst_factor: float = 2.0
-    burst_at: float = 6.0
-    burst_seconds: float = 4.0
-    seconds: float = 40.0
-    costs: Costs = Costs()
-    seed: int = 1
-
-
-# A third of the large site, with a slower owner in proportion. The burst is that of callers whose
-# submissions were refused for a while and come again together.
-BURST_LOAD = Load(
-    runners=90,
-    entries=32,
-    checks=8.5,
-    batches=1.2,
-    watches=0.017,
-    first_watches=3,
-    burst_factor=6.0,
-    seconds=32.0,
-    costs=Costs(1.1e-6, 0.0006, 0.00015),
-)
 
 
 class Second(NamedTuple):
@@ -187,48 +141,8 @@
         self.cell.pool.enroll(Claim("owner", 1, 1, 0, names, [], {}))
 
     def _add_arrivals(self) -> None:
-        load, rng = self._load, self._random
-        for number in range(load.first_watches):
-            self._schedule(0.05 * number, self._arrival_event(WATCHES, self._watch()))
-        for queue, rate, make in (
-            (CHECKS, load.checks, self._check),
-            (BATCHES, load.batches, self._batch),
-            (WATCHES, load.watches, self._watch),
-        ):
-            at = START_DELAY_SECONDS
-            while at < load.seconds:
-                in_burst = load.burst_at <= at < load.burst_at + load.burst_seconds
-                factor = load.burst_factor if queue is CHECKS and in_burst else 1.0
-                at += rng.expovariate(rate * factor)
-                self._schedule(at, self._arrival_event(queue, make()))
-
-    def _check(self) -> JobSpec:
-        steps = 2 if self._random.random() < 0.6 else 1
-        width = self._width(9.4, 56)
-        return self._chain(steps, width, self._cpu(3600, 11_000), 4000, 0.64)
-
-    def _batch(self) -> JobSpec:
-        return self._chain(2, self._width(16, 80), self._cpu(4500, 7600), 4600, 4.8)
-
-    def _watch(self) -> JobSpec:
-        size = Resources(self._cpu(4500, 7600), 8000)
-        return JobSpec("", (StepSpec(self._width(20, 60), size, daemon=True),))
-
-    def _chain(self, steps: int, width: int, cpu: int, memory: int, estimate: float) -> JobSpec:
-        size = Resources(cpu, memory)
-        return JobSpec(
-            "",
-            tuple(
-                StepSpec(width, size, estimate, (number - 1,) if number else ())
-                for number in range(steps)
-            ),
-        )
-
-    def _width(self, mean: float, most: int) -> int:
-        return max(1, min(int(self._random.lognormvariate(0.0, 0.7) * 0.8 * mean), most))
-
-    def _cpu(self, mean: float, most: int) -> int:
-        return max(300, min(int(self._random.lognormvariate(0.0, 0.4) * mean), most))
+        for row in Arrivals(self._load, self._random):
+            self._schedule(row.at, self._arrival_event(row.queue, row.spec))
 
     # Events
 
--- a/tests/test_owner_pace.py
+++ b/tests/test_owner_pace.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from bench.owner_model import BURST_LOAD, CHECKS, OwnerModel
+from bench.owner_load import BURST_LOAD, CHECKS
+from bench.owner_model import OwnerModel
 from ragworttiller.scheduling.decisions.pass_pace import MAX_PLANNING_SHARE
 
 RECOVERY_SECONDS = 15.0
