Let a busy owner wait longer for its runners, and keep the connection of an entry that is only slow

Cause: the waits for a connection (0.7 s) and for the answer to a start (0.2 s) are shorter than the owner's event loop was late (0.5 s to 0.7 s), so each order was given up and repeated, which made it later still. An entry that had answered other calls meanwhile lost its connection, and with it all calls in flight. Change: each wait for a runner grows by twice the owner's lag, less the 0.2 s that there is room for, up to 1 s. A call replaces no connection on which another call was answered since it was sent. Evidence: new tests of the channel, the slack and the connections; each fails without its change.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -220,6 +220,8 @@
     on_open : Callable or None
         Called with each new connection before it carries a request, to find out who answers on it.
         A connection never reaches another process than the one that accepted it.
+    slack : Callable
+        Returns the seconds by which each wait is longer, since this process is busy.
     """
 
     def __init__(self, address: str, timeout: float) -> None:
@@ -227,6 +229,7 @@
         self._timeout = timeout
         self._idle: list[Channel] = []
         self.on_open: Callable[[Exchange], Awaitable[None]] | None = None
+        self.slack: Callable[[], float] = lambda: 0.0
         self._traffic = Traffic()
 
     @property
@@ -253,7 +256,8 @@
         """
         channel = await self._channel()
         try:
-            with anyio.fail_after(self._timeout if timeout is None else timeout):
+            seconds = self._timeout if timeout is None else timeout
+            with anyio.fail_after(seconds + self.slack()):
                 answer = await channel.request(method, target, headers, body)
         except TimeoutError as exc:
             # The idle connections to a server that timed out are likely to time out as well.
@@ -277,7 +281,8 @@
             if channel.usable:
                 return channel
             await channel.close()
-        channel = Channel(self._host, self._port, self._timeout, self._traffic)
+        timeout = self._timeout + self.slack()
+        channel = Channel(self._host, self._port, timeout, self._traffic)
         await channel.open()
         if self.on_open is not None:
             await self._greet(channel, self.on_open)
@@ -295,7 +300,7 @@
 
         greeted = False
         try:
-            with anyio.fail_after(self._timeout):
+            with anyio.fail_after(self._timeout + self.slack()):
                 await on_open(exchange)
             greeted = True
         except (ExchangeBroken, TimeoutError) as exc:
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -210,6 +211,10 @@
         """
         await self._send_order("/-/run-stop", {"task": str(task), "run": run, "fence_token": token})
 
+    def set_slack(self, slack: Callable[[], float]) -> None:
+        """Set the function that returns the seconds by which each wait is longer."""
+        self._channels.slack = slack
+
     async def close(self) -> None:
         """Close the idle connections."""
         await self._channels.close()
--- a/ragworttiller/scheduling/entry/entries.py
+++ b/ragworttiller/scheduling/entry/entries.py
@@ -138,6 +138,7 @@
         self._peers = peers
         self._clock = clock
         self._replaced_at: dict[str, float] = {}
+        self._answered_at: dict[str, float] = {}
         peers.handle(ConnectionSuspect, self._handle_suspect)
 
     def reconnect_both_ends(self, name: str, sent_at: float) -> None:
@@ -148,14 +149,20 @@
         name : str
             Name of the entry.
         sent_at : float
-            Time of the unanswered call, in seconds. A connection that was opened later is kept.
+            Time of the unanswered call, in seconds. A connection that was opened later is kept, and
+            one on which another call was answered since: the entry is only slow.
         """
-        if sent_at <= self._replaced_at.get(name, float("-inf")):
+        never = float("-inf")
+        if sent_at <= max(self._replaced_at.get(name, never), self._answered_at.get(name, never)):
             return
         log.info("connection to an entry replaced", extra={"entry": name})
         self._replace(name)
         self._peers.post(name, ConnectionSuspect())
 
+    def record_answer(self, name: str) -> None:
+        """Record that an entry has answered a call."""
+        self._answered_at[name] = self._clock.now()
+
     def _replace(self, name: str) -> None:
         self._replaced_at[name] = self._clock.now()
         self._peers.reconnect(name)
@@ -225,6 +232,7 @@
         except PeerUnreachable:
             self._reconnector.reconnect_both_ends(entry, sent_at)
             raise
+        self._reconnector.record_answer(entry)
         return reply.tickets
 
     async def _serve(self, sender: str, request: AdviceRequest) -> AdviceReply:
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -101,10 +101,12 @@
             store, JOBS, Producer(PRODUCER, term.epoch), clock, first_sequence=1
         )
         self._recorder = Recorder(cell, term, self._writer, clock, retention)
-        self._calls = RunnerCalls(cell, term, clock, self._recorder, connect, self.request_plan)
+        self._pace_log = PaceLog(cell, clock)
+        self._calls = RunnerCalls(
+            cell, term, clock, self._recorder, connect, self.request_plan, lambda: self.lag
+        )
         self._wait_log = WaitLog(cell, clock)
         self._pass_pace = ProportionalPause()
-        self._pace_log = PaceLog(cell, clock)
         self._plan_requested = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -30,6 +30,11 @@
 HOLD_RETRY_SECONDS = 0.1
 # A look returns at once, so a missing answer was lost rather than late.
 LOOK_TIMEOUT_SECONDS = 0.25
+# Steps of the event loop on the way of a call: sending it, and reading its answer.
+LAGS_A_CALL = 2
+# All timeouts have room for this much.
+TOLERATED_LAG_SECONDS = 0.2
+MAX_SLACK_SECONDS = 1.0
 
 
 class RunnerCalls:
@@ -49,6 +54,8 @@
         Returns the client of a runner, given its identifier and address.
     on_change : Callable
         Called when the state of the cell has changed.
+    lag : Callable
+        Returns how late the event loop runs, in seconds.
     """
 
     def __init__(
@@ -59,7 +66,9 @@
         recorder: Recorder,
         connect: Callable[[str, str], RunnerClient],
         on_change: Callable[[], None],
+        lag: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._lag = lag
         self._cell = cell
         self._term = term
         self._clock = clock
@@ -72,9 +81,14 @@
         """Return the runners that are new since the last call; each needs a `hold_loop`."""
         new = [runner for name, runner in self._cell.runners.items() if name not in self._clients]
         for runner in new:
-            self._clients[runner.id] = self._connect(runner.id, runner.entry.address)
+            client = self._clients[runner.id] = self._connect(runner.id, runner.entry.address)
+            client.set_slack(self._slack)
         return new
 
+    def _slack(self) -> float:
+        """Return the seconds by which a busy owner waits longer: it reads answers that late."""
+        return min(max(LAGS_A_CALL * self._lag() - TOLERATED_LAG_SECONDS, 0.0), MAX_SLACK_SECONDS)
+
     async def hold_loop(self, runner: RunnerState) -> None:
         """Send hold orders to a runner until its boot is removed."""
         client = self._clients[runner.id]
--- a/tests/test_busy_owner.py
+++ b/tests/test_busy_owner.py
@@ -7,6 +7,7 @@
 from ragworttiller.scheduling.ownership.earlier_owner import query_timeout
 from ragworttiller.scheduling.ownership.owner import Owner
 from ragworttiller.scheduling.ownership.ownership import Ownership
+from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
 from tests.owners_rig import OwnersRig, start_entries, with_rig
 
 LAG_SECONDS = 0.7
@@ -54,3 +55,14 @@
             assert rig.owner is not owner
 
         with_rig(body)
+
+
+class TestSlack:
+    """Waits of an owner for its runners, by how late its event loop runs."""
+
+    @pytest.mark.parametrize(
+        ("lag", "seconds"), [(0.0, 0.0), (0.1, 0.0), (0.3, 0.4), (0.5, 0.8), (5.0, 1.0)]
+    )
+    def test_a_late_event_loop_waits_longer_up_to_a_limit(self, lag: float, seconds: float):
+        calls = RunnerCalls(None, None, None, None, None, None, lambda: lag)
+        assert calls._slack() == pytest.approx(seconds)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -6,19 +6,20 @@
 import httpcore
 import pytest
 
-from ragworttiller.platform.channel import Channel, Traffic
-from ragworttiller.platform.exchange import NotSent
+from ragworttiller.platform.channel import Channel, ChannelSet, Traffic
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 
 ANSWER = b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n"
 
 
-def with_channel(body):
+def with_channel(body, delay: float = 0.0):
     async def scenario():
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
 
         async def serve(stream):
             async with stream:
+                await anyio.sleep(delay)
                 await stream.send(ANSWER)
                 await anyio.sleep(1.0)
 
@@ -70,3 +71,14 @@
                 assert caught.value.refused is refused
 
         with_channel(body)
+
+    def test_a_busy_process_waits_longer_for_an_answer(self):
+        async def body(channel: Channel):
+            channels = ChannelSet(f"{channel._host}:{channel._port}", 0.1)
+            channels.slack = lambda: 0.5
+            assert (await channels.request("GET", "/", timeout=0.1)).status == 413
+            channels.slack = lambda: 0.0
+            with pytest.raises(ExchangeBroken):
+                await channels.request("GET", "/", timeout=0.1)
+
+        with_channel(body, delay=0.3)
--- a/tests/test_peer_advice.py
+++ b/tests/test_peer_advice.py
@@ -24,6 +24,7 @@
         self.seconds = seconds
         self.replaced: list[str] = []
         self.asked: list[list[str]] = []
+        self.quick: tuple[int, ...] = ()
         self._scopes: set[anyio.CancelScope] = set()
 
     def handle(self, message_type: type, handler: object):
@@ -39,6 +40,9 @@
 
     async def call(self, instance: str, message: object, timeout: float) -> AdviceReply:
         self.asked.append(message.runners)
+        if len(self.asked) - 1 in self.quick:
+            await self.timers.sleep(0.2)
+            return AdviceReply({"w1": "t1"})
         with anyio.CancelScope() as scope:
             self._scopes.add(scope)
             await self.timers.sleep(min(timeout, self.seconds))
@@ -48,14 +52,23 @@
         return AdviceReply({"w1": "t1"})
 
 
-def ask(seconds: float, lag: float = 0.0, starts: tuple[float, ...] = (0.0,)):
-    """Return the peers, and the answers to calls that start at the given times."""
+def ask(
+    seconds: float,
+    lag: float = 0.0,
+    starts: tuple[float, ...] = (0.0,),
+    quick: tuple[int, ...] = (),
+):
+    """Return the peers, and the answers to calls that start at the given times.
+
+    Those in ``quick``, counted from 0, are answered soon.
+    """
     answers: list[dict[str, str] | None] = []
     kept: list[SlowPeers] = []
 
     async def main():
         timers = LoopTimers()
         peers = SlowPeers(timers, seconds)
+        peers.quick = quick
         kept.append(peers)
         reconnector = PeerReconnector(peers, timers)
         advice = PeerAdvice(peers, EntryFold(peers), None, reconnector, timers, lambda: lag)
@@ -97,6 +110,11 @@
         peers, _ = ask(seconds=60.0, starts=(0.0, 3.0))
         assert peers.replaced == ["e2", "e2"]
 
+    def test_an_entry_that_has_answered_another_call_since_keeps_its_connection(self):
+        peers, answers = ask(seconds=60.0, starts=(0.0, 0.5), quick=(1,))
+        assert answers == [{"w1@5": "t1"}, None]
+        assert peers.replaced == []
+
     def test_the_advisor_is_asked_about_runners_not_boots(self):
         peers, answers = ask(seconds=0.1)
         assert peers.asked == [["w1"]]
