Take a crash right after the start of a trial for proof on any runner

Cause, traced: its owner was killed 20 ms after the first start, so that crash is unknown; the second was inherited as beside others; then three trials, each gone after 15 to 30 ms, proved nothing, since every runner had crashed in the last 20 s. Change: a crash within 0.1 s of the start of a trial is proof, whatever its runner did before.

--- a/ragworttiller/scheduling/decisions/crash_blame.py
+++ b/ragworttiller/scheduling/decisions/crash_blame.py
@@ -17,13 +17,16 @@
 SAME_START_SECONDS = 0.05
 # A runner that crashes later after the start of a task is not attributed to it.
 MAX_CRASH_SECONDS = 10.0
+# So soon after the start of a trial a crash of another cause is unlikely, on any runner.
+PROMPT_CRASH_SECONDS = 0.1
 
 
 def blame_runs(runner: RunnerState, alone: bool, now: float) -> list[tuple[Run, Crash]]:
     """Return the runs that a lost runner may have crashed of, each with what speaks for it.
 
     A draining runner leaves as planned. One of which no other boot answers may only be out of
-    reach, one that has crashed lately may crash of itself, and several at once have another cause.
+    reach, one that has crashed lately may crash of itself, and several at once have another cause:
+    in a trial, only a crash right after the start speaks for itself.
 
     Parameters
     ----------
@@ -45,8 +48,9 @@
     ]
     if len(together) == 1 and together[0].trial:
         # Nothing has started beside it: that explains the crash.
-        sound = silent_since >= runner.unsound_until
-        sure = alone and sound and runner.ended_at is not None
+        prompt = silent_since - together[0].started_at <= PROMPT_CRASH_SECONDS
+        sound = alone and silent_since >= runner.unsound_until
+        sure = runner.ended_at is not None and (prompt or sound)
         blame = Blame.TRIAL if sure else Blame.LATEST
         return _with_crashes(runner.id, together, silent_since, blame)
     beside = [run for run in runs if run not in together]
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -141,9 +141,20 @@
         stage_of(rig).crashes[0] = [crash(Blame.LATEST)]
         (order,) = rig.start_all()
         assert order.trial
+        rig.now += 0.2
         crash_runner(rig, "w1-again")
         assert stage_of(rig).crashes[0][-1].blame == Blame.LATEST
 
+    def test_a_crash_right_after_the_start_of_a_trial_is_proof_on_any_runner(self):
+        rig = CellRig(1)
+        rig.cell.runners["w1"].unsound_until = rig.now + 20.0
+        rig.submit(step(1))
+        stage_of(rig).crashes[0] = [crash(Blame.LATEST, "w0")]
+        rig.start_all()
+        rig.now += 0.05
+        crash_runner(rig, "w1")
+        assert stage_of(rig).crashes[0][-1].blame == Blame.TRIAL
+
     def test_a_boot_that_was_listed_before_the_end_of_the_last_one_is_unsound_too(self):
         rig = CellRig(0)
         rig.add_runner("w1@1")
