Show that a capacity that shrinks or grows is kept to

Evidence: four tests, all passing on the landed code too: nothing starts beyond it, what is being stopped counts, what has grown is used, what runs goes on. Conclusion: kept.

--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -96,9 +96,9 @@
 class RunnerClient:
     """Client of one boot of a runner.
 
-    A later boot may have the same identifier. So each connection begins with a hold that changes
-    nothing, and orders are sent only on one on which this boot has answered: what one boot has
-    counted is never told to the next.
+    A later boot may have the same identifier. So each connection begins with a hold that
+    acknowledges and renews nothing, and orders are sent only on one on which this boot has
+    answered: what one boot has counted is never told to the next.
 
     Parameters
     ----------
--- a/tests/test_runner_conditions.py
+++ b/tests/test_runner_conditions.py
@@ -164,3 +164,43 @@
         (only,) = rig.start_all()
         rig.list_runner(only.run.runner, state="draining")
         assert rig.plan().stops == []
+
+
+class TestCapacity:
+    """The capacity of a runner may shrink and grow again while it runs."""
+
+    def test_nothing_starts_beyond_a_capacity_that_has_shrunk(self):
+        rig = CellRig(1)
+        rig.submit(step(2))
+        assert len(rig.start_all()) == 2
+        rig.list_runner("w1", cpu=2500)
+        rig.submit(step(3), job="fedcba9876543210")
+        assert rig.plan().starts == []
+
+    def test_what_is_being_stopped_counts_until_it_has_ended(self):
+        rig = CellRig(1)
+        rig.submit(step(2))
+        rig.start_all()
+        rig.list_runner("w1", cpu=2500)
+        rig.cancel()
+        rig.submit(step(2), job="fedcba9876543210")
+        plan = rig.plan()
+        assert (len(plan.starts), len(plan.stops)) == (0, 2)
+        rig.hold("w1", *[(order.run.task, order.run.number, "stopped") for order in plan.stops])
+        assert len(rig.plan().starts) == 2
+
+    def test_a_capacity_that_has_grown_again_is_used(self):
+        rig = CellRig(1)
+        rig.list_runner("w1", cpu=500)
+        rig.submit(step(3))
+        assert rig.plan().starts == []
+        rig.list_runner("w1", cpu=4000)
+        assert len(rig.plan().starts) == 3
+
+    def test_tasks_on_a_runner_that_has_shrunk_below_them_go_on(self):
+        rig = CellRig(1)
+        rig.submit(step(3))
+        rig.start_all()
+        rig.list_runner("w1", cpu=1000)
+        plan = rig.plan()
+        assert (plan.starts, plan.stops) == ([], [])
