Let a pass make fewer calls for each runner

The test counts calls, so it is no noise. Cause: trials asked each runner and each placed task of a pass, and the course of the modelled burst, on which the worst second depends, moved with it. Change: runners on trial are kept in a list; a task is asked only if its stage has crashes; the size of a task is compared with a runner's capacity without a call. The bound is as it was.

--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -16,13 +16,17 @@
 
 def suitable(runners: Iterable[RunnerState], upstream: str, spec: StepSpec) -> list[RunnerState]:
     """Return the runners that meet the rules of a step, regardless of their free resources."""
-    size, label = spec.reservation, spec.label
+    label = spec.label
+    cpu, memory, accelerators = spec.reservation
+    # Compared here rather than by `Resources.fits`, since a pass makes this test most often.
     rows = [
         runner
         for runner in runners
         if runner.entry.upstream == upstream
         and (not label or label in runner.entry.labels)
-        and size.fits(runner.entry.capacity)
+        and (room := runner.entry.capacity).cpu >= cpu
+        and room.memory >= memory
+        and room.accelerators >= accelerators
     ]
     return [runner for runner in rows if not runner.runs_serving_task] if spec.fills else rows
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -169,8 +169,10 @@
             with_room = free_resources.with_room(upstream, stage.spec)
         if not with_room:
             return False
-        # A trial of an earlier owner may still run.
-        indices = [index for index in self._takeover.startable(stage) if index not in stage.trials]
+        indices = self._takeover.startable(stage)
+        if stage.trials:
+            # A trial of an earlier owner may still run.
+            indices = [index for index in indices if index not in stage.trials]
         if allowance < len(indices) * stage.spec.reservation.cpu:
             indices = indices[: int(allowance // stage.spec.reservation.cpu)]
         if stage.spec.gang and len(indices) < stage.spec.tasks:
@@ -190,7 +192,7 @@
                 run.resume(checkpoint)
             run.start_deadline = runner.grant_start(now, START_DEADLINE_SECONDS)
             runner.add(run)
-            if stage.is_suspect(index):
+            if stage.crashes and stage.is_suspect(index):
                 self._begin_trial(stage, run, runner, now)
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
             order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
@@ -201,7 +203,7 @@
         rows = stage.crashes[run.task.ordinal]
         seconds = exclusive_seconds(rows)
         stage.trials[run.task.ordinal] = runner.id
-        runner.begin_trial(run, now + seconds)
+        self._pool.begin_trial(runner, run, now + seconds)
         extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
         log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
 
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -120,7 +120,7 @@
             self._score(scores, stage, runner, free_resources, on_runner, time_ratios)
         chosen: dict[int, str] = {}
         for index in indices:
-            suspect = stage.is_suspect(index)
+            suspect = index in stage.crashes and stage.is_suspect(index)
             best = self._best(stage, index, scores, by_id)
             if best is None:
                 if stage.spec.gang:
@@ -165,7 +165,7 @@
                 for name, score in scores.items()
                 if self._may_retry(stage, index, by_id[name])
             }
-        if scores and stage.is_suspect(index):
+        if scores and stage.crashes and stage.is_suspect(index):
             return self.trials.choose([by_id[name] for name in scores], stage.spec.gang)
         return by_id[min(scores, key=scores.__getitem__)] if scores else None
 
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -168,7 +168,8 @@
         if work is not None and work.open and stage is not None and index in stage.waiting:
             stage.adopt(run)
             if stage.trials.get(index) == runner.id:
-                runner.begin_trial(run, now + exclusive_seconds(stage.crashes.get(index, [])))
+                seconds = exclusive_seconds(stage.crashes.get(index, []))
+                self.pool.begin_trial(runner, run, now + seconds)
             log.info("run of an earlier owner adopted", extra=run_fields(run))
         else:
             other = stage.active_runs.get(index) if stage is not None else None
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -57,6 +57,7 @@
         # Runners that have missed a call or ended, the only ones whose runs may have ended unseen.
         self._doubtful: dict[str, RunnerState] = {}
         self._unsound_until: dict[str, float] = {}
+        self._trials: list[RunnerState] = []
         # Boots without a trial that have not answered since a time, also those that have ended.
         self._silent_since: dict[str, float] = {}
         self.runners: dict[str, RunnerState] = {}
@@ -92,9 +93,16 @@
         """Return the runners that have missed a call since their last answer."""
         return {name for name, runner in self._doubtful.items() if runner.misses > 0}
 
+    def begin_trial(self, runner: RunnerState, run: Run, until: float) -> None:
+        """Let no other task start on a runner until a time in seconds, or the end of the run."""
+        runner.begin_trial(run, until)
+        self._trials.append(runner)
+
     def on_trial(self, now: float) -> int:
         """Return the number of runners on which a suspected task is being tried."""
-        return sum(runner.on_trial(now) for runner in self.runners.values())
+        if self._trials:
+            self._trials = [runner for runner in self._trials if runner.on_trial(now)]
+        return len(self._trials)
 
     def roster(self) -> list[str]:
         """Return the runners that may receive orders or may still run tasks."""
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -174,7 +174,7 @@
             and self.misses == 0
             and now - self.last_answer_at < MAX_ANSWER_AGE_SECONDS
             and now >= self.suspended_until
-            and not self.on_trial(now)
+            and (self._trial is None or not self.on_trial(now))
         )
 
     def begin_trial(self, run: Run, until: float) -> None:
