--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -94,8 +94,8 @@
 class Withdrawn(NamedTuple):
     """Runner on which the owner starts no more tasks, and the tasks that it may still run.
 
-    ``renewed`` is whether the owner keeps renewing its lease, as on a draining runner. Nothing
-    listens at the address of a ``silent`` one; its tasks are those that started last first.
+    ``renewed`` is whether the owner keeps renewing its lease, as on a draining runner. A ``silent``
+    one has missed calls. The tasks that started last come first.
     """
 
     runner: str
