Check API keys at the edge, and record the workspace of a job

Cause: nothing on the platform's path reads X-Api-Key.

Change: the configuration's workspaces are decoded (an unreadable one refuses only its own keys), keys are looked up in a hash table by each entry that answers, also for a request that another entry passes on, and the accepted record names its workspace. Old records without one still read. A deployment without workspaces checks nothing.

--- a/ragworttiller/exceptions.py
+++ b/ragworttiller/exceptions.py
@@ -437,6 +437,24 @@
     template = "no queue serves {host!r} at {path!r}"
 
 
+class ApiKeyUnknown(RagworttillerError):
+    """The call needs an API key of a workspace, and none was given or it is not valid."""
+
+    code = "api_key_unknown"
+    status = 401
+    ran = Ran.NO
+    template = "queue {queue!r} needs a valid API key"
+
+
+class JobNameTaken(RagworttillerError):
+    """Another workspace has submitted a job with this identifier."""
+
+    code = "job_name_taken"
+    status = 409
+    ran = Ran.NO
+    template = "the identifier {job!r} is in use"
+
+
 class JobUnknown(RagworttillerError):
     """No accepted job has this identifier."""
 
--- a/ragworttiller/platform/configuration.py
+++ b/ragworttiller/platform/configuration.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import logging
+from typing import Any, NamedTuple
 
 import msgspec
 
 from ragworttiller.platform.decoding import decode_json
+from ragworttiller.resources import Resources
+from ragworttiller.scheduling.state.workspaces import Workspace
+
+log = logging.getLogger(__name__)
 
 
 class AdviceCost(NamedTuple):
@@ -20,7 +25,8 @@
 class Queue(NamedTuple):
     """One queue of jobs; times are in seconds.
 
-    ``attempts`` is the number of failed runs after which a task, and so its job, has failed.
+    ``attempts`` is the number of failed runs after which a task, and so its job, has failed. Calls
+    on an ``anonymous`` queue need no API key.
     """
 
     name: str
@@ -32,6 +38,7 @@
     slack_factor: float
     target_latency: float
     advice: AdviceCost | None
+    anonymous: bool = True
 
     @property
     def key(self) -> str:
@@ -43,12 +50,14 @@
     """One complete version of the configuration.
 
     ``limited_upstreams`` are the upstreams whose limits are enforced; ``max_body`` is in bytes.
+    ``workspaces`` is None in a deployment without workspaces, where no call needs a key.
     """
 
     version: int
     queues: tuple[Queue, ...]
     limited_upstreams: frozenset[str]
     max_body: int
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 class _Advice(msgspec.Struct):
@@ -67,6 +76,7 @@
     slack_factor: float = 1.0
     target_latency_ms: float = 0.0
     placement_advisor: _Advice | None = None
+    allow_anonymous: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -78,11 +88,25 @@
     max_body_bytes: int = 262144
 
 
+class _Cap(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    cap: _Cap = msgspec.field(default_factory=_Cap)
+
+
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[Any] | None = None
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -97,11 +121,30 @@
     limited_upstreams = frozenset(
         service.name for service in wire.services if service.enforce_limits
     )
-    queues = tuple(map(_decode_queue, wire.routes))
-    return Configuration(wire.version, queues, limited_upstreams, wire.limits.max_body_bytes)
+    has_workspaces = wire.tenants is not None
+    queues = tuple(_decode_queue(route, has_workspaces) for route in wire.routes)
+    workspaces = None
+    if wire.tenants is not None:
+        rows = (_decode_workspace(row, wire.version) for row in wire.tenants)
+        workspaces = tuple(row for row in rows if row is not None)
+    return Configuration(
+        wire.version, queues, limited_upstreams, wire.limits.max_body_bytes, workspaces
+    )
+
+
+def _decode_workspace(row: Any, version: int) -> Workspace | None:
+    """Return a workspace, None if its record is unreadable: only its own keys are refused then."""
+    try:
+        wire = msgspec.convert(row, _Tenant)
+    except msgspec.MsgspecError as exc:
+        # The text of the error names fields and types, never a key.
+        log.error("unreadable workspace skipped", extra={"version": version, "why": str(exc)})
+        return None
+    cap = Resources(wire.cap.cpu, wire.cap.mem_mb, wire.cap.gpu)
+    return Workspace(wire.name, frozenset(wire.api_keys), wire.weight, cap)
 
 
-def _decode_queue(route: _Route) -> Queue:
+def _decode_queue(route: _Route, has_workspaces: bool) -> Queue:
     advice = None
     if wire := route.placement_advisor:
         advice = AdviceCost(
@@ -117,4 +160,5 @@
         route.slack_factor,
         route.target_latency_ms / 1000,
         advice,
+        route.allow_anonymous or not has_workspaces,
     )
--- a/ragworttiller/platform/submissions.py
+++ b/ragworttiller/platform/submissions.py
@@ -14,6 +14,7 @@
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 100_000
 DEADLINE_HEADER = b"ragworttiller-deadline-ms"
+API_KEY_HEADER = b"x-api-key"
 
 
 class _Step(msgspec.Struct):
--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -7,6 +7,7 @@
 
 from ragworttiller.exceptions import (
     AppendUndecided,
+    JobNameTaken,
     JobUnknown,
     LogUnavailable,
     NotReady,
@@ -31,6 +32,7 @@
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 log = logging.getLogger(__name__)
 
@@ -47,10 +49,14 @@
 
 
 class Target(NamedTuple):
-    """Queue of a request, and the job it names; ``job`` is empty for the queue itself."""
+    """Queue of a request, and the job it names; ``job`` is empty for the queue itself.
+
+    ``workspace`` is the name of the workspace that calls, empty for an anonymous call.
+    """
 
     queue: Queue
     job: str
+    workspace: str = NO_WORKSPACE
 
 
 class Acceptance:
@@ -102,8 +108,8 @@
         """Longest body of a request, in bytes."""
         return self._config.current.max_body if self._config.current else DEFAULT_MAX_BODY_BYTES
 
-    def target(self, host: str, path: str) -> Target:
-        """Return the queue and the job that a request addresses.
+    def target(self, host: str, path: str, key: str = "") -> Target:
+        """Return the queue and the job that a request addresses, and the workspace that calls.
 
         Raises
         ------
@@ -111,6 +117,8 @@
             The configuration or the jobs are not read yet.
         QueueUnknown
             No queue matches, or the path after its prefix is not a job identifier.
+        ApiKeyUnknown
+            The API key is not valid.
         """
         if not self.ready:
             reason = "the configuration or the jobs are not read yet"
@@ -119,7 +127,7 @@
         job = path[len(queue.prefix) :]
         if job and not is_job_id(job):
             raise QueueUnknown(host=host, path=path)
-        return Target(queue, job)
+        return Target(queue, job, self._config.workspace_of(queue, key))
 
     async def submit(self, target: Target, body: bytes, timeout: float) -> None:
         """Store a job; repeated submissions with one identifier store it once.
@@ -132,11 +140,17 @@
             The job was not accepted and never runs.
         SubmissionUndecided
             Whether the job was accepted is unknown.
+        JobNameTaken
+            Another workspace has submitted a job with this identifier.
         """
-        if self._jobs.get(target.job) is not None:
+        row = self._jobs.get(target.job)
+        if row is not None:
+            if not _may_use(target, row):
+                raise JobNameTaken(job=target.job)
             return
         job = decode_job(body)
-        record = KeyedRecord(target.job, encode(Accepted(target.queue, job, self._clock.wall())))
+        accepted = Accepted(target.queue, job, self._clock.wall(), target.workspace)
+        record = KeyedRecord(target.job, encode(accepted))
         await self._append(target.job, record, timeout)
 
     async def state(self, target: Target) -> JobState:
@@ -149,7 +163,7 @@
         StateUnknown
             The store cannot be read.
         """
-        return (await self._row(target.job)).state
+        return (await self._row(target)).state
 
     async def cancel(self, target: Target, timeout: float) -> None:
         """Cancel a job, also one whose submission is still in flight.
@@ -164,11 +178,13 @@
             The cancellation was stored, but the store cannot be read to look the job up.
         """
         row = self._jobs.get(target.job)
+        if row is not None and not _may_use(target, row):
+            raise JobUnknown(job=target.job)
         if row is not None and (row.cancelled or row.progress.state):
             return
         record = KeyedRecord(target.job + CANCEL_SUFFIX, CANCELLED)
         await self._append(target.job, record, timeout)
-        await self._row(target.job)
+        await self._row(target)
 
     def pending(self, target: Target) -> int:
         """Return the number of the queue's jobs of which no task has started.
@@ -202,12 +218,14 @@
         except AppendUndecided as exc:
             raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
 
-    async def _row(self, job: str) -> JobRow:
+    async def _row(self, target: Target) -> JobRow:
+        """Return the row of a job that the caller may see."""
+        job = target.job
         row = self._jobs.get(job)
         if row is None:
             await self._refresh(job)
             row = self._jobs.get(job)
-        if row is None:
+        if row is None or not _may_use(target, row):
             raise JobUnknown(job=job)
         return row
 
@@ -219,3 +237,9 @@
             raise StateUnknown(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
         if scope.cancelled_caught:
             raise StateUnknown(job=job, retry_after=RETRY_AFTER_SECONDS)
+
+
+def _may_use(target: Target, row: JobRow) -> bool:
+    """Return whether the caller may see or cancel a job: one of its workspace, or of none."""
+    owner = row.accepted.workspace if row.accepted is not None else NO_WORKSPACE
+    return owner in (NO_WORKSPACE, target.workspace)
--- a/ragworttiller/scheduling/entry/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -22,7 +22,8 @@
 class CallerRequest(NamedTuple):
     """Request of a caller; ``timeout`` is the time left for its answer, in seconds.
 
-    ``version`` is the configuration version of the entry that relays the request.
+    ``version`` is the configuration version of the entry that relays the request. ``key`` is the
+    caller's API key, empty for none.
     """
 
     method: str
@@ -31,6 +32,11 @@
     body: bytes
     timeout: float
     version: int = -1
+    key: str = ""
+
+    def __repr__(self) -> str:
+        """Return a text without the API key, which must not appear in logs."""
+        return f"CallerRequest({self.method} {self.host}{self.path}, version={self.version})"
 
 
 class CallerReply(NamedTuple):
@@ -70,7 +76,7 @@
 
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
-        target = self._acceptance.target(request.host, request.path)
+        target = self._acceptance.target(request.host, request.path, request.key)
         method = request.method
         if not target.job and method == "GET":
             return CallerReply(OK, pending_body(self._acceptance.pending(target)))
--- a/ragworttiller/scheduling/entry/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -11,7 +11,7 @@
 
 from ragworttiller.exceptions import BodyTooLarge, RagworttillerError
 from ragworttiller.metrics import Metrics
-from ragworttiller.platform.submissions import DEADLINE_HEADER
+from ragworttiller.platform.submissions import API_KEY_HEADER, DEADLINE_HEADER
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.callers import CallerRequest, Callers, error_reply
 from ragworttiller.scheduling.entry.operators import ROOT as OPERATORS_ROOT
@@ -74,7 +74,9 @@
         body = b""
         if scope["method"] == "POST":
             body = await _body(receive, self._max_body())
-        return CallerRequest(scope["method"], host, scope["path"], body, _timeout(headers))
+        key = headers.get(API_KEY_HEADER, b"").decode("latin-1")
+        timeout = _timeout(headers)
+        return CallerRequest(scope["method"], host, scope["path"], body, timeout, key=key)
 
 
 class ReadyApp:
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -12,6 +12,7 @@
 from ragworttiller.platform.configuration import Queue
 from ragworttiller.platform.store import Partition
 from ragworttiller.scheduling.state.jobs import JobSpec, StageId
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 T = TypeVar("T")
 
@@ -40,11 +41,13 @@
     """Job that was accepted at ``wall``, in seconds since the epoch.
 
     ``queue`` is a copy of the queue at that time, used if the queue was removed since.
+    ``workspace`` is the name of the workspace that submitted it, empty for none.
     """
 
     queue: Queue
     job: JobSpec
     wall: float
+    workspace: str = NO_WORKSPACE
 
 
 class Blame(StrEnum):
--- a/ragworttiller/scheduling/records/queue_fold.py
+++ b/ragworttiller/scheduling/records/queue_fold.py
@@ -6,21 +6,30 @@
 
 from typing_extensions import override
 
-from ragworttiller.exceptions import QueueUnknown, Unreadable
+from ragworttiller.exceptions import ApiKeyUnknown, QueueUnknown, Unreadable
 from ragworttiller.platform.configuration import Configuration, Queue, decode_configuration
 from ragworttiller.platform.store import CONFIG_KEY, Record
 from ragworttiller.scheduling.records.feed import Fold
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE, Workspace
 
 log = logging.getLogger(__name__)
 
 
 class QueueFold(Fold):
-    """Newest configuration that this process has read; older versions are ignored."""
+    """Newest configuration that this process has read; older versions are ignored.
+
+    Attributes
+    ----------
+    workspaces : dict of str to Workspace
+        Workspaces of the current configuration by name.
+    """
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
         self._value = b""
         self._by_host: dict[str, list[Queue]] = {}
+        self._by_key: dict[str, str] = {}
+        self.workspaces: dict[str, Workspace] = {}
 
     @property
     def current(self) -> Configuration | None:
@@ -64,9 +73,31 @@
         for queue in sorted(configuration.queues, key=lambda q: -len(q.prefix)):
             by_host.setdefault(queue.host, []).append(queue)
         self._by_host = by_host
+        self._index_workspaces(configuration)
         extra = {"version": configuration.version, "queues": len(configuration.queues)}
         log.info("new configuration in force", extra=extra)
 
+    def _index_workspaces(self, configuration: Configuration) -> None:
+        rows = configuration.workspaces or ()
+        self.workspaces = {workspace.name: workspace for workspace in rows}
+        self._by_key = {key: row.name for row in rows for key in row.keys}
+
+    def workspace_of(self, queue: Queue, key: str) -> str:
+        """Return the name of the workspace that calls a queue with an API key, empty for none.
+
+        Raises
+        ------
+        ApiKeyUnknown
+            The queue needs a key, or a key is given, and no workspace has it.
+        """
+        current = self._current
+        if current is None or current.workspaces is None or (queue.anonymous and not key):
+            return NO_WORKSPACE
+        workspace = self._by_key.get(key)
+        if workspace is None:
+            raise ApiKeyUnknown(queue=queue.name)
+        return workspace
+
     def find(self, host: str, path: str) -> Queue:
         """Return the queue of a request: the one on its host with the longest matching prefix.
 
