Show what share of the runners each queue uses and waits for

Cause: the wait lines of a full cell name `advice` for most stages, and nothing tells whether the runners are full meanwhile.

Change: `owner pace` has the processor time that the runs of each queue reserve and that its ready tasks would add, as shares of the runners on which tasks may start.

--- a/ragworttiller/scheduling/ownership/pace_log.py
+++ b/ragworttiller/scheduling/ownership/pace_log.py
@@ -4,10 +4,12 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.runs import Stage
 
 log = logging.getLogger(__name__)
 
@@ -22,7 +24,9 @@
 
     ``planning`` is the share of the time that passes took, ``longest`` the longest pass. ``lag`` is
     how late the event loop ran a timer, at most: that old may a message be before it is handled.
-    ``waiting`` is the number of open jobs with a stage that waits, by queue.
+    ``waiting`` is the number of open jobs with a stage that waits, by queue. ``cores`` is the
+    processor time that the runs of each queue reserve, and ``ready`` what its tasks that could
+    start would reserve, both as shares of the runners on which tasks may start.
     """
 
     passes: int
@@ -30,9 +34,11 @@
     longest: float
     lag: float
     waiting: dict[str, int]
+    cores: dict[str, float]
+    ready: dict[str, float]
 
 
-NO_PACE = OwnerPace(0, 0.0, 0.0, 0.0, {})
+NO_PACE = OwnerPace(0, 0.0, 0.0, 0.0, {}, {}, {})
 
 
 class PaceLog:
@@ -91,6 +97,8 @@
             round(max(passes, default=0.0), 4),
             round(lag, 3),
             self._waiting(),
+            self._capacity_shares(_running_cpu),
+            self._capacity_shares(_ready_cpu),
         )
         extra = {**self.pace._asdict(), "epoch": self._cell.epoch, "jobs": len(self._cell.jobs)}
         log.info("owner pace", extra=extra)
@@ -103,3 +111,24 @@
                 if work.open and any(stage.waiting for stage in work.stages.values())
             )
         )
+
+    def _capacity_shares(self, cpu: Callable[[Stage], int]) -> dict[str, float]:
+        """Return the sum of ``cpu`` over the stages of each queue, as a share of the capacity."""
+        runners = self._cell.pool.accepting_tasks(self._clock.now())
+        capacity = sum(runner.entry.capacity.cpu for runner in runners)
+        sums: Counter[str] = Counter()
+        for work in self._cell.jobs.values():
+            sums[work.queue.key] += sum(map(cpu, work.stages.values()))
+        return {queue: round(total / max(capacity, 1), 3) for queue, total in sums.items()}
+
+
+def _running_cpu(stage: Stage) -> int:
+    """Return the processor time that the runs of a stage reserve, in thousandths of a core."""
+    return len(stage.active_runs) * stage.spec.reservation.cpu
+
+
+def _ready_cpu(stage: Stage) -> int:
+    """Return the processor time that the waiting tasks of a ready stage would reserve."""
+    if stage.ready_since is None:
+        return 0
+    return len(stage.waiting) * stage.spec.reservation.cpu
