Confirm the configuration before API keys are checked by it

Cause: an entry that the store turns away went on serving withdrawn keys and refusing new ones by the version that it had, as did a process that was frozen over a withdrawal. A stranger's cancellation that was stored before a job cancelled it. A workspace with an empty key let in calls without one.

Change: an entry knows since when its version was the newest one. After 1 s without the store it asks others each 0.5 s, takes a later version, and counts their age as its own, so that entries which are all cut off confirm each other nothing. A 401 and a call by a version over 2 s old wait for one question; past revoke_ms (config_apply_ms with strict_revoke) calls that a key decides on get 503. An entry that starts without the store takes the higher version of two others. Cancellations name their workspace; workspaces without a name, with an empty key or with negative amounts are left out. Bounds and contracts are settings. Without workspaces nothing is asked or checked.

The tests that start processes were not run.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -7,8 +7,9 @@
 
 from ragworttiller.config.base import Section, read_sections
 from ragworttiller.config.log_section import LOG_SECTION
-from ragworttiller.config.options import Address, Choice, Number, Text
+from ragworttiller.config.options import Address, Choice, Flag, ListOf, Number, Text
 from ragworttiller.config.settings import LogSettings
+from ragworttiller.platform.names import WORKSPACES_CONTRACT
 
 
 class EntryInstance(NamedTuple):
@@ -29,10 +30,16 @@
 
 
 class EntryPlatform(NamedTuple):
-    """Addresses of the platform's services."""
+    """Addresses of the platform's services, and the contracts that are in force."""
 
     store_address: str
     advisor_address: str | None
+    contracts: list[str] = []
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether the deployment has workspaces, even if no configuration was read yet."""
+        return WORKSPACES_CONTRACT in self.contracts
 
 
 class EntryBounds(NamedTuple):
@@ -43,6 +50,14 @@
     status_s: float = 120.0
     stop_grace_ms: float = 900.0
     restore_ms: float = 250.0
+    revoke_ms: float = 5000.0
+    config_apply_ms: float = 3000.0
+    strict_revoke: bool = False
+
+    @property
+    def max_key_check_age(self) -> float:
+        """Seconds for which keys are checked with a configuration that nobody has confirmed."""
+        return (self.config_apply_ms if self.strict_revoke else self.revoke_ms) / 1000
 
 
 class EntryPolicies(NamedTuple):
@@ -118,6 +133,10 @@
                 "Address of the placement advisor, which lists the runners that may run a stage.",
                 optional=True,
             ),
+            ListOf(
+                Text("contracts", "Contracts of the platform that are in force."),
+                default="",
+            ),
         ],
     ),
     Section(
@@ -146,6 +165,17 @@
                 "stop_grace_ms", "Longest time that a runner takes to stop a run.", "900"
             ),
             _milliseconds("restore_ms", "Time that a run takes to resume.", "250"),
+            _milliseconds(
+                "revoke_ms", "Longest time for which a withdrawn API key still works.", "5000"
+            ),
+            _milliseconds(
+                "config_apply_ms", "Time after which a new configuration is in force.", "3000"
+            ),
+            Flag(
+                "strict_revoke",
+                "Whether config_apply_ms holds in place of revoke_ms for withdrawn API keys.",
+                default="false",
+            ),
         ],
     ),
     Section(
--- a/ragworttiller/config/options.py
+++ b/ragworttiller/config/options.py
@@ -133,6 +133,25 @@
         return text
 
 
+class Flag(Option[bool]):
+    """Either true or false."""
+
+    type_name: ClassVar[str] = "boolean"
+    _values: ClassVar[dict[str, bool]] = {"true": True, "false": False}
+
+    @property
+    @override
+    def allowed(self) -> str:
+        return ", ".join(self._values)
+
+    @override
+    def parse(self, text: str) -> bool:
+        value = self._values.get(text.lower())
+        if value is None:
+            raise ValueRejected(f"{text!r} is neither true nor false", self.allowed)
+        return value
+
+
 class Address(Option[str]):
     """IP address and port."""
 
--- a/ragworttiller/exceptions.py
+++ b/ragworttiller/exceptions.py
@@ -446,6 +446,15 @@
     template = "queue {queue!r} needs a valid API key"
 
 
+class ConfigurationUnconfirmed(RagworttillerError):
+    """Neither the store nor another entry has confirmed the API keys within the bound."""
+
+    code = "configuration_unconfirmed"
+    status = 503
+    ran = Ran.NO
+    template = "entry {instance!r} cannot check API keys: its configuration is not confirmed"
+
+
 class JobNameTaken(RagworttillerError):
     """Another workspace has submitted a job with this identifier."""
 
--- a/ragworttiller/platform/configuration.py
+++ b/ragworttiller/platform/configuration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
@@ -88,16 +88,21 @@
     max_body_bytes: int = 262144
 
 
+_NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+_Amount = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Cap(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _Tenant(msgspec.Struct):
-    name: str
-    api_keys: list[str] = []
-    weight: float = 1.0
+    # An empty name is that of anonymous calls, and an empty key that of calls without one.
+    name: _NonEmpty
+    api_keys: list[_NonEmpty] = []
+    weight: Annotated[float, msgspec.Meta(ge=0.0)] = 1.0
     cap: _Cap = msgspec.field(default_factory=_Cap)
 
 
@@ -125,21 +130,47 @@
     queues = tuple(_decode_queue(route, has_workspaces) for route in wire.routes)
     workspaces = None
     if wire.tenants is not None:
-        rows = (_decode_workspace(row, wire.version) for row in wire.tenants)
-        workspaces = tuple(row for row in rows if row is not None)
+        workspaces = _decode_workspaces(wire.tenants, wire.version)
     return Configuration(
         wire.version, queues, limited_upstreams, wire.limits.max_body_bytes, workspaces
     )
 
 
-def _decode_workspace(row: Any, version: int) -> Workspace | None:
-    """Return a workspace, None if its record is unreadable: only its own keys are refused then."""
-    try:
-        wire = msgspec.convert(row, _Tenant)
-    except msgspec.MsgspecError as exc:
-        # The text of the error names fields and types, never a key.
-        log.error("unreadable workspace skipped", extra={"version": version, "why": str(exc)})
-        return None
+def _decode_workspaces(rows: list[Any], version: int) -> tuple[Workspace, ...]:
+    """Return the workspaces; of a malformed one only its own keys are refused.
+
+    A name or key that an earlier workspace has belongs to that one: which of the two is meant
+    cannot be told, and all entries have to decide alike.
+    """
+    found: dict[str, Workspace] = {}
+    keys: set[str] = set()
+    for row in rows:
+        try:
+            workspace = _decode_workspace(row)
+        except msgspec.MsgspecError as exc:
+            # The text of the error names fields and types, never a key.
+            log.error("malformed workspace skipped", extra={"version": version, "why": str(exc)})
+            continue
+        extra = {"version": version, "workspace": workspace.name}
+        if workspace.name in found:
+            log.error("workspace with the name of another one skipped", extra=extra)
+            continue
+        if workspace.keys & keys:
+            log.error("API keys of another workspace ignored", extra=extra)
+        found[workspace.name] = workspace._replace(keys=workspace.keys - keys)
+        keys |= workspace.keys
+    return tuple(found.values())
+
+
+def _decode_workspace(row: Any) -> Workspace:
+    """Return a workspace.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        The record is malformed.
+    """
+    wire = msgspec.convert(row, _Tenant)
     cap = Resources(wire.cap.cpu, wire.cap.mem_mb, wire.cap.gpu)
     return Workspace(wire.name, frozenset(wire.api_keys), wire.weight, cap)
 
--- a/ragworttiller/platform/names.py
+++ b/ragworttiller/platform/names.py
@@ -7,6 +7,9 @@
 from ragworttiller.exceptions import Unreadable
 from ragworttiller.scheduling.state.jobs import StageId, TaskId
 
+# Contract of a deployment in which callers send the API keys of workspaces.
+WORKSPACES_CONTRACT = "tenants"
+
 _JOB = re.compile(r"[0-9a-fA-F]{16}")
 _TASK = re.compile(r"([0-9a-fA-F]{16})\.(\d{1,9})\.(\d{1,6})\.(\d{1,6})")
 
--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -21,6 +21,8 @@
 from ragworttiller.platform.store import KeyedRecord
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.entry.confirmation import AlwaysConfirmed
+from ragworttiller.scheduling.entry.key_check import DEFAULT_MAX_AGE_SECONDS, KeyCheck
 from ragworttiller.scheduling.ownership.term import ClaimFold
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import (
@@ -28,6 +30,7 @@
     Accepted,
     JobState,
     encode,
+    encode_cancel,
 )
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
@@ -45,7 +48,6 @@
 MAX_RETRY_AFTER_SECONDS = 4.0
 DEFAULT_MAX_BODY_BYTES = 262144
 CATCH_UP_TIMEOUT_SECONDS = 1.0
-CANCELLED = b"1"
 
 
 class Target(NamedTuple):
@@ -78,6 +80,8 @@
         Source of time.
     name : str
         Name of this instance.
+    keys : KeyCheck, optional
+        Checks API keys; by default by any configuration, however old.
     """
 
     def __init__(
@@ -89,6 +93,7 @@
         writer: GroupCommit,
         clock: Clock,
         name: str,
+        keys: KeyCheck | None = None,
     ) -> None:
         self._name = name
         self._config = config
@@ -97,18 +102,19 @@
         self._claims = claims
         self._writer = writer
         self._clock = clock
+        self._keys = keys or KeyCheck(config, AlwaysConfirmed(), DEFAULT_MAX_AGE_SECONDS, name)
 
     @property
     def ready(self) -> bool:
         """Whether requests can be answered."""
-        return self._config.current is not None and self._feed.ready
+        return self._config.current is not None and self._keys.ready and self._feed.ready
 
     @property
     def max_body(self) -> int:
         """Longest body of a request, in bytes."""
         return self._config.current.max_body if self._config.current else DEFAULT_MAX_BODY_BYTES
 
-    def target(self, host: str, path: str, key: str = "") -> Target:
+    async def target(self, host: str, path: str, key: str = "") -> Target:
         """Return the queue and the job that a request addresses, and the workspace that calls.
 
         Raises
@@ -119,15 +125,17 @@
             No queue matches, or the path after its prefix is not a job identifier.
         ApiKeyUnknown
             The API key is not valid.
+        ConfigurationUnconfirmed
+            Whether the API key is valid is not known.
         """
         if not self.ready:
             reason = "the configuration or the jobs are not read yet"
             raise NotReady(instance=self._name, reason=reason, retry_after=RETRY_AFTER_SECONDS)
-        queue = self._config.find(host, path)
-        job = path[len(queue.prefix) :]
+        caller = await self._keys.caller(host, path, key)
+        job = path[len(caller.queue.prefix) :]
         if job and not is_job_id(job):
             raise QueueUnknown(host=host, path=path)
-        return Target(queue, job, self._config.workspace_of(queue, key))
+        return Target(caller.queue, job, caller.workspace)
 
     async def submit(self, target: Target, body: bytes, timeout: float) -> None:
         """Store a job; repeated submissions with one identifier store it once.
@@ -175,14 +183,18 @@
         SubmissionUndecided, StoreDown
             Whether the cancellation was stored is unknown, or it was not stored.
         StateUnknown
-            The cancellation was stored, but the store cannot be read to look the job up.
+            The store cannot be read to look the job up; the cancellation may have been stored.
         """
         row = self._jobs.get(target.job)
+        if row is None and self._config.workspaces:
+            # A record of this caller would replace the cancellation by the job's own workspace.
+            await self._refresh(target.job)
+            row = self._jobs.get(target.job)
         if row is not None and not _may_use(target, row):
             raise JobUnknown(job=target.job)
         if row is not None and (row.cancelled or row.progress.state):
             return
-        record = KeyedRecord(target.job + CANCEL_SUFFIX, CANCELLED)
+        record = KeyedRecord(target.job + CANCEL_SUFFIX, encode_cancel(target.workspace))
         await self._append(target.job, record, timeout)
         await self._row(target)
 
--- a/ragworttiller/scheduling/entry/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -76,7 +76,7 @@
 
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
-        target = self._acceptance.target(request.host, request.path, request.key)
+        target = await self._acceptance.target(request.host, request.path, request.key)
         method = request.method
         if not target.job and method == "GET":
             return CallerReply(OK, pending_body(self._acceptance.pending(target)))
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -18,8 +18,10 @@
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.callers import LocalCallers, StartGate
+from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
+from ragworttiller.scheduling.entry.key_check import KeyCheck
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
@@ -109,6 +111,16 @@
         )
         producer = Producer(f"{self._name}-{self._incarnation}", 1)
         self._writer = GroupCommit(self._store, JOBS, producer, clock, exclusive=True)
+        self._watch = ConfigurationWatch(
+            self._config,
+            self._config_feed,
+            self._peers,
+            lambda: self._entries.names,
+            self._owner_name,
+            clock,
+            settings.platform.has_workspaces,
+        )
+        max_age = settings.bounds.max_key_check_age
         self._acceptance = Acceptance(
             self._config,
             self._host.jobs,
@@ -117,6 +129,7 @@
             self._writer,
             clock,
             self._name,
+            KeyCheck(self._config, self._watch, max_age, self._name),
         )
         record = EntryRecord(instance.peer_address, self._incarnation, instance.speed)
         self._announcer = Announcer(self._store, clock, self._name, record)
@@ -157,6 +170,7 @@
             for feed in (self._host.claims_feed, self._host.jobs_feed):
                 tasks.start_soon(feed.run)
             tasks.start_soon(self._peers.run)
+            tasks.start_soon(self._watch.run)
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._announcer.run)
             tasks.start_soon(self._announcer.announce)
@@ -177,7 +191,13 @@
         self._metrics.counter(
             "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
         )
+        watch = self._watch
         for name, help_text, reading in (
+            (
+                "configuration_age_seconds",
+                "Time since the configuration was known to be the newest one, -1 before the first.",
+                lambda: watch.age if watch.age < float("inf") else -1.0,
+            ),
             ("owner_planning_share", "Share of time in passes.", lambda: host.pace.planning),
             ("owner_longest_pass_seconds", "Longest pass.", lambda: host.pace.longest),
             ("owner_lag_seconds", "Longest delay of a timer.", lambda: host.pace.lag),
@@ -204,7 +224,7 @@
     def _unready_reasons(self) -> list[str]:
         checks = {
             "stopping": not self._stopping.is_set(),
-            "configuration not read": self._config.current is not None,
+            "configuration not read": self._watch.ready,
             "jobs not read": self._host.jobs_feed.ready,
             "store not reached": self._host.claims_feed.age < MAX_CLAIMS_AGE_SECONDS,
         }
--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -35,6 +35,28 @@
     """Reports to an entry that its answers do not arrive over its current connection."""
 
 
+class ConfigurationQuery(NamedTuple):
+    """Asks an entry which version of the configuration it has; ``version`` is the asker's."""
+
+    version: int
+
+
+class ConfigurationAnswer(NamedTuple):
+    """Version of the configuration of an entry, -1 for none.
+
+    ``age`` is the time in seconds since the entry knew it to be the newest one. ``value`` is the
+    configuration as written by the operator if it is later than the asker's, else empty.
+    """
+
+    version: int
+    age: float
+    value: bytes = b""
+
+    def __repr__(self) -> str:
+        """Return a text without the configuration, whose API keys must not appear in logs."""
+        return f"ConfigurationAnswer(version={self.version}, age={self.age})"
+
+
 class ViewRequest(NamedTuple):
     """Asks the owner for a part of its view; ``parts`` are the path segments below the root."""
 
@@ -62,5 +84,7 @@
         11: TermEnded,
         12: OwnerQuery,
         13: OwnerStatus,
+        14: ConfigurationQuery,
+        15: ConfigurationAnswer,
     }
 )
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -10,6 +10,7 @@
 from typing_extensions import override
 
 from ragworttiller.exceptions import (
+    ConfigurationUnconfirmed,
     NotReady,
     PeerUnreachable,
     RagworttillerError,
@@ -47,7 +48,7 @@
 # Code of a reply whose body is a later configuration than the one of the relaying entry.
 LATER_CONFIGURATION = "later_configuration"
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
-NO_ANSWER_CODES = (NotReady.code, LATER_CONFIGURATION)
+NO_ANSWER_CODES = (NotReady.code, ConfigurationUnconfirmed.code, LATER_CONFIGURATION)
 
 
 class RelayResult(NamedTuple):
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -17,6 +17,8 @@
 
 # With a longer wait, a dead connection would be noticed too late to apply a configuration in time.
 POLL_SECONDS = 1.5
+# Part of the wait of an empty read that its age does not count: the store's timers may be early.
+COUNTED_WAIT = 0.9
 INITIAL_RETRY_DELAY_SECONDS = 0.1
 MAX_RETRY_DELAY_SECONDS = 0.5
 
@@ -82,6 +84,7 @@
         self._offsets: dict[str, int] = {}
         self._position: int | None = None
         self._current_at = float("-inf")
+        self._newest_at = float("-inf")
         self._loaded_end = 0
         self.min_interval = min_interval
 
@@ -105,6 +108,16 @@
         """Seconds since the fold was last known to be up to date."""
         return self._clock.now() - self._current_at
 
+    @property
+    def newest_age(self) -> float:
+        """Seconds since the store last stated that there is no later record.
+
+        Unlike `age`, it counts an empty read from the end of its wait, and so stays below the wait
+        and the time of an exchange while the store answers. A store that ends a wait early, and
+        whose answer is late by the rest of it, is taken for up to date for that rest.
+        """
+        return self._clock.now() - self._newest_at
+
     async def run(self) -> None:
         """Read the partition until cancelled."""
         delay = INITIAL_RETRY_DELAY_SECONDS
@@ -163,6 +176,10 @@
         self._position = max(self._position, next_position)
         if next_position >= result.end:
             self._current_at = max(self._current_at, asked_at)
+            waited = COUNTED_WAIT * wait
+            if result.records or self._clock.now() < asked_at + waited:
+                waited = 0.0
+            self._newest_at = max(self._newest_at, asked_at + waited)
         if result.records:
             self._on_change()
         elif wait and next_position >= result.end:
@@ -186,6 +203,7 @@
         self._loaded_end = max(start, *(offset + 1 for offset in offsets), 0)
         self._position = start
         self._current_at = asked_at
+        self._newest_at = max(self._newest_at, asked_at)
         self._on_change()
 
     def _apply_page(self, page: NewestPage) -> set[str]:
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -25,6 +25,7 @@
 OWNER_CHANGE_KEY = "owner"
 PROGRESS_SUFFIX = "/progress"
 CANCEL_SUFFIX = "/cancel"
+_CANCELLED = b"1"
 
 
 class JobState(StrEnum):
@@ -192,6 +193,22 @@
     return value
 
 
+def encode_cancel(workspace: str) -> bytes:
+    """Return the record of a cancellation by a workspace."""
+    return _CANCELLED + workspace.encode()
+
+
+def decode_cancel(value: bytes) -> str:
+    """Return the workspace that has cancelled, empty for none and in older records.
+
+    Raises
+    ------
+    ValueError
+        The bytes are not such a record.
+    """
+    return value.removeprefix(_CANCELLED).decode()
+
+
 def encode_bitmap(done: set[int], count: int) -> bytes:
     """Return a bitmap of ``count`` tasks in which those of ``done`` are set."""
     return sum(1 << index for index in done).to_bytes((count + 7) // 8, "little")
--- a/ragworttiller/scheduling/records/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -20,7 +20,9 @@
     OwnerChange,
     Progress,
     decode,
+    decode_cancel,
 )
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 log = logging.getLogger(__name__)
 
@@ -38,15 +40,23 @@
         Offset of the record of acceptance.
     progress : Progress
         Recorded progress.
-    cancelled : bool
-        Whether the job was cancelled.
+    canceller : str or None
+        Workspace of the last call that cancelled the job, None before any. It may have come before
+        the record of acceptance, when nobody knew whose job it would be.
     """
 
     def __init__(self) -> None:
         self.accepted: Accepted | None = None
         self.offset = -1
         self.progress = NO_PROGRESS
-        self.cancelled = False
+        self.canceller: str | None = None
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the job was cancelled by its workspace, or has none."""
+        if self.canceller is None:
+            return False
+        return self.accepted is None or self.accepted.workspace in (NO_WORKSPACE, self.canceller)
 
     @property
     def state(self) -> JobState:
@@ -136,7 +146,7 @@
 
     def _apply_cancelled(self, job: str, record: Record) -> None:
         if record.value:
-            self.jobs.setdefault(job, JobRow()).cancelled = True
+            self.jobs.setdefault(job, JobRow()).canceller = decode_cancel(record.value)
 
     _appliers: dict[str, Callable[[JobFold, str, Record], None]] = {
         "": _apply_accepted,
--- a/ragworttiller/scheduling/records/queue_fold.py
+++ b/ragworttiller/scheduling/records/queue_fold.py
@@ -82,6 +82,13 @@
         self.workspaces = {workspace.name: workspace for workspace in rows}
         self._by_key = {key: row.name for row in rows for key in row.keys}
 
+    def decides_by_key(self, queue: Queue, key: str) -> bool:
+        """Return whether the key decides on a call: the queue needs one, or one is given."""
+        current = self._current
+        if current is None or current.workspaces is None:
+            return False
+        return bool(key) or not queue.anonymous
+
     def workspace_of(self, queue: Queue, key: str) -> str:
         """Return the name of the workspace that calls a queue with an API key, empty for none.
 
@@ -90,8 +97,7 @@
         ApiKeyUnknown
             The queue needs a key, or a key is given, and no workspace has it.
         """
-        current = self._current
-        if current is None or current.workspaces is None or (queue.anonymous and not key):
+        if not self.decides_by_key(queue, key):
             return NO_WORKSPACE
         workspace = self._by_key.get(key)
         if workspace is None:
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -45,17 +45,20 @@
 def render(template: str, fields: dict[str, Any]) -> str:
     """Render a template as the platform does; supports only the syntax used by our templates."""
 
-    def value(path: str, scope: Any) -> str:
+    def value(path: str) -> str:
+        scope: Any = fields
         for name in path.split("."):
             scope = scope[int(name)] if isinstance(scope, list) else scope.get(name, "")
-        return str(scope)
+        if isinstance(scope, bool):
+            return "true" if scope else ""
+        return ",".join(scope) if isinstance(scope, list) else str(scope)
 
     def section(match: re.Match[str]) -> str:
-        field = fields.get(match[1])
-        return match[2].replace("{{.}}", str(field)) if field else ""
+        field = value(match[1])
+        return match[2].replace("{{.}}", field) if field else ""
 
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: value(match[1], fields), text)
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: value(match[1]), text)
 
 
 def settings_fields(name: str, store: str, advisor: str = "") -> dict[str, Any]:
