Plan by the caps and weights of workspaces

Cause: the owner planned without the caps and weights of workspaces, so a workspace could run more than its cap, and one that sends many jobs stood in one queue with small ones. Change: use by workspace is counted as runs are added to and removed from runners, with a bound on what may run unseen after a takeover. A pass starts what the cap allows, makes no room for held stages, and orders stages within a priority by owed jobs and shares, with a lazily updated heap. The objective counts waves of tasks that the cap allows, and time held by a cap does not make a job hopeless.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -54,6 +54,7 @@
     observation: str = "expected_ends"
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
+    shares: str = "weighted"
 
 
 class EntrySettings(NamedTuple):
@@ -162,6 +163,7 @@
                 "expected_ends",
                 "long_poll_only",
             ),
+            _policy("shares", "Order of workspaces within a priority.", "weighted", "none"),
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
         ],
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -11,6 +11,7 @@
     CandidatePolicy,
     UsefulCandidates,
 )
+from ragworttiller.scheduling.decisions.fair_order import NoShares, ShareOrder, WeightedShares
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
@@ -24,6 +25,9 @@
     PlacementPolicy,
 )
 from ragworttiller.scheduling.decisions.victims import CheckpointedVictims, NoVictims, VictimPolicy
+from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.owed_jobs import OwedJobs
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 ORDERS: Mapping[str, Callable[[], QueueOrder]] = {"slack": SlackOrder, "arrival": ArrivalOrder}
 PLACEMENTS: Mapping[str, Callable[[], PlacementPolicy]] = {
@@ -46,10 +50,18 @@
     "arrivals": ArrivalHeadroom,
     "none": NoHeadroom,
 }
+ShareOrderFactory = Callable[[WorkspaceUsage, OwedJobs, QueueFold], ShareOrder]
+SHARE_ORDERS: Mapping[str, ShareOrderFactory] = {
+    "weighted": WeightedShares,
+    "none": lambda usage, owed, config: NoShares(),
+}
 
 
 class CellPolicies(NamedTuple):
-    """Policies of one owner, and the longest time in seconds that a run takes to stop."""
+    """Policies of one owner, and the longest time in seconds that a run takes to stop.
+
+    ``shares`` makes the order by shares of a cell.
+    """
 
     order: QueueOrder
     placement: PlacementPolicy
@@ -58,6 +70,7 @@
     victims: VictimPolicy
     headroom: HeadroomPolicy
     stop_seconds: float
+    shares: ShareOrderFactory = WeightedShares
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -79,6 +92,7 @@
         PREEMPTIONS[names.preemption](stop_seconds, bounds.restore_ms / 1000),
         HEADROOMS[names.headroom](),
         stop_seconds,
+        SHARE_ORDERS[names.shares],
     )
 
 
--- a/ragworttiller/scheduling/decisions/queue_order.py
+++ b/ragworttiller/scheduling/decisions/queue_order.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import NamedTuple
+from typing import ClassVar, NamedTuple
 
 from typing_extensions import override
 
@@ -16,7 +16,7 @@
     ``objective`` is the time after ``since`` by which the occurrence of the stage has to end to be
     on time, and ``remaining`` the estimated duration of the longest chain of its unfinished steps.
     A stage that ``lasts`` has no end: its objective is the time after ``since`` by which its tasks
-    have to run again.
+    have to run again. ``held`` is for how long the cap of its workspace has held the stage.
     """
 
     priority: int
@@ -24,10 +24,19 @@
     objective: float
     remaining: float
     lasts: bool = False
+    held: float = 0.0
 
 
 class QueueOrder(ABC):
-    """Order of the waiting stages."""
+    """Order of the waiting stages.
+
+    Attributes
+    ----------
+    leading : int
+        Number of the key's first elements that come before the shares of workspaces.
+    """
+
+    leading: ClassVar[int]
 
     @abstractmethod
     def key(self, inputs: OrderInputs, now: float) -> tuple[float, ...]:
@@ -37,6 +46,8 @@
 class ArrivalOrder(QueueOrder):
     """Order by priority, then by time of acceptance; the baseline."""
 
+    leading = 1
+
     @override
     def key(self, inputs: OrderInputs, now: float) -> tuple[float, ...]:
         return (inputs.priority, inputs.since)
@@ -47,13 +58,16 @@
 
     Jobs expected to end after `LATE_FACTOR` times their objective come last, whatever their
     priority. A lasting task is worth as much after any wait, so it never does: it would otherwise
-    stand behind every other job for as long as the load lasts.
+    stand behind every other job for as long as the load lasts. Time for which a cap holds a stage
+    does not count: it would be behind all others once the cap allows its tasks.
     """
 
+    leading = 2
+
     @override
     def key(self, inputs: OrderInputs, now: float) -> tuple[float, ...]:
         end = now + inputs.remaining
-        if not inputs.lasts and end > inputs.since + LATE_FACTOR * inputs.objective:
+        if not inputs.lasts and end > inputs.since + inputs.held + LATE_FACTOR * inputs.objective:
             return (1, inputs.priority, 2, inputs.since)
         slack = inputs.since + inputs.objective - end
         if slack < 0:
--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -82,7 +82,7 @@
         self._inputs = {}
 
     def make_room(
-        self, work: JobWork, stage: Stage, inputs: OrderInputs, ahead: float
+        self, work: JobWork, stage: Stage, inputs: OrderInputs, ahead: float, allowed: int
     ) -> set[str] | None:
         """Reserve or free room for the waiting tasks of a stage.
 
@@ -95,6 +95,8 @@
             The stage, its job and its inputs of the queue order.
         ahead : float
             Seconds before a start by which its ticket has to be asked for.
+        allowed : int
+            Number of its tasks that the cap of its workspace allows to start.
 
         Returns
         -------
@@ -108,7 +110,7 @@
         reserves = constrained and self._may_reserve(stage)
         size, reach = stage.spec.reservation, max(ahead, RESERVE_AHEAD_SECONDS)
         times = {name: self._fits_at(runner, size) for name, runner in runners.items()}
-        chosen = self._take_room(stage, inputs, runners, times, reach, reserves)
+        chosen = self._take_room(stage, inputs, runners, times, reach, reserves, allowed)
         if not constrained:
             stage.preemption_checked_at = self._now
             return None
@@ -124,16 +126,17 @@
         times: dict[str, float],
         reach: float,
         reserves: bool,
+        allowed: int,
     ) -> set[str]:
         """Reserve or free room for the first waiting tasks of a stage, and return the runners.
 
         ``times`` are the times from which a task fits on the ``runners``; they are updated. Room
         that comes within ``reach`` seconds is reserved if ``reserves``; for later room, runs are
-        stopped.
+        stopped. Tasks that the cap does not allow get no room.
         """
         running = stage.runs_by_runner()
         chosen: set[str] = set()
-        for _ in range(min(len(stage.waiting), MAX_TASKS_PER_STAGE)):
+        for _ in range(min(len(stage.waiting), allowed, MAX_TASKS_PER_STAGE)):
             accepting = [r for r in runners.values() if accepts_another(r, stage, running[r.id])]
             if not accepting:
                 break
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -5,12 +5,15 @@
 import logging
 from collections.abc import Collection, Iterator, Mapping
 
+from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
+from ragworttiller.scheduling.decisions.caps import RESERVE_DELAY_SECONDS, Caps
 from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
+from ragworttiller.scheduling.decisions.fair_order import ReadyStage, ShareOrder
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
-from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
+from ragworttiller.scheduling.decisions.queue_order import QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.runner_rules import suits
 from ragworttiller.scheduling.decisions.task_placement import PlacementPolicy, Placer
@@ -49,6 +52,10 @@
         Reserves and frees room for stages that wait.
     headroom : HeadroomPolicy
         Limits what patient stages take.
+    caps : Caps
+        Limits what each workspace starts.
+    shares : ShareOrder
+        Order by the shares of workspaces.
 
     Attributes
     ----------
@@ -67,7 +74,11 @@
         candidate_policy: CandidatePolicy,
         room_maker: RoomMaker,
         headroom: HeadroomPolicy,
+        caps: Caps,
+        shares: ShareOrder,
     ) -> None:
+        self._caps = caps
+        self._shares = shares
         self._headroom = headroom
         self._epoch = epoch
         self._pool = pool
@@ -79,8 +90,27 @@
         self._advice = AdvicePlanner(self.loads, candidate_policy)
         self._room_maker = room_maker
 
-    def plan(self, plan: Plan, jobs: Mapping[str, JobWork], now: float, wall: float) -> None:
-        """Add the starts and advisor calls that are due now to a plan."""
+    def plan(
+        self,
+        plan: Plan,
+        jobs: Mapping[str, JobWork],
+        capacity: Resources,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Add the starts and advisor calls that are due now to a plan.
+
+        Parameters
+        ----------
+        plan : Plan
+            Receives the starts and the calls.
+        jobs : mapping
+            Active jobs, by identifier.
+        capacity : Resources
+            Capacity of all listed runners.
+        now, wall : float
+            Time of the owner, and time of day in seconds since the epoch.
+        """
         usable = self._pool.accepting_tasks(now)
         free_resources = FreeResources(usable)
         self._advice.begin(plan.calls, free_resources, len(usable), now)
@@ -89,7 +119,8 @@
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
         held_back: set[str] = set()
-        for work, stage, inputs in ready:
+        capped = self._caps.begin()
+        for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
             if work.queue.upstream in held_back and not inputs.lasts:
                 continue
             room = free_resources.upstream_room(work.queue.upstream)
@@ -97,21 +128,48 @@
             allowance = self._headroom.allowance(inputs, waited, room, now)
             if allowance < stage.spec.reservation.cpu:
                 continue
+            allowed = self._allowed_by_cap(work, stage, now) if capped else len(stage.waiting)
+            if not allowed:
+                continue
             self._relax_avoidance(work, stage, free_resources, now)
-            placed = self._start_placeable(plan, work, stage, free_resources, allowance, now)
+            placed = self._start_placeable(
+                plan, work, stage, free_resources, allowance, allowed, now
+            )
             if not stage.waiting or (placed and stage.spec.gang):
                 continue
+            if placed and capped:
+                allowed = self._allowed_by_cap(work, stage, now)
+                if not allowed:
+                    continue
             stage.blocked_since = stage.blocked_since or now
             room_soon: set[str] | None = None
             if self._advice.looks_ahead(work) and not stage.spec.gang:
                 ahead = self._advice.call_seconds(work)
-                room_soon = self._room_maker.make_room(work, stage, inputs, ahead)
+                room_soon = self._room_maker.make_room(work, stage, inputs, ahead, allowed)
             self._advice.plan_for_blocked(work, stage, room_soon)
             if self._reserves_for_gang(work, stage, free_resources, now):
                 held_back.add(work.queue.upstream)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
-    def _record_arrivals(self, ready: list[tuple[JobWork, Stage, OrderInputs]], now: float) -> None:
+    def _allowed_by_cap(self, work: JobWork, stage: Stage, now: float) -> int:
+        """Return how many tasks the cap of its workspace allows a stage, and record if none."""
+        allowed = self._caps.allowed(stage, now - (stage.ready_since or now))
+        if allowed:
+            stage.release_from_cap(now)
+            return allowed
+        work.hold_for_cap(stage, now)
+        if not stage.cap_hold_logged:
+            stage.cap_hold_logged = True
+            extra = {"stage": str(stage.id), "workspace": stage.workspace}
+            log.info("stage held by the cap of its workspace", extra=extra)
+        if stage.active_runs:
+            # Its next wave starts when a task ends, and needs tickets then.
+            self._advice.plan_for_blocked(work, stage, None)
+        elif now - (stage.cap_held_since or now) > RESERVE_DELAY_SECONDS:
+            self._caps.reserve(stage)
+        return 0
+
+    def _record_arrivals(self, ready: list[ReadyStage], now: float) -> None:
         """Tell the headroom policy which stages have become ready."""
         for work, stage, inputs in ready:
             if stage.ready_since is None:
@@ -119,18 +177,14 @@
                 cpu = len(stage.waiting) * stage.spec.reservation.cpu
                 self._headroom.record_arrival(work.queue.upstream, inputs.priority, cpu, now)
 
-    def _ready_stages(
-        self, jobs: Collection[JobWork], now: float, wall: float
-    ) -> list[tuple[JobWork, Stage, OrderInputs]]:
-        rows: list[tuple[tuple[float, ...], JobWork, Stage, OrderInputs]] = []
+    def _ready_stages(self, jobs: Collection[JobWork], now: float, wall: float) -> list[ReadyStage]:
+        rows: list[ReadyStage] = []
         for work in jobs:
             if not work.open or self._takeover.blocks(work.row):
                 continue
             for stage in work.ready(wall):
-                inputs = work.order_inputs(stage, now, wall)
-                rows.append((self._order.key(inputs, now), work, stage, inputs))
-        rows.sort(key=lambda row: row[0])
-        return [row[1:] for row in rows]
+                rows.append((work, stage, work.order_inputs(stage, now, wall)))
+        return rows
 
     def _relax_avoidance(
         self, work: JobWork, stage: Stage, free: FreeResources, now: float
@@ -152,11 +206,13 @@
         stage: Stage,
         free_resources: FreeResources,
         allowance: float,
+        allowed: int,
         now: float,
     ) -> bool:
         """Start the tasks that can be placed and return whether there were any.
 
-        ``allowance`` limits the processor time that they reserve, in thousandths of a core.
+        ``allowance`` limits the processor time that they reserve, in thousandths of a core, and
+        ``allowed`` their number.
         """
         if stage.spec.gang and stage.active_runs:
             return False
@@ -175,6 +231,8 @@
             indices = [index for index in indices if index not in stage.trials]
         if allowance < len(indices) * stage.spec.reservation.cpu:
             indices = indices[: int(allowance // stage.spec.reservation.cpu)]
+        if allowed < len(indices):
+            indices = indices[:allowed]
         if stage.spec.gang and len(indices) < stage.spec.tasks:
             return False
         time_ratios = {runner.id: self._speeds.time_ratio(runner.id, now) for runner in with_room}
--- a/ragworttiller/scheduling/records/queue_fold.py
+++ b/ragworttiller/scheduling/records/queue_fold.py
@@ -14,6 +14,9 @@
 
 log = logging.getLogger(__name__)
 
+# Bounds the memory if names of workspaces are never used again.
+MAX_REMOVED_WORKSPACES = 1000
+
 
 class QueueFold(Fold):
     """Newest configuration that this process has read; older versions are ignored.
@@ -22,6 +25,9 @@
     ----------
     workspaces : dict of str to Workspace
         Workspaces of the current configuration by name.
+    known_workspaces : dict of str to Workspace
+        The last record of each workspace, also of those removed since: their accepted jobs still
+        run, under their last cap and weight.
     """
 
     def __init__(self) -> None:
@@ -30,6 +36,7 @@
         self._by_host: dict[str, list[Queue]] = {}
         self._by_key: dict[str, str] = {}
         self.workspaces: dict[str, Workspace] = {}
+        self.known_workspaces: dict[str, Workspace] = {}
 
     @property
     def current(self) -> Configuration | None:
@@ -65,7 +72,18 @@
         Unreadable
             The bytes are not a valid configuration.
         """
-        configuration = decode_configuration(value)
+        self.put_in_force(decode_configuration(value), value)
+
+    def put_in_force(self, configuration: Configuration, value: bytes = b"") -> None:
+        """Replace the current configuration unless the new one has no higher version.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            The new configuration.
+        value : bytes
+            The configuration as written by the operator, which is handed to other entries.
+        """
         if self._current is not None and configuration.version <= self._current.version:
             return
         self._current, self._value = configuration, value
@@ -80,6 +98,12 @@
     def _index_workspaces(self, configuration: Configuration) -> None:
         rows = configuration.workspaces or ()
         self.workspaces = {workspace.name: workspace for workspace in rows}
+        for name, workspace in self.workspaces.items():
+            # Moved to the end, so that those removed first are evicted first.
+            self.known_workspaces.pop(name, None)
+            self.known_workspaces[name] = workspace
+        while len(self.known_workspaces) > len(self.workspaces) + MAX_REMOVED_WORKSPACES:
+            del self.known_workspaces[next(iter(self.known_workspaces))]
         self._by_key = {key: row.name for row in rows for key in row.keys}
 
     def workspace_of(self, queue: Queue, key: str) -> str:
--- a/ragworttiller/scheduling/records/runner_fold.py
+++ b/ragworttiller/scheduling/records/runner_fold.py
@@ -10,6 +10,7 @@
 from ragworttiller.platform.boots import replaces
 from ragworttiller.platform.listing import RunnerEntry, decode_entry
 from ragworttiller.platform.store import Record
+from ragworttiller.resources import NO_RESOURCES
 from ragworttiller.scheduling.records.feed import Fold
 
 log = logging.getLogger(__name__)
@@ -24,11 +25,14 @@
         Entry of each listed runner.
     version : int
         Number of records applied, which tells whether the list may have changed.
+    capacity : Resources
+        Capacity of all listed runners together.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, RunnerEntry] = {}
         self.version = 0
+        self.capacity = NO_RESOURCES
         self._boots: dict[str, str] = {}
 
     @override
@@ -53,10 +57,14 @@
         if listed != entry.runner:
             log.info("runner has started again", extra={"boot": entry.runner, "earlier": listed})
             self._drop(runner)
+        replaced = self.entries.get(entry.runner)
+        if replaced is not None:
+            self.capacity = self.capacity.minus(replaced.capacity)
         self._boots[runner] = entry.runner
         self.entries[entry.runner] = entry
+        self.capacity = self.capacity.plus(entry.capacity)
 
     def _drop(self, runner: str) -> None:
         boot = self._boots.pop(runner, None)
         if boot is not None:
-            del self.entries[boot]
+            self.capacity = self.capacity.minus(self.entries.pop(boot).capacity)
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from ragworttiller.resources import NO_RESOURCES
+from ragworttiller.scheduling.decisions.caps import Caps
 from ragworttiller.scheduling.records.formats import JobState, Progress
 from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
 from ragworttiller.scheduling.records.queue_fold import QueueFold
@@ -14,6 +15,7 @@
 from ragworttiller.scheduling.state.orders import PendingStops
 from ragworttiller.scheduling.state.runs import Stage
 from ragworttiller.scheduling.state.speeds import Speeds
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +35,8 @@
         Receives the runs of jobs that are cancelled or have ended.
     speeds : Speeds
         Observed speeds of runners; samples of ended jobs are discarded.
+    caps : Caps
+        Caps of the workspaces, which bound how many tasks of a step run at once.
 
     Attributes
     ----------
@@ -43,8 +47,14 @@
     """
 
     def __init__(
-        self, fold: JobFold, config: QueueFold, stops: PendingStops, speeds: Speeds
+        self,
+        fold: JobFold,
+        config: QueueFold,
+        stops: PendingStops,
+        speeds: Speeds,
+        caps: Caps,
     ) -> None:
+        self._caps = caps
         self._fold = fold
         self._config = config
         self._stops = stops
@@ -80,7 +90,7 @@
             log.exception("job skipped after an unexpected error", extra={"job": job})
             return
         self.by_id[job] = work
-        work.queue = self._config.current_queue(work.queue)
+        self._configure(work)
         self.inherited_trials.update(s.id for s in work.stages.values() if s.trials)
 
     def pending(self) -> dict[str, int]:
@@ -103,6 +113,11 @@
             return UNKNOWN_STEP
         return row.accepted.job.steps[task.stage.step]
 
+    def workspace(self, task: TaskId) -> str:
+        """Return the workspace of a task's job, empty for none or if it is not recorded."""
+        row = self._fold.get(task.stage.job)
+        return row.accepted.workspace if row is not None and row.accepted else NO_WORKSPACE
+
     @property
     def has_changes(self) -> bool:
         """Whether the progress of some job has changed and is not being stored."""
@@ -138,7 +153,12 @@
             return
         self._config_version = current.version
         for work in self.by_id.values():
-            work.queue = self._config.current_queue(work.queue)
+            self._configure(work)
+
+    def _configure(self, work: JobWork) -> None:
+        """Apply the current configuration of a job's queue and workspace."""
+        work.queue = self._config.current_queue(work.queue)
+        work.set_widths(self._caps.widths(work.workspace, work.spec.steps))
 
     def _stop_job(self, job: str, reason: str) -> None:
         work = self.by_id.get(job)
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -9,7 +9,7 @@
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
 from ragworttiller.scheduling.records.formats import JobState, Progress, stage_id
 from ragworttiller.scheduling.records.job_fold import JobRow
-from ragworttiller.scheduling.state.jobs import JobSpec, StageId
+from ragworttiller.scheduling.state.jobs import JobSpec, StageId, waves
 from ragworttiller.scheduling.state.runs import Stage
 
 # Maximum age that a job is given when its owner first reads it.
@@ -37,21 +37,29 @@
         self.row = row
         self.queue: Queue = row.accepted.queue
         self.spec: JobSpec = row.accepted.job
+        self.workspace = row.accepted.workspace
         self.state = row.progress.state
         self.accepted_at = now - min(max(wall - row.accepted.wall, 0.0), MAX_INITIAL_AGE_SECONDS)
         self.stages: dict[StageId, Stage] = {}
         self._by_occurrence: list[list[Stage]] = []
-        self._critical_path_seconds = self.spec.critical_path_seconds
+        self._widths: tuple[int, ...] | None = None
+        self._was_held = False
+        self._critical_path_seconds = self.spec.critical_path_seconds()
         restored = {stage_id(job, progress): progress for progress in row.progress.stages}
         for occurrence in range(self.spec.times):
             self._by_occurrence.append([])
             for step, spec in enumerate(self.spec.steps):
                 name = StageId(job, occurrence, step)
-                stage = self.stages[name] = Stage(name, spec)
+                stage = self.stages[name] = Stage(name, spec, self.workspace)
                 self._by_occurrence[occurrence].append(stage)
                 if name in restored:
                     stage.restore(restored[name])
 
+    def set_widths(self, widths: tuple[int, ...] | None) -> None:
+        """Set how many tasks of each step the cap of the workspace allows, None for all."""
+        self._widths = widths
+        self._critical_path_seconds = self.spec.critical_path_seconds(self._widths)
+
     @property
     def has_started(self) -> bool:
         """Whether a task of the job has started."""
@@ -118,7 +126,27 @@
             self.queue.slack_factor * self._critical_path_seconds + self.queue.target_latency
         )
         remaining = self._remaining_seconds(stage.id.occurrence)
-        return OrderInputs(self.queue.priority, since, objective, remaining)
+        held = self._held_seconds(stage.id.occurrence, now) if self._was_held else 0.0
+        return OrderInputs(self.queue.priority, since, objective, remaining, held=held)
+
+    def hold_for_cap(self, stage: Stage, now: float) -> None:
+        """Record that the cap of the workspace allows none of a stage's tasks.
+
+        While some of them run, the wait of the others is part of the objective, as waves.
+        """
+        if stage.active_runs:
+            stage.release_from_cap(now)
+        else:
+            self._was_held = True
+            stage.hold_for_cap(now)
+
+    def _held_seconds(self, occurrence: int, now: float) -> float:
+        """Return for how long the cap has held an occurrence, along its longest held chain."""
+        held: list[float] = []
+        for stage in self._by_occurrence[occurrence]:
+            start = max((held[step] for step in stage.spec.after), default=0.0)
+            held.append(start + stage.held_seconds(now))
+        return max(held)
 
     def _remaining_seconds(self, occurrence: int) -> float:
         """Return the estimated duration of the longest unfinished chain of an occurrence."""
@@ -126,9 +154,16 @@
         for stage in self._by_occurrence[occurrence]:
             after = stage.spec.after
             start = max([ends[step] for step in after]) if after else 0.0
-            ends.append(start if stage.complete else start + stage.spec.estimate)
+            ends.append(start if stage.complete else start + self._stage_seconds(stage))
         return max(ends)
 
+    def _stage_seconds(self, stage: Stage) -> float:
+        """Return the estimated duration of the waves in which a stage's unfinished tasks run."""
+        if self._widths is None:
+            return stage.spec.estimate
+        left = stage.spec.tasks - len(stage.done)
+        return stage.spec.estimate * waves(left, self._widths[stage.id.step])
+
     def progress(self) -> Progress:
         """Return the progress of the job to record."""
         stages = [stage.progress() for stage in self.stages.values() if stage.has_progress]
--- a/ragworttiller/scheduling/state/jobs.py
+++ b/ragworttiller/scheduling/state/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from ragworttiller.resources import Resources
@@ -83,10 +84,22 @@
         """Number of occurrences."""
         return self.occurrences.times if self.occurrences else 1
 
-    @property
-    def critical_path_seconds(self) -> float:
-        """Estimated duration of the longest chain of dependent steps, in seconds."""
+    def critical_path_seconds(self, widths: Sequence[int] | None = None) -> float:
+        """Return the estimated duration of the longest chain of dependent steps, in seconds.
+
+        Parameters
+        ----------
+        widths : sequence of int, optional
+            Number of tasks of each step that may run at once; by default all may.
+        """
         ends: list[float] = []
-        for step in self.steps:
-            ends.append(step.estimate + max((ends[i] for i in step.after), default=0.0))
+        for number, step in enumerate(self.steps):
+            rounds = 1 if widths is None else waves(step.tasks, widths[number])
+            start = max((ends[i] for i in step.after), default=0.0)
+            ends.append(start + rounds * step.estimate)
         return max(ends)
+
+
+def waves(tasks: int, width: int) -> int:
+    """Return in how many rounds of ``width`` tasks a step runs, at least 1."""
+    return max(-(-tasks // width), 1)
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.platform.runners import HoldAnswer
 from ragworttiller.scheduling.decisions.advice import AdviceCall
+from ragworttiller.scheduling.decisions.caps import Caps
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
@@ -17,12 +18,15 @@
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
+from ragworttiller.scheduling.state.owed_jobs import OwedJobs
 from ragworttiller.scheduling.state.run_tracker import RunTracker
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run, Stage
 from ragworttiller.scheduling.state.speeds import Speeds
 from ragworttiller.scheduling.state.takeover import Takeover
+from ragworttiller.scheduling.state.unseen_runs import UnseenRuns
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 log = logging.getLogger(__name__)
 
@@ -48,6 +52,17 @@
         Duration of the granted leases, in seconds.
     policies : CellPolicies, optional
         Scheduling policies; those of the default settings by default.
+
+    Attributes
+    ----------
+    usage : WorkspaceUsage
+        What each workspace uses.
+    owed : OwedJobs
+        Tells which jobs are beyond the weight of their workspace.
+    caps : Caps
+        Limits what each workspace starts.
+    shares : ShareOrder
+        Order by the shares of workspaces.
     """
 
     def __init__(
@@ -67,8 +82,18 @@
         self._lease = lease
         self._stops = PendingStops()
         speeds = Speeds()
-        self._active = ActiveJobs(jobs, config, self._stops, speeds)
-        self._tracker = RunTracker(self._active, runners, takeover, self._stops, speeds, lease)
+        self._job_fold = jobs
+        self._config = config
+        self._listed = runners
+        self._unseen = UnseenRuns(takeover, jobs, runners)
+        self.usage = WorkspaceUsage(self._unseen)
+        self.owed = OwedJobs(jobs, config)
+        self.caps = Caps(self.usage, config)
+        self.shares = policies.shares(self.usage, self.owed, config)
+        self._active = ActiveJobs(jobs, config, self._stops, speeds, self.caps)
+        self._tracker = RunTracker(
+            self._active, runners, takeover, self._stops, speeds, lease, self.usage
+        )
         self._planner = StagePlanner(
             epoch,
             self.pool,
@@ -79,6 +104,8 @@
             policies.candidates,
             RoomMaker(self._stops, policies.victims, policies.stop_seconds),
             policies.headroom,
+            self.caps,
+            self.shares,
         )
 
     @property
@@ -113,8 +140,11 @@
 
     def refresh(self, now: float, wall: float) -> None:
         """Update jobs, runners and queues from the folds."""
+        touched = list(self._job_fold.touched)
         self.pool.refresh(now)
         self._active.refresh(now, wall)
+        self._unseen.include(touched)
+        self.owed.include(touched)
 
     def claim(
         self, owner: str, incarnation: int, position: int, now: float, address: str = ""
@@ -171,7 +201,7 @@
         for run in self.pool.filling_runs_to_stop():
             self._stops.add(run, "serving task on the runner")
         plan = Plan([], [], [], self._looks_due(now))
-        self._planner.plan(plan, self._active.by_id, now, wall)
+        self._planner.plan(plan, self._active.by_id, self._listed.capacity, now, wall)
         plan.stops.extend(self._stops.due(now))
         return plan
 
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -23,6 +23,7 @@
 from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 from ragworttiller.scheduling.state.speeds import Speeds
 from ragworttiller.scheduling.state.takeover import EXPIRY_MARGIN_SECONDS, Takeover
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 log = logging.getLogger(__name__)
 
@@ -48,6 +49,8 @@
         Receives the durations of runs.
     lease : float
         Duration of the granted leases, in seconds.
+    usage : WorkspaceUsage
+        Receives what runs, by workspace.
 
     Attributes
     ----------
@@ -63,13 +66,14 @@
         stops: PendingStops,
         speeds: Speeds,
         lease: float,
+        usage: WorkspaceUsage,
     ) -> None:
         self._jobs = jobs
         self._takeover = takeover
         self._stops = stops
         self._speeds = speeds
         self._lease = lease
-        self.pool = RunnerPool(runners, takeover, self._requeue_runs)
+        self.pool = RunnerPool(runners, takeover, self._requeue_runs, usage)
 
     def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
         """Apply a runner's answer to a hold: its clock, its ended tasks and its running tasks.
@@ -160,7 +164,8 @@
         """Add a reported run that this owner did not start; adopt it if its task is waiting."""
         stage = self._jobs.stage(row.task.stage)
         index = row.task.ordinal
-        run = Run(row.task, row.run, runner.id, self._jobs.step_spec(row.task), now)
+        spec, workspace = self._jobs.step_spec(row.task), self._jobs.workspace(row.task)
+        run = Run(row.task, row.run, runner.id, spec, now, workspace)
         run.measure_progress_from_next_report()
         run.state = RunState.RUNNING
         runner.add(run)
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -11,6 +11,7 @@
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run
 from ragworttiller.scheduling.state.takeover import Takeover
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +32,8 @@
         Runners on which an earlier owner's tasks may still run.
     on_lost : Callable
         Called with a runner whose runs have all certainly ended with it, and the current time.
+    usage : WorkspaceUsage
+        Receives what runs on the runners, by workspace.
 
     Attributes
     ----------
@@ -46,7 +49,9 @@
         listed: RunnerFold,
         takeover: Takeover,
         on_lost: Callable[[RunnerState, float], None],
+        usage: WorkspaceUsage,
     ) -> None:
+        self._usage = usage
         self._listed = listed
         self._takeover = takeover
         self._on_lost = on_lost
@@ -161,7 +166,7 @@
                 continue
             runner = self.runners.get(entry.runner)
             if runner is None:
-                runner = self.runners[entry.runner] = RunnerState(entry)
+                runner = self.runners[entry.runner] = RunnerState(entry, self._usage)
                 runner.renewal_withheld = self._takeover.called_not_renewed(runner.id)
                 runner.unsound_until = self._unsound_until.get(entry.address, float("-inf"))
                 extra = {"runner": entry.runner, "address": entry.address}
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -6,6 +6,7 @@
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.state.jobs import TaskId
 from ragworttiller.scheduling.state.runs import Run
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 # The clock of a runner may be 2% slow.
 MIN_CLOCK_RATE = 0.98
@@ -27,6 +28,8 @@
     ----------
     entry : RunnerEntry
         Listed attributes of the runner.
+    usage : WorkspaceUsage, optional
+        Receives what the runs on the runner use.
 
     Attributes
     ----------
@@ -68,7 +71,8 @@
         Time before which no look can be due, -inf if its runs have changed since it was computed.
     """
 
-    def __init__(self, entry: RunnerEntry) -> None:
+    def __init__(self, entry: RunnerEntry, usage: WorkspaceUsage | None = None) -> None:
+        self._usage = usage or WorkspaceUsage()
         self.id = entry.runner
         self.entry = entry
         self.free = entry.capacity
@@ -305,6 +309,7 @@
         self._used = self._used.plus(run.reservation)
         if run.spec.daemon:
             self._used_by_lasting = self._used_by_lasting.plus(run.reservation)
+        self._usage.add(run)
         self._update_usage(run, 1)
 
     def remove(self, run: Run) -> None:
@@ -313,6 +318,7 @@
             self._used = self._used.minus(run.reservation)
             if run.spec.daemon:
                 self._used_by_lasting = self._used_by_lasting.minus(run.reservation)
+            self._usage.remove(run)
             self._update_usage(run, -1)
 
     def update(self, entry: RunnerEntry) -> None:
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -16,6 +16,7 @@
 )
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
 from ragworttiller.scheduling.state.tickets import Tickets
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 RUNS_PER_EPOCH = 10_000
 MIN_PERCENT_FOR_ESTIMATE = 5
@@ -44,13 +45,24 @@
         Whether nothing else starts on its runner for a while, since its task is suspected.
     adopted : bool
         Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
+    workspace : str
+        Workspace of its job, empty for none.
     """
 
-    def __init__(self, task: TaskId, number: int, runner: str, spec: StepSpec, now: float) -> None:
+    def __init__(
+        self,
+        task: TaskId,
+        number: int,
+        runner: str,
+        spec: StepSpec,
+        now: float,
+        workspace: str = NO_WORKSPACE,
+    ) -> None:
         self.task = task
         self.number = number
         self.runner = runner
         self.spec = spec
+        self.workspace = workspace
         self.state = RunState.STARTING
         self.started_at = now
         self.ordered_at = now
@@ -119,6 +131,8 @@
         Identifier of the stage.
     spec : StepSpec
         Step that the stage executes.
+    workspace : str
+        Workspace of its job, empty for none.
 
     Attributes
     ----------
@@ -140,11 +154,19 @@
         Runners lost under a task since it last outlived its trial, by index.
     trials : dict of int to str
         Runner on which a task is tried, by index.
+    cap_held_since : float or None
+        Time in seconds since when the cap of its workspace allows no more of its tasks, None while
+        it allows one.
+    cap_held_seconds : float
+        Duration of its earlier holds by the cap.
+    cap_hold_logged : bool
+        Whether a line about its first hold was written.
     """
 
-    def __init__(self, stage: StageId, spec: StepSpec) -> None:
+    def __init__(self, stage: StageId, spec: StepSpec, workspace: str = NO_WORKSPACE) -> None:
         self.id = stage
         self.spec = spec
+        self.workspace = workspace
         self.done: set[int] = set()
         self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
         self.active_runs: dict[int, Run] = {}
@@ -162,6 +184,9 @@
         self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
         self.reserved_since: float | None = None
+        self.cap_held_since: float | None = None
+        self.cap_held_seconds = 0.0
+        self.cap_hold_logged = False
         self._last_run_numbers: dict[int, int] = {}
 
     @property
@@ -191,6 +216,22 @@
         """Whether there is something to record about a task."""
         return bool(self.done or self.failed_runs or self.checkpoints or self.crashes)
 
+    def hold_for_cap(self, now: float) -> None:
+        """Record that the cap of the workspace allows no more of the tasks."""
+        if self.cap_held_since is None:
+            self.cap_held_since = now
+
+    def release_from_cap(self, now: float) -> None:
+        """Record that the cap of the workspace allows a task, or that none waits."""
+        if self.cap_held_since is not None:
+            self.cap_held_seconds += now - self.cap_held_since
+            self.cap_held_since = None
+
+    def held_seconds(self, now: float) -> float:
+        """Return for how many seconds the cap of the workspace has held the stage in all."""
+        held = 0.0 if self.cap_held_since is None else now - self.cap_held_since
+        return self.cap_held_seconds + held
+
     def runs_by_runner(self) -> Counter[str]:
         """Return the number of active runs on each runner that has any."""
         return Counter(run.runner for run in self.active_runs.values())
@@ -221,7 +262,7 @@
         self.waiting.remove(index)
         number = number or self.next_number(index, epoch)
         self._last_run_numbers[index] = number
-        run = Run(TaskId(self.id, index), number, runner, self.spec, now)
+        run = Run(TaskId(self.id, index), number, runner, self.spec, now, self.workspace)
         run.resume(self.checkpoints.get(index, ""))
         self.active_runs[index] = run
         return run
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -133,6 +133,10 @@
             return False
         return any(name not in self._withdrawn for name in self._unresolved_until)
 
+    def is_inherited(self, row: JobRow) -> bool:
+        """Return whether the earlier owner may have started tasks of a job."""
+        return row.offset < self._accepted_before
+
     def startable(self, stage: Stage) -> list[int]:
         """Return the waiting tasks of a stage that certainly do not run on any runner."""
         waiting = list(reversed(stage.waiting))
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from ragworttiller.platform.configuration import Queue
+from ragworttiller.platform.configuration import Configuration, Queue
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
 from ragworttiller.platform.store import Record
 from ragworttiller.platform.submissions import decode_job
@@ -18,6 +18,7 @@
 from ragworttiller.scheduling.state.orders import Plan, StartOrder
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.takeover import Takeover
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE, Workspace
 
 QUEUE = Queue("checks", "h", "/q/", "desk", 0, 2, 1.5, 0.25, None)
 JOB = "0123456789abcdef"
@@ -98,11 +99,22 @@
         self.listed.apply(Record(self._next(), name, json.dumps(row).encode()))
         self.cell.refresh(self.now, self.now)
 
+    def configure(self, *workspaces: Workspace) -> None:
+        """Put a configuration with these workspaces in force."""
+        version = self.config.version + 1
+        self.config.put_in_force(Configuration(version, (), frozenset(), 262144, workspaces))
+        self.cell.refresh(self.now, self.now)
+
     def submit(
-        self, *steps: dict[str, Any], job: str = JOB, queue: Queue = QUEUE, **fields: Any
+        self,
+        *steps: dict[str, Any],
+        job: str = JOB,
+        queue: Queue = QUEUE,
+        workspace: str = NO_WORKSPACE,
+        **fields: Any,
     ) -> None:
         """Store an accepted job."""
-        accepted = Accepted(queue, decode_job(job_body(*steps, **fields)), self.now)
+        accepted = Accepted(queue, decode_job(job_body(*steps, **fields)), self.now, workspace)
         self.store(job, encode(accepted))
 
     def cancel(self, job: str = JOB) -> None:
