Expect the setting of the order by shares

Cause: the merge added the policy shares; the test lists all policies that the settings offer.

Change: the list has it, as strict as before.

--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -26,6 +26,7 @@
     ORDERS,
     PLACEMENTS,
     PREEMPTIONS,
+    SHARE_ORDERS,
 )
 from standins.platform.deployment import ROOT, Deployment, render, settings_fields
 from tests.scheduling_rig import job_body, step
@@ -261,6 +262,7 @@
             "observation": set(OBSERVATIONS),
             "preemption": set(PREEMPTIONS),
             "headroom": set(HEADROOMS),
+            "shares": set(SHARE_ORDERS),
         }
 
     def test_all_errors_are_reported_at_once(self, tmp_path: Path):
