--- a/ragworttiller/scheduling/decisions/caps.py
+++ b/ragworttiller/scheduling/decisions/caps.py
@@ -36,10 +36,11 @@
         self._usage = usage
         self._config = config
         self._reserved: dict[str, Stage] = {}
+        self._reserved_next: dict[str, Stage] = {}
 
     def begin(self) -> bool:
-        """Start a new planning pass, without reservations; return whether there are caps."""
-        self._reserved.clear()
+        """Start a new planning pass with the reservations of the last; return if there are caps."""
+        self._reserved, self._reserved_next = self._reserved_next, {}
         return bool(self._config.known_workspaces)
 
     def cap(self, workspace: str) -> Resources:
@@ -87,15 +88,22 @@
         return copies_within(half, used, stage.spec.size, 1)
 
     def reserve(self, stage: Stage) -> None:
-        """Keep the rest of the cap for a held stage, if it will fit beside the lasting tasks."""
+        """Keep the rest of the cap for a held stage, if it will fit beside the lasting tasks.
+
+        The reservation holds in the next pass, for one stage of a workspace: a held stage may come
+        after those that would take its room.
+        """
         cap, lasting = self.cap(stage.workspace), self._usage.known(stage.workspace).lasting
-        if stage.workspace in self._reserved:
+        if stage.workspace in self._reserved_next:
+            return
+        if self._reserved.get(stage.workspace, stage) is not stage:
+            # It may be held by that reservation alone.
             return
         needed = stage.spec.tasks if stage.spec.gang else 1
         fits = copies_within(cap, lasting, stage.spec.size, needed) == needed
         alone = needed == 1 and lasting == NO_RESOURCES
         if fits or alone:
-            self._reserved[stage.workspace] = stage
+            self._reserved_next[stage.workspace] = stage
 
     def widths(self, workspace: str, steps: Sequence[StepSpec]) -> tuple[int, ...] | None:
         """Return how many tasks of each step the cap allows at once, None if it allows all."""
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -62,7 +62,7 @@
         self._changed: dict[str, None] = {}
         # Removed jobs that the fold still shows as open because it has not read their end yet.
         self._awaiting_end_record: set[str] = set()
-        self._config_version = 0
+        self._config_version = -1
         self.by_id: dict[str, JobWork] = {}
         self.inherited_trials: set[StageId] = set()
         fold.touched |= set(fold.jobs)
