Leave runners to others when a gang of suspected tasks cannot be placed

Cause: the state machine of caps found jobs that wait for ever. A gang of more suspected tasks than runners closed each runner for its trials in each pass, found no place for all of them, and left the runners closed for that pass. Change: the runners are opened again when the gang is not placed.

--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -119,11 +119,15 @@
         for runner in runners:
             self._score(scores, stage, runner, free_resources, on_runner, time_ratios)
         chosen: dict[int, str] = {}
+        closed: dict[str, Resources] = {}
         for index in indices:
             suspect = index in stage.crashes and stage.is_suspect(index)
             best = self._best(stage, index, scores, by_id)
             if best is None:
                 if stage.spec.gang:
+                    # Runners closed for its trials would otherwise take no other task either.
+                    for name, room in closed.items():
+                        free_resources.subtract(name, free_resources.of_runner(name).minus(room))
                     self._return_resources(chosen, free_resources, size)
                     return {}
                 if suspect or index in stage.last_failed_runner or index in stage.failed_runs:
@@ -133,6 +137,7 @@
             on_runner[best.id] += 1
             free_resources.subtract(best.id, size)
             if suspect:
+                closed[best.id] = free_resources.of_runner(best.id)
                 free_resources.close(best.id)
             self._score(scores, stage, best, free_resources, on_runner, time_ratios)
         return chosen
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -365,3 +365,13 @@
 @pytest.mark.parametrize("blame", list(Blame))
 def test_what_speaks_for_a_crash_is_stored_as_it_is(blame: Blame):
     assert str(blame) == blame
+
+
+class TestGangOfSuspects:
+    def test_a_gang_that_cannot_be_tried_leaves_its_runners_to_others(self):
+        """Runners that were closed for its trials took no other task for as long as it waited."""
+        rig = CellRig(2)
+        rig.submit(step(3, gang=True), job=OTHER)
+        stage_of(rig, OTHER).crashes = {n: [crash(Blame.LATEST)] for n in range(3)}
+        rig.submit(step(8))
+        assert len(rig.start_all()) == 8
