Refuse gangs beyond the cap, and show workspaces to operators

Cause: a gang larger than the cap of its workspace could never run, and an operator could not see why a job waits for its cap or its share. Change: such a gang is refused at submission (422, gang_exceeds_cap); wait reasons cap and share; a view and a command that list the workspaces; metrics of the ten largest workspaces and the rest.

--- a/ragworttiller/commands/cell.py
+++ b/ragworttiller/commands/cell.py
@@ -16,6 +16,16 @@
 
 RUNNER_COLUMNS = ["runner", "upstream", "address", "state", "tasks", "free", "heard"]
 JOB_COLUMNS = ["job", "queue", "priority", "age", "slack", "waiting", "live", "done", "wait"]
+WORKSPACE_COLUMNS = [
+    "workspace",
+    "used",
+    "unseen",
+    "cap",
+    "weight",
+    "share",
+    "waiting",
+    "beyond",
+]
 STAGE_COLUMNS = ["stage", "waiting", "live", "done", "failed", "wait"]
 
 
@@ -33,6 +43,14 @@
     context.output.rows(context.client.call("GET", api_path("cell", "runners")), RUNNER_COLUMNS)
 
 
+@app.command()
+def workspaces(ctx: typer.Context) -> None:
+    """List the workspaces with their use, caps, weights, shares and waiting jobs."""
+    context = context_of(ctx)
+    rows = context.client.call("GET", api_path("cell", "workspaces"))
+    context.output.rows(rows, WORKSPACE_COLUMNS)
+
+
 @app.command()
 def jobs(
     ctx: typer.Context,
--- a/ragworttiller/exceptions.py
+++ b/ragworttiller/exceptions.py
@@ -455,6 +455,15 @@
     template = "the identifier {job!r} is in use"
 
 
+class GangExceedsCap(RagworttillerError):
+    """A gang can never run, since together its tasks need more than the cap of the workspace."""
+
+    code = "gang_exceeds_cap"
+    status = 422
+    ran = Ran.NO
+    template = "step {step} of job {job!r} is a gang larger than the cap {cap} of its workspace"
+
+
 class JobUnknown(RagworttillerError):
     """No accepted job has this identifier."""
 
--- a/ragworttiller/metrics.py
+++ b/ragworttiller/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import resource
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -65,6 +65,7 @@
 
 
 Reading = Callable[[], float]
+LabelReading = Callable[[], Mapping[str, float]]
 
 
 class Metrics(Collector):
@@ -80,6 +81,7 @@
         self._answers: dict[str, int] = {}
         self._counters: dict[str, tuple[str, Reading]] = {}
         self._gauges: dict[str, tuple[str, Reading]] = {}
+        self._labelled: dict[str, tuple[str, str, LabelReading]] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -118,6 +120,10 @@
         """Register a gauge whose value ``reading`` returns."""
         self._gauges[name] = (help_text, reading)
 
+    def gauge_by_label(self, name: str, help_text: str, label: str, reading: LabelReading) -> None:
+        """Register a gauge with one label; ``reading`` returns a bounded number of its values."""
+        self._labelled[name] = (help_text, label, reading)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -136,6 +142,11 @@
             yield CounterMetricFamily(f"ragworttiller_{name}", help_text, value=reading())
         for name, (help_text, reading) in self._gauges.items():
             yield GaugeMetricFamily(f"ragworttiller_{name}", help_text, value=reading())
+        for name, (help_text, label, values) in self._labelled.items():
+            family = GaugeMetricFamily(f"ragworttiller_{name}", help_text, labels=[label])
+            for text, value in values().items():
+                family.add_metric([text], value)
+            yield family
 
     def _durations(
         self, name: str, help_text: str, kinds: dict[str, Distribution]
--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -7,6 +7,7 @@
 
 from ragworttiller.exceptions import (
     AppendUndecided,
+    GangExceedsCap,
     JobNameTaken,
     JobUnknown,
     LogUnavailable,
@@ -21,6 +22,7 @@
 from ragworttiller.platform.store import KeyedRecord
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.decisions.caps import exceeds_cap
 from ragworttiller.scheduling.ownership.term import ClaimFold
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import (
@@ -142,6 +144,8 @@
             Whether the job was accepted is unknown.
         JobNameTaken
             Another workspace has submitted a job with this identifier.
+        GangExceedsCap
+            A gang of the job can never fit the cap of the workspace.
         """
         row = self._jobs.get(target.job)
         if row is not None:
@@ -149,6 +153,10 @@
                 raise JobNameTaken(job=target.job)
             return
         job = decode_job(body)
+        workspace = self._config.workspaces.get(target.workspace)
+        for number, step in enumerate(job.steps):
+            if workspace is not None and exceeds_cap(workspace.cap, step):
+                raise GangExceedsCap(job=target.job, step=number, cap=list(workspace.cap))
         accepted = Accepted(target.queue, job, self._clock.wall(), target.workspace)
         record = KeyedRecord(target.job, encode(accepted))
         await self._append(target.job, record, timeout)
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -5,6 +5,8 @@
 import logging
 import random
 import socket
+from collections.abc import Callable
+from functools import partial
 
 import anyio
 
@@ -37,6 +39,8 @@
 from ragworttiller.scheduling.records.formats import ENTRIES, JOBS, EntryRecord
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.workspace_view import largest_and_rest, used_cpu, waiting_jobs
 
 log = logging.getLogger(__name__)
 
@@ -188,6 +192,17 @@
             ),
         ):
             self._metrics.gauge(name, help_text, reading)
+        for name, help_text, of_cell in (
+            ("workspace_cpu", "Processor time in use, in thousandths of a core.", used_cpu),
+            ("workspace_waiting_jobs", "Open jobs with waiting tasks.", waiting_jobs),
+        ):
+            reading_by_workspace = partial(self._by_workspace, of_cell)
+            self._metrics.gauge_by_label(name, help_text, "workspace", reading_by_workspace)
+
+    def _by_workspace(self, values: Callable[[Cell], dict[str, float]]) -> dict[str, float]:
+        """Return values of the cell's workspaces, none at an entry that does not own the cell."""
+        owner = self._host.owner
+        return largest_and_rest(values(owner.cell)) if owner is not None else {}
 
     def stop(self) -> None:
         """Begin a graceful shutdown."""
--- a/ragworttiller/scheduling/entry/operators.py
+++ b/ragworttiller/scheduling/entry/operators.py
@@ -14,6 +14,7 @@
 from ragworttiller.scheduling.entry.peer_messages import ViewReply, ViewRequest
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.state.cell_view import CellView
+from ragworttiller.scheduling.state.workspace_view import workspaces
 
 ROOT = "/v1/cell"
 VIEW_TIMEOUT_SECONDS = 1.0
@@ -106,6 +107,8 @@
         match parts:
             case ["runners"]:
                 return msgspec.json.encode(view.runners(now))
+            case ["workspaces"]:
+                return msgspec.json.encode(workspaces(self._host.owner.cell))
             case ["jobs"]:
                 return msgspec.json.encode(view.jobs(now, wall))
             case ["jobs", job] if stages := view.stages(job, now, wall):
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -27,6 +27,8 @@
     DENIED = "denied"
     GANG = "gang"
     PLANNED = "planned"
+    CAP = "cap"
+    SHARE = "share"
 
 
 class RunnerView(TypedDict):
@@ -195,12 +197,17 @@
             return WaitReason.NOT_DUE
         if not work.predecessors_complete(stage):
             return WaitReason.PREDECESSORS
+        if not self._cell.caps.allowed(stage, stage.longest_wait(now)):
+            return WaitReason.CAP
         suitable = self._suitable_runners(work, stage, now)
         if not suitable:
             return WaitReason.NO_RUNNER_SUITS
         with_room = [r for r in suitable if stage.spec.reservation.fits(r.free)]
         if not with_room:
-            return WaitReason.NO_ROOM
+            over = self._cell.owed.is_beyond(work.id) or self._cell.shares.over_share(
+                stage.workspace
+            )
+            return WaitReason.SHARE if over else WaitReason.NO_ROOM
         running = stage.runs_by_runner()
         with_room = [r for r in with_room if not at_limit(stage, running[r.id])]
         if not with_room:
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Mapping
 
 from ragworttiller.platform.runners import HoldAnswer
+from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.decisions.caps import Caps
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
@@ -27,6 +29,7 @@
 from ragworttiller.scheduling.state.takeover import Takeover
 from ragworttiller.scheduling.state.unseen_runs import UnseenRuns
 from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
+from ragworttiller.scheduling.state.workspaces import Workspace
 
 log = logging.getLogger(__name__)
 
@@ -113,6 +116,16 @@
         """Epoch of the ownership."""
         return self._epoch
 
+    @property
+    def known_workspaces(self) -> Mapping[str, Workspace]:
+        """Last records of the workspaces by name, also of those removed."""
+        return self._config.known_workspaces
+
+    @property
+    def capacity(self) -> Resources:
+        """Capacity of all listed runners."""
+        return self._listed.capacity
+
     @property
     def lease(self) -> float:
         """Duration of the granted leases, in seconds."""
@@ -201,7 +214,7 @@
         for run in self.pool.filling_runs_to_stop():
             self._stops.add(run, "serving task on the runner")
         plan = Plan([], [], [], self._looks_due(now))
-        self._planner.plan(plan, self._active.by_id, self._listed.capacity, now, wall)
+        self._planner.plan(plan, self._active.by_id, self.capacity, now, wall)
         plan.stops.extend(self._stops.due(now))
         return plan
 
