--- a/bench/owner_load.py
+++ b/bench/owner_load.py
@@ -9,6 +9,7 @@
 from ragworttiller.platform.configuration import AdviceCost, Queue
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.state.jobs import JobSpec, StepSpec
+from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE, Workspace
 
 UPSTREAM = "marking"
 CHECKS = Queue("checks", "h", "/c/", UPSTREAM, 0, 4, 2.0, 0.25, AdviceCost(0.039, 0.00056, 2.5))
@@ -17,6 +18,9 @@
 ALLOWED_SHARE = {CHECKS.name: 0.7, BATCHES.name: 0.35, WATCHES.name: 0.35}
 
 START_DELAY_SECONDS = 1.0
+FIRST_WORKSPACE_SHARE = 0.25
+# A quarter of the mean runner.
+CAP_CPU_PER_RUNNER = 4500
 
 
 class Costs(NamedTuple):
@@ -28,7 +32,11 @@
 
 
 class Load(NamedTuple):
-    """Size of the cell, its arrivals a second and the burst of checks."""
+    """Size of the cell, its arrivals a second and the burst of checks.
+
+    The jobs are spread over a number of ``workspaces``, of which the first sends a quarter; 0 for a
+    cell without workspaces.
+    """
 
     runners: int = 270
     entries: int = 97
@@ -42,6 +50,7 @@
     seconds: float = 40.0
     costs: Costs = Costs()
     seed: int = 1
+    workspaces: int = 0
 
 
 # A third of the large site, with a slower owner in proportion. The burst is that of callers whose
@@ -59,12 +68,25 @@
 )
 
 
+def workspace_name(number: int) -> str:
+    """Return the name of a numbered workspace."""
+    return f"workspace-{number:03d}"
+
+
+def workspaces(load: Load) -> tuple[Workspace, ...]:
+    """Return the workspaces of a load, each with a cap of a quarter of the cell."""
+    cap = Resources(load.runners * CAP_CPU_PER_RUNNER, 0, 0)
+    names = (workspace_name(number) for number in range(load.workspaces))
+    return tuple(Workspace(name, frozenset(), 1.0, cap) for name in names)
+
+
 class Arrival(NamedTuple):
-    """Job that arrives at a time, in seconds."""
+    """Job of a workspace that arrives at a time, in seconds."""
 
     at: float
     queue: Queue
     spec: JobSpec
+    workspace: str = NO_WORKSPACE
 
 
 class Arrivals:
@@ -81,11 +103,13 @@
     def __init__(self, load: Load, rng: random.Random) -> None:
         self._load = load
         self._random = rng
+        # Apart from the other choices, so that these do not depend on the number of workspaces.
+        self._workspace_random = random.Random(load.seed)
 
     def __iter__(self) -> Iterator[Arrival]:
         load, rng = self._load, self._random
         for number in range(load.first_watches):
-            yield Arrival(0.05 * number, WATCHES, self._watch())
+            yield Arrival(0.05 * number, WATCHES, self._watch(), self._workspace())
         for queue, rate, make in (
             (CHECKS, load.checks, self._check),
             (BATCHES, load.batches, self._batch),
@@ -96,7 +120,14 @@
                 in_burst = load.burst_at <= at < load.burst_at + load.burst_seconds
                 factor = load.burst_factor if queue is CHECKS and in_burst else 1.0
                 at += rng.expovariate(rate * factor)
-                yield Arrival(at, queue, make())
+                yield Arrival(at, queue, make(), self._workspace())
+
+    def _workspace(self) -> str:
+        count = self._load.workspaces
+        if not count:
+            return NO_WORKSPACE
+        first = self._workspace_random.random() < FIRST_WORKSPACE_SHARE
+        return workspace_name(0 if first else self._workspace_random.randrange(count))
 
     def _check(self) -> JobSpec:
         steps = 2 if self._random.random() < 0.6 else 1
--- a/bench/owner_model.py
+++ b/bench/owner_model.py
@@ -16,9 +16,17 @@
 
 import msgspec
 
-from bench.owner_load import ALLOWED_SHARE, CHECKS, UPSTREAM, Arrivals, Load
+from bench.owner_load import (
+    ALLOWED_SHARE,
+    CHECKS,
+    UPSTREAM,
+    Arrival,
+    Arrivals,
+    Load,
+    workspaces,
+)
 from bench.steps import StepCounter
-from ragworttiller.platform.configuration import Queue
+from ragworttiller.platform.configuration import Configuration
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
 from ragworttiller.platform.store import Record
 from ragworttiller.resources import Resources
@@ -28,7 +36,7 @@
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
-from ragworttiller.scheduling.state.jobs import JobSpec, StageId
+from ragworttiller.scheduling.state.jobs import StageId
 from ragworttiller.scheduling.state.orders import Plan, StartOrder
 from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS, Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -38,6 +46,7 @@
 RUNNER_SIZES = (1.0, 1.0, 0.5, 2.0)
 RUNNER_CPU = 16_000
 RUNNER_MEMORY = 32_768
+MAX_BODY_BYTES = 262_144
 HOLD_SECONDS = 0.8
 IDLE_PASS_INTERVAL_SECONDS = 0.1
 JOBS_READ_SECONDS = 0.03
@@ -94,7 +103,11 @@
         self._jobs = JobFold()
         self._runners = RunnerFold()
         takeover = Takeover(None, 0, 0.0, 0.0, LEASE_SECONDS)
-        self.cell = Cell(1, self._jobs, QueueFold(), self._runners, takeover)
+        config = QueueFold()
+        if load.workspaces:
+            rows = workspaces(load)
+            config.put_in_force(Configuration(1, (), frozenset(), MAX_BODY_BYTES, rows))
+        self.cell = Cell(1, self._jobs, config, self._runners, takeover)
         self.cell.set_entries([f"entry-{n}" for n in range(load.entries)])
         self._counter = StepCounter()
         self._plan_requested = True
@@ -142,7 +155,7 @@
 
     def _add_arrivals(self) -> None:
         for row in Arrivals(self._load, self._random):
-            self._schedule(row.at, self._arrival_event(row.queue, row.spec))
+            self._schedule(row.at, self._arrival_event(row))
 
     # Events
 
@@ -150,12 +163,12 @@
         cost = self._load.costs.event if cost is None else cost
         heapq.heappush(self._events, (at, next(self._order), event, cost))
 
-    def _arrival_event(self, queue: Queue, spec: JobSpec) -> Callable[[], None]:
+    def _arrival_event(self, row: Arrival) -> Callable[[], None]:
         def arrive() -> None:
             self._offset += 1
             job = f"{self._offset:016x}"
             self._accepted_at[job] = self._now
-            value = encode(Accepted(queue, spec, self._now))
+            value = encode(Accepted(row.queue, row.spec, self._now, row.workspace))
             self._jobs.apply(Record(self._offset, job, value))
 
         return arrive
