Start copies of stragglers in speculative steps

Change: a stage with speculative may hold one copy of a running task beside its active run. A policy chosen by name (copies = stragglers | none) tells stragglers and whether a copy pays; the copy planner starts copies with the room that waiting stages of the same or a higher priority do not need. The first done end counts, a failed copy counts as a failed run, the loss of the active run promotes the copy, and a successor adopts both runs.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -54,6 +54,7 @@
     observation: str = "expected_ends"
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
+    copies: str = "stragglers"
 
 
 class EntrySettings(NamedTuple):
@@ -164,6 +165,7 @@
             ),
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
+            _policy("copies", "Second runs of slow tasks.", "stragglers", "none"),
         ],
     ),
     LOG_SECTION,
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -11,6 +11,7 @@
     CandidatePolicy,
     UsefulCandidates,
 )
+from ragworttiller.scheduling.decisions.copies import CopyPolicy, NoCopies, StragglerCopies
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
@@ -47,6 +48,8 @@
     "none": NoHeadroom,
 }
 
+COPIES: Mapping[str, Callable[[], CopyPolicy]] = {"stragglers": StragglerCopies, "none": NoCopies}
+
 
 class CellPolicies(NamedTuple):
     """Policies of one owner, and the longest time in seconds that a run takes to stop."""
@@ -58,6 +61,7 @@
     victims: VictimPolicy
     headroom: HeadroomPolicy
     stop_seconds: float
+    copies: CopyPolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -79,6 +83,7 @@
         PREEMPTIONS[names.preemption](stop_seconds, bounds.restore_ms / 1000),
         HEADROOMS[names.headroom](),
         stop_seconds,
+        COPIES[names.copies](),
     )
 
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -7,13 +7,14 @@
 
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
+from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.runner_rules import suits
-from ragworttiller.scheduling.decisions.task_placement import PlacementPolicy, Placer
+from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Plan, StartOrder, run_fields
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
@@ -43,12 +44,16 @@
         Runners on which an earlier owner's tasks may still run.
     speeds : Speeds
         Observed speeds of runners.
-    order, placement, candidate_policy : QueueOrder, PlacementPolicy, CandidatePolicy
+    order, candidate_policy : QueueOrder, CandidatePolicy
         Scheduling policies.
+    placer : Placer
+        Chooses runners.
     room_maker : RoomMaker
         Reserves and frees room for stages that wait.
     headroom : HeadroomPolicy
         Limits what patient stages take.
+    copies : CopyPlanner
+        Starts copies of stragglers with the room that is left.
 
     Attributes
     ----------
@@ -63,18 +68,20 @@
         takeover: Takeover,
         speeds: Speeds,
         order: QueueOrder,
-        placement: PlacementPolicy,
+        placer: Placer,
         candidate_policy: CandidatePolicy,
         room_maker: RoomMaker,
         headroom: HeadroomPolicy,
+        copies: CopyPlanner,
     ) -> None:
         self._headroom = headroom
+        self._copies = copies
         self._epoch = epoch
         self._pool = pool
         self._takeover = takeover
         self._speeds = speeds
         self._order = order
-        self._placer = Placer(placement)
+        self._placer = placer
         self.loads = EntryLoads()
         self._advice = AdvicePlanner(self.loads, candidate_policy)
         self._room_maker = room_maker
@@ -109,6 +116,13 @@
             self._advice.plan_for_blocked(work, stage, room_soon)
             if self._reserves_for_gang(work, stage, free_resources, now):
                 held_back.add(work.queue.upstream)
+
+        def copy_allowance(work: JobWork, stage: Stage) -> float:
+            inputs = work.order_inputs(stage, now, wall)
+            room = free_resources.upstream_room(work.queue.upstream)
+            return self._headroom.allowance(inputs, 0.0, room, now)
+
+        self._copies.plan(plan, jobs, free_resources, ready, copy_allowance, now)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
     def _record_arrivals(self, ready: list[tuple[JobWork, Stage, OrderInputs]], now: float) -> None:
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -177,6 +177,17 @@
         self._metrics.counter(
             "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
         )
+        for name, help_text, reading in (
+            ("copies_started", "Copies of stragglers.", lambda: float(host.copies.started)),
+            ("copies_won", "Copies that ended first.", lambda: float(host.copies.won)),
+            ("copies_wasted", "Copies that did not.", lambda: float(host.copies.wasted)),
+            (
+                "copies_wasted_core_seconds",
+                "Processor time that wasted copies reserved.",
+                lambda: host.copies.wasted_core_seconds,
+            ),
+        ):
+            self._metrics.counter(name, help_text, reading)
         for name, help_text, reading in (
             ("owner_planning_share", "Share of time in passes.", lambda: host.pace.planning),
             ("owner_longest_pass_seconds", "Longest pass.", lambda: host.pace.longest),
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -29,6 +29,7 @@
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.retention import Retention
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
+from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS, Cell
 from ragworttiller.scheduling.state.takeover import Takeover
 
@@ -145,6 +146,11 @@
         """Pace of the running owner, `NO_PACE` while this entry does not own the cell."""
         return NO_PACE if self._owner is None else self._owner.pace
 
+    @property
+    def copies(self) -> CopyTally:
+        """Copies of stragglers in the current term, none if this entry is not the owner."""
+        return CopyTally() if self._owner is None else self._owner.cell.copies
+
     @property
     def lag(self) -> float:
         """How late the event loop of the running owner runs, in seconds, 0 without one."""
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -212,7 +212,7 @@
         if runner is None or run.key not in runner.runs or not self._term.valid:
             return False
         late = runner.clock_at(self._clock.now()) > run.start_deadline
-        return run.state is RunState.STARTING and not late
+        return run.state is RunState.STARTING and not late and self._cell.awaits_start(run)
 
     async def stop(self, order: StopOrder) -> None:
         """Order the stop of a run."""
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -151,7 +151,7 @@
     def _stop_all(self, work: JobWork, reason: str) -> None:
         for stage in work.stages.values():
             stage.waiting.clear()
-            for run in list(stage.active_runs.values()):
+            for run in [*stage.active_runs.values(), *stage.copies.values()]:
                 self._stops.add(run, reason)
 
     def _remove_job(self, work: JobWork) -> None:
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -172,7 +172,7 @@
             age=round(now - work.accepted_at, 3),
             slack=round(inputs.since + inputs.objective - inputs.remaining - now, 3),
             waiting=sum(len(stage.waiting) for stage in stages),
-            live=sum(len(stage.active_runs) for stage in stages),
+            live=sum(len(stage.active_runs) + len(stage.copies) for stage in stages),
             done=sum(len(stage.done) for stage in stages),
             wait=str(first),
         )
@@ -181,7 +181,7 @@
         return StageView(
             stage=str(stage.id),
             waiting=len(stage.waiting),
-            live=len(stage.active_runs),
+            live=len(stage.active_runs) + len(stage.copies),
             done=len(stage.done),
             failed=sum(len(runs) for runs in stage.failed_runs.values()),
             wait=str(self.wait_reason(work, stage, now, wall)) if stage.waiting else "",
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -7,14 +7,18 @@
 from ragworttiller.platform.runners import HoldAnswer
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
+from ragworttiller.scheduling.decisions.copies import LearntDurations, UnknownDurations
+from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
+from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
+from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
 from ragworttiller.scheduling.state.run_tracker import RunTracker
@@ -48,6 +52,8 @@
         Duration of the granted leases, in seconds.
     policies : CellPolicies, optional
         Scheduling policies; those of the default settings by default.
+    durations : LearntDurations, optional
+        What is learnt of the durations of tasks; nothing by default.
     """
 
     def __init__(
@@ -59,6 +65,7 @@
         takeover: Takeover,
         lease: float = LEASE_SECONDS,
         policies: CellPolicies | None = None,
+        durations: LearntDurations | None = None,
     ) -> None:
         policies = policies or default_policies()
         self._observation = policies.observation
@@ -68,17 +75,32 @@
         self._stops = PendingStops()
         speeds = Speeds()
         self._active = ActiveJobs(jobs, config, self._stops, speeds)
-        self._tracker = RunTracker(self._active, runners, takeover, self._stops, speeds, lease)
+        self._copies = CopyTally()
+        self._tracker = RunTracker(
+            self._active, runners, takeover, self._stops, speeds, self._copies, lease
+        )
+        placer = Placer(policies.placement)
         self._planner = StagePlanner(
             epoch,
             self.pool,
             takeover,
             speeds,
             policies.order,
-            policies.placement,
+            placer,
             policies.candidates,
             RoomMaker(self._stops, policies.victims, policies.stop_seconds),
             policies.headroom,
+            CopyPlanner(
+                epoch,
+                self.pool,
+                takeover,
+                speeds,
+                policies.copies,
+                placer,
+                self._stops,
+                self._copies,
+                durations or UnknownDurations(),
+            ),
         )
 
     @property
@@ -101,6 +123,11 @@
         """Runners of the cell."""
         return self._tracker.pool
 
+    @property
+    def copies(self) -> CopyTally:
+        """Copies of stragglers, and what became of them."""
+        return self._copies
+
     @property
     def runners(self) -> dict[str, RunnerState]:
         """Runners of the cell, by identifier."""
@@ -158,6 +185,13 @@
         """Record that a runner has started a run."""
         self._tracker.mark_started(run, now)
 
+    def awaits_start(self, run: Run) -> bool:
+        """Return whether the unanswered start of a run should be repeated.
+
+        Of a speculative step it is not once the run is to be stopped, since its task may be done.
+        """
+        return not (run.spec.speculative and run in self._stops)
+
     def mark_start_refused(self, run: Run, reason: str, now: float) -> None:
         """Requeue the task of a start that was refused or has expired, and so never ran."""
         self._tracker.mark_start_refused(run, reason, now)
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -16,6 +16,7 @@
 from ragworttiller.scheduling.records.formats import Blame, Crash, Withdrawn
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
+from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.jobs import TaskId
 from ragworttiller.scheduling.state.orders import PendingStops, run_fields
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
@@ -46,6 +47,8 @@
         Receives runs that are to be stopped.
     speeds : Speeds
         Receives the durations of runs.
+    copies : CopyTally
+        Counts the copies of tasks and what becomes of them.
     lease : float
         Duration of the granted leases, in seconds.
 
@@ -62,12 +65,14 @@
         takeover: Takeover,
         stops: PendingStops,
         speeds: Speeds,
+        copies: CopyTally,
         lease: float,
     ) -> None:
         self._jobs = jobs
         self._takeover = takeover
         self._stops = stops
         self._speeds = speeds
+        self._copies = copies
         self._lease = lease
         self.pool = RunnerPool(runners, takeover, self._requeue_runs)
 
@@ -118,12 +123,11 @@
         """
         runner = self.pool.runners.get(run.runner)
         stage = self._jobs.stage(run.task.stage)
-        self._remove_run(run)
+        self._remove_run(run, f"start refused: {reason}", now)
         if stage is not None:
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
-            stage.requeue(run, now)
-            self._break_gang(stage, run)
+            self._requeue(stage, run, now)
         if reason in ("unhealthy", "room") and runner is not None:
             self._suspend(runner, f"start refused: {reason}", now)
 
@@ -171,6 +175,11 @@
                 seconds = exclusive_seconds(stage.crashes.get(index, []))
                 self.pool.begin_trial(runner, run, now + seconds)
             log.info("run of an earlier owner adopted", extra=run_fields(run))
+        elif work is not None and work.open and stage and stage.accepts_found_copy(index):
+            copy = stage.adopt_copy(run)
+            self._copies.adopt(copy)
+            extra = {**run_fields(run), "copy": copy.number, "on": copy.runner}
+            log.info("second run of a speculative task adopted", extra=extra)
         else:
             other = stage.active_runs.get(index) if stage is not None else None
             if other is not None:
@@ -183,13 +192,16 @@
         run = runner.runs.get((end.task, end.run))
         extra = {"task": str(end.task), "run": end.run, "runner": runner.id, "how": end.outcome}
         log.info("run ended", extra=extra)
+        stage = self._jobs.stage(end.task.stage)
         if run is not None:
             run.checkpoint = end.checkpoint or run.checkpoint
-            self._remove_run(run)
+            first = stage is not None and end.task.ordinal not in stage.done
+            self._remove_run(run, end.outcome, now, end.outcome == "done" and first)
             if end.outcome == "done" and not run.checkpoint:
                 run_seconds = now - run.started_at
                 self._speeds.record_duration(runner.id, end.task.stage, run_seconds, now)
-        stage = self._jobs.stage(end.task.stage)
+                if stage is not None and not run.adopted:
+                    stage.durations.append(run_seconds)
         work = self._jobs.by_id.get(end.task.stage.job)
         if stage is None or work is None or end.task.ordinal >= stage.spec.tasks:
             return
@@ -204,9 +216,9 @@
         runner.record_success(now)
         finished = range(stage.spec.tasks) if stage.spec.gang else [end.task.ordinal]
         for index in finished:
-            other = stage.active_runs.get(index)
-            if other is not None and other.number != end.run:
-                self._stops.add(other, "done elsewhere")
+            for other in stage.runs_of(index):
+                if other.number != end.run:
+                    self._stops.add(other, "done elsewhere")
             stage.mark_done(index)
 
     def _apply_unfinished(
@@ -223,8 +235,14 @@
         if stage.spec.checkpoints and end.checkpoint and index not in stage.done:
             stage.checkpoints[index] = end.checkpoint
         if run is not None:
-            stage.requeue(run, now)
-            self._break_gang(stage, run)
+            self._requeue(stage, run, now)
+
+    def _requeue(self, stage: Stage, run: Run, now: float) -> None:
+        """Let the task of an ended run go on as its copy, or wait if it has none."""
+        promoted = stage.requeue(run, now)
+        if promoted is not None:
+            self._copies.promote(promoted)
+        self._break_gang(stage, run)
 
     def _break_gang(self, stage: Stage, run: Run) -> None:
         """Stop the remaining runs of a gang after one has ended or its start was refused."""
@@ -238,12 +256,11 @@
         """Requeue the tasks of a lost runner's runs, which were never reported as ended."""
         blamed = blame_runs(runner, self.pool.was_lost_alone(runner), now)
         for run in list(runner.runs.values()):
-            self._remove_run(run)
+            self._remove_run(run, "lost", now)
             runner.remove(run)
             stage = self._jobs.stage(run.task.stage)
             if stage is not None:
-                stage.requeue(run, now)
-                self._break_gang(stage, run)
+                self._requeue(stage, run, now)
         for run, crash in blamed:
             self._record_crash(run.task, crash)
 
@@ -310,8 +327,10 @@
         stage.clear_crashes(run.task.ordinal)
         self._jobs.mark_changed(work)
 
-    def _remove_run(self, run: Run) -> None:
+    def _remove_run(self, run: Run, outcome: str, now: float, completes: bool = False) -> None:
+        """Remove an ended run; ``completes`` is whether it is the first to complete its task."""
         self._stops.drop(run)
+        self._copies.end(run, outcome, completes, now)
         runner = self.pool.runners.get(run.runner)
         if runner is not None:
             runner.remove(run)
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
+from collections.abc import Iterator
 from enum import StrEnum
 
 from ragworttiller.resources import Resources
@@ -19,6 +20,8 @@
 
 RUNS_PER_EPOCH = 10_000
 MIN_PERCENT_FOR_ESTIMATE = 5
+# Durations kept of a stage; its median hardly changes with more of them.
+MAX_DURATIONS = 64
 
 
 class RunState(StrEnum):
@@ -111,7 +114,8 @@
     """One step of one occurrence, with the state of each of its tasks.
 
     While the job is open, every task is in exactly one of ``done``, ``waiting`` and
-    ``active_runs``. The last task in ``waiting`` starts first.
+    ``active_runs``. The last task in ``waiting`` starts first. A task of a speculative step may
+    have a second run, in ``copies``, beside the one in ``active_runs``.
 
     Parameters
     ----------
@@ -140,6 +144,14 @@
         Runners lost under a task since it last outlived its trial, by index.
     trials : dict of int to str
         Runner on which a task is tried, by index.
+    last_failed_runner : dict of int to str
+        Runner that a task avoids at its next start, by index.
+    copies : dict of int to Run
+        Second run of a task, by index; the task is also in ``active_runs``.
+    copies_started : Counter
+        Number of copies that this owner has started of each task.
+    durations : deque of float
+        Durations in seconds of the last runs that were done from start to end.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec) -> None:
@@ -148,6 +160,9 @@
         self.done: set[int] = set()
         self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
         self.active_runs: dict[int, Run] = {}
+        self.copies: dict[int, Run] = {}
+        self.copies_started: Counter[int] = Counter()
+        self.durations: deque[float] = deque(maxlen=MAX_DURATIONS)
         self.failed_runs: dict[int, list[int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.crashes: dict[int, list[Crash]] = {}
@@ -192,8 +207,23 @@
         return bool(self.done or self.failed_runs or self.checkpoints or self.crashes)
 
     def runs_by_runner(self) -> Counter[str]:
-        """Return the number of active runs on each runner that has any."""
-        return Counter(run.runner for run in self.active_runs.values())
+        """Return the number of active runs and copies on each runner that has any."""
+        counts = Counter(run.runner for run in self.active_runs.values())
+        if self.copies:
+            counts.update(run.runner for run in self.copies.values())
+        return counts
+
+    def runs_of(self, index: int) -> Iterator[Run]:
+        """Yield the active run of a task and its copy, as far as there are any."""
+        for runs in (self.active_runs, self.copies):
+            if index in runs:
+                yield runs[index]
+
+    @property
+    def may_have_copies(self) -> bool:
+        """Whether the step allows copies of its tasks."""
+        spec = self.spec
+        return spec.speculative and not (spec.gang or spec.daemon or spec.fills)
 
     def restore(self, progress: StageProgress) -> None:
         """Restore the progress that an earlier owner recorded."""
@@ -226,6 +256,20 @@
         self.active_runs[index] = run
         return run
 
+    def start_copy(self, index: int, runner: str, epoch: int, now: float) -> Run:
+        """Start a copy of a running task beside its active run, and return the copy.
+
+        It resumes from the last checkpoint that the active run has saved.
+        """
+        assert self.may_have_copies and index in self.active_runs and index not in self.copies
+        number = self.next_number(index, epoch)
+        self._last_run_numbers[index] = number
+        run = Run(TaskId(self.id, index), number, runner, self.spec, now)
+        run.resume(self.active_runs[index].checkpoint or self.checkpoints.get(index, ""))
+        self.copies[index] = run
+        self.copies_started[index] += 1
+        return run
+
     def next_number(self, index: int, epoch: int) -> int:
         """Return a run number greater than those of all earlier runs of a task, by any owner."""
         return max(self._last_run_numbers.get(index, 0), (epoch - 1) * RUNS_PER_EPOCH) + 1
@@ -238,9 +282,28 @@
         self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
         self.active_runs[index] = run
 
+    def accepts_found_copy(self, index: int) -> bool:
+        """Return whether a task may have the second run that was found of it."""
+        return self.may_have_copies and index in self.active_runs and index not in self.copies
+
+    def adopt_copy(self, run: Run) -> Run:
+        """Add a second run that was found of a task, and return the one that is now the copy.
+
+        The run with the highest number is the active one.
+        """
+        index = run.task.ordinal
+        run.adopted = True
+        self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
+        active, copy = self.active_runs[index], run
+        if run.number > active.number:
+            active, copy = run, active
+        self.active_runs[index], self.copies[index] = active, copy
+        return copy
+
     def mark_done(self, index: int) -> None:
         """Record that a task has ended as done."""
         self.active_runs.pop(index, None)
+        self.copies.pop(index, None)
         self.clear_crashes(index)
         if index in self.waiting:
             self.waiting.remove(index)
@@ -271,14 +334,25 @@
         self.crashes.pop(index, None)
         self.trials.pop(index, None)
 
-    def requeue(self, run: Run, now: float) -> None:
-        """Return the task of an ended run to the waiting tasks if the run is the active one."""
+    def requeue(self, run: Run, now: float) -> Run | None:
+        """Return the task of an ended run to the waiting tasks if the run is the active one.
+
+        If the task has a copy, that becomes its active run instead, and is returned. The end of a
+        copy leaves the active run alone.
+        """
         index = run.task.ordinal
+        if self.copies.get(index) is run:
+            del self.copies[index]
+            return None
         if self.active_runs.get(index) is not run:
-            return
+            return None
         del self.active_runs[index]
         self.trials.pop(index, None)
         if self.spec.checkpoints and run.checkpoint:
             self.checkpoints[index] = run.checkpoint
+        if index in self.copies:
+            self.active_runs[index] = self.copies.pop(index)
+            return self.active_runs[index]
         self.waiting.append(index)
         self.requeued_at[index] = now
+        return None
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -133,6 +133,10 @@
             return False
         return any(name not in self._withdrawn for name in self._unresolved_until)
 
+    def may_hide_runs_of(self, row: JobRow) -> bool:
+        """Return whether some task of the job may run on a runner that has not answered yet."""
+        return bool(self._unresolved_until) and row.offset < self._accepted_before
+
     def startable(self, stage: Stage) -> list[int]:
         """Return the waiting tasks of a stage that certainly do not run on any runner."""
         waiting = list(reversed(stage.waiting))
