--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -219,6 +219,8 @@
             for other in stage.runs_of(index):
                 if other.number != end.run:
                     self._stops.add(other, "done elsewhere")
+                    if stage.may_have_copies:
+                        stage.surplus[other.key] = other
             stage.mark_done(index)
 
     def _apply_unfinished(
@@ -331,6 +333,9 @@
         """Remove an ended run; ``completes`` is whether it is the first to complete its task."""
         self._stops.drop(run)
         self._copies.end(run, outcome, completes, now)
+        stage = self._jobs.stage(run.task.stage)
+        if stage is not None:
+            stage.surplus.pop(run.key, None)
         runner = self.pool.runners.get(run.runner)
         if runner is not None:
             runner.remove(run)
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -148,6 +148,9 @@
         Runner that a task avoids at its next start, by index.
     copies : dict of int to Run
         Second run of a task, by index; the task is also in ``active_runs``.
+    surplus : dict
+        Runs, by task and number, that are being stopped because the other run of their task was
+        done first.
     copies_started : Counter
         Number of copies that this owner has started of each task.
     durations : deque of float
@@ -161,6 +164,7 @@
         self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
         self.active_runs: dict[int, Run] = {}
         self.copies: dict[int, Run] = {}
+        self.surplus: dict[tuple[TaskId, int], Run] = {}
         self.copies_started: Counter[int] = Counter()
         self.durations: deque[float] = deque(maxlen=MAX_DURATIONS)
         self.failed_runs: dict[int, list[int]] = {}
@@ -207,10 +211,11 @@
         return bool(self.done or self.failed_runs or self.checkpoints or self.crashes)
 
     def runs_by_runner(self) -> Counter[str]:
-        """Return the number of active runs and copies on each runner that has any."""
+        """Return the number of runs on each runner that has any."""
         counts = Counter(run.runner for run in self.active_runs.values())
-        if self.copies:
-            counts.update(run.runner for run in self.copies.values())
+        for runs in (self.copies, self.surplus):
+            if runs:
+                counts.update(run.runner for run in runs.values())
         return counts
 
     def runs_of(self, index: int) -> Iterator[Run]:
