Move stragglers with a checkpoint in steps without speculative

Cause: a straggler in a step that is not speculative was left alone even if its checkpoint would let it go on sooner elsewhere.

The search for stragglers and for room is shared with the copies. Durations of runs that saved checkpoints, but did not resume from one, now count for the median of a stage.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -55,6 +55,7 @@
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
     copies: str = "stragglers"
+    moves: str = "checkpointed"
 
 
 class EntrySettings(NamedTuple):
@@ -166,6 +167,7 @@
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
             _policy("copies", "Second runs of slow tasks.", "stragglers", "none"),
+            _policy("moves", "Slow runs stopped to go on elsewhere.", "checkpointed", "none"),
         ],
     ),
     LOG_SECTION,
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -13,6 +13,7 @@
 )
 from ragworttiller.scheduling.decisions.copies import CopyPolicy, NoCopies, StragglerCopies
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.decisions.moves import CheckpointedMoves, MovePolicy, NoMoves
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
     LongPollOnly,
@@ -50,6 +51,11 @@
 
 COPIES: Mapping[str, Callable[[], CopyPolicy]] = {"stragglers": StragglerCopies, "none": NoCopies}
 
+MOVES: Mapping[str, Callable[[float, float], MovePolicy]] = {
+    "checkpointed": CheckpointedMoves,
+    "none": lambda stop_seconds, restore_seconds: NoMoves(),
+}
+
 
 class CellPolicies(NamedTuple):
     """Policies of one owner, and the longest time in seconds that a run takes to stop."""
@@ -62,6 +68,7 @@
     headroom: HeadroomPolicy
     stop_seconds: float
     copies: CopyPolicy
+    moves: MovePolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -84,6 +91,7 @@
         HEADROOMS[names.headroom](),
         stop_seconds,
         COPIES[names.copies](),
+        MOVES[names.moves](stop_seconds, bounds.restore_ms / 1000),
     )
 
 
--- a/ragworttiller/scheduling/decisions/copies.py
+++ b/ragworttiller/scheduling/decisions/copies.py
@@ -50,6 +50,18 @@
     return statistics.median(seconds) if len(seconds) >= MIN_SIBLINGS else None
 
 
+def straggler_seconds(median: float | None, slow_after: float | None) -> float:
+    """Return the duration in seconds from which a run is a straggler, infinity if unknown.
+
+    Parameters
+    ----------
+    median, slow_after : float or None
+        As in `RunOutlook`.
+    """
+    by_median = math.inf if median is None else STRAGGLER_FACTOR * median
+    return by_median if slow_after is None else min(by_median, slow_after)
+
+
 class RunOutlook(NamedTuple):
     """Running task that may be a straggler; durations are in seconds.
 
@@ -139,8 +151,7 @@
 
     @override
     def straggles_after(self, median: float | None, slow_after: float | None) -> float:
-        by_median = math.inf if median is None else STRAGGLER_FACTOR * median
-        return by_median if slow_after is None else min(by_median, slow_after)
+        return straggler_seconds(median, slow_after)
 
     @override
     def pays(self, outlook: RunOutlook, time_ratio: float, now: float) -> bool:
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -11,9 +11,11 @@
 from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
+from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.runner_rules import suits
+from ragworttiller.scheduling.decisions.stragglers import Leftovers
 from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Plan, StartOrder, run_fields
@@ -54,6 +56,8 @@
         Limits what patient stages take.
     copies : CopyPlanner
         Starts copies of stragglers with the room that is left.
+    moves : MovePlanner
+        Moves stragglers to the room that is left.
 
     Attributes
     ----------
@@ -73,9 +77,11 @@
         room_maker: RoomMaker,
         headroom: HeadroomPolicy,
         copies: CopyPlanner,
+        moves: MovePlanner,
     ) -> None:
         self._headroom = headroom
         self._copies = copies
+        self._moves = moves
         self._epoch = epoch
         self._pool = pool
         self._takeover = takeover
@@ -117,12 +123,14 @@
             if self._reserves_for_gang(work, stage, free_resources, now):
                 held_back.add(work.queue.upstream)
 
-        def copy_allowance(work: JobWork, stage: Stage) -> float:
+        def allowance_now(work: JobWork, stage: Stage) -> float:
             inputs = work.order_inputs(stage, now, wall)
             room = free_resources.upstream_room(work.queue.upstream)
             return self._headroom.allowance(inputs, 0.0, room, now)
 
-        self._copies.plan(plan, jobs, free_resources, ready, copy_allowance, now)
+        left = Leftovers(jobs, free_resources, ready, allowance_now, now)
+        self._copies.plan(plan, left)
+        self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
     def _record_arrivals(self, ready: list[tuple[JobWork, Stage, OrderInputs]], now: float) -> None:
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -10,8 +10,10 @@
 from ragworttiller.scheduling.decisions.copies import LearntDurations, UnknownDurations
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
+from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
+from ragworttiller.scheduling.decisions.stragglers import StragglerSearch
 from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.records.job_fold import JobFold
@@ -80,6 +82,8 @@
             self._active, runners, takeover, self._stops, speeds, self._copies, lease
         )
         placer = Placer(policies.placement)
+        learnt = durations or UnknownDurations()
+        search = StragglerSearch(self.pool, takeover, speeds, placer, self._stops, learnt)
         self._planner = StagePlanner(
             epoch,
             self.pool,
@@ -90,17 +94,8 @@
             policies.candidates,
             RoomMaker(self._stops, policies.victims, policies.stop_seconds),
             policies.headroom,
-            CopyPlanner(
-                epoch,
-                self.pool,
-                takeover,
-                speeds,
-                policies.copies,
-                placer,
-                self._stops,
-                self._copies,
-                durations or UnknownDurations(),
-            ),
+            CopyPlanner(epoch, self.pool, search, policies.copies, self._copies),
+            MovePlanner(self.pool, search, policies.moves, self._stops),
         )
 
     @property
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -200,8 +200,9 @@
             if end.outcome == "done" and not run.checkpoint:
                 run_seconds = now - run.started_at
                 self._speeds.record_duration(runner.id, end.task.stage, run_seconds, now)
-                if stage is not None and not run.adopted:
-                    stage.durations.append(run_seconds)
+            whole = end.outcome == "done" and not run.resumed and not run.adopted
+            if whole and stage is not None:
+                stage.durations.append(now - run.started_at)
         work = self._jobs.by_id.get(end.task.stage.job)
         if stage is None or work is None or end.task.ordinal >= stage.spec.tasks:
             return
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -45,6 +45,8 @@
         Time of the last start or stop order.
     trial : bool
         Whether nothing else starts on its runner for a while, since its task is suspected.
+    resumed : bool
+        Whether it began from a checkpoint.
     adopted : bool
         Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
     """
@@ -60,6 +62,7 @@
         self.start_deadline = 0.0
         self.checkpoint = ""
         self.trial = False
+        self.resumed = False
         self.adopted = False
         self.percent = 0.0
         self.progressed_at = now
@@ -90,6 +93,7 @@
     def resume(self, checkpoint: str) -> None:
         """Start from a checkpoint, empty for none."""
         self.checkpoint = checkpoint
+        self.resumed = bool(checkpoint)
         if checkpoint:
             self.measure_progress_from_next_report()
 
@@ -151,6 +155,8 @@
     surplus : dict
         Runs, by task and number, that are being stopped because the other run of their task was
         done first.
+    moves : Counter
+        Number of runs of each task that were stopped to go on elsewhere.
     copies_started : Counter
         Number of copies that this owner has started of each task.
     durations : deque of float
@@ -165,6 +171,7 @@
         self.active_runs: dict[int, Run] = {}
         self.copies: dict[int, Run] = {}
         self.surplus: dict[tuple[TaskId, int], Run] = {}
+        self.moves: Counter[int] = Counter()
         self.copies_started: Counter[int] = Counter()
         self.durations: deque[float] = deque(maxlen=MAX_DURATIONS)
         self.failed_runs: dict[int, list[int]] = {}
--- a/tests/copies_rig.py
+++ b/tests/copies_rig.py
@@ -15,7 +15,7 @@
 from ragworttiller.scheduling.decisions.copies import LearntDurations
 from ragworttiller.scheduling.records.formats import PROGRESS_SUFFIX, encode
 from ragworttiller.scheduling.state.jobs import StepSpec, TaskId
-from ragworttiller.scheduling.state.orders import Plan, StartOrder
+from ragworttiller.scheduling.state.orders import Plan, StartOrder, StopOrder
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.takeover import Takeover
 from tests.scheduling_rig import LEASE_SECONDS, QUEUE, TERM_SECONDS, CellRig
@@ -26,10 +26,11 @@
 
 
 class Work(NamedTuple):
-    """A run at work on a simulated runner since ``began``, in seconds."""
+    """A run at work on a simulated runner since ``began``, in seconds, with a share done before."""
 
     spec: StepSpec
     began: float
+    share_before: float = 0.0
 
 
 class Delayed(NamedTuple):
@@ -57,10 +58,20 @@
         self.delayed: list[Delayed] = []
         self._last_end = 0
 
-    def end(self, key: tuple[TaskId, int], how: str) -> None:
-        del self.work[key]
+    def share(self, work: Work, now: float) -> float:
+        """Return the share of a task that is done."""
+        return work.share_before + (now - work.began) / self.seconds
+
+    def checkpoint(self, work: Work, now: float) -> str:
+        """Return what a task has saved, which it does after each tenth of its work."""
+        tenths = int(10 * self.share(work, now))
+        return str(tenths) if work.spec.checkpoints and tenths else ""
+
+    def end(self, key: tuple[TaskId, int], how: str, now: float = 0.0) -> None:
+        work = self.work.pop(key)
         self._last_end += 1
-        self.ends.append(EndedRun(self._last_end, *key, how, ""))
+        saved = self.checkpoint(work, max(now, work.began))
+        self.ends.append(EndedRun(self._last_end, *key, how, saved))
 
 
 class CopyRig(CellRig):
@@ -70,16 +81,20 @@
         self,
         runners: int = 24,
         copies: str = "stragglers",
+        moves: str = "checkpointed",
         durations: LearntDurations | None = None,
     ) -> None:
         self.machines: dict[str, SimulatedRunner] = {}
-        self.policies = lambda: choose_policies(EntryPolicies(copies=copies), EntryBounds())
+        self.policies = lambda: choose_policies(
+            EntryPolicies(copies=copies, moves=moves), EntryBounds()
+        )
         self._durations = durations
         self.failing: set[tuple[TaskId, int]] = set()
         self.violations: list[str] = []
         self.done_at: dict[TaskId, float] = {}
         self.failures: Counter[TaskId] = Counter()
         self.peak_copies = 0
+        self.stops: list[tuple[float, StopOrder]] = []
         super().__init__(0)
         self.cell = self._new_cell(1, Takeover(None, 0, self.now, TERM_SECONDS, LEASE_SECONDS))
         for number in range(1, runners + 1):
@@ -125,7 +140,7 @@
         for key, work in list(machine.work.items()):
             if self.now > machine.lease_end:
                 machine.end(key, "stopped")
-            elif self.now - work.began >= machine.seconds - 1e-9:
+            elif not work.spec.daemon and machine.share(work, self.now) >= 1 - 1e-9:
                 machine.end(key, "failed" if key in self.failing else "done")
 
     def _answer(self, name: str, machine: SimulatedRunner) -> None:
@@ -144,8 +159,13 @@
         for row in machine.ends:
             self._note_end(row)
         rows = [
-            RunningTask(*key, "", min(100 * (self.now - w.began) / machine.seconds, 99.0), 0.0)
-            for key, w in machine.work.items()
+            RunningTask(
+                *key,
+                machine.checkpoint(work, self.now),
+                min(100 * machine.share(work, self.now), 99.0),
+                0.0,
+            )
+            for key, work in machine.work.items()
         ]
         self.cell.apply_hold_answer(state, HoldAnswer(self.now, rows, machine.ends, 0), self.now)
 
@@ -168,7 +188,8 @@
         for stop in plan.stops:
             machine = self.machines[stop.run.runner]
             if not machine.silent and stop.run.key in machine.work:
-                machine.end(stop.run.key, "stopped")
+                machine.end(stop.run.key, "stopped", self.now)
+            self.stops.append((self.now, stop))
         self.peak_copies = max(self.peak_copies, self.cell.copies.reserved.cpu)
 
     def _begin(self, machine: SimulatedRunner, order: StartOrder) -> None:
@@ -188,7 +209,7 @@
         self.violations += [
             f"{rule}: {task} run {run.number}" for rule, bad in checks.items() if bad
         ]
-        machine.work[run.key] = Work(spec, self.now)
+        machine.work[run.key] = Work(spec, self.now, int(run.checkpoint or 0) / 10)
         machine.lease_end = max(machine.lease_end, order.deadline)
 
     def _record(self) -> None:
