--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -70,6 +70,8 @@
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
     shares: str = "weighted"
+    copies: str = "stragglers"
+    moves: str = "checkpointed"
 
 
 class EntrySettings(NamedTuple):
@@ -196,6 +198,8 @@
             _policy("shares", "Order of workspaces within a priority.", "weighted", "none"),
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
+            _policy("copies", "Second runs of slow tasks.", "stragglers", "none"),
+            _policy("moves", "Slow runs stopped to go on elsewhere.", "checkpointed", "none"),
         ],
     ),
     LOG_SECTION,
--- a/ragworttiller/scheduling/decisions/caps.py
+++ b/ragworttiller/scheduling/decisions/caps.py
@@ -87,6 +87,13 @@
         half = Resources(*(math.ceil(RESERVABLE_SHARE * limit) for limit in cap))
         return copies_within(half, used, stage.spec.size, 1)
 
+    def allows_copy(self, stage: Stage) -> bool:
+        """Return whether a second run of a task that runs already fits within the cap."""
+        cap = self.cap(stage.workspace)
+        if cap == NO_RESOURCES:
+            return True
+        return copies_within(cap, self._usage.total(stage.workspace), stage.spec.size, 1) == 1
+
     def reserve(self, stage: Stage) -> None:
         """Keep the rest of the cap for a held stage, if it will fit beside the lasting tasks.
 
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -11,8 +11,10 @@
     CandidatePolicy,
     UsefulCandidates,
 )
+from ragworttiller.scheduling.decisions.copies import CopyPolicy, NoCopies, StragglerCopies
 from ragworttiller.scheduling.decisions.fair_order import NoShares, ShareOrder, WeightedShares
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.decisions.moves import CheckpointedMoves, MovePolicy, NoMoves
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
     LongPollOnly,
@@ -56,6 +58,13 @@
     "none": lambda usage, owed, config: NoShares(),
 }
 
+COPIES: Mapping[str, Callable[[], CopyPolicy]] = {"stragglers": StragglerCopies, "none": NoCopies}
+
+MOVES: Mapping[str, Callable[[float, float], MovePolicy]] = {
+    "checkpointed": CheckpointedMoves,
+    "none": lambda stop_seconds, restore_seconds: NoMoves(),
+}
+
 
 class CellPolicies(NamedTuple):
     """Policies of one owner, and the longest time in seconds that a run takes to stop.
@@ -70,7 +79,9 @@
     victims: VictimPolicy
     headroom: HeadroomPolicy
     stop_seconds: float
-    shares: ShareOrderFactory = WeightedShares
+    shares: ShareOrderFactory
+    copies: CopyPolicy
+    moves: MovePolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -93,6 +104,8 @@
         HEADROOMS[names.headroom](),
         stop_seconds,
         SHARE_ORDERS[names.shares],
+        COPIES[names.copies](),
+        MOVES[names.moves](stop_seconds, bounds.restore_ms / 1000),
     )
 
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -9,14 +9,17 @@
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
 from ragworttiller.scheduling.decisions.caps import RESERVE_DELAY_SECONDS, Caps
+from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.fair_order import ReadyStage, ShareOrder
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
+from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.queue_order import QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.runner_rules import suits
-from ragworttiller.scheduling.decisions.task_placement import PlacementPolicy, Placer
+from ragworttiller.scheduling.decisions.stragglers import Leftovers
+from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Plan, StartOrder, run_fields
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
@@ -46,8 +49,10 @@
         Runners on which an earlier owner's tasks may still run.
     speeds : Speeds
         Observed speeds of runners.
-    order, placement, candidate_policy : QueueOrder, PlacementPolicy, CandidatePolicy
+    order, candidate_policy : QueueOrder, CandidatePolicy
         Scheduling policies.
+    placer : Placer
+        Chooses runners.
     room_maker : RoomMaker
         Reserves and frees room for stages that wait.
     headroom : HeadroomPolicy
@@ -56,6 +61,10 @@
         Limits what each workspace starts.
     shares : ShareOrder
         Order by the shares of workspaces.
+    copies : CopyPlanner
+        Starts copies of stragglers with the room that is left.
+    moves : MovePlanner
+        Moves stragglers to the room that is left.
 
     Attributes
     ----------
@@ -70,22 +79,26 @@
         takeover: Takeover,
         speeds: Speeds,
         order: QueueOrder,
-        placement: PlacementPolicy,
+        placer: Placer,
         candidate_policy: CandidatePolicy,
         room_maker: RoomMaker,
         headroom: HeadroomPolicy,
         caps: Caps,
         shares: ShareOrder,
+        copies: CopyPlanner,
+        moves: MovePlanner,
     ) -> None:
         self._caps = caps
         self._shares = shares
         self._headroom = headroom
+        self._copies = copies
+        self._moves = moves
         self._epoch = epoch
         self._pool = pool
         self._takeover = takeover
         self._speeds = speeds
         self._order = order
-        self._placer = Placer(placement)
+        self._placer = placer
         self.loads = EntryLoads()
         self._advice = AdvicePlanner(self.loads, candidate_policy)
         self._room_maker = room_maker
@@ -149,6 +162,15 @@
             self._advice.plan_for_blocked(work, stage, room_soon)
             if self._reserves_for_gang(work, stage, free_resources, now):
                 held_back.add(work.queue.upstream)
+
+        def allowance_now(work: JobWork, stage: Stage) -> float:
+            inputs = work.order_inputs(stage, now, wall)
+            room = free_resources.upstream_room(work.queue.upstream)
+            return self._headroom.allowance(inputs, 0.0, room, now)
+
+        left = Leftovers(jobs, free_resources, ready, allowance_now, now)
+        self._copies.plan(plan, left)
+        self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
     def _allowed_by_cap(self, work: JobWork, stage: Stage, now: float) -> int:
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
+from collections.abc import Iterator
 from enum import StrEnum
 
 from ragworttiller.resources import Resources
@@ -20,6 +21,8 @@
 
 RUNS_PER_EPOCH = 10_000
 MIN_PERCENT_FOR_ESTIMATE = 5
+# Durations kept of a stage; its median hardly changes with more of them.
+MAX_DURATIONS = 64
 
 
 class RunState(StrEnum):
@@ -43,6 +46,8 @@
         Time of the last start or stop order.
     trial : bool
         Whether nothing else starts on its runner for a while, since its task is suspected.
+    resumed : bool
+        Whether it began from a checkpoint.
     adopted : bool
         Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
     workspace : str
@@ -69,6 +74,7 @@
         self.start_deadline = 0.0
         self.checkpoint = ""
         self.trial = False
+        self.resumed = False
         self.adopted = False
         self.percent = 0.0
         self.progressed_at = now
@@ -99,6 +105,7 @@
     def resume(self, checkpoint: str) -> None:
         """Start from a checkpoint, empty for none."""
         self.checkpoint = checkpoint
+        self.resumed = bool(checkpoint)
         if checkpoint:
             self.measure_progress_from_next_report()
 
@@ -123,7 +130,8 @@
     """One step of one occurrence, with the state of each of its tasks.
 
     While the job is open, every task is in exactly one of ``done``, ``waiting`` and
-    ``active_runs``. The last task in ``waiting`` starts first.
+    ``active_runs``. The last task in ``waiting`` starts first. A task of a speculative step may
+    have a second run, in ``copies``, beside the one in ``active_runs``.
 
     Parameters
     ----------
@@ -161,6 +169,19 @@
         Duration of its earlier holds by the cap.
     cap_hold_logged : bool
         Whether a line about its first hold was written.
+    last_failed_runner : dict of int to str
+        Runner that a task avoids at its next start, by index.
+    copies : dict of int to Run
+        Second run of a task, by index; the task is also in ``active_runs``.
+    surplus : dict
+        Runs, by task and number, that are being stopped because the other run of their task was
+        done first.
+    moves : Counter
+        Number of runs of each task that were stopped to go on elsewhere.
+    copies_started : Counter
+        Number of copies that this owner has started of each task.
+    durations : deque of float
+        Durations in seconds of the last runs that were done from start to end.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec, workspace: str = NO_WORKSPACE) -> None:
@@ -170,6 +191,11 @@
         self.done: set[int] = set()
         self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
         self.active_runs: dict[int, Run] = {}
+        self.copies: dict[int, Run] = {}
+        self.surplus: dict[tuple[TaskId, int], Run] = {}
+        self.moves: Counter[int] = Counter()
+        self.copies_started: Counter[int] = Counter()
+        self.durations: deque[float] = deque(maxlen=MAX_DURATIONS)
         self.failed_runs: dict[int, list[int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.crashes: dict[int, list[Crash]] = {}
@@ -233,8 +259,24 @@
         return self.cap_held_seconds + held
 
     def runs_by_runner(self) -> Counter[str]:
-        """Return the number of active runs on each runner that has any."""
-        return Counter(run.runner for run in self.active_runs.values())
+        """Return the number of runs on each runner that has any."""
+        counts = Counter(run.runner for run in self.active_runs.values())
+        for runs in (self.copies, self.surplus):
+            if runs:
+                counts.update(run.runner for run in runs.values())
+        return counts
+
+    def runs_of(self, index: int) -> Iterator[Run]:
+        """Yield the active run of a task and its copy, as far as there are any."""
+        for runs in (self.active_runs, self.copies):
+            if index in runs:
+                yield runs[index]
+
+    @property
+    def may_have_copies(self) -> bool:
+        """Whether the step allows copies of its tasks."""
+        spec = self.spec
+        return spec.speculative and not (spec.gang or spec.daemon or spec.fills)
 
     def restore(self, progress: StageProgress) -> None:
         """Restore the progress that an earlier owner recorded."""
@@ -267,6 +309,20 @@
         self.active_runs[index] = run
         return run
 
+    def start_copy(self, index: int, runner: str, epoch: int, now: float) -> Run:
+        """Start a copy of a running task beside its active run, and return the copy.
+
+        It resumes from the last checkpoint that the active run has saved.
+        """
+        assert self.may_have_copies and index in self.active_runs and index not in self.copies
+        number = self.next_number(index, epoch)
+        self._last_run_numbers[index] = number
+        run = Run(TaskId(self.id, index), number, runner, self.spec, now)
+        run.resume(self.active_runs[index].checkpoint or self.checkpoints.get(index, ""))
+        self.copies[index] = run
+        self.copies_started[index] += 1
+        return run
+
     def next_number(self, index: int, epoch: int) -> int:
         """Return a run number greater than those of all earlier runs of a task, by any owner."""
         return max(self._last_run_numbers.get(index, 0), (epoch - 1) * RUNS_PER_EPOCH) + 1
@@ -279,9 +335,28 @@
         self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
         self.active_runs[index] = run
 
+    def accepts_found_copy(self, index: int) -> bool:
+        """Return whether a task may have the second run that was found of it."""
+        return self.may_have_copies and index in self.active_runs and index not in self.copies
+
+    def adopt_copy(self, run: Run) -> Run:
+        """Add a second run that was found of a task, and return the one that is now the copy.
+
+        The run with the highest number is the active one.
+        """
+        index = run.task.ordinal
+        run.adopted = True
+        self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
+        active, copy = self.active_runs[index], run
+        if run.number > active.number:
+            active, copy = run, active
+        self.active_runs[index], self.copies[index] = active, copy
+        return copy
+
     def mark_done(self, index: int) -> None:
         """Record that a task has ended as done."""
         self.active_runs.pop(index, None)
+        self.copies.pop(index, None)
         self.clear_crashes(index)
         if index in self.waiting:
             self.waiting.remove(index)
@@ -312,14 +387,25 @@
         self.crashes.pop(index, None)
         self.trials.pop(index, None)
 
-    def requeue(self, run: Run, now: float) -> None:
-        """Return the task of an ended run to the waiting tasks if the run is the active one."""
+    def requeue(self, run: Run, now: float) -> Run | None:
+        """Return the task of an ended run to the waiting tasks if the run is the active one.
+
+        If the task has a copy, that becomes its active run instead, and is returned. The end of a
+        copy leaves the active run alone.
+        """
         index = run.task.ordinal
+        if self.copies.get(index) is run:
+            del self.copies[index]
+            return None
         if self.active_runs.get(index) is not run:
-            return
+            return None
         del self.active_runs[index]
         self.trials.pop(index, None)
         if self.spec.checkpoints and run.checkpoint:
             self.checkpoints[index] = run.checkpoint
+        if index in self.copies:
+            self.active_runs[index] = self.copies.pop(index)
+            return self.active_runs[index]
         self.waiting.append(index)
         self.requeued_at[index] = now
+        return None
