Let the order by shares cost less in a pass

Change: relative shares are kept between passes, a stage's place is looked at again only after a start, and the caps are compared without a generator.

--- a/ragworttiller/scheduling/decisions/caps.py
+++ b/ragworttiller/scheduling/decisions/caps.py
@@ -133,13 +133,15 @@
         Upper limit.
     """
     count = most
-    for limit, taken, needed in zip(cap, used, size, strict=True):
-        if not limit:
-            continue
-        if taken > limit:
-            return 0
-        if needed:
-            count = min(count, (limit - taken) // needed)
+    # Indexed, since a pass asks this for each waiting stage.
+    for kind in (0, 1, 2):
+        limit = cap[kind]
+        if limit:
+            left = limit - used[kind]
+            if left < 0:
+                return 0
+            if size[kind] and left < count * size[kind]:
+                count = left // size[kind]
     return count
 
 
--- a/ragworttiller/scheduling/decisions/fair_order.py
+++ b/ragworttiller/scheduling/decisions/fair_order.py
@@ -103,7 +103,8 @@
         self._owed = owed
         self._config = config
         self._cluster = Cluster(NO_RESOURCES, DEFAULT_WEIGHT)
-        self._levels: dict[str, tuple[Resources, int]] = {}
+        self._relative_shares: dict[str, tuple[Resources, float]] = {}
+        self._shares_of: tuple[Resources, int] | None = None
 
     @override
     def arrange(
@@ -113,29 +114,44 @@
         if not self._config.known_workspaces:
             return NoShares().arrange(rows, order, capacity, now)
         names = {stage.workspace for _, stage, _ in rows}.union(self._usage.workspaces)
-        weights = sum(self.weight(name) for name in names)
+        known = self._config.known_workspaces
+        weights = sum([known[n].weight if n in known else DEFAULT_WEIGHT for n in names])
         self._cluster = Cluster(capacity, max(weights, MIN_WEIGHT))
-        self._levels = {}
+        if self._shares_of != (capacity, self._config.version):
+            self._shares_of = capacity, self._config.version
+            self._relative_shares.clear()
         return self._drain(rows, order, now)
 
     def _drain(self, rows: list[ReadyStage], order: QueueOrder, now: float) -> Iterator[ReadyStage]:
         """Yield stages from a heap, in which places only become later within a pass."""
         leading, number = order.leading, itertools.count()
-        heap = []
+        is_beyond, level_of = self._owed.is_beyond, self._level
+        changes = self._usage.changes
+        levels: dict[str, int] = {}
+        heap: list[tuple[tuple[float, ...], int, ReadyStage]] = []
         for row in rows:
-            key = order.key(row[2], now)
-            beyond = self._owed.is_beyond(row[0].id)
-            level = self._level(row[1].workspace)
-            place = (*key[:leading], beyond, level, *key[leading:])
-            heap.append((place, next(number), level, row))
-        heapq.heapify(heap)
+            key, name = order.key(row[2], now), row[1].workspace
+            level = levels.get(name)
+            if level is None:
+                level = levels[name] = level_of(name)
+            place = (*key[:leading], is_beyond(row[0].id), level, *key[leading:])
+            heap.append((place, next(number), row))
+        heap.sort()
+        # While nothing starts, the sorted list is the order; a sorted list is also a heap.
+        for position, (_, _, row) in enumerate(heap):
+            if self._usage.changes != changes:
+                heap = heap[position:]
+                break
+            yield row
+        else:
+            return
+        at = leading + 1
         while heap:
-            place, _, level, row = heap[0]
-            current = self._level(row[1].workspace)
-            if current > level:
-                at = leading + 1
+            place, _, row = heap[0]
+            current = level_of(row[1].workspace)
+            if current > place[at]:
                 place = (*place[:at], current, *place[at + 1 :])
-                heapq.heapreplace(heap, (place, next(number), current, row))
+                heapq.heapreplace(heap, (place, next(number), row))
                 continue
             heapq.heappop(heap)
             yield row
@@ -152,14 +168,12 @@
     def _level(self, workspace: str) -> int:
         """Return 0 for a workspace below its share, otherwise how often it doubles it, plus 1."""
         used = self._usage.known(workspace).total
-        level = self._levels.get(workspace)
-        if level is not None and level[0] is used:
-            return level[1]
-        share = dominant_share(used, self._cluster.capacity)
-        ratio = share * self._cluster.weights / self.weight(workspace)
-        number = 0 if ratio <= 1 else math.frexp(ratio)[1]
-        self._levels[workspace] = used, number
-        return number
+        row = self._relative_shares.get(workspace)
+        if row is None or row[0] is not used:
+            share = dominant_share(used, self._cluster.capacity)
+            row = self._relative_shares[workspace] = used, share / self.weight(workspace)
+        ratio = row[1] * self._cluster.weights
+        return 0 if ratio <= 1 else math.frexp(ratio)[1]
 
 
 def dominant_share(used: Resources, capacity: Resources) -> float:
--- a/ragworttiller/scheduling/state/workspace_usage.py
+++ b/ragworttiller/scheduling/state/workspace_usage.py
@@ -31,14 +31,21 @@
     ----------
     unseen : UnseenRuns, optional
         Runs of an earlier owner that no runner has reported yet; none by default.
+
+    Attributes
+    ----------
+    changes : int
+        Number of runs added and removed, which tells whether the use may have changed.
     """
 
     def __init__(self, unseen: UnseenRuns | None = None) -> None:
         self._unseen = unseen
         self._by_workspace: dict[str, Use] = {}
+        self.changes = 0
 
     def add(self, run: Run) -> None:
         """Count a run that was ordered or found."""
+        self.changes += 1
         size = run.spec.size
         total, lasting, runs = self._by_workspace.get(run.workspace, NO_USE)
         if run.spec.daemon:
@@ -49,6 +56,7 @@
 
     def remove(self, run: Run) -> None:
         """Stop counting a run that has ended."""
+        self.changes += 1
         size = run.spec.size
         total, lasting, runs = self._by_workspace[run.workspace]
         if runs == 1:
