Test a successor that races an owner at a cap

Change: an earlier owner's runs on runners that have not answered, and a successor that plans beside them.

--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -329,6 +329,23 @@
         rig.hold("w1", *ends, running=())
         assert len(rig.start_all()) == 1
 
+    def test_a_successor_that_races_an_owner_keeps_the_cap_with_it(self):
+        """The earlier owner still starts tasks on runners that have not answered the successor."""
+        first = capped_rig(2000)
+        first.submit(step(5), job=job_id(1), workspace="a")
+        rig = self.rig()
+        rig.submit(step(5), job=job_id(1), workspace="a")
+        rig.offset = 1000
+        rig.submit(step(5), workspace="a")
+        orders = [order.run for order in first.start_all()]
+        mine: list[StartOrder] = []
+        for name in ("w1", "w2"):
+            mine += rig.start_all()
+            assert len(orders) + len(mine) <= 2
+            rig.hold(name, running=tuple(run.key for run in orders if run.runner == name))
+        mine += rig.start_all()
+        assert len(orders) + len(mine) == 2
+
     def test_runs_of_a_cancelled_job_count_until_their_runners_settle(self):
         rig = self.rig()
         rig.submit(step(2), job=job_id(1), workspace="a")
