Refuse jobs that a full cell cannot run in time

Cause: no job is ever refused because of load. On the first deployment 124 of 226 patient jobs are beyond their workspace's weight and not owed, yet all wait in one queue, so that owed jobs are late.

Change: under the contract `pressure` the owner's claim tells, for each upstream and priority that is full, how long a new job waits, and which workspaces use more than their share. An entry refuses a new job with 429 and a time to retry if it is beyond its workspace's weight and would wait for more than a quarter of its slack, or if it would end after three times its objective. Before a refusal it reads the jobs, so that a stored job is never refused. A summary over 2 s old, none, or free room refuse nothing; long-running and timed jobs are never refused.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -9,7 +9,7 @@
 from ragworttiller.config.log_section import LOG_SECTION
 from ragworttiller.config.options import Address, Choice, Flag, ListOf, Number, Text
 from ragworttiller.config.settings import LogSettings
-from ragworttiller.platform.names import WORKSPACES_CONTRACT
+from ragworttiller.platform.names import PRESSURE_CONTRACT, WORKSPACES_CONTRACT
 
 
 class EntryInstance(NamedTuple):
@@ -41,6 +41,11 @@
         """Whether the deployment has workspaces, even if no configuration was read yet."""
         return WORKSPACES_CONTRACT in self.contracts
 
+    @property
+    def refuses_under_pressure(self) -> bool:
+        """Whether jobs may be refused because the cell is full."""
+        return PRESSURE_CONTRACT in self.contracts
+
 
 class EntryBounds(NamedTuple):
     """Bounds that the platform sets."""
--- a/ragworttiller/exceptions.py
+++ b/ragworttiller/exceptions.py
@@ -464,6 +464,15 @@
     template = "the identifier {job!r} is in use"
 
 
+class CellFull(RagworttillerError):
+    """The cell is full for the priority of the job, which was refused and never runs."""
+
+    code = "cell_full"
+    status = 429
+    ran = Ran.NO
+    template = "job {job!r} was not accepted: upstream {upstream!r} is full for its priority"
+
+
 class JobUnknown(RagworttillerError):
     """No accepted job has this identifier."""
 
--- a/ragworttiller/platform/names.py
+++ b/ragworttiller/platform/names.py
@@ -9,6 +9,8 @@
 
 # Contract of a deployment in which callers send the API keys of workspaces.
 WORKSPACES_CONTRACT = "tenants"
+# Contract under which submissions to a full cell may be refused.
+PRESSURE_CONTRACT = "pressure"
 
 _JOB = re.compile(r"[0-9a-fA-F]{16}")
 _TASK = re.compile(r"([0-9a-fA-F]{16})\.(\d{1,9})\.(\d{1,6})\.(\d{1,6})")
--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -7,6 +7,7 @@
 
 from ragworttiller.exceptions import (
     AppendUndecided,
+    CellFull,
     JobNameTaken,
     JobUnknown,
     LogUnavailable,
@@ -21,6 +22,7 @@
 from ragworttiller.platform.store import KeyedRecord
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
 from ragworttiller.scheduling.entry.confirmation import AlwaysConfirmed
 from ragworttiller.scheduling.entry.key_check import DEFAULT_MAX_AGE_SECONDS, KeyCheck
 from ragworttiller.scheduling.ownership.term import ClaimFold
@@ -35,6 +37,7 @@
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.jobs import JobSpec
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 log = logging.getLogger(__name__)
@@ -48,6 +51,8 @@
 MAX_RETRY_AFTER_SECONDS = 4.0
 DEFAULT_MAX_BODY_BYTES = 262144
 CATCH_UP_TIMEOUT_SECONDS = 1.0
+# More than one entry accepts in the time for which callers repeat a submission.
+MAX_ATTEMPTS_KEPT = 2000
 
 
 class Target(NamedTuple):
@@ -82,6 +87,8 @@
         Name of this instance.
     keys : KeyCheck, optional
         Checks API keys; by default by any configuration, however old.
+    admission : AdmissionGate, optional
+        Refuses new jobs while the cell is full; by default none is refused.
     """
 
     def __init__(
@@ -94,6 +101,7 @@
         clock: Clock,
         name: str,
         keys: KeyCheck | None = None,
+        admission: AdmissionGate | None = None,
     ) -> None:
         self._name = name
         self._config = config
@@ -102,6 +110,9 @@
         self._claims = claims
         self._writer = writer
         self._clock = clock
+        self._admission = admission
+        # Jobs of which an append was begun here: it may have stored them, whatever was answered.
+        self._attempted: dict[str, None] = {}
         self._keys = keys or KeyCheck(config, AlwaysConfirmed(), DEFAULT_MAX_AGE_SECONDS, name)
 
     @property
@@ -150,17 +161,51 @@
             Whether the job was accepted is unknown.
         JobNameTaken
             Another workspace has submitted a job with this identifier.
+        CellFull
+            The cell is full for the job, which was not stored.
         """
-        row = self._jobs.get(target.job)
-        if row is not None:
-            if not _may_use(target, row):
-                raise JobNameTaken(job=target.job)
+        if self._is_stored(target):
             return
         job = decode_job(body)
+        if await self._repeats_a_job_or_is_admitted(target, job):
+            return
+        self._remember_attempt(target.job)
         accepted = Accepted(target.queue, job, self._clock.wall(), target.workspace)
         record = KeyedRecord(target.job, encode(accepted))
         await self._append(target.job, record, timeout)
 
+    def _is_stored(self, target: Target) -> bool:
+        """Return whether the job of a submission was read from the store."""
+        row = self._jobs.get(target.job)
+        if row is not None and not _may_use(target, row):
+            raise JobNameTaken(job=target.job)
+        return row is not None
+
+    async def _repeats_a_job_or_is_admitted(self, target: Target, spec: JobSpec) -> bool:
+        """Return whether a job is stored already; otherwise refuse it if the cell is full.
+
+        A refusal has to be true, so it is preceded by a read of the store.
+        """
+        if self._admission is None or target.job in self._attempted:
+            return False
+        refusal = self._admission.refusal(target.queue, spec, target.workspace)
+        if refusal is None:
+            return False
+        try:
+            await self._refresh(target.job)
+        except StateUnknown:
+            return False
+        if self._is_stored(target):
+            return True
+        self._admission.record_refusal(target.job, refusal)
+        upstream = target.queue.upstream
+        raise CellFull(job=target.job, upstream=upstream, retry_after=refusal.retry_after)
+
+    def _remember_attempt(self, job: str) -> None:
+        self._attempted[job] = None
+        if len(self._attempted) > MAX_ATTEMPTS_KEPT:
+            self._attempted.pop(next(iter(self._attempted)))
+
     async def state(self, target: Target) -> JobState:
         """Return the state of a job.
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -15,8 +15,14 @@
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.decisions.admission import (
+    AcceptAll,
+    PressureAdmission,
+    RefusalReason,
+)
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
+from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
 from ragworttiller.scheduling.entry.callers import LocalCallers, StartGate
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
@@ -39,6 +45,7 @@
 from ragworttiller.scheduling.records.formats import ENTRIES, JOBS, EntryRecord
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.submission_windows import SubmissionWindows
 
 log = logging.getLogger(__name__)
 
@@ -100,6 +107,17 @@
             policies=lambda: choose_policies(settings.policies, settings.bounds),
             address=instance.peer_address,
             earlier_owner=EarlierOwnerPeer(self._peers),
+            measures_pressure=settings.platform.refuses_under_pressure,
+        )
+        windows = SubmissionWindows(self._config)
+        self._host.jobs.on_accepted = windows.record
+        refuses = settings.platform.refuses_under_pressure
+        self._admission = AdmissionGate(
+            PressureAdmission(random.random) if refuses else AcceptAll(),
+            self._host.claims,
+            lambda: self._host.seconds_since_renewal,
+            windows,
+            clock,
         )
         self._operators = Operators(self._peers, self._entries, self._host, clock)
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
@@ -130,6 +148,7 @@
             clock,
             self._name,
             KeyCheck(self._config, self._watch, max_age, self._name),
+            self._admission,
         )
         record = EntryRecord(instance.peer_address, self._incarnation, instance.speed)
         self._announcer = Announcer(self._store, clock, self._name, record)
@@ -191,6 +210,13 @@
         self._metrics.counter(
             "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
         )
+        refused = self._admission.refused
+        for reason in RefusalReason:
+            self._metrics.counter(
+                f"jobs_refused_{reason}",
+                "Jobs refused because the cell was full.",
+                lambda reason=reason: float(refused[reason]),  # type: ignore[misc]
+            )
         watch = self._watch
         for name, help_text, reading in (
             (
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -73,6 +73,8 @@
         Address at which this instance listens for its peers.
     earlier_owner : EarlierOwner, optional
         Asks the earlier owner after a takeover; by default its term is waited out.
+    measures_pressure : bool
+        Whether the claims of an owner tell how long a new job waits.
 
     Attributes
     ----------
@@ -99,7 +101,9 @@
         policies: Callable[[], CellPolicies] = default_policies,
         address: str = "",
         earlier_owner: EarlierOwner | None = None,
+        measures_pressure: bool = False,
     ) -> None:
+        self._measures_pressure = measures_pressure
         self._address = address
         self._earlier_owner = earlier_owner or UnreachableEarlierOwner()
         self._later_epoch = 0
@@ -221,7 +225,14 @@
         term_left = max(claimed.previous_read_at + TERM_SECONDS - now, 0.0)
         takeover = Takeover(claimed.previous, known_before, now, term_left, self._lease)
         cell = Cell(
-            term.epoch, self.jobs, self._config, runners, takeover, self._lease, self._policies()
+            term.epoch,
+            self.jobs,
+            self._config,
+            runners,
+            takeover,
+            self._lease,
+            self._policies(),
+            self._measures_pressure,
         )
         self._owner = Owner(
             cell,
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -159,7 +159,8 @@
     def current_claim(self) -> Claim:
         """Return the claim to write with the next renewal."""
         position, now = self._jobs_feed.position, self._clock.now()
-        claim = self._cell.claim(self._name, self._incarnation, position, now, self._address)
+        wall = self._clock.wall()
+        claim = self._cell.claim(self._name, self._incarnation, position, now, self._address, wall)
         return claim._replace(lag=round(self.lag, 1))
 
     def end_if_superseded(self, epoch: int, source: str) -> None:
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -11,6 +11,7 @@
 from ragworttiller.exceptions import Unreadable
 from ragworttiller.platform.configuration import Queue
 from ragworttiller.platform.store import Partition
+from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.state.jobs import JobSpec, StageId
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
@@ -108,6 +109,31 @@
     silent: bool = False
 
 
+class PressureRow(NamedTuple):
+    """Expected ``wait`` in seconds of a new job on an upstream that is full for a priority.
+
+    ``wait_within`` is that of a job whose workspace is within its share and weight. ``room`` is the
+    most of each resource that is free where no waiting task fits.
+    """
+
+    upstream: str
+    priority: int
+    wait: float
+    wait_within: float
+    room: Resources = NO_RESOURCES
+
+
+class Pressure(NamedTuple):
+    """Load of the cell, computed at a time in seconds since the epoch.
+
+    ``beyond_share`` names the workspaces that use more than their share.
+    """
+
+    computed_at: float
+    rows: list[PressureRow]
+    beyond_share: list[str]
+
+
 class Claim(NamedTuple):
     """State of the ownership of the cell.
 
@@ -116,7 +142,7 @@
     started. ``successor`` is set when the owner releases its ownership. ``unsettled`` names the
     runners of the roster that have not answered this owner, so that an earlier one may order there.
     ``address`` is that at which the owner listens for its peers, ``lag`` how late its event loop
-    runs, in seconds.
+    runs, in seconds. ``pressure`` is None unless the owner measures it.
     """
 
     owner: str
@@ -131,6 +157,7 @@
     unsettled: list[str] = []
     address: str = ""
     lag: float = 0.0
+    pressure: Pressure | None = None
 
 
 class OwnerChange(NamedTuple):
--- a/ragworttiller/scheduling/records/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -84,12 +84,15 @@
         Jobs that have changed since the set was last cleared.
     owner_epoch : int
         Epoch of the last owner that has taken over, 0 before the first.
+    on_accepted : Callable
+        Called with each accepted job that is read for the first time.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobRow] = {}
         self.touched: set[str] = set()
         self.owner_epoch = 0
+        self.on_accepted: Callable[[Accepted], None] = lambda accepted: None
 
     def get(self, job: str) -> JobRow | None:
         """Return the row of an accepted job, None if there is none."""
@@ -136,6 +139,7 @@
         if row.accepted is None:
             row.accepted = decode(record.value, Accepted)
             row.offset = record.offset
+            self.on_accepted(row.accepted)
 
     def _apply_progress(self, job: str, record: Record) -> None:
         if record.value:
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -17,6 +17,7 @@
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
+from ragworttiller.scheduling.state.pressure_meter import PressureMeter
 from ragworttiller.scheduling.state.run_tracker import RunTracker
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -48,6 +49,8 @@
         Duration of the granted leases, in seconds.
     policies : CellPolicies, optional
         Scheduling policies; those of the default settings by default.
+    measures_pressure : bool
+        Whether claims tell how long a new job waits.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         takeover: Takeover,
         lease: float = LEASE_SECONDS,
         policies: CellPolicies | None = None,
+        measures_pressure: bool = False,
     ) -> None:
         policies = policies or default_policies()
         self._observation = policies.observation
@@ -69,6 +73,9 @@
         speeds = Speeds()
         self._active = ActiveJobs(jobs, config, self._stops, speeds)
         self._tracker = RunTracker(self._active, runners, takeover, self._stops, speeds, lease)
+        self._pressure: PressureMeter | None = None
+        if measures_pressure:
+            self._pressure = PressureMeter(self.pool, self._active, takeover, config)
         self._planner = StagePlanner(
             epoch,
             self.pool,
@@ -117,7 +124,13 @@
         self._active.refresh(now, wall)
 
     def claim(
-        self, owner: str, incarnation: int, position: int, now: float, address: str = ""
+        self,
+        owner: str,
+        incarnation: int,
+        position: int,
+        now: float,
+        address: str = "",
+        wall: float = 0.0,
     ) -> Claim:
         """Return the claim to write next: all that a successor must know of this owner's runs.
 
@@ -133,6 +146,8 @@
             Time in seconds.
         address : str
             Address at which this instance listens for its peers.
+        wall : float
+            Time of day, in seconds since the epoch.
         """
         return Claim(
             owner,
@@ -144,6 +159,7 @@
             self.pending(),
             unsettled=self._takeover.unresolved,
             address=address,
+            pressure=self._pressure.summary(now, wall) if self._pressure is not None else None,
         )
 
     def pending(self) -> dict[str, int]:
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -56,10 +56,16 @@
         Last claim of an earlier owner.
     accepted_before : int
         Offset below which jobs may have been known to the earlier owner.
+    measures_pressure : bool
+        Whether claims tell how long a new job waits.
     """
 
     def __init__(
-        self, runners: int = 2, claim: Claim | None = None, accepted_before: int = 0
+        self,
+        runners: int = 2,
+        claim: Claim | None = None,
+        accepted_before: int = 0,
+        measures_pressure: bool = False,
     ) -> None:
         self.now = 100.0
         self.offset = 0
@@ -69,7 +75,15 @@
         self.last_end_numbers: dict[str, int] = {}
         takeover = Takeover(claim, accepted_before, self.now, TERM_SECONDS, LEASE_SECONDS)
         epoch = claim.epoch + 1 if claim else 1
-        self.cell = Cell(epoch, self.jobs, self.config, self.listed, takeover, LEASE_SECONDS)
+        self.cell = Cell(
+            epoch,
+            self.jobs,
+            self.config,
+            self.listed,
+            takeover,
+            LEASE_SECONDS,
+            measures_pressure=measures_pressure,
+        )
         for number in range(1, runners + 1):
             self.add_runner(f"w{number}")
 
@@ -99,10 +113,15 @@
         self.cell.refresh(self.now, self.now)
 
     def submit(
-        self, *steps: dict[str, Any], job: str = JOB, queue: Queue = QUEUE, **fields: Any
+        self,
+        *steps: dict[str, Any],
+        job: str = JOB,
+        queue: Queue = QUEUE,
+        workspace: str = "",
+        **fields: Any,
     ) -> None:
         """Store an accepted job."""
-        accepted = Accepted(queue, decode_job(job_body(*steps, **fields)), self.now)
+        accepted = Accepted(queue, decode_job(job_body(*steps, **fields)), self.now, workspace)
         self.store(job, encode(accepted))
 
     def cancel(self, job: str = JOB) -> None:
