--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -27,6 +27,7 @@
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
 from ragworttiller.scheduling.state.owed_jobs import OwedJobs
+from ragworttiller.scheduling.state.pressure_meter import PressureMeter
 from ragworttiller.scheduling.state.run_tracker import RunTracker
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -63,6 +64,8 @@
         Scheduling policies; those of the default settings by default.
     durations : LearntDurations, optional
         What is learnt of the durations of tasks; nothing by default.
+    measures_pressure : bool
+        Whether claims tell how long a new job waits.
 
     Attributes
     ----------
@@ -86,6 +89,7 @@
         lease: float = LEASE_SECONDS,
         policies: CellPolicies | None = None,
         durations: LearntDurations | None = None,
+        measures_pressure: bool = False,
     ) -> None:
         policies = policies or default_policies()
         self._observation = policies.observation
@@ -110,6 +114,9 @@
         placer = Placer(policies.placement)
         learnt = durations or UnknownDurations()
         search = StragglerSearch(self.pool, takeover, speeds, placer, self._stops, learnt)
+        self._pressure: PressureMeter | None = None
+        if measures_pressure:
+            self._pressure = PressureMeter(self.pool, self._active, takeover, config)
         self._planner = StagePlanner(
             epoch,
             self.pool,
@@ -180,7 +187,13 @@
         self.owed.include(touched)
 
     def claim(
-        self, owner: str, incarnation: int, position: int, now: float, address: str = ""
+        self,
+        owner: str,
+        incarnation: int,
+        position: int,
+        now: float,
+        address: str = "",
+        wall: float = 0.0,
     ) -> Claim:
         """Return the claim to write next: all that a successor must know of this owner's runs.
 
@@ -196,6 +209,8 @@
             Time in seconds.
         address : str
             Address at which this instance listens for its peers.
+        wall : float
+            Time of day, in seconds since the epoch.
         """
         return Claim(
             owner,
@@ -207,6 +222,7 @@
             self.pending(),
             unsettled=self._takeover.unresolved,
             address=address,
+            pressure=self._pressure.summary(now, wall) if self._pressure is not None else None,
         )
 
     def pending(self) -> dict[str, int]:
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -57,10 +57,16 @@
         Last claim of an earlier owner.
     accepted_before : int
         Offset below which jobs may have been known to the earlier owner.
+    measures_pressure : bool
+        Whether claims tell how long a new job waits.
     """
 
     def __init__(
-        self, runners: int = 2, claim: Claim | None = None, accepted_before: int = 0
+        self,
+        runners: int = 2,
+        claim: Claim | None = None,
+        accepted_before: int = 0,
+        measures_pressure: bool = False,
     ) -> None:
         self.now = 100.0
         self.offset = 0
@@ -70,7 +76,15 @@
         self.last_end_numbers: dict[str, int] = {}
         takeover = Takeover(claim, accepted_before, self.now, TERM_SECONDS, LEASE_SECONDS)
         epoch = claim.epoch + 1 if claim else 1
-        self.cell = Cell(epoch, self.jobs, self.config, self.listed, takeover, LEASE_SECONDS)
+        self.cell = Cell(
+            epoch,
+            self.jobs,
+            self.config,
+            self.listed,
+            takeover,
+            LEASE_SECONDS,
+            measures_pressure=measures_pressure,
+        )
         for number in range(1, runners + 1):
             self.add_runner(f"w{number}")
 
