Learn the speed of kinds of runners and the durations of images, and use them

Cause: speeds were learnt for each runner alone and forgotten within 15 s, and estimates were taken as submitted.

Kinds are compared within the stages, at their ends, each against the others; a kind that is slower than the mean by more than a queue's slack factor is avoided by this queue while others have room, and patient stages take it first (policy kinds = avoid_slow | none). Estimates are corrected by the ended tasks of the stage, else by what is learnt of the image (estimates = learnt | submitted); objectives are kept. Both pass to a successor in the claim, encoded apart, so that no value of them makes a claim unreadable. Runs that an earlier owner started no longer count as if they had begun at their adoption, and runs that wrote a checkpoint, but did not begin at one, now count.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -54,6 +54,8 @@
     observation: str = "expected_ends"
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
+    kinds: str = "avoid_slow"
+    estimates: str = "learnt"
 
 
 class EntrySettings(NamedTuple):
@@ -164,6 +166,8 @@
             ),
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
+            _policy("kinds", "Use of slow kinds of runners.", "avoid_slow", "none"),
+            _policy("estimates", "Expected durations of tasks.", "learnt", "submitted"),
         ],
     ),
     LOG_SECTION,
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -11,7 +11,13 @@
     CandidatePolicy,
     UsefulCandidates,
 )
+from ragworttiller.scheduling.decisions.estimates import (
+    EstimatePolicy,
+    LearntEstimates,
+    SubmittedEstimates,
+)
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.decisions.kinds import AvoidSlowKinds, IgnoreKinds, KindPolicy
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
     LongPollOnly,
@@ -46,6 +52,14 @@
     "arrivals": ArrivalHeadroom,
     "none": NoHeadroom,
 }
+KINDS: Mapping[str, Callable[[], KindPolicy]] = {
+    "avoid_slow": AvoidSlowKinds,
+    "none": IgnoreKinds,
+}
+ESTIMATES: Mapping[str, Callable[[], EstimatePolicy]] = {
+    "learnt": LearntEstimates,
+    "submitted": SubmittedEstimates,
+}
 
 
 class CellPolicies(NamedTuple):
@@ -58,6 +72,8 @@
     victims: VictimPolicy
     headroom: HeadroomPolicy
     stop_seconds: float
+    kinds: KindPolicy
+    estimates: EstimatePolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -79,6 +95,8 @@
         PREEMPTIONS[names.preemption](stop_seconds, bounds.restore_ms / 1000),
         HEADROOMS[names.headroom](),
         stop_seconds,
+        KINDS[names.kinds](),
+        ESTIMATES[names.estimates](),
     )
 
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -10,6 +10,8 @@
 from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
+from ragworttiller.scheduling.decisions.kinds import KindPolicy
+from ragworttiller.scheduling.decisions.pass_speeds import PassSpeeds
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.runner_rules import suits
@@ -42,13 +44,15 @@
     takeover : Takeover
         Runners on which an earlier owner's tasks may still run.
     speeds : Speeds
-        Observed speeds of runners.
+        Observed speeds of runners and of their kinds.
     order, placement, candidate_policy : QueueOrder, PlacementPolicy, CandidatePolicy
         Scheduling policies.
     room_maker : RoomMaker
         Reserves and frees room for stages that wait.
     headroom : HeadroomPolicy
         Limits what patient stages take.
+    kinds : KindPolicy
+        Decides which stages avoid slow kinds of runners, and which take them first.
 
     Attributes
     ----------
@@ -67,12 +71,14 @@
         candidate_policy: CandidatePolicy,
         room_maker: RoomMaker,
         headroom: HeadroomPolicy,
+        kinds: KindPolicy,
     ) -> None:
+        self._kinds = kinds
         self._headroom = headroom
         self._epoch = epoch
         self._pool = pool
         self._takeover = takeover
-        self._speeds = speeds
+        self._speeds = PassSpeeds(speeds)
         self._order = order
         self._placer = Placer(placement)
         self.loads = EntryLoads()
@@ -83,6 +89,8 @@
         """Add the starts and advisor calls that are due now to a plan."""
         usable = self._pool.accepting_tasks(now)
         free_resources = FreeResources(usable)
+        self._speeds.begin(self._pool.kinds, now)
+        self._kinds.begin(self._speeds.kinds)
         self._advice.begin(plan.calls, free_resources, len(usable), now)
         self._room_maker.begin(jobs, free_resources, now, wall)
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
@@ -98,7 +106,9 @@
             if allowance < stage.spec.reservation.cpu:
                 continue
             self._relax_avoidance(work, stage, free_resources, now)
-            placed = self._start_placeable(plan, work, stage, free_resources, allowance, now)
+            placed = self._start_placeable(
+                plan, work, stage, inputs, free_resources, allowance, now
+            )
             if not stage.waiting or (placed and stage.spec.gang):
                 continue
             stage.blocked_since = stage.blocked_since or now
@@ -150,6 +160,7 @@
         plan: Plan,
         work: JobWork,
         stage: Stage,
+        inputs: OrderInputs,
         free_resources: FreeResources,
         allowance: float,
         now: float,
@@ -177,8 +188,10 @@
             indices = indices[: int(allowance // stage.spec.reservation.cpu)]
         if stage.spec.gang and len(indices) < stage.spec.tasks:
             return False
-        time_ratios = {runner.id: self._speeds.time_ratio(runner.id, now) for runner in with_room}
-        chosen = self._placer.place(stage, with_room, free_resources, indices, time_ratios)
+        expected = work.expected_seconds(stage)
+        costs = self._kinds.costs(work.queue, stage.spec, inputs, expected, now)
+        time_ratios = self._speeds.time_ratios(with_room, by_kind=bool(costs))
+        chosen = self._placer.place(stage, with_room, free_resources, indices, time_ratios, costs)
         if not chosen:
             return False
         stage.blocked_since = None
@@ -188,6 +201,9 @@
         for index, name in chosen.items():
             runner = self._pool.runners[name]
             run = stage.start(index, name, self._epoch, now, number)
+            run.expected_seconds = expected
+            if costs:
+                run.expected_seconds *= self._speeds.kinds.time_ratio(runner.entry.kind)
             if checkpoint is not None:
                 run.resume(checkpoint)
             run.start_deadline = runner.grant_start(now, START_DEADLINE_SECONDS)
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from typing_extensions import override
 
@@ -98,6 +98,7 @@
 
     def __init__(self, policy: PlacementPolicy) -> None:
         self._policy = policy
+        self._kind_costs: Mapping[str, float] = {}
         self.trials = Trials()
 
     def place(
@@ -106,12 +107,15 @@
         runners: Sequence[RunnerState],
         free_resources: FreeResources,
         indices: Sequence[int],
-        time_ratios: dict[str, float],
+        time_ratios: Mapping[str, float],
+        kind_costs: Mapping[str, float] = {},
     ) -> dict[int, str]:
         """Return a runner for each task in ``indices`` that can be placed now.
 
-        A gang is placed whole or not at all.
+        A gang is placed whole or not at all. ``kind_costs`` are added to the scores of runners of a
+        kind.
         """
+        self._kind_costs = kind_costs
         size = stage.spec.reservation
         on_runner = stage.runs_by_runner()
         by_id = {runner.id: runner for runner in runners}
@@ -144,7 +148,7 @@
         runner: RunnerState,
         free_resources: FreeResources,
         on_runner: Counter[str],
-        time_ratios: dict[str, float],
+        time_ratios: Mapping[str, float],
     ) -> None:
         """Update the score of a runner, which has none if it can take no task of the stage now."""
         scores.pop(runner.id, None)
@@ -153,7 +157,8 @@
             return
         if accepts_another(runner, stage, on_runner[runner.id]):
             ratio = time_ratios.get(runner.id, 1.0)
-            scores[runner.id] = self._policy.score(stage, runner, free, ratio)
+            cost = self._kind_costs.get(runner.entry.kind, 0.0) if self._kind_costs else 0.0
+            scores[runner.id] = self._policy.score(stage, runner, free, ratio) + cost
 
     def _best(
         self, stage: Stage, index: int, scores: dict[str, float], by_id: dict[str, RunnerState]
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -180,6 +180,7 @@
             {},
             unsettled=roster,
             address=self._address,
+            learnt=previous.learnt if previous else b"",
         )
         producer = Producer(PRODUCER, epoch)
         sent_at = self._clock.now()
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -107,6 +107,40 @@
     silent: bool = False
 
 
+class LearntKind(NamedTuple):
+    """Duration of tasks on a kind of runner relative to other kinds, and its number of samples.
+
+    ``age`` is the time in seconds since the last sample.
+    """
+
+    kind: str
+    ratio: float
+    samples: int
+    age: float
+
+
+class LearntImage(NamedTuple):
+    """Ratio of observed to estimated durations of an image, or of a queue for steps without one.
+
+    ``tail`` is the 90th percentile of the ratio, 0 if it is not known; ``age`` is the time in
+    seconds since the last sample.
+    """
+
+    image: str
+    queue: str
+    ratio: float
+    tail: float
+    samples: int
+    age: float
+
+
+class Learnt(NamedTuple):
+    """What an owner has learnt of kinds of runners and of images."""
+
+    kinds: list[LearntKind]
+    images: list[LearntImage]
+
+
 class Claim(NamedTuple):
     """State of the ownership of the cell.
 
@@ -115,7 +149,8 @@
     started. ``successor`` is set when the owner releases its ownership. ``unsettled`` names the
     runners of the roster that have not answered this owner, so that an earlier one may order there.
     ``address`` is that at which the owner listens for its peers, ``lag`` how late its event loop
-    runs, in seconds.
+    runs, in seconds. ``learnt`` is an encoded `Learnt`: encoded apart, so that a successor can read
+    the claim even if it cannot read these values.
     """
 
     owner: str
@@ -130,6 +165,7 @@
     unsettled: list[str] = []
     address: str = ""
     lag: float = 0.0
+    learnt: bytes = b""
 
 
 class OwnerChange(NamedTuple):
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from ragworttiller.resources import NO_RESOURCES
+from ragworttiller.scheduling.decisions.estimates import EstimatePolicy
 from ragworttiller.scheduling.records.formats import JobState, Progress
 from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
 from ragworttiller.scheduling.records.queue_fold import QueueFold
@@ -33,6 +34,8 @@
         Receives the runs of jobs that are cancelled or have ended.
     speeds : Speeds
         Observed speeds of runners; samples of ended jobs are discarded.
+    estimates : EstimatePolicy
+        Tells how long tasks are expected to take.
 
     Attributes
     ----------
@@ -43,12 +46,18 @@
     """
 
     def __init__(
-        self, fold: JobFold, config: QueueFold, stops: PendingStops, speeds: Speeds
+        self,
+        fold: JobFold,
+        config: QueueFold,
+        stops: PendingStops,
+        speeds: Speeds,
+        estimates: EstimatePolicy,
     ) -> None:
         self._fold = fold
         self._config = config
         self._stops = stops
         self._speeds = speeds
+        self._estimates = estimates
         self._changed: dict[str, None] = {}
         # Removed jobs that the fold still shows as open because it has not read their end yet.
         self._awaiting_end_record: set[str] = set()
@@ -75,7 +84,7 @@
 
     def _add_job(self, job: str, row: JobRow, now: float, wall: float) -> None:
         try:
-            work = JobWork(job, row, now, wall)
+            work = JobWork(job, row, now, wall, self._estimates)
         except Exception:
             log.exception("job skipped after an unexpected error", extra={"job": job})
             return
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -6,9 +6,11 @@
 
 from ragworttiller.platform.configuration import Queue
 from ragworttiller.scheduling.decisions.crash_rules import gives_up
+from ragworttiller.scheduling.decisions.estimates import EstimatePolicy
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
 from ragworttiller.scheduling.records.formats import JobState, Progress, stage_id
 from ragworttiller.scheduling.records.job_fold import JobRow
+from ragworttiller.scheduling.state.durations import DurationKey, duration_key
 from ragworttiller.scheduling.state.jobs import JobSpec, StageId
 from ragworttiller.scheduling.state.runs import Stage
 
@@ -29,14 +31,20 @@
         Time of the owner, in seconds.
     wall : float
         Time of day, in seconds since the epoch.
+    estimates : EstimatePolicy
+        Tells how long tasks are expected to take.
     """
 
-    def __init__(self, job: str, row: JobRow, now: float, wall: float) -> None:
+    def __init__(
+        self, job: str, row: JobRow, now: float, wall: float, estimates: EstimatePolicy
+    ) -> None:
         assert row.accepted is not None
         self.id = job
         self.row = row
         self.queue: Queue = row.accepted.queue
         self.spec: JobSpec = row.accepted.job
+        self._estimates = estimates
+        self._duration_keys = [duration_key(step.image, self.queue.key) for step in self.spec.steps]
         self.state = row.progress.state
         self.accepted_at = now - min(max(wall - row.accepted.wall, 0.0), MAX_INITIAL_AGE_SECONDS)
         self.stages: dict[StageId, Stage] = {}
@@ -120,13 +128,21 @@
         remaining = self._remaining_seconds(stage.id.occurrence)
         return OrderInputs(self.queue.priority, since, objective, remaining)
 
+    def duration_key(self, stage: Stage) -> DurationKey:
+        """Return the key under which the durations of a stage's tasks are learnt."""
+        return self._duration_keys[stage.id.step]
+
+    def expected_seconds(self, stage: Stage) -> float:
+        """Return the expected duration of a task on a runner of mean speed, in seconds."""
+        return self._estimates.seconds(stage, self.duration_key(stage))
+
     def _remaining_seconds(self, occurrence: int) -> float:
-        """Return the estimated duration of the longest unfinished chain of an occurrence."""
+        """Return the expected duration of the longest unfinished chain of an occurrence."""
         ends: list[float] = []
         for stage in self._by_occurrence[occurrence]:
             after = stage.spec.after
             start = max([ends[step] for step in after]) if after else 0.0
-            ends.append(start if stage.complete else start + stage.spec.estimate)
+            ends.append(start if stage.complete else start + self.expected_seconds(stage))
         return max(ends)
 
     def progress(self) -> Progress:
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -16,6 +16,7 @@
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.learnt_store import LearntStore
 from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
 from ragworttiller.scheduling.state.run_tracker import RunTracker
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
@@ -67,8 +68,13 @@
         self._lease = lease
         self._stops = PendingStops()
         speeds = Speeds()
-        self._active = ActiveJobs(jobs, config, self._stops, speeds)
-        self._tracker = RunTracker(self._active, runners, takeover, self._stops, speeds, lease)
+        durations = policies.estimates.durations
+        self._learnt = LearntStore(speeds.kinds, durations)
+        self._learnt.restore(takeover.learnt, takeover.began_at)
+        self._active = ActiveJobs(jobs, config, self._stops, speeds, policies.estimates)
+        self._tracker = RunTracker(
+            self._active, runners, takeover, self._stops, speeds, durations, lease
+        )
         self._planner = StagePlanner(
             epoch,
             self.pool,
@@ -79,6 +85,7 @@
             policies.candidates,
             RoomMaker(self._stops, policies.victims, policies.stop_seconds),
             policies.headroom,
+            policies.kinds,
         )
 
     @property
@@ -144,8 +151,13 @@
             self.pending(),
             unsettled=self._takeover.unresolved,
             address=address,
+            learnt=self._learnt.encoded(now),
         )
 
+    def kind_ratios(self) -> dict[str, float]:
+        """Return the duration of tasks on each known kind of runner, relative to the mean."""
+        return self._learnt.kind_ratios()
+
     def pending(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         return self._active.pending()
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -16,6 +16,8 @@
 from ragworttiller.scheduling.records.formats import Blame, Crash, Withdrawn
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
+from ragworttiller.scheduling.state.durations import Durations
+from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import TaskId
 from ragworttiller.scheduling.state.orders import PendingStops, run_fields
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
@@ -45,7 +47,9 @@
     stops : PendingStops
         Receives runs that are to be stopped.
     speeds : Speeds
-        Receives the durations of runs.
+        Receives the durations of runs, to compare runners.
+    durations : Durations
+        Receives the durations of runs, to compare them with their estimates.
     lease : float
         Duration of the granted leases, in seconds.
 
@@ -62,12 +66,14 @@
         takeover: Takeover,
         stops: PendingStops,
         speeds: Speeds,
+        durations: Durations,
         lease: float,
     ) -> None:
         self._jobs = jobs
         self._takeover = takeover
         self._stops = stops
         self._speeds = speeds
+        self._durations = durations
         self._lease = lease
         self.pool = RunnerPool(runners, takeover, self._requeue_runs)
 
@@ -186,19 +192,39 @@
         if run is not None:
             run.checkpoint = end.checkpoint or run.checkpoint
             self._remove_run(run)
-            if end.outcome == "done" and not run.checkpoint:
-                run_seconds = now - run.started_at
-                self._speeds.record_duration(runner.id, end.task.stage, run_seconds, now)
         stage = self._jobs.stage(end.task.stage)
         work = self._jobs.by_id.get(end.task.stage.job)
         if stage is None or work is None or end.task.ordinal >= stage.spec.tasks:
             return
+        if run is not None and end.outcome == "done":
+            self._record_duration(runner, work, stage, run, now)
         if end.outcome == "done" and not stage.spec.daemon:
             self._apply_done(runner, stage, end, now)
+            if stage.complete:
+                self._speeds.kinds.end_stage(stage.id, now)
         else:
             self._apply_unfinished(runner, stage, end, run, now)
         self._jobs.mark_changed(work)
 
+    def _record_duration(
+        self, runner: RunnerState, work: JobWork, stage: Stage, run: Run, now: float
+    ) -> None:
+        """Record how long a run took that did all the work of its task.
+
+        A gang is as slow as its slowest member, a filling task as the load beside it, and a task
+        away from its data is slow on each kind: these tell nothing of the runner's kind.
+        """
+        spec = stage.spec
+        if run.resumed or run.adopted or spec.daemon:
+            return
+        seconds, labels = now - run.started_at, runner.entry.labels
+        away = bool(spec.data_rack) and spec.data_rack not in labels
+        kind = "" if spec.gang or spec.fills or away else runner.entry.kind
+        self._speeds.record_duration(runner.id, stage.id, seconds, now, kind)
+        corrected = seconds / self._speeds.kinds.time_ratio(kind)
+        stage.record_duration(corrected)
+        self._durations.record(work.duration_key(stage), corrected, spec.estimate, now)
+
     def _apply_done(self, runner: RunnerState, stage: Stage, end: EndedRun, now: float) -> None:
         """Mark a task as done; if it belongs to a gang, mark all tasks of the gang as done."""
         runner.record_success(now)
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 
 from ragworttiller.platform.boots import replaces
 from ragworttiller.scheduling.records.formats import Claim, Withdrawn
@@ -36,6 +37,8 @@
     ----------
     runners : dict
         States by identifier.
+    kinds : mapping of str to int
+        Number of listed runners by kind.
     owned_at : float
         Latest time at which no later owner had claimed, in seconds. What a runner did since may be
         known to a later owner only, which renews its lease and records its ends.
@@ -61,6 +64,7 @@
         # Boots without a trial that have not answered since a time, also those that have ended.
         self._silent_since: dict[str, float] = {}
         self.runners: dict[str, RunnerState] = {}
+        self.kinds: Mapping[str, int] = {}
         self.owned_at = float("-inf")
 
     def awaits_ownership(self, now: float) -> bool:
@@ -173,6 +177,7 @@
         for runner in self.runners.values():
             runner.listed = runner.id in entries
         self._unlisted = [runner for runner in self.runners.values() if not runner.listed]
+        self.kinds = Counter(r.entry.kind for r in self.runners.values() if r.listed)
 
     def record_no_answer(self, runner: RunnerState, now: float, refused: bool = False) -> None:
         """Count a call that a runner did not answer; nothing listens there if it ``refused``."""
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from enum import StrEnum
+from statistics import median
 
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.crash_rules import is_suspect
@@ -19,6 +20,9 @@
 
 RUNS_PER_EPOCH = 10_000
 MIN_PERCENT_FOR_ESTIMATE = 5
+# Fewer may be the quickest of a stage only.
+MIN_ENDED_SIBLINGS = 3
+MAX_ENDED_SIBLINGS = 31
 
 
 class RunState(StrEnum):
@@ -44,6 +48,10 @@
         Whether nothing else starts on its runner for a while, since its task is suspected.
     adopted : bool
         Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
+    resumed : bool
+        Whether it began at a checkpoint, so that it does a part of the work only.
+    expected_seconds : float
+        Expected duration, the estimate of its step by default.
     """
 
     def __init__(self, task: TaskId, number: int, runner: str, spec: StepSpec, now: float) -> None:
@@ -58,6 +66,8 @@
         self.checkpoint = ""
         self.trial = False
         self.adopted = False
+        self.resumed = False
+        self.expected_seconds = spec.estimate
         self.percent = 0.0
         self.progressed_at = now
         self._progress_base: tuple[float, float] | None = (0.0, now)
@@ -75,19 +85,20 @@
 
     @property
     def expected_end(self) -> float:
-        """Time at which the run should end: from its progress, or its estimate if there is none."""
+        """Time at which the run should end: from its progress, or as expected if there is none."""
         if self._progress_base is None:
-            return self.started_at + self.spec.estimate
+            return self.started_at + self.expected_seconds
         base_percent, base_at = self._progress_base
         gained, elapsed = self.percent - base_percent, self.progressed_at - base_at
         if gained < MIN_PERCENT_FOR_ESTIMATE or elapsed <= 0:
-            return self.started_at + self.spec.estimate
+            return self.started_at + self.expected_seconds
         return self.progressed_at + elapsed * (100 - self.percent) / gained
 
     def resume(self, checkpoint: str) -> None:
         """Start from a checkpoint, empty for none."""
         self.checkpoint = checkpoint
         if checkpoint:
+            self.resumed = True
             self.measure_progress_from_next_report()
 
     def measure_progress_from_next_report(self) -> None:
@@ -140,6 +151,9 @@
         Runners lost under a task since it last outlived its trial, by index.
     trials : dict of int to str
         Runner on which a task is tried, by index.
+    ended_seconds : float or None
+        Usual duration in seconds of its ended tasks on a runner of mean speed, None if too few have
+        ended.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec) -> None:
@@ -162,6 +176,8 @@
         self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
         self.reserved_since: float | None = None
+        self.ended_seconds: float | None = None
+        self._recent_seconds: deque[float] = deque(maxlen=MAX_ENDED_SIBLINGS)
         self._last_run_numbers: dict[int, int] = {}
 
     @property
@@ -246,6 +262,12 @@
             self.waiting.remove(index)
         self.done.add(index)
 
+    def record_duration(self, seconds: float) -> None:
+        """Record the duration in seconds of a task, as on a runner of mean speed."""
+        self._recent_seconds.append(seconds)
+        if len(self._recent_seconds) >= MIN_ENDED_SIBLINGS:
+            self.ended_seconds = median(self._recent_seconds)
+
     def add_failed_run(self, index: int, number: int) -> None:
         """Record a failed run of a task once, however often its end is reported."""
         runs = self.failed_runs.setdefault(index, [])
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -36,20 +36,29 @@
         Seconds for which the earlier owner may still act without an answer from the store.
     lease : float
         Duration of the leases that it granted, in seconds.
+
+    Attributes
+    ----------
+    began_at : float
+        Time of the new claim, in seconds.
+    learnt : bytes
+        What the earlier owner has learnt, as encoded in its claim.
     """
 
     def __init__(
         self, claim: Claim | None, accepted_before: int, now: float, term: float, lease: float
     ) -> None:
         self._accepted_before = accepted_before
-        self._began_at = now
+        self.began_at = now
         self._expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
         self._reached_by_earlier_owner: frozenset[str] = frozenset()
         self._unresolved_until: dict[str, float] = {}
         self._withdrawn: dict[str, Withdrawn] = {}
         self._lost: list[Withdrawn] = []
+        self.learnt = b""
         if claim is None:
             return
+        self.learnt = claim.learnt
         self._withdrawn = {row.runner: row for row in claim.withdrawn}
         # On the others, the owner before that one may still be within its term.
         self._reached_by_earlier_owner = frozenset(claim.roster) - frozenset(claim.unsettled)
@@ -97,7 +106,7 @@
         row = self._withdrawn.get(runner)
         if lost and row is not None and row.silent:
             self._lost.append(row)
-        seconds = round(now - self._began_at, 3)
+        seconds = round(now - self.began_at, 3)
         extra = {"runner": runner, "why": reason, "after": seconds}
         log.info("runner of an earlier owner settled", extra=extra)
 
