--- a/ragworttiller/scheduling/state/kind_speeds.py
+++ b/ragworttiller/scheduling/state/kind_speeds.py
@@ -24,6 +24,7 @@
 MIN_SECONDS = 0.001
 # The tasks of a larger stage are compared in parts, so that much is learnt before its end.
 MAX_STAGE_SAMPLES = 32
+KEEP_EACH = 4
 
 
 class _Row(NamedTuple):
@@ -98,6 +99,8 @@
         samples.append(sample)
         if len(samples) >= MAX_STAGE_SAMPLES:
             self.end_stage(stage, now)
+            # Those that ended first may all be of quick kinds, and the next ones all of slow kinds.
+            self._stages[stage] = samples[::KEEP_EACH]
         return math.exp(self._corrected(sample) - sum(others) / len(others)) if others else 1.0
 
     def end_stage(self, stage: StageId, now: float) -> None:
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -176,6 +176,16 @@
         kinds.refresh(EQUAL_RUNNERS, 0.0)
         assert kinds.time_ratio("b") == pytest.approx(2.4 / (4.4 / 3), rel=0.05)
 
+    def test_a_large_stage_compares_its_first_ends_with_its_last(self, kinds: KindSpeeds):
+        """Compared in parts, each part had tasks of one kind only, and nothing was learnt."""
+        for number in range(4):
+            stage = StageId(JOB, 0, number)
+            for kind in ["a"] * 32 + ["b"] * 28:
+                kinds.record_duration(kind, stage, SLOW_B[kind], 0.0)
+            kinds.end_stage(stage, 0.0)
+        kinds.refresh({"a": 1, "b": 1}, 0.0)
+        assert kinds.time_ratio("b") / kinds.time_ratio("a") == pytest.approx(2.4, rel=0.1)
+
     def test_a_few_samples_tell_nothing(self, kinds: KindSpeeds):
         record_stages(kinds, SLOW_B, 2)
         assert kinds.time_ratio("b") == 1.0
