--- a/ragworttiller/metrics.py
+++ b/ragworttiller/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import resource
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -65,6 +65,7 @@
 
 
 Reading = Callable[[], float]
+LabelledReading = Callable[[], Mapping[str, float]]
 
 
 class Metrics(Collector):
@@ -80,6 +81,7 @@
         self._answers: dict[str, int] = {}
         self._counters: dict[str, tuple[str, Reading]] = {}
         self._gauges: dict[str, tuple[str, Reading]] = {}
+        self._labelled: dict[str, tuple[str, str, LabelledReading]] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -118,6 +120,15 @@
         """Register a gauge whose value ``reading`` returns."""
         self._gauges[name] = (help_text, reading)
 
+    def labelled_gauge(
+        self, name: str, help_text: str, label: str, reading: LabelledReading
+    ) -> None:
+        """Register a gauge of which ``reading`` returns the values, by value of its label.
+
+        Their number is to be bounded by the reading.
+        """
+        self._labelled[name] = (help_text, label, reading)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -136,6 +147,11 @@
             yield CounterMetricFamily(f"ragworttiller_{name}", help_text, value=reading())
         for name, (help_text, reading) in self._gauges.items():
             yield GaugeMetricFamily(f"ragworttiller_{name}", help_text, value=reading())
+        for name, (help_text, label, values) in self._labelled.items():
+            family = GaugeMetricFamily(f"ragworttiller_{name}", help_text, labels=[label])
+            for labelled, value in values().items():
+                family.add_metric([labelled], value)
+            yield family
 
     def _durations(
         self, name: str, help_text: str, kinds: dict[str, Distribution]
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -188,6 +188,18 @@
             ),
         ):
             self._metrics.gauge(name, help_text, reading)
+        self._metrics.labelled_gauge(
+            "owner_kind_time_ratio",
+            "Duration of tasks on a kind of runner relative to the mean.",
+            "kind",
+            lambda: host.kind_ratios,
+        )
+        self._metrics.labelled_gauge(
+            "owner_kind_samples",
+            "Tasks from which the speed of a kind was learnt.",
+            "kind",
+            lambda: host.kind_samples,
+        )
 
     def stop(self) -> None:
         """Begin a graceful shutdown."""
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -150,6 +150,16 @@
         """How late the event loop of the running owner runs, in seconds, 0 without one."""
         return 0.0 if self._owner is None else self._owner.lag
 
+    @property
+    def kind_ratios(self) -> dict[str, float]:
+        """Relative task durations by kind of runner, none while this entry owns no cell."""
+        return {} if self._owner is None else self._owner.cell.kind_ratios()
+
+    @property
+    def kind_samples(self) -> dict[str, float]:
+        """Numbers of their samples by kind of runner, none while this entry owns no cell."""
+        return {} if self._owner is None else self._owner.cell.kind_samples()
+
     @property
     def seconds_since_renewal(self) -> float:
         """Seconds since a claim or a renewal was read, -1 before the first."""
--- a/ragworttiller/scheduling/state/learnt_store.py
+++ b/ragworttiller/scheduling/state/learnt_store.py
@@ -36,6 +36,10 @@
         """Return the duration of tasks on each known kind of runner, relative to the mean."""
         return {kind: self._kinds.time_ratio(kind) for kind in self._kinds.known}
 
+    def kind_samples(self) -> dict[str, float]:
+        """Return the number of tasks from which the speed of each known kind was learnt."""
+        return {kind: float(self._kinds.samples(kind)) for kind in self._kinds.known}
+
     def encoded(self, now: float) -> bytes:
         """Return what is learnt at a time in seconds, or shortly before it."""
         if now - self._encoded_at >= REFRESH_SECONDS:
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -158,6 +158,10 @@
         """Return the duration of tasks on each known kind of runner, relative to the mean."""
         return self._learnt.kind_ratios()
 
+    def kind_samples(self) -> dict[str, float]:
+        """Return the number of tasks from which the speed of each known kind was learnt."""
+        return self._learnt.kind_samples()
+
     def pending(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         return self._active.pending()
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from ragworttiller.metrics import Metrics
 from ragworttiller.platform.listing import decode_entry
 from ragworttiller.scheduling.records.formats import (
     Claim,
@@ -260,6 +261,27 @@
         assert len(speeds._ratios) <= 4096
 
 
+class TestMetrics:
+    def test_they_have_the_ratio_and_samples_of_each_kind(self):
+        rig = KindsRig(THIRD_SLOW, SLOW_B)
+        learn(rig)
+        metrics = Metrics()
+        metrics.labelled_gauge("ratio", "Ratio.", "kind", rig.cell.kind_ratios)
+        metrics.labelled_gauge("samples", "Samples.", "kind", rig.cell.kind_samples)
+        rows = dict(
+            line.split() for line in metrics.exposition().decode().splitlines() if line[0] != "#"
+        )
+        assert float(rows['ragworttiller_ratio{kind="b"}']) > 1.5
+        assert float(rows['ragworttiller_ratio{kind="a"}']) < 0.8
+        assert float(rows['ragworttiller_samples{kind="b"}']) >= 8
+
+    def test_their_number_is_bounded(self):
+        kinds = KindSpeeds()
+        names = {f"k{number}": 1.0 for number in range(100)}
+        record_stages(kinds, names, 10)
+        assert len(kinds.known) <= MAX_KINDS
+
+
 class TestKindOfAnEntry:
     @pytest.mark.parametrize(
         ("labels", "kind"), [(b'["b","r1"]', "b"), (b'["r1","b"]', "r1"), (b"[]", "")]
