Let the last tasks of quick steps wait for a fast runner that ends them earlier

Cause: a queue that avoids a slow kind used it for the last tasks of a step once the fast runners were full, and these decide when the step ends, though a fast runner often has room before they would be halfway.

Change: last_tasks = wait_for_fast | start_now. Gangs and queues with an advisor start at once. The test rig reports percentages through a method, so that a rig with true durations can report true progress.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -56,6 +56,7 @@
     headroom: str = "arrivals"
     kinds: str = "avoid_slow"
     estimates: str = "learnt"
+    last_tasks: str = "wait_for_fast"
 
 
 class EntrySettings(NamedTuple):
@@ -167,6 +168,12 @@
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
             _policy("kinds", "Use of slow kinds of runners.", "avoid_slow", "none"),
+            _policy(
+                "last_tasks",
+                "Tasks for which only slow kinds of runners have room.",
+                "wait_for_fast",
+                "start_now",
+            ),
             _policy("estimates", "Expected durations of tasks.", "learnt", "submitted"),
         ],
     ),
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -18,6 +18,7 @@
 )
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
 from ragworttiller.scheduling.decisions.kinds import AvoidSlowKinds, IgnoreKinds, KindPolicy
+from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, StartNow, WaitForFast
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
     LongPollOnly,
@@ -56,6 +57,10 @@
     "avoid_slow": AvoidSlowKinds,
     "none": IgnoreKinds,
 }
+LAST_TASKS: Mapping[str, Callable[[float], LastTasksPolicy]] = {
+    "wait_for_fast": WaitForFast,
+    "start_now": lambda stop_seconds: StartNow(),
+}
 ESTIMATES: Mapping[str, Callable[[], EstimatePolicy]] = {
     "learnt": LearntEstimates,
     "submitted": SubmittedEstimates,
@@ -74,6 +79,7 @@
     stop_seconds: float
     kinds: KindPolicy
     estimates: EstimatePolicy
+    last_tasks: LastTasksPolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -97,6 +103,7 @@
         stop_seconds,
         KINDS[names.kinds](),
         ESTIMATES[names.estimates](),
+        LAST_TASKS[names.last_tasks](stop_seconds),
     )
 
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping, Sequence
 
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
@@ -11,6 +11,7 @@
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
 from ragworttiller.scheduling.decisions.kinds import KindPolicy
+from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, SlowStart
 from ragworttiller.scheduling.decisions.pass_speeds import PassSpeeds
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
@@ -30,6 +31,7 @@
 GANG_RESERVE_DELAY_SECONDS = 2.0
 GANG_RESERVE_SECONDS = 4.0
 AVOID_FAILED_RUNNER_SECONDS = 2.0
+NO_KINDS: frozenset[str] = frozenset()
 
 
 class StagePlanner:
@@ -53,6 +55,8 @@
         Limits what patient stages take.
     kinds : KindPolicy
         Decides which stages avoid slow kinds of runners, and which take them first.
+    last_tasks : LastTasksPolicy
+        Decides how many tasks wait for a fast runner rather than start on a slow one.
 
     Attributes
     ----------
@@ -72,7 +76,9 @@
         room_maker: RoomMaker,
         headroom: HeadroomPolicy,
         kinds: KindPolicy,
+        last_tasks: LastTasksPolicy,
     ) -> None:
+        self._last_tasks = last_tasks
         self._kinds = kinds
         self._headroom = headroom
         self._epoch = epoch
@@ -91,6 +97,7 @@
         free_resources = FreeResources(usable)
         self._speeds.begin(self._pool.kinds, now)
         self._kinds.begin(self._speeds.kinds)
+        self._last_tasks.begin(free_resources, self._speeds.kinds, now)
         self._advice.begin(plan.calls, free_resources, len(usable), now)
         self._room_maker.begin(jobs, free_resources, now, wall)
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
@@ -191,10 +198,40 @@
         expected = work.expected_seconds(stage)
         costs = self._kinds.costs(work.queue, stage.spec, inputs, expected, now)
         time_ratios = self._speeds.time_ratios(with_room, by_kind=bool(costs))
-        chosen = self._placer.place(stage, with_room, free_resources, indices, time_ratios, costs)
+
+        def start(runners: Sequence[RunnerState], tasks: Sequence[int]) -> set[int]:
+            chosen = self._placer.place(stage, runners, free_resources, tasks, time_ratios, costs)
+            self._start(plan, work, stage, chosen, expected, bool(costs), now)
+            return set(chosen)
+
+        slow = self._kinds.in_effect(work.queue) if costs else NO_KINDS
+        if not slow or needs_ticket or stage.spec.gang:
+            return bool(start(with_room, indices))
+        started = start([r for r in with_room if r.entry.kind not in slow], indices)
+        left = [index for index in indices if index not in started]
+        slow_rows = [runner for runner in with_room if runner.entry.kind in slow]
+        if left and slow_rows:
+            ratio = min(time_ratios[runner.id] for runner in slow_rows)
+            slow_start = SlowStart(upstream, slow, ratio, expected)
+            waiting = self._last_tasks.waiting(stage, slow_start, len(left))
+            started |= start(slow_rows, left[: len(left) - waiting])
+        return bool(started)
+
+    def _start(
+        self,
+        plan: Plan,
+        work: JobWork,
+        stage: Stage,
+        chosen: Mapping[int, str],
+        expected: float,
+        by_kind: bool,
+        now: float,
+    ) -> None:
+        """Start tasks on the runners chosen for them; their kind tells its duration ``by_kind``."""
         if not chosen:
-            return False
+            return
         stage.blocked_since = None
+        needs_ticket = work.queue.advice is not None
         # The runs of a gang have the same number and start from the same checkpoint.
         number = max(stage.next_number(i, self._epoch) for i in chosen) if stage.spec.gang else 0
         checkpoint = next(iter(stage.checkpoints.values()), "") if stage.spec.gang else None
@@ -202,7 +239,7 @@
             runner = self._pool.runners[name]
             run = stage.start(index, name, self._epoch, now, number)
             run.expected_seconds = expected
-            if costs:
+            if by_kind:
                 run.expected_seconds *= self._speeds.kinds.time_ratio(runner.entry.kind)
             if checkpoint is not None:
                 run.resume(checkpoint)
@@ -213,7 +250,7 @@
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
             order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
             plan.starts.append(order)
-        return True
+        self._last_tasks.record_starts(chosen.values())
 
     def _begin_trial(self, stage: Stage, run: Run, runner: RunnerState, now: float) -> None:
         rows = stage.crashes[run.task.ordinal]
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -86,6 +86,7 @@
             RoomMaker(self._stops, policies.victims, policies.stop_seconds),
             policies.headroom,
             policies.kinds,
+            policies.last_tasks,
         )
 
     @property
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -151,6 +151,9 @@
         Runners lost under a task since it last outlived its trial, by index.
     trials : dict of int to str
         Runner on which a task is tried, by index.
+    waits_for_fast_since : float or None
+        Time in seconds since when tasks wait for a fast runner though a slow one has room, None if
+        none do.
     ended_seconds : float or None
         Usual duration in seconds of its ended tasks on a runner of mean speed, None if too few have
         ended.
@@ -176,6 +179,7 @@
         self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
         self.reserved_since: float | None = None
+        self.waits_for_fast_since: float | None = None
         self.ended_seconds: float | None = None
         self._recent_seconds: deque[float] = deque(maxlen=MAX_ENDED_SIBLINGS)
         self._last_run_numbers: dict[int, int] = {}
--- a/tests/kinds_rig.py
+++ b/tests/kinds_rig.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from typing_extensions import override
+
 from ragworttiller.config.entry import EntryBounds, EntryPolicies
 from ragworttiller.platform.configuration import Queue
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.records.formats import Claim
+from ragworttiller.scheduling.state.jobs import TaskId
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runs import Run
 from tests.scheduling_rig import LEASE_SECONDS, QUEUE, CellRig, job_id
@@ -82,6 +85,13 @@
         """Return the kind of the runner of a run."""
         return self.cell.runners[run.runner].entry.kind
 
+    @override
+    def percent(self, name: TaskId, run: int) -> float:
+        for end, other, duration in self._ends:
+            if other.key == (name, run):
+                return max(100 * (1 - (end - self.now) / duration), 0.0)
+        return 0.0
+
     def advance(self, seconds: float) -> list[Run]:
         """Let time pass and return the runs that were started."""
         started: list[Run] = []
