Bound the cost of waiting for fast runners, and wait for what a wait can gain

Cause: a stage waited for the difference of the slow kind to the mean, not to a fast kind, so that a step of 40 tasks waited in vain and ended after 3.5 s, the baseline after 2.6 s. A pass in which 150 stages wait for fast runners took 49 ms, half of it for scores of slow runners that got no task.

Change: the wait is bounded by the difference to the fastest kind; 16 stages of a pass wait at most; nothing is scored without a task to place.

--- a/ragworttiller/scheduling/decisions/last_tasks.py
+++ b/ragworttiller/scheduling/decisions/last_tasks.py
@@ -19,6 +19,8 @@
 
 # A wait has to end a task this much earlier: expected ends are not exact.
 MAX_END_SHARE = 0.9
+# Later stages of a pass start at once. Searches for 150 stages took 20 ms, and a pass may take 5 ms.
+MAX_STAGES_PER_PASS = 16
 
 Shape = tuple[str, Resources, str, frozenset[str]]
 
@@ -95,6 +97,7 @@
     def __init__(self, stop_seconds: float) -> None:
         self._stop_seconds = stop_seconds
         self._now = 0.0
+        self._stages_left = 0
         self._free = FreeResources(())
         self._kinds = KindSpeeds()
         self._forecast = RoomForecast(0.0, stop_seconds)
@@ -106,6 +109,7 @@
     def begin(self, free: FreeResources, kinds: KindSpeeds, now: float) -> None:
         self._free, self._kinds, self._now = free, kinds, now
         self._forecast = RoomForecast(now, self._stop_seconds)
+        self._stages_left = MAX_STAGES_PER_PASS
         self._promised.clear()
         self._rooms.clear()
 
@@ -120,8 +124,9 @@
     def waiting(self, stage: Stage, start: SlowStart, tasks: int) -> int:
         latest = self._now + MAX_END_SHARE * start.expected * start.ratio
         since = stage.waits_for_fast_since or self._now
-        if self._now - since > start.expected * (start.ratio - 1.0):
+        if self._stages_left <= 0 or self._now - since > self._most_gained(start):
             return 0
+        self._stages_left -= 1
         shape = (start.upstream, stage.spec.reservation, stage.spec.label, start.slow)
         if shape not in self._rooms:
             self._rooms[shape] = self._expected_rooms(stage, start)
@@ -131,6 +136,12 @@
         stage.waits_for_fast_since = since if count else None
         return count
 
+    def _most_gained(self, start: SlowStart) -> float:
+        """Return how much earlier a task could end on a fast runner, in seconds."""
+        fast = [kind for kind in self._kinds.known if kind not in start.slow]
+        ratio = min(map(self._kinds.time_ratio, fast), default=1.0)
+        return start.expected * (start.ratio - ratio)
+
     def _expected_rooms(self, stage: Stage, start: SlowStart) -> list[tuple[float, str]]:
         """Return a heap of the fast runners that suit a stage, by the time they have room."""
         runners = suitable(self._free.of_upstream(start.upstream), start.upstream, stage.spec)
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -200,6 +200,8 @@
         time_ratios = self._speeds.time_ratios(with_room, by_kind=bool(costs))
 
         def start(runners: Sequence[RunnerState], tasks: Sequence[int]) -> set[int]:
+            if not runners or not tasks:
+                return set()
             chosen = self._placer.place(stage, runners, free_resources, tasks, time_ratios, costs)
             self._start(plan, work, stage, chosen, expected, bool(costs), now)
             return set(chosen)
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -161,10 +161,12 @@
         return rig.now - began
 
     def test_the_baseline_ends_with_its_slow_tasks(self):
-        assert self.step_seconds(self.rig("start_now"), 36) > 2.1
+        assert self.step_seconds(self.rig("start_now"), 36) > 2.3
 
-    def test_they_wait_if_that_ends_the_step_earlier(self):
-        assert self.step_seconds(self.rig("wait_for_fast"), 36) == pytest.approx(2.0, abs=0.35)
+    @pytest.mark.parametrize("tasks", [36, 40, 48])
+    def test_they_wait_if_that_ends_the_step_earlier(self, tasks: int):
+        """A wait given up too early ended 40 tasks after 3.5 s, later than the baseline."""
+        assert self.step_seconds(self.rig("wait_for_fast"), tasks) < 2.3
 
     def test_they_start_if_the_fast_runners_are_taken_for_longer(self):
         rig = self.rig("wait_for_fast")
