--- a/ragworttiller/scheduling/decisions/last_tasks.py
+++ b/ragworttiller/scheduling/decisions/last_tasks.py
@@ -19,7 +19,7 @@
 
 # A wait has to end a task this much earlier: expected ends are not exact.
 MAX_END_SHARE = 0.9
-# Later stages of a pass start at once. Searches for 150 stages took 20 ms, and a pass may take 5 ms.
+# Later stages of a pass start at once: searches for 150 took 20 ms, and a pass may take 5 ms.
 MAX_STAGES_PER_PASS = 16
 
 Shape = tuple[str, Resources, str, frozenset[str]]
