--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -77,6 +77,9 @@
     shares: str = "weighted"
     copies: str = "stragglers"
     moves: str = "checkpointed"
+    kinds: str = "avoid_slow"
+    estimates: str = "learnt"
+    last_tasks: str = "wait_for_fast"
 
 
 class EntrySettings(NamedTuple):
@@ -205,6 +208,14 @@
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
             _policy("copies", "Second runs of slow tasks.", "stragglers", "none"),
             _policy("moves", "Slow runs stopped to go on elsewhere.", "checkpointed", "none"),
+            _policy("kinds", "Use of slow kinds of runners.", "avoid_slow", "none"),
+            _policy(
+                "last_tasks",
+                "Tasks for which only slow kinds of runners have room.",
+                "wait_for_fast",
+                "start_now",
+            ),
+            _policy("estimates", "Expected durations of tasks.", "learnt", "submitted"),
         ],
     ),
     LOG_SECTION,
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -12,8 +12,15 @@
     UsefulCandidates,
 )
 from ragworttiller.scheduling.decisions.copies import CopyPolicy, NoCopies, StragglerCopies
+from ragworttiller.scheduling.decisions.estimates import (
+    EstimatePolicy,
+    LearntEstimates,
+    SubmittedEstimates,
+)
 from ragworttiller.scheduling.decisions.fair_order import NoShares, ShareOrder, WeightedShares
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.decisions.kinds import AvoidSlowKinds, IgnoreKinds, KindPolicy
+from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, StartNow, WaitForFast
 from ragworttiller.scheduling.decisions.moves import CheckpointedMoves, MovePolicy, NoMoves
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
@@ -64,6 +71,18 @@
     "checkpointed": CheckpointedMoves,
     "none": lambda stop_seconds, restore_seconds: NoMoves(),
 }
+KINDS: Mapping[str, Callable[[], KindPolicy]] = {
+    "avoid_slow": AvoidSlowKinds,
+    "none": IgnoreKinds,
+}
+LAST_TASKS: Mapping[str, Callable[[float], LastTasksPolicy]] = {
+    "wait_for_fast": WaitForFast,
+    "start_now": lambda stop_seconds: StartNow(),
+}
+ESTIMATES: Mapping[str, Callable[[], EstimatePolicy]] = {
+    "learnt": LearntEstimates,
+    "submitted": SubmittedEstimates,
+}
 
 
 class CellPolicies(NamedTuple):
@@ -82,6 +101,9 @@
     shares: ShareOrderFactory
     copies: CopyPolicy
     moves: MovePolicy
+    kinds: KindPolicy
+    estimates: EstimatePolicy
+    last_tasks: LastTasksPolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -106,6 +128,9 @@
         SHARE_ORDERS[names.shares],
         COPIES[names.copies](),
         MOVES[names.moves](stop_seconds, bounds.restore_ms / 1000),
+        KINDS[names.kinds](),
+        ESTIMATES[names.estimates](),
+        LAST_TASKS[names.last_tasks](stop_seconds),
     )
 
 
--- a/ragworttiller/scheduling/decisions/copies.py
+++ b/ragworttiller/scheduling/decisions/copies.py
@@ -11,6 +11,7 @@
 from typing_extensions import override
 
 from ragworttiller.resources import Resources
+from ragworttiller.scheduling.state.durations import Durations, duration_key
 from ragworttiller.scheduling.state.jobs import StepSpec
 from ragworttiller.scheduling.state.runs import Run
 
@@ -62,6 +63,24 @@
     return by_median if slow_after is None else min(by_median, slow_after)
 
 
+class TailDurations(LearntDurations):
+    """What the cell has observed of the images and queues of tasks.
+
+    Parameters
+    ----------
+    durations : Durations
+        Ratios of observed to estimated durations.
+    """
+
+    def __init__(self, durations: Durations) -> None:
+        self._durations = durations
+
+    @override
+    def ninetieth_percentile(self, queue: str, spec: StepSpec) -> float | None:
+        ratio = self._durations.tail(duration_key(spec.image, queue))
+        return None if ratio is None else ratio * spec.estimate
+
+
 class RunOutlook(NamedTuple):
     """Running task that may be a straggler; durations are in seconds.
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -255,6 +255,18 @@
         ):
             reading_by_workspace = partial(self._by_workspace, of_cell)
             self._metrics.gauge_by_label(name, help_text, "workspace", reading_by_workspace)
+        self._metrics.gauge_by_label(
+            "owner_kind_time_ratio",
+            "Duration of tasks on a kind of runner relative to the mean.",
+            "kind",
+            lambda: host.kind_ratios,
+        )
+        self._metrics.gauge_by_label(
+            "owner_kind_samples",
+            "Tasks from which the speed of a kind was learnt.",
+            "kind",
+            lambda: host.kind_samples,
+        )
 
     def _by_workspace(self, values: Callable[[Cell], dict[str, float]]) -> dict[str, float]:
         """Return values of the cell's workspaces, none at an entry that does not own the cell."""
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -134,6 +134,40 @@
     beyond_share: list[str]
 
 
+class LearntKind(NamedTuple):
+    """Duration of tasks on a kind of runner relative to other kinds, and its number of samples.
+
+    ``age`` is the time in seconds since the last sample.
+    """
+
+    kind: str
+    ratio: float
+    samples: int
+    age: float
+
+
+class LearntImage(NamedTuple):
+    """Ratio of observed to estimated durations of an image, or of a queue for steps without one.
+
+    ``tail`` is the 90th percentile of the ratio, 0 if it is not known; ``age`` is the time in
+    seconds since the last sample.
+    """
+
+    image: str
+    queue: str
+    ratio: float
+    tail: float
+    samples: int
+    age: float
+
+
+class Learnt(NamedTuple):
+    """What an owner has learnt of kinds of runners and of images."""
+
+    kinds: list[LearntKind]
+    images: list[LearntImage]
+
+
 class Claim(NamedTuple):
     """State of the ownership of the cell.
 
@@ -142,7 +176,9 @@
     started. ``successor`` is set when the owner releases its ownership. ``unsettled`` names the
     runners of the roster that have not answered this owner, so that an earlier one may order there.
     ``address`` is that at which the owner listens for its peers, ``lag`` how late its event loop
-    runs, in seconds. ``pressure`` is None unless the owner measures it.
+    runs, in seconds. ``pressure`` is None unless the owner measures it. ``learnt`` is an encoded
+    `Learnt`: encoded apart, so that a successor can read the claim even if it cannot read these
+    values.
     """
 
     owner: str
@@ -158,6 +194,7 @@
     address: str = ""
     lag: float = 0.0
     pressure: Pressure | None = None
+    learnt: bytes = b""
 
 
 class OwnerChange(NamedTuple):
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -7,6 +7,7 @@
 
 from ragworttiller.resources import NO_RESOURCES
 from ragworttiller.scheduling.decisions.caps import Caps
+from ragworttiller.scheduling.decisions.estimates import EstimatePolicy
 from ragworttiller.scheduling.records.formats import JobState, Progress
 from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
 from ragworttiller.scheduling.records.queue_fold import QueueFold
@@ -37,6 +38,8 @@
         Observed speeds of runners; samples of ended jobs are discarded.
     caps : Caps
         Caps of the workspaces, which bound how many tasks of a step run at once.
+    estimates : EstimatePolicy
+        Tells how long tasks are expected to take.
 
     Attributes
     ----------
@@ -53,12 +56,14 @@
         stops: PendingStops,
         speeds: Speeds,
         caps: Caps,
+        estimates: EstimatePolicy,
     ) -> None:
         self._caps = caps
         self._fold = fold
         self._config = config
         self._stops = stops
         self._speeds = speeds
+        self._estimates = estimates
         self._changed: dict[str, None] = {}
         # Removed jobs that the fold still shows as open because it has not read their end yet.
         self._awaiting_end_record: set[str] = set()
@@ -85,7 +90,7 @@
 
     def _add_job(self, job: str, row: JobRow, now: float, wall: float) -> None:
         try:
-            work = JobWork(job, row, now, wall)
+            work = JobWork(job, row, now, wall, self._estimates)
         except Exception:
             log.exception("job skipped after an unexpected error", extra={"job": job})
             return
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -10,7 +10,7 @@
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.decisions.caps import Caps
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
-from ragworttiller.scheduling.decisions.copies import LearntDurations, UnknownDurations
+from ragworttiller.scheduling.decisions.copies import LearntDurations, TailDurations
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
@@ -25,6 +25,7 @@
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.learnt_store import LearntStore
 from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
 from ragworttiller.scheduling.state.owed_jobs import OwedJobs
 from ragworttiller.scheduling.state.pressure_meter import PressureMeter
@@ -63,7 +64,7 @@
     policies : CellPolicies, optional
         Scheduling policies; those of the default settings by default.
     durations : LearntDurations, optional
-        What is learnt of the durations of tasks; nothing by default.
+        What copies take for the tail of durations; by default what the cell has observed.
     measures_pressure : bool
         Whether claims tell how long a new job waits.
 
@@ -106,13 +107,24 @@
         self.owed = OwedJobs(jobs, config)
         self.caps = Caps(self.usage, config)
         self.shares = policies.shares(self.usage, self.owed, config)
-        self._active = ActiveJobs(jobs, config, self._stops, speeds, self.caps)
+        observed = policies.estimates.durations
+        self._learnt = LearntStore(speeds.kinds, observed)
+        self._learnt.restore(takeover.learnt, takeover.began_at)
+        self._active = ActiveJobs(jobs, config, self._stops, speeds, self.caps, policies.estimates)
         self._copies = CopyTally()
         self._tracker = RunTracker(
-            self._active, runners, takeover, self._stops, speeds, self._copies, lease, self.usage
+            self._active,
+            runners,
+            takeover,
+            self._stops,
+            speeds,
+            self._copies,
+            observed,
+            lease,
+            self.usage,
         )
         placer = Placer(policies.placement)
-        learnt = durations or UnknownDurations()
+        learnt = durations or TailDurations(observed)
         search = StragglerSearch(self.pool, takeover, speeds, placer, self._stops, learnt)
         self._pressure: PressureMeter | None = None
         if measures_pressure:
@@ -131,6 +143,8 @@
             self.shares,
             CopyPlanner(epoch, self.pool, search, policies.copies, self._copies, self.caps),
             MovePlanner(self.pool, search, policies.moves, self._stops),
+            policies.kinds,
+            policies.last_tasks,
         )
 
     @property
@@ -223,8 +237,17 @@
             unsettled=self._takeover.unresolved,
             address=address,
             pressure=self._pressure.summary(now, wall) if self._pressure is not None else None,
+            learnt=self._learnt.encoded(now),
         )
 
+    def kind_ratios(self) -> dict[str, float]:
+        """Return the duration of tasks on each known kind of runner, relative to the mean."""
+        return self._learnt.kind_ratios()
+
+    def kind_samples(self) -> dict[str, float]:
+        """Return the number of tasks from which the speed of each known kind was learnt."""
+        return self._learnt.kind_samples()
+
     def pending(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         return self._active.pending()
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -17,6 +17,8 @@
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.copy_tally import CopyTally
+from ragworttiller.scheduling.state.durations import Durations
+from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import TaskId
 from ragworttiller.scheduling.state.orders import PendingStops, run_fields
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
@@ -50,6 +52,9 @@
         Receives the durations of runs.
     copies : CopyTally
         Counts the copies of tasks and what becomes of them.
+        Receives the durations of runs, to compare runners.
+    durations : Durations
+        Receives the durations of runs, to compare them with their estimates.
     lease : float
         Duration of the granted leases, in seconds.
     usage : WorkspaceUsage
@@ -69,6 +74,7 @@
         stops: PendingStops,
         speeds: Speeds,
         copies: CopyTally,
+        durations: Durations,
         lease: float,
         usage: WorkspaceUsage,
     ) -> None:
@@ -77,6 +83,7 @@
         self._stops = stops
         self._speeds = speeds
         self._copies = copies
+        self._durations = durations
         self._lease = lease
         self.pool = RunnerPool(runners, takeover, self._requeue_runs, usage)
 
@@ -202,21 +209,41 @@
             run.checkpoint = end.checkpoint or run.checkpoint
             first = stage is not None and end.task.ordinal not in stage.done
             self._remove_run(run, end.outcome, now, end.outcome == "done" and first)
-            if end.outcome == "done" and not run.checkpoint:
-                run_seconds = now - run.started_at
-                self._speeds.record_duration(runner.id, end.task.stage, run_seconds, now)
             whole = end.outcome == "done" and not run.resumed and not run.adopted
             if whole and stage is not None:
                 stage.durations.append(now - run.started_at)
         work = self._jobs.by_id.get(end.task.stage.job)
         if stage is None or work is None or end.task.ordinal >= stage.spec.tasks:
             return
+        if run is not None and end.outcome == "done":
+            self._record_duration(runner, work, stage, run, now)
         if end.outcome == "done" and not stage.spec.daemon:
             self._apply_done(runner, stage, end, now)
+            if stage.complete:
+                self._speeds.kinds.end_stage(stage.id, now)
         else:
             self._apply_unfinished(runner, stage, end, run, now)
         self._jobs.mark_changed(work)
 
+    def _record_duration(
+        self, runner: RunnerState, work: JobWork, stage: Stage, run: Run, now: float
+    ) -> None:
+        """Record how long a run took that did all the work of its task.
+
+        A gang is as slow as its slowest member, a filling task as the load beside it, and a task
+        away from its data is slow on each kind: these tell nothing of the runner's kind.
+        """
+        spec = stage.spec
+        if run.resumed or run.adopted or spec.daemon:
+            return
+        seconds, labels = now - run.started_at, runner.entry.labels
+        away = bool(spec.data_rack) and spec.data_rack not in labels
+        kind = "" if spec.gang or spec.fills or away else runner.entry.kind
+        self._speeds.record_duration(runner.id, stage.id, seconds, now, kind)
+        corrected = seconds / self._speeds.kinds.time_ratio(kind)
+        stage.record_duration(corrected)
+        self._durations.record(work.duration_key(stage), corrected, spec.estimate, now)
+
     def _apply_done(self, runner: RunnerState, stage: Stage, end: EndedRun, now: float) -> None:
         """Mark a task as done; if it belongs to a gang, mark all tasks of the gang as done."""
         runner.record_success(now)
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -5,6 +5,7 @@
 from collections import Counter, deque
 from collections.abc import Iterator
 from enum import StrEnum
+from statistics import median
 
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.crash_rules import is_suspect
@@ -23,6 +24,9 @@
 MIN_PERCENT_FOR_ESTIMATE = 5
 # Durations kept of a stage; its median hardly changes with more of them.
 MAX_DURATIONS = 64
+# Fewer may be the quickest of a stage only.
+MIN_ENDED_SIBLINGS = 3
+MAX_ENDED_SIBLINGS = 31
 
 
 class RunState(StrEnum):
@@ -52,6 +56,10 @@
         Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
     workspace : str
         Workspace of its job, empty for none.
+    resumed : bool
+        Whether it began at a checkpoint, so that it does a part of the work only.
+    expected_seconds : float
+        Expected duration, the estimate of its step by default.
     """
 
     def __init__(
@@ -76,6 +84,8 @@
         self.trial = False
         self.resumed = False
         self.adopted = False
+        self.resumed = False
+        self.expected_seconds = spec.estimate
         self.percent = 0.0
         self.progressed_at = now
         self._progress_base: tuple[float, float] | None = (0.0, now)
@@ -93,13 +103,13 @@
 
     @property
     def expected_end(self) -> float:
-        """Time at which the run should end: from its progress, or its estimate if there is none."""
+        """Time at which the run should end: from its progress, or as expected if there is none."""
         if self._progress_base is None:
-            return self.started_at + self.spec.estimate
+            return self.started_at + self.expected_seconds
         base_percent, base_at = self._progress_base
         gained, elapsed = self.percent - base_percent, self.progressed_at - base_at
         if gained < MIN_PERCENT_FOR_ESTIMATE or elapsed <= 0:
-            return self.started_at + self.spec.estimate
+            return self.started_at + self.expected_seconds
         return self.progressed_at + elapsed * (100 - self.percent) / gained
 
     def resume(self, checkpoint: str) -> None:
@@ -107,6 +117,7 @@
         self.checkpoint = checkpoint
         self.resumed = bool(checkpoint)
         if checkpoint:
+            self.resumed = True
             self.measure_progress_from_next_report()
 
     def measure_progress_from_next_report(self) -> None:
@@ -182,6 +193,12 @@
         Number of copies that this owner has started of each task.
     durations : deque of float
         Durations in seconds of the last runs that were done from start to end.
+    waits_for_fast_since : float or None
+        Time in seconds since when tasks wait for a fast runner though a slow one has room, None if
+        none do.
+    ended_seconds : float or None
+        Usual duration in seconds of its ended tasks on a runner of mean speed, None if too few have
+        ended.
     """
 
     def __init__(self, stage: StageId, spec: StepSpec, workspace: str = NO_WORKSPACE) -> None:
@@ -213,6 +230,9 @@
         self.cap_held_since: float | None = None
         self.cap_held_seconds = 0.0
         self.cap_hold_logged = False
+        self.waits_for_fast_since: float | None = None
+        self.ended_seconds: float | None = None
+        self._recent_seconds: deque[float] = deque(maxlen=MAX_ENDED_SIBLINGS)
         self._last_run_numbers: dict[int, int] = {}
 
     @property
@@ -362,6 +382,12 @@
             self.waiting.remove(index)
         self.done.add(index)
 
+    def record_duration(self, seconds: float) -> None:
+        """Record the duration in seconds of a task, as on a runner of mean speed."""
+        self._recent_seconds.append(seconds)
+        if len(self._recent_seconds) >= MIN_ENDED_SIBLINGS:
+            self.ended_seconds = median(self._recent_seconds)
+
     def add_failed_run(self, index: int, number: int) -> None:
         """Record a failed run of a task once, however often its end is reported."""
         runs = self.failed_runs.setdefault(index, [])
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -21,7 +21,12 @@
 from ragworttiller.listeners import open_entry_listeners
 from ragworttiller.scheduling.decisions.cell_policies import (
     CANDIDATES,
+    COPIES,
+    ESTIMATES,
     HEADROOMS,
+    KINDS,
+    LAST_TASKS,
+    MOVES,
     OBSERVATIONS,
     ORDERS,
     PLACEMENTS,
@@ -263,6 +268,11 @@
             "preemption": set(PREEMPTIONS),
             "headroom": set(HEADROOMS),
             "shares": set(SHARE_ORDERS),
+            "copies": set(COPIES),
+            "moves": set(MOVES),
+            "kinds": set(KINDS),
+            "last_tasks": set(LAST_TASKS),
+            "estimates": set(ESTIMATES),
         }
 
     def test_all_errors_are_reported_at_once(self, tmp_path: Path):
