Learn which images disturb each other, and pace filling tasks

Cause: filling tasks are stopped wherever a serving task runs, so their work is lost although most pairs share a runner well; nothing relieves a serving task without a stop, and nothing is known of images that slow others down. Change: [policies] interference = learned turns on a separation policy. It learns the slowdown by pair of images, adds it as a soft cost of placement, lets filling tasks join calm serving ones, and orders paces (half, 0, stop) while a tail is over its target. The default none keeps the rule as it was. Runner kinds are kept from the first label. An empty interference_ms counts as missing, since a template renders an absent field as empty.

--- a/ragworttiller/config/base.py
+++ b/ragworttiller/config/base.py
@@ -65,6 +65,9 @@
         Text shown in the sample file for an option without a default.
     optional : bool
         Whether a missing option without a default is None instead of an error.
+    blank_is_missing : bool
+        Whether an empty text counts as a missing option: a template renders a field as empty that
+        its deployment does not have.
     """
 
     type_name: ClassVar[str]
@@ -77,12 +80,14 @@
         default: str | None = None,
         sample: str = "",
         optional: bool = False,
+        blank_is_missing: bool = False,
     ) -> None:
         self._name = name
         self._help = help
         self._default = default
         self._sample = sample
         self._optional = optional
+        self._blank_is_missing = blank_is_missing
 
     @property
     def name(self) -> str:
@@ -137,7 +142,7 @@
         ValueRejected
             The text is not an allowed value, or a required option is missing.
         """
-        if text is None:
+        if text is None or (self._blank_is_missing and not text.strip()):
             text = self._default
         if text is not None:
             return self.parse(text.strip())
--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -43,6 +43,7 @@
     status_s: float = 120.0
     stop_grace_ms: float = 900.0
     restore_ms: float = 250.0
+    interference_ms: float = 4500.0
 
 
 class EntryPolicies(NamedTuple):
@@ -54,6 +55,7 @@
     observation: str = "expected_ends"
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
+    interference: str = "none"
 
 
 class EntrySettings(NamedTuple):
@@ -146,6 +148,15 @@
                 "stop_grace_ms", "Longest time that a runner takes to stop a run.", "900"
             ),
             _milliseconds("restore_ms", "Time that a run takes to resume.", "250"),
+            Number(
+                "interference_ms",
+                "Time for which a serving task may be over its target because of filling tasks.",
+                low=100,
+                high=3_600_000,
+                unit="milliseconds",
+                default="4500",
+                blank_is_missing=True,
+            ),
         ],
     ),
     Section(
@@ -164,6 +175,12 @@
             ),
             _policy("headroom", "Room kept free for urgent tasks.", "arrivals", "none"),
             _policy("preemption", "Runs stopped for more urgent tasks.", "checkpointed", "none"),
+            _policy(
+                "interference",
+                "Tasks kept apart that slow each other down, and pace of filling tasks.",
+                "none",
+                "learned",
+            ),
         ],
     ),
     LOG_SECTION,
--- a/ragworttiller/platform/listing.py
+++ b/ragworttiller/platform/listing.py
@@ -15,6 +15,7 @@
     """State that a runner reports about itself; ``runner`` is the name of its boot.
 
     ``remaining`` is the minimum time in seconds until the runner leaves, None if not reported.
+    ``kind`` is its first label; runners of one kind are equally fast.
     """
 
     runner: str
@@ -25,6 +26,7 @@
     labels: frozenset[str]
     draining: bool
     remaining: float | None
+    kind: str = ""
 
 
 class _Capacity(msgspec.Struct):
@@ -64,4 +66,5 @@
         frozenset(wire.labels),
         wire.state != "ready",
         remaining,
+        wire.labels[0] if wire.labels else "",
     )
--- a/ragworttiller/platform/runners.py
+++ b/ragworttiller/platform/runners.py
@@ -1,4 +1,4 @@
-"""Client of the platform's runners: orders to renew leases and to start and stop runs."""
+"""Client of the platform's runners: orders to renew leases and to start, pace and stop runs."""
 
 from __future__ import annotations
 
@@ -211,6 +211,19 @@
         """
         await self._send_order("/-/run-stop", {"task": str(task), "run": run, "fence_token": token})
 
+    async def pace(self, task: TaskId, run: int, percent: int, token: int) -> None:
+        """Let a run work, and disturb others, at a percent of its pace; 100 from its start.
+
+        An order without an answer may still be carried out seconds later.
+
+        Raises
+        ------
+        AppendFenced, OrderRefused, OrderUndecided, RunnerGone
+            As for `hold`.
+        """
+        body = {"task": str(task), "run": run, "percent": percent, "fence_token": token}
+        await self._send_order("/-/pace", body)
+
     def set_slack(self, slack: Callable[[], float]) -> None:
         """Set the function that returns the seconds by which each wait is longer."""
         self._channels.slack = slack
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -12,12 +12,14 @@
     UsefulCandidates,
 )
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.decisions.learned_separation import LearnedSeparation
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
     LongPollOnly,
     ObservationPolicy,
 )
 from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, QueueOrder, SlackOrder
+from ragworttiller.scheduling.decisions.separation import KeepApart, SeparationPolicy
 from ragworttiller.scheduling.decisions.task_placement import (
     FastTightFit,
     FirstFit,
@@ -46,6 +48,10 @@
     "arrivals": ArrivalHeadroom,
     "none": NoHeadroom,
 }
+SEPARATIONS: Mapping[str, Callable[[float], SeparationPolicy]] = {
+    "none": lambda bound: KeepApart(),
+    "learned": LearnedSeparation,
+}
 
 
 class CellPolicies(NamedTuple):
@@ -58,6 +64,7 @@
     victims: VictimPolicy
     headroom: HeadroomPolicy
     stop_seconds: float
+    separation: SeparationPolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -79,6 +86,7 @@
         PREEMPTIONS[names.preemption](stop_seconds, bounds.restore_ms / 1000),
         HEADROOMS[names.headroom](),
         stop_seconds,
+        SEPARATIONS[names.interference](bounds.interference_ms / 1000),
     )
 
 
--- a/ragworttiller/scheduling/decisions/free_resources.py
+++ b/ragworttiller/scheduling/decisions/free_resources.py
@@ -37,7 +37,7 @@
             self._cpu_at_start[runner.id] = runner.free.cpu
         self._rooms = {name: _room(name, rows) for name, rows in self._by_upstream.items()}
         self._labels: dict[str, Counter[str]] = {}
-        self._without_room: set[tuple[str, Resources, str, bool]] = set()
+        self._without_room: set[tuple[str, Resources, str, str | None]] = set()
 
     def of_upstream(self, upstream: str) -> Sequence[RunnerState]:
         """Return the runners of an upstream, those with the most free CPU first."""
@@ -58,7 +58,7 @@
         Those with the most free CPU at the start of the pass come first.
         """
         size = spec.reservation
-        kind = (upstream, size, spec.label, spec.fills)
+        kind = (upstream, size, spec.label, spec.image if spec.fills else None)
         if kind in self._without_room:
             return []
         rows: list[RunnerState] = []
--- a/ragworttiller/scheduling/decisions/queue_order.py
+++ b/ragworttiller/scheduling/decisions/queue_order.py
@@ -25,6 +25,10 @@
     remaining: float
     lasts: bool = False
 
+    def late(self, now: float) -> bool:
+        """Return whether the occurrence cannot be on time any more."""
+        return not self.lasts and now + self.remaining > self.since + self.objective
+
 
 class QueueOrder(ABC):
     """Order of the waiting stages."""
--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -28,7 +28,9 @@
         and room.memory >= memory
         and room.accelerators >= accelerators
     ]
-    return [runner for runner in rows if not runner.runs_serving_task] if spec.fills else rows
+    if not spec.fills:
+        return rows
+    return [runner for runner in rows if not runner.keeps_filling_away(spec.image)]
 
 
 def accepts_another(runner: RunnerState, stage: Stage, running: int) -> bool:
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -13,6 +13,7 @@
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.runner_rules import suits
+from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.decisions.task_placement import PlacementPolicy, Placer
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import Plan, StartOrder, run_fields
@@ -49,6 +50,8 @@
         Reserves and frees room for stages that wait.
     headroom : HeadroomPolicy
         Limits what patient stages take.
+    separation : SeparationPolicy
+        Keeps tasks apart that slow each other down.
 
     Attributes
     ----------
@@ -67,6 +70,7 @@
         candidate_policy: CandidatePolicy,
         room_maker: RoomMaker,
         headroom: HeadroomPolicy,
+        separation: SeparationPolicy,
     ) -> None:
         self._headroom = headroom
         self._epoch = epoch
@@ -74,7 +78,7 @@
         self._takeover = takeover
         self._speeds = speeds
         self._order = order
-        self._placer = Placer(placement)
+        self._placer = Placer(placement, separation)
         self.loads = EntryLoads()
         self._advice = AdvicePlanner(self.loads, candidate_policy)
         self._room_maker = room_maker
@@ -98,7 +102,8 @@
             if allowance < stage.spec.reservation.cpu:
                 continue
             self._relax_avoidance(work, stage, free_resources, now)
-            placed = self._start_placeable(plan, work, stage, free_resources, allowance, now)
+            late = inputs.late(now)
+            placed = self._start_placeable(plan, work, stage, free_resources, allowance, late, now)
             if not stage.waiting or (placed and stage.spec.gang):
                 continue
             stage.blocked_since = stage.blocked_since or now
@@ -152,11 +157,13 @@
         stage: Stage,
         free_resources: FreeResources,
         allowance: float,
+        late: bool,
         now: float,
     ) -> bool:
         """Start the tasks that can be placed and return whether there were any.
 
-        ``allowance`` limits the processor time that they reserve, in thousandths of a core.
+        ``allowance`` limits the processor time that they reserve, in thousandths of a core. A
+        ``late`` stage takes no account of the tasks that it disturbs.
         """
         if stage.spec.gang and stage.active_runs:
             return False
@@ -178,7 +185,7 @@
         if stage.spec.gang and len(indices) < stage.spec.tasks:
             return False
         time_ratios = {runner.id: self._speeds.time_ratio(runner.id, now) for runner in with_room}
-        chosen = self._placer.place(stage, with_room, free_resources, indices, time_ratios)
+        chosen = self._placer.place(stage, with_room, free_resources, indices, time_ratios, late)
         if not chosen:
             return False
         stage.blocked_since = None
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -11,6 +11,7 @@
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.runner_rules import accepts_another
+from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.decisions.trials import Trials
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Stage
@@ -89,6 +90,8 @@
     ----------
     policy : PlacementPolicy
         Ranks the runners that have room.
+    separation : SeparationPolicy
+        Adds the cost of tasks that slow each other down.
 
     Attributes
     ----------
@@ -96,8 +99,9 @@
         Chooses the runners of tasks that are suspected of crashing them.
     """
 
-    def __init__(self, policy: PlacementPolicy) -> None:
+    def __init__(self, policy: PlacementPolicy, separation: SeparationPolicy) -> None:
         self._policy = policy
+        self._separation = separation
         self.trials = Trials()
 
     def place(
@@ -107,17 +111,24 @@
         free_resources: FreeResources,
         indices: Sequence[int],
         time_ratios: dict[str, float],
+        late: bool = False,
     ) -> dict[int, str]:
         """Return a runner for each task in ``indices`` that can be placed now.
 
-        A gang is placed whole or not at all.
+        A gang is placed whole or not at all. A ``late`` stage takes no account of the tasks that it
+        disturbs.
         """
         size = stage.spec.reservation
         on_runner = stage.runs_by_runner()
         by_id = {runner.id: runner for runner in runners}
         scores: dict[str, float] = {}
+        costs: dict[str, float] = {}
+
+        def score(runner: RunnerState) -> None:
+            self._score(scores, costs, stage, runner, free_resources, on_runner, time_ratios, late)
+
         for runner in runners:
-            self._score(scores, stage, runner, free_resources, on_runner, time_ratios)
+            score(runner)
         chosen: dict[int, str] = {}
         for index in indices:
             suspect = index in stage.crashes and stage.is_suspect(index)
@@ -129,31 +140,51 @@
                 if suspect or index in stage.last_failed_runner or index in stage.failed_runs:
                     continue
                 break
+            if costs:
+                self._record_choice(stage, best.id, scores, costs)
             chosen[index] = best.id
             on_runner[best.id] += 1
             free_resources.subtract(best.id, size)
             if suspect:
                 free_resources.close(best.id)
-            self._score(scores, stage, best, free_resources, on_runner, time_ratios)
+            score(best)
         return chosen
 
+    def _record_choice(
+        self, stage: Stage, best: str, scores: dict[str, float], costs: dict[str, float]
+    ) -> None:
+        """Record a choice that would be another one without the costs of separation."""
+        instead = min(scores, key=lambda name: scores[name] - costs.get(name, 0.0))
+        if scores[instead] > scores[best]:
+            self._separation.record_placement(stage, best, instead)
+
     def _score(
         self,
         scores: dict[str, float],
+        costs: dict[str, float],
         stage: Stage,
         runner: RunnerState,
         free_resources: FreeResources,
         on_runner: Counter[str],
         time_ratios: dict[str, float],
+        late: bool,
     ) -> None:
         """Update the score of a runner, which has none if it can take no task of the stage now."""
         scores.pop(runner.id, None)
+        costs.pop(runner.id, None)
         free = free_resources.of_runner(runner.id)
         if not stage.spec.reservation.fits(free):
             return
-        if accepts_another(runner, stage, on_runner[runner.id]):
+        running = on_runner[runner.id]
+        if accepts_another(runner, stage, running) and self._separation.joins(
+            stage, runner, running
+        ):
             ratio = time_ratios.get(runner.id, 1.0)
             scores[runner.id] = self._policy.score(stage, runner, free, ratio)
+            cost = self._separation.cost(stage, runner, late)
+            if cost:
+                costs[runner.id] = cost
+                scores[runner.id] += cost
 
     def _best(
         self, stage: Stage, index: int, scores: dict[str, float], by_id: dict[str, RunnerState]
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -216,6 +216,8 @@
             self._spawn(self._calls.start, start)
         for stop in plan.stops:
             self._spawn(self._calls.stop, stop)
+        for pace in plan.paces:
+            self._spawn(self._calls.pace, pace)
         for call in plan.calls:
             self._spawn(self._advise, call)
         for runner in plan.looks:
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -1,4 +1,4 @@
-"""Orders to runners and their answers: holds, looks, starts and stops."""
+"""Orders to runners and their answers: holds, looks, starts, paces and stops."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 from ragworttiller.scheduling.ownership.recorder import Recorder
 from ragworttiller.scheduling.ownership.start_call import call_start
 from ragworttiller.scheduling.ownership.term import Term
-from ragworttiller.scheduling.state.orders import StartOrder, StopOrder, run_fields
+from ragworttiller.scheduling.state.orders import PaceOrder, StartOrder, StopOrder, run_fields
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run, RunState
@@ -214,6 +214,34 @@
         late = runner.clock_at(self._clock.now()) > run.start_deadline
         return run.state is RunState.STARTING and not late
 
+    async def pace(self, order: PaceOrder) -> None:
+        """Order the pace of a run."""
+        run, cell = order.run, self._cell
+        client, runner = self._clients.get(run.runner), cell.runners.get(run.runner)
+        if client is None or runner is None or not self._term.valid:
+            run.pace.mark_refused()
+            return
+        extra = {**run_fields(run), "percent": order.percent, "over": order.over}
+        answered = False
+        try:
+            await client.pace(run.task, run.number, order.percent, self._term.epoch)
+            answered = True
+            run.pace.confirm(order.percent)
+            log.info("pace order accepted", extra=extra)
+        except OrderRefused as exc:
+            answered = True
+            run.pace.mark_refused()
+            log.info("pace order refused", extra={**extra, "why": exc.fields["reason"]})
+        except OrderUndecided as exc:
+            log.info("pace order unanswered", extra={**extra, "why": exc.code})
+        except AppendFenced:
+            self._term.end_fenced(run.runner)
+        except RunnerGone:
+            cell.pool.record_ended_boot(runner, self._clock.now())
+        finally:
+            if not answered:
+                run.pace.mark_unanswered(self._clock.now())
+
     async def stop(self, order: StopOrder) -> None:
         """Order the stop of a run."""
         run, cell = order.run, self._cell
--- /dev/null
+++ b/ragworttiller/scheduling/state/interference.py
@@ -0,0 +1,252 @@
+"""Slowdown of the tasks of one image by tasks of another one, as learnt from samples."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Container, Mapping
+from typing import NamedTuple
+
+from ragworttiller.scheduling.state.decayed import DecayedSum
+
+HALF_LIFE_SECONDS = 5.0
+# Kinds of runners do not change, and few samples come from a rare one.
+KIND_HALF_LIFE_SECONDS = 60.0
+MAX_PAIRS = 512
+MAX_IMAGES = 256
+MAX_KINDS = 32
+MAX_IMAGES_PER_RUNNER = 32
+# Samples without effect that are assumed in advance; chosen, not measured.
+PAIR_PRIOR_SAMPLES = 3.0
+KIND_PRIOR_SAMPLES = 10.0
+NOISE_PRIOR_SAMPLES = 4.0
+NOISE_PRIOR = 0.1
+# Standard errors by which a slowdown has to exceed 1 to be believed.
+MIN_STANDARD_ERRORS = 2.0
+MIN_SLOWDOWN = 1.15
+# Samples that an image needs to count for the slowness of a runner.
+MIN_RUNNER_SAMPLES = 0.8
+MIN_ALONE_SAMPLES = 1.5
+# A single sample is cut off here: the longest ones come from other causes, such as lost packets.
+MAX_LOG_RATIO = 3.0
+
+
+class Sample(NamedTuple):
+    """Measurement of a task.
+
+    Parameters
+    ----------
+    image : str
+        Image of the task.
+    runner, kind : str
+        Runner, and its kind.
+    serves : bool
+        Whether the ratio is that of a tail latency to its target, rather than that of a duration to
+        the expected one.
+    ratio : float
+        The ratio, over 0.
+    beside : mapping of str to float
+        Share, 0 to 1, at which each image disturbed the task.
+    """
+
+    image: str
+    runner: str
+    kind: str
+    serves: bool
+    ratio: float
+    beside: Mapping[str, float]
+
+
+class PairView(NamedTuple):
+    """What is known of a pair: ``image`` is slowed down by ``beside``.
+
+    ``slowdown`` is 1 for no effect. ``samples`` is the number of samples that still count, and
+    ``age`` the time in seconds since the last one. Only pairs that are ``believed`` affect
+    placement.
+    """
+
+    image: str
+    beside: str
+    slowdown: float
+    samples: float
+    confidence: float
+    age: float
+    believed: bool
+
+
+class _Image:
+    """Level of an image, and the mean square of what remains unexplained."""
+
+    def __init__(self) -> None:
+        self.level = DecayedSum(HALF_LIFE_SECONDS)
+        self.noise = DecayedSum(HALF_LIFE_SECONDS)
+
+
+class _ImageOnRunner:
+    """What an image's samples on a runner have above its level: all of them, and those alone."""
+
+    def __init__(self) -> None:
+        self.all = DecayedSum(HALF_LIFE_SECONDS)
+        self.alone = DecayedSum(HALF_LIFE_SECONDS)
+
+
+class Interference:
+    """Learns for each pair of images how much tasks of the second slow down tasks of the first.
+
+    The logarithm of a sample is the sum of the level of its image, of the slowness of the kind and
+    of the runner, and of the effects of the images beside it. The effects are fitted by regression
+    with shrinkage, one sample at a time, so that images that come together share an effect until
+    they are seen apart.
+    """
+
+    def __init__(self) -> None:
+        self._pairs: dict[tuple[str, str], DecayedSum] = {}
+        self._images: dict[str, _Image] = {}
+        self._kinds: dict[tuple[str, bool], DecayedSum] = {}
+        self._runners: dict[str, dict[str, _ImageOnRunner]] = {}
+
+    def record(self, sample: Sample, now: float) -> None:
+        """Learn from a sample."""
+        if sample.ratio <= 0:
+            return
+        value = max(min(math.log(sample.ratio), MAX_LOG_RATIO), -MAX_LOG_RATIO)
+        image = self._image(sample.image)
+        kind = self._kind_sum(sample.kind, sample.serves)
+        above_level = value - image.level.mean(now)
+        of_kind = kind.mean(now, KIND_PRIOR_SAMPLES)
+        effects = {
+            other: self._effect(sample.image, other, now) * share
+            for other, share in sample.beside.items()
+        }
+        known = sum(effects.values())
+        if image.level.weight(now) > 0:
+            self._record_on_runner(sample, above_level - of_kind - known, now)
+        of_runner = self._slowness(sample.runner, sample.image, now)
+        rest = above_level - of_kind - of_runner - known
+        if image.level.weight(now) > 0:
+            self._record_pairs(sample, rest, effects, now)
+            image.noise.add(rest * rest, 1.0, now)
+            kind.add(rest + of_kind, 1.0, now)
+        # Samples beside many neighbours say least of the image itself.
+        weight = 1 / (1 + sum(sample.beside.values()))
+        image.level.add(weight * (value - of_kind - of_runner - known), weight, now)
+
+    def slowdown(self, image: str, beside: str, now: float) -> float:
+        """Return the expected slowdown of an image by another one, 1 if none is believed."""
+        pair = self._pairs.get((image, beside))
+        if pair is None or not self._believed(image, pair, now):
+            return 1.0
+        return math.exp(pair.mean(now, PAIR_PRIOR_SAMPLES))
+
+    def level(self, image: str, now: float) -> float:
+        """Return the ratio of an image's samples without neighbours, 0 if there are none."""
+        known = self._images.get(image)
+        if known is None or known.level.weight(now) <= 0:
+            return 0.0
+        return math.exp(known.level.mean(now))
+
+    def believed(self, now: float) -> dict[tuple[str, str], float]:
+        """Return the slowdown of each believed pair."""
+        return {
+            (image, beside): math.exp(pair.mean(now, PAIR_PRIOR_SAMPLES))
+            for (image, beside), pair in self._pairs.items()
+            if self._believed(image, pair, now)
+        }
+
+    def views(self, now: float) -> list[PairView]:
+        """Return what is known of each pair, the largest slowdown first."""
+        rows = [
+            PairView(
+                image,
+                beside,
+                round(math.exp(pair.mean(now, PAIR_PRIOR_SAMPLES)), 3),
+                round(pair.weight(now), 2),
+                round(_confidence(pair, now), 3),
+                round(pair.age(now), 3),
+                self._believed(image, pair, now),
+            )
+            for (image, beside), pair in self._pairs.items()
+        ]
+        return sorted(rows, key=lambda row: (-row.slowdown, row.image, row.beside))
+
+    def retain_runners(self, runners: Container[str]) -> None:
+        """Forget the slowness of the runners that are not among ``runners``."""
+        for name in [name for name in self._runners if name not in runners]:
+            del self._runners[name]
+
+    def _image(self, name: str) -> _Image:
+        image = self._images.pop(name, None) or _Image()
+        self._images[name] = image
+        if len(self._images) > MAX_IMAGES:
+            del self._images[next(iter(self._images))]
+        return image
+
+    def _kind_sum(self, name: str, serves: bool) -> DecayedSum:
+        kind = self._kinds.pop((name, serves), None) or DecayedSum(KIND_HALF_LIFE_SECONDS)
+        self._kinds[name, serves] = kind
+        if len(self._kinds) > MAX_KINDS:
+            del self._kinds[next(iter(self._kinds))]
+        return kind
+
+    def _effect(self, image: str, beside: str, now: float) -> float:
+        pair = self._pairs.get((image, beside))
+        return pair.mean(now, PAIR_PRIOR_SAMPLES) if pair is not None else 0.0
+
+    def _record_pairs(
+        self, sample: Sample, rest: float, effects: Mapping[str, float], now: float
+    ) -> None:
+        """Attribute to each neighbour what is unexplained, with its own effect so far."""
+        for other, share in sample.beside.items():
+            key = (sample.image, other)
+            pair = self._pairs.pop(key, None) or DecayedSum(HALF_LIFE_SECONDS)
+            # The order of the dictionary is that of the last samples.
+            self._pairs[key] = pair
+            pair.add(share * (rest + effects[other]), share * share, now)
+        while len(self._pairs) > MAX_PAIRS:
+            del self._pairs[next(iter(self._pairs))]
+
+    def _record_on_runner(self, sample: Sample, above: float, now: float) -> None:
+        images = self._runners.setdefault(sample.runner, {})
+        known = images.pop(sample.image, None) or _ImageOnRunner()
+        images[sample.image] = known
+        known.all.add(above, 1.0, now)
+        if not sample.beside:
+            known.alone.add(above, 1.0, now)
+        if len(images) > MAX_IMAGES_PER_RUNNER:
+            del images[next(iter(images))]
+
+    def _slowness(self, runner: str, image: str, now: float) -> float:
+        """Return by how much a runner slows down an image, whatever runs beside it.
+
+        It is what the image showed there alone, or else what the least slow quarter of all images
+        there has in common.
+        """
+        images = self._runners.get(runner, {})
+        own = images.get(image)
+        if own is not None and own.alone.weight(now) >= MIN_ALONE_SAMPLES:
+            return own.alone.mean(now)
+        rows = [
+            known.all.mean(now)
+            for known in images.values()
+            if known.all.weight(now) >= MIN_RUNNER_SAMPLES
+        ]
+        if len(rows) < 2:
+            return 0.0
+        return max(sorted(rows)[(len(rows) - 1) // 4], 0.0)
+
+    def _believed(self, image: str, pair: DecayedSum, now: float) -> bool:
+        effect, samples = pair.mean(now, PAIR_PRIOR_SAMPLES), pair.weight(now)
+        if effect < math.log(MIN_SLOWDOWN) or samples <= 0:
+            return False
+        known = self._images.get(image)
+        if known is None:
+            return False
+        seen = known.noise.weight(now)
+        squares = known.noise.mean(now) * seen + NOISE_PRIOR * NOISE_PRIOR_SAMPLES
+        deviation = math.sqrt(squares / (seen + NOISE_PRIOR_SAMPLES))
+        return effect > MIN_STANDARD_ERRORS * deviation / math.sqrt(samples)
+
+
+def _confidence(pair: DecayedSum, now: float) -> float:
+    """Return the weight of the samples against those assumed in advance, 0 to 1."""
+    samples = pair.weight(now)
+    return samples / (samples + PAIR_PRIOR_SAMPLES)
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -47,7 +47,7 @@
             self._by_occurrence.append([])
             for step, spec in enumerate(self.spec.steps):
                 name = StageId(job, occurrence, step)
-                stage = self.stages[name] = Stage(name, spec)
+                stage = self.stages[name] = Stage(name, spec, self.queue.key)
                 self._by_occurrence[occurrence].append(stage)
                 if name in restored:
                     stage.restore(restored[name])
--- a/ragworttiller/scheduling/state/orders.py
+++ b/ragworttiller/scheduling/state/orders.py
@@ -33,13 +33,22 @@
     reason: str
 
 
+class PaceOrder(NamedTuple):
+    """Order to let a run work at a percent; ``over`` is for how many seconds a tail is too long."""
+
+    run: Run
+    percent: int
+    over: float
+
+
 class Plan(NamedTuple):
-    """Starts, stops, calls to the advisor and looks at runners that are due now."""
+    """Starts, stops, advisor calls, looks at runners and pace orders that are due now."""
 
     starts: list[StartOrder]
     stops: list[StopOrder]
     calls: list[AdviceCall]
     looks: list[RunnerState]
+    paces: list[PaceOrder]
 
 
 class Changes(NamedTuple):
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -9,6 +9,7 @@
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
+from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
 from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.records.job_fold import JobFold
@@ -62,13 +63,16 @@
     ) -> None:
         policies = policies or default_policies()
         self._observation = policies.observation
+        self._separation = policies.separation
         self._epoch = epoch
         self._takeover = takeover
         self._lease = lease
         self._stops = PendingStops()
         speeds = Speeds()
         self._active = ActiveJobs(jobs, config, self._stops, speeds)
-        self._tracker = RunTracker(self._active, runners, takeover, self._stops, speeds, lease)
+        self._tracker = RunTracker(
+            self._active, runners, takeover, self._stops, speeds, lease, policies.separation
+        )
         self._planner = StagePlanner(
             epoch,
             self.pool,
@@ -79,6 +83,7 @@
             policies.candidates,
             RoomMaker(self._stops, policies.victims, policies.stop_seconds),
             policies.headroom,
+            policies.separation,
         )
 
     @property
@@ -96,6 +101,11 @@
         """Runners on which an earlier owner's tasks may still run."""
         return self._takeover
 
+    @property
+    def separation(self) -> SeparationPolicy:
+        """Policy that keeps tasks apart, and what it has learnt."""
+        return self._separation
+
     @property
     def pool(self) -> RunnerPool:
         """Runners of the cell."""
@@ -163,18 +173,23 @@
         self._tracker.mark_start_refused(run, reason, now)
 
     def plan(self, now: float, wall: float) -> Plan:
-        """Return the starts, stops and advisor calls that are due now."""
+        """Return the starts, stops, advisor calls, looks and pace orders that are due now."""
         self.pool.end_runs(now)
         self._tracker.settle_inherited()
         for run in self._runs_to_evacuate(now):
             self._stops.add(run, "runner drains")
-        for run in self.pool.filling_runs_to_stop():
-            self._stops.add(run, "serving task on the runner")
-        plan = Plan([], [], [], self._looks_due(now))
+        self._separation.begin(self.runners, self._stops, self._stage_of, now)
+        looks = {runner.id: runner for runner in self._looks_due(now)}
+        looks |= {runner.id: runner for runner in self._separation.looks(now)}
+        plan = Plan([], [], [], list(looks.values()), [])
         self._planner.plan(plan, self._active.by_id, now, wall)
         plan.stops.extend(self._stops.due(now))
+        plan.paces.extend(self._separation.pace_orders(now))
         return plan
 
+    def _stage_of(self, run: Run) -> Stage | None:
+        return self._active.stage(run.task.stage)
+
     def _runs_to_evacuate(self, now: float) -> list[Run]:
         draining = [r for r in self.runners.values() if r.entry.draining and r.runs]
         usable = self.pool.accepting_tasks(now) if draining else []
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -13,6 +13,7 @@
     gives_up,
     trial_seconds,
 )
+from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.records.formats import Blame, Crash, Withdrawn
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
@@ -48,6 +49,8 @@
         Receives the durations of runs.
     lease : float
         Duration of the granted leases, in seconds.
+    separation : SeparationPolicy
+        Receives what runners report, to learn which tasks disturb each other.
 
     Attributes
     ----------
@@ -63,12 +66,14 @@
         stops: PendingStops,
         speeds: Speeds,
         lease: float,
+        separation: SeparationPolicy,
     ) -> None:
         self._jobs = jobs
         self._takeover = takeover
         self._stops = stops
         self._speeds = speeds
         self._lease = lease
+        self._separation = separation
         self.pool = RunnerPool(runners, takeover, self._requeue_runs)
 
     def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
@@ -86,6 +91,7 @@
             self.pool.record_later_boot(runner, now)
         if not answer.unreadable and not answer.more_ends:
             self._takeover.resolve(runner.id, "it answered", now)
+        self._separation.record_answer(runner, now)
         for end in sorted(answer.ended):
             if end.number > runner.last_end_seen:
                 runner.last_end_seen = end.number
@@ -132,6 +138,7 @@
         if run is None:
             run = self._add_found_run(runner, row, now)
         run.observe(row.percent, row.checkpoint, row.load, now)
+        self._separation.record_report(runner, run, now)
         if runner.record_lasting_probe(run, now):
             log.info("probation ended", extra=run_fields(run))
         stage = self._jobs.stage(row.task.stage)
@@ -185,6 +192,7 @@
         log.info("run ended", extra=extra)
         if run is not None:
             run.checkpoint = end.checkpoint or run.checkpoint
+            self._separation.record_end(runner, run, end.outcome, now)
             self._remove_run(run)
             if end.outcome == "done" and not run.checkpoint:
                 run_seconds = now - run.started_at
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -260,16 +260,6 @@
             if other.entry.address == runner.entry.address:
                 other.unsound_until = now + UNSOUND_SECONDS
 
-    def filling_runs_to_stop(self) -> list[Run]:
-        """Return the filling runs on runners that also run a task with a latency bound."""
-        return [
-            run
-            for runner in self.runners.values()
-            if runner.runs_filling_task and runner.runs_serving_task
-            for run in runner.runs.values()
-            if run.spec.fills
-        ]
-
     def _forgettable(self, runner: RunnerState, now: float) -> bool:
         """Return whether no run of any owner can be on a runner that does not answer."""
         settled = not self._takeover.is_unresolved(runner.id)
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ragworttiller.platform.listing import RunnerEntry
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.state.jobs import TaskId
@@ -66,6 +68,8 @@
         Time at which the last look was sent.
     next_look_at : float
         Time before which no look can be due, -inf if its runs have changed since it was computed.
+    admits_filling : Callable or None
+        Returns whether a filling task of an image may join the serving ones, None if none may.
     """
 
     def __init__(self, entry: RunnerEntry) -> None:
@@ -87,6 +91,7 @@
         self.look_in_flight = False
         self.last_look_at = float("-inf")
         self.next_look_at = float("-inf")
+        self.admits_filling: Callable[[str], bool] | None = None
         self.last_answer_at = float("-inf")
         self.suspended_until = 0.0
         self.leaves_at = float("inf")
@@ -145,6 +150,17 @@
         """Whether a task runs here whose processor time is not reserved."""
         return self._filling_runs > 0
 
+    @property
+    def filling_runs(self) -> int:
+        """Number of tasks here whose processor time is not reserved."""
+        return self._filling_runs
+
+    def keeps_filling_away(self, image: str) -> bool:
+        """Return whether a filling task of an image may not join the serving ones here."""
+        if not self.runs_serving_task:
+            return False
+        return self.admits_filling is None or not self.admits_filling(image)
+
     @property
     def runs_trial(self) -> bool:
         """Whether a task that is or was tried runs here."""
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -15,10 +15,12 @@
     encode_bitmap,
 )
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
+from ragworttiller.scheduling.state.pace import Pace
 from ragworttiller.scheduling.state.tickets import Tickets
 
 RUNS_PER_EPOCH = 10_000
 MIN_PERCENT_FOR_ESTIMATE = 5
+QUEUE_PREFIX = "queue:"
 
 
 class RunState(StrEnum):
@@ -44,6 +46,10 @@
         Whether nothing else starts on its runner for a while, since its task is suspected.
     adopted : bool
         Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
+    image : str
+        Name under which tasks that behave alike are known.
+    pace : Pace
+        Percent at which it works by the orders of this owner.
     """
 
     def __init__(self, task: TaskId, number: int, runner: str, spec: StepSpec, now: float) -> None:
@@ -58,6 +64,8 @@
         self.checkpoint = ""
         self.trial = False
         self.adopted = False
+        self.image = spec.image
+        self.pace = Pace()
         self.percent = 0.0
         self.progressed_at = now
         self._progress_base: tuple[float, float] | None = (0.0, now)
@@ -119,9 +127,13 @@
         Identifier of the stage.
     spec : StepSpec
         Step that the stage executes.
+    queue : str
+        Key of the queue of its job, which stands for the image if the step names none.
 
     Attributes
     ----------
+    image : str
+        Name under which tasks that behave alike are known.
     ready_since : float or None
         Time in seconds from which its tasks could start, None before the first planning pass then.
     tries_failed_on_probation : bool
@@ -142,9 +154,10 @@
         Runner on which a task is tried, by index.
     """
 
-    def __init__(self, stage: StageId, spec: StepSpec) -> None:
+    def __init__(self, stage: StageId, spec: StepSpec, queue: str = "") -> None:
         self.id = stage
         self.spec = spec
+        self.image = spec.image or f"{QUEUE_PREFIX}{queue}"
         self.done: set[int] = set()
         self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
         self.active_runs: dict[int, Run] = {}
@@ -222,6 +235,7 @@
         number = number or self.next_number(index, epoch)
         self._last_run_numbers[index] = number
         run = Run(TaskId(self.id, index), number, runner, self.spec, now)
+        run.image = self.image
         run.resume(self.checkpoints.get(index, ""))
         self.active_runs[index] = run
         return run
@@ -234,6 +248,8 @@
         """Add a run that an earlier owner started."""
         index = run.task.ordinal
         run.adopted = True
+        run.image = self.image
+        run.pace.assume_unknown()
         self.waiting.remove(index)
         self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
         self.active_runs[index] = run
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -74,6 +74,7 @@
             "max_hold_ms": 6000,
             "stop_grace_ms": 900,
             "restore_ms": 250,
+            "interference_ms": 4500,
             "grace_s": 6,
             "gang_timeout_ms": 3000,
             "status_s": 120,
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -70,13 +70,30 @@
         self.run = run
         self.started_at = started_at
         self.ends_at = ends_at
+        self._work = self._left = ends_at - started_at
+        self._paced_at = started_at
         self.size = size
         self.checkpoint = checkpoint
         self.stopped = False
+        self.percent = 100
+
+    def set_percent(self, percent: int, now: float) -> None:
+        """Let the run work at a percent from ``now`` on."""
+        if not self.stopped:
+            self._left = self._work_left(now)
+            self._paced_at = now
+            self.ends_at = now + self._left * 100 / percent if percent else float("inf")
+        self.percent = percent
 
     def percent_done(self, now: float) -> int:
         """Return the share of the work that is done at ``now``, in percent."""
-        return int(100 * (now - self.started_at) / max(self.ends_at - self.started_at, 0.001))
+        if self._work == float("inf"):
+            return 0
+        return int(100 * (1 - self._work_left(now) / max(self._work, 0.001)))
+
+    def _work_left(self, now: float) -> float:
+        """Return the seconds of work at full pace that are left."""
+        return self._left - (now - self._paced_at) * self.percent / 100
 
 
 class RunnerService(Service):
@@ -182,6 +199,11 @@
             row["born"] = self._born
         return json.dumps({**row, "labels": ["a", "r1-1"], "zone": "a", "seq": 1}).encode()
 
+    def percents(self) -> dict[str, int]:
+        """Return the percent at which each running task works."""
+        self.end_due_runs()
+        return {task: row.percent for task, row in self._running.items()}
+
     @override
     async def answer(
         self, method: str, target: str, body: bytes, headers: dict[str, str]
@@ -197,6 +219,8 @@
             return self._start(command)
         if target == "/-/run-stop":
             return self._stop(command)
+        if target == "/-/pace":
+            return self._pace(command)
         return await self._hold(command)
 
     def end_due_runs(self) -> None:
@@ -254,6 +278,17 @@
             self._wake_holds()
         return self._reply(200)
 
+    def _pace(self, command: dict[str, Any]) -> Answer:
+        """Set the percent at which a run works; the rest of its work takes as much longer."""
+        row = self._running.get(command["task"])
+        if row is None or row.run != command["run"]:
+            return self._reply(409, {"reason": "run"})
+        if not 0 <= command["percent"] <= 100:
+            return self._reply(409, {"reason": "percent"})
+        row.set_percent(command["percent"], self._timers.now())
+        self._wake_holds()
+        return self._reply(200)
+
     async def _hold(self, command: dict[str, Any]) -> Answer:
         if "deadline_ms" in command:
             self._lease_end = max(self._lease_end, command["deadline_ms"] / 1000)
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -10,6 +10,7 @@
 from ragworttiller.platform.store import Record
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.resources import Resources
+from ragworttiller.scheduling.decisions.cell_policies import CellPolicies
 from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX, Accepted, Claim, encode
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
@@ -56,10 +57,16 @@
         Last claim of an earlier owner.
     accepted_before : int
         Offset below which jobs may have been known to the earlier owner.
+    policies : CellPolicies, optional
+        Scheduling policies; the default ones by default.
     """
 
     def __init__(
-        self, runners: int = 2, claim: Claim | None = None, accepted_before: int = 0
+        self,
+        runners: int = 2,
+        claim: Claim | None = None,
+        accepted_before: int = 0,
+        policies: CellPolicies | None = None,
     ) -> None:
         self.now = 100.0
         self.offset = 0
@@ -69,7 +76,9 @@
         self.last_end_numbers: dict[str, int] = {}
         takeover = Takeover(claim, accepted_before, self.now, TERM_SECONDS, LEASE_SECONDS)
         epoch = claim.epoch + 1 if claim else 1
-        self.cell = Cell(epoch, self.jobs, self.config, self.listed, takeover, LEASE_SECONDS)
+        self.cell = Cell(
+            epoch, self.jobs, self.config, self.listed, takeover, LEASE_SECONDS, policies
+        )
         for number in range(1, runners + 1):
             self.add_runner(f"w{number}")
 
