Show pairs of images to operators, and try pace orders on stand-in runners

Cause: an operator cannot tell whether a slow task has a disturbing neighbour, and the pace call itself was not exercised by any test. The stand-in runner reports figures and takes pace orders; tests run owners against it on virtual time: answered, never answered, answers lost, owner killed amid the orders, fenced.

--- a/ragworttiller/commands/cell.py
+++ b/ragworttiller/commands/cell.py
@@ -15,6 +15,7 @@
 )
 
 RUNNER_COLUMNS = ["runner", "upstream", "address", "state", "tasks", "free", "heard"]
+PAIR_COLUMNS = ["image", "beside", "slowdown", "samples", "confidence", "age", "believed"]
 JOB_COLUMNS = ["job", "queue", "priority", "age", "slack", "waiting", "live", "done", "wait"]
 STAGE_COLUMNS = ["stage", "waiting", "live", "done", "failed", "wait"]
 
@@ -33,6 +34,17 @@
     context.output.rows(context.client.call("GET", api_path("cell", "runners")), RUNNER_COLUMNS)
 
 
+@app.command()
+def interference(
+    ctx: typer.Context,
+    believed: Annotated[bool, typer.Option(help="Only pairs that affect placement.")] = False,
+) -> None:
+    """List the pairs of images of which one slows down the other, the worst first."""
+    context = context_of(ctx)
+    rows = context.client.call("GET", api_path("cell", "interference"))
+    context.output.rows([row for row in rows if row["believed"] or not believed], PAIR_COLUMNS)
+
+
 @app.command()
 def jobs(
     ctx: typer.Context,
--- a/ragworttiller/scheduling/decisions/learned_separation.py
+++ b/ragworttiller/scheduling/decisions/learned_separation.py
@@ -75,6 +75,7 @@
     ) -> None:
         self._runners, self._now = runners, now
         self._costs.begin(now)
+        self.counts["pairs"] = self._learnt.size
         self._filled = [runner for runner in runners.values() if runner.runs_filling_task]
         if now - self._retained_at >= RETAIN_SECONDS:
             self._retain(now)
--- a/ragworttiller/scheduling/decisions/separation.py
+++ b/ragworttiller/scheduling/decisions/separation.py
@@ -22,7 +22,8 @@
     Attributes
     ----------
     counts : Counter
-        Number of pace orders, of stops and of placements changed, by name.
+        Number of ``paces`` ordered, of ``stops`` ordered, of ``placements`` changed, and of
+        ``pairs`` known.
     """
 
     def __init__(self) -> None:
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 import socket
@@ -188,6 +189,19 @@
             ),
         ):
             self._metrics.gauge(name, help_text, reading)
+        for name, help_text in (
+            ("paces", "Pace orders sent by this owner."),
+            ("stops", "Filling tasks that this owner stopped for a serving one."),
+            ("placements", "Placements that believed pairs changed."),
+        ):
+            self._metrics.gauge(
+                f"interference_{name}", help_text, functools.partial(host.interference_count, name)
+            )
+        self._metrics.gauge(
+            "interference_pairs",
+            "Pairs of images of which something is known.",
+            lambda: host.interference_count("pairs"),
+        )
 
     def stop(self) -> None:
         """Begin a graceful shutdown."""
--- a/ragworttiller/scheduling/entry/operators.py
+++ b/ragworttiller/scheduling/entry/operators.py
@@ -106,6 +106,8 @@
         match parts:
             case ["runners"]:
                 return msgspec.json.encode(view.runners(now))
+            case ["interference"]:
+                return msgspec.json.encode(view.interference(now))
             case ["jobs"]:
                 return msgspec.json.encode(view.jobs(now, wall))
             case ["jobs", job] if stages := view.stages(job, now, wall):
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -140,6 +140,10 @@
         """Running owner, None while this entry does not own the cell."""
         return self._owner
 
+    def interference_count(self, name: str) -> float:
+        """Return a count of the owner's separation policy, 0 if this entry is not the owner."""
+        return 0.0 if self._owner is None else float(self._owner.cell.separation.counts[name])
+
     @property
     def pace(self) -> OwnerPace:
         """Pace of the running owner, `NO_PACE` while this entry does not own the cell."""
--- a/ragworttiller/scheduling/state/interference.py
+++ b/ragworttiller/scheduling/state/interference.py
@@ -111,6 +111,11 @@
         self._all_kinds = {serves: DecayedSum(KIND_HALF_LIFE_SECONDS) for serves in (False, True)}
         self._runners: dict[str, dict[str, _ImageOnRunner]] = {}
 
+    @property
+    def size(self) -> int:
+        """Number of pairs of which something is known."""
+        return len(self._pairs)
+
     def record(self, sample: Sample, now: float) -> None:
         """Learn from a sample."""
         if sample.ratio <= 0:
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -121,6 +121,9 @@
         Seconds that a stop takes.
     on_start : Callable
         Called with the name of each task that starts.
+    figure : Callable
+        Returns what is reported of a running task: its tail latency in milliseconds if it serves,
+        else the processor time in use, given its name.
     born : int
         Time of its start in milliseconds, by which boots of one identifier differ; its clock starts
         then. If it is 0, the runner does not tell it, and its clock is that of the timers.
@@ -139,6 +142,7 @@
         stop_seconds: float = 0.0,
         on_start: Callable[[str], None] = lambda task: None,
         born: int = 0,
+        figure: Callable[[str], float] = lambda task: 0.0,
     ) -> None:
         self.name = name
         self.capacity = capacity
@@ -151,6 +155,7 @@
         self._stop_seconds = stop_seconds
         self._on_start = on_start
         self._born = born
+        self._figure = figure
         self._born_at = timers.now() if born else 0.0
         self._fence_token = 0
         self._lease_end = 0.0
@@ -306,7 +311,8 @@
             self.end_due_runs()
         now = self._timers.now()
         running = [
-            [t, r.run, r.checkpoint, r.percent_done(now), 0] for t, r in self._running.items()
+            [task, row.run, row.checkpoint, row.percent_done(now), self._figure(task)]
+            for task, row in self._running.items()
         ]
         lists = {"running": running, "ended_runs": [list(r) for r in self._ended]}
         return self._reply(200, {**lists, "born": self._born} if self._born else lists)
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -21,6 +21,7 @@
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
+from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import EarlierOwner, TermEnded, proves_end
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
@@ -124,6 +125,7 @@
             standbys=RigStandbys(rig, name),
             address=name,
             earlier_owner=RigEarlierOwner(rig),
+            policies=rig.policies,
         )
         self.scope = anyio.CancelScope()
         self.stopping = False
@@ -178,6 +180,9 @@
         self.client = Store("", 1.0, Link(self.store, self.timers))
         self.heartbeats_lost = False
         self.peers_cut = False
+        self.policies: Callable[[], CellPolicies] = default_policies
+        # What a boot reports of a task: its tail latency in milliseconds, if it serves.
+        self.figure: Callable[[str, str], float] = lambda boot, task: 0.0
         self.draining: dict[str, float] = {}
         self._boots = 0
         self._incarnation = 0
@@ -210,6 +215,7 @@
             stop_seconds=self.stop_seconds,
             on_start=lambda task: self._on_start(machine, task),
             born=int(self.timers.wall() * 1000) if self.keeps_ids else 0,
+            figure=lambda task: self.figure(name, task),
         )
         self.list_boot(machine)
 
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import random
 
 import pytest
 
+from ragworttiller.scheduling.state.cell_view import CellView
 from ragworttiller.scheduling.state.interference import MAX_PAIRS, Interference, Sample
 from ragworttiller.scheduling.state.neighbours import Neighbours
 from ragworttiller.scheduling.state.runs import QUEUE_PREFIX
@@ -305,6 +307,33 @@
         assert ends["learned"] >= 0.97 * ends["none"]
 
 
+class TestViews:
+    def test_operators_see_the_pairs(self):
+        rig = InterferenceRig(2)
+        teach(rig, "soft", "loud")
+        (row,) = CellView(rig.cell).interference(rig.now)
+        assert (row["image"], row["beside"], row["believed"]) == ("soft", "loud", True)
+        assert row["slowdown"] > 1.5
+        assert row["samples"] > 5
+        assert row["age"] == pytest.approx(0.1)
+
+    def test_without_the_feature_there_are_none(self):
+        assert CellView(InterferenceRig(1, "none").cell).interference(100.0) == []
+
+    def test_a_belief_that_changes_a_placement_is_logged_once(self, caplog):
+        """Operators need the reason; a line for each of hundreds of tasks would hide others."""
+        caplog.set_level(logging.INFO)
+        rig = InterferenceRig(2)
+        rig.add("loud", estimate_ms=60_000)
+        rig.run_for(0.3)
+        teach(rig, "soft", "loud")
+        rig.add("soft", 3, estimate_ms=60_000)
+        rig.run_for(0.3)
+        message = "placement changed by interference"
+        (line,) = [record for record in caplog.records if record.message == message]
+        assert (line.image, line.beside) == ("soft", "loud")
+
+
 class TestSharing:
     def test_filling_tasks_join_calm_serving_ones(self):
         """Kept away from all serving tasks, filling ones would wait beside idle processors."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -4,11 +4,17 @@
 
 import pytest
 
+from ragworttiller.exceptions import AppendFenced
+from ragworttiller.platform.names import task_id
+from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.scheduling.decisions.relief import MAX_CALM_SECONDS, Beside, RunnerRelief
 from ragworttiller.scheduling.state.pace import LATE_SECONDS, RETRY_SECONDS, Pace
 from ragworttiller.scheduling.state.runs import RunState
 from ragworttiller.scheduling.state.tails import Tail
-from tests.interference_rig import BOUND_MS, InterferenceRig
+from standins.platform.service import Link
+from tests.interference_rig import BOUND_MS, InterferenceRig, policies
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import job_id, step
 
 BOUND = BOUND_MS / 1000
 
@@ -251,6 +257,144 @@
         assert rig.longest_over <= 0.75 * BOUND
 
 
+WEB, BATCH = job_id(1), job_id(2)
+
+
+class Tails:
+    """Tail latencies on the stand-in runners, which follow the pace of the filling task there."""
+
+    def __init__(self, rig: OwnersRig):
+        self._rig = rig
+        self.factor = 8.0
+        self.over_since: float | None = None
+        self.longest_over = 0.0
+        self.lowest = 100
+        rig.policies = policies
+        rig.work_by_job = {WEB: float("inf"), BATCH: float("inf")}
+        rig.figure = self.figure
+
+    def percent(self, boot: str) -> int:
+        """Return the percent at which the filling task on a boot works, 0 if there is none."""
+        rows = self._rig.runners[boot].percents().items()
+        return sum(percent for task, percent in rows if task.startswith(BATCH))
+
+    def figure(self, boot: str, task: str) -> float:
+        if not task.startswith(WEB):
+            return 0.0
+        return 40.0 * float(self.factor ** (self.percent(boot) / 100))
+
+    async def watch(self, seconds: float):
+        """Let time pass, and measure for how long the serving task is over its target."""
+        for _ in range(int(seconds / 0.05)):
+            await self._rig.timers.sleep(0.05)
+            now = self._rig.timers.now()
+            self.lowest = min(self.lowest, self.percent("w1"))
+            boots = [
+                name
+                for name, boot in self._rig.runners.items()
+                if any(task.startswith(WEB) for task in boot.running)
+            ]
+            over = any(self.figure(boot, f"{WEB}.0.0.0") > 100 for boot in boots)
+            if not over:
+                self.over_since = None
+            else:
+                self.over_since = now if self.over_since is None else self.over_since
+                self.longest_over = max(self.longest_over, now - self.over_since)
+
+    async def begin(self):
+        """Start a serving task and, beside it, a filling one that has no effect yet."""
+        factor, self.factor = self.factor, 1.0
+        await start_entries(self._rig)
+        web = step(1, 500, daemon=True, target_ms=100, image="web")
+        await self._rig.submit(WEB, web)
+        await self.watch(3.0)
+        batch = step(1, 500, fills=True, estimate_ms=600_000, image="batch")
+        await self._rig.submit(BATCH, batch)
+        await self.watch(5.0)
+        assert self.percent("w1") == 100
+        self.lowest, self.factor = 100, factor
+
+
+class TestOrdersToRunners:
+    def test_orders_reach_the_runner_and_relieve(self):
+        async def body(rig: OwnersRig):
+            tails = Tails(rig)
+            await tails.begin()
+            await tails.watch(4.0)
+            assert tails.lowest == 0
+            tails.factor = 1.0
+            await tails.watch(15.0)
+            assert tails.percent("w1") == 100
+            assert tails.longest_over <= 0.75 * BOUND
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=1)
+
+    def test_an_owner_that_is_replaced_amid_pace_orders(self):
+        """HARM and lost percents: the successor relieves, and restores what was slowed down."""
+
+        async def body(rig: OwnersRig):
+            tails = Tails(rig)
+            await tails.begin()
+            while tails.percent("w1") == 100:
+                await tails.watch(0.05)
+            owner = rig.owner
+            assert owner is not None
+            rig.kill(owner.name)
+            await tails.watch(15.0)
+            assert tails.longest_over < BOUND
+            tails.factor = 1.0
+            await tails.watch(40.0)
+            assert tails.percent("w1") == 100
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=1)
+
+    def test_pace_orders_that_are_never_answered_end_in_a_stop(self):
+        async def body(rig: OwnersRig):
+            rig.stop_seconds = 0.9
+            tails = Tails(rig)
+            await tails.begin()
+            for entry in rig.entries.values():
+                entry.link("w1").silent_target = "/-/pace"
+            await tails.watch(6.0)
+            assert tails.percent("w1") == 0
+            assert BATCH not in "".join(rig.runners["w1"].running)
+            assert tails.longest_over < BOUND
+
+        with_rig(body, runners=1)
+
+    def test_pace_orders_whose_answers_are_lost_are_carried_out(self):
+        """The stop is given all the same, since nobody knows of the pace."""
+
+        async def body(rig: OwnersRig):
+            tails = Tails(rig)
+            await tails.begin()
+            link = rig.owner.link("w1") if rig.owner is not None else None
+            assert link is not None
+            while tails.percent("w1") == 100:
+                link.lose_next = 1
+                await tails.watch(0.05)
+            await tails.watch(15.0)
+            assert tails.longest_over < BOUND
+
+        with_rig(body, runners=1)
+
+    def test_an_order_of_a_replaced_owner_is_refused(self):
+        """A late order of an earlier owner must not change the pace that its successor ordered."""
+
+        async def body(rig: OwnersRig):
+            tails = Tails(rig)
+            await tails.begin()
+            client = RunnerClient("w1", "w1:1", Link(rig.machines["w1"], rig.timers))
+            (name,) = [task for task in rig.runners["w1"].running if task.startswith(BATCH)]
+            with pytest.raises(AppendFenced):
+                await client.pace(task_id(name), 1, 0, 0)
+            assert tails.percent("w1") == 100
+
+        with_rig(body, runners=1)
+
+
 class TestNone:
     def test_no_pace_orders_are_sent(self):
         """Without the feature, filling tasks beside serving ones are stopped, as before."""
