Ask the separation policy only for images that it knows

Cause: planning computed a cost for each stage and runner, and each sample derived the slowness of its runner twice. Change: a stage without a believed pair skips the policy; deviations are kept with their image; filling runs are collected in one loop of a pass. Tests of pace, interference, room maker and cell decisions pass.

--- a/ragworttiller/scheduling/decisions/learned_separation.py
+++ b/ragworttiller/scheduling/decisions/learned_separation.py
@@ -56,7 +56,7 @@
         self._tails = Tails()
         self._reliefs: dict[str, RunnerRelief] = {}
         self._runners: Mapping[str, RunnerState] = {}
-        self._filled: list[RunnerState] = []
+        self._filling: list[Run] = []
         self._now = 0.0
         self._retained_at = float("-inf")
         self._sampled_at: dict[tuple[object, int], float] = {}
@@ -76,7 +76,7 @@
         self._runners, self._now = runners, now
         self._costs.begin(now)
         self.counts["pairs"] = self._learnt.size
-        self._filled = [runner for runner in runners.values() if runner.runs_filling_task]
+        self._filling = []
         if now - self._retained_at >= RETAIN_SECONDS:
             self._retain(now)
         for runner in runners.values():
@@ -93,9 +93,14 @@
         now: float,
     ) -> None:
         """Update the relief on a runner, the wanted paces, and the runs to stop."""
-        runs = runner.runs.values()
-        serving = [run for run in runs if run.spec.target and run.state is RunState.RUNNING]
-        filling = [run for run in runs if run.spec.fills and run not in stops]
+        serving: list[Run] = []
+        filling: list[Run] = []
+        for run in runner.runs.values():
+            if run.spec.target and run.state is RunState.RUNNING:
+                serving.append(run)
+            elif run.spec.fills and run not in stops:
+                filling.append(run)
+        self._filling += filling
         relief = self._reliefs.get(runner.id)
         if relief is None:
             if not serving:
@@ -146,14 +151,13 @@
     @override
     def pace_orders(self, now: float) -> list[PaceOrder]:
         orders: list[PaceOrder] = []
-        for runner in self._filled:
-            relief = self._reliefs.get(runner.id)
-            for run in runner.runs.values():
-                if run.spec.fills and run.state is RunState.RUNNING and run.pace.due(now):
-                    run.pace.mark_sent(now)
-                    over = relief.over_since if relief is not None else None
-                    seconds = round(now - over, 3) if over is not None else 0.0
-                    orders.append(PaceOrder(run, run.pace.wanted, seconds))
+        for run in self._filling:
+            if run.state is RunState.RUNNING and run.pace.due(now):
+                run.pace.mark_sent(now)
+                relief = self._reliefs.get(run.runner)
+                over = relief.over_since if relief is not None else None
+                seconds = round(now - over, 3) if over is not None else 0.0
+                orders.append(PaceOrder(run, run.pace.wanted, seconds))
         self.counts["paces"] += len(orders)
         return orders
 
@@ -161,9 +165,9 @@
     def looks(self, now: float) -> list[RunnerState]:
         return [
             runner
-            for runner in self._filled
-            if (relief := self._reliefs.get(runner.id)) is not None
-            and (relief.over_since is not None or relief.level > 0)
+            for name, relief in self._reliefs.items()
+            if (relief.over_since is not None or relief.level > 0)
+            and (runner := self._runners.get(name)) is not None
             and not runner.look_in_flight
             and runner.ended_at is None
             and now - runner.last_look_at >= LOOK_SECONDS
@@ -196,6 +200,10 @@
     def joins(self, stage: Stage, runner: RunnerState, running: int) -> bool:
         return not (stage.spec.fills and runner.runs_serving_task and running)
 
+    @override
+    def concerns(self, stage: Stage) -> bool:
+        return stage.spec.fills or self._costs.knows(stage.image)
+
     @override
     def cost(self, stage: Stage, runner: RunnerState, late: bool) -> float:
         return self._costs.cost(stage, runner, late)
--- a/ragworttiller/scheduling/decisions/pair_costs.py
+++ b/ragworttiller/scheduling/decisions/pair_costs.py
@@ -66,6 +66,10 @@
         """Return the believed slowdown of an image by another one, 1 if there is none."""
         return self._suffers.get(image, {}).get(beside, 1.0)
 
+    def knows(self, image: str) -> bool:
+        """Return whether an image belongs to a pair that is believed."""
+        return image in self._suffers or image in self._disturbs
+
     def cost(self, stage: Stage, runner: RunnerState, late: bool) -> float:
         """Return the cost of placing a task on a runner, in mean durations.
 
--- a/ragworttiller/scheduling/decisions/separation.py
+++ b/ragworttiller/scheduling/decisions/separation.py
@@ -59,6 +59,10 @@
     def looks(self, now: float) -> list[RunnerState]:
         """Return the runners whose tails are to be asked for now."""
 
+    @abstractmethod
+    def concerns(self, stage: Stage) -> bool:
+        """Return whether `cost` and `joins` have to be asked for the tasks of a stage."""
+
     @abstractmethod
     def cost(self, stage: Stage, runner: RunnerState, late: bool) -> float:
         """Return the cost of placing a task on a runner, in mean durations.
@@ -123,6 +127,10 @@
     def looks(self, now: float) -> list[RunnerState]:
         return []
 
+    @override
+    def concerns(self, stage: Stage) -> bool:
+        return False
+
     @override
     def cost(self, stage: Stage, runner: RunnerState, late: bool) -> float:
         return 0.0
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -122,7 +122,7 @@
         on_runner = stage.runs_by_runner()
         by_id = {runner.id: runner for runner in runners}
         scores: dict[str, float] = {}
-        costs: dict[str, float] = {}
+        costs: dict[str, float] | None = {} if self._separation.concerns(stage) else None
 
         def score(runner: RunnerState) -> None:
             self._score(scores, costs, stage, runner, free_resources, on_runner, time_ratios, late)
@@ -140,7 +140,8 @@
                 if suspect or index in stage.last_failed_runner or index in stage.failed_runs:
                     continue
                 break
-            if costs:
+            failed = index in stage.last_failed_runner or index in stage.failed_runs
+            if costs and not suspect and not failed:
                 self._record_choice(stage, best.id, scores, costs)
             chosen[index] = best.id
             on_runner[best.id] += 1
@@ -154,14 +155,14 @@
         self, stage: Stage, best: str, scores: dict[str, float], costs: dict[str, float]
     ) -> None:
         """Record a choice that would be another one without the costs of separation."""
-        instead = min(scores, key=lambda name: scores[name] - costs.get(name, 0.0))
+        instead = min(scores, key=lambda name: scores[name] - costs[name])
         if scores[instead] > scores[best]:
             self._separation.record_placement(stage, best, instead)
 
     def _score(
         self,
         scores: dict[str, float],
-        costs: dict[str, float],
+        costs: dict[str, float] | None,
         stage: Stage,
         runner: RunnerState,
         free_resources: FreeResources,
@@ -171,20 +172,20 @@
     ) -> None:
         """Update the score of a runner, which has none if it can take no task of the stage now."""
         scores.pop(runner.id, None)
-        costs.pop(runner.id, None)
         free = free_resources.of_runner(runner.id)
         if not stage.spec.reservation.fits(free):
             return
         running = on_runner[runner.id]
-        if accepts_another(runner, stage, running) and self._separation.joins(
-            stage, runner, running
-        ):
-            ratio = time_ratios.get(runner.id, 1.0)
-            scores[runner.id] = self._policy.score(stage, runner, free, ratio)
-            cost = self._separation.cost(stage, runner, late)
-            if cost:
-                costs[runner.id] = cost
-                scores[runner.id] += cost
+        if not accepts_another(runner, stage, running):
+            return
+        cost = 0.0
+        if costs is not None:
+            costs.pop(runner.id, None)
+            if not self._separation.joins(stage, runner, running):
+                return
+            cost = costs[runner.id] = self._separation.cost(stage, runner, late)
+        ratio = time_ratios.get(runner.id, 1.0)
+        scores[runner.id] = self._policy.score(stage, runner, free, ratio) + cost
 
     def _best(
         self, stage: Stage, index: int, scores: dict[str, float], by_id: dict[str, RunnerState]
--- a/ragworttiller/scheduling/state/decayed.py
+++ b/ragworttiller/scheduling/state/decayed.py
@@ -41,7 +41,12 @@
         weight = self._weight * factor + prior
         return self._total * factor / weight if weight > 0 else 0.0
 
+    def weight_and_mean(self, now: float) -> tuple[float, float]:
+        """Return `weight` and `mean`, both without samples in advance."""
+        weight = self._weight * self._factor(now)
+        return weight, self._total / self._weight if self._weight > 0 else 0.0
+
     def _factor(self, now: float) -> float:
-        if self._weight == 0.0:
+        if self._weight == 0.0 or now <= self._at:
             return 1.0
-        return float(0.5 ** (max(now - self._at, 0.0) / self._half_life))
+        return float(0.5 ** ((now - self._at) / self._half_life))
--- a/ragworttiller/scheduling/state/interference.py
+++ b/ragworttiller/scheduling/state/interference.py
@@ -80,11 +80,19 @@
 
 
 class _Image:
-    """Level of an image, and the mean square of what remains unexplained."""
+    """Level of an image, and the standard deviation of what remains unexplained."""
 
     def __init__(self) -> None:
         self.level = DecayedSum(HALF_LIFE_SECONDS)
-        self.noise = DecayedSum(HALF_LIFE_SECONDS)
+        self.deviation = math.sqrt(NOISE_PRIOR)
+        self._noise = DecayedSum(HALF_LIFE_SECONDS)
+
+    def record_rest(self, rest: float, now: float) -> None:
+        """Record what remains unexplained of a sample."""
+        self._noise.add(rest * rest, 1.0, now)
+        seen, square = self._noise.weight_and_mean(now)
+        squares = square * seen + NOISE_PRIOR * NOISE_PRIOR_SAMPLES
+        self.deviation = math.sqrt(squares / (seen + NOISE_PRIOR_SAMPLES))
 
 
 class _ImageOnRunner:
@@ -131,13 +139,16 @@
         if image.level.weight(now) > 0:
             rest = value - image.level.mean(now) - of_kind - known
             self._record_on_runner(sample, rest, now)
-            rest -= self._slowness(sample.runner, sample.image, now)
+        common = self._common_slowness(sample.runner, now)
+        if image.level.weight(now) > 0:
+            alone = self._slowness_alone(sample, now)
+            rest -= common if alone is None else alone
             self._record_pairs(sample, rest, effects, now)
-            image.noise.add(rest * rest, 1.0, now)
+            image.record_rest(rest, now)
             for total in (kind, self._all_kinds[sample.serves]):
                 total.add(rest + of_kind, 1.0, now)
         weight = self._level_weight(sample, now)
-        own = value - of_kind - self._common_slowness(sample.runner, now) - known
+        own = value - of_kind - common - known
         image.level.add(weight * own, weight, now)
 
     def slowdown(self, image: str, beside: str, now: float) -> float:
@@ -240,15 +251,14 @@
         if len(images) > MAX_IMAGES_PER_RUNNER:
             del images[next(iter(images))]
 
-    def _slowness(self, runner: str, image: str, now: float) -> float:
-        """Return by how much a runner slows down an image, whatever runs beside it.
+    def _slowness_alone(self, sample: Sample, now: float) -> float | None:
+        """Return what an image showed alone on its runner, None if it was not alone lately.
 
-        It is what the image showed there alone, or else what it has in common with the others.
+        This tells the slowness of the runner, and the load of a serving task, without doubt.
         """
-        own = self._runners.get(runner, {}).get(image)
-        if own is not None and own.alone.weight(now) >= MIN_ALONE_SAMPLES:
-            return own.alone.mean(now)
-        return self._common_slowness(runner, now)
+        own = self._runners[sample.runner][sample.image]
+        samples, mean = own.alone.weight_and_mean(now)
+        return mean if samples >= MIN_ALONE_SAMPLES else None
 
     def _common_slowness(self, runner: str, now: float) -> float:
         """Return the slowness that explains the samples of each image on a runner, 0 or more.
@@ -257,28 +267,24 @@
         with the same expectation, the least is too small. A single image shows nothing: it may
         suffer from its neighbours.
         """
-        rows = [
-            known.all.mean(now)
-            + RUNNER_STANDARD_ERRORS * self._deviation(image, now) / math.sqrt(samples)
-            for image, known in self._runners.get(runner, {}).items()
-            if (samples := known.all.weight(now)) >= MIN_RUNNER_SAMPLES
-        ]
+        rows: list[float] = []
+        for image, known in self._runners.get(runner, {}).items():
+            samples, mean = known.all.weight_and_mean(now)
+            if samples >= MIN_RUNNER_SAMPLES:
+                error = self._deviation(image) / math.sqrt(samples)
+                rows.append(mean + RUNNER_STANDARD_ERRORS * error)
         return max(min(rows), 0.0) if len(rows) > 1 else 0.0
 
-    def _deviation(self, image: str, now: float) -> float:
+    def _deviation(self, image: str) -> float:
         """Return the standard deviation of an image's samples."""
         known = self._images.get(image)
-        seen = known.noise.weight(now) if known is not None else 0.0
-        squares = NOISE_PRIOR * NOISE_PRIOR_SAMPLES
-        if known is not None:
-            squares += known.noise.mean(now) * seen
-        return math.sqrt(squares / (seen + NOISE_PRIOR_SAMPLES))
+        return known.deviation if known is not None else math.sqrt(NOISE_PRIOR)
 
     def _believed(self, image: str, pair: DecayedSum, now: float) -> bool:
         effect, samples = pair.mean(now, PAIR_PRIOR_SAMPLES), pair.weight(now)
         if effect < math.log(MIN_SLOWDOWN) or samples <= 0:
             return False
-        return effect > MIN_STANDARD_ERRORS * self._deviation(image, now) / math.sqrt(samples)
+        return effect > MIN_STANDARD_ERRORS * self._deviation(image) / math.sqrt(samples)
 
 
 def _confidence(pair: DecayedSum, now: float) -> float:
