--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -11,6 +11,7 @@
     CandidatePolicy,
     UsefulCandidates,
 )
+from ragworttiller.scheduling.decisions.fair_order import NoShares, ShareOrder, WeightedShares
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
 from ragworttiller.scheduling.decisions.learned_separation import LearnedSeparation
 from ragworttiller.scheduling.decisions.observation import (
@@ -26,6 +27,9 @@
     PlacementPolicy,
 )
 from ragworttiller.scheduling.decisions.victims import CheckpointedVictims, NoVictims, VictimPolicy
+from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.owed_jobs import OwedJobs
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 ORDERS: Mapping[str, Callable[[], QueueOrder]] = {"slack": SlackOrder, "arrival": ArrivalOrder}
 PLACEMENTS: Mapping[str, Callable[[], PlacementPolicy]] = {
@@ -52,10 +56,18 @@
     "none": lambda bound: KeepApart(),
     "learned": LearnedSeparation,
 }
+ShareOrderFactory = Callable[[WorkspaceUsage, OwedJobs, QueueFold], ShareOrder]
+SHARE_ORDERS: Mapping[str, ShareOrderFactory] = {
+    "weighted": WeightedShares,
+    "none": lambda usage, owed, config: NoShares(),
+}
 
 
 class CellPolicies(NamedTuple):
-    """Policies of one owner, and the longest time in seconds that a run takes to stop."""
+    """Policies of one owner, and the longest time in seconds that a run takes to stop.
+
+    ``shares`` makes the order by shares of a cell.
+    """
 
     order: QueueOrder
     placement: PlacementPolicy
@@ -65,6 +77,7 @@
     headroom: HeadroomPolicy
     stop_seconds: float
     separation: SeparationPolicy
+    shares: ShareOrderFactory = WeightedShares
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -87,6 +100,7 @@
         HEADROOMS[names.headroom](),
         stop_seconds,
         SEPARATIONS[names.interference](bounds.interference_ms / 1000),
+        SHARE_ORDERS[names.shares],
     )
 
 
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -24,6 +24,7 @@
 from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 from ragworttiller.scheduling.state.speeds import Speeds
 from ragworttiller.scheduling.state.takeover import EXPIRY_MARGIN_SECONDS, Takeover
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +52,8 @@
         Duration of the granted leases, in seconds.
     separation : SeparationPolicy
         Receives what runners report, to learn which tasks disturb each other.
+    usage : WorkspaceUsage
+        Receives what runs, by workspace.
 
     Attributes
     ----------
@@ -67,6 +70,7 @@
         speeds: Speeds,
         lease: float,
         separation: SeparationPolicy,
+        usage: WorkspaceUsage,
     ) -> None:
         self._jobs = jobs
         self._takeover = takeover
@@ -74,7 +78,7 @@
         self._speeds = speeds
         self._lease = lease
         self._separation = separation
-        self.pool = RunnerPool(runners, takeover, self._requeue_runs)
+        self.pool = RunnerPool(runners, takeover, self._requeue_runs, usage)
 
     def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
         """Apply a runner's answer to a hold: its clock, its ended tasks and its running tasks.
@@ -167,7 +171,8 @@
         """Add a reported run that this owner did not start; adopt it if its task is waiting."""
         stage = self._jobs.stage(row.task.stage)
         index = row.task.ordinal
-        run = Run(row.task, row.run, runner.id, self._jobs.step_spec(row.task), now)
+        spec, workspace = self._jobs.step_spec(row.task), self._jobs.workspace(row.task)
+        run = Run(row.task, row.run, runner.id, spec, now, workspace)
         run.measure_progress_from_next_report()
         run.state = RunState.RUNNING
         runner.add(run)
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -8,6 +8,7 @@
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.state.jobs import TaskId
 from ragworttiller.scheduling.state.runs import Run
+from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
 # The clock of a runner may be 2% slow.
 MIN_CLOCK_RATE = 0.98
@@ -29,6 +30,8 @@
     ----------
     entry : RunnerEntry
         Listed attributes of the runner.
+    usage : WorkspaceUsage, optional
+        Receives what the runs on the runner use.
 
     Attributes
     ----------
@@ -72,7 +75,8 @@
         Returns whether a filling task of an image may join the serving ones, None if none may.
     """
 
-    def __init__(self, entry: RunnerEntry) -> None:
+    def __init__(self, entry: RunnerEntry, usage: WorkspaceUsage | None = None) -> None:
+        self._usage = usage or WorkspaceUsage()
         self.id = entry.runner
         self.entry = entry
         self.free = entry.capacity
@@ -321,6 +325,7 @@
         self._used = self._used.plus(run.reservation)
         if run.spec.daemon:
             self._used_by_lasting = self._used_by_lasting.plus(run.reservation)
+        self._usage.add(run)
         self._update_usage(run, 1)
 
     def remove(self, run: Run) -> None:
@@ -329,6 +334,7 @@
             self._used = self._used.minus(run.reservation)
             if run.spec.daemon:
                 self._used_by_lasting = self._used_by_lasting.minus(run.reservation)
+            self._usage.remove(run)
             self._update_usage(run, -1)
 
     def update(self, entry: RunnerEntry) -> None:
