--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -55,6 +55,7 @@
     status_s: float = 120.0
     stop_grace_ms: float = 900.0
     restore_ms: float = 250.0
+    interference_ms: float = 4500.0
     revoke_ms: float = 5000.0
     config_apply_ms: float = 3000.0
     strict_revoke: bool = False
@@ -74,6 +75,7 @@
     observation: str = "expected_ends"
     preemption: str = "checkpointed"
     headroom: str = "arrivals"
+    interference: str = "none"
     shares: str = "weighted"
     copies: str = "stragglers"
     moves: str = "checkpointed"
@@ -176,6 +178,14 @@
                 "stop_grace_ms", "Longest time that a runner takes to stop a run.", "900"
             ),
             _milliseconds("restore_ms", "Time that a run takes to resume.", "250"),
+            Number(
+                "interference_ms",
+                "Time for which a serving task may be over its target because of filling tasks.",
+                low=100,
+                high=3_600_000,
+                unit="milliseconds",
+                default="4500",
+            ),
             _milliseconds(
                 "revoke_ms", "Longest time for which a withdrawn API key still works.", "5000"
             ),
@@ -216,6 +226,12 @@
                 "start_now",
             ),
             _policy("estimates", "Expected durations of tasks.", "learnt", "submitted"),
+            _policy(
+                "interference",
+                "Tasks kept apart that slow each other down, and pace of filling tasks.",
+                "none",
+                "learned",
+            ),
         ],
     ),
     LOG_SECTION,
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -21,6 +21,7 @@
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
 from ragworttiller.scheduling.decisions.kinds import AvoidSlowKinds, IgnoreKinds, KindPolicy
 from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, StartNow, WaitForFast
+from ragworttiller.scheduling.decisions.learned_separation import LearnedSeparation
 from ragworttiller.scheduling.decisions.moves import CheckpointedMoves, MovePolicy, NoMoves
 from ragworttiller.scheduling.decisions.observation import (
     ExpectedEnds,
@@ -28,6 +29,7 @@
     ObservationPolicy,
 )
 from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, QueueOrder, SlackOrder
+from ragworttiller.scheduling.decisions.separation import KeepApart, SeparationPolicy
 from ragworttiller.scheduling.decisions.task_placement import (
     FastTightFit,
     FirstFit,
@@ -59,6 +61,10 @@
     "arrivals": ArrivalHeadroom,
     "none": NoHeadroom,
 }
+SEPARATIONS: Mapping[str, Callable[[float], SeparationPolicy]] = {
+    "none": lambda bound: KeepApart(),
+    "learned": LearnedSeparation,
+}
 ShareOrderFactory = Callable[[WorkspaceUsage, OwedJobs, QueueFold], ShareOrder]
 SHARE_ORDERS: Mapping[str, ShareOrderFactory] = {
     "weighted": WeightedShares,
@@ -104,6 +110,7 @@
     kinds: KindPolicy
     estimates: EstimatePolicy
     last_tasks: LastTasksPolicy
+    separation: SeparationPolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -131,6 +138,7 @@
         KINDS[names.kinds](),
         ESTIMATES[names.estimates](),
         LAST_TASKS[names.last_tasks](stop_seconds),
+        SEPARATIONS[names.interference](bounds.interference_ms / 1000),
     )
 
 
--- a/ragworttiller/scheduling/decisions/queue_order.py
+++ b/ragworttiller/scheduling/decisions/queue_order.py
@@ -26,6 +26,10 @@
     lasts: bool = False
     held: float = 0.0
 
+    def late(self, now: float) -> bool:
+        """Return whether the occurrence cannot be on time any more."""
+        return not self.lasts and now + self.remaining > self.since + self.objective
+
 
 class QueueOrder(ABC):
     """Order of the waiting stages.
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -280,7 +280,9 @@
         def start(runners: Sequence[RunnerState], tasks: Sequence[int]) -> set[int]:
             if not runners or not tasks:
                 return set()
-            chosen = self._placer.place(stage, runners, free_resources, tasks, time_ratios, costs)
+            chosen = self._placer.place(
+                stage, runners, free_resources, tasks, time_ratios, costs, inputs.late(now)
+            )
             self._start(plan, work, stage, chosen, expected, bool(costs), now)
             return set(chosen)
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 import socket
@@ -267,6 +268,19 @@
             "kind",
             lambda: host.kind_samples,
         )
+        for name, help_text in (
+            ("paces", "Pace orders sent by this owner."),
+            ("stops", "Filling tasks that this owner stopped for a serving one."),
+            ("placements", "Placements that believed pairs changed."),
+        ):
+            self._metrics.gauge(
+                f"interference_{name}", help_text, functools.partial(host.interference_count, name)
+            )
+        self._metrics.gauge(
+            "interference_pairs",
+            "Pairs of images of which something is known.",
+            lambda: host.interference_count("pairs"),
+        )
 
     def _by_workspace(self, values: Callable[[Cell], dict[str, float]]) -> dict[str, float]:
         """Return values of the cell's workspaces, none at an entry that does not own the cell."""
--- a/ragworttiller/scheduling/entry/operators.py
+++ b/ragworttiller/scheduling/entry/operators.py
@@ -109,6 +109,8 @@
                 return msgspec.json.encode(view.runners(now))
             case ["workspaces"]:
                 return msgspec.json.encode(workspaces(self._host.owner.cell))
+            case ["interference"]:
+                return msgspec.json.encode(view.interference(now))
             case ["jobs"]:
                 return msgspec.json.encode(view.jobs(now, wall))
             case ["jobs", job] if stages := view.stages(job, now, wall):
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -58,7 +58,8 @@
             self._by_occurrence.append([])
             for step, spec in enumerate(self.spec.steps):
                 name = StageId(job, occurrence, step)
-                stage = self.stages[name] = Stage(name, spec, self.workspace)
+                stage = Stage(name, spec, self.workspace, self.queue.key)
+                self.stages[name] = stage
                 self._by_occurrence[occurrence].append(stage)
                 if name in restored:
                     stage.restore(restored[name])
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -15,6 +15,7 @@
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
+from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
 from ragworttiller.scheduling.decisions.stragglers import StragglerSearch
 from ragworttiller.scheduling.decisions.task_placement import Placer
@@ -94,6 +95,7 @@
     ) -> None:
         policies = policies or default_policies()
         self._observation = policies.observation
+        self._separation = policies.separation
         self._epoch = epoch
         self._takeover = takeover
         self._lease = lease
@@ -121,9 +123,10 @@
             self._copies,
             observed,
             lease,
+            policies.separation,
             self.usage,
         )
-        placer = Placer(policies.placement)
+        placer = Placer(policies.placement, policies.separation)
         learnt = durations or TailDurations(observed)
         search = StragglerSearch(self.pool, takeover, speeds, placer, self._stops, learnt)
         self._pressure: PressureMeter | None = None
@@ -172,6 +175,11 @@
         """Runners on which an earlier owner's tasks may still run."""
         return self._takeover
 
+    @property
+    def separation(self) -> SeparationPolicy:
+        """Policy that keeps tasks apart, and what it has learnt."""
+        return self._separation
+
     @property
     def pool(self) -> RunnerPool:
         """Runners of the cell."""
@@ -272,18 +280,23 @@
         self._tracker.mark_start_refused(run, reason, now)
 
     def plan(self, now: float, wall: float) -> Plan:
-        """Return the starts, stops and advisor calls that are due now."""
+        """Return the starts, stops, advisor calls, looks and pace orders that are due now."""
         self.pool.end_runs(now)
         self._tracker.settle_inherited()
         for run in self._runs_to_evacuate(now):
             self._stops.add(run, "runner drains")
-        for run in self.pool.filling_runs_to_stop():
-            self._stops.add(run, "serving task on the runner")
-        plan = Plan([], [], [], self._looks_due(now))
+        self._separation.begin(self.runners, self._stops, self._stage_of, now)
+        looks = {runner.id: runner for runner in self._looks_due(now)}
+        looks |= {runner.id: runner for runner in self._separation.looks(now)}
+        plan = Plan([], [], [], list(looks.values()), [])
         self._planner.plan(plan, self._active.by_id, self.capacity, now, wall)
         plan.stops.extend(self._stops.due(now))
+        plan.paces.extend(self._separation.pace_orders(now))
         return plan
 
+    def _stage_of(self, run: Run) -> Stage | None:
+        return self._active.stage(run.task.stage)
+
     def _runs_to_evacuate(self, now: float) -> list[Run]:
         draining = [r for r in self.runners.values() if r.entry.draining and r.runs]
         usable = self.pool.accepting_tasks(now) if draining else []
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -13,6 +13,7 @@
     gives_up,
     trial_seconds,
 )
+from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.records.formats import Blame, Crash, Withdrawn
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
@@ -57,6 +58,8 @@
         Receives the durations of runs, to compare them with their estimates.
     lease : float
         Duration of the granted leases, in seconds.
+    separation : SeparationPolicy
+        Receives what runners report, to learn which tasks disturb each other.
     usage : WorkspaceUsage
         Receives what runs, by workspace.
 
@@ -76,6 +79,7 @@
         copies: CopyTally,
         durations: Durations,
         lease: float,
+        separation: SeparationPolicy,
         usage: WorkspaceUsage,
     ) -> None:
         self._jobs = jobs
@@ -85,6 +89,7 @@
         self._copies = copies
         self._durations = durations
         self._lease = lease
+        self._separation = separation
         self.pool = RunnerPool(runners, takeover, self._requeue_runs, usage)
 
     def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
@@ -102,6 +107,7 @@
             self.pool.record_later_boot(runner, now)
         if not answer.unreadable and not answer.more_ends:
             self._takeover.resolve(runner.id, "it answered", now)
+        self._separation.record_answer(runner, now)
         for end in sorted(answer.ended):
             if end.number > runner.last_end_seen:
                 runner.last_end_seen = end.number
@@ -147,6 +153,7 @@
         if run is None:
             run = self._add_found_run(runner, row, now)
         run.observe(row.percent, row.checkpoint, row.load, now)
+        self._separation.record_report(runner, run, now)
         if runner.record_lasting_probe(run, now):
             log.info("probation ended", extra=run_fields(run))
         stage = self._jobs.stage(row.task.stage)
@@ -207,6 +214,7 @@
         stage = self._jobs.stage(end.task.stage)
         if run is not None:
             run.checkpoint = end.checkpoint or run.checkpoint
+            self._separation.record_end(runner, run, end.outcome, now)
             first = stage is not None and end.task.ordinal not in stage.done
             self._remove_run(run, end.outcome, now, end.outcome == "done" and first)
             whole = end.outcome == "done" and not run.resumed and not run.adopted
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -17,6 +17,7 @@
     encode_bitmap,
 )
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
+from ragworttiller.scheduling.state.pace import Pace
 from ragworttiller.scheduling.state.tickets import Tickets
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
@@ -27,6 +28,7 @@
 # Fewer may be the quickest of a stage only.
 MIN_ENDED_SIBLINGS = 3
 MAX_ENDED_SIBLINGS = 31
+QUEUE_PREFIX = "queue:"
 
 
 class RunState(StrEnum):
@@ -54,6 +56,10 @@
         Whether it began from a checkpoint.
     adopted : bool
         Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
+    image : str
+        Name under which tasks that behave alike are known.
+    pace : Pace
+        Percent at which it works by the orders of this owner.
     workspace : str
         Workspace of its job, empty for none.
     resumed : bool
@@ -86,6 +92,8 @@
         self.adopted = False
         self.resumed = False
         self.expected_seconds = spec.estimate
+        self.image = spec.image
+        self.pace = Pace()
         self.percent = 0.0
         self.progressed_at = now
         self._progress_base: tuple[float, float] | None = (0.0, now)
@@ -152,9 +160,13 @@
         Step that the stage executes.
     workspace : str
         Workspace of its job, empty for none.
+    queue : str
+        Key of the queue of its job, which stands for the image if the step names none.
 
     Attributes
     ----------
+    image : str
+        Name under which tasks that behave alike are known.
     ready_since : float or None
         Time in seconds from which its tasks could start, None before the first planning pass then.
     tries_failed_on_probation : bool
@@ -201,9 +213,12 @@
         ended.
     """
 
-    def __init__(self, stage: StageId, spec: StepSpec, workspace: str = NO_WORKSPACE) -> None:
+    def __init__(
+        self, stage: StageId, spec: StepSpec, workspace: str = NO_WORKSPACE, queue: str = ""
+    ) -> None:
         self.id = stage
         self.spec = spec
+        self.image = spec.image or f"{QUEUE_PREFIX}{queue}"
         self.workspace = workspace
         self.done: set[int] = set()
         self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
@@ -325,6 +340,7 @@
         number = number or self.next_number(index, epoch)
         self._last_run_numbers[index] = number
         run = Run(TaskId(self.id, index), number, runner, self.spec, now, self.workspace)
+        run.image = self.image
         run.resume(self.checkpoints.get(index, ""))
         self.active_runs[index] = run
         return run
@@ -351,6 +367,8 @@
         """Add a run that an earlier owner started."""
         index = run.task.ordinal
         run.adopted = True
+        run.image = self.image
+        run.pace.assume_unknown()
         self.waiting.remove(index)
         self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
         self.active_runs[index] = run
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -10,7 +10,14 @@
 from ragworttiller.platform.store import Record
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX, Accepted, Claim, encode
+from ragworttiller.scheduling.decisions.cell_policies import CellPolicies
+from ragworttiller.scheduling.records.formats import (
+    CANCEL_SUFFIX,
+    Accepted,
+    Claim,
+    encode,
+    encode_cancel,
+)
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
@@ -59,6 +66,8 @@
         Offset below which jobs may have been known to the earlier owner.
     measures_pressure : bool
         Whether claims tell how long a new job waits.
+    policies : CellPolicies, optional
+        Scheduling policies; the default ones by default.
     """
 
     def __init__(
@@ -67,6 +76,7 @@
         claim: Claim | None = None,
         accepted_before: int = 0,
         measures_pressure: bool = False,
+        policies: CellPolicies | None = None,
     ) -> None:
         self.now = 100.0
         self.offset = 0
@@ -83,6 +93,7 @@
             self.listed,
             takeover,
             LEASE_SECONDS,
+            policies,
             measures_pressure=measures_pressure,
         )
         for number in range(1, runners + 1):
@@ -131,9 +142,9 @@
         accepted = Accepted(queue, decode_job(job_body(*steps, **fields)), self.now, workspace)
         self.store(job, encode(accepted))
 
-    def cancel(self, job: str = JOB) -> None:
-        """Store a cancellation."""
-        self.store(job + CANCEL_SUFFIX, b"1")
+    def cancel(self, job: str = JOB, workspace: str = NO_WORKSPACE) -> None:
+        """Store a cancellation by a workspace."""
+        self.store(job + CANCEL_SUFFIX, encode_cancel(workspace))
 
     def store(self, key: str, value: bytes) -> None:
         """Store a record and update the cell."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from ragworttiller.config.entry import EntryBounds, EntryPolicies
 from ragworttiller.exceptions import CellFull, StoreDown, SubmissionUndecided
 from ragworttiller.platform.store import KeyedRecord, Producer, Store
 from ragworttiller.platform.submissions import decode_job
@@ -24,6 +25,7 @@
     Refusal,
     RefusalReason,
 )
+from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.decisions.pressure import WaitingWork, is_full
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
@@ -77,7 +79,9 @@
     """
 
     def __init__(self, policy: AdmissionPolicy):
-        self.rig = CellRig(4, measures_pressure=True)
+        # The order by shares alone would protect the modest workspace, and hide a missing refusal.
+        policies = choose_policies(EntryPolicies(shares="none"), EntryBounds())
+        self.rig = CellRig(4, measures_pressure=True, policies=policies)
         self.rig.config.adopt(configuration())
         self.clock = ManualTimers(self.rig.now)
         self.claims = ClaimFold()
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -349,7 +349,7 @@
     def test_runs_of_a_cancelled_job_count_until_their_runners_settle(self):
         rig = self.rig()
         rig.submit(step(2), job=job_id(1), workspace="a")
-        rig.cancel(job_id(1))
+        rig.cancel(job_id(1), workspace="a")
         rig.offset = 1000
         rig.submit(step(1), workspace="a")
         assert rig.start_all() == []
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -31,6 +31,7 @@
     ORDERS,
     PLACEMENTS,
     PREEMPTIONS,
+    SEPARATIONS,
     SHARE_ORDERS,
 )
 from standins.platform.deployment import ROOT, Deployment, render, settings_fields
@@ -273,6 +274,7 @@
             "kinds": set(KINDS),
             "last_tasks": set(LAST_TASKS),
             "estimates": set(ESTIMATES),
+            "interference": set(SEPARATIONS),
         }
 
     def test_all_errors_are_reported_at_once(self, tmp_path: Path):
