--- a/ragworttiller/scheduling/state/interference.py
+++ b/ragworttiller/scheduling/state/interference.py
@@ -15,14 +15,13 @@
 MAX_IMAGES = 256
 MAX_KINDS = 32
 MAX_IMAGES_PER_RUNNER = 32
-# Samples without effect that are assumed in advance; chosen, not measured.
+# Samples without effect that are assumed in advance, so that the first few prove nothing.
 PAIR_PRIOR_SAMPLES = 2.0
 KIND_PRIOR_SAMPLES = 10.0
 NOISE_PRIOR_SAMPLES = 4.0
 NOISE_PRIOR = 0.04
-# Standard errors added to the least mean of the images on a runner. Of 20 trials with a runner
-# twice as slow, 12 blamed a pair on it without this, and none with 0.25 or more. With 1.0, a
-# slowdown of 2.0 is learnt as 1.52 instead of 1.65.
+# Standard errors added to the least mean of the images on a runner. Without them a pair is often
+# blamed for a runner that is slow by itself; with more, true slowdowns are underestimated.
 RUNNER_STANDARD_ERRORS = 0.5
 # Standard errors by which a slowdown has to exceed 1 to be believed.
 MIN_STANDARD_ERRORS = 2.0
