--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -59,10 +59,10 @@
 class TestJobs:
     def test_a_job_that_cannot_be_worked_on_harms_no_other(self, monkeypatch):
         class FailingWork(JobWork):
-            def __init__(self, job, row, now, wall):
+            def __init__(self, job, row, now, wall, estimates):
                 if job == BAD:
                     raise IndexError(job)
-                super().__init__(job, row, now, wall)
+                super().__init__(job, row, now, wall, estimates)
 
         monkeypatch.setattr(active_jobs, "JobWork", FailingWork)
         rig = CellRig(1)
