--- a/ragworttiller/scheduling/decisions/admission.py
+++ b/ragworttiller/scheduling/decisions/admission.py
@@ -17,8 +17,7 @@
 # The owner publishes a summary each 0.5 s; without the last ones the load may have ended.
 MAX_SUMMARY_AGE_SECONDS = 2.0
 # Part of its slack that a job which is not owed may wait. The summary is up to 0.5 s old, while the
-# queue grows. In a replay at 1.6 times the capacity, 46% of the owed jobs were on time with all of
-# the slack, 64% with half of it, and 91% with a quarter.
+# queue grows, so with all of the slack owed jobs behind it would be late.
 SLACK_SHARE = 0.25
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 60.0
--- a/ragworttiller/scheduling/state/submission_windows.py
+++ b/ragworttiller/scheduling/state/submission_windows.py
@@ -53,7 +53,10 @@
         row = self._config.workspaces.get(workspace)
         if row is None:
             return False
+        if row.weight <= 0:
+            return True
         owed = self._owed.get(workspace, deque())
-        while owed and owed[0] <= wall - WINDOW_SECONDS:
+        # A weight below 1 owes one job in 1/weight seconds, as the order of waiting jobs does.
+        while owed and owed[0] <= wall - max(WINDOW_SECONDS, 1 / row.weight):
             owed.popleft()
-        return len(owed) + 1 > row.weight
+        return len(owed) + 1 > max(row.weight, 1.0)
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -149,12 +149,9 @@
         assert find_violations(range(90, 130))
 
 
-def find_problems(
-    choice: InjectorChoice = choose_injectors, keeps_ids: bool = False, first_seed: int = 0
-) -> list[str]:
-    """Return the problems of the first of 40 soaks in which there are any."""
-    seeds = range(first_seed, first_seed + 40)
-    soaks = (run_soak(seed, choice, keeps_ids) for seed in seeds)
+def find_problems(choice: InjectorChoice = choose_injectors, keeps_ids: bool = False) -> list[str]:
+    """Return the problems of the first soak in which there are any."""
+    soaks = (run_soak(seed, choice, keeps_ids) for seed in range(40))
     return next(filter(None, soaks), [])
 
 
@@ -203,8 +200,7 @@
             pass
 
         monkeypatch.setattr(RunnerClient, "_identify", ask_nothing)
-        # In one soak of some seventy a connection reaches a later boot while its owner is mistaken.
-        assert find_problems(keeps_ids=True, first_seed=120)
+        assert find_problems(keeps_ids=True)
 
     def test_calls_not_addressed_to_one_boot(self, monkeypatch: pytest.MonkeyPatch):
         monkeypatch.setattr(runners, "INSTANCE_HEADER", "Unknown-Header")
