Test takeovers while the jobs' partition is busy

The four tests fail on this code: a claim that is stored is given up while the record that shuts earlier owners out waits 2.4 s behind other appends; the claimant neither renews nor heeds its own claim, so entries claim over each other. The stand-in store gets a queue of other writers' appends and late answers; an append from that queue is carried out even if its caller gave up, as on the platform.

--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 from collections import defaultdict
 from urllib.parse import parse_qs, urlsplit
@@ -70,6 +71,11 @@
         Whether every call is refused.
     write_seconds : float
         Seconds that each append takes; appends are serialized.
+    queue_seconds : dict of str to float
+        Seconds for which an append to a topic waits behind those of other writers. It is carried
+        out even if its caller has given up.
+    answer_seconds : float
+        Seconds by which each answer is late.
     """
 
     def __init__(self, timers: TimerService, page: int = PAGE_ITEMS) -> None:
@@ -78,6 +84,8 @@
         self.partitions: dict[tuple[str, int], StoredPartition] = defaultdict(StoredPartition)
         self.down = False
         self.write_seconds = 0.0
+        self.queue_seconds: dict[str, float] = {}
+        self.answer_seconds = 0.0
         self._next_write_at = 0.0
         self._closed = False
 
@@ -105,10 +113,19 @@
     ) -> Answer:
         if self.down:
             return json_answer(503)
+        answer = await self._carry_out(target, body)
+        if self.answer_seconds:
+            await self._timers.sleep(self.answer_seconds)
+        return answer
+
+    async def _carry_out(self, target: str, body: bytes) -> Answer:
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         partition = self.partitions[query["topic"], int(query["part"])]
         if parts.path == "/-/log-append":
+            seconds = self.queue_seconds.get(query["topic"], 0.0)
+            if seconds:
+                return await self._append_from_queue(seconds, partition, query, body)
             await self._wait_for_write()
             return self._answer_append(partition, query, body)
         if parts.path == "/-/log-newest":
@@ -121,6 +138,15 @@
         if self._next_write_at > now:
             await self._timers.sleep(self._next_write_at - now)
 
+    async def _append_from_queue(
+        self, seconds: float, partition: StoredPartition, query: dict[str, str], body: bytes
+    ) -> Answer:
+        async def append() -> Answer:
+            await self._timers.sleep(seconds)
+            return self._answer_append(partition, query, body)
+
+        return await asyncio.shield(asyncio.ensure_future(append()))
+
     def _answer_append(
         self, partition: StoredPartition, query: dict[str, str], body: bytes
     ) -> Answer:
--- /dev/null
+++ b/tests/test_slow_takeover.py
@@ -0,0 +1,73 @@
+"""Tests of takeovers while the store is slow, or the jobs' partition is busy."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.scheduling.records.formats import JOBS
+from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import job_id, step
+
+ENTRIES = ("e1", "e2", "e3", "e4")
+
+
+async def wait_owner_beside(rig: OwnersRig, first: Entry, within: float) -> float:
+    """Wait until another entry owns the cell and return the seconds that it took."""
+    start = rig.timers.now()
+    while all(e is first or e.host.owner is None for e in rig.entries.values()):
+        assert rig.timers.now() < start + within, "no entry acts as the owner"
+        await rig.timers.sleep(0.01)
+    return rig.timers.now() - start
+
+
+class TestSlowTakeover:
+    def test_a_claim_is_followed_up_while_the_jobs_partition_is_busy(self):
+        """Guards against a cell without an owner after a claim that is stored."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            await rig.submit(job_id(1), step(6))
+            await rig.timers.sleep(1.0)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 2.4
+            first.stop("e4" if first.name != "e4" else "e3")
+            await wait_owner_beside(rig, first, within=3.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body, work=8.0)
+
+    def test_runs_outlive_a_takeover_while_the_jobs_partition_is_busy(self):
+        """Guards against leases that lapse since nobody follows up a stored claim."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            await rig.submit(job_id(1), step(6))
+            await rig.timers.sleep(1.0)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 2.4
+            first.stop("e4" if first.name != "e4" else "e3")
+            await rig.timers.sleep(5.0)
+            rig.store.queue_seconds.clear()
+            await rig.wait_completed(job_id(1), within=14.0)
+            assert len(rig.monitor.starts) == 6
+            assert rig.monitor.violations == []
+
+        with_rig(body, work=8.0)
+
+    @pytest.mark.parametrize("killed", [False, True])
+    def test_no_entry_claims_over_a_takeover_in_progress(self, killed: bool):
+        """Guards against a takeover that counts as a lost owner, since it takes long."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 3.5
+            if killed:
+                rig.kill(first.name)
+            else:
+                first.stop("e4" if first.name != "e4" else "e3")
+            await rig.timers.sleep(8.0)
+            assert rig.owner not in (None, first)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body)
