Follow up a stored claim until its owner acts

Cause: between its stored claim and its first decision an entry appends a record to the jobs' partition and reads jobs and runners. It gave up after 2 s with calls of 1 s, while the appends of 37 entries queue there for up to 2 s, and never came back to its own claim. Meanwhile it neither renewed the claim nor sent heartbeats, and answered that it does not act, so all entries claimed over it at once.

Change: a term is renewed, with heartbeats, from the claim on (Renewals). The steps of the takeover (Succession) wait for late answers as other appends do, overlap, and are given up after 10 s, with a release. A claim without a result is taken up once it is read. Of the earlier owner its end is asked while the takeover still runs. A stop releases a takeover as well.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -7,9 +7,9 @@
 
 import anyio
 
-from ragworttiller.exceptions import LogUnavailable, RagworttillerError
+from ragworttiller.exceptions import RagworttillerError
 from ragworttiller.platform.runners import RunnerClient
-from ragworttiller.platform.store import RUNNERS_TOPIC, Partition, Store
+from ragworttiller.platform.store import Store
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.advice import Advice
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
@@ -21,25 +21,25 @@
 from ragworttiller.scheduling.ownership.owner_watch import POLL_SECONDS, OwnerHeartbeat
 from ragworttiller.scheduling.ownership.ownership import Claimed, Ownership
 from ragworttiller.scheduling.ownership.pace_log import NO_PACE, OwnerPace
-from ragworttiller.scheduling.ownership.standbys import Standbys
-from ragworttiller.scheduling.ownership.term import TERM_SECONDS, ClaimFold
+from ragworttiller.scheduling.ownership.renewals import Renewals
+from ragworttiller.scheduling.ownership.standbys import NoStandbys, Standbys
+from ragworttiller.scheduling.ownership.succession import Inherited, Succession
+from ragworttiller.scheduling.ownership.term import ClaimFold, Term
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS, OWNER, Claim
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.retention import Retention
-from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS, Cell
-from ragworttiller.scheduling.state.takeover import Takeover
 
 log = logging.getLogger(__name__)
 
 JOBS_READ_INTERVAL_SECONDS = 0.15
 OWNER_JOBS_READ_INTERVAL_SECONDS = 0.03
-RUNNERS_READ_INTERVAL_SECONDS = 0.4
 CLAIM_RETRY_INTERVAL_SECONDS = 0.3
-EARLIER_OWNER_RETRY_SECONDS = 0.3
+# Successor of a release after which any entry may claim.
+ANY_ENTRY = ""
 ENDED_JOB_QUERY_SECONDS = 120.0
 
 
@@ -118,10 +118,12 @@
         self._lease = min(LEASE_SECONDS, longest_lease)
         self._connect = connect
         self._status_seconds = status_seconds
-        self._standbys = standbys
+        self._standbys = standbys or NoStandbys()
         self._owner: Owner | None = None
+        self._renewals: Renewals | None = None
         self._claim_read_at: float | None = None
         self._stopping = False
+        self._successor = ANY_ENTRY
         self.jobs = JobFold()
         self.claims = ClaimFold()
         self.jobs_feed = Feed(
@@ -190,20 +192,19 @@
             try:
                 claimed = await self._ownership.claim(previous)
                 if claimed is not None:
-                    await self._act_as_owner(claimed)
+                    await self._hold(claimed)
             except RagworttillerError as exc:
-                log.warning("claim or takeover of the cell failed", extra={"why": exc.code})
+                log.warning("claim of the cell failed", extra={"why": exc.code})
                 await self._clock.sleep(CLAIM_RETRY_INTERVAL_SECONDS)
             except Exception:
-                # The entry goes on serving callers, and another one takes the cell over.
-                log.exception("owner ended by an unexpected error")
+                log.exception("ownership ended by an unexpected error")
                 await self._clock.sleep(CLAIM_RETRY_INTERVAL_SECONDS)
 
     def stop(self, successor: str) -> None:
         """Stop claiming, and release the ownership to another entry."""
-        self._stopping = True
-        if self._owner is not None:
-            self._ownership.release(successor)
+        self._stopping, self._successor = True, successor
+        if self._renewals is not None:
+            self._renewals.release(successor)
 
     def record_heartbeat(self, heartbeat: OwnerHeartbeat) -> None:
         """Record a heartbeat of the owner."""
@@ -215,8 +216,13 @@
         self._end_if_superseded()
 
     def acts_as_owner(self, epoch: int) -> bool:
-        """Return whether this entry owns the cell with an epoch, and renews its term."""
-        return self._owner is not None and self._owner.acts_with(epoch)
+        """Return whether this entry owns the cell with an epoch, and renews its term.
+
+        It does so from the claim on, also while it still takes the cell over.
+        """
+        if self._renewals is None or self._renewals.term.epoch != epoch:
+            return False
+        return self._renewals.term.seems_alive(self.lag)
 
     async def _only_seems_lost(self, claim: Claim) -> bool:
         """Return whether the owner that wrote a claim says that it acts: it may only be busy."""
@@ -227,39 +233,73 @@
         log.info("owner that seems lost was asked", extra=extra)
         return acting
 
-    async def _act_as_owner(self, claimed: Claimed) -> None:
-        """Run the owner until the term ends."""
+    async def _hold(self, claimed: Claimed) -> None:
+        """Hold the cell until the term ends: renew the claim, take over, and act as the owner."""
         term = claimed.term
-        runners = RunnerFold()
-        feed = Feed(
+        self._renewals = renewals = self._ownership.renewals(claimed, self._standbys)
+        self._end_if_superseded()
+        if self._stopping:
+            renewals.release(self._successor)
+        succession = Succession(
+            claimed,
+            self._ownership,
             self._store,
-            Partition(RUNNERS_TOPIC),
-            runners,
+            self.jobs_feed,
+            self._earlier_owner,
+            self._lease,
             self._clock,
-            RUNNERS_READ_INTERVAL_SECONDS,
-            self._runners_changed,
         )
-        await self._catch_up(feed)
-        now = self._clock.now()
-        known_before = max(claimed.jobs_end, self.jobs_feed.loaded_end)
-        term_left = max(claimed.previous_read_at + TERM_SECONDS - now, 0.0)
-        takeover = Takeover(claimed.previous, known_before, now, term_left, self._lease)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(succession.ask_earlier_owner)
+                tasks.start_soon(self._take_over, succession, renewals)
+                await renewals.run()
+                tasks.cancel_scope.cancel()
+        finally:
+            self._renewals = None
+        log.info("ownership ended", extra={"epoch": term.epoch})
+
+    async def _take_over(self, succession: Succession, renewals: Renewals) -> None:
+        """Take the cell over and act as its owner; if that fails, let any entry claim."""
+        extra = {"epoch": renewals.term.epoch}
+        try:
+            inherited = await succession.complete()
+            await self._act_as_owner(inherited, renewals)
+        except RagworttillerError as exc:
+            log.warning("takeover of the cell failed", extra={**extra, "why": exc.code})
+        except Exception:
+            # The entry goes on serving callers.
+            log.exception("owner ended by an unexpected error", extra=extra)
+        renewals.release(ANY_ENTRY)
+
+    async def _act_as_owner(self, inherited: Inherited, renewals: Renewals) -> None:
+        """Act as the owner until cancelled."""
+        self._owner = owner = self._new_owner(renewals.term, inherited)
+        self.jobs_feed.min_interval = OWNER_JOBS_READ_INTERVAL_SECONDS
+        try:
+            await owner.run(renewals)
+        finally:
+            self._owner = None
+            self.jobs_feed.min_interval = JOBS_READ_INTERVAL_SECONDS
+
+    def _new_owner(self, term: Term, inherited: Inherited) -> Owner:
         cell = Cell(
             term.epoch,
             self.jobs,
             self._config,
-            runners,
-            takeover,
+            inherited.runners,
+            inherited.takeover,
             self._lease,
             self._policies(),
             measures_pressure=self._measures_pressure,
         )
-        self._owner = Owner(
+        inherited.runners_feed.on_change = self._runners_changed
+        return Owner(
             cell,
             term,
             self._store,
             self.jobs_feed,
-            feed,
+            inherited.runners_feed,
             self._advice,
             self._clock,
             self._name,
@@ -267,57 +307,11 @@
             self._address,
             self._connect,
             Retention(self.jobs, self._status_seconds),
-            self._standbys,
         )
-        self._end_if_superseded()
-        self.jobs_feed.min_interval = OWNER_JOBS_READ_INTERVAL_SECONDS
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._ask_earlier_owner, claimed, takeover)
-                await self._owner.run(self._ownership)
-                tasks.cancel_scope.cancel()
-        finally:
-            self._owner = None
-            self.jobs_feed.min_interval = JOBS_READ_INTERVAL_SECONDS
-
-    async def _ask_earlier_owner(self, claimed: Claimed, takeover: Takeover) -> None:
-        """Ask the earlier owner to state its end, as long as runners have to be waited for."""
-        previous, epoch = claimed.previous, claimed.term.epoch
-        while previous is not None and not previous.released and takeover.unresolved:
-            if await self._earlier_owner.has_ended(previous, epoch):
-                log.info("earlier owner has ended", extra={"owner": previous.owner, "epoch": epoch})
-                takeover.record_owner_ended(self._clock.now())
-                return
-            await self._clock.sleep(EARLIER_OWNER_RETRY_SECONDS)
-
-    async def _catch_up(self, runners_feed: Feed) -> None:
-        """Read the jobs, and meanwhile the runners: with a slow store each read counts.
-
-        Raises
-        ------
-        LogUnavailable
-            The jobs cannot be read.
-        """
-        failure: LogUnavailable | None = None
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._read_runners, runners_feed)
-            try:
-                await self.jobs_feed.catch_up()
-            except LogUnavailable as exc:
-                failure = exc
-                tasks.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-
-    async def _read_runners(self, feed: Feed) -> None:
-        try:
-            await feed.catch_up()
-        except LogUnavailable as exc:
-            log.info("runners not read before the takeover", extra={"why": exc.code})
 
     def _jobs_changed(self) -> None:
+        self._end_if_superseded()
         if self._owner is not None:
-            self._end_if_superseded()
             self._owner.request_plan()
         else:
             self.jobs.touched.clear()
@@ -332,13 +326,14 @@
         self._ownership.record_claim()
 
     def _end_if_superseded(self) -> None:
-        """End the term of the owner before it acts on anything read after a later owner's claim."""
-        if self._owner is None:
+        """End the term before its owner acts on anything read after a later owner's claim."""
+        if self._renewals is None:
             return
-        self._owner.end_if_superseded(self._later_epoch, "peer")
-        self._owner.end_if_superseded(self.jobs.owner_epoch, "jobs")
+        term = self._renewals.term
+        term.end_if_superseded(self._later_epoch, "peer")
+        term.end_if_superseded(self.jobs.owner_epoch, "jobs")
         if self.claims.claim is not None:
-            self._owner.end_if_superseded(self.claims.claim.epoch, "claims")
+            term.end_if_superseded(self.claims.claim.epoch, "claims")
 
     def _claim_poll_empty(self) -> None:
         self._ownership.record_empty_poll()
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -15,13 +15,11 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
 from ragworttiller.scheduling.decisions.pass_pace import ProportionalPause
-from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
-from ragworttiller.scheduling.ownership.ownership import PRODUCER, Ownership
 from ragworttiller.scheduling.ownership.pace_log import OwnerPace, PaceLog
 from ragworttiller.scheduling.ownership.recorder import Recorder
+from ragworttiller.scheduling.ownership.renewals import PRODUCER, Renewals
 from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
-from ragworttiller.scheduling.ownership.standbys import NoStandbys, Standbys
-from ragworttiller.scheduling.ownership.term import RECENT_RENEWAL_SECONDS, Term
+from ragworttiller.scheduling.ownership.term import Term
 from ragworttiller.scheduling.ownership.wait_log import WaitLog
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS, Claim
@@ -32,9 +30,6 @@
 log = logging.getLogger(__name__)
 
 MAX_PLAN_INTERVAL_SECONDS = 0.1
-HEARTBEAT_INTERVAL_SECONDS = 0.2
-# Steps of the event loop on the way of one renewal: its call, its answer and the next interval.
-LAGS_A_RENEWAL = 3
 MAX_NAMES_LOGGED = 3
 
 
@@ -67,8 +62,6 @@
         Returns the client of a runner, given its identifier and address.
     retention : Retention, optional
         Selects the ended jobs to drop; without it none are dropped.
-    standbys : Standbys, optional
-        Entries that receive heartbeats; none by default.
     """
 
     def __init__(
@@ -85,9 +78,7 @@
         address: str = "",
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
         retention: Retention | None = None,
-        standbys: Standbys | None = None,
     ) -> None:
-        self._standbys = standbys or NoStandbys()
         self._cell = cell
         self._term = term
         self._jobs_feed = jobs
@@ -125,37 +116,24 @@
         """How late the event loop has run lately, in seconds."""
         return self._pace_log.lag
 
-    async def run(self, ownership: Ownership) -> None:
-        """Act as the owner until the term ends."""
-        # The first renewal is written before the first planning pass.
+    async def run(self, renewals: Renewals) -> None:
+        """Act as the owner until cancelled; orders are given only while the term is valid."""
+        # The first claim names the runners to which the first planning pass may give orders.
         self._cell.refresh(self._clock.now(), self._clock.wall())
+        renewals.write(self.current_claim, self._enroll_runners)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._runners_feed.run)
             tasks.start_soon(self._writer.run)
-            tasks.start_soon(self._plan_loop, ownership)
+            tasks.start_soon(self._plan_loop, renewals)
             tasks.start_soon(self._recorder.run)
-            tasks.start_soon(self._heartbeat_loop)
             tasks.start_soon(self._wait_log.run)
             tasks.start_soon(self._pace_log.run)
-            await ownership.renew_until_ended(self._term, self.current_claim, self._enroll_runners)
-            tasks.cancel_scope.cancel()
-        log.info("ownership ended", extra={"epoch": self._term.epoch})
 
     def request_plan(self) -> None:
         """Request planning because some state has changed."""
         self._plan_requested.set()
 
-    def acts_with(self, epoch: int) -> bool:
-        """Return whether this is the owner of an epoch and renews its term as fast as it can.
-
-        A busy owner handles the answer to a renewal, and sends the next one, as late as its event
-        loop runs.
-        """
-        if epoch != self._term.epoch:
-            return False
-        return self._term.renewed_within(RECENT_RENEWAL_SECONDS + LAGS_A_RENEWAL * self.lag)
-
     def current_claim(self) -> Claim:
         """Return the claim to write with the next renewal."""
         position, now = self._jobs_feed.position, self._clock.now()
@@ -163,21 +141,6 @@
         claim = self._cell.claim(self._name, self._incarnation, position, now, self._address, wall)
         return claim._replace(lag=round(self.lag, 1))
 
-    def end_if_superseded(self, epoch: int, source: str) -> None:
-        """End the term if an owner of a later epoch was read of.
-
-        Parameters
-        ----------
-        epoch : int
-            Epoch of the owner.
-        source : str
-            Where it was read: ``claims``, ``jobs`` or ``peer``.
-        """
-        if epoch > self._term.epoch and not self._term.ended:
-            extra = {"epoch": self._term.epoch, "by": epoch, "read": source}
-            log.info("term superseded by a later claim", extra=extra)
-            self._term.end()
-
     def _enroll_runners(self, claim: Claim) -> None:
         self._cell.pool.enroll(claim)
         self._cell.pool.owned_at = self._term.renewed_at
@@ -185,20 +148,20 @@
 
     # Planning
 
-    async def _plan_loop(self, ownership: Ownership) -> None:
+    async def _plan_loop(self, renewals: Renewals) -> None:
         while True:
             with self._clock.move_on_after(MAX_PLAN_INTERVAL_SECONDS):
                 await self._plan_requested.wait()
             self._plan_requested = anyio.Event()
             began = self._clock.now()
-            self._apply_changes(ownership)
+            self._apply_changes(renewals)
             if self._term.valid:
                 self._issue_orders()
             seconds = self._clock.now() - began
             self._pace_log.record_pass(seconds)
             await self._clock.sleep(self._pass_pace.pause_after(seconds))
 
-    def _apply_changes(self, ownership: Ownership) -> None:
+    def _apply_changes(self, renewals: Renewals) -> None:
         cell = self._cell
         cell.set_entries(self._advice.entries)
         cell.refresh(self._clock.now(), self._clock.wall())
@@ -207,7 +170,7 @@
         pool = cell.pool
         awaits = pool.awaits_enrollment or pool.awaits_withdrawal
         if awaits or pool.awaits_ownership(self._clock.now()):
-            ownership.renew_now()
+            renewals.renew_now()
 
     def _issue_orders(self) -> None:
         plan = self._cell.plan(self._clock.now(), self._clock.wall())
@@ -259,7 +222,3 @@
             )
             self._cell.apply_advice(call, tickets, self._clock.now())
         self.request_plan()
-
-    async def _heartbeat_loop(self) -> None:
-        async for _ in self._clock.ticks(HEARTBEAT_INTERVAL_SECONDS):
-            self._standbys.send(OwnerHeartbeat(self._term.epoch, self._term.recently_renewed))
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -1,10 +1,9 @@
-"""Ownership of the cell: claims in the store, renewed by the owner and read by all entries."""
+"""Ownership of the cell: claims in the store, read by all entries."""
 
 from __future__ import annotations
 
 import logging
 import random
-from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -19,6 +18,8 @@
 from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Store
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat, OwnerWatch
+from ragworttiller.scheduling.ownership.renewals import PRODUCER, RETRY_INTERVAL_SECONDS, Renewals
+from ragworttiller.scheduling.ownership.standbys import Standbys
 from ragworttiller.scheduling.ownership.term import ClaimFold, Term
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import (
@@ -30,35 +31,31 @@
     OwnerChange,
     encode,
 )
-from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.repeated_append import RepeatedAppend
 
 log = logging.getLogger(__name__)
 
-PRODUCER = "owner"
-RENEWAL_INTERVAL_SECONDS = 0.5
-# Short enough to retry a renewal whose answer was lost before other entries claim.
-RENEWAL_RETRY_INTERVAL_SECONDS = 0.5
-RENEWAL_TIMEOUT_SECONDS = 3.0
-RETRY_INTERVAL_SECONDS = 0.2
 CLAIM_TIMEOUT_SECONDS = 2.0
+# An append without an answer is repeated after this time; its answer is still waited for.
+APPEND_RETRY_INTERVAL_SECONDS = 0.5
 MAX_SEQUENCE = 2**31
 
 
 class Claimed(NamedTuple):
-    """Ownership that was just claimed.
+    """Ownership that was just claimed with ``claim``.
 
-    ``jobs_end`` is the end of the jobs' partition when earlier owners were fenced, ``previous`` the
-    last claim of an earlier owner, which was read at ``previous_read_at`` and so sent before.
+    ``previous`` is the last claim of an earlier owner, which was read at ``previous_read_at`` and
+    so sent before.
     """
 
     term: Term
-    jobs_end: int
+    claim: Claim
     previous: Claim | None
     previous_read_at: float
 
 
 class Ownership:
-    """Claims, renews and releases the ownership of the cell for one entry.
+    """Claims the ownership of the cell for one entry.
 
     Parameters
     ----------
@@ -99,8 +96,7 @@
         self._sequence = 0
         self._claim_read_at = clock.now()
         self._changed = anyio.Event()
-        self._successor: str | None = None
-        self._renewal_requested = anyio.Event()
+        self._undecided: Claim | None = None
 
     def record_claim(self) -> None:
         """Record that a claim or renewal of any entry was read."""
@@ -142,13 +138,15 @@
     def _claimable(self, claim: Claim | None) -> bool:
         if claim is None:
             return True
-        own_claim = claim.owner == self._name
         if claim.released:
             return claim.successor == self._name or self._watch.empty_polls > 0
-        return own_claim and claim.incarnation != self._incarnation
+        if claim == self._undecided:
+            # Its result was not known in time, and it has been stored after all.
+            return True
+        return claim.owner == self._name and claim.incarnation != self._incarnation
 
     async def claim(self, previous: Claim | None) -> Claimed | None:
-        """Claim the ownership after ``previous`` and fence earlier owners.
+        """Claim the ownership after ``previous``, which fences earlier owners among the claims.
 
         Returns
         -------
@@ -159,38 +157,69 @@
         ------
         LogUnavailable, AppendUndecided
             The store cannot be reached, or did not confirm the claim in time.
-        AppendFenced
-            A later owner has already fenced the jobs' partition.
         """
         await self._feed.catch_up()
         if self._fold.claim != previous:
             return None
         # A renewal with the content of the one before may have been read just now.
         read_at = self._claim_read_at
-        epoch = previous.epoch + 1 if previous else 1
-        roster = previous.roster if previous else []
-        withdrawn = previous.withdrawn if previous else []
-        claim = Claim(
-            self._name,
-            self._incarnation,
-            epoch,
-            0,
-            roster,
-            withdrawn,
-            {},
-            unsettled=roster,
-            address=self._address,
-            learnt=previous.learnt if previous else b"",
-        )
-        producer = Producer(PRODUCER, epoch)
+        claim = self._next_claim(previous)
         sent_at = self._clock.now()
-        if not await self._append_claim(claim, producer):
+        if not await self._append_claim(claim):
             return None
-        end = await self._fence_jobs_partition(producer)
-        log.info("cell claimed", extra={"epoch": epoch, "jobs_end": end, "roster": len(roster)})
-        return Claimed(Term(epoch, self._clock, sent_at), end, previous, read_at)
+        log.info("cell claimed", extra={"epoch": claim.epoch, "roster": len(claim.roster)})
+        return Claimed(Term(claim.epoch, self._clock, sent_at), claim, previous, read_at)
+
+    def renewals(self, claimed: Claimed, standbys: Standbys) -> Renewals:
+        """Return the renewals of a claim that was just stored."""
+        return Renewals(
+            self._store,
+            claimed.term,
+            claimed.claim,
+            self._clock,
+            self._sequence + 1,
+            standbys,
+        )
+
+    async def fence_jobs(self, epoch: int, timeout: float) -> int:
+        """Fence earlier owners in the jobs' partition and return its end.
+
+        The record tells an earlier owner that still reads jobs to act on none that follow. Appends
+        of other writers may wait before it, so it is not given up while there is time left.
 
-    async def _append_claim(self, claim: Claim, producer: Producer) -> bool:
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the claim.
+        timeout : float
+            Seconds after which to give up.
+
+        Raises
+        ------
+        LogUnavailable, AppendUndecided
+            The record was not stored in time.
+        AppendFenced
+            A later owner has already fenced the jobs' partition.
+        """
+        record = KeyedRecord(OWNER_CHANGE_KEY, encode(OwnerChange(epoch)))
+        return await self._append(JOBS, record, epoch, 0, self._clock.now() + timeout)
+
+    def _next_claim(self, previous: Claim | None) -> Claim:
+        """Return the claim after ``previous``, of whose runners none has answered yet."""
+        fresh = Claim(self._name, self._incarnation, 1, 0, [], [], {}, address=self._address)
+        if previous is None:
+            return fresh
+        return fresh._replace(
+            epoch=previous.epoch + 1,
+            position=previous.position,
+            roster=previous.roster,
+            withdrawn=previous.withdrawn,
+            pending=previous.pending,
+            unsettled=previous.roster,
+            learnt=previous.learnt,
+        )
+
+    async def _append_claim(self, claim: Claim) -> bool:
         """Append a claim, which fences earlier owners, and return whether it was appended.
 
         The sequence number is random: claims of one epoch with the same sequence number would
@@ -198,9 +227,10 @@
         """
         self._sequence = random.SystemRandom().randrange(MAX_SEQUENCE)
         record = KeyedRecord(OWNER_KEY, encode(claim))
+        deadline = self._clock.now() + CLAIM_TIMEOUT_SECONDS
         position = self._feed.position
         try:
-            await self._append_with_retries(OWNER, [record], producer, self._sequence, position)
+            await self._append(OWNER, record, claim.epoch, self._sequence, deadline, position)
             return True
         except (AppendFenced, AppendOutOfOrder):
             return False
@@ -208,95 +238,34 @@
             # The conflicting record may be this claim itself, if the answer to its append was lost.
             await self._feed.catch_up()
             return self._fold.claim == claim
+        except (LogUnavailable, AppendUndecided):
+            self._undecided = claim
+            raise
 
-    async def _fence_jobs_partition(self, producer: Producer) -> int:
-        """Fence earlier owners in the jobs' partition and return its end.
-
-        The record tells an earlier owner that still reads jobs to act on none that follow.
-        """
-        record = KeyedRecord(OWNER_CHANGE_KEY, encode(OwnerChange(producer.epoch)))
-        return await self._append_with_retries(JOBS, [record], producer, 0)
-
-    async def _append_with_retries(
+    async def _append(
         self,
         partition: Partition,
-        records: list[KeyedRecord],
-        producer: Producer,
+        record: KeyedRecord,
+        epoch: int,
         sequence: int,
+        deadline: float,
         at: int | None = None,
     ) -> int:
-        """Append, with retries until the result is known or the timeout has passed."""
-        deadline = self._clock.now() + CLAIM_TIMEOUT_SECONDS
+        """Append, with retries until the result is known or the deadline has passed."""
         while True:
+            append = RepeatedAppend(
+                self._store,
+                partition,
+                [record],
+                Producer(PRODUCER, epoch),
+                sequence,
+                self._clock,
+                APPEND_RETRY_INTERVAL_SECONDS,
+                at,
+            )
             try:
-                return await self._store.append(partition, records, producer, sequence, at)
+                return await append.run(deadline)
             except (LogUnavailable, AppendUndecided):
-                if self._clock.now() > deadline:
+                if self._clock.now() >= deadline:
                     raise
             await self._clock.sleep(RETRY_INTERVAL_SECONDS)
-
-    async def renew_until_ended(
-        self, term: Term, current_claim: Callable[[], Claim], on_renewed: Callable[[Claim], None]
-    ) -> None:
-        """Renew the term until it ends.
-
-        Parameters
-        ----------
-        term : Term
-            Term to renew.
-        current_claim : Callable
-            Returns the claim to write.
-        on_renewed : Callable
-            Called with each claim that was stored.
-        """
-        writer = GroupCommit(
-            self._store,
-            OWNER,
-            Producer(PRODUCER, term.epoch),
-            self._clock,
-            first_sequence=self._sequence + 1,
-            retry_interval=RENEWAL_RETRY_INTERVAL_SECONDS,
-        )
-        self._successor = None
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(writer.run)
-            while not term.ended:
-                await self._write_renewal(writer, term, current_claim(), on_renewed)
-            tasks.cancel_scope.cancel()
-
-    def renew_now(self) -> None:
-        """Renew without waiting for the renewal interval."""
-        self._renewal_requested.set()
-
-    def release(self, successor: str) -> None:
-        """Release the ownership to another entry, with a renewal that is sent at once."""
-        self._successor = successor
-        self._renewal_requested.set()
-
-    async def _write_renewal(
-        self, writer: GroupCommit, term: Term, claim: Claim, on_renewed: Callable[[Claim], None]
-    ) -> None:
-        self._renewal_requested = anyio.Event()
-        successor = self._successor
-        if successor is not None:
-            # The term must end before the release can be read from the store.
-            term.end()
-            claim = claim._replace(released=True, successor=successor)
-        sent_at = self._clock.now()
-        try:
-            await writer.append([KeyedRecord(OWNER_KEY, encode(claim))], RENEWAL_TIMEOUT_SECONDS)
-        except AppendFenced:
-            log.info("renewal fenced by a later owner", extra={"epoch": term.epoch})
-            term.end()
-            return
-        except (LogUnavailable, AppendUndecided) as exc:
-            log.warning("ownership renewal failed", extra={"epoch": term.epoch, "why": exc.code})
-            await self._clock.sleep(RETRY_INTERVAL_SECONDS)
-            return
-        if successor is not None:
-            log.info("ownership released", extra={"epoch": term.epoch, "successor": successor})
-            return
-        term.record_renewal(sent_at)
-        on_renewed(claim)
-        with self._clock.move_on_after(RENEWAL_INTERVAL_SECONDS):
-            await self._renewal_requested.wait()
--- /dev/null
+++ b/ragworttiller/scheduling/ownership/succession.py
@@ -0,0 +1,157 @@
+"""Steps between a stored claim and the first decision of its owner."""
+
+from __future__ import annotations
+
+import logging
+from typing import NamedTuple
+
+import anyio
+
+from ragworttiller.exceptions import LogUnavailable, RagworttillerError
+from ragworttiller.platform.store import RUNNERS_TOPIC, Partition, Store
+from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.ownership.earlier_owner import EarlierOwner
+from ragworttiller.scheduling.ownership.ownership import Claimed, Ownership
+from ragworttiller.scheduling.ownership.term import TERM_SECONDS
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.runner_fold import RunnerFold
+from ragworttiller.scheduling.state.takeover import Takeover
+
+log = logging.getLogger(__name__)
+
+RUNNERS_READ_INTERVAL_SECONDS = 0.4
+EARLIER_OWNER_RETRY_SECONDS = 0.3
+# More than the longest queue of appends at the store, with repetitions of refused ones.
+FENCE_TIMEOUT_SECONDS = 10.0
+
+
+class Inherited(NamedTuple):
+    """What a new owner begins with: the runners, and what it must wait for."""
+
+    takeover: Takeover
+    runners: RunnerFold
+    runners_feed: Feed
+
+
+class Succession:
+    """Fences earlier owners, reads jobs and runners, and asks the earlier owner for its end.
+
+    Each step takes as long as the store does. They overlap as far as they do not depend on each
+    other, and meanwhile the claim is renewed by `Renewals`.
+
+    Parameters
+    ----------
+    claimed : Claimed
+        The claim.
+    ownership : Ownership
+        Fences earlier owners.
+    store : Store
+        The platform's store.
+    jobs_feed : Feed
+        Feed of the jobs, which the entry runs.
+    earlier_owner : EarlierOwner
+        Asks the earlier owner.
+    lease : float
+        Duration of the leases that owners grant, in seconds.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        claimed: Claimed,
+        ownership: Ownership,
+        store: Store,
+        jobs_feed: Feed,
+        earlier_owner: EarlierOwner,
+        lease: float,
+        clock: Clock,
+    ) -> None:
+        self._claimed = claimed
+        self._ownership = ownership
+        self._store = store
+        self._jobs_feed = jobs_feed
+        self._earlier_owner = earlier_owner
+        self._lease = lease
+        self._clock = clock
+        self._owner_ended_at: float | None = None
+        self._takeover: Takeover | None = None
+
+    async def complete(self) -> Inherited:
+        """Make all steps that have to precede the first decision.
+
+        Raises
+        ------
+        LogUnavailable, AppendUndecided
+            Earlier owners were not fenced in time, or the jobs cannot be read.
+        AppendFenced
+            A later owner has claimed.
+        """
+        runners = RunnerFold()
+        feed = Feed(
+            self._store,
+            Partition(RUNNERS_TOPIC),
+            runners,
+            self._clock,
+            RUNNERS_READ_INTERVAL_SECONDS,
+        )
+        failure: RagworttillerError | None = None
+        known_before = 0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._read_runners, feed)
+            try:
+                known_before = await self._fence_and_read_jobs()
+            except RagworttillerError as exc:
+                failure = exc
+                tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return Inherited(self._begin_takeover(known_before), runners, feed)
+
+    async def ask_earlier_owner(self) -> None:
+        """Ask the earlier owner to state its end, as long as runners have to be waited for."""
+        previous, epoch = self._claimed.previous, self._claimed.term.epoch
+        if previous is None or previous.released:
+            return
+        while self._takeover is None or self._takeover.unresolved:
+            if await self._earlier_owner.has_ended(previous, epoch):
+                log.info("earlier owner has ended", extra={"owner": previous.owner, "epoch": epoch})
+                self._record_owner_ended()
+                return
+            await self._clock.sleep(EARLIER_OWNER_RETRY_SECONDS)
+
+    def _record_owner_ended(self) -> None:
+        self._owner_ended_at = self._clock.now()
+        if self._takeover is not None:
+            self._takeover.record_owner_ended(self._owner_ended_at)
+
+    async def _fence_and_read_jobs(self) -> int:
+        """Fence earlier owners and read the jobs that they may know; return where these end."""
+        began_at, epoch = self._clock.now(), self._claimed.term.epoch
+        jobs_end = await self._ownership.fence_jobs(epoch, FENCE_TIMEOUT_SECONDS)
+        fenced_at = self._clock.now()
+        if self._jobs_feed.position < jobs_end:
+            await self._jobs_feed.catch_up()
+        extra = {
+            "epoch": epoch,
+            "jobs_end": jobs_end,
+            "fence": round(fenced_at - began_at, 3),
+            "read": round(self._clock.now() - fenced_at, 3),
+        }
+        log.info("earlier owners fenced", extra=extra)
+        return max(jobs_end, self._jobs_feed.loaded_end)
+
+    async def _read_runners(self, feed: Feed) -> None:
+        try:
+            await feed.catch_up()
+        except LogUnavailable as exc:
+            log.info("runners not read before the takeover", extra={"why": exc.code})
+
+    def _begin_takeover(self, known_before: int) -> Takeover:
+        claimed, now = self._claimed, self._clock.now()
+        term_left = max(claimed.previous_read_at + TERM_SECONDS - now, 0.0)
+        takeover = Takeover(claimed.previous, known_before, now, term_left, self._lease)
+        if self._owner_ended_at is not None:
+            takeover.record_owner_ended(self._owner_ended_at)
+        self._takeover = takeover
+        return takeover
--- a/ragworttiller/scheduling/ownership/term.py
+++ b/ragworttiller/scheduling/ownership/term.py
@@ -18,6 +18,8 @@
 TERM_SECONDS = 7.0
 # More than the interval of renewals plus an append to a slow store.
 RECENT_RENEWAL_SECONDS = 1.2
+# Steps of the event loop on the way of one renewal: its call, its answer and the next interval.
+LAGS_A_RENEWAL = 3
 
 
 class ClaimFold(Fold):
@@ -97,6 +99,34 @@
         """Whether another owner has claimed, or the ownership was released."""
         return self._ended
 
+    def seems_alive(self, lag: float) -> bool:
+        """Return whether the term is renewed as fast as its owner can.
+
+        A busy owner handles the answer to a renewal, and sends the next one, as late as its event
+        loop runs.
+
+        Parameters
+        ----------
+        lag : float
+            How late the event loop runs, in seconds.
+        """
+        return self.renewed_within(RECENT_RENEWAL_SECONDS + LAGS_A_RENEWAL * lag)
+
+    def end_if_superseded(self, epoch: int, source: str) -> None:
+        """End the term if an owner of a later epoch was read of.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the owner.
+        source : str
+            Where it was read: ``claims``, ``jobs`` or ``peer``.
+        """
+        if epoch > self._epoch and not self._ended:
+            extra = {"epoch": self._epoch, "by": epoch, "read": source}
+            log.info("term superseded by a later claim", extra=extra)
+            self.end()
+
     def record_renewal(self, sent_at: float) -> None:
         """Record that a renewal sent at the given time was stored."""
         self._renewed_at = max(self._renewed_at, sent_at)
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -77,7 +77,7 @@
         self._partition = partition
         self._fold = fold
         self._clock = clock
-        self._on_change = on_change
+        self.on_change = on_change
         self._poll_seconds = poll_seconds
         self._on_empty_poll = on_empty_poll
         self._lock = anyio.Lock()
@@ -181,7 +181,7 @@
                 waited = 0.0
             self._newest_at = max(self._newest_at, asked_at + waited)
         if result.records:
-            self._on_change()
+            self.on_change()
         elif wait and next_position >= result.end:
             self._on_empty_poll()
         if next_position < result.end:
@@ -204,7 +204,7 @@
         self._position = start
         self._current_at = asked_at
         self._newest_at = max(self._newest_at, asked_at)
-        self._on_change()
+        self.on_change()
 
     def _apply_page(self, page: NewestPage) -> set[str]:
         for record in page.records:
--- a/ragworttiller/scheduling/records/repeated_append.py
+++ b/ragworttiller/scheduling/records/repeated_append.py
@@ -41,6 +41,8 @@
         Source of time.
     retry_interval : float
         Seconds without an answer after which the call is first retried.
+    at : int, optional
+        Append only if the partition ends at this offset.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         sequence: int,
         clock: Clock,
         retry_interval: float,
+        at: int | None = None,
     ) -> None:
         self._store = store
         self._partition = partition
@@ -60,6 +63,7 @@
         self._sequence = sequence
         self._clock = clock
         self._retry_interval = retry_interval
+        self._at = at
         self._in_flight = 0
         self._call_ended = anyio.Event()
         self._end: int | None = None
@@ -122,6 +126,7 @@
                 self._records,
                 self._producer,
                 self._sequence,
+                self._at,
                 timeout=CALL_TIMEOUT_SECONDS,
             )
         except AppendUndecided:
--- a/tests/test_busy_owner.py
+++ b/tests/test_busy_owner.py
@@ -6,7 +6,7 @@
 
 from ragworttiller.scheduling.ownership.earlier_owner import query_timeout
 from ragworttiller.scheduling.ownership.owner import Owner
-from ragworttiller.scheduling.ownership.ownership import Ownership
+from ragworttiller.scheduling.ownership.renewals import Renewals
 from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
 from tests.owners_rig import OwnersRig, start_entries, with_rig
 
@@ -17,13 +17,13 @@
 @pytest.fixture()
 def busy_owner(monkeypatch):
     """Let each step of a renewal come late, as in an owner whose planning passes are long."""
-    write = Ownership._write_renewal
+    write = Renewals._write_next
 
     async def write_late(self, *arguments):
         await self._clock.sleep(2 * LAG_SECONDS)
         await write(self, *arguments)
 
-    monkeypatch.setattr(Ownership, "_write_renewal", write_late)
+    monkeypatch.setattr(Renewals, "_write_next", write_late)
     monkeypatch.setattr(Owner, "lag", LAG_SECONDS)
 
 
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -414,7 +414,7 @@
             first, _, link = await self.claimant(service, "e1", timers)
             await first.claim(None)
             second, later, _ = await self.claimant(service, "e2", timers)
-            second._feed._on_change = second.record_claim
+            second._feed.on_change = second.record_claim
             claim = later.claim
             await timers.sleep(2.0)
             store = Store("", 1.0, link)
