Let an owner that stops act until its successor has taken the cell over

Cause: a planned stop ended the owner's term before the release could be read. Then the successor read, claimed, waited 2.4 to 2.8 s in the queue of the jobs' partition and read again, with nobody acting, although an owner that stops has seconds of grace.

Change: the owner offers the cell to its successor and goes on acting. The successor fences the jobs' partition first; the owner ends its term when it reads that, as for any later owner, and the successor claims and acts. If the offer is not taken up, or takes longer than the grace period allows, the owner releases the cell as before. A term that ends is noticed at once.

--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -13,6 +13,7 @@
     OwnerStatus,
     TermEnded,
 )
+from ragworttiller.scheduling.ownership.offer import OfferReply, OwnershipOffer
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.state.jobs import StageId
 
@@ -86,5 +87,7 @@
         13: OwnerStatus,
         14: ConfigurationQuery,
         15: ConfigurationAnswer,
+        16: OwnershipOffer,
+        17: OfferReply,
     }
 )
