Move the metrics of an entry into a module of their own

Change: scheduling/entry/entry_metrics.py has tables of typed rows by what a metric is read from (the host of the cell, kinds of runners, workspaces) and registers them.

--- /dev/null
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -0,0 +1,158 @@
+"""Metrics of an entry that are read from its components."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
+
+from ragworttiller.metrics import Metrics
+from ragworttiller.platform.store import Store
+from ragworttiller.scheduling.decisions.admission import RefusalReason
+from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
+from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
+from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.workspace_view import largest_and_rest, used_cpu, waiting_jobs
+
+
+class HostMetric(NamedTuple):
+    """A metric with one value, read from the host of the cell."""
+
+    name: str
+    help_text: str
+    reading: Callable[[CellHost], float]
+
+
+class HostMetricByKind(NamedTuple):
+    """A metric with a value for each kind of runner, read from the host of the cell."""
+
+    name: str
+    help_text: str
+    readings: Callable[[CellHost], dict[str, float]]
+
+
+class CellMetricByWorkspace(NamedTuple):
+    """A metric with a value for each workspace, read from the cell while this entry owns it."""
+
+    name: str
+    help_text: str
+    readings: Callable[[Cell], dict[str, float]]
+
+
+HOST_COUNTERS = (
+    HostMetric("copies_started", "Copies of stragglers.", lambda host: host.copies.started),
+    HostMetric("copies_won", "Copies that ended first.", lambda host: host.copies.won),
+    HostMetric("copies_wasted", "Copies that did not.", lambda host: host.copies.wasted),
+    HostMetric(
+        "copies_wasted_core_seconds",
+        "Processor time that wasted copies reserved.",
+        lambda host: host.copies.wasted_core_seconds,
+    ),
+)
+
+HOST_GAUGES = (
+    HostMetric("owner_planning_share", "Share of time in passes.", lambda host: host.pace.planning),
+    HostMetric("owner_longest_pass_seconds", "Longest pass.", lambda host: host.pace.longest),
+    HostMetric("owner_lag_seconds", "Longest delay of a timer.", lambda host: host.pace.lag),
+    HostMetric(
+        "owner_waiting_jobs",
+        "Open jobs with a stage that waits.",
+        lambda host: sum(host.pace.waiting.values()),
+    ),
+    HostMetric(
+        "interference_paces",
+        "Pace orders sent by this owner.",
+        lambda host: host.interference_count("paces"),
+    ),
+    HostMetric(
+        "interference_stops",
+        "Filling tasks that this owner stopped for a serving one.",
+        lambda host: host.interference_count("stops"),
+    ),
+    HostMetric(
+        "interference_placements",
+        "Placements that believed pairs changed.",
+        lambda host: host.interference_count("placements"),
+    ),
+    HostMetric(
+        "interference_pairs",
+        "Pairs of images of which something is known.",
+        lambda host: host.interference_count("pairs"),
+    ),
+)
+
+GAUGES_BY_KIND = (
+    HostMetricByKind(
+        "owner_kind_time_ratio",
+        "Duration of tasks on a kind of runner relative to the mean.",
+        lambda host: host.kind_ratios,
+    ),
+    HostMetricByKind(
+        "owner_kind_samples",
+        "Tasks from which the speed of a kind was learnt.",
+        lambda host: host.kind_samples,
+    ),
+)
+
+GAUGES_BY_WORKSPACE = (
+    CellMetricByWorkspace(
+        "workspace_cpu", "Processor time in use, in thousandths of a core.", used_cpu
+    ),
+    CellMetricByWorkspace("workspace_waiting_jobs", "Open jobs with waiting tasks.", waiting_jobs),
+)
+
+
+def register_metrics(
+    metrics: Metrics,
+    store: Store,
+    admission: AdmissionGate,
+    watch: ConfigurationWatch,
+    host: CellHost,
+) -> None:
+    """Register what an entry shows beside the answers to its callers.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Registry of the metrics.
+    store : Store
+        Client of the platform's store.
+    admission : AdmissionGate
+        Counts refused jobs.
+    watch : ConfigurationWatch
+        Knows how old the configuration may be.
+    host : CellHost
+        Knows what the owner of the cell measures while this entry is the owner.
+    """
+    traffic = store.traffic
+    metrics.counter("store_calls", "Calls to the platform's store.", lambda: traffic.calls)
+    for reason in RefusalReason:
+        metrics.counter(
+            f"jobs_refused_{reason}",
+            "Jobs refused because the cell was full.",
+            partial(_refusals, admission, reason),
+        )
+    metrics.gauge(
+        "configuration_age_seconds",
+        "Time since the configuration was known to be the newest one, -1 before the first.",
+        lambda: watch.age if watch.age < float("inf") else -1.0,
+    )
+    for row in HOST_COUNTERS:
+        metrics.counter(row.name, row.help_text, partial(row.reading, host))
+    for row in HOST_GAUGES:
+        metrics.gauge(row.name, row.help_text, partial(row.reading, host))
+    for name, help_text, of_cell in GAUGES_BY_WORKSPACE:
+        metrics.gauge_by_label(name, help_text, "workspace", partial(_of_cell, host, of_cell))
+    for name, help_text, of_host in GAUGES_BY_KIND:
+        metrics.gauge_by_label(name, help_text, "kind", partial(of_host, host))
+
+
+def _refusals(admission: AdmissionGate, reason: RefusalReason) -> float:
+    return admission.refused[reason]
+
+
+def _of_cell(host: CellHost, readings: Callable[[Cell], dict[str, float]]) -> dict[str, float]:
+    """Return values of the cell's workspaces, none at an entry that does not own the cell."""
+    owner = host.owner
+    return largest_and_rest(readings(owner.cell)) if owner is not None else {}
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import functools
 import logging
 import random
 import socket
-from collections.abc import Callable
-from functools import partial
 
 import anyio
 
@@ -18,11 +15,7 @@
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.decisions.admission import (
-    AcceptAll,
-    PressureAdmission,
-    RefusalReason,
-)
+from ragworttiller.scheduling.decisions.admission import AcceptAll, PressureAdmission
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
@@ -30,6 +23,7 @@
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
+from ragworttiller.scheduling.entry.entry_metrics import register_metrics
 from ragworttiller.scheduling.entry.key_check import KeyCheck
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
@@ -48,9 +42,7 @@
 from ragworttiller.scheduling.records.formats import ENTRIES, JOBS, EntryRecord
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
-from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.submission_windows import SubmissionWindows
-from ragworttiller.scheduling.state.workspace_view import largest_and_rest, used_cpu, waiting_jobs
 
 log = logging.getLogger(__name__)
 
@@ -169,7 +161,7 @@
             self._writer,
         )
         self._metrics = Metrics()
-        self._register_metrics()
+        register_metrics(self._metrics, self._store, self._admission, self._watch, self._host)
         gate = StartGate(relaying, lambda: self._acceptance.ready, clock)
         self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
         self._stopping = anyio.Event()
@@ -210,83 +202,6 @@
         listener = self._listeners.get(setting)
         return HttpServer(address, app, CLOSE_TIMEOUT_SECONDS, listener=listener)
 
-    def _register_metrics(self) -> None:
-        traffic, host = self._store.traffic, self._host
-        self._metrics.counter(
-            "store_calls", "Calls to the platform's store.", lambda: float(traffic.calls)
-        )
-        refused = self._admission.refused
-        for reason in RefusalReason:
-            self._metrics.counter(
-                f"jobs_refused_{reason}",
-                "Jobs refused because the cell was full.",
-                lambda reason=reason: float(refused[reason]),  # type: ignore[misc]
-            )
-        watch = self._watch
-        for name, help_text, reading in (
-            ("copies_started", "Copies of stragglers.", lambda: float(host.copies.started)),
-            ("copies_won", "Copies that ended first.", lambda: float(host.copies.won)),
-            ("copies_wasted", "Copies that did not.", lambda: float(host.copies.wasted)),
-            (
-                "copies_wasted_core_seconds",
-                "Processor time that wasted copies reserved.",
-                lambda: host.copies.wasted_core_seconds,
-            ),
-        ):
-            self._metrics.counter(name, help_text, reading)
-        for name, help_text, reading in (
-            (
-                "configuration_age_seconds",
-                "Time since the configuration was known to be the newest one, -1 before the first.",
-                lambda: watch.age if watch.age < float("inf") else -1.0,
-            ),
-            ("owner_planning_share", "Share of time in passes.", lambda: host.pace.planning),
-            ("owner_longest_pass_seconds", "Longest pass.", lambda: host.pace.longest),
-            ("owner_lag_seconds", "Longest delay of a timer.", lambda: host.pace.lag),
-            (
-                "owner_waiting_jobs",
-                "Open jobs with a stage that waits.",
-                lambda: float(sum(host.pace.waiting.values())),
-            ),
-        ):
-            self._metrics.gauge(name, help_text, reading)
-        for name, help_text, of_cell in (
-            ("workspace_cpu", "Processor time in use, in thousandths of a core.", used_cpu),
-            ("workspace_waiting_jobs", "Open jobs with waiting tasks.", waiting_jobs),
-        ):
-            reading_by_workspace = partial(self._by_workspace, of_cell)
-            self._metrics.gauge_by_label(name, help_text, "workspace", reading_by_workspace)
-        self._metrics.gauge_by_label(
-            "owner_kind_time_ratio",
-            "Duration of tasks on a kind of runner relative to the mean.",
-            "kind",
-            lambda: host.kind_ratios,
-        )
-        self._metrics.gauge_by_label(
-            "owner_kind_samples",
-            "Tasks from which the speed of a kind was learnt.",
-            "kind",
-            lambda: host.kind_samples,
-        )
-        for name, help_text in (
-            ("paces", "Pace orders sent by this owner."),
-            ("stops", "Filling tasks that this owner stopped for a serving one."),
-            ("placements", "Placements that believed pairs changed."),
-        ):
-            self._metrics.gauge(
-                f"interference_{name}", help_text, functools.partial(host.interference_count, name)
-            )
-        self._metrics.gauge(
-            "interference_pairs",
-            "Pairs of images of which something is known.",
-            lambda: host.interference_count("pairs"),
-        )
-
-    def _by_workspace(self, values: Callable[[Cell], dict[str, float]]) -> dict[str, float]:
-        """Return values of the cell's workspaces, none at an entry that does not own the cell."""
-        owner = self._host.owner
-        return largest_and_rest(values(owner.cell)) if owner is not None else {}
-
     def stop(self) -> None:
         """Begin a graceful shutdown."""
         self._stopping.set()
