Count the jobs owed to a workspace in one place

Cause: the owner (OwedJobs) and each entry (SubmissionWindows) judged by two pieces of code which jobs are beyond the weight of their workspace. They agreed for records in order only: the one kept a sorted list, the other a queue in which a job recorded late stayed counted behind a newer one.

Change: OwedTimes counts for both, as OwedJobs did. So an entry no longer counts a late record after its window, nor jobs of workspaces that its configuration does not name yet.

--- a/ragworttiller/scheduling/state/owed_jobs.py
+++ b/ragworttiller/scheduling/state/owed_jobs.py
@@ -2,23 +2,19 @@
 
 from __future__ import annotations
 
-import bisect
-import math
 from collections.abc import Iterable
 
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.owed_times import OwedTimes
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
-SECONDS_PER_WINDOW = 1.0
-
 
 class OwedJobs:
     """Splits the jobs of each workspace into those owed and those beyond its weight.
 
-    Of the jobs that a workspace submits in any window of 1 s, as many as its weight are owed; with
-    a weight below 1, one job in 1/weight s is. Jobs beyond the weight use up nothing. The times are
-    those in the records, in order of their offsets, so each owner finds the same.
+    Jobs are owed as `OwedTimes` says. The times are those in the records, in order of their
+    offsets, so each owner finds the same.
 
     Parameters
     ----------
@@ -32,7 +28,7 @@
         self._jobs = jobs
         self._config = config
         self._last_offset = -1
-        self._recent: dict[str, list[float]] = {}
+        self._owed = OwedTimes()
         self._beyond: set[str] = set()
 
     def is_beyond(self, job: str) -> bool:
@@ -52,19 +48,10 @@
                 rows.append((row.offset, job, row.accepted.workspace, row.accepted.wall))
         for offset, job, workspace, wall in sorted(rows):
             self._last_offset = offset
-            if workspace != NO_WORKSPACE and not self._owes(workspace, wall):
+            if workspace != NO_WORKSPACE and not self._add(workspace, wall):
                 self._beyond.add(job)
 
-    def _owes(self, workspace: str, wall: float) -> bool:
+    def _add(self, workspace: str, wall: float) -> bool:
         """Return whether one more job of a workspace is owed, and count it if so."""
         row = self._config.known_workspaces.get(workspace)
-        weight = row.weight if row is not None else 1.0
-        if weight <= 0:
-            return False
-        most, window = max(math.floor(weight), 1), max(SECONDS_PER_WINDOW, 1 / weight)
-        recent = self._recent.setdefault(workspace, [])
-        if len(recent) >= most and recent[-most] > wall - window:
-            return False
-        bisect.insort(recent, wall)
-        del recent[:-most]
-        return True
+        return self._owed.add(workspace, row.weight if row is not None else 1.0, wall)
--- a/ragworttiller/scheduling/state/submission_windows.py
+++ b/ragworttiller/scheduling/state/submission_windows.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from ragworttiller.scheduling.records.formats import Accepted
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.state.owed_times import OwedTimes
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
-WINDOW_SECONDS = 1.0
 # Records that are older than the newest one by more are history, read when an entry starts.
 MAX_DISORDER_SECONDS = 1.0
 
@@ -16,8 +14,7 @@
 class SubmissionWindows:
     """Jobs owed to each workspace in the last second, counted in the order of the records.
 
-    A job is owed if fewer than ``weight`` owed jobs of its workspace were accepted within the
-    second before it, so that in any second at most ``weight`` jobs are.
+    Jobs are owed as `OwedTimes` says, as in the order of waiting jobs.
 
     Parameters
     ----------
@@ -27,7 +24,7 @@
 
     def __init__(self, config: QueueFold) -> None:
         self._config = config
-        self._owed: dict[str, deque[float]] = {}
+        self._owed = OwedTimes()
         self._newest = float("-inf")
 
     def record(self, accepted: Accepted) -> None:
@@ -35,10 +32,9 @@
         if accepted.wall < self._newest - MAX_DISORDER_SECONDS:
             return
         self._newest = max(self._newest, accepted.wall)
-        if accepted.workspace != NO_WORKSPACE and not self.is_beyond_weight(
-            accepted.workspace, accepted.wall
-        ):
-            self._owed.setdefault(accepted.workspace, deque()).append(accepted.wall)
+        weight = self._weight(accepted.workspace)
+        if accepted.workspace != NO_WORKSPACE and weight is not None:
+            self._owed.add(accepted.workspace, weight, accepted.wall)
 
     def is_beyond_weight(self, workspace: str, wall: float) -> bool:
         """Return whether one more job of a workspace would not be owed.
@@ -50,13 +46,9 @@
         wall : float
             Time of the job, in seconds since the epoch.
         """
+        weight = self._weight(workspace)
+        return weight is not None and not self._owed.is_owed(workspace, weight, wall)
+
+    def _weight(self, workspace: str) -> float | None:
         row = self._config.workspaces.get(workspace)
-        if row is None:
-            return False
-        if row.weight <= 0:
-            return True
-        owed = self._owed.get(workspace, deque())
-        # A weight below 1 owes one job in 1/weight seconds, as the order of waiting jobs does.
-        while owed and owed[0] <= wall - max(WINDOW_SECONDS, 1 / row.weight):
-            owed.popleft()
-        return len(owed) + 1 > max(row.weight, 1.0)
+        return row.weight if row is not None else None
