Split the errors by subject into a package

Cause: exceptions.py held 50 errors of unrelated parts in the order in which they were added, in 536 lines.

Change: ragworttiller/exceptions/ has a module for each subject (store, routing, instances, inputs, submissions, orders, command line) and one for the base class. Imports from ragworttiller.exceptions stay.

Result: codes, status codes, templates and texts of the registry are the same as before.

--- /dev/null
+++ b/ragworttiller/exceptions/base.py
@@ -0,0 +1,91 @@
+"""Base class of all errors, and the body in which an error is sent."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Any, ClassVar, TypedDict
+
+
+class Ran(StrEnum):
+    """Whether the work that an answer concerns has run."""
+
+    NO = "not_run"
+    YES = "ran"
+    UNKNOWN = "outcome_unknown"
+
+
+class ErrorBody(TypedDict):
+    """Error as it appears in HTTP answers and messages between instances.
+
+    ``retry_after`` is in seconds, or None when a retry does not help.
+    """
+
+    code: str
+    message: str
+    ran: str
+    retry_after: float | None
+    fields: dict[str, Any]
+
+
+class RagworttillerError(Exception):
+    """Base class of all errors of the scheduler.
+
+    Parameters
+    ----------
+    retry_after : float, optional
+        Seconds after which the caller may retry.
+    **fields : object
+        Values for the placeholders of ``template``; they are also sent in the error body.
+    """
+
+    code: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    ran: ClassVar[Ran] = Ran.UNKNOWN
+    template: ClassVar[str] = "internal error"
+    registry: ClassVar[dict[str, type[RagworttillerError]]] = {}
+
+    def __init_subclass__(cls, **kwargs: Any) -> None:
+        super().__init_subclass__(**kwargs)
+        RagworttillerError.registry[cls.code] = cls
+
+    def __init__(self, *, retry_after: float | None = None, **fields: Any) -> None:
+        self._retry_after = retry_after
+        self._fields = fields
+        super().__init__(self.template.format(**fields))
+
+    @property
+    def retry_after(self) -> float | None:
+        """Seconds after which the caller may retry."""
+        return self._retry_after
+
+    @property
+    def fields(self) -> dict[str, Any]:
+        """Values for the placeholders of the message."""
+        return self._fields
+
+    def body(self) -> ErrorBody:
+        """Return the error as it is sent in HTTP answers and messages."""
+        return ErrorBody(
+            code=self.code,
+            message=str(self),
+            ran=self.ran.value,
+            retry_after=self._retry_after,
+            fields=self._fields,
+        )
+
+
+def error_from(body: ErrorBody) -> RagworttillerError:
+    """Rebuild an error from its body.
+
+    Parameters
+    ----------
+    body : ErrorBody
+        Error body that another instance sent.
+
+    Returns
+    -------
+    RagworttillerError
+        An error of the class that has the code, or the base class for an unknown code.
+    """
+    cls = RagworttillerError.registry.get(body["code"], RagworttillerError)
+    return cls(retry_after=body["retry_after"], **body["fields"])
--- /dev/null
+++ b/ragworttiller/exceptions/store.py
@@ -0,0 +1,59 @@
+"""Errors of the log and of the platform's store."""
+
+from __future__ import annotations
+
+from ragworttiller.exceptions.base import RagworttillerError, Ran
+
+
+class LogUnavailable(RagworttillerError):
+    """The platform log gave no valid answer to a read, or did not append the records."""
+
+    code = "log_unavailable"
+    status = 503
+    ran = Ran.NO
+    template = "log stream {stream!r} is not available"
+
+
+class RecordsExpired(RagworttillerError):
+    """Records that a reader still needs have been removed by the log's retention."""
+
+    code = "records_expired"
+    status = 503
+    ran = Ran.NO
+    template = "log stream {stream!r} starts at offset {start}, offset {wanted} is no longer kept"
+
+
+class AppendUndecided(RagworttillerError):
+    """The answer to an append was lost and the records were not read back in time."""
+
+    code = "append_undecided"
+    status = 503
+    ran = Ran.UNKNOWN
+    template = "append to log stream {stream!r} has no known result"
+
+
+class AppendConflict(RagworttillerError):
+    """A conditional append was refused because the partition has grown."""
+
+    code = "append_conflict"
+    status = 409
+    ran = Ran.NO
+    template = "partition {stream!r} ends at offset {end}"
+
+
+class AppendFenced(RagworttillerError):
+    """A partition or a runner has accepted a higher epoch than that of the call."""
+
+    code = "append_fenced"
+    status = 409
+    ran = Ran.NO
+    template = "{stream!r} no longer accepts calls of epoch {epoch}"
+
+
+class AppendOutOfOrder(RagworttillerError):
+    """The sequence number of an append is not the next one of its producer."""
+
+    code = "append_out_of_order"
+    status = 409
+    ran = Ran.NO
+    template = "partition {stream!r} expects sequence number {expected}"
