Split runs, stages and holds by a cap into modules

Run set and described one of its attributes twice.

Change: the package state/runs/ has a module for each. A hold is an object (CapHold) in place of three attributes and three methods of Stage. Imports from state.runs stay.

Result: no change of behaviour; the tests of caps, crashes, copies, moves, cell, durations, room, advice, interference, shares and owners pass unchanged.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -192,17 +192,17 @@
         """Return how many tasks the cap of its workspace allows a stage, and record if none."""
         allowed = self._caps.allowed(stage, now - (stage.ready_since or now))
         if allowed:
-            stage.release_from_cap(now)
+            stage.cap_hold.end(now)
             return allowed
         work.hold_for_cap(stage, now)
-        if not stage.cap_hold_logged:
-            stage.cap_hold_logged = True
+        if not stage.cap_hold.logged:
+            stage.cap_hold.logged = True
             extra = {"stage": str(stage.id), "workspace": stage.workspace}
             log.info("stage held by the cap of its workspace", extra=extra)
         if stage.active_runs:
             # Its next wave starts when a task ends, and needs tickets then.
             self._advice.plan_for_blocked(work, stage, None)
-        elif now - (stage.cap_held_since or now) > RESERVE_DELAY_SECONDS:
+        elif now - (stage.cap_hold.since or now) > RESERVE_DELAY_SECONDS:
             self._caps.reserve(stage)
         return 0
 
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -144,17 +144,17 @@
         While some of them run, the wait of the others is part of the objective, as waves.
         """
         if stage.active_runs:
-            stage.release_from_cap(now)
+            stage.cap_hold.end(now)
         else:
             self._was_held = True
-            stage.hold_for_cap(now)
+            stage.cap_hold.begin(now)
 
     def _held_seconds(self, occurrence: int, now: float) -> float:
         """Return for how long the cap has held an occurrence, along its longest held chain."""
         held: list[float] = []
         for stage in self._by_occurrence[occurrence]:
             start = max((held[step] for step in stage.spec.after), default=0.0)
-            held.append(start + stage.held_seconds(now))
+            held.append(start + stage.cap_hold.seconds(now))
         return max(held)
 
     def duration_key(self, stage: Stage) -> DurationKey:
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -1,13 +1,11 @@
-"""Stages of an active job: their tasks and the runs of these tasks on runners."""
+"""A stage of an active job: its tasks, and the runs of these tasks."""
 
 from __future__ import annotations
 
 from collections import Counter, deque
 from collections.abc import Iterator
-from enum import StrEnum
 from statistics import median
 
-from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.crash_rules import is_suspect
 from ragworttiller.scheduling.records.formats import (
     Blame,
@@ -17,12 +15,12 @@
     encode_bitmap,
 )
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
-from ragworttiller.scheduling.state.pace import Pace
+from ragworttiller.scheduling.state.runs.cap_hold import CapHold
+from ragworttiller.scheduling.state.runs.run import Run
 from ragworttiller.scheduling.state.tickets import Tickets
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 RUNS_PER_EPOCH = 10_000
-MIN_PERCENT_FOR_ESTIMATE = 5
 # Durations kept of a stage; its median hardly changes with more of them.
 MAX_DURATIONS = 64
 # Fewer may be the quickest of a stage only.
@@ -31,120 +29,6 @@
 QUEUE_PREFIX = "queue:"
 
 
-class RunState(StrEnum):
-    """State of a run as known to the owner."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-class Run:
-    """One start of a task on a runner; times are in seconds.
-
-    Attributes
-    ----------
-    start_deadline : float
-        Time on the runner's clock after which the runner ignores the start.
-    progressed_at : float
-        Time at which the percentage last changed, or at which the run started.
-    ordered_at : float
-        Time of the last start or stop order.
-    trial : bool
-        Whether nothing else starts on its runner for a while, since its task is suspected.
-    resumed : bool
-        Whether it began from a checkpoint.
-    adopted : bool
-        Whether an earlier owner started it; ``started_at`` is then the time of its adoption.
-    image : str
-        Name under which tasks that behave alike are known.
-    pace : Pace
-        Percent at which it works by the orders of this owner.
-    workspace : str
-        Workspace of its job, empty for none.
-    resumed : bool
-        Whether it began at a checkpoint, so that it does a part of the work only.
-    expected_seconds : float
-        Expected duration, the estimate of its step by default.
-    """
-
-    def __init__(
-        self,
-        task: TaskId,
-        number: int,
-        runner: str,
-        spec: StepSpec,
-        now: float,
-        workspace: str = NO_WORKSPACE,
-    ) -> None:
-        self.task = task
-        self.number = number
-        self.runner = runner
-        self.spec = spec
-        self.workspace = workspace
-        self.state = RunState.STARTING
-        self.started_at = now
-        self.ordered_at = now
-        self.start_deadline = 0.0
-        self.checkpoint = ""
-        self.trial = False
-        self.resumed = False
-        self.adopted = False
-        self.resumed = False
-        self.expected_seconds = spec.estimate
-        self.image = spec.image
-        self.pace = Pace()
-        self.percent = 0.0
-        self.progressed_at = now
-        self._progress_base: tuple[float, float] | None = (0.0, now)
-        self.load = 0.0
-
-    @property
-    def reservation(self) -> Resources:
-        """Resources that the run reserves on its runner."""
-        return self.spec.reservation
-
-    @property
-    def key(self) -> tuple[TaskId, int]:
-        """Task and run number, which identify the run on its runner."""
-        return self.task, self.number
-
-    @property
-    def expected_end(self) -> float:
-        """Time at which the run should end: from its progress, or as expected if there is none."""
-        if self._progress_base is None:
-            return self.started_at + self.expected_seconds
-        base_percent, base_at = self._progress_base
-        gained, elapsed = self.percent - base_percent, self.progressed_at - base_at
-        if gained < MIN_PERCENT_FOR_ESTIMATE or elapsed <= 0:
-            return self.started_at + self.expected_seconds
-        return self.progressed_at + elapsed * (100 - self.percent) / gained
-
-    def resume(self, checkpoint: str) -> None:
-        """Start from a checkpoint, empty for none."""
-        self.checkpoint = checkpoint
-        self.resumed = bool(checkpoint)
-        if checkpoint:
-            self.resumed = True
-            self.measure_progress_from_next_report()
-
-    def measure_progress_from_next_report(self) -> None:
-        """Leave out work that was done before this owner observed the run."""
-        self._progress_base = None
-
-    def observe(self, percent: float, checkpoint: str, load: float, now: float) -> None:
-        """Update the run from a report of its runner."""
-        if self.state is RunState.STARTING:
-            self.state = RunState.RUNNING
-            self.progressed_at = now
-        if self._progress_base is None:
-            self._progress_base = (percent, now)
-        if percent != self.percent:
-            self.percent, self.progressed_at = percent, now
-        self.checkpoint = checkpoint or self.checkpoint
-        self.load = load
-
-
 class Stage:
     """One step of one occurrence, with the state of each of its tasks.
 
@@ -185,13 +69,8 @@
         Runners lost under a task since it last outlived its trial, by index.
     trials : dict of int to str
         Runner on which a task is tried, by index.
-    cap_held_since : float or None
-        Time in seconds since when the cap of its workspace allows no more of its tasks, None while
-        it allows one.
-    cap_held_seconds : float
-        Duration of its earlier holds by the cap.
-    cap_hold_logged : bool
-        Whether a line about its first hold was written.
+    cap_hold : CapHold
+        Time for which the cap of its workspace has kept its tasks waiting.
     last_failed_runner : dict of int to str
         Runner that a task avoids at its next start, by index.
     copies : dict of int to Run
@@ -242,9 +121,7 @@
         self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
         self.reserved_since: float | None = None
-        self.cap_held_since: float | None = None
-        self.cap_held_seconds = 0.0
-        self.cap_hold_logged = False
+        self.cap_hold = CapHold()
         self.waits_for_fast_since: float | None = None
         self.ended_seconds: float | None = None
         self._recent_seconds: deque[float] = deque(maxlen=MAX_ENDED_SIBLINGS)
@@ -277,22 +154,6 @@
         """Whether there is something to record about a task."""
         return bool(self.done or self.failed_runs or self.checkpoints or self.crashes)
 
-    def hold_for_cap(self, now: float) -> None:
-        """Record that the cap of the workspace allows no more of the tasks."""
-        if self.cap_held_since is None:
-            self.cap_held_since = now
-
-    def release_from_cap(self, now: float) -> None:
-        """Record that the cap of the workspace allows a task, or that none waits."""
-        if self.cap_held_since is not None:
-            self.cap_held_seconds += now - self.cap_held_since
-            self.cap_held_since = None
-
-    def held_seconds(self, now: float) -> float:
-        """Return for how many seconds the cap of the workspace has held the stage in all."""
-        held = 0.0 if self.cap_held_since is None else now - self.cap_held_since
-        return self.cap_held_seconds + held
-
     def runs_by_runner(self) -> Counter[str]:
         """Return the number of runs on each runner that has any."""
         counts = Counter(run.runner for run in self.active_runs.values())
