Revert "Let an owner that stops act until its successor has taken the cell over"

Failed attempt. The store applies the epoch of an append when it arrives, not when it is carried out, so an owner cannot record anything while its successor waits. The stand-in store applied it when it was carried out.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -42,7 +42,6 @@
     OwnerStatus,
     TermEnded,
 )
-from ragworttiller.scheduling.ownership.offer import OfferReply, OwnershipOffer
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import PeerStandbys
 from ragworttiller.scheduling.records.feed import Feed
@@ -58,11 +57,6 @@
 # The load balancer sends new connections until up to two readiness checks have failed.
 DRAIN_SECONDS = 2.6
 CLOSE_TIMEOUT_SECONDS = 1.5
-# Part of the grace period that is left once the last requests were answered.
-STOP_MARGIN_SECONDS = 1.0
-# Part of a stop in which an owner whose offer was not taken up releases the cell.
-RELEASE_SECONDS = 1.0
-HANDOVER_CHECK_SECONDS = 0.02
 WITHDRAW_TIMEOUT_SECONDS = 0.5
 MAX_CLAIMS_AGE_SECONDS = 1.8
 ENTRIES_POLL_SECONDS = 5.0
@@ -134,7 +128,6 @@
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
         self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
         self._peers.handle(OwnerQuery, self._handle_owner_query)
-        self._peers.handle(OwnershipOffer, self._handle_ownership_offer)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
         self._entries_feed = Feed(
             self._store, ENTRIES, self._entries, clock, poll_seconds=ENTRIES_POLL_SECONDS
@@ -301,14 +294,10 @@
     async def _hand_over(self, callers: HttpServer) -> None:
         """Release the ownership and serve until the load balancer sends no more requests."""
         callers.drain()
-        stopped_at, grace = self._clock.now(), self._settings.bounds.shutdown_grace_s
-        longest = max(grace - CLOSE_TIMEOUT_SECONDS - STOP_MARGIN_SECONDS, grace / 2)
-        self._host.stop(next(iter(self._standbys.names()), ""), longest - RELEASE_SECONDS)
+        self._host.stop(next(iter(self._standbys.names()), ""))
         with self._clock.move_on_after(WITHDRAW_TIMEOUT_SECONDS):
             await self._announcer.withdraw()
-        await self._clock.sleep(min(DRAIN_SECONDS, grace / 2))
-        while self._host.holds_cell and self._clock.now() < stopped_at + longest:
-            await self._clock.sleep(HANDOVER_CHECK_SECONDS)
+        await self._clock.sleep(min(DRAIN_SECONDS, self._settings.bounds.shutdown_grace_s / 2))
 
     def _unready_reasons(self) -> list[str]:
         checks = {
@@ -329,9 +318,6 @@
     async def _handle_owner_query(self, sender: str, message: OwnerQuery) -> OwnerStatus:
         return OwnerStatus(self._host.acts_as_owner(message.epoch))
 
-    async def _handle_ownership_offer(self, sender: str, message: OwnershipOffer) -> OfferReply:
-        return OfferReply(self._host.accept_offer(sender, message.epoch))
-
     def _owner_name(self) -> str:
         claim = self._host.claims.claim
         return claim.owner if claim else ""
--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -13,7 +13,6 @@
     OwnerStatus,
     TermEnded,
 )
-from ragworttiller.scheduling.ownership.offer import OfferReply, OwnershipOffer
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.state.jobs import StageId
 
@@ -87,7 +86,5 @@
         13: OwnerStatus,
         14: ConfigurationQuery,
         15: ConfigurationAnswer,
-        16: OwnershipOffer,
-        17: OfferReply,
     }
 )
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -23,11 +23,7 @@
 from ragworttiller.scheduling.ownership.pace_log import NO_PACE, OwnerPace
 from ragworttiller.scheduling.ownership.renewals import Renewals
 from ragworttiller.scheduling.ownership.standbys import NoStandbys, Standbys
-from ragworttiller.scheduling.ownership.succession import (
-    FENCE_TIMEOUT_SECONDS,
-    Inherited,
-    Succession,
-)
+from ragworttiller.scheduling.ownership.succession import Inherited, Succession
 from ragworttiller.scheduling.ownership.term import ClaimFold, Term
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS, OWNER, Claim
@@ -44,8 +40,6 @@
 CLAIM_RETRY_INTERVAL_SECONDS = 0.3
 # Successor of a release after which any entry may claim.
 ANY_ENTRY = ""
-# Time in which a successor with a fast store claims many times over.
-DEFAULT_OFFER_SECONDS = 2.0
 ENDED_JOB_QUERY_SECONDS = 120.0
 
 
@@ -128,9 +122,8 @@
         self._owner: Owner | None = None
         self._renewals: Renewals | None = None
         self._claim_read_at: float | None = None
-        self._stopping = anyio.Event()
+        self._stopping = False
         self._successor = ANY_ENTRY
-        self._offer_seconds = DEFAULT_OFFER_SECONDS
         self.jobs = JobFold()
         self.claims = ClaimFold()
         self.jobs_feed = Feed(
@@ -192,10 +185,12 @@
         """Claim the cell whenever it may be claimed, until cancelled or stopped."""
         while True:
             previous = await self._ownership.wait_claimable()
-            if self._stopping.is_set():
+            if self._stopping:
                 return
+            if previous is not None and await self._only_seems_lost(previous):
+                continue
             try:
-                claimed = await self._claim(previous)
+                claimed = await self._ownership.claim(previous)
                 if claimed is not None:
                     await self._hold(claimed)
             except RagworttillerError as exc:
@@ -205,29 +200,11 @@
                 log.exception("ownership ended by an unexpected error")
                 await self._clock.sleep(CLAIM_RETRY_INTERVAL_SECONDS)
 
-    @property
-    def gives_orders(self) -> bool:
-        """Whether this entry may give orders as the owner of the cell now."""
-        renewals = self._renewals
-        return self._owner is not None and renewals is not None and renewals.term.valid
-
-    @property
-    def holds_cell(self) -> bool:
-        """Whether the cell was claimed by this entry, and neither lost nor released since."""
-        return self._renewals is not None
-
-    def stop(self, successor: str, timeout: float = DEFAULT_OFFER_SECONDS) -> None:
-        """Stop claiming, and hand the ownership over to another entry.
-
-        The owner acts until its successor has taken the cell over, for at most ``timeout`` seconds;
-        then it releases the cell.
-        """
-        self._successor, self._offer_seconds = successor, timeout
-        self._stopping.set()
-
-    def accept_offer(self, owner: str, epoch: int) -> bool:
-        """Claim the cell from an owner that offers it, and return whether this entry does."""
-        return not self._stopping.is_set() and self._ownership.accept_offer(owner, epoch)
+    def stop(self, successor: str) -> None:
+        """Stop claiming, and release the ownership to another entry."""
+        self._stopping, self._successor = True, successor
+        if self._renewals is not None:
+            self._renewals.release(successor)
 
     def record_heartbeat(self, heartbeat: OwnerHeartbeat) -> None:
         """Record a heartbeat of the owner."""
@@ -247,13 +224,6 @@
             return False
         return self._renewals.term.seems_alive(self.lag)
 
-    async def _claim(self, previous: Claim | None) -> Claimed | None:
-        if previous is not None and self._ownership.is_offered(previous):
-            return await self._ownership.claim_offered(previous.epoch, FENCE_TIMEOUT_SECONDS)
-        if previous is not None and await self._only_seems_lost(previous):
-            return None
-        return await self._ownership.claim(previous)
-
     async def _only_seems_lost(self, claim: Claim) -> bool:
         """Return whether the owner that wrote a claim says that it acts: it may only be busy."""
         if claim.released or claim.owner == self._name:
@@ -268,6 +238,8 @@
         term = claimed.term
         self._renewals = renewals = self._ownership.renewals(claimed, self._standbys)
         self._end_if_superseded()
+        if self._stopping:
+            renewals.release(self._successor)
         succession = Succession(
             claimed,
             self._ownership,
@@ -281,7 +253,6 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(succession.ask_earlier_owner)
                 tasks.start_soon(self._take_over, succession, renewals)
-                tasks.start_soon(self._hand_over_when_stopped, renewals)
                 await renewals.run()
                 tasks.cancel_scope.cancel()
         finally:
@@ -301,16 +272,6 @@
             log.exception("owner ended by an unexpected error", extra=extra)
         renewals.release(ANY_ENTRY)
 
-    async def _hand_over_when_stopped(self, renewals: Renewals) -> None:
-        """Offer the cell to the successor, and act until it has claimed; else release the cell."""
-        await self._stopping.wait()
-        term = renewals.term
-        if self._owner is not None and await self._standbys.offer(self._successor, term.epoch):
-            with self._clock.move_on_after(self._offer_seconds):
-                await term.wait_ended()
-        if not term.ended:
-            renewals.release(self._successor)
-
     async def _act_as_owner(self, inherited: Inherited, renewals: Renewals) -> None:
         """Act as the owner until cancelled."""
         self._owner = owner = self._new_owner(renewals.term, inherited)
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -39,22 +39,19 @@
 # An append without an answer is repeated after this time; its answer is still waited for.
 APPEND_RETRY_INTERVAL_SECONDS = 0.5
 MAX_SEQUENCE = 2**31
-NO_EPOCH = -1
 
 
 class Claimed(NamedTuple):
     """Ownership that was just claimed with ``claim``.
 
     ``previous`` is the last claim of an earlier owner, which was read at ``previous_read_at`` and
-    so sent before. ``jobs_end`` is the end of the jobs' partition when earlier owners were fenced
-    there, None if they have not been fenced yet.
+    so sent before.
     """
 
     term: Term
     claim: Claim
     previous: Claim | None
     previous_read_at: float
-    jobs_end: int | None = None
 
 
 class Ownership:
@@ -100,7 +97,6 @@
         self._claim_read_at = clock.now()
         self._changed = anyio.Event()
         self._undecided: Claim | None = None
-        self._offered_epoch = NO_EPOCH
 
     def record_claim(self) -> None:
         """Record that a claim or renewal of any entry was read."""
@@ -119,19 +115,6 @@
         if not heartbeat.renewed:
             self._notify()
 
-    def accept_offer(self, owner: str, epoch: int) -> bool:
-        """Claim the cell from an owner that offers it; return False if another claim was read."""
-        claim = self._fold.claim
-        if claim is None or (claim.owner, claim.epoch) != (owner, epoch) or not self._feed.ready:
-            return False
-        self._offered_epoch = epoch
-        self._notify()
-        return True
-
-    def is_offered(self, claim: Claim) -> bool:
-        """Return whether the owner that wrote a claim has offered the cell to this entry."""
-        return claim.epoch == self._offered_epoch and not claim.released
-
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
@@ -157,8 +140,6 @@
             return True
         if claim.released:
             return claim.successor == self._name or self._watch.empty_polls > 0
-        if self.is_offered(claim):
-            return True
         if claim == self._undecided:
             # Its result was not known in time, and it has been stored after all.
             return True
@@ -180,45 +161,6 @@
         await self._feed.catch_up()
         if self._fold.claim != previous:
             return None
-        return await self._claim_after(previous)
-
-    async def claim_offered(self, epoch: int, timeout: float) -> Claimed | None:
-        """Claim the ownership from an owner that offers it, and that acts until it is fenced.
-
-        So the cell is without an owner only from the fence to the claim, however long an append to
-        the jobs' partition takes. That owner may renew its claim meanwhile.
-
-        Parameters
-        ----------
-        epoch : int
-            Epoch of that owner.
-        timeout : float
-            Seconds after which to give up if the jobs' partition is not fenced.
-
-        Returns
-        -------
-        Claimed or None
-            None if another entry has claimed first.
-
-        Raises
-        ------
-        LogUnavailable, AppendUndecided
-            The store cannot be reached, or did not confirm the fence or the claim in time.
-        AppendFenced
-            A later owner has already fenced the jobs' partition.
-        """
-        self._offered_epoch = NO_EPOCH
-        jobs_end = await self.fence_jobs(epoch + 1, timeout)
-        while True:
-            await self._feed.catch_up()
-            previous = self._fold.claim
-            if previous is None or previous.epoch != epoch:
-                return None
-            claimed = await self._claim_after(previous)
-            if claimed is not None:
-                return claimed._replace(jobs_end=jobs_end)
-
-    async def _claim_after(self, previous: Claim | None) -> Claimed | None:
         # A renewal with the content of the one before may have been read just now.
         read_at = self._claim_read_at
         claim = self._next_claim(previous)
--- a/ragworttiller/scheduling/ownership/renewals.py
+++ b/ragworttiller/scheduling/ownership/renewals.py
@@ -90,7 +90,6 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(writer.run)
             tasks.start_soon(self._heartbeat_loop)
-            tasks.start_soon(self._wake_when_ended)
             while not self._term.ended or self._successor is not None:
                 await self._write_next(writer)
             tasks.cancel_scope.cancel()
@@ -151,10 +150,6 @@
         with self._clock.move_on_after(RENEWAL_INTERVAL_SECONDS):
             await self._requested.wait()
 
-    async def _wake_when_ended(self) -> None:
-        await self._term.wait_ended()
-        self.renew_now()
-
     def _end(self) -> None:
         self._term.end()
         self._successor = None
--- a/ragworttiller/scheduling/ownership/succession.py
+++ b/ragworttiller/scheduling/ownership/succession.py
@@ -128,9 +128,7 @@
     async def _fence_and_read_jobs(self) -> int:
         """Fence earlier owners and read the jobs that they may know; return where these end."""
         began_at, epoch = self._clock.now(), self._claimed.term.epoch
-        jobs_end = self._claimed.jobs_end
-        if jobs_end is None:
-            jobs_end = await self._ownership.fence_jobs(epoch, FENCE_TIMEOUT_SECONDS)
+        jobs_end = await self._ownership.fence_jobs(epoch, FENCE_TIMEOUT_SECONDS)
         fenced_at = self._clock.now()
         if self._jobs_feed.position < jobs_end:
             await self._jobs_feed.catch_up()
@@ -145,7 +143,7 @@
 
     async def _read_runners(self, feed: Feed) -> None:
         try:
-            await feed.load()
+            await feed.catch_up()
         except LogUnavailable as exc:
             log.info("runners not read before the takeover", extra={"why": exc.code})
 
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -75,12 +75,6 @@
             if name != self._name and not self._rig.heartbeats_lost:
                 entry.host.record_heartbeat(heartbeat)
 
-    async def offer(self, name: str, epoch: int) -> bool:
-        entry = self._rig.entries.get(name)
-        if entry is None or entry.scope.cancel_called or self._rig.peers_cut:
-            return False
-        return entry.host.accept_offer(self._name, epoch)
-
 
 class RigEarlierOwner(EarlierOwner):
     """Reaches the running entries that reach the store, unless `peers_cut` is set.
