--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -42,7 +42,6 @@
     OwnerStatus,
     TermEnded,
 )
-from ragworttiller.scheduling.ownership.offer import OfferReply, OwnershipOffer
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import PeerStandbys
 from ragworttiller.scheduling.records.feed import Feed
@@ -60,7 +59,7 @@
 CLOSE_TIMEOUT_SECONDS = 1.5
 # Part of the grace period that is left once the last requests were answered.
 STOP_MARGIN_SECONDS = 1.0
-# Part of a stop in which an owner whose offer was not taken up releases the cell.
+# Part of a stop in which an owner stores that it has released the cell.
 RELEASE_SECONDS = 1.0
 HANDOVER_CHECK_SECONDS = 0.02
 WITHDRAW_TIMEOUT_SECONDS = 0.5
@@ -134,7 +133,6 @@
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
         self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
         self._peers.handle(OwnerQuery, self._handle_owner_query)
-        self._peers.handle(OwnershipOffer, self._handle_ownership_offer)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
         self._entries_feed = Feed(
             self._store, ENTRIES, self._entries, clock, poll_seconds=ENTRIES_POLL_SECONDS
@@ -329,9 +327,6 @@
     async def _handle_owner_query(self, sender: str, message: OwnerQuery) -> OwnerStatus:
         return OwnerStatus(self._host.acts_as_owner(message.epoch))
 
-    async def _handle_ownership_offer(self, sender: str, message: OwnershipOffer) -> OfferReply:
-        return OfferReply(self._host.accept_offer(sender, message.epoch))
-
     def _owner_name(self) -> str:
         claim = self._host.claims.claim
         return claim.owner if claim else ""
