Give the policies of copies and of moves one base class

Cause: both declared which runs straggle and whether another run pays, with the same texts and the same rule, and moves imported the rule from copies.

Change: decisions/straggler_policy.py has the interface with the rule as its default, and what the policies know of a run. copies.py and moves.py keep what differs.

Result: no change of behaviour; test_copies, test_moves and test_copies_machine pass.

--- a/ragworttiller/scheduling/decisions/moves.py
+++ b/ragworttiller/scheduling/decisions/moves.py
@@ -3,40 +3,15 @@
 from __future__ import annotations
 
 import math
-from abc import ABC, abstractmethod
 
 from typing_extensions import override
 
-from ragworttiller.scheduling.decisions.copies import RunOutlook, straggler_seconds
+from ragworttiller.scheduling.decisions.straggler_policy import RunOutlook, StragglerPolicy
 
 
-class MovePolicy(ABC):
+class MovePolicy(StragglerPolicy):
     """Decides which stragglers are moved."""
 
-    @abstractmethod
-    def straggles_after(self, median: float | None, slow_after: float | None) -> float:
-        """Return the duration in seconds from which a run is a straggler, infinity if unknown.
-
-        Parameters
-        ----------
-        median, slow_after : float or None
-            As in `RunOutlook`.
-        """
-
-    @abstractmethod
-    def pays(self, outlook: RunOutlook, time_ratio: float, now: float) -> bool:
-        """Return whether a straggler should end sooner on another runner.
-
-        Parameters
-        ----------
-        outlook : RunOutlook
-            The straggler.
-        time_ratio : float
-            Duration of tasks on the other runner, relative to the mean of all runners.
-        now : float
-            Time in seconds.
-        """
-
 
 class NoMoves(MovePolicy):
     """Leave stragglers where they are; the baseline."""
@@ -65,10 +40,6 @@
         self._stop_seconds = stop_seconds
         self._restore_seconds = restore_seconds
 
-    @override
-    def straggles_after(self, median: float | None, slow_after: float | None) -> float:
-        return straggler_seconds(median, slow_after)
-
     @override
     def pays(self, outlook: RunOutlook, time_ratio: float, now: float) -> bool:
         left = outlook.expected_end(now) - now
--- a/tests/copies_rig.py
+++ b/tests/copies_rig.py
@@ -12,7 +12,7 @@
 from ragworttiller.config.entry import EntryBounds, EntryPolicies
 from ragworttiller.platform.runners import EndedRun, HoldAnswer, RunningTask
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
-from ragworttiller.scheduling.decisions.copies import LearntDurations
+from ragworttiller.scheduling.decisions.straggler_policy import LearntDurations
 from ragworttiller.scheduling.records.formats import PROGRESS_SUFFIX, encode
 from ragworttiller.scheduling.state.jobs import StepSpec, TaskId
 from ragworttiller.scheduling.state.orders import Plan, StartOrder, StopOrder
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -8,11 +8,10 @@
 
 from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.decisions.copies import (
+from ragworttiller.scheduling.decisions.copies import NoCopies, StragglerCopies
+from ragworttiller.scheduling.decisions.straggler_policy import (
     LearntDurations,
-    NoCopies,
     RunOutlook,
-    StragglerCopies,
     sibling_median,
 )
 from ragworttiller.scheduling.records.formats import JobState
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -5,8 +5,8 @@
 import pytest
 
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.decisions.copies import RunOutlook
 from ragworttiller.scheduling.decisions.moves import CheckpointedMoves
+from ragworttiller.scheduling.decisions.straggler_policy import RunOutlook
 from ragworttiller.scheduling.records.formats import JobState
 from ragworttiller.scheduling.state.jobs import StepSpec, TaskId
 from ragworttiller.scheduling.state.runs import Run
