Keep an unreadable record in the store from harming others

Callers saw: nothing yet; found by reading. One item of a page of newest records with an invalid value or key made the whole page unreadable, so that an entry never loaded the partition: not ready, or without configuration, until somebody replaces the record. A record cut off at the end of an answer to a read was taken for complete.

Change: items are decoded one by one. Without a readable key an item is left out and logged. A value that is no base64 is handed on as sent, since its fold skips and logs what it cannot read, while a missing item would count as a deletion. A cut record is left to the next read; an answer with nothing else fails, so that the feed pauses instead of asking again at once.

--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -96,9 +96,12 @@
     offset: int
 
 
+_ITEM_DECODER = msgspec.json.Decoder(_Item)
+
+
 class _Page(msgspec.Struct):
     end: int
-    items: list[_Item] = []
+    items: list[msgspec.Raw] = []
     has_more: bool = False
 
 
@@ -248,7 +251,11 @@
             raise RecordsExpired(stream=str(partition), start=start, wanted=offset)
         if status != 200 or len(content) < 2 * OFFSET_BYTES:
             raise LogUnavailable(stream=str(partition))
-        return _decode_slice(content, offset)
+        result = _decode_slice(content, offset)
+        if not result.records and len(content) > 2 * OFFSET_BYTES:
+            # Taken for a short read, a record that is cut off would be asked for again at once.
+            raise LogUnavailable(stream=str(partition))
+        return result
 
     async def read_newest(self, partition: Partition, after: str = "") -> NewestPage:
         """Return a page with the newest record of each key after the key ``after``.
@@ -266,10 +273,13 @@
             raise LogUnavailable(stream=str(partition))
         try:
             page = decode_json(content, _Page, _Page.__name__)
-            records = [Record(i.offset, i.key, base64.b64decode(i.value)) for i in page.items]
-        except (Unreadable, ValueError) as exc:
+        except Unreadable as exc:
             raise LogUnavailable(stream=str(partition)) from exc
-        next_after = page.items[-1].key if page.has_more and page.items else ""
+        found = (_decode_item(partition, item) for item in page.items)
+        records = [record for record in found if record is not None]
+        if page.items and not records and page.has_more:
+            raise LogUnavailable(stream=str(partition))
+        next_after = records[-1].key if page.has_more and records else ""
         return NewestPage(page.end, next_after, records)
 
     async def close(self) -> None:
@@ -303,7 +313,26 @@
     return length.to_bytes(LENGTH_BYTES, "big") + bytes([len(key)]) + key + record.value
 
 
+def _decode_item(partition: Partition, item: msgspec.Raw) -> Record | None:
+    """Return an item of a page, None without a readable key.
+
+    A value that is no base64 is returned as it was sent: the reader of the records finds it
+    unreadable, while an empty or missing one would mean that the key was deleted.
+    """
+    try:
+        row = _ITEM_DECODER.decode(item)
+    except msgspec.MsgspecError as exc:
+        extra = {"partition": str(partition), "problem": str(exc)}
+        log.warning("record without a readable key left out", extra=extra)
+        return None
+    try:
+        return Record(row.offset, row.key, base64.b64decode(row.value, validate=True))
+    except ValueError:
+        return Record(row.offset, row.key, row.value.encode())
+
+
 def _decode_slice(content: bytes, offset: int) -> Slice:
+    """Return the records in the answer to a read, without one that is cut off at its end."""
     end = int.from_bytes(content[:OFFSET_BYTES], "big")
     start = int.from_bytes(content[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
     records: list[Record] = []
@@ -311,6 +340,8 @@
     while position + LENGTH_BYTES <= len(content):
         record_start = position + LENGTH_BYTES
         position = record_start + int.from_bytes(content[position:record_start], "big")
+        if position > len(content):
+            break
         records.append(_decode_record(offset + len(records), content[record_start:position]))
     return Slice(end, start, records)
 
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -100,6 +100,56 @@
         assert rig.timers.now() - start < 0.2
 
 
+class TestUnreadableRecords:
+    """One record with bad bytes kept a fold from loading, or was taken for complete."""
+
+    def store(self, body: bytes) -> Store:
+        return Store("", 1.0, FixedAnswer(Answer(200, [], body)))
+
+    def page(self, *items: bytes, has_more: bytes = b"false") -> bytes:
+        return b'{"end": 9, "has_more": %s, "items": [%s]}' % (has_more, b", ".join(items))
+
+    @pytest.mark.parametrize("key", [b"null", b'"\xff"'])
+    def test_of_the_newest_ones_those_without_a_key_are_left_out(self, key, caplog):
+        good = b'{"key": "%s", "value": "MQ==", "offset": 1}'
+        body = self.page(good % b"a", good.replace(b'"%s"', key), good % b"b")
+        with caplog.at_level("WARNING"):
+            page = anyio.run(self.store(body).read_newest, PARTITION)
+        assert page.records == [Record(1, "a", b"1"), Record(1, "b", b"1")]
+        assert [row.message for row in caplog.records] == ["record without a readable key left out"]
+
+    @pytest.mark.parametrize("value", [b"MQ", b"M!Q=="])
+    def test_a_value_that_is_no_base64_does_not_delete_its_key(self, value):
+        body = self.page(
+            b'{"key": "a", "value": "%s", "offset": 1}' % value,
+            b'{"key": "b", "value": "MQ==", "offset": 2}',
+        )
+        page = anyio.run(self.store(body).read_newest, PARTITION)
+        assert page.records == [Record(1, "a", value), Record(2, "b", b"1")]
+
+    def test_a_page_goes_on_after_its_last_readable_key(self):
+        body = self.page(b'{"key": "a", "value": "", "offset": 1}', b"{}", has_more=b"true")
+        assert anyio.run(self.store(body).read_newest, PARTITION).after == "a"
+
+    def test_a_page_without_any_readable_key_has_no_next_one(self):
+        with pytest.raises(LogUnavailable):
+            anyio.run(self.store(self.page(b"{}", has_more=b"true")).read_newest, PARTITION)
+
+    def slice_body(self, *records: bytes) -> bytes:
+        head = (9).to_bytes(8, "big") + (0).to_bytes(8, "big")
+        return head + b"".join(len(row).to_bytes(4, "big") + row for row in records)
+
+    @pytest.mark.parametrize("cut", [1, 2, 3, 4, 5, 6])
+    def test_a_record_that_is_cut_off_is_not_taken_for_complete(self, cut):
+        body = self.slice_body(b"\x01a1", b"\x01b2")[:-cut]
+        found = anyio.run(self.store(body).read, PARTITION, 0)
+        assert found.records == [Record(0, "a", b"1")]
+
+    def test_a_read_of_a_part_of_a_record_only_is_not_repeated_without_a_pause(self):
+        with pytest.raises(LogUnavailable):
+            anyio.run(self.store(self.slice_body(b"\x01a1")[:-1]).read, PARTITION, 0)
+
+
 class TestFeed:
     async def run_feed(self, rig: StoreRig, feed: Feed, body: Callable[[], Awaitable[None]]):
         async with anyio.create_task_group() as tasks:
