--- a/tests/test_ledger_machine.py
+++ b/tests/test_ledger_machine.py
@@ -21,7 +21,10 @@
 )
 
 from ragworttiller.exceptions import NoRunner, RunnerBroken
-from ragworttiller.process import snapshots, stream
+from ragworttiller.process import ledger, stream
+from ragworttiller.process.snapshots import Retention, SnapshotWriter
+from ragworttiller.process.stream import Stream
+from ragworttiller.timers import TimerService
 from tests.ledger_rig import WINDOW_SECONDS, Instance, Rig, violations
 
 NAMES = ["a", "b", "c"]
@@ -41,6 +44,20 @@
 ATTEMPTS_PER_KEY = 4
 
 
+class FrequentSnapshots(SnapshotWriter):
+    """Writes snapshots after a few records; ``early`` of them before the retention asks for it."""
+
+    early = 0
+
+    def __init__(self, stream: Stream, timers: TimerService, retention: Retention):
+        super().__init__(stream, timers, retention, SNAPSHOT_EVERY)
+
+    def post(self) -> None:
+        records = self._stream.next_offset - max(self._stream.snapshot_as_of, self._posted_as_of)
+        FrequentSnapshots.early += records < self._retention.records // 4
+        super().post()
+
+
 class LedgerMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
@@ -205,7 +222,8 @@
 
 class TestRandomInterleavings:
     def test_no_second_send_no_false_not_run_and_equal_replays(self, monkeypatch):
-        monkeypatch.setattr(snapshots, "SNAPSHOT_RECORDS", SNAPSHOT_EVERY)
+        monkeypatch.setattr(ledger, "SnapshotWriter", FrequentSnapshots)
+        monkeypatch.setattr(FrequentSnapshots, "early", 0)
         monkeypatch.setattr(stream, "SNAPSHOT_SEARCH_RECORDS", KEEP // 2)
         run_state_machine_as_test(
             seed(SEED)(LedgerMachine),
@@ -219,3 +237,4 @@
                 suppress_health_check=list(HealthCheck),
             ),
         )
+        assert FrequentSnapshots.early > 0
