Log when an entry believes that nobody acts as the owner

Operators saw: jobs were late for seconds, and no line of the other entries told whether the owner had released the cell, was only slow to renew, had been claimed over, or whether the store was not read.

Change: OwnerGaps writes `no owner acts` when the last claim is released, is that of an owner which still takes the cell over, or was last renewed more than 1.1 s ago, and `an owner acts again` with the seconds until the claim of the next owner was read (`claimed`) and until it acted. An owner acts once its claim counts jobs after those of the earlier owner. One line for each change, at every entry. The gauge `owner_gap_seconds` and the counter `owner_changes` show the same.

Evidence: test_owner_gaps tells a takeover that takes 2.4 s from late renewals and from an outage of the store, on virtual time.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -42,6 +42,7 @@
     OwnerStatus,
     TermEnded,
 )
+from ragworttiller.scheduling.ownership.owner_gaps import OwnerGaps
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import PeerStandbys
 from ragworttiller.scheduling.records.feed import Feed
@@ -114,6 +115,8 @@
             earlier_owner=EarlierOwnerPeer(self._peers),
             measures_pressure=settings.platform.refuses_under_pressure,
         )
+        self._owner_gaps = OwnerGaps(self._host.claims, self._host.claims_feed, clock)
+        self._host.on_claims_read = self._owner_gaps.record_claims_read
         windows = SubmissionWindows(self._config)
         self._host.jobs.on_accepted = windows.record
         refuses = settings.platform.refuses_under_pressure
@@ -199,6 +202,7 @@
             tasks.start_soon(self._announcer.run)
             tasks.start_soon(self._announcer.announce)
             tasks.start_soon(self._host.run)
+            tasks.start_soon(self._owner_gaps.run)
             await self._stopping.wait()
             await self._hand_over(callers)
             callers.stop()
@@ -222,6 +226,9 @@
                 "Jobs refused because the cell was full.",
                 lambda reason=reason: float(refused[reason]),  # type: ignore[misc]
             )
+        self._metrics.counter(
+            "owner_changes", "Changes of owner read.", lambda: float(self._owner_gaps.changes)
+        )
         watch = self._watch
         for name, help_text, reading in (
             ("copies_started", "Copies of stragglers.", lambda: float(host.copies.started)),
@@ -240,6 +247,11 @@
                 "Time since the configuration was known to be the newest one, -1 before the first.",
                 lambda: watch.age if watch.age < float("inf") else -1.0,
             ),
+            (
+                "owner_gap_seconds",
+                "Time for which nobody has acted as the owner, as seen here, 0 if an owner acts.",
+                lambda: self._owner_gaps.seconds,
+            ),
             ("owner_planning_share", "Share of time in passes.", lambda: host.pace.planning),
             ("owner_longest_pass_seconds", "Longest pass.", lambda: host.pace.longest),
             ("owner_lag_seconds", "Longest delay of a timer.", lambda: host.pace.lag),
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -85,6 +85,8 @@
         Last claim.
     jobs_feed, claims_feed : Feed
         Feeds of the jobs and of the claims; run by the entry.
+    on_claims_read : Callable
+        Called after claims or renewals were read.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         self._successor = ANY_ENTRY
         self.jobs = JobFold()
         self.claims = ClaimFold()
+        self.on_claims_read: Callable[[], None] = lambda: None
         self.jobs_feed = Feed(
             store, JOBS, self.jobs, clock, JOBS_READ_INTERVAL_SECONDS, self._jobs_changed
         )
@@ -324,6 +327,7 @@
         self._claim_read_at = self._clock.now()
         self._end_if_superseded()
         self._ownership.record_claim()
+        self.on_claims_read()
 
     def _end_if_superseded(self) -> None:
         """End the term before its owner acts on anything read after a later owner's claim."""
--- /dev/null
+++ b/tests/test_owner_gaps.py
@@ -0,0 +1,93 @@
+"""Tests of the lines that tell when an entry believes that nobody acts as the owner."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from ragworttiller.scheduling.ownership.owner_gaps import OwnerGaps
+from ragworttiller.scheduling.records.formats import JOBS, OWNER
+from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
+
+ENTRIES = ("e1", "e2", "e3", "e4")
+BEGIN, END = "no owner acts", "an owner acts again"
+
+
+def follow(rig: OwnersRig, entry: Entry) -> OwnerGaps:
+    """Log the gaps that one entry sees."""
+    gaps = OwnerGaps(entry.host.claims, entry.host.claims_feed, rig.timers)
+    entry.host.on_claims_read = gaps.record_claims_read
+    rig.tasks.start_soon(gaps.run)
+    return gaps
+
+
+async def follow_at_another_entry(rig: OwnersRig) -> tuple[Entry, OwnerGaps]:
+    """Return the owner, and the gaps seen by an entry that is not asked to claim."""
+    await start_entries(rig, ENTRIES)
+    gaps = follow(rig, next(e for e in rig.entries.values() if e is not rig.owner))
+    await rig.timers.sleep(2.0)
+    return rig.owner, gaps
+
+
+def gap_lines(caplog: pytest.LogCaptureFixture) -> list[logging.LogRecord]:
+    return [row for row in caplog.records if row.message in (BEGIN, END)]
+
+
+class TestOwnerGaps:
+    def test_a_release_in_a_busy_store_is_told_from_a_takeover_that_takes_long(self, caplog):
+        """Guards against a gap of which nobody can say which step took long."""
+
+        async def body(rig: OwnersRig):
+            caplog.set_level(logging.INFO)
+            first, gaps = await follow_at_another_entry(rig)
+            rig.store.queue_seconds[JOBS.topic] = 2.4
+            first.stop("e4" if first.name != "e4" else "e3")
+            await rig.timers.sleep(1.0)
+            assert 0.9 < gaps.seconds < 1.1
+            await rig.timers.sleep(4.0)
+            begun, ended = gap_lines(caplog)
+            assert (begun.message, begun.why, begun.epoch) == (BEGIN, "released", 1)
+            assert (begun.owner, begun.successor[0]) == (first.name, "e")
+            assert (ended.message, ended.epoch, ended.changes) == (END, 2, 1)
+            assert ended.claimed < 0.5 < 2.4 <= ended.seconds < 3.5
+            assert (gaps.seconds, gaps.changes) == (0.0, 1)
+
+        with_rig(body)
+
+    def test_late_renewals_are_told_from_a_store_that_is_not_read(self, caplog):
+        async def body(rig: OwnersRig):
+            caplog.set_level(logging.INFO)
+            first, _ = await follow_at_another_entry(rig)
+            rig.store.queue_seconds[OWNER.topic] = 2.0
+            await rig.timers.sleep(4.0)
+            rig.store.queue_seconds.clear()
+            await rig.timers.sleep(4.0)
+            assert {row.why for row in gap_lines(caplog)} == {"renewals late"}
+            caplog.clear()
+            rig.store.down = True
+            await rig.timers.sleep(4.0)
+            rig.store.down = False
+            await rig.timers.sleep(4.0)
+            assert [row.message for row in gap_lines(caplog)] == [BEGIN, END]
+            ended = gap_lines(caplog)[1]
+            assert (ended.why, ended.changes, ended.claimed) == ("claims not read", 0, -1.0)
+
+        with_rig(body)
+
+    def test_a_lost_owner_gives_two_lines_however_long_it_takes(self, caplog):
+        """Guards against a line for each poll."""
+
+        async def body(rig: OwnersRig):
+            caplog.set_level(logging.INFO)
+            first, gaps = await follow_at_another_entry(rig)
+            assert gap_lines(caplog) == []
+            rig.store.queue_seconds[JOBS.topic] = 3.5
+            rig.kill(first.name)
+            await rig.timers.sleep(12.0)
+            begun, ended = gap_lines(caplog)
+            assert begun.why in ("takeover", "renewals late")
+            assert ended.changes == gaps.changes == 1
+            assert ended.claimed < 3.0 < 3.5 + 1.0 < ended.seconds
+
+        with_rig(body)
