Log the steps of a takeover in one line

Operators saw: after a change of owner nothing started for seconds, and `earlier owners fenced` was the only step with a duration. Whether the claim, the fence, the read of jobs, the first stored claim of the acting owner or the runners of the earlier owner took the time had to be guessed from other lines.

Change: TakeoverLog writes `takeover completed` at the first start order, or at the first stored claim after which no task waits, with the seconds of each step since the last renewal or the release of the earlier owner was read, runs adopted and lapsed, and runners settled and unsettled. A takeover whose term ends before that gets `takeover not completed` with the steps that it made.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -260,6 +260,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             self._renewals = None
+            succession.takeover_log.record_end()
         log.info("ownership ended", extra={"epoch": term.epoch})
 
     async def _take_over(self, succession: Succession, renewals: Renewals) -> None:
@@ -307,6 +308,7 @@
             self._clock,
             self._name,
             self._incarnation,
+            inherited.takeover_log,
             self._address,
             self._connect,
             Retention(self.jobs, self._status_seconds),
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -19,6 +19,7 @@
 from ragworttiller.scheduling.ownership.recorder import Recorder
 from ragworttiller.scheduling.ownership.renewals import PRODUCER, Renewals
 from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
+from ragworttiller.scheduling.ownership.takeover_log import TakeoverLog
 from ragworttiller.scheduling.ownership.term import Term
 from ragworttiller.scheduling.ownership.wait_log import WaitLog
 from ragworttiller.scheduling.records.feed import Feed
@@ -56,6 +57,8 @@
         Name of this instance.
     incarnation : int
         Number that identifies this start of the instance.
+    takeover_log : TakeoverLog
+        Logs the first stored claim and the first start.
     address : str
         Address at which this instance listens for its peers.
     connect : Callable
@@ -75,6 +78,7 @@
         clock: Clock,
         name: str,
         incarnation: int,
+        takeover_log: TakeoverLog,
         address: str = "",
         connect: Callable[[str, str], RunnerClient] = RunnerClient,
         retention: Retention | None = None,
@@ -87,6 +91,7 @@
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
+        self._takeover_log = takeover_log
         self._address = address
         self._writer = GroupCommit(
             store, JOBS, Producer(PRODUCER, term.epoch), clock, first_sequence=1
@@ -144,6 +149,7 @@
     def _enroll_runners(self, claim: Claim) -> None:
         self._cell.pool.enroll(claim)
         self._cell.pool.owned_at = self._term.renewed_at
+        self._takeover_log.record_stored_claim(self._cell)
         self.request_plan()
 
     # Planning
@@ -176,6 +182,8 @@
         plan = self._cell.plan(self._clock.now(), self._clock.wall())
         if self._cell.has_changed_jobs:
             self._recorder.request()
+        if plan.starts:
+            self._takeover_log.record_start()
         for start in plan.starts:
             self._spawn(self._calls.start, start)
         for stop in plan.stops:
--- a/ragworttiller/scheduling/ownership/succession.py
+++ b/ragworttiller/scheduling/ownership/succession.py
@@ -12,6 +12,7 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.ownership.earlier_owner import EarlierOwner
 from ragworttiller.scheduling.ownership.ownership import Claimed, Ownership
+from ragworttiller.scheduling.ownership.takeover_log import Step, TakeoverLog
 from ragworttiller.scheduling.ownership.term import TERM_SECONDS
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
@@ -31,6 +32,7 @@
     takeover: Takeover
     runners: RunnerFold
     runners_feed: Feed
+    takeover_log: TakeoverLog
 
 
 class Succession:
@@ -55,6 +57,11 @@
         Duration of the leases that owners grant, in seconds.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    takeover_log : TakeoverLog
+        Logs the steps.
     """
 
     def __init__(
@@ -74,6 +81,7 @@
         self._earlier_owner = earlier_owner
         self._lease = lease
         self._clock = clock
+        self.takeover_log = TakeoverLog(claimed, clock)
         self._owner_ended_at: float | None = None
         self._takeover: Takeover | None = None
 
@@ -106,7 +114,7 @@
                 tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
-        return Inherited(self._begin_takeover(known_before), runners, feed)
+        return Inherited(self._begin_takeover(known_before), runners, feed, self.takeover_log)
 
     async def ask_earlier_owner(self) -> None:
         """Ask the earlier owner to state its end, as long as runners have to be waited for."""
@@ -130,8 +138,10 @@
         began_at, epoch = self._clock.now(), self._claimed.term.epoch
         jobs_end = await self._ownership.fence_jobs(epoch, FENCE_TIMEOUT_SECONDS)
         fenced_at = self._clock.now()
+        self.takeover_log.record(Step.FENCED)
         if self._jobs_feed.position < jobs_end:
             await self._jobs_feed.catch_up()
+        self.takeover_log.record(Step.JOBS_READ)
         extra = {
             "epoch": epoch,
             "jobs_end": jobs_end,
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -34,6 +34,8 @@
 START_SLACK_SECONDS = 0.05
 MIN_STALL_SECONDS = 1.5
 STALL_ESTIMATE_SHARE = 0.05
+# Outcome of a run whose lease has expired.
+LAPSED = "lapsed"
 
 
 class RunTracker:
@@ -190,6 +192,7 @@
         work = self._jobs.by_id.get(row.task.stage.job)
         if work is not None and work.open and stage is not None and index in stage.waiting:
             stage.adopt(run)
+            self._takeover.adopted += 1
             if stage.trials.get(index) == runner.id:
                 seconds = exclusive_seconds(stage.crashes.get(index, []))
                 self.pool.begin_trial(runner, run, now + seconds)
@@ -211,6 +214,8 @@
         run = runner.runs.get((end.task, end.run))
         extra = {"task": str(end.task), "run": end.run, "runner": runner.id, "how": end.outcome}
         log.info("run ended", extra=extra)
+        if end.outcome == LAPSED and (run is None or run.adopted):
+            self._takeover.lapsed += 1
         stage = self._jobs.stage(end.task.stage)
         if run is not None:
             run.checkpoint = end.checkpoint or run.checkpoint
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -43,6 +43,10 @@
         Time of the new claim, in seconds.
     learnt : bytes
         What the earlier owner has learnt, as encoded in its claim.
+    adopted, lapsed : int
+        Runs of earlier owners that were found running, and those whose lease had expired.
+    settled : int
+        Runners of the earlier owner that have answered or whose runs have certainly ended.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         self._unresolved_until: dict[str, float] = {}
         self._withdrawn: dict[str, Withdrawn] = {}
         self._lost: list[Withdrawn] = []
+        self.adopted = self.lapsed = self.settled = 0
         self.learnt = b""
         if claim is None:
             return
@@ -103,6 +108,7 @@
         """Record that a runner has answered the new owner, or that it was ``lost``."""
         if self._unresolved_until.pop(runner, None) is None:
             return
+        self.settled += 1
         row = self._withdrawn.get(runner)
         if lost and row is not None and row.silent:
             self._lost.append(row)
