Time and count the calls of an entry to the store

Operators saw: callers got 503 and 504, and the metrics page had only the number of calls to the store. Whether appends were slow, refused or had no result, and in which partition, was in no metric.

Change: StoreMeter times each append call by topic and outcome (`store_append_seconds`), shows the age of the oldest one in flight (`store_append_in_flight_seconds`), and counts calls that repeat an append, and reads refused or unanswered. It works once a call, whatever the call carries. Metrics accepts durations and counters with labels; the present durations go the same way.

Evidence: test_store_meter, each outcome with a stand-in store on virtual time.

--- a/ragworttiller/metrics.py
+++ b/ragworttiller/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import resource
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -66,6 +66,7 @@
 
 Reading = Callable[[], float]
 LabelReading = Callable[[], Mapping[str, float]]
+DurationReading = Callable[[], Mapping[tuple[str, ...], Distribution]]
 
 
 class Metrics(Collector):
@@ -82,6 +83,8 @@
         self._counters: dict[str, tuple[str, Reading]] = {}
         self._gauges: dict[str, tuple[str, Reading]] = {}
         self._labelled: dict[str, tuple[str, str, LabelReading]] = {}
+        self._labelled_counters: dict[str, tuple[str, str, LabelReading]] = {}
+        self._distributions: dict[str, tuple[str, Sequence[str], DurationReading]] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -124,14 +127,42 @@
         """Register a gauge with one label; ``reading`` returns a bounded number of its values."""
         self._labelled[name] = (help_text, label, reading)
 
+    def counter_by_label(
+        self, name: str, help_text: str, label: str, reading: LabelReading
+    ) -> None:
+        """Register a counter with one label; ``reading`` returns a bounded number of its values."""
+        self._labelled_counters[name] = (help_text, label, reading)
+
+    def durations(
+        self, name: str, help_text: str, labels: Sequence[str], reading: DurationReading
+    ) -> None:
+        """Register durations with labels.
+
+        Parameters
+        ----------
+        name, help_text : str
+            Name and description.
+        labels : sequence of str
+            Names of the labels.
+        reading : Callable
+            Returns the durations by the values of the labels, a bounded number of them.
+        """
+        self._distributions[name] = (help_text, labels, reading)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
     @override
     def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily | SummaryMetricFamily]:
-        yield from self._durations("waiting_seconds", "Waiting time by kind", self._waiting)
-        yield from self._durations("decision_seconds", "Decision time by kind", self._decisions)
+        for name, help_text, kinds in (
+            ("waiting_seconds", "Waiting time by kind", self._waiting),
+            ("decision_seconds", "Decision time by kind", self._decisions),
+        ):
+            by_labels: dict[tuple[str, ...], Distribution] = {(k,): d for k, d in kinds.items()}
+            yield from _duration_families(name, help_text, ["kind"], by_labels)
+        for name, (help_text, labels, durations) in self._distributions.items():
+            yield from _duration_families(name, help_text, labels, durations())
         answers = CounterMetricFamily(
             "ragworttiller_answers", "Answers to callers by code", labels=["code"]
         )
@@ -147,17 +178,26 @@
             for text, value in values().items():
                 family.add_metric([text], value)
             yield family
-
-    def _durations(
-        self, name: str, help_text: str, kinds: dict[str, Distribution]
-    ) -> Iterator[GaugeMetricFamily | SummaryMetricFamily]:
-        summary = SummaryMetricFamily(f"ragworttiller_{name}", help_text, labels=["kind"])
-        quantiles = GaugeMetricFamily(
-            f"ragworttiller_{name}_quantile", help_text, labels=["kind", "quantile"]
-        )
-        for kind, distribution in kinds.items():
-            summary.add_metric([kind], distribution.count, distribution.total)
-            for share in QUANTILES:
-                quantiles.add_metric([kind, str(share)], distribution.quantile(share))
-        yield summary
-        yield quantiles
+        for name, (help_text, label, values) in self._labelled_counters.items():
+            counter = CounterMetricFamily(f"ragworttiller_{name}", help_text, labels=[label])
+            for text, value in values().items():
+                counter.add_metric([text], value)
+            yield counter
+
+
+def _duration_families(
+    name: str,
+    help_text: str,
+    labels: Sequence[str],
+    durations: Mapping[tuple[str, ...], Distribution],
+) -> Iterator[GaugeMetricFamily | SummaryMetricFamily]:
+    summary = SummaryMetricFamily(f"ragworttiller_{name}", help_text, labels=labels)
+    quantiles = GaugeMetricFamily(
+        f"ragworttiller_{name}_quantile", help_text, labels=[*labels, "quantile"]
+    )
+    for values, distribution in durations.items():
+        summary.add_metric(values, distribution.count, distribution.total)
+        for share in QUANTILES:
+            quantiles.add_metric([*values, str(share)], distribution.quantile(share))
+    yield summary
+    yield quantiles
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -22,6 +22,8 @@
 from ragworttiller.platform.channel import ChannelSet, Traffic
 from ragworttiller.platform.decoding import decode_json
 from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
+from ragworttiller.platform.store_meter import AppendNumber, StoreMeter
+from ragworttiller.timers import SystemTimers
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +33,8 @@
 ANSWER_TIMEOUT_SECONDS = 1.0
 # Too many calls, unavailable, out of space: nothing was appended, whatever the body says.
 REFUSAL_STATUSES = (429, 503, 507)
+# Records, or the oldest offset after the one asked for.
+READ_STATUSES = (200, 410)
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 RUNNERS_TOPIC = "keyed.servers"
@@ -124,6 +128,8 @@
         Seconds to wait for an answer, in addition to the wait of a read.
     channels : ChannelSet, optional
         Connections to use in place of new ones to the address.
+    meter : StoreMeter, optional
+        Counts and times the calls.
     """
 
     def __init__(
@@ -131,7 +137,9 @@
         address: str,
         timeout: float = ANSWER_TIMEOUT_SECONDS,
         channels: ChannelSet | None = None,
+        meter: StoreMeter | None = None,
     ) -> None:
+        self._meter = meter or StoreMeter(SystemTimers())
         self._channels = channels or ChannelSet(address, timeout)
         self._timeout = timeout
         self._answer_count = 0
@@ -186,6 +194,19 @@
         LogUnavailable
             Nothing was appended.
         """
+        number = AppendNumber(*producer, sequence) if producer is not None else None
+        with self._meter.append(partition.topic, number):
+            return await self._append(partition, records, producer, sequence, at, timeout)
+
+    async def _append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        producer: Producer | None,
+        sequence: int,
+        at: int | None,
+        timeout: float | None,
+    ) -> int:
         query: dict[str, object] = {"topic": partition.topic, "part": partition.part}
         if producer is not None:
             query |= {"producer": producer.name, "epoch": producer.epoch, "seq": sequence}
@@ -292,8 +313,11 @@
         try:
             answer = await self._channels.request("GET", target, timeout=self._timeout + wait)
         except (NotSent, ExchangeBroken) as exc:
+            self._meter.reads_unanswered[partition.topic] += 1
             raise LogUnavailable(stream=str(partition)) from exc
         self._answer_count += 1
+        if answer.status not in READ_STATUSES:
+            self._meter.reads_refused[partition.topic] += 1
         return answer.status, answer.body
 
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -16,6 +16,7 @@
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
+from ragworttiller.platform.store_meter import StoreMeter
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.admission import (
@@ -34,6 +35,7 @@
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.entry.store_metrics import register_store_metrics
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import (
     EarlierOwnerPeer,
@@ -89,7 +91,8 @@
         instance = settings.instance
         self._name = instance.name
         self._incarnation = random.SystemRandom().randrange(1, MAX_INCARNATION)
-        self._store = Store(settings.platform.store_address)
+        self._store_meter = StoreMeter(clock)
+        self._store = Store(settings.platform.store_address, meter=self._store_meter)
         self._peers = NngPeers(
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
         )
@@ -173,6 +176,7 @@
         )
         self._metrics = Metrics()
         self._register_metrics()
+        register_store_metrics(self._metrics, self._store_meter)
         gate = StartGate(relaying, lambda: self._acceptance.ready, clock)
         self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
         self._stopping = anyio.Event()
