Say in the lines of refused requests what was known of the store

Operators saw: `request answered` with 503 or 504 had the code and the time taken. Whether the entry had an append in flight, how long the one before took, and which entries it had asked was not recorded, so a slow store looked the same as an entry that was cut off.

Change: with these statuses the line has `asked` (other entries, in order), `local` and `local_took` (how the attempt at this entry failed, and when), `in_flight`, `last_append`, `failing` and `read_age`, as of that failure or of the first relay. RelayingCallers notes them in a context variable, since requests and their handlers' interfaces are also those between entries. No line is new.

--- a/ragworttiller/scheduling/entry/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -15,12 +15,15 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.callers import CallerRequest, Callers, error_reply
 from ragworttiller.scheduling.entry.operators import ROOT as OPERATORS_ROOT
+from ragworttiller.scheduling.entry.request_trace import traced_request
 
 log = logging.getLogger(__name__)
 
 DEFAULT_TIMEOUT_SECONDS = 3.0
 # Share of a caller's timeout that is used here; the remainder is for sending the answer.
 TIMEOUT_SHARE = 0.8
+# Answers whose cause is the store, or an entry that cannot reach it.
+STORE_FAILURE_STATUSES = (503, 504)
 JSON_HEADER = (b"content-type", b"application/json")
 
 Scope = MutableMapping[str, Any]
@@ -54,17 +57,20 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         started_at = self._clock.now()
-        try:
-            request = await self._request(scope, receive)
-            reply = await self._callers.answer(request)
-        except RagworttillerError as exc:
-            reply = error_reply(exc)
+        with traced_request(started_at) as trace:
+            try:
+                request = await self._request(scope, receive)
+                reply = await self._callers.answer(request)
+            except RagworttillerError as exc:
+                reply = error_reply(exc)
         elapsed = self._clock.now() - started_at
         self._metrics.count_answer(reply.code)
         self._metrics.record_wait(scope["method"], elapsed)
         if scope["method"] != "GET" or reply.code != "ok":
             extra = {"method": scope["method"], "path": scope["path"], "status": reply.status}
             extra |= {"code": reply.code, "took": round(elapsed, 4)}
+            if reply.status in STORE_FAILURE_STATUSES:
+                extra |= trace.fields()
             log.info("request answered", extra=extra)
         await _reply(send, reply.status, reply.body, reply.retry_after)
 
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -28,6 +28,7 @@
     Callers,
     error_reply,
 )
+from ragworttiller.scheduling.entry.request_trace import record_local_failure, record_relay
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
@@ -130,6 +131,7 @@
         try:
             return await self._local.answer(request._replace(timeout=self._local_timeout(request)))
         except STORE_FAILURES as exc:
+            record_local_failure(exc.code, self._writer, self._age(), self._clock.now())
             remaining = deadline - self._clock.now()
             relayed = await self._relay(request._replace(timeout=remaining))
             return self._resolve_failure(exc, relayed, owner_result.undecided or relayed.undecided)
@@ -219,6 +221,7 @@
         timeout = min(max_timeout, request.timeout)
         forwarded = request._replace(timeout=timeout, version=self._config.version)
         sent_at = self._clock.now()
+        record_relay(name, self._writer, self._age())
         try:
             return await self._peers.call(name, forwarded, timeout + CALL_MARGIN_SECONDS)
         except PeerUnreachable:
