Lead from late jobs to a change of owner or a slow store

Operators saw: OPERATIONS.md led from a late job to `cell claimed` and no further, and from a 503 to `append result unknown`. Which step of a change of owner was slow, and which entry could not write, had to be known by heart.

Evidence: test_explain, which also checks that each message of the list and of the page is logged.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -9,7 +9,7 @@
 from typer.testing import CliRunner
 
 from ragworttiller.__main__ import app
-from ragworttiller.commands.explain import job_log_rows
+from ragworttiller.commands.explain import OWNER_CHANGE_MESSAGES, job_log_rows
 
 JOB = "00000000000000aa"
 ROOT = Path(__file__).resolve().parent.parent
@@ -35,6 +35,21 @@
         assert messages == ["request answered", "task started", "run ended", "job ended"]
         assert found[1]["details"] == f"task={JOB}.0.0.1 runner=w1"
 
+    def test_changes_of_owner_are_shown_between_the_lines_of_a_late_job(self):
+        lines = [
+            line("1", "ownership released", epoch=1),
+            line("2", "request answered", path=f"/q/{JOB}", status=200),
+            line("3", "no owner acts", epoch=1, why="released"),
+            line("4", "takeover completed", epoch=2, first_start=1.5),
+            line("4", "owner pace", epoch=2),
+            line("5", "task started", task=f"{JOB}.0.0.1", runner="w1"),
+            line("6", "cell claimed", epoch=3),
+        ]
+        found = [row["message"] for row in job_log_rows(JOB, lines, owner_changes=True)]
+        assert found == ["request answered", "no owner acts", "takeover completed", "task started"]
+        assert len(job_log_rows(JOB, lines)) == 2
+        assert job_log_rows("00000000000000bb", lines, owner_changes=True) == []
+
     def test_an_unknown_job_is_an_error(self, tmp_path: Path):
         path = tmp_path / "log"
         path.write_text(line("1", "task started", task="x"))
@@ -48,6 +63,13 @@
         assert "state=completed" in found.output
 
 
+class TestOwnerChangeMessages:
+    def test_each_of_them_is_logged_somewhere(self):
+        package = ROOT / "ragworttiller" / "scheduling"
+        code = "\n".join(path.read_text() for path in package.rglob("*.py"))
+        assert [m for m in OWNER_CHANGE_MESSAGES if f'"{m}"' not in code] == []
+
+
 class TestOperationsPage:
     def test_every_message_that_it_names_is_logged_somewhere(self):
         page = (ROOT / "docs" / "OPERATIONS.md").read_text()
