--- a/ragworttiller/scheduling/entry/entry_metrics.py
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -12,6 +12,7 @@
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.ownership.owner_gaps import OwnerGaps
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.workspace_view import largest_and_rest, used_cpu, waiting_jobs
 
@@ -109,6 +110,7 @@
     admission: AdmissionGate,
     watch: ConfigurationWatch,
     host: CellHost,
+    gaps: OwnerGaps,
 ) -> None:
     """Register what an entry shows beside the answers to its callers.
 
@@ -124,6 +126,8 @@
         Knows how old the configuration may be.
     host : CellHost
         Knows what the owner of the cell measures while this entry is the owner.
+    gaps : OwnerGaps
+        Knows whether an owner acts.
     """
     traffic = store.traffic
     metrics.counter("store_calls", "Calls to the platform's store.", lambda: traffic.calls)
@@ -138,6 +142,12 @@
         "Time since the configuration was known to be the newest one, -1 before the first.",
         lambda: watch.age if watch.age < float("inf") else -1.0,
     )
+    metrics.counter("owner_changes", "Changes of owner read.", lambda: gaps.changes)
+    metrics.gauge(
+        "owner_gap_seconds",
+        "Time for which nobody has acted as the owner, as seen here, 0 if an owner acts.",
+        lambda: gaps.seconds,
+    )
     for row in HOST_COUNTERS:
         metrics.counter(row.name, row.help_text, partial(row.reading, host))
     for row in HOST_GAUGES:
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -13,6 +13,7 @@
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
+from ragworttiller.platform.store_meter import StoreMeter
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.admission import AcceptAll, PressureAdmission
@@ -28,6 +29,7 @@
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.entry.store_metrics import register_store_metrics
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import (
     EarlierOwnerPeer,
@@ -36,6 +38,7 @@
     OwnerStatus,
     TermEnded,
 )
+from ragworttiller.scheduling.ownership.owner_gaps import OwnerGaps
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import PeerStandbys
 from ragworttiller.scheduling.records.feed import Feed
@@ -85,7 +88,8 @@
         instance = settings.instance
         self._name = instance.name
         self._incarnation = random.SystemRandom().randrange(1, MAX_INCARNATION)
-        self._store = Store(settings.platform.store_address)
+        self._store_meter = StoreMeter(clock)
+        self._store = Store(settings.platform.store_address, meter=self._store_meter)
         self._peers = NngPeers(
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
         )
@@ -111,6 +115,8 @@
             earlier_owner=EarlierOwnerPeer(self._peers),
             measures_pressure=settings.platform.refuses_under_pressure,
         )
+        self._owner_gaps = OwnerGaps(self._host.claims, self._host.claims_feed, clock)
+        self._host.on_claims_read = self._owner_gaps.record_claims_read
         windows = SubmissionWindows(self._config)
         self._host.jobs.on_accepted = windows.record
         refuses = settings.platform.refuses_under_pressure
@@ -166,7 +172,15 @@
             self._writer,
         )
         self._metrics = Metrics()
-        register_metrics(self._metrics, self._store, self._admission, self._watch, self._host)
+        register_metrics(
+            self._metrics,
+            self._store,
+            self._admission,
+            self._watch,
+            self._host,
+            self._owner_gaps,
+        )
+        register_store_metrics(self._metrics, self._store_meter)
         gate = StartGate(relaying, lambda: self._acceptance.ready, clock)
         self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
         self._stopping = anyio.Event()
@@ -196,6 +210,7 @@
             tasks.start_soon(self._announcer.run)
             tasks.start_soon(self._announcer.announce)
             tasks.start_soon(self._host.run)
+            tasks.start_soon(self._owner_gaps.run)
             await self._stopping.wait()
             await self._hand_over(callers)
             callers.stop()
