Let no reservation of a cap hold a lasting task

What callers saw: LOST was reported of a lasting task that did not run again with room for it. That this was its cause is not shown.

Cause: a stage that its workspace's cap holds for 2 s reserves the rest of the cap until it starts, for as long as other tasks of the workspace take. Another stage was let past that reservation only while nothing of its stage ran, so one of several lasting tasks that ended did not start again, although the cap and the runners had room for it.

Lasting tasks are bounded by what their jobs ask for, and the reserved stage is already measured against what they use, so the reservation still ends.

--- a/ragworttiller/scheduling/decisions/caps.py
+++ b/ragworttiller/scheduling/decisions/caps.py
@@ -71,7 +71,8 @@
         if not count and (wanted == 1 or not spec.gang) and self._usage.idle(stage.workspace):
             count = min(wanted, 1)
         reserved = self._reserved.get(stage.workspace)
-        if count and reserved is not None and reserved is not stage:
+        # A lasting task has to run whenever the cap allows it.
+        if count and reserved is not None and reserved is not stage and not spec.daemon:
             return self._beside_reservation(stage, cap, used, waited)
         return count
 
