Let no reservation of room hold a lasting task

What callers saw: LOST was reported of a lasting task that did not run again with room for it. That this was its cause is not shown.

Cause: room on few runners is reserved for stages that wait for it, also while they wait for a ticket of the advisor. It then idles for up to 4 s for each such stage, and longer if stages follow each other. All later stages did without it, lasting ones too; these come after every more urgent stage.

Reservations are now kept apart from what tasks have taken, and steps of lasting tasks are placed by what is free without them, as gangs that wait hold no lasting task back either. A runner closed by a trial stays closed to all.

--- a/ragworttiller/scheduling/decisions/free_resources.py
+++ b/ragworttiller/scheduling/decisions/free_resources.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 
-from ragworttiller.resources import Resources
+from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.decisions.headroom import UpstreamRoom
 from ragworttiller.scheduling.decisions.runner_rules import suitable
 from ragworttiller.scheduling.state.jobs import StepSpec
@@ -21,6 +21,9 @@
     all of them. Stages of one kind share the answer that no runner has room, since what is free
     never grows within a pass.
 
+    Room that is reserved for a stage is kept from the stages after it, except for those of lasting
+    tasks: each of these has to run whenever there is room for it.
+
     Parameters
     ----------
     runners : iterable of RunnerState
@@ -37,7 +40,8 @@
             self._cpu_at_start[runner.id] = runner.free.cpu
         self._rooms = {name: _room(name, rows) for name, rows in self._by_upstream.items()}
         self._labels: dict[str, Counter[str]] = {}
-        self._without_room: set[tuple[str, Resources, str, str | None]] = set()
+        self._without_room: set[tuple[str, Resources, str, str | None, bool]] = set()
+        self._reserved: dict[str, Resources] = {}
 
     def of_upstream(self, upstream: str) -> Sequence[RunnerState]:
         """Return the runners of an upstream, those with the most free CPU first."""
@@ -58,7 +62,7 @@
         Those with the most free CPU at the start of the pass come first.
         """
         size = spec.reservation
-        kind = (upstream, size, spec.label, spec.image if spec.fills else None)
+        kind = (upstream, size, spec.label, spec.image if spec.fills else None, spec.daemon)
         if kind in self._without_room:
             return []
         rows: list[RunnerState] = []
@@ -66,7 +70,7 @@
             # Free CPU never exceeds its value at the start of the pass, so no later one has room.
             if self._cpu_at_start[runner.id] < size.cpu:
                 break
-            if size.fits(self._free[runner.id]):
+            if size.fits(self.for_step(runner.id, spec)):
                 rows.append(runner)
         rows = suitable(rows, upstream, spec)
         if not rows:
@@ -80,7 +84,7 @@
         size, rows = spec.reservation, []
         for name in names:
             runner = self._runners.get(name)
-            if runner is not None and size.fits(self._free[name]):
+            if runner is not None and size.fits(self.for_step(name, spec)):
                 rows.append(runner)
         return suitable(rows, upstream, spec)
 
@@ -93,11 +97,23 @@
         return self._rooms.get(upstream, UpstreamRoom(upstream, 0, 0))
 
     def of_runner(self, runner: str) -> Resources:
-        """Return the free resources of a runner."""
+        """Return the resources of a runner that are free and not reserved."""
+        return self._free[runner]
+
+    def for_step(self, runner: str, spec: StepSpec) -> Resources:
+        """Return the resources of a runner that tasks of a step may take."""
+        if spec.daemon and runner in self._reserved:
+            return self._free[runner].plus(self._reserved[runner])
         return self._free[runner]
 
+    def reserve(self, runner: str, size: Resources) -> None:
+        """Reserve resources of a runner, which only lasting tasks may take in this pass."""
+        self._reserved[runner] = self._reserved.get(runner, NO_RESOURCES).plus(size)
+        self.subtract(runner, size)
+
     def close(self, runner: str) -> None:
         """Place no more tasks on a runner in this pass."""
+        self._reserved.pop(runner, None)
         self.subtract(runner, self._free[runner].minus(NOTHING_FITS))
 
     def subtract(self, runner: str, size: Resources) -> None:
--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -34,7 +34,7 @@
     """Finds the runners that blocked stages will start on soon.
 
     A reservation lasts for one planning pass: the room is left out for the stages that come later
-    in queue order, on that runner alone.
+    in queue order, on that runner alone. Lasting tasks take it all the same.
 
     Parameters
     ----------
@@ -150,7 +150,7 @@
             name = freed or name
             chosen.add(name)
             running[name] += 1
-            self._free.subtract(name, stage.spec.reservation)
+            self._free.reserve(name, stage.spec.reservation)
             times[name] = self._fits_at(runners[name], stage.spec.reservation)
         return chosen
 
