Hand on how long earlier owners may run tasks on silent runners

What callers saw: LOST was reported of a lasting task that did not run with room for it.

Cause: on a runner that an owner has not reached, an owner before it may still order. A successor did not know what of that wait had passed already and waited for a full term and lease, also if all owners before it had released the cell.

A claim now tells for how many seconds from its writing runs of still earlier owners may be at work on its unsettled runners. Counting from when the claim was read can only add to that. The orders of the owner that wrote it count as before: until its proved end, and for a lease. A claim may also say that its owner has ordered nothing; then no lease of its own is added.

--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -178,7 +178,9 @@
     ``address`` is that at which the owner listens for its peers, ``lag`` how late its event loop
     runs, in seconds. ``pressure`` is None unless the owner measures it. ``learnt`` is an encoded
     `Learnt`: encoded apart, so that a successor can read the claim even if it cannot read these
-    values.
+    values. ``unsettled_seconds`` is for how long, from the time of the claim, runs of still earlier
+    owners may be at work on the unsettled runners, None if that is not known. ``may_order`` is
+    whether the owner may have given orders when it wrote the claim.
     """
 
     owner: str
@@ -195,6 +197,8 @@
     lag: float = 0.0
     pressure: Pressure | None = None
     learnt: bytes = b""
+    unsettled_seconds: float | None = None
+    may_order: bool = True
 
 
 class OwnerChange(NamedTuple):
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -246,6 +246,7 @@
             address=address,
             pressure=self._pressure.summary(now, wall) if self._pressure is not None else None,
             learnt=self._learnt.encoded(now),
+            unsettled_seconds=round(max(self._takeover.seconds_left(now), 0.0), 3),
         )
 
     def kind_ratios(self) -> dict[str, float]:
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -36,6 +36,8 @@
         Seconds for which the earlier owner may still act without an answer from the store.
     lease : float
         Duration of the leases that it granted, in seconds.
+    claim_age : float
+        Seconds since the last claim was read.
 
     Attributes
     ----------
@@ -46,12 +48,19 @@
     """
 
     def __init__(
-        self, claim: Claim | None, accepted_before: int, now: float, term: float, lease: float
+        self,
+        claim: Claim | None,
+        accepted_before: int,
+        now: float,
+        term: float,
+        lease: float,
+        claim_age: float = 0.0,
     ) -> None:
         self._accepted_before = accepted_before
         self.began_at = now
         self._expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
-        self._reached_by_earlier_owner: frozenset[str] = frozenset()
+        self._unsettled: frozenset[str] = frozenset()
+        self._unsettled_until = float("inf")
         self._unresolved_until: dict[str, float] = {}
         self._withdrawn: dict[str, Withdrawn] = {}
         self._lost: list[Withdrawn] = []
@@ -60,15 +69,17 @@
             return
         self.learnt = claim.learnt
         self._withdrawn = {row.runner: row for row in claim.withdrawn}
-        # On the others, the owner before that one may still be within its term.
-        self._reached_by_earlier_owner = frozenset(claim.roster) - frozenset(claim.unsettled)
+        # There, runs of the owners before that one may be at work, by what it knew of them.
+        self._unsettled = frozenset(claim.unsettled if claim.may_order else claim.roster)
+        if claim.unsettled_seconds is not None:
+            self._unsettled_until = now - claim_age + claim.unsettled_seconds
         until = now + term + self._expiry_seconds
         self._unresolved_until = dict.fromkeys(claim.roster, until)
         for name in claim.roster:
             if self.called_not_renewed(name):
                 self._unresolved_until[name] = now + self._expiry_seconds
         if claim.released:
-            self.record_owner_ended(now)
+            self._end_orders(now + self._expiry_seconds if claim.may_order else now)
         log.info(
             "takeover began",
             extra={
@@ -76,6 +87,7 @@
                 "epoch": claim.epoch,
                 "roster": len(claim.roster),
                 "unsettled": len(claim.unsettled),
+                "unsettled_seconds": claim.unsettled_seconds,
                 "withdrawn": {row.runner: len(row.tasks) for row in claim.withdrawn},
             },
         )
@@ -112,9 +124,17 @@
 
     def record_owner_ended(self, now: float) -> None:
         """Record that the earlier owner has given its last order: its leases remain."""
-        for name in self._reached_by_earlier_owner & self._unresolved_until.keys():
-            until = min(self._unresolved_until[name], now + self._expiry_seconds)
-            self._unresolved_until[name] = until
+        self._end_orders(now + self._expiry_seconds)
+
+    def seconds_left(self, now: float) -> float:
+        """Return after how many seconds all runs of earlier owners have certainly ended."""
+        return max([until - now for until in self._unresolved_until.values()], default=0.0)
+
+    def _end_orders(self, leases_end: float) -> None:
+        """Record by when the leases of the earlier owner end, which gives no more orders."""
+        for name, until in self._unresolved_until.items():
+            earlier = self._unsettled_until if name in self._unsettled else leases_end
+            self._unresolved_until[name] = min(until, max(leases_end, earlier))
 
     def record_later_boot(self, boot: str, now: float) -> None:
         """Record that a boot has answered: those of its runner before it have ended."""
--- a/tests/test_earlier_owner.py
+++ b/tests/test_earlier_owner.py
@@ -6,8 +6,9 @@
 
 from ragworttiller.scheduling.ownership.earlier_owner import TermEnded, proves_end
 from ragworttiller.scheduling.records.formats import OWNER, Claim
+from ragworttiller.scheduling.state.takeover import Takeover
 from tests.owners_rig import OwnersRig, start_entries, with_rig
-from tests.scheduling_rig import LEASE_SECONDS, CellRig, job_id, step
+from tests.scheduling_rig import LEASE_SECONDS, TERM_SECONDS, CellRig, job_id, step
 from tests.test_owners import wait_new_owner
 
 CLAIM = Claim("e1", 7, 1, 0, ["w1", "w2"], [], {}, address="a1")
@@ -48,6 +49,55 @@
         assert self.rig(CLAIM._replace(unsettled=["w1"])).plan().starts == []
 
 
+class TestOwnersInARow:
+    """Owners follow each other while the runner w1 answers none of them."""
+
+    def successor(self, claim: Claim, seconds: float = 3.0) -> tuple[CellRig, Claim]:
+        """Return the cell of the next owner, and its claim when it releases the cell."""
+        rig = CellRig(0, claim, 100)
+        rig.submit(step(1, daemon=True))
+        rig.add_runner("w2")
+        rig.pass_time(seconds)
+        return rig, rig.cell.claim("e2", 8, 0, rig.now)._replace(released=True)
+
+    def seconds_blocked(self, rig: CellRig) -> float:
+        """Return for how many more seconds a lasting task of an older job waits."""
+        began = rig.now
+        while not rig.plan().starts:
+            rig.pass_time(0.5)
+        return rig.now - began
+
+    def test_a_lasting_task_does_not_wait_anew_for_owners_that_have_released_the_cell(self):
+        """Guards against a full term and lease after each of several planned stops."""
+        _, second = self.successor(CLAIM._replace(released=True))
+        rig, _ = self.successor(second, 0.0)
+        assert self.seconds_blocked(rig) < LEASE_SECONDS + 1.0
+
+    def test_an_owner_that_ordered_nothing_adds_no_lease(self):
+        _, second = self.successor(CLAIM._replace(released=True))
+        unsettled = second._replace(unsettled=second.roster, may_order=False)
+        rig, _ = self.successor(unsettled, 0.0)
+        assert 1.0 < self.seconds_blocked(rig) < LEASE_SECONDS - 1.5
+
+    def test_the_term_of_an_owner_that_has_not_ended_is_waited_for_all_the_same(self):
+        first, second = self.successor(CLAIM)
+        rig, _ = self.successor(second, 0.0)
+        assert self.seconds_blocked(rig) >= self.seconds_blocked(first)
+
+    @pytest.mark.parametrize("may_order", [True, False])
+    def test_a_claim_that_does_not_tell_how_long_is_waited_for_in_full(self, may_order: bool):
+        claim = CLAIM._replace(unsettled=["w1", "w2"], released=True, may_order=may_order)
+        rig, _ = self.successor(claim, 0.0)
+        assert self.seconds_blocked(rig) > TERM_SECONDS + LEASE_SECONDS
+
+    def test_the_age_of_the_claim_counts(self):
+        claim = CLAIM._replace(
+            unsettled=["w1", "w2"], unsettled_seconds=4.0, released=True, may_order=False
+        )
+        takeover = Takeover(claim, 100, 0.0, TERM_SECONDS, LEASE_SECONDS, claim_age=3.0)
+        assert takeover.seconds_left(0.0) == 1.0
+
+
 class TestOwners:
     def after_a_change_with_a_silent_runner(self, rig: OwnersRig, first: str) -> None:
         for entry in rig.entries.values():
