--- a/ragworttiller/scheduling/ownership/succession.py
+++ b/ragworttiller/scheduling/ownership/succession.py
@@ -165,8 +165,9 @@
 
     def _begin_takeover(self, known_before: int) -> Takeover:
         claimed, now = self._claimed, self._clock.now()
-        term_left = max(claimed.previous_read_at + TERM_SECONDS - now, 0.0)
-        takeover = Takeover(claimed.previous, known_before, now, term_left, self._lease)
+        age = now - claimed.previous_read_at
+        term_left = max(TERM_SECONDS - age, 0.0)
+        takeover = Takeover(claimed.previous, known_before, now, term_left, self._lease, age)
         if self._owner_ended_at is not None:
             takeover.record_owner_ended(self._owner_ended_at)
         self._takeover = takeover
