Test that claims over claims are counted in one gap

Guards the sign by which an operator tells a takeover that was claimed over from a slow one: one line at the begin, one at the end, with two changes.

--- a/tests/test_owner_gaps.py
+++ b/tests/test_owner_gaps.py
@@ -91,3 +91,21 @@
             assert ended.claimed < 3.0 < 3.5 + 1.0 < ended.seconds
 
         with_rig(body)
+
+    def test_claims_that_are_not_followed_up_are_counted_in_one_gap(self, caplog):
+        """Guards against claims over claims that look like one slow takeover."""
+
+        async def body(rig: OwnersRig):
+            caplog.set_level(logging.INFO)
+            first, gaps = await follow_at_another_entry(rig)
+            rig.store.queue_seconds[JOBS.topic] = 3.5
+            first.stop("e4" if first.name != "e4" else "e3")
+            await rig.timers.sleep(1.5)
+            rig.kill(rig.entries["e1"].host.claims.claim.owner)
+            await rig.timers.sleep(9.0)
+            begun, ended = gap_lines(caplog)
+            assert (begun.why, ended.why) == ("released", "released")
+            assert (ended.epoch, ended.changes, gaps.changes) == (3, 2, 2)
+            assert 1.5 < ended.claimed < ended.seconds - 3.4
+
+        with_rig(body)
