Stop building a histogram for each duration that is recorded

Operators saw: nothing yet; found by a profile of StoreMeter. `setdefault` built a new histogram of 26 KB with each duration, of requests and decisions as well, and the metrics page passed over each histogram four times, in the event loop that also serves callers and runners.

Change: histograms are built when a kind first occurs, and all quantiles of one take one pass.

The quantiles are tested against the durations.

--- a/ragworttiller/metrics.py
+++ b/ragworttiller/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import resource
+from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
@@ -44,9 +45,14 @@
         self._histogram.record_value(microseconds)
         self._sum += seconds
 
-    def quantile(self, share: float) -> float:
-        """Return the duration in seconds below which ``share`` (0 to 1) of all durations lie."""
-        return float(self._histogram.get_value_at_percentile(share * 100)) / 1e6
+    def quantiles(self, shares: Sequence[float]) -> list[float]:
+        """Return the durations in seconds below which shares (0 to 1) of all durations lie.
+
+        All shares together take one pass over the histogram. Without durations, each is 0.
+        """
+        percentiles = [share * 100 for share in shares]
+        values = self._histogram.get_percentile_to_value_dict(percentiles)
+        return [float(values.get(percentile, 0)) / 1e6 for percentile in percentiles]
 
 
 class Usage(NamedTuple):
@@ -77,8 +83,8 @@
     """
 
     def __init__(self) -> None:
-        self._waiting: dict[str, Distribution] = {}
-        self._decisions: dict[str, Distribution] = {}
+        self._waiting: dict[str, Distribution] = defaultdict(Distribution)
+        self._decisions: dict[str, Distribution] = defaultdict(Distribution)
         self._answers: dict[str, int] = {}
         self._counters: dict[str, tuple[str, Reading]] = {}
         self._gauges: dict[str, tuple[str, Reading]] = {}
@@ -105,11 +111,11 @@
 
     def record_wait(self, kind: str, seconds: float) -> None:
         """Record how long a piece of work waited until it started or was answered."""
-        self._waiting.setdefault(kind, Distribution()).record(seconds)
+        self._waiting[kind].record(seconds)
 
     def record_decision(self, kind: str, seconds: float) -> None:
         """Record how long a decision took."""
-        self._decisions.setdefault(kind, Distribution()).record(seconds)
+        self._decisions[kind].record(seconds)
 
     def count_answer(self, code: str) -> None:
         """Count one answer to a caller."""
@@ -197,7 +203,7 @@
     )
     for values, distribution in durations.items():
         summary.add_metric(values, distribution.count, distribution.total)
-        for share in QUANTILES:
-            quantiles.add_metric([*values, str(share)], distribution.quantile(share))
+        for share, seconds in zip(QUANTILES, distribution.quantiles(QUANTILES), strict=True):
+            quantiles.add_metric([*values, str(share)], seconds)
     yield summary
     yield quantiles
--- a/ragworttiller/platform/store_meter.py
+++ b/ragworttiller/platform/store_meter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
 from enum import StrEnum
@@ -60,7 +60,7 @@
         self._next_call = 0
         self._in_flight: dict[int, tuple[str, float]] = {}
         self._last_numbers: dict[tuple[str, str], AppendNumber] = {}
-        self.durations: dict[tuple[str, ...], Distribution] = {}
+        self.durations: dict[tuple[str, ...], Distribution] = defaultdict(Distribution)
         self.repeated = Counter[str]()
         self.reads_refused = Counter[str]()
         self.reads_unanswered = Counter[str]()
@@ -89,8 +89,7 @@
             raise
         finally:
             del self._in_flight[call]
-            distribution = self.durations.setdefault((topic, str(outcome)), Distribution())
-            distribution.record(self._timers.now() - began_at)
+            self.durations[topic, str(outcome)].record(self._timers.now() - began_at)
 
     def _count_repetition(self, topic: str, number: AppendNumber | None) -> None:
         if number is None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,8 +4,10 @@
 
 import logging
 
+import pytest
+
 from ragworttiller.decisions import Decision, DecisionLog
-from ragworttiller.metrics import Metrics
+from ragworttiller.metrics import Distribution, Metrics
 
 CHOSEN = Decision("place", "j/0", "ws", [("w1", 1.0)], "w1", "best", 7, 0.5)
 
@@ -27,3 +29,12 @@
             pass
         assert metrics.decisions["place"].count == 1
         assert b'ragworttiller_decision_seconds_count{kind="place"} 1.0' in metrics.exposition()
+
+
+class TestDistribution:
+    def test_quantiles_are_those_of_the_durations(self):
+        distribution = Distribution()
+        assert distribution.quantiles([0.5, 0.99]) == [0.0, 0.0]
+        for milliseconds in range(1, 1001):
+            distribution.record(milliseconds / 1000)
+        assert distribution.quantiles([0.99, 0.5]) == pytest.approx([0.99, 0.5], rel=0.02)
