Let claims say whether their owner acts

Operators would see: `no owner acts` without an end. An entry took an owner for acting once its claims counted more jobs than those of the earlier owner, since the fence is one more record. A takeover that needs no fence, as after a release with no append under way, writes none, and in an idle cell the counts stay equal.

Change: claims have a field `acting`, set from the first claim of the acting owner on. Entries of earlier versions leave it out.

--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -144,7 +144,7 @@
         position, now = self._jobs_feed.position, self._clock.now()
         wall = self._clock.wall()
         claim = self._cell.claim(self._name, self._incarnation, position, now, self._address, wall)
-        return claim._replace(lag=round(self.lag, 1))
+        return claim._replace(lag=round(self.lag, 1), acting=True)
 
     def _enroll_runners(self, claim: Claim) -> None:
         self._cell.pool.enroll(claim)
--- a/ragworttiller/scheduling/ownership/owner_gaps.py
+++ b/ragworttiller/scheduling/ownership/owner_gaps.py
@@ -50,9 +50,7 @@
 class OwnerGaps:
     """Follows whether an entry believes that an owner acts, with one line for each change.
 
-    An owner acts once it has written a claim that counts jobs after those that the earlier owner
-    has counted: the record that fences earlier owners is one more in the jobs' partition. Of an
-    owner whose first claim this entry has not read, every claim counts as one of an acting owner.
+    An owner acts once it has written a claim that says so. Owners of earlier versions never do.
 
     Parameters
     ----------
@@ -130,7 +128,7 @@
             return GapReason.NO_CLAIM
         if claim.released:
             return GapReason.RELEASED
-        if claim.position <= self._claims.inherited_position:
+        if not claim.acting:
             return GapReason.TAKEOVER
         if self._clock.now() - self._read_at <= MAX_RENEWAL_AGE_SECONDS:
             return None
--- a/ragworttiller/scheduling/ownership/term.py
+++ b/ragworttiller/scheduling/ownership/term.py
@@ -29,13 +29,10 @@
     ----------
     claim : Claim or None
         Last claim, None before the first.
-    inherited_position : int
-        Position in the last claim of the owner before the present one, 0 if none was read.
     """
 
     def __init__(self) -> None:
         self.claim: Claim | None = None
-        self.inherited_position = 0
 
     @override
     def apply(self, record: Record) -> None:
@@ -51,7 +48,6 @@
             return
         if claim.epoch > last_epoch:
             log.info("owner changed", extra={"owner": claim.owner, "epoch": claim.epoch})
-            self.inherited_position = self.claim.position if self.claim else 0
         self.claim = claim
 
 
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -178,7 +178,7 @@
     ``address`` is that at which the owner listens for its peers, ``lag`` how late its event loop
     runs, in seconds. ``pressure`` is None unless the owner measures it. ``learnt`` is an encoded
     `Learnt`: encoded apart, so that a successor can read the claim even if it cannot read these
-    values.
+    values. ``acting`` is whether the owner has taken the cell over and gives orders.
     """
 
     owner: str
@@ -195,6 +195,7 @@
     lag: float = 0.0
     pressure: Pressure | None = None
     learnt: bytes = b""
+    acting: bool = False
 
 
 class OwnerChange(NamedTuple):
