Pass submissions to the owner while an append is slow

Callers saw: when the store turned slow, submissions waited behind the first slow append of their entry and were refused or had no known outcome, although the owner could have stored them.

Cause: an entry passes submissions to the owner while appends are slow, but looked only at the last append that had ended. The first slow one showed only once it was over, seconds later.

Change: the append in flight counts as well, as soon as it lasts longer than the limit.

Evidence: test_submissions_do_not_queue_behind_a_slow_append_in_flight failed before; the second submission waited for the first one.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -173,7 +173,7 @@
 
     @property
     def _store_is_slow(self) -> bool:
-        return self._writer.last_append_seconds > SLOW_APPEND_SECONDS
+        return self._writer.append_seconds > SLOW_APPEND_SECONDS
 
     def _local_timeout(self, request: CallerRequest) -> float:
         """Return the timeout of the local attempt, in seconds."""
--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -128,6 +128,11 @@
         recent = self._clock.now() - self._last_append_at < APPEND_DURATION_VALID_SECONDS
         return self._last_append_seconds if recent else 0.0
 
+    @property
+    def append_seconds(self) -> float:
+        """Seconds that an append takes now, at least those of the one in flight."""
+        return max(self.last_append_seconds, self.in_flight_seconds)
+
     def reset_last_append_seconds(self) -> None:
         """Set the last duration to 0, so that the store no longer counts as slow."""
         self._last_append_seconds = 0.0
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
 from ragworttiller.exceptions import PeerUnreachable, SubmissionUndecided
@@ -128,6 +129,22 @@
 
         with_entry(body)
 
+    def test_submissions_do_not_queue_behind_a_slow_append_in_flight(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 5.0
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b"{}")
+            relaying = self.relaying(rig, peers)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(relaying.answer, self.request())
+                await rig.timers.sleep(0.2)
+                start = rig.timers.now()
+                other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+                assert (await relaying.answer(other)).status == 200
+                assert rig.timers.now() - start < 0.01
+
+        with_entry(body)
+
     def test_an_entry_appends_itself_once_the_store_is_fast_again(self):
         async def body(rig: EntryRig):
             rig.service.write_seconds = 0.4
