Wait for answers of a slow store for the caller's whole time

Callers saw: while the store was slow, submissions had no known outcome after 1.5 s although the store answered within the 2.4 s that they waited, and were refused because the store had refused one other append.

Cause: fixed timeouts of 0.6, 1.4 and 1.5 s ended the own append and those of the owner; the owner got only 0.5 s for what the store had refused here; random entries were asked as well and queued appends of their own; for 0.3 s after one refusal by a full queue of the store all was refused. A refusal of this entry also hid that the owner, asked first, might still store the job.

Change: attempts are staggered instead of ended: while one is late, the next begins beside it, each until the caller's deadline, and the first success is the answer. While an entry reads a slow store it asks only the owner. A store that refuses slowly is retried while the caller waits. The duration of an append no longer counts the retries before it.

Evidence: the four tests of test_relaying_callers and the one of test_callers failed before.

--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -44,9 +44,11 @@
 
 log = logging.getLogger(__name__)
 
-APPEND_TIMEOUT_SECONDS = 1.5
 # After a refusal by the store, requests are refused at once for this time instead of waiting.
 REFUSAL_CACHE_SECONDS = 0.3
+# Time for which an append that the store refuses at once is retried; a slow store refuses appends
+# only while too many wait, and is retried for as long as the caller waits.
+REFUSAL_RETRY_SECONDS = 0.6
 # An append in flight for longer delays queued appends past the timeouts of callers.
 MAX_IN_FLIGHT_SECONDS = 0.7
 RETRY_AFTER_SECONDS = 1.0
@@ -168,6 +170,7 @@
         CellFull
             The cell is full for the job, which was not stored.
         """
+        deadline = self._clock.now() + timeout
         if self._is_stored(target):
             return
         job = decode_job(body)
@@ -180,7 +183,7 @@
         self._remember_attempt(target.job)
         accepted = Accepted(target.queue, job, self._clock.wall(), target.workspace)
         record = KeyedRecord(target.job, encode(accepted))
-        await self._append(target.job, record, timeout)
+        await self._append(target.job, record, deadline - self._clock.now())
 
     def _is_stored(self, target: Target) -> bool:
         """Return whether the job of a submission was read from the store."""
@@ -271,13 +274,16 @@
         return min(max(self._writer.failing_seconds, RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
 
     async def _append(self, job: str, record: KeyedRecord, timeout: float) -> None:
-        recently_refused = self._clock.now() - self._writer.refused_at < REFUSAL_CACHE_SECONDS
+        slow = self._writer.slow
+        since_refusal = self._clock.now() - self._writer.refused_at
+        recently_refused = since_refusal < REFUSAL_CACHE_SECONDS and not slow
         if recently_refused or self._writer.in_flight_seconds > max(
             MAX_IN_FLIGHT_SECONDS, 2 * self._writer.last_append_seconds
         ):
             raise StoreDown(job=job, retry_after=self._retry_after())
         try:
-            await self._writer.append([record], min(timeout, APPEND_TIMEOUT_SECONDS))
+            retry_seconds = timeout if slow else REFUSAL_RETRY_SECONDS
+            await self._writer.append([record], timeout, retry_seconds)
         except LogUnavailable as exc:
             raise StoreDown(job=job, retry_after=self._retry_after()) from exc
         except AppendUndecided as exc:
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -28,19 +28,18 @@
     Callers,
     error_reply,
 )
-from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.entry.staggered_attempts import Outcome, StaggeredAttempts
+from ragworttiller.scheduling.records.group_commit import SLOW_APPEND_SECONDS, GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
 log = logging.getLogger(__name__)
 
-# Timeout of the local attempt, after which other entries are asked.
-LOCAL_TIMEOUT_SECONDS = 0.6
+# Time after which other entries are asked beside an append of this entry.
+LOCAL_HEAD_START_SECONDS = 0.6
+STALE_HEAD_START_SECONDS = 0.05
+# The same for an append of the owner, and for one of a slow store.
+OWNER_HEAD_START_SECONDS = 1.4
 RELAY_TIMEOUT_SECONDS = 0.5
-# The store counts as slow when an append takes longer.
-SLOW_APPEND_SECONDS = 0.15
-# Timeout for answers of a slow store.
-SLOW_STORE_TIMEOUT_SECONDS = 1.4
-STALE_LOCAL_TIMEOUT_SECONDS = 0.05
 CALL_MARGIN_SECONDS = 0.1
 MAX_RELAY_ATTEMPTS = 2
 STALE_AGE_SECONDS = 1.4
@@ -51,14 +50,11 @@
 NO_ANSWER_CODES = (NotReady.code, ConfigurationUnconfirmed.code, LATER_CONFIGURATION)
 
 
-class RelayResult(NamedTuple):
-    """Result of asking other entries; ``reply`` is None if none of them answered.
+class RelayTarget(NamedTuple):
+    """Entry to ask, and the longest time to wait for its answer, in seconds."""
 
-    ``undecided`` is whether an entry that did not answer may have carried out the request.
-    """
-
-    reply: CallerReply | None
-    undecided: bool
+    name: str
+    timeout: float
 
 
 class RelayingCallers(Callers):
@@ -118,109 +114,124 @@
 
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
-        if request.method == "GET" and self._age() > STALE_AGE_SECONDS:
-            reply = (await self._relay(request)).reply
+        if request.method == "GET":
+            return await self._answer_read(request)
+        outcome = await self._write(request, self._clock.now() + request.timeout)
+        if outcome.reply is not None:
+            return outcome.reply
+        assert outcome.error is not None
+        raise outcome.error
+
+    async def _answer_read(self, request: CallerRequest) -> CallerReply:
+        if self._age() > STALE_AGE_SECONDS:
+            reply = (await self._relay(request, self._relay_targets())).reply
             if reply is not None:
                 return reply
-        deadline = self._clock.now() + request.timeout
-        owner_result = await self._write_through_owner(request)
-        if owner_result.reply is not None:
-            return owner_result.reply
-        request = request._replace(timeout=deadline - self._clock.now())
         try:
-            return await self._local.answer(request._replace(timeout=self._local_timeout(request)))
-        except STORE_FAILURES as exc:
-            remaining = deadline - self._clock.now()
-            relayed = await self._relay(request._replace(timeout=remaining))
-            return self._resolve_failure(exc, relayed, owner_result.undecided or relayed.undecided)
+            return await self._local.answer(request)
+        except StateUnknown:
+            reply = (await self._relay(request, self._relay_targets())).reply
+            if reply is None:
+                raise
+            return reply
 
-    def _resolve_failure(
-        self, exc: RagworttillerError, relayed: RelayResult, undecided: bool
-    ) -> CallerReply:
-        """Return the reply of another entry, or raise an error, after the local attempt failed.
+    async def _write(self, request: CallerRequest, deadline: float) -> Outcome:
+        """Carry out a submission or cancellation, through the owner while the store is slow."""
 
-        A refusal here counts as undecided if another entry may have stored the job.
-        """
-        reply = relayed.reply
-        if reply is not None and reply.status == OK:
-            return reply
-        if isinstance(exc, StoreDown) and undecided:
-            job = exc.fields["job"]
-            raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
-        if reply is None or isinstance(exc, SubmissionUndecided):
-            raise exc
-        return reply
-
-    async def _write_through_owner(self, request: CallerRequest) -> RelayResult:
-        """Send a submission or cancellation to the owner while the store is slow."""
-        owner = self._owner()
-        if (
-            request.method == "GET"
-            or not self._store_is_slow
-            or owner not in self._available_peers()
-        ):
-            return RelayResult(None, undecided=False)
+        def until_deadline() -> CallerRequest:
+            return request._replace(timeout=deadline - self._clock.now())
+
+        async def ask_owner() -> Outcome:
+            return await self._write_through_owner(until_deadline())
+
+        async def write_locally() -> Outcome:
+            return await self._write_locally(until_deadline())
+
+        async def relay() -> Outcome:
+            return await self._relay(until_deadline(), self._write_targets())
+
+        async def write_here() -> Outcome:
+            attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
+            return _combined(await attempts.run(), request)
+
+        if not self._writer.slow or self._owner() not in self._available_peers():
+            return await write_here()
+        attempts = StaggeredAttempts(ask_owner, write_here, OWNER_HEAD_START_SECONDS, self._clock)
+        return _combined(await attempts.run(), request)
+
+    async def _write_through_owner(self, request: CallerRequest) -> Outcome:
         started_at = self._clock.now()
-        reply = await self._ask_peer(owner, request, SLOW_STORE_TIMEOUT_SECONDS)
+        outcome = await self._ask(self._owner(), request)
         elapsed = self._clock.now() - started_at
-        if reply is None or reply.code in NO_ANSWER_CODES:
-            return RelayResult(None, undecided=reply is None)
-        extra = {"path": request.path, "code": reply.code, "took": round(elapsed, 3)}
+        if outcome.reply is None:
+            return outcome
+        extra = {"path": request.path, "code": outcome.reply.code, "took": round(elapsed, 3)}
         log.info("request answered through the owner", extra=extra)
-        if reply.status == OK and elapsed < SLOW_APPEND_SECONDS:
+        if outcome.succeeded and elapsed < SLOW_APPEND_SECONDS:
             self._writer.reset_last_append_seconds()
-        return RelayResult(reply, undecided=False)
+        return outcome
 
-    @property
-    def _store_is_slow(self) -> bool:
-        return self._writer.append_seconds > SLOW_APPEND_SECONDS
+    async def _write_locally(self, request: CallerRequest) -> Outcome:
+        try:
+            return Outcome(await self._local.answer(request), final=True)
+        except STORE_FAILURES as exc:
+            return Outcome(error=exc, undecided=isinstance(exc, SubmissionUndecided))
+        except RagworttillerError as exc:
+            return Outcome(error=exc, final=True)
 
-    def _local_timeout(self, request: CallerRequest) -> float:
-        """Return the timeout of the local attempt, in seconds."""
+    @property
+    def _head_start(self) -> float:
+        """Return the seconds after which others are asked beside the local attempt."""
         if self._age() > STALE_AGE_SECONDS:
-            return STALE_LOCAL_TIMEOUT_SECONDS
-        return min(
-            request.timeout,
-            SLOW_STORE_TIMEOUT_SECONDS if self._store_is_slow else LOCAL_TIMEOUT_SECONDS,
-        )
+            return STALE_HEAD_START_SECONDS
+        if self._writer.slow or self._owner() == self._peers.instance:
+            return OWNER_HEAD_START_SECONDS
+        return LOCAL_HEAD_START_SECONDS
 
-    async def _relay(self, request: CallerRequest) -> RelayResult:
+    async def _relay(self, request: CallerRequest, targets: list[RelayTarget]) -> Outcome:
         """Ask other entries until one answers."""
+        deadline = self._clock.now() + request.timeout
         undecided = False
-        for name in self._relay_targets():
-            if request.timeout <= 0:
+        for target in targets:
+            remaining = deadline - self._clock.now()
+            if remaining <= 0:
                 break
-            reply = await self._ask_peer(name, request, RELAY_TIMEOUT_SECONDS)
-            undecided = undecided or reply is None
-            if reply is not None and reply.code not in NO_ANSWER_CODES:
+            request = request._replace(timeout=min(remaining, target.timeout))
+            outcome = await self._ask(target.name, request)
+            undecided = undecided or outcome.undecided
+            if outcome.reply is not None:
                 log.info(
                     "request answered by another entry",
-                    extra={"path": request.path, "entry": name, "code": reply.code},
+                    extra={"path": request.path, "entry": target.name, "code": outcome.reply.code},
                 )
-                return RelayResult(reply, undecided)
-        return RelayResult(None, undecided)
+                return outcome._replace(undecided=undecided)
+        return Outcome(undecided=undecided)
+
+    async def _ask(self, name: str, request: CallerRequest) -> Outcome:
+        """Return the outcome of asking an entry, with its reply if that answers the request."""
+        reply = await self._ask_peer(name, request)
+        if reply is None:
+            return Outcome(undecided=True)
+        if reply.code in NO_ANSWER_CODES:
+            return Outcome()
+        return Outcome(reply, undecided=reply.code == SubmissionUndecided.code, final=True)
 
-    async def _ask_peer(
-        self, name: str, request: CallerRequest, max_timeout: float
-    ) -> CallerReply | None:
+    async def _ask_peer(self, name: str, request: CallerRequest) -> CallerReply | None:
         """Send a request to an entry; resend it once if the entry has a later configuration.
 
         Returns None if no answer arrived; the entry may have carried out the request.
         """
-        reply = await self._send_to_peer(name, request, max_timeout)
+        reply = await self._send_to_peer(name, request)
         if reply is None or reply.code != LATER_CONFIGURATION:
             return reply
         self._config.adopt(reply.body)
-        return await self._send_to_peer(name, request, max_timeout)
+        return await self._send_to_peer(name, request)
 
-    async def _send_to_peer(
-        self, name: str, request: CallerRequest, max_timeout: float
-    ) -> CallerReply | None:
-        timeout = min(max_timeout, request.timeout)
-        forwarded = request._replace(timeout=timeout, version=self._config.version)
+    async def _send_to_peer(self, name: str, request: CallerRequest) -> CallerReply | None:
+        forwarded = request._replace(version=self._config.version)
         sent_at = self._clock.now()
         try:
-            return await self._peers.call(name, forwarded, timeout + CALL_MARGIN_SECONDS)
+            return await self._peers.call(name, forwarded, request.timeout + CALL_MARGIN_SECONDS)
         except PeerUnreachable:
             log.info("relay to another entry failed", extra={"path": request.path, "entry": name})
             self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
@@ -229,13 +240,24 @@
             return error_reply(exc)
         return None
 
-    def _relay_targets(self) -> list[str]:
+    def _write_targets(self) -> list[RelayTarget]:
+        """Return the entries to ask for an append after the local attempt failed or is late.
+
+        While this entry reads a slow store, only the owner is asked: more writers would delay all.
+        """
+        if not self._writer.slow or self._age() > STALE_AGE_SECONDS:
+            return self._relay_targets()
+        owner = self._owner()
+        return [RelayTarget(owner, float("inf"))] if owner in self._available_peers() else []
+
+    def _relay_targets(self) -> list[RelayTarget]:
         peers = self._available_peers()
         owner = self._owner()
         first = [owner] if owner in peers else []
         remaining = sorted(peers - set(first))
         random.shuffle(remaining)
-        return (first + remaining)[:MAX_RELAY_ATTEMPTS]
+        names = (first + remaining)[:MAX_RELAY_ATTEMPTS]
+        return [RelayTarget(name, RELAY_TIMEOUT_SECONDS) for name in names]
 
     def _available_peers(self) -> set[str]:
         now = self._clock.now()
@@ -252,3 +274,20 @@
             return await self._local.answer(request)
         except RagworttillerError as exc:
             return error_reply(exc)
+
+
+def _combined(outcomes: list[Outcome], request: CallerRequest) -> Outcome:
+    """Return the outcome of a request after all attempts at it.
+
+    A refusal is no answer if another attempt may still carry out the request.
+    """
+    for outcome in outcomes:
+        if outcome.succeeded:
+            return outcome
+    if any(outcome.undecided for outcome in outcomes):
+        job = request.path.rpartition("/")[2]
+        error = SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS)
+        return Outcome(error=error, undecided=True)
+    replies = [outcome for outcome in outcomes if outcome.reply is not None]
+    errors = [outcome for outcome in outcomes if outcome.error is not None]
+    return (replies + errors)[0]
--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -33,14 +33,19 @@
 ATTEMPT_TIMEOUT_SECONDS = 4.0
 # Time for which the duration of an append serves as an estimate for the next one.
 APPEND_DURATION_VALID_SECONDS = 10.0
+# The store counts as slow when an append takes longer.
+SLOW_APPEND_SECONDS = 0.15
 
 
 class _PendingAppend:
     """Records of one caller that wait to be appended."""
 
-    def __init__(self, records: Sequence[KeyedRecord], deadline: float) -> None:
+    def __init__(
+        self, records: Sequence[KeyedRecord], deadline: float, retry_deadline: float
+    ) -> None:
         self.records = records
         self.deadline = deadline
+        self.retry_deadline = retry_deadline
         self.done = anyio.Event()
         self.error: RagworttillerError | None = None
         self.end = 0
@@ -103,6 +108,7 @@
         self._refused_at = float("-inf")
         self._failing_since: float | None = None
         self._call_started_at: float | None = None
+        self._attempt_started_at: float | None = None
         self._fenced: AppendFenced | None = None
 
     @property
@@ -124,22 +130,39 @@
 
     @property
     def last_append_seconds(self) -> float:
-        """Seconds that the last append took, 0 if that was long ago."""
+        """Seconds in which the last append was answered, 0 if that was long ago."""
         recent = self._clock.now() - self._last_append_at < APPEND_DURATION_VALID_SECONDS
         return self._last_append_seconds if recent else 0.0
 
     @property
-    def append_seconds(self) -> float:
-        """Seconds that an append takes now, at least those of the one in flight."""
-        return max(self.last_append_seconds, self.in_flight_seconds)
+    def slow(self) -> bool:
+        """Whether the store takes long for the append in flight, or did for the last one."""
+        return max(self.last_append_seconds, self._attempt_seconds) > SLOW_APPEND_SECONDS
+
+    @property
+    def _attempt_seconds(self) -> float:
+        """Seconds for which the current attempt at an append has waited, 0 if there is none."""
+        started_at = self._attempt_started_at
+        return 0.0 if started_at is None else self._clock.now() - started_at
 
     def reset_last_append_seconds(self) -> None:
         """Set the last duration to 0, so that the store no longer counts as slow."""
         self._last_append_seconds = 0.0
 
-    async def append(self, records: Sequence[KeyedRecord], timeout: float) -> int:
+    async def append(
+        self, records: Sequence[KeyedRecord], timeout: float, retry_seconds: float = float("inf")
+    ) -> int:
         """Append records and return the partition's end after them, 0 if it is unknown.
 
+        Parameters
+        ----------
+        records : sequence of KeyedRecord
+            Records to append.
+        timeout : float
+            Seconds to wait for a result.
+        retry_seconds : float
+            Seconds for which an append that the store refuses is retried, within ``timeout``.
+
         Raises
         ------
         LogUnavailable
@@ -151,7 +174,9 @@
         """
         if self._fenced:
             raise self._fenced
-        item = _PendingAppend(records, self._clock.now() + timeout)
+        deadline = self._clock.now() + timeout
+        retry_deadline = min(deadline, self._clock.now() + retry_seconds)
+        item = _PendingAppend(records, deadline, retry_deadline)
         self._queue.append(item)
         self._append_queued.set()
         with self._clock.move_on_after(timeout):
@@ -173,8 +198,7 @@
             while self._queue:
                 self._call_started_at = self._clock.now()
                 await self._commit(self._next_batch())
-                self._last_append_at = self._clock.now()
-                self._last_append_seconds, self._call_started_at = self.in_flight_seconds, None
+                self._call_started_at = self._attempt_started_at = None
 
     def _next_batch(self) -> list[_PendingAppend]:
         batch = [self._queue.pop(0)]
@@ -188,6 +212,7 @@
         records = [record for item in batch for record in item.records]
         while True:
             attempt = self._attempt(records)
+            self._attempt_started_at = self._clock.now()
             try:
                 end = await attempt.run(self._clock.now() + ATTEMPT_TIMEOUT_SECONDS)
             except AppendUndecided:
@@ -195,6 +220,7 @@
                 self._record_failure()
                 log.info("append result unknown", extra={"partition": str(self._partition)})
             except LogUnavailable as exc:
+                self._record_answer()
                 self._refused_at = self._clock.now()
                 self._record_failure()
                 if not undecided and self._fail_expired(batch, exc):
@@ -211,8 +237,10 @@
                 log.info("append sequence number corrected", extra=exc.fields)
                 self._sequence = expected
             else:
+                self._record_answer()
                 self._finish(batch, end)
                 return
+            self._attempt_started_at = None
             await self._clock.sleep(delay)
             delay = min(2 * delay, MAX_RETRY_DELAY_SECONDS)
 
@@ -227,6 +255,10 @@
             self._retry_interval,
         )
 
+    def _record_answer(self) -> None:
+        self._last_append_at = self._clock.now()
+        self._last_append_seconds, self._attempt_started_at = self._attempt_seconds, None
+
     def _record_failure(self) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
@@ -241,7 +273,7 @@
 
     def _fail_expired(self, batch: list[_PendingAppend], error: LogUnavailable) -> bool:
         """Fail a batch that was not appended, once no caller's deadline leaves time for a retry."""
-        if any(item.deadline > self._clock.now() + MAX_RETRY_DELAY_SECONDS for item in batch):
+        if any(item.retry_deadline > self._clock.now() + MAX_RETRY_DELAY_SECONDS for item in batch):
             return False
         for item in batch:
             item.fail(error)
--- a/tests/entry_rig.py
+++ b/tests/entry_rig.py
@@ -33,7 +33,12 @@
 class EntryRig:
     """The parts of one entry that answer callers, with a store."""
 
-    def __init__(self, store: StoreService | None = None, timers: LoopTimers | None = None):
+    def __init__(
+        self,
+        store: StoreService | None = None,
+        timers: LoopTimers | None = None,
+        producer: str = "e",
+    ):
         self.timers = timers or LoopTimers()
         self.service = store or StoreService(self.timers)
         self.link = Link(self.service, self.timers)
@@ -43,7 +48,7 @@
         self.config = QueueFold()
         self.config.adopt(configuration(1))
         self.claims = ClaimFold()
-        self.writer = GroupCommit(client, JOBS, Producer("e", 1), self.timers, exclusive=True)
+        self.writer = GroupCommit(client, JOBS, Producer(producer, 1), self.timers, exclusive=True)
         self.acceptance = Acceptance(
             self.config, self.jobs, self.feed, self.claims, self.writer, self.timers, "e1"
         )
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -88,6 +88,21 @@
 
         with_entry(body)
 
+    def test_one_refusal_by_a_slow_store_does_not_refuse_other_submissions(self):
+        async def body(rig: EntryRig):
+            rig.service.answer_seconds = 0.3
+            await rig.call("POST")
+            rig.service.down = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.call, "POST", job_id(1))
+                await rig.timers.sleep(0.35)
+                tasks.start_soon(rig.call, "POST", job_id(2))
+                await rig.timers.sleep(0.3)
+                rig.service.down = False
+            assert len(rig.stored()) == 3
+
+        with_entry(body)
+
     async def submit_undecided(self, rig: EntryRig):
         with pytest.raises(SubmissionUndecided):
             await rig.call("POST")
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -8,6 +8,8 @@
 from ragworttiller.exceptions import PeerUnreachable, SubmissionUndecided
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.records.formats import JOBS
+from ragworttiller.scheduling.records.queue_fold import QueueFold
 from tests.entry_rig import BODY, EntryRig, configuration, with_entry
 from tests.scheduling_rig import JOB, QUEUE, job_id
 
@@ -184,6 +186,68 @@
 
         with_entry(body)
 
+    def test_an_append_that_is_answered_within_the_time_of_the_caller_is_waited_for(self):
+        async def body(rig: EntryRig):
+            rig.service.queue_seconds[JOBS.topic] = 1.8
+            peers = FakePeers()
+            peers.answers = dict.fromkeys(("e2", "e3"), CallerReply(503, b"{}", "store_down", 1.0))
+            assert (await self.relaying(rig, peers).answer(self.request())).status == 200
+
+        with_entry(body)
+
+    def test_an_owner_that_answers_within_the_time_of_the_caller_is_waited_for(self):
+        async def body(rig: EntryRig):
+            owner = EntryRig(rig.service, rig.timers, "e2")
+            peers, owner_peers = FakePeers(), FakePeers()
+            self.relaying(owner, owner_peers)
+
+            async def call(name, message, timeout):
+                return await owner_peers.serve("e1", message)
+
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            rig.service.queue_seconds[JOBS.topic] = 1.8
+            peers.call = call
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner.writer.run)
+                other = self.request()._replace(path=QUEUE.prefix + job_id(2))
+                assert (await relaying.answer(other)).status == 200
+                tasks.cancel_scope.cancel()
+
+        with_entry(body)
+
+    def test_an_owner_has_time_to_store_what_a_slow_store_refused_here(self):
+        """A full queue of the store refuses appends of some entries for a moment."""
+
+        async def body(rig: EntryRig):
+            rig.service.answer_seconds = 0.3
+            rig.service.down = True
+            timeouts: list[float] = []
+
+            async def call(name, message, timeout):
+                timeouts.append(message.timeout)
+                return CallerReply(200, b"{}")
+
+            peers = FakePeers()
+            peers.call = call
+            assert (await self.relaying(rig, peers).answer(self.request())).status == 200
+            assert timeouts == [pytest.approx(1.7, abs=0.1)]
+
+        with_entry(body)
+
+    def test_a_refusal_here_does_not_hide_that_the_owner_may_store_the_job(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, FakePeers())
+            assert (await relaying.answer(self.request())).status == 200
+            rig.acceptance._config = QueueFold()
+            other = self.request()._replace(path=QUEUE.prefix + job_id(2))
+            with pytest.raises(SubmissionUndecided):
+                await relaying.answer(other)
+
+        with_entry(body)
+
     def test_an_entry_with_stale_states_asks_another_entry_first(self):
         async def body(rig: EntryRig):
             peers = FakePeers()
