Do not repeat appends that wait in a queue of the store

Callers saw: when the store turned slow it answered 503 for as long as it was slow, although few callers' appends were new: most were repetitions.

Cause: an append without an answer was repeated after 1 s even while the store answered everything else, although appends to one partition wait for up to 2 s behind each other. Each repetition takes a place in that queue. And once an interval had passed, an append all of whose calls were refused counted as undecided, so that it was repeated long after its callers had left.

Change: while the store answers other calls, an append is repeated after 2.5 s first. An append has no known result only if a call has none; if all calls were refused, it was refused.

Evidence: both tests failed before (two calls instead of one; undecided instead of refused). Ruled out: no repetition at all while the store answers, since a single answer may be lost.

--- a/ragworttiller/scheduling/records/repeated_append.py
+++ b/ragworttiller/scheduling/records/repeated_append.py
@@ -16,6 +16,9 @@
 
 # Time for which the answer to a call is accepted, also after the call was retried.
 CALL_TIMEOUT_SECONDS = 4.0
+# The store lets an append wait for up to 2 s behind others of its partition. While it answers
+# other calls, the answer is retried for only after that time.
+QUEUED_RETRY_SECONDS = 2.5
 
 
 class RepeatedAppend:
@@ -23,7 +26,7 @@
 
     A call without an answer may have met a dead connection or lost its answer; then a retry helps.
     Or the store is slow; then the first call is answered late, and retries add to its load. So
-    earlier calls stay in flight, and the retry interval doubles while the store answers any call.
+    earlier calls stay in flight, and retries are later and rarer while the store answers any call.
 
     Parameters
     ----------
@@ -69,11 +72,12 @@
         self._end: int | None = None
         self._error: RagworttillerError | None = None
         self._undecided = False
+        self._calls = 0
 
     @property
     def undecided(self) -> bool:
-        """Whether a call has no result, or had none for a whole retry interval."""
-        return self._undecided
+        """Whether an earlier call may have appended the records."""
+        return self._undecided or self._calls > 1
 
     async def run(self, deadline: float) -> int:
         """Append the records and return the partition's end after them.
@@ -94,6 +98,7 @@
         """
         async with anyio.create_task_group() as calls:
             await self._call_until_decided(calls, deadline)
+            self._undecided = self._undecided or self._in_flight > 0
             calls.cancel_scope.cancel()
         if self._end is not None:
             return self._end
@@ -106,18 +111,26 @@
         while True:
             answered = self._store.answer_count
             self._in_flight += 1
+            self._calls += 1
             calls.start_soon(self._call)
-            with self._clock.move_on_after(min(retry_interval, deadline - self._clock.now())):
-                while self._end is None and self._error is None and self._in_flight:
-                    await self._call_ended.wait()
-            if self._end is not None or self._error is not None or not self._in_flight:
-                return
-            self._undecided = True
-            if self._clock.now() >= deadline:
+            await self._wait(min(retry_interval, deadline - self._clock.now()))
+            if self._store.answer_count > answered and not self._decided:
+                queued = max(2 * retry_interval, QUEUED_RETRY_SECONDS)
+                await self._wait(min(queued - retry_interval, deadline - self._clock.now()))
+                retry_interval = queued
+            if self._decided or self._clock.now() >= deadline:
                 return
             log.info("append retried", extra={"partition": str(self._partition)})
-            if self._store.answer_count > answered:
-                retry_interval *= 2
+
+    @property
+    def _decided(self) -> bool:
+        return self._end is not None or self._error is not None or not self._in_flight
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait for the result up to a number of seconds."""
+        with self._clock.move_on_after(seconds):
+            while not self._decided:
+                await self._call_ended.wait()
 
     async def _call(self) -> None:
         try:
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -157,6 +157,50 @@
 
         await while_writing(writer, body)
 
+    @virtual
+    async def test_an_append_in_a_full_queue_of_the_store_is_not_repeated(self):
+        """Each repetition takes a place in the queue and delays all other writers."""
+        rig = StoreRig()
+        rig.service.queue_seconds[PARTITION.topic] = 2.2
+        writer = rig.writer()
+        calls: list[int] = []
+        append = rig.store.append
+
+        async def counted(*args, **options):
+            calls.append(1)
+            return await append(*args, **options)
+
+        async def read():
+            while True:
+                await rig.store.read(PARTITION, 0)
+                await rig.timers.sleep(0.1)
+
+        async def body():
+            rig.store.append = counted
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(read)
+                await writer.append([KeyedRecord("a", b"1")], 4.0)
+                tasks.cancel_scope.cancel()
+
+        await while_writing(writer, body)
+        assert len(calls) == 1
+
+    @virtual
+    async def test_an_append_is_refused_if_all_its_calls_were(self):
+        rig = StoreRig()
+        rig.service.down = True
+        rig.service.answer_seconds = 1.2
+        writer = rig.writer()
+
+        async def body():
+            with pytest.raises(LogUnavailable):
+                await writer.append([KeyedRecord("a", b"1")], 3.0, retry_seconds=0.6)
+            rig.service.down = False
+            await rig.timers.sleep(10.0)
+
+        await while_writing(writer, body)
+        assert rig.values() == {}
+
     @virtual
     async def test_an_unresponsive_store_is_retried_each_second(self):
         rig = StoreRig()
