Do not send an append without time left

Callers saw: more refusals by a slow store.

Cause: when the owner had not answered by the deadline, the entry tried an append of its own with no time left. Its timeout ended only after the writer had taken it from the queue and sent it.

Change: such an append is refused before it is queued.

Evidence: the test failed before; the record was stored.

--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -174,6 +174,8 @@
         """
         if self._fenced:
             raise self._fenced
+        if timeout <= 0:
+            raise LogUnavailable(stream=str(self._partition))
         deadline = self._clock.now() + timeout
         retry_deadline = min(deadline, self._clock.now() + retry_seconds)
         item = _PendingAppend(records, deadline, retry_deadline)
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -201,6 +201,19 @@
         await while_writing(writer, body)
         assert rig.values() == {}
 
+    @virtual
+    async def test_an_append_without_time_left_is_not_sent(self):
+        rig = StoreRig()
+        writer = rig.writer()
+
+        async def body():
+            with pytest.raises(LogUnavailable):
+                await writer.append([KeyedRecord("a", b"1")], 0.0)
+            await rig.timers.sleep(1.0)
+
+        await while_writing(writer, body)
+        assert rig.values() == {}
+
     @virtual
     async def test_an_unresponsive_store_is_retried_each_second(self):
         rig = StoreRig()
