Let only an append show that the store is fast again

Callers saw: entries that passed submissions to the owner of a slow store began to append themselves after a moment, and filled the store's queue.

Cause: a quick answer of the owner counted as a fast append, also for a repeated submission of a job that is stored already and needs none. Callers of a slow store repeat many.

Change: the reply to such a repetition has the code already_stored, which does not end the slow state.

Evidence: test_a_quick_answer_about_a_stored_job_does_not_show_a_fast_store failed before.

--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -152,8 +152,10 @@
             raise QueueUnknown(host=host, path=path)
         return Target(caller.queue, job, caller.workspace)
 
-    async def submit(self, target: Target, body: bytes, timeout: float) -> None:
-        """Store a job; repeated submissions with one identifier store it once.
+    async def submit(self, target: Target, body: bytes, timeout: float) -> bool:
+        """Store a job, and return whether that took an append.
+
+        Repeated submissions with one identifier store the job once.
 
         Raises
         ------
@@ -172,18 +174,19 @@
         """
         deadline = self._clock.now() + timeout
         if self._is_stored(target):
-            return
+            return False
         job = decode_job(body)
         workspace = self._config.workspaces.get(target.workspace)
         for number, step in enumerate(job.steps):
             if workspace is not None and exceeds_cap(workspace.cap, step):
                 raise GangExceedsCap(job=target.job, step=number, cap=list(workspace.cap))
         if await self._repeats_a_job_or_is_admitted(target, job):
-            return
+            return False
         self._remember_attempt(target.job)
         accepted = Accepted(target.queue, job, self._clock.wall(), target.workspace)
         record = KeyedRecord(target.job, encode(accepted))
         await self._append(target.job, record, deadline - self._clock.now())
+        return True
 
     def _is_stored(self, target: Target) -> bool:
         """Return whether the job of a submission was read from the store."""
--- a/ragworttiller/scheduling/entry/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -14,6 +14,9 @@
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 
 OK = 200
+OK_CODE = "ok"
+# Code of the reply to a repeated submission, which needed no append.
+ALREADY_STORED_CODE = "already_stored"
 # Time that an entry with a reachable store needs at most to read configuration and jobs.
 MAX_START_SECONDS = 0.8
 READY_CHECK_SECONDS = 0.02
@@ -44,7 +47,7 @@
 
     status: int
     body: bytes
-    code: str = "ok"
+    code: str = OK_CODE
     retry_after: float | None = None
 
 
@@ -83,8 +86,8 @@
         if target.job and method == "GET":
             return CallerReply(OK, state_body(await self._acceptance.state(target)))
         if target.job and method == "POST":
-            await self._acceptance.submit(target, request.body, request.timeout)
-            return CallerReply(OK, b"{}")
+            appended = await self._acceptance.submit(target, request.body, request.timeout)
+            return CallerReply(OK, b"{}", OK_CODE if appended else ALREADY_STORED_CODE)
         if target.job and method == "DELETE":
             await self._acceptance.cancel(target, request.timeout)
             return CallerReply(OK, b"{}")
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -23,6 +23,7 @@
 from ragworttiller.scheduling.entry.acceptance import RETRY_AFTER_SECONDS
 from ragworttiller.scheduling.entry.callers import (
     OK,
+    OK_CODE,
     CallerReply,
     CallerRequest,
     Callers,
@@ -167,7 +168,7 @@
             return outcome
         extra = {"path": request.path, "code": outcome.reply.code, "took": round(elapsed, 3)}
         log.info("request answered through the owner", extra=extra)
-        if outcome.succeeded and elapsed < SLOW_APPEND_SECONDS:
+        if outcome.reply.code == OK_CODE and elapsed < SLOW_APPEND_SECONDS:
             self._writer.reset_last_append_seconds()
         return outcome
 
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -236,6 +236,32 @@
 
         with_entry(body)
 
+    def test_a_quick_answer_about_a_stored_job_does_not_show_a_fast_store(self):
+        async def body(rig: EntryRig):
+            owner = EntryRig(rig.service, rig.timers, "e2")
+            peers, owner_peers = FakePeers(), FakePeers()
+            self.relaying(owner, owner_peers)
+            asked: list[str] = []
+
+            async def call(name, message, timeout):
+                asked.append(message.path)
+                return await owner_peers.serve("e1", message)
+
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            await owner.feed.catch_up()
+            peers.call = call
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner.writer.run)
+                for path in (JOB, job_id(2)):
+                    other = self.request()._replace(path=QUEUE.prefix + path)
+                    assert (await relaying.answer(other)).status == 200
+                tasks.cancel_scope.cancel()
+            assert len(asked) == 2
+
+        with_entry(body)
+
     def test_a_refusal_here_does_not_hide_that_the_owner_may_store_the_job(self):
         async def body(rig: EntryRig):
             rig.service.write_seconds = 0.4
