Keep an entry from appending beside a late owner

Callers saw: while the store was slow, answers of the owner took up to 2 s, and after 1.4 s each entry queued an append of its own for the same job, which delayed the owner's appends for all.

Cause: the entry took an owner that is late in a slow store for one that does not answer.

Change: while the store is slow, the owner has the caller's whole time. A lost connection still ends the wait at once, and the entry then appends itself. Left open: an owner whose process is paused delays the first submissions to the end of their time, before it is avoided for 3 s.

Evidence: test_entries_do_not_append_beside_a_late_owner failed before.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -157,7 +157,7 @@
 
         if not self._writer.slow or self._owner() not in self._available_peers():
             return await write_here()
-        attempts = StaggeredAttempts(ask_owner, write_here, OWNER_HEAD_START_SECONDS, self._clock)
+        attempts = StaggeredAttempts(ask_owner, write_here, request.timeout, self._clock)
         return _combined(await attempts.run(), request)
 
     async def _write_through_owner(self, request: CallerRequest) -> Outcome:
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -236,6 +236,25 @@
 
         with_entry(body)
 
+    def test_entries_do_not_append_beside_a_late_owner(self):
+        """Appends of all entries would delay those of the owner further."""
+
+        async def body(rig: EntryRig):
+            async def call(name, message, timeout):
+                await rig.timers.sleep(1.8)
+                return CallerReply(200, b"{}")
+
+            peers = FakePeers()
+            peers.call = call
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            other = self.request()._replace(path=QUEUE.prefix + job_id(2))
+            assert (await relaying.answer(other)).status == 200
+            assert rig.stored() == [JOB]
+
+        with_entry(body)
+
     def test_a_quick_answer_about_a_stored_job_does_not_show_a_fast_store(self):
         async def body(rig: EntryRig):
             owner = EntryRig(rig.service, rig.timers, "e2")
