Report a slow store to the other entries

Callers saw: for some 3 s after the store had turned slow, answers took 2 s and more, and many had no known outcome, although entries passed submissions to the owner.

Cause: each entry learnt that the store was slow only from a slow append of its own. The first appends of 37 entries, 94 ms each, fill the store's queue of 2 s, and the owner's append waits there.

Change: the first entry that sees an append take over 0.15 s tells the others, which pass submissions to the owner for 3 s and for as long as its answers are slow. A quick append of the owner ends that.

Evidence: two tests of test_store_pace fail without the report.

Weighed: passing all submissions to the owner at all times needs no report, but costs every one of them a hop and depends on the owner while nothing is wrong.

--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -69,6 +69,10 @@
     body: bytes
 
 
+class SlowStore(NamedTuple):
+    """Reports to an entry that an append takes long."""
+
+
 PEER_CODEC = MessagePackCodec(
     {
         1: AdviceRequest,
@@ -86,5 +90,6 @@
         13: OwnerStatus,
         14: ConfigurationQuery,
         15: ConfigurationAnswer,
+        16: SlowStore,
     }
 )
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import anyio
 from typing_extensions import override
 
 from ragworttiller.exceptions import (
@@ -30,7 +31,8 @@
     error_reply,
 )
 from ragworttiller.scheduling.entry.staggered_attempts import Outcome, StaggeredAttempts
-from ragworttiller.scheduling.records.group_commit import SLOW_APPEND_SECONDS, GroupCommit
+from ragworttiller.scheduling.entry.store_pace import StorePace
+from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
 log = logging.getLogger(__name__)
@@ -87,6 +89,8 @@
         Writer of this entry to the jobs. While its appends are slow, the owner appends for all
         entries, since a slow store has more throughput with few large calls than with many small
         ones.
+    pace : StorePace, optional
+        Tells whether appends are slow; by default by those of the writer only.
     """
 
     def __init__(
@@ -100,8 +104,9 @@
         names: Callable[[], set[str]],
         clock: Clock,
         writer: GroupCommit,
+        pace: StorePace | None = None,
     ) -> None:
-        self._writer = writer
+        self._pace = pace or StorePace(writer, clock)
         self._local = local
         self._peers = peers
         self._config = config
@@ -155,7 +160,7 @@
             attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
             return _combined(await attempts.run(), request)
 
-        if not self._writer.slow or self._owner() not in self._available_peers():
+        if not self._pace.slow or self._owner() not in self._available_peers():
             return await write_here()
         attempts = StaggeredAttempts(ask_owner, write_here, request.timeout, self._clock)
         return _combined(await attempts.run(), request)
@@ -168,11 +173,18 @@
             return outcome
         extra = {"path": request.path, "code": outcome.reply.code, "took": round(elapsed, 3)}
         log.info("request answered through the owner", extra=extra)
-        if outcome.reply.code == OK_CODE and elapsed < SLOW_APPEND_SECONDS:
-            self._writer.reset_last_append_seconds()
+        if outcome.reply.code == OK_CODE:
+            self._pace.record_append(elapsed)
         return outcome
 
     async def _write_locally(self, request: CallerRequest) -> Outcome:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._pace.watch_append)
+            outcome = await self._ask_local(request)
+            tasks.cancel_scope.cancel()
+        return outcome
+
+    async def _ask_local(self, request: CallerRequest) -> Outcome:
         try:
             return Outcome(await self._local.answer(request), final=True)
         except STORE_FAILURES as exc:
@@ -185,7 +197,7 @@
         """Return the seconds after which others are asked beside the local attempt."""
         if self._age() > STALE_AGE_SECONDS:
             return STALE_HEAD_START_SECONDS
-        if self._writer.slow or self._owner() == self._peers.instance:
+        if self._pace.slow or self._owner() == self._peers.instance:
             return OWNER_HEAD_START_SECONDS
         return LOCAL_HEAD_START_SECONDS
 
@@ -246,7 +258,7 @@
 
         While this entry reads a slow store, only the owner is asked: more writers would delay all.
         """
-        if not self._writer.slow or self._age() > STALE_AGE_SECONDS:
+        if not self._pace.slow or self._age() > STALE_AGE_SECONDS:
             return self._relay_targets()
         owner = self._owner()
         return [RelayTarget(owner, float("inf"))] if owner in self._available_peers() else []
--- /dev/null
+++ b/tests/test_store_pace.py
@@ -0,0 +1,107 @@
+"""Tests of reports between entries that the store is slow."""
+
+from __future__ import annotations
+
+import anyio
+
+from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
+from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.entry.store_pace import REPORT_VALID_SECONDS, StorePace
+from tests.entry_rig import BODY, EntryRig, with_entry
+from tests.scheduling_rig import QUEUE, job_id
+from tests.test_relaying_callers import FakePeers
+
+
+class TestStorePace:
+    def relaying(self, rig: EntryRig, peers: FakePeers, pace: StorePace) -> RelayingCallers:
+        return RelayingCallers(
+            rig.callers,
+            peers,
+            rig.config,
+            lambda name, sent_at: None,
+            lambda: 0.0,
+            lambda: "e2",
+            lambda: {"e1", "e2", "e3"},
+            rig.timers,
+            rig.writer,
+            pace,
+        )
+
+    def request(self, number: int) -> CallerRequest:
+        path = QUEUE.prefix + job_id(number)
+        return CallerRequest("POST", QUEUE.host, path, BODY, 2.0)
+
+    def test_the_first_slow_append_keeps_other_entries_from_appending(self):
+        """With 37 entries, one slow append of each fills the queue of the store."""
+
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 1.0
+            other = EntryRig(rig.service, rig.timers, producer="e3")
+            await other.feed.catch_up()
+            other_pace = StorePace(other.writer, rig.timers)
+            pace = StorePace(rig.writer, rig.timers, other_pace.record_report)
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b"{}")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(other.writer.run)
+                tasks.start_soon(self.relaying(rig, FakePeers(), pace).answer, self.request(1))
+                await rig.timers.sleep(0.2)
+                relaying = self.relaying(other, peers, other_pace)
+                assert (await relaying.answer(self.request(2))).status == 200
+                await rig.timers.sleep(3.0)
+                tasks.cancel_scope.cancel()
+            assert peers.asked == ["e2"]
+            assert rig.stored() == [job_id(1)]
+            assert not other_pace.slow
+
+        with_entry(body)
+
+    def test_a_fast_append_is_not_reported(self):
+        async def body(rig: EntryRig):
+            reports: list[bool] = []
+            pace = StorePace(rig.writer, rig.timers, lambda: reports.append(True))
+            relaying = self.relaying(rig, FakePeers(), pace)
+            assert (await relaying.answer(self.request(1))).status == 200
+            await rig.timers.sleep(1.0)
+            assert (reports, pace.slow) == ([], False)
+
+        with_entry(body)
+
+    def test_each_entry_reports_a_slow_store_once_in_a_while(self):
+        async def body(rig: EntryRig):
+            reports: list[bool] = []
+            rig.service.write_seconds = 0.5
+            pace = StorePace(rig.writer, rig.timers, lambda: reports.append(True))
+            relaying = self.relaying(rig, FakePeers(), pace)
+            for number in range(3):
+                assert (await relaying.answer(self.request(number))).status == 200
+            assert len(reports) == 1
+
+        with_entry(body)
+
+    def test_a_report_expires(self):
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            pace.record_report()
+            assert pace.slow
+            await rig.timers.sleep(REPORT_VALID_SECONDS + 0.1)
+            assert not pace.slow
+
+        with_entry(body)
+
+    def test_slow_answers_of_the_owner_extend_a_report(self):
+        """Else all entries would append at once whenever a report expires."""
+
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            pace.record_report()
+            await rig.timers.sleep(REPORT_VALID_SECONDS - 0.1)
+            pace.record_append(0.5)
+            await rig.timers.sleep(0.2)
+            assert pace.slow
+
+        with_entry(body)
+
+    def test_entries_understand_a_report(self):
+        assert PEER_CODEC.decode_one(PEER_CODEC.encode_one(SlowStore())) == SlowStore()
