--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
 from ragworttiller.exceptions import PeerUnreachable, SubmissionUndecided
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.records.formats import JOBS
+from ragworttiller.scheduling.records.queue_fold import QueueFold
 from tests.entry_rig import BODY, EntryRig, configuration, with_entry
 from tests.scheduling_rig import JOB, QUEUE, job_id
 
@@ -128,6 +131,22 @@
 
         with_entry(body)
 
+    def test_submissions_do_not_queue_behind_a_slow_append_in_flight(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 5.0
+            peers = FakePeers()
+            peers.answers["e2"] = CallerReply(200, b"{}")
+            relaying = self.relaying(rig, peers)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(relaying.answer, self.request())
+                await rig.timers.sleep(0.2)
+                start = rig.timers.now()
+                other = self.request()._replace(path=QUEUE.prefix + "00000000000000bb")
+                assert (await relaying.answer(other)).status == 200
+                assert rig.timers.now() - start < 0.01
+
+        with_entry(body)
+
     def test_an_entry_appends_itself_once_the_store_is_fast_again(self):
         async def body(rig: EntryRig):
             rig.service.write_seconds = 0.4
@@ -167,6 +186,113 @@
 
         with_entry(body)
 
+    def test_an_append_that_is_answered_within_the_time_of_the_caller_is_waited_for(self):
+        async def body(rig: EntryRig):
+            rig.service.queue_seconds[JOBS.topic] = 1.8
+            peers = FakePeers()
+            peers.answers = dict.fromkeys(("e2", "e3"), CallerReply(503, b"{}", "store_down", 1.0))
+            assert (await self.relaying(rig, peers).answer(self.request())).status == 200
+
+        with_entry(body)
+
+    def test_an_owner_that_answers_within_the_time_of_the_caller_is_waited_for(self):
+        async def body(rig: EntryRig):
+            owner = EntryRig(rig.service, rig.timers, "e2")
+            peers, owner_peers = FakePeers(), FakePeers()
+            self.relaying(owner, owner_peers)
+
+            async def call(name, message, timeout):
+                return await owner_peers.serve("e1", message)
+
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            rig.service.queue_seconds[JOBS.topic] = 1.8
+            peers.call = call
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner.writer.run)
+                other = self.request()._replace(path=QUEUE.prefix + job_id(2))
+                assert (await relaying.answer(other)).status == 200
+                tasks.cancel_scope.cancel()
+
+        with_entry(body)
+
+    def test_an_owner_has_time_to_store_what_a_slow_store_refused_here(self):
+        """A full queue of the store refuses appends of some entries for a moment."""
+
+        async def body(rig: EntryRig):
+            rig.service.answer_seconds = 0.3
+            rig.service.down = True
+            timeouts: list[float] = []
+
+            async def call(name, message, timeout):
+                timeouts.append(message.timeout)
+                return CallerReply(200, b"{}")
+
+            peers = FakePeers()
+            peers.call = call
+            assert (await self.relaying(rig, peers).answer(self.request())).status == 200
+            assert timeouts == [pytest.approx(1.7, abs=0.1)]
+
+        with_entry(body)
+
+    def test_entries_do_not_append_beside_a_late_owner(self):
+        """Appends of all entries would delay those of the owner further."""
+
+        async def body(rig: EntryRig):
+            async def call(name, message, timeout):
+                await rig.timers.sleep(1.8)
+                return CallerReply(200, b"{}")
+
+            peers = FakePeers()
+            peers.call = call
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            other = self.request()._replace(path=QUEUE.prefix + job_id(2))
+            assert (await relaying.answer(other)).status == 200
+            assert rig.stored() == [JOB]
+
+        with_entry(body)
+
+    def test_a_quick_answer_about_a_stored_job_does_not_show_a_fast_store(self):
+        async def body(rig: EntryRig):
+            owner = EntryRig(rig.service, rig.timers, "e2")
+            peers, owner_peers = FakePeers(), FakePeers()
+            self.relaying(owner, owner_peers)
+            asked: list[str] = []
+
+            async def call(name, message, timeout):
+                asked.append(message.path)
+                return await owner_peers.serve("e1", message)
+
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, peers)
+            assert (await relaying.answer(self.request())).status == 200
+            await owner.feed.catch_up()
+            peers.call = call
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner.writer.run)
+                for path in (JOB, job_id(2)):
+                    other = self.request()._replace(path=QUEUE.prefix + path)
+                    assert (await relaying.answer(other)).status == 200
+                tasks.cancel_scope.cancel()
+            assert len(asked) == 2
+
+        with_entry(body)
+
+    def test_a_refusal_here_does_not_hide_that_the_owner_may_store_the_job(self):
+        async def body(rig: EntryRig):
+            rig.service.write_seconds = 0.4
+            relaying = self.relaying(rig, FakePeers())
+            assert (await relaying.answer(self.request())).status == 200
+            rig.acceptance._config = QueueFold()
+            other = self.request()._replace(path=QUEUE.prefix + job_id(2))
+            with pytest.raises(SubmissionUndecided):
+                await relaying.answer(other)
+
+        with_entry(body)
+
     def test_an_entry_with_stale_states_asks_another_entry_first(self):
         async def body(rig: EntryRig):
             peers = FakePeers()
