Keep an owner that stops announced until it has released the cell

Cause: an entry that stops withdraws its announcement at once. The others drop its connections, so that its calls to the advisor through them get no answer and no submission reaches it.

Change: it withdraws once it no longer holds the cell. The time for that is part of the stop.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -58,7 +58,7 @@
 DRAIN_SECONDS = 2.6
 CLOSE_TIMEOUT_SECONDS = 1.5
 # Part of the grace period that is left once the last requests were answered.
-STOP_MARGIN_SECONDS = 1.0
+STOP_MARGIN_SECONDS = 0.5
 # Part of a stop in which an owner stores that it has released the cell.
 RELEASE_SECONDS = 1.0
 HANDOVER_CHECK_SECONDS = 0.02
@@ -300,13 +300,16 @@
         """Release the ownership and serve until the load balancer sends no more requests."""
         callers.drain()
         stopped_at, grace = self._clock.now(), self._settings.bounds.shutdown_grace_s
-        longest = max(grace - CLOSE_TIMEOUT_SECONDS - STOP_MARGIN_SECONDS, grace / 2)
+        after = WITHDRAW_TIMEOUT_SECONDS + CLOSE_TIMEOUT_SECONDS + STOP_MARGIN_SECONDS
+        longest = max(grace - after, grace / 2)
         self._host.stop(next(iter(self._standbys.names()), ""), longest - RELEASE_SECONDS)
-        with self._clock.move_on_after(WITHDRAW_TIMEOUT_SECONDS):
-            await self._announcer.withdraw()
-        await self._clock.sleep(min(DRAIN_SECONDS, grace / 2))
         while self._host.holds_cell and self._clock.now() < stopped_at + longest:
             await self._clock.sleep(HANDOVER_CHECK_SECONDS)
+        # An owner needs the other entries, which drop the connections of one that has withdrawn.
+        with self._clock.move_on_after(WITHDRAW_TIMEOUT_SECONDS):
+            await self._announcer.withdraw()
+        drain = min(DRAIN_SECONDS, grace / 2)
+        await self._clock.sleep(max(stopped_at + drain - self._clock.now(), 0.0))
 
     def _unready_reasons(self) -> list[str]:
         checks = {
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -34,6 +34,7 @@
     SEPARATIONS,
     SHARE_ORDERS,
 )
+from ragworttiller.scheduling.records.formats import ENTRIES, OWNER, OWNER_KEY, Claim, decode
 from standins.platform.deployment import ROOT, Deployment, render, settings_fields
 from tests.scheduling_rig import job_body, step
 
@@ -164,6 +165,30 @@
 
         with_platform(body)
 
+    def test_an_owner_that_stops_stays_announced_until_it_has_released_the_cell(
+        self, with_platform
+    ):
+        """Guards against an owner that still acts, but whose peers have dropped it."""
+
+        async def body(platform: Platform):
+            platform.start("e1")
+            await platform.wait_ready("e1")
+            platform.store.queue_seconds[OWNER.topic] = 0.8
+            platform.entries["e1"].send_signal(signal.SIGTERM)
+            while not self.claim(platform).released:
+                assert "e1" in platform.store.partition(ENTRIES.topic).newest()
+                await anyio.sleep(0.01)
+            await platform.wait_until(lambda: self.withdrawn(platform))
+
+        with_platform(body)
+
+    def claim(self, platform: Platform) -> Claim:
+        _, value = platform.store.partition(OWNER.topic).newest()[OWNER_KEY]
+        return decode(value, Claim)
+
+    async def withdrawn(self, platform: Platform) -> bool:
+        return "e1" not in platform.store.partition(ENTRIES.topic).newest()
+
     def test_a_planned_stop_ends_in_time_though_the_store_is_down(self, with_platform):
         async def body(platform: Platform):
             platform.start("e1")
