--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -195,7 +195,10 @@
         return item.end
 
     async def close(self) -> None:
-        """Append nothing more, and wait until what is in flight has a result."""
+        """Append nothing more, and wait until what is in flight has a result.
+
+        What the store refuses is not retried.
+        """
         self._closed = True
         while self._call_started_at is not None:
             await self._committed.wait()
@@ -284,8 +287,9 @@
             item.done.set()
 
     def _fail_expired(self, batch: list[_PendingAppend], error: LogUnavailable) -> bool:
-        """Fail a batch that was not appended, once no caller's deadline leaves time for a retry."""
-        if any(item.retry_deadline > self._clock.now() + MAX_RETRY_DELAY_SECONDS for item in batch):
+        """Fail a batch that was not appended, if no caller's deadline leaves time for a retry."""
+        late = self._clock.now() + MAX_RETRY_DELAY_SECONDS
+        if not self._closed and any(item.retry_deadline > late for item in batch):
             return False
         for item in batch:
             item.fail(error)
