Move an oracle of the placement tests to the tests

Cause: obstacles.can_ever_fit is called by two tests only, to check that a task can never run or only waits for room.

Change: it stands in test_placement. Result: the tests pass; the package has one function less.

--- a/ragworttiller/placement/obstacles.py
+++ b/ragworttiller/placement/obstacles.py
@@ -3,17 +3,12 @@
 from __future__ import annotations
 
 from ragworttiller.placement.index import SCHEDULABLE_STATES, RoomIndex
-from ragworttiller.placement.rules import Rules, site_allowed
+from ragworttiller.placement.rules import Rules
 from ragworttiller.resources import Resources
 
 UNITS = {"cpu": "thousandths of a core", "memory": "MiB", "accelerators": "accelerators"}
 
 
-def can_ever_fit(need: Resources, rules: Rules, index: RoomIndex) -> bool:
-    """Return whether any schedulable worker could run the task if nothing else ran there."""
-    return any(need.fits(capacity) and site_allowed(site, rules) for site, capacity in index.shapes)
-
-
 def obstacle(need: Resources, rules: Rules, index: RoomIndex) -> str:
     """Describe the rule or resource because of which no worker can run a task.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,10 +9,9 @@
 from bench.packing import fill_in_rounds, idle_accelerators
 from ragworttiller.exceptions import InvalidField, NotFound
 from ragworttiller.placement.index import RoomIndex, WorkerRoom
-from ragworttiller.placement.obstacles import can_ever_fit
 from ragworttiller.placement.policy import Demand, RunningTaskCounts
 from ragworttiller.placement.registry import POLICIES, policy_named
-from ragworttiller.placement.rules import Rules, rules_from
+from ragworttiller.placement.rules import Rules, rules_from, site_allowed
 from ragworttiller.resources import NO_RESOURCES, Resources
 
 WORKER_CAPACITY = Resources(16000, 65536, 0)
@@ -34,6 +33,11 @@
     return Resources(rng.randrange(100, 6000), rng.randrange(64, 20000), accelerators)
 
 
+def can_ever_fit(need, rules, index):
+    """Return whether any schedulable worker could run the task if nothing else ran there."""
+    return any(need.fits(capacity) and site_allowed(site, rules) for site, capacity in index.shapes)
+
+
 def total_room(index):
     total = NO_RESOURCES
     for worker in index.workers():
