Drop the upstreams with enforced limits from the configuration

Cause: Configuration.limited_upstreams has no reader: runners enforce the limits of a service themselves. A malformed service made the whole configuration unreadable for it.

Change: services are no longer decoded.

--- a/bench/owner_model.py
+++ b/bench/owner_model.py
@@ -106,7 +106,7 @@
         config = QueueFold()
         if load.workspaces:
             rows = workspaces(load)
-            config.put_in_force(Configuration(1, (), frozenset(), MAX_BODY_BYTES, rows))
+            config.put_in_force(Configuration(1, (), MAX_BODY_BYTES, rows))
         self.cell = Cell(1, self._jobs, config, self._runners, takeover)
         self.cell.set_entries([f"entry-{n}" for n in range(load.entries)])
         self._counter = StepCounter()
--- a/ragworttiller/platform/configuration.py
+++ b/ragworttiller/platform/configuration.py
@@ -49,13 +49,12 @@
 class Configuration(NamedTuple):
     """One complete version of the configuration.
 
-    ``limited_upstreams`` are the upstreams whose limits are enforced; ``max_body`` is in bytes.
-    ``workspaces`` is None in a deployment without workspaces, where no call needs a key.
+    ``max_body`` is in bytes. ``workspaces`` is None in a deployment without workspaces, where no
+    call needs a key.
     """
 
     version: int
     queues: tuple[Queue, ...]
-    limited_upstreams: frozenset[str]
     max_body: int
     workspaces: tuple[Workspace, ...] | None = None
 
@@ -79,11 +78,6 @@
     allow_anonymous: bool = False
 
 
-class _Service(msgspec.Struct):
-    name: str = ""
-    enforce_limits: bool = False
-
-
 class _Limits(msgspec.Struct):
     max_body_bytes: int = 262144
 
@@ -109,7 +103,6 @@
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route] = []
-    services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[Any] | None = None
 
@@ -123,17 +116,12 @@
         The bytes are not a valid configuration.
     """
     wire = decode_json(value, _Configuration, "configuration")
-    limited_upstreams = frozenset(
-        service.name for service in wire.services if service.enforce_limits
-    )
     has_workspaces = wire.tenants is not None
     queues = tuple(_decode_queue(route, has_workspaces) for route in wire.routes)
     workspaces = None
     if wire.tenants is not None:
         workspaces = _decode_workspaces(wire.tenants, wire.version)
-    return Configuration(
-        wire.version, queues, limited_upstreams, wire.limits.max_body_bytes, workspaces
-    )
+    return Configuration(wire.version, queues, wire.limits.max_body_bytes, workspaces)
 
 
 def _decode_workspaces(rows: list[Any], version: int) -> tuple[Workspace, ...]:
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -127,7 +127,7 @@
     def configure(self, *workspaces: Workspace) -> None:
         """Put a configuration with these workspaces in force."""
         version = self.config.version + 1
-        self.config.put_in_force(Configuration(version, (), frozenset(), 262144, workspaces))
+        self.config.put_in_force(Configuration(version, (), 262144, workspaces))
         self.cell.refresh(self.now, self.now)
 
     def submit(
--- a/tests/test_workspace_view.py
+++ b/tests/test_workspace_view.py
@@ -89,7 +89,7 @@
     def test_a_gang_larger_than_the_cap_is_refused_and_not_stored(self):
         async def body(rig: EntryRig):
             rows = (workspace("a", 2000),)
-            rig.config.put_in_force(Configuration(9, (QUEUE,), frozenset(), 10_000, rows))
+            rig.config.put_in_force(Configuration(9, (QUEUE,), 10_000, rows))
             gang = job_body(step(3, gang=True))
             with pytest.raises(GangExceedsCap) as caught:
                 await rig.acceptance.submit(Target(QUEUE, JOB, "a"), gang, 1.0)
@@ -103,7 +103,7 @@
     def test_a_large_task_is_accepted(self):
         async def body(rig: EntryRig):
             rows = (workspace("a", 2000),)
-            rig.config.put_in_force(Configuration(9, (QUEUE,), frozenset(), 10_000, rows))
+            rig.config.put_in_force(Configuration(9, (QUEUE,), 10_000, rows))
             await rig.acceptance.submit(Target(QUEUE, JOB, "a"), job_body(step(4, 3000)), 1.0)
             assert rig.stored() == [JOB]
 
