Bring the command cell interference back

Callers saw: operators get 'No such command' for a command that the page on operations describes.

Change: it is registered again, and in the reference. Evidence: a test that compares the page with the commands, and one more line in the test of operators with real entries, failed before; both pass.

--- a/ragworttiller/commands/cell.py
+++ b/ragworttiller/commands/cell.py
@@ -52,6 +52,7 @@
     context.output.rows(rows, WORKSPACE_COLUMNS)
 
 
+@app.command()
 def interference(
     ctx: typer.Context,
     believed: Annotated[bool, typer.Option(help="Only pairs that affect placement.")] = False,
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -142,6 +142,7 @@
                 (stage,) = await platform.show(name, "job", JOB_A)
                 assert stage["waiting"] == 1
                 assert len(await platform.show(name, "runners")) == 3
+                assert await platform.show(name, "interference") == []
                 refused = await platform.command(name, "job", JOB_B)
                 assert refused.exit_code != 0
                 assert "not_found" in refused.output
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -5,11 +5,15 @@
 import re
 from pathlib import Path
 
+import typer.main
+
+from ragworttiller.commands import cell
 from ragworttiller.exceptions import RagworttillerError
 from tools.reference import TARGET, reference
 
 DOCS = TARGET.parent
 LINK = re.compile(r"\]\(([^)#:]+)\)")
+CELL_COMMAND = re.compile(r"^ {4}cell (\w+)", re.MULTILINE)
 
 
 class TestReference:
@@ -22,6 +26,11 @@
 
 
 class TestPages:
+    def test_no_command_of_the_page_on_operations_is_missing(self):
+        described = CELL_COMMAND.findall((DOCS / "OPERATIONS.md").read_text())
+        assert described
+        assert set(described) <= set(typer.main.get_group(cell.app).commands)
+
     def test_links_lead_to_pages(self):
         pages = [*DOCS.rglob("*.md"), DOCS.parent / "README.md"]
         broken = [
