Keep one type for what is known of a pair of images

Cause: PairView and PairRow had the same fields, one as a tuple, one as the dictionary that operators get, and a type error was silenced between them.

Change: PairView is the dictionary; CellView hands it on. Result: no change of behaviour; the tests of interference, pace and cell view pass.

--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -6,6 +6,7 @@
 from typing import TypedDict
 
 from ragworttiller.scheduling.decisions.runner_rules import accepts_another, at_limit, suits
+from ragworttiller.scheduling.state.interference import PairView
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -57,22 +58,6 @@
     wait: str
 
 
-class PairRow(TypedDict):
-    """A pair of images: tasks of ``image`` are slowed down by those of ``beside``.
-
-    ``slowdown`` is 1 for no effect. ``samples`` is the number of samples that still count, and
-    ``age`` the seconds since the last one. A pair affects placement only if it is ``believed``.
-    """
-
-    image: str
-    beside: str
-    slowdown: float
-    samples: float
-    confidence: float
-    age: float
-    believed: bool
-
-
 class LongWait(TypedDict):
     """A stage whose tasks wait for long, and what is known of the runners that could take one.
 
@@ -134,13 +119,12 @@
             for name, runner in sorted(self._cell.runners.items())
         ]
 
-    def interference(self, now: float) -> list[PairRow]:
+    def interference(self, now: float) -> list[PairView]:
         """Return what is known of pairs of images, the largest slowdown first.
 
         There are none unless the policy learns them.
         """
-        rows = self._cell.separation.pairs(now)
-        return [PairRow(**row._asdict()) for row in rows]  # type: ignore[typeddict-item]
+        return self._cell.separation.pairs(now)
 
     def jobs(self, now: float, wall: float) -> list[JobView]:
         """Return the active jobs, oldest first."""
--- a/ragworttiller/scheduling/state/interference.py
+++ b/ragworttiller/scheduling/state/interference.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Container, Mapping
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from ragworttiller.scheduling.state.decayed import DecayedSum
 
@@ -61,7 +61,7 @@
     beside: Mapping[str, float]
 
 
-class PairView(NamedTuple):
+class PairView(TypedDict):
     """What is known of a pair: ``image`` is slowed down by ``beside``.
 
     ``slowdown`` is 1 for no effect. ``samples`` is the number of samples that still count, and
@@ -176,17 +176,17 @@
         """Return what is known of each pair, the largest slowdown first."""
         rows = [
             PairView(
-                image,
-                beside,
-                round(math.exp(pair.mean(now, PAIR_PRIOR_SAMPLES)), 3),
-                round(pair.weight(now), 2),
-                round(_confidence(pair, now), 3),
-                round(pair.age(now), 3),
-                self._believed(image, pair, now),
+                image=image,
+                beside=beside,
+                slowdown=round(math.exp(pair.mean(now, PAIR_PRIOR_SAMPLES)), 3),
+                samples=round(pair.weight(now), 2),
+                confidence=round(_confidence(pair, now), 3),
+                age=round(pair.age(now), 3),
+                believed=self._believed(image, pair, now),
             )
             for (image, beside), pair in self._pairs.items()
         ]
-        return sorted(rows, key=lambda row: (-row.slowdown, row.image, row.beside))
+        return sorted(rows, key=lambda row: (-row["slowdown"], row["image"], row["beside"]))
 
     def retain_runners(self, runners: Container[str]) -> None:
         """Forget the slowness of the runners that are not among ``runners``."""
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -155,15 +155,15 @@
                 learnt.record(Sample(image, "w1", "a", False, 1.0, beside), float(number))
         views = learnt.views(700.0)
         assert len(views) == MAX_PAIRS
-        assert max(view.age for view in views) <= MAX_PAIRS / 2 + 1
+        assert max(view["age"] for view in views) <= MAX_PAIRS / 2 + 1
 
     def test_a_view_tells_slowdown_samples_and_age(self):
         samples = Samples({("a", "b"): 2.0}, noise=0.0)
         samples.feed(10.0, {"w1": ("a", "b"), "w2": ("a",), "w3": ("b",)})
         view = samples.learnt.views(samples.now + 2.0)[0]
-        assert (view.image, view.beside, view.age) == ("a", "b", 2.0)
-        assert 5 < view.samples < 15
-        assert 0.5 < view.confidence < 1
+        assert (view["image"], view["beside"], view["age"]) == ("a", "b", 2.0)
+        assert 5 < view["samples"] < 15
+        assert 0.5 < view["confidence"] < 1
 
 
 class TestNeighbours:
