Move the decoding of the store's records to a module of its own

Change: platform/store_records.py has the records with their encoding and decoding, which raise Unreadable; the client turns that into LogUnavailable as before. Imports from platform.store stay.

Result: no change of behaviour; the tests of store access, owners, group commit, formats, takeovers, malformed answers and entry processes pass.

--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import logging
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -22,11 +21,31 @@
 from ragworttiller.platform.channel import ChannelSet, Traffic
 from ragworttiller.platform.decoding import decode_json
 from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
+from ragworttiller.platform.store_records import (
+    KeyedRecord,
+    NewestPage,
+    Record,
+    Slice,
+    decode_page,
+    decode_slice,
+    encode_record,
+)
+
+__all__ = [
+    "CONFIG_KEY",
+    "CONFIG_TOPIC",
+    "RUNNERS_TOPIC",
+    "KeyedRecord",
+    "NewestPage",
+    "Partition",
+    "Producer",
+    "Record",
+    "Slice",
+    "Store",
+]
 
 log = logging.getLogger(__name__)
 
-LENGTH_BYTES = 4
-OFFSET_BYTES = 8
 READ_MAX_KB = 1024
 ANSWER_TIMEOUT_SECONDS = 1.0
 # Too many calls, unavailable, out of space: nothing was appended, whatever the body says.
@@ -46,14 +65,6 @@
         return f"{self.topic}/{self.part}"
 
 
-class Record(NamedTuple):
-    """Record of a keyed topic; ``value`` is empty if the key was deleted."""
-
-    offset: int
-    key: str
-    value: bytes
-
-
 class Producer(NamedTuple):
     """Idempotent writer; a higher epoch of the same name fences it."""
 
@@ -61,28 +72,6 @@
     epoch: int
 
 
-class Slice(NamedTuple):
-    """Records of a partition from one offset on.
-
-    ``start`` is the oldest offset that the store keeps, ``end`` the offset of the next append.
-    """
-
-    end: int
-    start: int
-    records: list[Record]
-
-
-class NewestPage(NamedTuple):
-    """Page with the newest record of each key.
-
-    ``after`` is the key after which the next page starts, empty on the last page.
-    """
-
-    end: int
-    after: str
-    records: list[Record]
-
-
 class _Appended(msgspec.Struct):
     offset: int = 0
     end: int = 0
@@ -90,32 +79,10 @@
     seq: int | None = None
 
 
-class _Item(msgspec.Struct):
-    key: str
-    value: str
-    offset: int
-
-
-_ITEM_DECODER = msgspec.json.Decoder(_Item)
-
-
-class _Page(msgspec.Struct):
-    end: int
-    items: list[msgspec.Raw] = []
-    has_more: bool = False
-
-
 class _Expired(msgspec.Struct):
     first: int = 0
 
 
-class KeyedRecord(NamedTuple):
-    """Key and value to append."""
-
-    key: str
-    value: bytes
-
-
 class Store:
     """HTTP client of the platform's store.
 
@@ -194,7 +161,7 @@
             query |= {"producer": producer.name, "epoch": producer.epoch, "seq": sequence}
         if at is not None:
             query["at"] = at
-        body = b"".join(map(_encode_record, records))
+        body = b"".join(map(encode_record, records))
         reply = await self._append_call(
             partition, "/-/log-append?" + urlencode(query), body, timeout
         )
@@ -249,13 +216,12 @@
             except Unreadable as exc:
                 raise LogUnavailable(stream=str(partition)) from exc
             raise RecordsExpired(stream=str(partition), start=start, wanted=offset)
-        if status != 200 or len(content) < 2 * OFFSET_BYTES:
-            raise LogUnavailable(stream=str(partition))
-        result = _decode_slice(content, offset)
-        if not result.records and len(content) > 2 * OFFSET_BYTES:
-            # Taken for a short read, a record that is cut off would be asked for again at once.
+        if status != 200:
             raise LogUnavailable(stream=str(partition))
-        return result
+        try:
+            return decode_slice(content, offset)
+        except Unreadable as exc:
+            raise LogUnavailable(stream=str(partition)) from exc
 
     async def read_newest(self, partition: Partition, after: str = "") -> NewestPage:
         """Return a page with the newest record of each key after the key ``after``.
@@ -272,15 +238,9 @@
         if status != 200:
             raise LogUnavailable(stream=str(partition))
         try:
-            page = decode_json(content, _Page, _Page.__name__)
+            return decode_page(content, str(partition))
         except Unreadable as exc:
             raise LogUnavailable(stream=str(partition)) from exc
-        found = (_decode_item(partition, item) for item in page.items)
-        records = [record for record in found if record is not None]
-        if page.items and not records and page.has_more:
-            raise LogUnavailable(stream=str(partition))
-        next_after = records[-1].key if page.has_more and records else ""
-        return NewestPage(page.end, next_after, records)
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -305,51 +265,3 @@
             raise LogUnavailable(stream=str(partition)) from exc
         self._answer_count += 1
         return answer.status, answer.body
-
-
-def _encode_record(record: KeyedRecord) -> bytes:
-    key = record.key.encode()
-    length = 1 + len(key) + len(record.value)
-    return length.to_bytes(LENGTH_BYTES, "big") + bytes([len(key)]) + key + record.value
-
-
-def _decode_item(partition: Partition, item: msgspec.Raw) -> Record | None:
-    """Return an item of a page, None without a readable key.
-
-    A value that is no base64 is returned as it was sent: the reader of the records finds it
-    unreadable, while an empty or missing one would mean that the key was deleted.
-    """
-    try:
-        row = _ITEM_DECODER.decode(item)
-    except msgspec.MsgspecError as exc:
-        extra = {"partition": str(partition), "problem": str(exc)}
-        log.warning("record without a readable key left out", extra=extra)
-        return None
-    try:
-        return Record(row.offset, row.key, base64.b64decode(row.value, validate=True))
-    except ValueError:
-        return Record(row.offset, row.key, row.value.encode())
-
-
-def _decode_slice(content: bytes, offset: int) -> Slice:
-    """Return the records in the answer to a read, without one that is cut off at its end."""
-    end = int.from_bytes(content[:OFFSET_BYTES], "big")
-    start = int.from_bytes(content[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
-    records: list[Record] = []
-    position = 2 * OFFSET_BYTES
-    while position + LENGTH_BYTES <= len(content):
-        record_start = position + LENGTH_BYTES
-        position = record_start + int.from_bytes(content[position:record_start], "big")
-        if position > len(content):
-            break
-        records.append(_decode_record(offset + len(records), content[record_start:position]))
-    return Slice(end, start, records)
-
-
-def _decode_record(offset: int, data: bytes) -> Record:
-    """Return the record, with empty key and value if it cannot be decoded."""
-    length = data[0] if data else 0
-    key = data[1 : 1 + length]
-    if not data or len(key) < length:
-        return Record(offset, "", b"")
-    return Record(offset, key.decode("utf-8", "replace"), data[1 + length :])
