Let lasting tasks start on runners that have failed

What callers saw: LOST was reported of a lasting task that did not run again with room for it. That this was its cause is not shown.

Cause: a runner on which two runs fail within 4 s is suspended for 3 s, after further failures for up to 12 s, whatever the runs failed of. After that it is closed while its one probe runs, which takes as long as that task. Where few runners suit, a lasting task found none for longer than it may wait, though the runners were up and had room.

Evidence: a lasting task waited 9.0 s for the end of a third suspension, and 10 s, the limit of the test, beside a probe of 60 s.

Lasting tasks have no limit of attempts. One that has waited for 2 s now starts beside a probe, and on suspended runners if no other has room. A runner that has refused a start would refuse the next one too, so it is tried each 3 s.

One test let two lasting tasks start on one runner on probation and expected the second to wait for 3 s and more, which is what is mended here. It now has a task that does not last beside the probe, with the same times and checks.

--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -47,6 +47,8 @@
     """
     if at_limit(stage, running):
         return False
+    if stage.tries_suspended:
+        return True
     return not (runner.on_probation and (runner.probe_running or running))
 
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Collection, Iterator, Mapping, Sequence
 
 from ragworttiller.resources import Resources
@@ -183,11 +184,26 @@
             room = free_resources.upstream_room(work.queue.upstream)
             return self._headroom.allowance(inputs, 0.0, room, now)
 
+        self._start_on_suspended(plan, ready, capped, now)
         left = Leftovers(jobs, free_resources, ready, allowance_now, now)
         self._copies.plan(plan, left)
         self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
+    def _start_on_suspended(
+        self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
+    ) -> None:
+        """Start lasting tasks that have waited for long on suspended runners."""
+        rows = [row for row in ready if row[1].tries_suspended and row[1].waiting]
+        runners = self._pool.accepting_lasting_tasks_only(now) if rows else []
+        if not runners:
+            return
+        free = FreeResources(runners)
+        for work, stage, inputs in rows:
+            allowed = self._allowed_by_cap(work, stage, now) if capped else len(stage.waiting)
+            if allowed:
+                self._start_placeable(plan, work, stage, inputs, free, math.inf, allowed, now)
+
     def _allowed_by_cap(self, work: JobWork, stage: Stage, now: float) -> int:
         """Return how many tasks the cap of its workspace allows a stage, and record if none."""
         allowed = self._caps.allowed(stage, now - (stage.ready_since or now))
@@ -226,11 +242,15 @@
     def _relax_avoidance(
         self, work: JobWork, stage: Stage, free: FreeResources, now: float
     ) -> None:
-        """Let tasks that have failed start on more runners once their stage is blocked for long."""
-        stage.tries_failed_on_probation = False
+        """Let tasks start on more runners once their stage is blocked for long.
+
+        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
+        """
+        stage.tries_failed_on_probation = stage.tries_suspended = False
         if now - (stage.blocked_since or now) <= AVOID_FAILED_RUNNER_SECONDS:
             return
         stage.last_failed_runner.clear()
+        stage.tries_suspended = stage.spec.daemon
         if stage.failed_runs:
             stage.tries_failed_on_probation = all(
                 runner.on_probation for runner in _possible_runners(work, stage, free)
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -146,7 +146,7 @@
                 stage.tickets.drop(run.runner)
             self._requeue(stage, run, now)
         if reason in ("unhealthy", "room") and runner is not None:
-            self._suspend(runner, f"start refused: {reason}", now)
+            self._suspend(runner, f"start refused: {reason}", now, refused=True)
 
     def _apply_running(self, runner: RunnerState, row: RunningTask, now: float) -> None:
         run = runner.runs.get((row.task, row.run))
@@ -163,9 +163,9 @@
             self._suspend(runner, "run without progress", now)
             self._stops.add(run, "stalled")
 
-    def _suspend(self, runner: RunnerState, reason: str, now: float) -> None:
+    def _suspend(self, runner: RunnerState, reason: str, now: float, refused: bool = False) -> None:
         """Suspend a runner, with one line for each suspension."""
-        if runner.suspend(now):
+        if runner.suspend(now, refused):
             seconds = round(runner.suspended_until - now, 1)
             extra = {"runner": runner.id, "why": reason, "seconds": seconds}
             log.warning("runner suspended", extra=extra)
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -98,6 +98,10 @@
         """Return the runners on which tasks may start."""
         return [runner for runner in self.runners.values() if runner.accepts_tasks(now)]
 
+    def accepting_lasting_tasks_only(self, now: float) -> list[RunnerState]:
+        """Return the suspended runners on which a lasting task may be tried."""
+        return [r for r in self.runners.values() if r.accepts_lasting_tasks_only(now)]
+
     def silent(self) -> set[str]:
         """Return the runners that have missed a call since their last answer."""
         return {name for name, runner in self._doubtful.items() if runner.misses > 0}
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -100,6 +100,7 @@
         self.suspended_until = 0.0
         self.leaves_at = float("inf")
         self._suspensions = 0
+        self._refused_until = float("-inf")
         self._failures: list[float] = []
         self._used = NO_RESOURCES
         self._used_by_lasting = NO_RESOURCES
@@ -185,6 +186,14 @@
 
     def accepts_tasks(self, now: float) -> bool:
         """Return whether tasks may start on the runner."""
+        return now >= self.suspended_until and self._usable(now)
+
+    def accepts_lasting_tasks_only(self, now: float) -> bool:
+        """Return whether the runner is suspended, but need not refuse a start."""
+        return self._refused_until <= now < self.suspended_until and self._usable(now)
+
+    def _usable(self, now: float) -> bool:
+        """Return whether tasks may start on the runner as far as no suspension forbids it."""
         return (
             self.listed
             and self.enrolled
@@ -193,7 +202,6 @@
             and not self.lost
             and self.misses == 0
             and now - self.last_answer_at < MAX_ANSWER_AGE_SECONDS
-            and now >= self.suspended_until
             and (self._trial is None or not self.on_trial(now))
         )
 
@@ -355,14 +363,23 @@
         self._failures = [*recent, now]
         return len(self._failures) >= FAILURES_TO_SUSPEND or self.on_probation
 
-    def suspend(self, now: float) -> bool:
+    def suspend(self, now: float, refused: bool = False) -> bool:
         """Start no tasks on the runner for a while; consecutive suspensions grow longer.
 
+        Parameters
+        ----------
+        now : float
+            Time of the owner, in seconds.
+        refused : bool
+            Whether the runner has refused a start, so that it would refuse the next one too.
+
         Returns
         -------
         bool
             Whether the suspension is new.
         """
+        if refused:
+            self._refused_until = now + SUSPEND_STEP_SECONDS
         if now < self.suspended_until:
             return False
         self._suspensions += 1
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.state.workspaces import Workspace
@@ -49,3 +51,49 @@
         rig.cell.apply_advice(call, {"w1": "t"}, rig.now - 10.0)
         rig.submit(step(1, daemon=True, requires="a"), job=job_id(1), queue=LASTING)
         assert seconds_until_start(rig, job_id(1)) < MAX_WAIT_SECONDS
+
+
+class TestRunnersThatHaveFailed:
+    @pytest.fixture()
+    def rig(self) -> CellRig:
+        """Return a cell of which only the first runner has the label "a"."""
+        rig = CellRig(1)
+        rig.add_runner("w2", labels=("b",))
+        return rig
+
+    def test_a_long_probe_keeps_no_lasting_task_from_a_runner_on_probation(self, rig: CellRig):
+        """Guards against a wait for a probe that takes as long as its task."""
+        rig.cell.runners["w1"].suspend(rig.now)
+        rig.pass_time(3.5)
+        rig.submit(step(1, requires="a", estimate_ms=60_000))
+        assert len(rig.start_all()) == 1
+        rig.submit(step(1, daemon=True, requires="a"), job=job_id(1))
+        assert seconds_until_start(rig, job_id(1)) < MAX_WAIT_SECONDS
+
+    def test_a_lasting_task_starts_though_all_runners_that_suit_are_suspended(self, rig: CellRig):
+        """Guards against a wait for the end of suspensions, which take up to 12 s."""
+        for seconds in (0.0, 3.5, 6.5):
+            rig.pass_time(seconds)
+            rig.cell.runners["w1"].suspend(rig.now)
+        rig.submit(step(2, daemon=True, requires="a"), job=job_id(1))
+        assert 1.0 < seconds_until_start(rig, job_id(1)) < MAX_WAIT_SECONDS
+
+    def test_nothing_starts_on_a_runner_that_is_suspended_since_it_refuses(self, rig: CellRig):
+        rig.submit(step(1, daemon=True, requires="a"), job=job_id(1))
+        (order,) = rig.plan().starts
+        rig.cell.mark_start_refused(order.run, "unhealthy", rig.now)
+        assert seconds_until_start(rig, job_id(1)) >= MAX_WAIT_SECONDS
+
+    def test_a_refused_start_is_tried_again_while_the_suspension_lasts(self, rig: CellRig):
+        """Guards against a wait of up to 12 s for a runner that has become healthy meanwhile."""
+        for seconds in (0.0, 3.5, 6.5):
+            rig.pass_time(seconds)
+            rig.cell.runners["w1"].suspend(rig.now, refused=True)
+        rig.submit(step(1, daemon=True, requires="a"), job=job_id(1))
+        assert seconds_until_start(rig, job_id(1)) < 4.0
+
+    def test_other_tasks_wait_for_the_end_of_a_suspension(self, rig: CellRig):
+        rig.pass_time(1.0)
+        rig.cell.runners["w1"].suspend(rig.now)
+        rig.submit(step(1, requires="a"), job=job_id(1))
+        assert seconds_until_start(rig, job_id(1)) >= MAX_WAIT_SECONDS
--- a/tests/test_runner_conditions.py
+++ b/tests/test_runner_conditions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragworttiller.platform.configuration import AdviceCost
-from tests.scheduling_rig import JOB, QUEUE, CellRig, step, task
+from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step, task
 
 OTHER_JOB = "fedcba9876543210"
 
@@ -72,8 +72,10 @@
         rig = CellRig(1)
         rig.cell.runners["w1"].suspend(rig.now)
         rig.pass_time(3.5)
-        rig.submit(step(2, daemon=True))
-        assert len(rig.start_all()) == 1
+        rig.submit(step(1, daemon=True))
+        rig.submit(step(1), job=job_id(1))
+        (probe,) = rig.start_all()
+        assert probe.run.spec.daemon
         rig.pass_time(3.0)
         assert rig.start_all() == []
         with caplog.at_level("INFO"):
