Answer a query within the time that its caller waits

Callers saw: no answer in time to a GET for the state of an accepted job.

Cause: the waits of a query were added up, not bounded by one deadline. An entry that had not read the store lately asked two others (0.6 s each), read the store itself (1 s, whatever the caller's time), and then began a new deadline for two more entries. A relayed query waited 1 s for the store of the entry asked, whose caller gave up after 0.6 s, took that entry for unreachable, avoided it for 3 s and replaced its connection.

Evidence: with a silent store and silent entries, an answer to a caller with 2.4 s took 3.4 s, and one to a caller with 0.3 s took 1.8 s; a relayed query with 0.5 s was answered after 1.0 s (tests/test_state_reads.py, failed before).

Fix: one scope ends every query at its timeout with 503 and a time to come back. Reads of the store get the time that is left. An entry with stale states asks others in the first half of the time, so that a state that is known here is still told.

--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -214,7 +214,7 @@
         if len(self._attempted) > MAX_ATTEMPTS_KEPT:
             self._attempted.pop(next(iter(self._attempted)))
 
-    async def state(self, target: Target) -> JobState:
+    async def state(self, target: Target, timeout: float) -> JobState:
         """Return the state of a job.
 
         Raises
@@ -222,9 +222,9 @@
         JobUnknown
             No such job was accepted.
         StateUnknown
-            The store cannot be read.
+            The store cannot be read within ``timeout`` seconds.
         """
-        return (await self._row(target)).state
+        return (await self._row(target, timeout)).state
 
     async def cancel(self, target: Target, timeout: float) -> None:
         """Cancel a job, also one whose submission is still in flight.
@@ -283,20 +283,20 @@
         except AppendUndecided as exc:
             raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
 
-    async def _row(self, target: Target) -> JobRow:
+    async def _row(self, target: Target, timeout: float = CATCH_UP_TIMEOUT_SECONDS) -> JobRow:
         """Return the row of a job that the caller may see."""
         job = target.job
         row = self._jobs.get(job)
         if row is None:
-            await self._refresh(job)
+            await self._refresh(job, timeout)
             row = self._jobs.get(job)
         if row is None or not _may_use(target, row):
             raise JobUnknown(job=job)
         return row
 
-    async def _refresh(self, job: str) -> None:
+    async def _refresh(self, job: str, timeout: float = CATCH_UP_TIMEOUT_SECONDS) -> None:
         try:
-            with self._clock.move_on_after(CATCH_UP_TIMEOUT_SECONDS) as scope:
+            with self._clock.move_on_after(min(timeout, CATCH_UP_TIMEOUT_SECONDS)) as scope:
                 await self._feed.catch_up()
         except LogUnavailable as exc:
             raise StateUnknown(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
--- a/ragworttiller/scheduling/entry/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -81,7 +81,9 @@
         if not target.job and method == "GET":
             return CallerReply(OK, pending_body(self._acceptance.pending(target)))
         if target.job and method == "GET":
-            return CallerReply(OK, state_body(await self._acceptance.state(target)))
+            return CallerReply(
+                OK, state_body(await self._acceptance.state(target, request.timeout))
+            )
         if target.job and method == "POST":
             await self._acceptance.submit(target, request.body, request.timeout)
             return CallerReply(OK, b"{}")
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -44,6 +44,8 @@
 CALL_MARGIN_SECONDS = 0.1
 MAX_RELAY_ATTEMPTS = 2
 STALE_AGE_SECONDS = 1.4
+# Share of a query's timeout in which an entry with stale states asks others; then it answers.
+STALE_RELAY_SHARE = 0.5
 AVOID_UNRESPONSIVE_ENTRY_SECONDS = 3.0
 # Code of a reply whose body is a later configuration than the one of the relaying entry.
 LATER_CONFIGURATION = "later_configuration"
@@ -118,10 +120,8 @@
 
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
-        if request.method == "GET" and self._age() > STALE_AGE_SECONDS:
-            reply = (await self._relay(request)).reply
-            if reply is not None:
-                return reply
+        if request.method == "GET":
+            return await self._answer_query(request)
         deadline = self._clock.now() + request.timeout
         owner_result = await self._write_through_owner(request)
         if owner_result.reply is not None:
@@ -134,6 +134,42 @@
             relayed = await self._relay(request._replace(timeout=remaining))
             return self._resolve_failure(exc, relayed, owner_result.undecided or relayed.undecided)
 
+    async def _answer_query(self, request: CallerRequest) -> CallerReply:
+        """Answer a query within its timeout.
+
+        Raises
+        ------
+        NotReady
+            The time of the caller has passed.
+        """
+        with self._clock.move_on_after(request.timeout):
+            return await self._read(request)
+        reason = "no state could be read in the time of the caller"
+        raise NotReady(
+            instance=self._peers.instance, reason=reason, retry_after=RETRY_AFTER_SECONDS
+        )
+
+    async def _read(self, request: CallerRequest) -> CallerReply:
+        """Answer a query here, or through other entries if this one has not read the store."""
+        deadline = self._clock.now() + request.timeout
+        is_stale = self._age() > STALE_AGE_SECONDS
+        if is_stale:
+            with self._clock.move_on_after(STALE_RELAY_SHARE * request.timeout):
+                reply = (await self._relay(request)).reply
+                if reply is not None:
+                    return reply
+        remaining = deadline - self._clock.now()
+        try:
+            return await self._local.answer(request._replace(timeout=remaining))
+        except StateUnknown:
+            if is_stale:
+                raise
+            remaining = deadline - self._clock.now()
+            reply = (await self._relay(request._replace(timeout=remaining))).reply
+            if reply is None:
+                raise
+            return reply
+
     def _resolve_failure(
         self, exc: RagworttillerError, relayed: RelayResult, undecided: bool
     ) -> CallerReply:
--- /dev/null
+++ b/tests/test_state_reads.py
@@ -0,0 +1,100 @@
+"""Tests of the answers to queries (GET) in the time that callers wait for them."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.exceptions import NotReady, PeerUnreachable, StateUnknown
+from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from tests.entry_rig import EntryRig, with_entry
+from tests.scheduling_rig import JOB, QUEUE
+
+# What an entry uses of the 3 s that callers wait.
+CALLER_SECONDS = 2.4
+STALE_SECONDS = 5.0
+UNKNOWN_JOB = "00000000000000bb"
+OTHER_ENTRIES = {"e2", "e3", "e4", "e5", "e6"}
+
+
+class SilentPeers:
+    """Connections to other entries that do not answer, but for those with an answer."""
+
+    instance = "e1"
+
+    def __init__(self, rig: EntryRig):
+        self._timers = rig.timers
+        self.answers: dict[str, CallerReply] = {}
+        self.asked: list[str] = []
+
+    def handle(self, message_type, handler):
+        self.serve = handler
+
+    async def call(self, name: str, message: CallerRequest, timeout: float) -> CallerReply:
+        self.asked.append(name)
+        if name in self.answers:
+            return self.answers[name]
+        await self._timers.sleep(timeout)
+        raise PeerUnreachable(instance=name)
+
+
+def relaying(rig: EntryRig, peers: SilentPeers, age: float = 0.0) -> RelayingCallers:
+    """Return the callers of an entry that was up to date with the store ``age`` seconds ago."""
+    return RelayingCallers(
+        rig.callers,
+        peers,
+        rig.config,
+        lambda name, sent_at: None,
+        lambda: age,
+        lambda: "e2",
+        lambda: {"e1"} | OTHER_ENTRIES,
+        rig.timers,
+        rig.writer,
+    )
+
+
+def query(job: str = JOB, timeout: float = CALLER_SECONDS) -> CallerRequest:
+    """Return a query for the state of a job."""
+    return CallerRequest("GET", QUEUE.host, QUEUE.prefix + job, b"", timeout)
+
+
+class TestTimeOfAnswers:
+    @pytest.mark.parametrize("age", [0.0, STALE_SECONDS])
+    @pytest.mark.parametrize("timeout", [CALLER_SECONDS, 1.0, 0.3])
+    def test_waits_for_entries_and_store_do_not_add_up_past_the_callers_time(
+        self, age: float, timeout: float
+    ):
+        async def body(rig: EntryRig):
+            rig.link.cut = True
+            began_at = rig.timers.now()
+            with pytest.raises((StateUnknown, NotReady)) as caught:
+                await relaying(rig, SilentPeers(rig), age).answer(query(UNKNOWN_JOB, timeout))
+            assert (caught.value.status, caught.value.retry_after) == (503, 1.0)
+            assert rig.timers.now() - began_at < timeout + 0.01
+
+        with_entry(body)
+
+    def test_a_relayed_query_is_answered_before_the_relaying_entry_gives_up(self):
+        """An entry whose store is silent was taken for unreachable, and its connection replaced."""
+
+        async def body(rig: EntryRig):
+            peers = SilentPeers(rig)
+            relaying(rig, peers)
+            rig.link.cut = True
+            began_at = rig.timers.now()
+            forwarded = query(UNKNOWN_JOB, 0.5)._replace(version=1)
+            assert (await peers.serve("e2", forwarded)).code == StateUnknown.code
+            assert rig.timers.now() - began_at < 0.51
+
+        with_entry(body)
+
+    @pytest.mark.parametrize("timeout", [CALLER_SECONDS, 0.3])
+    def test_a_state_known_here_is_told_while_all_other_entries_are_silent(self, timeout: float):
+        async def body(rig: EntryRig):
+            await rig.call("POST")
+            await rig.timers.sleep(0.5)
+            rig.link.cut = True
+            reply = await relaying(rig, SilentPeers(rig), STALE_SECONDS).answer(query(JOB, timeout))
+            assert reply.body == b'{"state":"queued"}'
+
+        with_entry(body)
