Ask another entry while a starting one still reads the jobs

Callers saw: 503 to a GET for the state of a job at an entry that had just started, although other entries knew the state.

Cause: other entries were asked only by an entry whose claims are stale or that could not read a job from the store. The claims of a starting entry are one small page, its jobs many. Once the claims are read and the first 0.8 s are over, its queries were refused without asking anyone.

Evidence: tests/test_state_reads.py, a query at an entry that has read no jobs while another entry has the state; failed before with NotReady.

Fix: a query that is not answered here for want of jobs, or of a confirmed configuration, goes the same way as one whose job cannot be read.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -50,6 +50,7 @@
 # Code of a reply whose body is a later configuration than the one of the relaying entry.
 LATER_CONFIGURATION = "later_configuration"
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
+READ_FAILURES = (NotReady, ConfigurationUnconfirmed, StateUnknown)
 NO_ANSWER_CODES = (NotReady.code, ConfigurationUnconfirmed.code, LATER_CONFIGURATION)
 
 
@@ -161,7 +162,7 @@
         remaining = deadline - self._clock.now()
         try:
             return await self._local.answer(request._replace(timeout=remaining))
-        except StateUnknown:
+        except READ_FAILURES:
             if is_stale:
                 raise
             remaining = deadline - self._clock.now()
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -98,3 +98,18 @@
             assert reply.body == b'{"state":"queued"}'
 
         with_entry(body)
+
+
+class TestOtherEntries:
+    def test_a_query_at_an_entry_that_still_reads_the_jobs_is_answered_by_another_one(self):
+        """The claims are read at once, the jobs page by page."""
+
+        async def body(rig: EntryRig):
+            peers = SilentPeers(rig)
+            peers.answers["e2"] = CallerReply(200, b'{"state":"completed"}')
+            rig.feed._position = None
+            rig.link.silent_target = "log-newest"
+            reply = await relaying(rig, peers).answer(query())
+            assert reply.body == b'{"state":"completed"}'
+
+        with_entry(body)
