Do not take an entry's unknown state for the answer of the cell

Callers saw: 503 to a GET for the state of a job, although the entry that they asked had the job, or a second other entry could read it.

Cause: an entry with stale states took any reply of the first other entry as the answer, also that this one could not read the store either.

Evidence: tests/test_state_reads.py, other entries that answer state_unknown beside an entry that has the job, and beside one that can read it; failed before with 503.

Fix: that reply is no answer, as a reply of an entry that is not ready is none: the next entry is asked, then the states here. A cancellation that gets it through the owner is tried here as well; it has the same effect twice.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -51,7 +51,12 @@
 LATER_CONFIGURATION = "later_configuration"
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
 READ_FAILURES = (NotReady, ConfigurationUnconfirmed, StateUnknown)
-NO_ANSWER_CODES = (NotReady.code, ConfigurationUnconfirmed.code, LATER_CONFIGURATION)
+NO_ANSWER_CODES = (
+    NotReady.code,
+    ConfigurationUnconfirmed.code,
+    StateUnknown.code,
+    LATER_CONFIGURATION,
+)
 
 
 class RelayResult(NamedTuple):
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -113,3 +113,17 @@
             assert reply.body == b'{"state":"completed"}'
 
         with_entry(body)
+
+    def test_an_entry_that_does_not_know_a_state_does_not_answer_for_the_others(self):
+        async def body(rig: EntryRig):
+            await rig.call("POST")
+            await rig.timers.sleep(0.5)
+            peers = SilentPeers(rig)
+            peers.answers = dict.fromkeys(OTHER_ENTRIES, CallerReply(503, b"", StateUnknown.code))
+            stale = relaying(rig, peers, STALE_SECONDS)
+            assert (await stale.answer(query())).body == b'{"state":"queued"}'
+            rig.link.cut = True
+            peers.answers |= {name: CallerReply(200, b"{}") for name in OTHER_ENTRIES - {"e2"}}
+            assert (await stale.answer(query(UNKNOWN_JOB))).status == 200
+
+        with_entry(body)
