Go on with a load of all keys after a read that failed

Callers saw: 503 to every request at entries that had started again while the store refused a part of the reads.

One page that failed made it read all of them again from the first, after a pause. With many pages, or many entries that start at once and meet the store's limit of reads a second, no attempt reached the last page.

Fix: the pages read so far are kept (PagedLoad), and the next attempt reads the page that failed.

--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -12,6 +12,7 @@
 from ragworttiller.exceptions import LogUnavailable, RecordsExpired
 from ragworttiller.platform.store import NewestPage, Partition, Record, Store
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.records.paged_load import PagedLoad
 
 log = logging.getLogger(__name__)
 
@@ -81,6 +82,7 @@
         self._poll_seconds = poll_seconds
         self._on_empty_poll = on_empty_poll
         self._lock = anyio.Lock()
+        self._pages = PagedLoad(store, partition, clock)
         self._offsets: dict[str, int] = {}
         self._position: int | None = None
         self._current_at = float("-inf")
@@ -190,10 +192,7 @@
 
     async def _load(self) -> None:
         """Load the newest record of each key and delete keys that no longer exist."""
-        asked_at = self._clock.now()
-        pages = [await self._store.read_newest(self._partition)]
-        while pages[-1].after:
-            pages.append(await self._store.read_newest(self._partition, pages[-1].after))
+        asked_at, pages = await self._pages.read()
         # Applied together: with half of them, an owner could act on jobs without their later state.
         start, keys = pages[0].end, set[str]().union(*map(self._apply_page, pages))
         for key, offset in list(self._offsets.items()):
@@ -201,8 +200,8 @@
                 self._apply(Record(start, key, b""))
         offsets = [record.offset for page in pages for record in page.records]
         self._loaded_end = max(start, *(offset + 1 for offset in offsets), 0)
-        self._position = start
-        self._current_at = asked_at
+        self._position = max(self._position or 0, start)
+        self._current_at = max(self._current_at, asked_at)
         self._newest_at = max(self._newest_at, asked_at)
         self.on_change()
 
--- /dev/null
+++ b/ragworttiller/scheduling/records/paged_load.py
@@ -0,0 +1,58 @@
+"""Reads the newest record of each key of a partition, page by page."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ragworttiller.platform.store import NewestPage, Partition, Store
+from ragworttiller.scheduling.clock import Clock
+
+
+class LoadedPages(NamedTuple):
+    """All pages of a partition; ``asked_at`` is when the first was asked for, in seconds."""
+
+    asked_at: float
+    pages: list[NewestPage]
+
+
+class PagedLoad:
+    """Load of all keys, which goes on after a failed read with the page that it failed on.
+
+    Load pattern: many entries start at once and read many pages each, from a store that is slow or
+    refuses a part of the reads.
+
+    Parameters
+    ----------
+    store : Store
+        Store to read.
+    partition : Partition
+        Partition to read.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, store: Store, partition: Partition, clock: Clock) -> None:
+        self._store = store
+        self._partition = partition
+        self._clock = clock
+        self._asked_at = float("-inf")
+        self._pages: list[NewestPage] = []
+
+    async def read(self) -> LoadedPages:
+        """Read the pages that are missing, and return all of them.
+
+        Pages are no snapshot: what changed after the first one is read from its end on.
+
+        Raises
+        ------
+        LogUnavailable
+            The store cannot be read; the pages read so far are kept.
+        """
+        if not self._pages:
+            self._asked_at = self._clock.now()
+            self._pages.append(await self._store.read_newest(self._partition))
+        while self._pages[-1].after:
+            after = self._pages[-1].after
+            self._pages.append(await self._store.read_newest(self._partition, after))
+        pages, self._pages = self._pages, []
+        return LoadedPages(self._asked_at, pages)
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -159,6 +160,23 @@
         await feed.catch_up()
         assert len(rig.recording.values) == 5
 
+    @virtual
+    async def test_a_load_that_a_refused_read_interrupts_goes_on_with_its_next_page(self):
+        """A store that refuses every third read kept an entry from ever reading five pages."""
+        rig = StoreRig(page=2)
+        for n in range(9):
+            rig.service.put(PARTITION.topic, f"k{n}", b"v")
+        read, calls = rig.store.read_newest, itertools.count(1)
+
+        async def refusing(*args, **options):
+            if next(calls) % 3 == 0:
+                raise LogUnavailable(stream=str(PARTITION))
+            return await read(*args, **options)
+
+        rig.store.read_newest = refusing
+        await self.run_feed(rig, rig.feed(), lambda: rig.timers.sleep(5.0))
+        assert len(rig.recording.values) == 9
+
     @virtual
     async def test_an_unresponsive_connection_is_abandoned_in_time(self):
         """A configuration has to be in force within 2 s, and 3 s after a connection went silent."""
