Wait longer for a page of keys after one that came too late

Callers saw: 503 to every request at entries that had started while the store was slow, for as long as it was slow.

Cause: a page of up to 1 MB had 1 s for its answer, as every other call. All reads share the bandwidth of the store, so pages for many starting entries take longer at the same time. Each attempt was given up and made again, which cost the store the same bandwidth each time.

Fix: a page that was waited for in vain doubles the wait of the next attempt, up to 4 s. Refusals leave it as it is, and the next load begins with 1 s.

--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -239,7 +239,7 @@
         if wait:
             query["wait_ms"] = int(wait * 1000)
         target = "/-/log-read?" + urlencode(query)
-        status, content = await self._read_call(partition, target, wait)
+        status, content = await self._read_call(partition, target, self._timeout + wait)
         if status == 410:
             try:
                 start = decode_json(content, _Expired, _Expired.__name__).first
@@ -250,9 +250,13 @@
             raise LogUnavailable(stream=str(partition))
         return _decode_slice(content, offset)
 
-    async def read_newest(self, partition: Partition, after: str = "") -> NewestPage:
+    async def read_newest(
+        self, partition: Partition, after: str = "", timeout: float | None = None
+    ) -> NewestPage:
         """Return a page with the newest record of each key after the key ``after``.
 
+        Wait ``timeout`` seconds for the answer; by default the timeout of the client.
+
         Raises
         ------
         LogUnavailable
@@ -261,7 +265,8 @@
         query: dict[str, object] = {"topic": partition.topic, "part": partition.part}
         if after:
             query["after"] = after
-        status, content = await self._read_call(partition, "/-/log-newest?" + urlencode(query), 0.0)
+        target = "/-/log-newest?" + urlencode(query)
+        status, content = await self._read_call(partition, target, timeout or self._timeout)
         if status != 200:
             raise LogUnavailable(stream=str(partition))
         try:
@@ -288,9 +293,11 @@
         self._answer_count += 1
         return answer
 
-    async def _read_call(self, partition: Partition, target: str, wait: float) -> tuple[int, bytes]:
+    async def _read_call(
+        self, partition: Partition, target: str, timeout: float
+    ) -> tuple[int, bytes]:
         try:
-            answer = await self._channels.request("GET", target, timeout=self._timeout + wait)
+            answer = await self._channels.request("GET", target, timeout=timeout)
         except (NotSent, ExchangeBroken) as exc:
             raise LogUnavailable(stream=str(partition)) from exc
         self._answer_count += 1
--- a/ragworttiller/scheduling/records/paged_load.py
+++ b/ragworttiller/scheduling/records/paged_load.py
@@ -4,9 +4,13 @@
 
 from typing import NamedTuple
 
-from ragworttiller.platform.store import NewestPage, Partition, Store
+from ragworttiller.exceptions import LogUnavailable
+from ragworttiller.platform.store import ANSWER_TIMEOUT_SECONDS, NewestPage, Partition, Store
 from ragworttiller.scheduling.clock import Clock
 
+# A longer wait for a dead connection would delay a start by more than another attempt takes.
+MAX_PAGE_TIMEOUT_SECONDS = 4.0
+
 
 class LoadedPages(NamedTuple):
     """All pages of a partition; ``asked_at`` is when the first was asked for, in seconds."""
@@ -37,6 +41,7 @@
         self._clock = clock
         self._asked_at = float("-inf")
         self._pages: list[NewestPage] = []
+        self._timeout = ANSWER_TIMEOUT_SECONDS
 
     async def read(self) -> LoadedPages:
         """Read the pages that are missing, and return all of them.
@@ -50,9 +55,19 @@
         """
         if not self._pages:
             self._asked_at = self._clock.now()
-            self._pages.append(await self._store.read_newest(self._partition))
+            self._pages.append(await self._read_page(""))
         while self._pages[-1].after:
-            after = self._pages[-1].after
-            self._pages.append(await self._store.read_newest(self._partition, after))
+            self._pages.append(await self._read_page(self._pages[-1].after))
         pages, self._pages = self._pages, []
+        self._timeout = ANSWER_TIMEOUT_SECONDS
         return LoadedPages(self._asked_at, pages)
+
+    async def _read_page(self, after: str) -> NewestPage:
+        """Read one page; after one that came too late, the next attempt waits longer."""
+        asked_at = self._clock.now()
+        try:
+            return await self._store.read_newest(self._partition, after, self._timeout)
+        except LogUnavailable:
+            if self._clock.now() - asked_at >= self._timeout:
+                self._timeout = min(2 * self._timeout, MAX_PAGE_TIMEOUT_SECONDS)
+            raise
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -177,6 +177,16 @@
         await self.run_feed(rig, rig.feed(), lambda: rig.timers.sleep(5.0))
         assert len(rig.recording.values) == 9
 
+    @virtual
+    async def test_keys_are_loaded_from_a_store_that_is_slower_than_the_first_timeout(self):
+        """Answers of 1 MB to many starting entries share the bandwidth of the store."""
+        rig = StoreRig(page=2)
+        for n in range(5):
+            rig.service.put(PARTITION.topic, f"k{n}", b"v")
+        rig.service.answer_seconds = 1.5
+        await self.run_feed(rig, rig.feed(), lambda: rig.timers.sleep(7.0))
+        assert len(rig.recording.values) == 5
+
     @virtual
     async def test_an_unresponsive_connection_is_abandoned_in_time(self):
         """A configuration has to be in force within 2 s, and 3 s after a connection went silent."""
