Load all keys once for the reads that found the same records expired

Callers saw: 503 to a GET for a job that an entry had not read yet, while the log had expired up to that job.

Cause: each read that was told that its records have expired loaded all keys itself, one after the other behind one lock. Queries for jobs unknown here start such reads at any number, and give up after 1 s.

Evidence: tests/test_store_access.py, ten reads at once from a store that answers after 0.2 s: not done after 0.7 s before this change, done with it.

Fix: a read that has waited for the lock loads only if the position is still the one that has expired.

--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -155,9 +155,7 @@
     async def _read(self, wait: float) -> ReadOutcome:
         """Read once."""
         if self._position is None:
-            async with self._lock:
-                if self._position is None:
-                    await self._load()
+            await self._load_once(None)
             return ReadOutcome.BEHIND
         asked_at, position = self._clock.now(), self._position
         try:
@@ -167,8 +165,7 @@
                 "records expired before they were read",
                 extra={"partition": str(self._partition), **exc.fields},
             )
-            async with self._lock:
-                await self._load()
+            await self._load_once(position)
             return ReadOutcome.BEHIND
         for record in result.records:
             # A concurrent read may have advanced the position; keys it deleted must not reappear.
@@ -190,6 +187,12 @@
             return ReadOutcome.BEHIND
         return ReadOutcome.CAUGHT_UP if result.records else ReadOutcome.NOTHING_NEW
 
+    async def _load_once(self, position: int | None) -> None:
+        """Load all keys, unless another read has done so since ``position``."""
+        async with self._lock:
+            if self._position == position:
+                await self._load()
+
     async def _load(self) -> None:
         """Load the newest record of each key and delete keys that no longer exist."""
         asked_at, pages = await self._pages.read()
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -187,6 +187,22 @@
         await self.run_feed(rig, rig.feed(), lambda: rig.timers.sleep(7.0))
         assert len(rig.recording.values) == 5
 
+    @virtual
+    async def test_reads_that_find_the_same_records_expired_load_the_keys_once(self):
+        """Queries for jobs unknown here waited for a load each, one after the other."""
+        rig = StoreRig()
+        feed = rig.feed()
+        await feed.catch_up()
+        rig.service.put(PARTITION.topic, "k", b"v")
+        rig.service.expire(PARTITION.topic)
+        rig.service.answer_seconds = 0.2
+        began_at = rig.timers.now()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(10):
+                tasks.start_soon(feed.catch_up)
+        assert rig.recording.values == {"k": b"v"}
+        assert rig.timers.now() - began_at < 0.7
+
     @virtual
     async def test_an_unresponsive_connection_is_abandoned_in_time(self):
         """A configuration has to be in force within 2 s, and 3 s after a connection went silent."""
