Count the time in which the modules load as time of the caller

Callers saw: an answer after the end of their time to queries that met an entry as it started.

Cause: the socket listens before the modules are loaded, which took 0.6 s on a machine shared with other work. The timeout of a query began when it was read: 2.4 s of the caller's 3 s, of which at least 0.6 s were over.

Evidence: tests/test_state_reads.py, a query at a gate whose process has listened for 0.7 s: 503 after 3.1 s of the caller's time before, within 2.4 s now.

Fix: until the gate opens, the timeout of a query is shorter by the time for which the socket has listened. A query that can be answered at once still is. Submissions keep their time: one that is stored late counts.

--- a/ragworttiller/entry.py
+++ b/ragworttiller/entry.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+import time
 from pathlib import Path
 
 from ragworttiller.listeners import open_entry_listeners
@@ -15,10 +16,11 @@
     """Listen for callers, then load the other modules and run the entry."""
     path = _arguments().config
     listeners = open_entry_listeners(path)
+    listening_at = time.monotonic()
     # Loading takes a large part of the start, in which callers would be refused.
     from ragworttiller.entry_process import run_entry
 
-    run_entry(path, listeners)
+    run_entry(path, listeners, listening_at)
 
 
 def _arguments() -> argparse.Namespace:
--- a/ragworttiller/entry_process.py
+++ b/ragworttiller/entry_process.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 
 import anyio
@@ -21,7 +22,7 @@
 EXIT_SETTINGS = 2
 
 
-def run_entry(path: Path, listeners: dict[str, socket.socket]) -> None:
+def run_entry(path: Path, listeners: dict[str, socket.socket], listening_at: float) -> None:
     """Run an entry until SIGTERM or SIGINT, then stop it gracefully.
 
     Parameters
@@ -30,6 +31,8 @@
         Settings file in INI format.
     listeners : dict
         Sockets that listen already, by the name of the setting that holds their address.
+    listening_at : float
+        Time of ``time.monotonic`` since which they listen.
     """
     try:
         settings = load_entry(path)
@@ -37,11 +40,13 @@
         sys.stderr.write(f"{exc}\n")
         sys.exit(EXIT_SETTINGS)
     logs.set_up(settings.log.level, settings.log.format, settings.instance.name, sys.stdout)
-    anyio.run(_serve, settings, path, listeners)
+    anyio.run(_serve, settings, path, listeners, listening_at)
 
 
-async def _serve(settings: EntrySettings, path: Path, listeners: dict[str, socket.socket]) -> None:
-    node = EntryNode(settings, LeaseClock(), listeners)
+async def _serve(
+    settings: EntrySettings, path: Path, listeners: dict[str, socket.socket], listening_at: float
+) -> None:
+    node = EntryNode(settings, LeaseClock(), listeners, time.monotonic() - listening_at)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_handle_signals, node, path)
         await node.run()
--- a/ragworttiller/scheduling/entry/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -107,17 +107,30 @@
         Returns whether the entry can answer.
     clock : Clock
         Source of time.
+    loading_seconds : float
+        Seconds for which the process has listened before it could read requests. The first ones may
+        have waited that long, so queries are answered that much sooner.
     """
 
-    def __init__(self, callers: Callers, ready: Callable[[], bool], clock: Clock) -> None:
+    def __init__(
+        self,
+        callers: Callers,
+        ready: Callable[[], bool],
+        clock: Clock,
+        loading_seconds: float = 0.0,
+    ) -> None:
         self._callers = callers
         self._ready = ready
         self._clock = clock
+        self._loading_seconds = loading_seconds
         self._opens_at = clock.now() + MAX_START_SECONDS
 
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
         received_at = self._clock.now()
+        if request.method == "GET" and received_at < self._opens_at:
+            # A submission is carried out all the same: its late answer still counts.
+            request = request._replace(timeout=max(request.timeout - self._loading_seconds, 0.0))
         end = min(self._opens_at, received_at + request.timeout)
         while not self._ready() and self._clock.now() < end:
             await self._clock.sleep(READY_CHECK_SECONDS)
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -74,6 +74,8 @@
         Source of time.
     listeners : dict, optional
         Sockets that listen already, by the name of the setting that holds their address.
+    loading_seconds : float
+        Seconds for which these sockets have listened.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         settings: EntrySettings,
         clock: Clock,
         listeners: dict[str, socket.socket] | None = None,
+        loading_seconds: float = 0.0,
     ) -> None:
         self._listeners = listeners or {}
         self._settings = settings
@@ -170,7 +173,7 @@
         )
         self._metrics = Metrics()
         self._register_metrics()
-        gate = StartGate(relaying, lambda: self._acceptance.ready, clock)
+        gate = StartGate(relaying, lambda: self._acceptance.ready, clock, loading_seconds)
         self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
         self._stopping = anyio.Event()
 
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -5,7 +5,12 @@
 import pytest
 
 from ragworttiller.exceptions import NotReady, PeerUnreachable, StateUnknown
-from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.callers import (
+    MAX_START_SECONDS,
+    CallerReply,
+    CallerRequest,
+    StartGate,
+)
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from tests.entry_rig import EntryRig, with_entry
 from tests.scheduling_rig import JOB, QUEUE
@@ -99,6 +104,21 @@
 
         with_entry(body)
 
+    def test_the_time_in_which_the_modules_load_counts_as_time_of_the_caller(self):
+        """A query may have waited in the queue of the socket since the process began to listen."""
+
+        async def body(rig: EntryRig):
+            rig.link.cut = True
+            callers = relaying(rig, SilentPeers(rig), STALE_SECONDS)
+            ready_at = rig.timers.now() + MAX_START_SECONDS
+            gate = StartGate(callers, lambda: rig.timers.now() >= ready_at, rig.timers, 0.7)
+            began_at = rig.timers.now()
+            with pytest.raises((StateUnknown, NotReady)):
+                await gate.answer(query(UNKNOWN_JOB))
+            assert 0.7 + rig.timers.now() - began_at < CALLER_SECONDS + 0.01
+
+        with_entry(body)
+
 
 class TestOtherEntries:
     def test_a_query_at_an_entry_that_still_reads_the_jobs_is_answered_by_another_one(self):
