Let queries wait for jobs that a starting entry is about to have read

Callers saw: 503 to every GET for the state of a job for the first seconds after all entries had started again, while the store was slow.

Cause: the first requests waited for 0.8 s after the start, then all were refused at once, although the store was sending the jobs page by page and a caller waits for 3 s. Each waiting request also looked 50 times a second whether the entry was ready.

Evidence: tests/test_state_reads.py, eight pages of 0.2 s each: NotReady after 0.8 s before, 200 when the pages are read now.

Fix: a query that no other entry can answer waits on if the load is expected to end in its time, by the share of the keys read so far; identifiers of jobs are evenly distributed. If not, it is refused at once, as before. One task watches the start for all that wait. StartGate gets its own module.

Keys that are not evenly distributed, as numbered jobs of a test, give no better answer than before: the wait ends at 0.8 s or with the caller's time.

--- a/ragworttiller/scheduling/entry/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -1,22 +1,17 @@
-"""Answers callers from the store, and makes the first of them wait for a starting entry."""
+"""Answers callers from the store."""
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from typing import NamedTuple
 
 from typing_extensions import override
 
 from ragworttiller.exceptions import QueueUnknown, RagworttillerError
 from ragworttiller.platform.submissions import error_body, pending_body, state_body
-from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 
 OK = 200
-# Time that an entry with a reachable store needs at most to read configuration and jobs.
-MAX_START_SECONDS = 0.8
-READY_CHECK_SECONDS = 0.02
 
 
 class CallerRequest(NamedTuple):
@@ -93,51 +88,6 @@
         raise QueueUnknown(host=request.host, path=request.path)
 
 
-class StartGate(Callers):
-    """Lets the first requests wait until a starting entry can answer.
-
-    Load pattern: callers whose connections were queued while the process loaded. The wait ends a
-    fixed time after the start of the entry: if it is not ready by then, the store is out of reach.
-
-    Parameters
-    ----------
-    callers : Callers
-        Answers the requests.
-    ready : Callable
-        Returns whether the entry can answer.
-    clock : Clock
-        Source of time.
-    loading_seconds : float
-        Seconds for which the process has listened before it could read requests. The first ones may
-        have waited that long, so queries are answered that much sooner.
-    """
-
-    def __init__(
-        self,
-        callers: Callers,
-        ready: Callable[[], bool],
-        clock: Clock,
-        loading_seconds: float = 0.0,
-    ) -> None:
-        self._callers = callers
-        self._ready = ready
-        self._clock = clock
-        self._loading_seconds = loading_seconds
-        self._opens_at = clock.now() + MAX_START_SECONDS
-
-    @override
-    async def answer(self, request: CallerRequest) -> CallerReply:
-        received_at = self._clock.now()
-        if request.method == "GET" and received_at < self._opens_at:
-            # A submission is carried out all the same: its late answer still counts.
-            request = request._replace(timeout=max(request.timeout - self._loading_seconds, 0.0))
-        end = min(self._opens_at, received_at + request.timeout)
-        while not self._ready() and self._clock.now() < end:
-            await self._clock.sleep(READY_CHECK_SECONDS)
-        waited = self._clock.now() - received_at
-        return await self._callers.answer(request._replace(timeout=request.timeout - waited))
-
-
 def error_reply(exc: RagworttillerError) -> CallerReply:
     """Return the answer that reports an error to a caller."""
     return CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -26,7 +26,7 @@
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
-from ragworttiller.scheduling.entry.callers import LocalCallers, StartGate
+from ragworttiller.scheduling.entry.callers import LocalCallers
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
@@ -34,6 +34,7 @@
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.entry.start_gate import StartGate
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import (
     EarlierOwnerPeer,
@@ -173,8 +174,16 @@
         )
         self._metrics = Metrics()
         self._register_metrics()
-        gate = StartGate(relaying, lambda: self._acceptance.ready, clock, loading_seconds)
-        self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
+        self._gate = StartGate(
+            relaying,
+            lambda: self._acceptance.ready,
+            lambda: self._host.jobs_feed.load_seconds_left,
+            clock,
+            loading_seconds,
+        )
+        self._callers = CallerApp(
+            self._gate, lambda: self._acceptance.max_body, self._metrics, clock
+        )
         self._stopping = anyio.Event()
 
     async def run(self) -> None:
@@ -196,6 +205,7 @@
                 tasks.start_soon(feed.run)
             for feed in (self._host.claims_feed, self._host.jobs_feed):
                 tasks.start_soon(feed.run)
+            tasks.start_soon(self._gate.run)
             tasks.start_soon(self._peers.run)
             tasks.start_soon(self._watch.run)
             tasks.start_soon(self._writer.run)
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -100,6 +100,11 @@
         """Whether the newest record of each key has been loaded."""
         return self._position is not None
 
+    @property
+    def load_seconds_left(self) -> float:
+        """Expected seconds until all keys are loaded, infinite if that is not known."""
+        return self._pages.seconds_left
+
     @property
     def loaded_end(self) -> int:
         """Offset before which a record may have replaced earlier ones of its key, unread."""
--- a/ragworttiller/scheduling/records/paged_load.py
+++ b/ragworttiller/scheduling/records/paged_load.py
@@ -10,6 +10,10 @@
 
 # A longer wait for a dead connection would delay a start by more than another attempt takes.
 MAX_PAGE_TIMEOUT_SECONDS = 4.0
+# The end of a load is not predicted while no page arrives for longer.
+MAX_PAGE_AGE_SECONDS = 1.0
+# Leading digits of a key that tell how many keys come before it.
+KEY_DIGITS = 4
 
 
 class LoadedPages(NamedTuple):
@@ -42,6 +46,16 @@
         self._asked_at = float("-inf")
         self._pages: list[NewestPage] = []
         self._timeout = ANSWER_TIMEOUT_SECONDS
+        self._page_at = float("-inf")
+
+    @property
+    def seconds_left(self) -> float:
+        """Expected seconds until the load ends, infinite without a recent page of it."""
+        age = self._clock.now() - self._page_at
+        share = _share_before(self._pages[-1].after) if self._pages else 0.0
+        if age > MAX_PAGE_AGE_SECONDS or not share:
+            return float("inf")
+        return max((self._page_at - self._asked_at) * (1 - share) / share - age, 0.0)
 
     async def read(self) -> LoadedPages:
         """Read the pages that are missing, and return all of them.
@@ -66,8 +80,21 @@
         """Read one page; after one that came too late, the next attempt waits longer."""
         asked_at = self._clock.now()
         try:
-            return await self._store.read_newest(self._partition, after, self._timeout)
+            page = await self._store.read_newest(self._partition, after, self._timeout)
         except LogUnavailable:
             if self._clock.now() - asked_at >= self._timeout:
                 self._timeout = min(2 * self._timeout, MAX_PAGE_TIMEOUT_SECONDS)
             raise
+        self._page_at = self._clock.now()
+        return page
+
+
+def _share_before(key: str) -> float:
+    """Return the share of the keys before a key that is an evenly distributed hexadecimal number.
+
+    It is 0 for other keys.
+    """
+    try:
+        return int(key[:KEY_DIGITS], 16) / 16**KEY_DIGITS
+    except ValueError:
+        return 0.0
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -2,22 +2,24 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
 from ragworttiller.exceptions import NotReady, PeerUnreachable, StateUnknown
-from ragworttiller.scheduling.entry.callers import (
-    MAX_START_SECONDS,
-    CallerReply,
-    CallerRequest,
-    StartGate,
-)
+from ragworttiller.platform.submissions import decode_job
+from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
-from tests.entry_rig import EntryRig, with_entry
+from ragworttiller.scheduling.entry.start_gate import MAX_START_SECONDS, StartGate
+from ragworttiller.scheduling.records.formats import JOBS, Accepted, encode
+from standins.platform.store import StoreService
+from standins.virtual_time import LoopTimers, run_virtual
+from tests.entry_rig import BODY, EntryRig, with_entry
 from tests.scheduling_rig import JOB, QUEUE
 
 # What an entry uses of the 3 s that callers wait.
 CALLER_SECONDS = 2.4
 STALE_SECONDS = 5.0
+NEVER = float("inf")
 UNKNOWN_JOB = "00000000000000bb"
 OTHER_ENTRIES = {"e2", "e3", "e4", "e5", "e6"}
 
@@ -110,8 +112,7 @@
         async def body(rig: EntryRig):
             rig.link.cut = True
             callers = relaying(rig, SilentPeers(rig), STALE_SECONDS)
-            ready_at = rig.timers.now() + MAX_START_SECONDS
-            gate = StartGate(callers, lambda: rig.timers.now() >= ready_at, rig.timers, 0.7)
+            gate = StartGate(callers, lambda: False, lambda: NEVER, rig.timers, 0.7)
             began_at = rig.timers.now()
             with pytest.raises((StateUnknown, NotReady)):
                 await gate.answer(query(UNKNOWN_JOB))
@@ -120,6 +121,52 @@
         with_entry(body)
 
 
+class TestStarts:
+    """An entry starts with jobs on many pages, which the store sends at one page in 0.2 s."""
+
+    async def start(self, jobs: int) -> tuple[EntryRig, StartGate]:
+        timers = LoopTimers()
+        rig = EntryRig(StoreService(timers, page=1), timers)
+        rig.service.answer_seconds = 0.2
+        for number in range(jobs):
+            job = f"{16 * number // jobs:x}" * 16
+            rig.service.put(JOBS.topic, job, encode(Accepted(QUEUE, decode_job(BODY), 0.0)))
+        peers = SilentPeers(rig)
+        peers.answers = dict.fromkeys(OTHER_ENTRIES, CallerReply(503, b"", NotReady.code))
+        callers = relaying(rig, peers)
+        return rig, StartGate(
+            callers, lambda: rig.acceptance.ready, lambda: rig.feed.load_seconds_left, timers
+        )
+
+    def answer(self, jobs: int) -> tuple[CallerReply | NotReady, float]:
+        """Return the answer to a query at the start of an entry, and its time in seconds."""
+
+        async def main():
+            rig, gate = await self.start(jobs)
+            began_at = rig.timers.now()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.feed.run)
+                tasks.start_soon(gate.run)
+                try:
+                    reply = await gate.answer(query("0" * 16))
+                except NotReady as exc:
+                    reply = exc
+                tasks.cancel_scope.cancel()
+            return reply, rig.timers.now() - began_at
+
+        return run_virtual(main)
+
+    def test_a_query_waits_for_jobs_that_are_expected_in_time(self):
+        reply, seconds = self.answer(jobs=8)
+        assert reply.status == 200
+        assert seconds < 8 * 0.2 + 0.1
+
+    def test_a_query_does_not_wait_for_jobs_that_come_too_late(self):
+        reply, seconds = self.answer(jobs=16)
+        assert (reply.status, reply.retry_after) == (503, 1.0)
+        assert seconds < MAX_START_SECONDS + 0.1
+
+
 class TestOtherEntries:
     def test_a_query_at_an_entry_that_still_reads_the_jobs_is_answered_by_another_one(self):
         """The claims are read at once, the jobs page by page."""
