Keep the connection to an entry that answers a part of many queries

Callers saw: queries, and calls of the owner beside them, without an answer while many queries were relayed to one entry.

Cause: a relayed request without an answer replaced the connection to the entry asked, even if others on the same connection had been answered meanwhile: answers to relayed requests were not recorded, only those to calls for advice. A new connection ends all calls in flight. An entry with stale states asks the owner first, so the owner is the one to be slow.

Evidence: tests/test_state_reads.py, 20 queries to an entry that answers one in 0.1 s: the connection was replaced before, and is kept now.

Fix: every answer of an entry is recorded with the part that replaces connections, which relaying now holds as a whole. Submissions are relayed as before.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -165,7 +165,7 @@
             LocalCallers(self._acceptance),
             self._peers,
             self._config,
-            reconnector.reconnect_both_ends,
+            reconnector,
             lambda: self._host.claims_feed.age,
             self._owner_name,
             lambda: self._entries.names,
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -28,6 +28,7 @@
     Callers,
     error_reply,
 )
+from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
@@ -84,7 +85,7 @@
         Connections to the other entries.
     config : QueueFold
         Configuration of this entry.
-    reconnect : Callable
+    reconnector : PeerReconnector
         Replaces the connections of an entry that does not answer.
     age : Callable
         Returns the seconds since this entry was last up to date with the store.
@@ -105,7 +106,7 @@
         local: Callers,
         peers: NngPeers,
         config: QueueFold,
-        reconnect: Callable[[str, float], None],
+        reconnector: PeerReconnector,
         age: Callable[[], float],
         owner: Callable[[], str],
         names: Callable[[], set[str]],
@@ -116,7 +117,7 @@
         self._local = local
         self._peers = peers
         self._config = config
-        self._reconnect = reconnect
+        self._reconnector = reconnector
         self._age = age
         self._owner = owner
         self._names = names
@@ -262,14 +263,16 @@
         forwarded = request._replace(timeout=timeout, version=self._config.version)
         sent_at = self._clock.now()
         try:
-            return await self._peers.call(name, forwarded, timeout + CALL_MARGIN_SECONDS)
+            reply = await self._peers.call(name, forwarded, timeout + CALL_MARGIN_SECONDS)
         except PeerUnreachable:
             log.info("relay to another entry failed", extra={"path": request.path, "entry": name})
             self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
-            self._reconnect(name, sent_at)
+            self._reconnector.reconnect_both_ends(name, sent_at)
+            return None
         except RagworttillerError as exc:
-            return error_reply(exc)
-        return None
+            reply = error_reply(exc)
+        self._reconnector.record_answer(name)
+        return reply
 
     def _relay_targets(self) -> list[str]:
         peers = self._available_peers()
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.exceptions import PeerUnreachable, SubmissionUndecided
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from tests.entry_rig import BODY, EntryRig, configuration, with_entry
 from tests.scheduling_rig import JOB, QUEUE, job_id
@@ -19,9 +20,17 @@
     def __init__(self):
         self.answers: dict[str, CallerReply | Exception] = {}
         self.asked: list[str] = []
+        self.reconnected: list[str] = []
 
     def handle(self, message_type, handler):
-        self.serve = handler
+        if message_type is CallerRequest:
+            self.serve = handler
+
+    def reconnect(self, name):
+        self.reconnected.append(name)
+
+    def post(self, name, message):
+        pass
 
     async def call(self, name, message, timeout):
         self.asked.append(name)
@@ -33,12 +42,11 @@
 
 class TestRelays:
     def relaying(self, rig: EntryRig, peers: FakePeers, age: float = 0.0) -> RelayingCallers:
-        self.reconnected: list[str] = []
         return RelayingCallers(
             rig.callers,
             peers,
             rig.config,
-            lambda name, sent_at: self.reconnected.append(name),
+            PeerReconnector(peers, rig.timers),
             lambda: age,
             lambda: "e2",
             lambda: {"e1", "e2", "e3"},
@@ -110,7 +118,7 @@
             for _ in range(2):
                 assert (await relaying.answer(self.request())).status == 200
             assert peers.asked == ["e2", "e3", "e3"]
-            assert self.reconnected == ["e2"]
+            assert peers.reconnected == ["e2"]
 
         with_entry(body)
 
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -8,6 +8,7 @@
 from ragworttiller.exceptions import NotReady, PeerUnreachable, StateUnknown
 from ragworttiller.platform.submissions import decode_job
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.start_gate import MAX_START_SECONDS, StartGate
 from ragworttiller.scheduling.records.formats import JOBS, Accepted, encode
@@ -33,9 +34,17 @@
         self._timers = rig.timers
         self.answers: dict[str, CallerReply] = {}
         self.asked: list[str] = []
+        self.reconnected: list[str] = []
 
     def handle(self, message_type, handler):
-        self.serve = handler
+        if message_type is CallerRequest:
+            self.serve = handler
+
+    def reconnect(self, name: str):
+        self.reconnected.append(name)
+
+    def post(self, name: str, message: object):
+        pass
 
     async def call(self, name: str, message: CallerRequest, timeout: float) -> CallerReply:
         self.asked.append(name)
@@ -51,7 +60,7 @@
         rig.callers,
         peers,
         rig.config,
-        lambda name, sent_at: None,
+        PeerReconnector(peers, rig.timers),
         lambda: age,
         lambda: "e2",
         lambda: {"e1"} | OTHER_ENTRIES,
@@ -194,3 +203,28 @@
             assert (await stale.answer(query(UNKNOWN_JOB))).status == 200
 
         with_entry(body)
+
+    def test_an_entry_that_answers_some_of_many_queries_keeps_its_connection(self):
+        """A new connection ends all calls in flight, also those of advice and of the owner."""
+
+        async def body(rig: EntryRig):
+            peers = SilentPeers(rig)
+            busy = anyio.Lock()
+
+            async def answer_in_turn(name: str, message: CallerRequest, timeout: float):
+                with anyio.move_on_after(timeout):
+                    async with busy:
+                        await rig.timers.sleep(0.1)
+                        return CallerReply(200, b"{}")
+                raise PeerUnreachable(instance=name)
+
+            peers.call = answer_in_turn
+            stale = relaying(rig, peers, STALE_SECONDS)
+            await rig.call("POST")
+            await rig.timers.sleep(0.5)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tasks.start_soon(stale.answer, query())
+            assert peers.reconnected == []
+
+        with_entry(body)
--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -35,6 +35,7 @@
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, LocalCallers
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
+from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp
 from ragworttiller.scheduling.entry.key_check import KeyCheck
 from ragworttiller.scheduling.entry.peer_messages import (
@@ -94,6 +95,12 @@
     def handle(self, message_type: type, handler: Callable[..., Awaitable[Any]]):
         self._network.handlers[self.instance][message_type] = handler
 
+    def reconnect(self, name: str):
+        """Do nothing: there are no connections."""
+
+    def post(self, name: str, message: object):
+        """Drop a one-way message."""
+
     async def call(self, name: str, message: Any, timeout: float) -> Any:
         network = self._network
         network.asked.append((name, type(message)))
@@ -147,7 +154,7 @@
             self.callers,
             self.peers,
             self.config,
-            lambda name, sent_at: None,
+            PeerReconnector(self.peers, self.timers),
             lambda: self.feed.age,
             lambda: "",
             lambda: cell.names,
