Count pending jobs among the open ones only

Cause: a query for the number of a queue's pending jobs went through all jobs that the store keeps, also those that had ended.

Evidence: tests/test_callers.py, the count with ended, cancelled and dropped jobs, without a look at all jobs; failed before.

Fix: the fold of the jobs keeps the open ones apart, which the count and the operators' overview use.

--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -261,8 +261,8 @@
         position = claim.position if claim else 0
         counted = claim.pending.get(name, 0) if claim else 0
         return counted + sum(
-            row.offset >= position and row.open and row.accepted.queue.key == name
-            for row in self._jobs.jobs.values()
+            row.offset >= position and row.accepted.queue.key == name
+            for row in self._jobs.open_jobs.values()
             if row.accepted is not None
         )
 
--- a/ragworttiller/scheduling/entry/operators.py
+++ b/ragworttiller/scheduling/entry/operators.py
@@ -84,8 +84,8 @@
 
     def _overview(self) -> Overview:
         claim = self._host.claims.claim
-        rows = self._host.jobs.jobs.values()
-        counts = Counter(row.accepted.queue.key for row in rows if row.open and row.accepted)
+        rows = self._host.jobs.open_jobs.values()
+        counts = Counter(row.accepted.queue.key for row in rows if row.accepted)
         return Overview(
             instance=self._peers.instance,
             owner=claim.owner if claim else "",
--- a/ragworttiller/scheduling/records/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -80,6 +80,8 @@
     ----------
     jobs : dict
         Rows by the job's identifier.
+    open_jobs : dict
+        Rows of the open jobs among them.
     touched : set of str
         Jobs that have changed since the set was last cleared.
     owner_epoch : int
@@ -90,6 +92,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobRow] = {}
+        self.open_jobs: dict[str, JobRow] = {}
         self.touched: set[str] = set()
         self.owner_epoch = 0
         self.on_accepted: Callable[[Accepted], None] = lambda accepted: None
@@ -119,6 +122,14 @@
             )
             return
         self.touched.add(job)
+        self._index(job)
+
+    def _index(self, job: str) -> None:
+        row = self.jobs.get(job)
+        if row is not None and row.open:
+            self.open_jobs[job] = row
+        else:
+            self.open_jobs.pop(job, None)
 
     def _apply_owner_change(self, record: Record) -> None:
         try:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,7 +14,14 @@
     SubmissionUndecided,
     Unreadable,
 )
-from ragworttiller.scheduling.records.formats import JOBS, Claim
+from ragworttiller.scheduling.records.formats import (
+    JOBS,
+    PROGRESS_SUFFIX,
+    Claim,
+    JobState,
+    Progress,
+    encode,
+)
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from tests.entry_rig import BODY, EntryRig, with_entry
 from tests.scheduling_rig import JOB, QUEUE, job_id
@@ -170,3 +177,18 @@
             assert (await rig.call("GET", "")).body == b'{"pending":2}'
 
         with_entry(body)
+
+    def test_ended_jobs_make_the_count_of_pending_jobs_no_slower(self):
+        async def body(rig: EntryRig):
+            for number in range(5):
+                await rig.call("POST", job_id(number))
+            await rig.call("DELETE", job_id(0))
+            ended = encode(Progress(JobState.COMPLETED, []))
+            rig.service.put(JOBS.topic, job_id(1) + PROGRESS_SUFFIX, ended)
+            rig.service.put(JOBS.topic, job_id(2), b"")
+            await rig.timers.sleep(0.5)
+            assert list(rig.jobs.open_jobs) == [job_id(3), job_id(4)]
+            rig.jobs.jobs = {}
+            assert (await rig.call("GET", "")).body == b'{"pending":2}'
+
+        with_entry(body)
