Take a caller's timeout that is not a number for the usual one

Callers saw: nothing yet; found while the timeouts of queries were read.

Cause: the header for a caller's timeout may say "nan", which is a number for the parser. A timer for that time is due at once and set again each time, so that the process is busy until the request ends, and the request has no end of its own.

Evidence: tests/test_state_reads.py, the timeout of a request with that header; failed before with NaN.

Fix: such a header is treated as one that cannot be read.

--- a/ragworttiller/scheduling/entry/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -151,4 +151,6 @@
         timeout = float(headers[DEADLINE_HEADER]) / 1000
     except (KeyError, ValueError):
         timeout = DEFAULT_TIMEOUT_SECONDS
+    if math.isnan(timeout):
+        timeout = DEFAULT_TIMEOUT_SECONDS
     return max(timeout, 0.0) * TIMEOUT_SHARE
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -6,9 +6,11 @@
 import pytest
 
 from ragworttiller.exceptions import NotReady, PeerUnreachable, StateUnknown
-from ragworttiller.platform.submissions import decode_job
-from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.metrics import Metrics
+from ragworttiller.platform.submissions import DEADLINE_HEADER, decode_job
+from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, Callers
 from ragworttiller.scheduling.entry.entries import PeerReconnector
+from ragworttiller.scheduling.entry.entry_api import CallerApp
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.start_gate import MAX_START_SECONDS, StartGate
 from ragworttiller.scheduling.records.formats import JOBS, Accepted, encode
@@ -74,6 +76,10 @@
     return CallerRequest("GET", QUEUE.host, QUEUE.prefix + job, b"", timeout)
 
 
+async def ignore(message: object):
+    """Drop a message to the caller."""
+
+
 class TestTimeOfAnswers:
     @pytest.mark.parametrize("age", [0.0, STALE_SECONDS])
     @pytest.mark.parametrize("timeout", [CALLER_SECONDS, 1.0, 0.3])
@@ -130,6 +136,32 @@
         with_entry(body)
 
 
+class RecordingCallers(Callers):
+    """Callers that record the timeouts of requests."""
+
+    def __init__(self):
+        self.timeouts: list[float] = []
+
+    async def answer(self, request: CallerRequest) -> CallerReply:
+        self.timeouts.append(request.timeout)
+        return CallerReply(200, b"{}")
+
+
+class TestTimeouts:
+    @pytest.mark.parametrize("value", [b"nan", b"", b"soon"])
+    def test_a_timeout_that_is_no_number_does_not_keep_the_event_loop_busy(self, value: bytes):
+        """A timer for the time NaN is due at once, and set again, until its request ends."""
+
+        async def main():
+            callers = RecordingCallers()
+            app = CallerApp(callers, lambda: 1000, Metrics(), LoopTimers())
+            scope = {"method": "GET", "path": "/", "headers": [(DEADLINE_HEADER, value)]}
+            await app(scope, lambda: None, ignore)
+            assert callers.timeouts == pytest.approx([CALLER_SECONDS])
+
+        run_virtual(main)
+
+
 class TestStarts:
     """An entry starts with jobs on many pages, which the store sends at one page in 0.2 s."""
 
