--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -20,7 +20,7 @@
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
-from ragworttiller.scheduling.entry.callers import LocalCallers, StartGate
+from ragworttiller.scheduling.entry.callers import LocalCallers
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
@@ -29,6 +29,7 @@
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.entry.start_gate import StartGate
 from ragworttiller.scheduling.entry.store_metrics import register_store_metrics
 from ragworttiller.scheduling.entry.store_pace import StorePace
 from ragworttiller.scheduling.ownership.cell_host import CellHost
@@ -75,6 +76,8 @@
         Source of time.
     listeners : dict, optional
         Sockets that listen already, by the name of the setting that holds their address.
+    loading_seconds : float
+        Seconds for which these sockets have listened.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         settings: EntrySettings,
         clock: Clock,
         listeners: dict[str, socket.socket] | None = None,
+        loading_seconds: float = 0.0,
     ) -> None:
         self._listeners = listeners or {}
         self._settings = settings
@@ -167,7 +171,7 @@
             LocalCallers(self._acceptance),
             self._peers,
             self._config,
-            reconnector.reconnect_both_ends,
+            reconnector,
             lambda: self._host.claims_feed.age,
             self._owner_name,
             lambda: self._entries.names,
@@ -185,8 +189,16 @@
             self._owner_gaps,
         )
         register_store_metrics(self._metrics, self._store_meter)
-        gate = StartGate(relaying, lambda: self._acceptance.ready, clock)
-        self._callers = CallerApp(gate, lambda: self._acceptance.max_body, self._metrics, clock)
+        self._gate = StartGate(
+            relaying,
+            lambda: self._acceptance.ready,
+            lambda: self._host.jobs_feed.load_seconds_left,
+            clock,
+            loading_seconds,
+        )
+        self._callers = CallerApp(
+            self._gate, lambda: self._acceptance.max_body, self._metrics, clock
+        )
         self._stopping = anyio.Event()
 
     async def run(self) -> None:
@@ -208,6 +220,7 @@
                 tasks.start_soon(feed.run)
             for feed in (self._host.claims_feed, self._host.jobs_feed):
                 tasks.start_soon(feed.run)
+            tasks.start_soon(self._gate.run)
             tasks.start_soon(self._peers.run)
             tasks.start_soon(self._watch.run)
             tasks.start_soon(self._writer.run)
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -30,6 +30,7 @@
     Callers,
     error_reply,
 )
+from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.request_trace import record_local_failure, record_relay
 from ragworttiller.scheduling.entry.staggered_attempts import Outcome, StaggeredAttempts
 from ragworttiller.scheduling.entry.store_pace import StorePace
@@ -47,11 +48,19 @@
 CALL_MARGIN_SECONDS = 0.1
 MAX_RELAY_ATTEMPTS = 2
 STALE_AGE_SECONDS = 1.4
+# Share of a query's timeout in which an entry with stale states asks others; then it answers.
+STALE_RELAY_SHARE = 0.5
 AVOID_UNRESPONSIVE_ENTRY_SECONDS = 3.0
 # Code of a reply whose body is a later configuration than the one of the relaying entry.
 LATER_CONFIGURATION = "later_configuration"
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
-NO_ANSWER_CODES = (NotReady.code, ConfigurationUnconfirmed.code, LATER_CONFIGURATION)
+READ_FAILURES = (NotReady, ConfigurationUnconfirmed, StateUnknown)
+NO_ANSWER_CODES = (
+    NotReady.code,
+    ConfigurationUnconfirmed.code,
+    StateUnknown.code,
+    LATER_CONFIGURATION,
+)
 
 
 class RelayTarget(NamedTuple):
@@ -76,7 +85,7 @@
         Connections to the other entries.
     config : QueueFold
         Configuration of this entry.
-    reconnect : Callable
+    reconnector : PeerReconnector
         Replaces the connections of an entry that does not answer.
     age : Callable
         Returns the seconds since this entry was last up to date with the store.
@@ -99,7 +108,7 @@
         local: Callers,
         peers: NngPeers,
         config: QueueFold,
-        reconnect: Callable[[str, float], None],
+        reconnector: PeerReconnector,
         age: Callable[[], float],
         owner: Callable[[], str],
         names: Callable[[], set[str]],
@@ -112,7 +121,7 @@
         self._local = local
         self._peers = peers
         self._config = config
-        self._reconnect = reconnect
+        self._reconnector = reconnector
         self._age = age
         self._owner = owner
         self._names = names
@@ -123,23 +132,47 @@
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
         if request.method == "GET":
-            return await self._answer_read(request)
+            return await self._answer_query(request)
         outcome = await self._write(request, self._clock.now() + request.timeout)
         if outcome.reply is not None:
             return outcome.reply
         assert outcome.error is not None
         raise outcome.error
 
-    async def _answer_read(self, request: CallerRequest) -> CallerReply:
-        if self._age() > STALE_AGE_SECONDS:
-            reply = (await self._relay(request, self._relay_targets())).reply
-            if reply is not None:
-                return reply
+    async def _answer_query(self, request: CallerRequest) -> CallerReply:
+        """Answer a query within its timeout.
+
+        Raises
+        ------
+        NotReady
+            The time of the caller has passed.
+        """
+        with self._clock.move_on_after(request.timeout):
+            return await self._read(request)
+        reason = "no state could be read in the time of the caller"
+        raise NotReady(
+            instance=self._peers.instance, reason=reason, retry_after=RETRY_AFTER_SECONDS
+        )
+
+    async def _read(self, request: CallerRequest) -> CallerReply:
+        """Answer a query here, or through other entries if this one has not read the store."""
+        deadline = self._clock.now() + request.timeout
+        is_stale = self._age() > STALE_AGE_SECONDS
+        if is_stale:
+            with self._clock.move_on_after(STALE_RELAY_SHARE * request.timeout):
+                reply = (await self._relay(request, self._relay_targets())).reply
+                if reply is not None:
+                    return reply
+        remaining = deadline - self._clock.now()
         try:
-            return await self._local.answer(request)
-        except StateUnknown as exc:
+            return await self._local.answer(request._replace(timeout=remaining))
+        except READ_FAILURES as exc:
             record_local_failure(exc.code, self._writer, self._age(), self._clock.now())
-            reply = (await self._relay(request, self._relay_targets())).reply
+            if is_stale:
+                raise
+            remaining = deadline - self._clock.now()
+            relayed = request._replace(timeout=remaining)
+            reply = (await self._relay(relayed, self._relay_targets())).reply
             if reply is None:
                 raise
             return reply
@@ -249,14 +282,16 @@
         sent_at = self._clock.now()
         record_relay(name, self._writer, self._age())
         try:
-            return await self._peers.call(name, forwarded, request.timeout + CALL_MARGIN_SECONDS)
+            reply = await self._peers.call(name, forwarded, request.timeout + CALL_MARGIN_SECONDS)
         except PeerUnreachable:
             log.info("relay to another entry failed", extra={"path": request.path, "entry": name})
             self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
-            self._reconnect(name, sent_at)
+            self._reconnector.reconnect_both_ends(name, sent_at)
+            return None
         except RagworttillerError as exc:
-            return error_reply(exc)
-        return None
+            reply = error_reply(exc)
+        self._reconnector.record_answer(name)
+        return reply
 
     def _write_targets(self) -> list[RelayTarget]:
         """Return the entries to ask for an append after the local attempt failed or is late.
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -209,6 +210,49 @@
         await feed.catch_up()
         assert len(rig.recording.values) == 5
 
+    @virtual
+    async def test_a_load_that_a_refused_read_interrupts_goes_on_with_its_next_page(self):
+        """A store that refuses every third read kept an entry from ever reading five pages."""
+        rig = StoreRig(page=2)
+        for n in range(9):
+            rig.service.put(PARTITION.topic, f"k{n}", b"v")
+        read, calls = rig.store.read_newest, itertools.count(1)
+
+        async def refusing(*args, **options):
+            if next(calls) % 3 == 0:
+                raise LogUnavailable(stream=str(PARTITION))
+            return await read(*args, **options)
+
+        rig.store.read_newest = refusing
+        await self.run_feed(rig, rig.feed(), lambda: rig.timers.sleep(5.0))
+        assert len(rig.recording.values) == 9
+
+    @virtual
+    async def test_keys_are_loaded_from_a_store_that_is_slower_than_the_first_timeout(self):
+        """Answers of 1 MB to many starting entries share the bandwidth of the store."""
+        rig = StoreRig(page=2)
+        for n in range(5):
+            rig.service.put(PARTITION.topic, f"k{n}", b"v")
+        rig.service.answer_seconds = 1.5
+        await self.run_feed(rig, rig.feed(), lambda: rig.timers.sleep(7.0))
+        assert len(rig.recording.values) == 5
+
+    @virtual
+    async def test_reads_that_find_the_same_records_expired_load_the_keys_once(self):
+        """Queries for jobs unknown here waited for a load each, one after the other."""
+        rig = StoreRig()
+        feed = rig.feed()
+        await feed.catch_up()
+        rig.service.put(PARTITION.topic, "k", b"v")
+        rig.service.expire(PARTITION.topic)
+        rig.service.answer_seconds = 0.2
+        began_at = rig.timers.now()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(10):
+                tasks.start_soon(feed.catch_up)
+        assert rig.recording.values == {"k": b"v"}
+        assert rig.timers.now() - began_at < 0.7
+
     @virtual
     async def test_an_unresponsive_connection_is_abandoned_in_time(self):
         """A configuration has to be in force within 2 s, and 3 s after a connection went silent."""
