--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -5,8 +5,8 @@
 import anyio
 
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
-from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
 from ragworttiller.scheduling.entry.entries import PeerReconnector
+from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.store_pace import REPORT_VALID_SECONDS, StorePace
 from tests.entry_rig import BODY, EntryRig, with_entry
