Retry an append after a second again, and fewer times after refusals

Cause: repeated an append only after 2.5 s while the store answers other calls. That tells a queue of the partition from a lost answer no better than before, and all submissions of the entry wait for the repetition. Now that entries report a slow store, repetitions are few anyway.

Change: the first repetition is sent after 1 s again, later ones at doubled intervals. After a late refusal one more interval is waited for the calls still under way, since repetitions otherwise overlap until the deadline and the refused append stays undecided.

Evidence: the test of a lost answer failed before. The test of that allowed one call allows two, since the two cases cannot be told apart within a second.

--- a/ragworttiller/scheduling/records/repeated_append.py
+++ b/ragworttiller/scheduling/records/repeated_append.py
@@ -16,9 +16,6 @@
 
 # Time for which the answer to a call is accepted, also after the call was retried.
 CALL_TIMEOUT_SECONDS = 4.0
-# The store lets an append wait for up to 2 s behind others of its partition. While it answers
-# other calls, the answer is retried for only after that time.
-QUEUED_RETRY_SECONDS = 2.5
 
 
 class RepeatedAppend:
@@ -26,7 +23,7 @@
 
     A call without an answer may have met a dead connection or lost its answer; then a retry helps.
     Or the store is slow; then the first call is answered late, and retries add to its load. So
-    earlier calls stay in flight, and retries are later and rarer while the store answers any call.
+    earlier calls stay in flight, and the retry interval doubles while the store answers any call.
 
     Parameters
     ----------
@@ -72,6 +69,7 @@
         self._end: int | None = None
         self._error: RagworttillerError | None = None
         self._undecided = False
+        self._refused = False
         self._calls = 0
 
     @property
@@ -114,13 +112,14 @@
             self._calls += 1
             calls.start_soon(self._call)
             await self._wait(min(retry_interval, deadline - self._clock.now()))
-            if self._store.answer_count > answered and not self._decided:
-                queued = max(2 * retry_interval, QUEUED_RETRY_SECONDS)
-                await self._wait(min(queued - retry_interval, deadline - self._clock.now()))
-                retry_interval = queued
+            if self._refused:
+                # Answers are late, not lost: the other calls may be answered soon as well.
+                await self._wait(min(retry_interval, deadline - self._clock.now()))
             if self._decided or self._clock.now() >= deadline:
                 return
             log.info("append retried", extra={"partition": str(self._partition)})
+            if self._store.answer_count > answered:
+                retry_interval *= 2
 
     @property
     def _decided(self) -> bool:
@@ -145,6 +144,7 @@
         except AppendUndecided:
             self._undecided = True
         except LogUnavailable as exc:
+            self._refused = True
             # While other calls are in flight, one of them may still append the records.
             if self._in_flight == 1:
                 self._error = exc
