Keep an owner from reporting its own slow appends

Cause: an append that is late because its answer was lost looks like one of a slow store, and the owner reported it as well.

Change: only the other entries report. A false report by one of them ends with the next quick append of the owner.

Evidence: test_an_owner_does_not_make_entries_pass_submissions_to_itself failed before.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -179,7 +179,8 @@
 
     async def _write_locally(self, request: CallerRequest) -> Outcome:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._pace.watch_append)
+            if self._owner() != self._peers.instance:
+                tasks.start_soon(self._pace.watch_append)
             outcome = await self._ask_local(request)
             tasks.cancel_scope.cancel()
         return outcome
--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -80,6 +80,20 @@
 
         with_entry(body)
 
+    def test_an_owner_does_not_make_entries_pass_submissions_to_itself(self):
+        """Its append may be late because an answer was lost, while those of others are not."""
+
+        async def body(rig: EntryRig):
+            reports: list[bool] = []
+            rig.service.write_seconds = 0.5
+            pace = StorePace(rig.writer, rig.timers, lambda: reports.append(True))
+            peers = FakePeers()
+            peers.instance = "e2"
+            assert (await self.relaying(rig, peers, pace).answer(self.request(1))).status == 200
+            assert reports == []
+
+        with_entry(body)
+
     def test_a_report_expires(self):
         async def body(rig: EntryRig):
             pace = StorePace(rig.writer, rig.timers)
