Ask the advisor for lasting tasks that wait with room

What callers saw: LOST was reported of a lasting task that did not run again with room for it. That this was its cause is not shown.

Cause: calls to the advisor are planned in queue order, and a lasting task that is past its objective comes after all jobs of its priority that can be on time, and after all of higher priorities. While more stages arrive than the entries can ask for, each entry that becomes idle is taken by these, so that the task got no ticket though most of the cell was empty.

A lasting stage that has waited for 1.5 s is asked for before all others, if a runner has room for one of its tasks now. In a full cell the order of calls is as before. Together with a call this stays within the 3 s that it may wait; the same time now applies to its use of suspended runners.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -126,6 +126,16 @@
         elif not (with_room and self._plan_call(work, stage, with_room, False)):
             stage.tickets.recheck_at = self._now + self._recheck_delay
 
+    def plan_for_overdue(self, work: JobWork, stage: Stage) -> None:
+        """Plan a call for an overdue stage of lasting tasks if there is room for one of them.
+
+        It comes before those for all other stages, of which there may always be enough for every
+        entry.
+        """
+        with_room = self._free.with_room(work.queue.upstream, stage.spec)
+        if with_room and self._may_search(work, stage):
+            self._plan_call(work, stage, with_room, False)
+
     def plan_for_successors(self, jobs: Iterable[JobWork], silent: Set[str]) -> None:
         """Plan calls for stages whose predecessors are about to end.
 
--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -47,7 +47,7 @@
     """
     if at_limit(stage, running):
         return False
-    if stage.tries_suspended:
+    if stage.overdue:
         return True
     return not (runner.on_probation and (runner.probe_running or running))
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -38,6 +38,8 @@
 GANG_RESERVE_DELAY_SECONDS = 2.0
 GANG_RESERVE_SECONDS = 4.0
 AVOID_FAILED_RUNNER_SECONDS = 2.0
+# With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
+LASTING_PATIENCE_SECONDS = 1.5
 NO_KINDS: frozenset[str] = frozenset()
 
 
@@ -147,6 +149,9 @@
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
+        for work, stage, _ in ready:
+            if stage.overdue:
+                self._advice.plan_for_overdue(work, stage)
         held_back: set[str] = set()
         capped = self._caps.begin()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
@@ -194,7 +199,7 @@
         self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
     ) -> None:
         """Start lasting tasks that have waited for long on suspended runners."""
-        rows = [row for row in ready if row[1].tries_suspended and row[1].waiting]
+        rows = [row for row in ready if row[1].overdue and row[1].waiting]
         runners = self._pool.accepting_lasting_tasks_only(now) if rows else []
         if not runners:
             return
@@ -210,6 +215,7 @@
         if allowed:
             stage.release_from_cap(now)
             return allowed
+        stage.overdue = False
         work.hold_for_cap(stage, now)
         if not stage.cap_hold_logged:
             stage.cap_hold_logged = True
@@ -246,11 +252,12 @@
 
         Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
         """
-        stage.tries_failed_on_probation = stage.tries_suspended = False
-        if now - (stage.blocked_since or now) <= AVOID_FAILED_RUNNER_SECONDS:
+        blocked = now - (stage.blocked_since or now)
+        stage.overdue = stage.spec.daemon and blocked > LASTING_PATIENCE_SECONDS
+        stage.tries_failed_on_probation = False
+        if blocked <= AVOID_FAILED_RUNNER_SECONDS:
             return
         stage.last_failed_runner.clear()
-        stage.tries_suspended = stage.spec.daemon
         if stage.failed_runs:
             stage.tries_failed_on_probation = all(
                 runner.on_probation for runner in _possible_runners(work, stage, free)
@@ -332,7 +339,7 @@
         """Start tasks on the runners chosen for them; their kind tells its duration ``by_kind``."""
         if not chosen:
             return
-        stage.blocked_since = None
+        stage.blocked_since, stage.overdue = None, False
         needs_ticket = work.queue.advice is not None
         # The runs of a gang have the same number and start from the same checkpoint.
         number = max(stage.next_number(i, self._epoch) for i in chosen) if stage.spec.gang else 0
--- a/ragworttiller/scheduling/state/runs.py
+++ b/ragworttiller/scheduling/state/runs.py
@@ -171,9 +171,9 @@
         Time in seconds from which its tasks could start, None before the first planning pass then.
     tries_failed_on_probation : bool
         Whether tasks that have failed may start on runners on probation, for want of others.
-    tries_suspended : bool
-        Whether its lasting tasks have waited for so long that they may start on any runner that has
-        failed before: on suspended ones, and beside the probe of one on probation.
+    overdue : bool
+        Whether its lasting tasks have waited for so long that they may start on runners that have
+        failed, suspended or on probation, and that the advisor is called for them first.
     requeued_at : dict of int to float
         Time in seconds at which the last run of a task ended without completing it, by index.
     preemptions : Counter
@@ -240,7 +240,7 @@
         self.blocked_since: float | None = None
         self.ready_since: float | None = None
         self.tries_failed_on_probation = False
-        self.tries_suspended = False
+        self.overdue = False
         self.requeued_at: dict[int, float] = {}
         self.preemptions: Counter[int] = Counter()
         self.preemption_checked_at = float("-inf")
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.resources import Resources
+from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.state.workspaces import Workspace
 from tests.scheduling_rig import QUEUE, CellRig, job_id, step
 
@@ -97,3 +98,32 @@
         rig.cell.runners["w1"].suspend(rig.now)
         rig.submit(step(1, requires="a"), job=job_id(1))
         assert seconds_until_start(rig, job_id(1)) >= MAX_WAIT_SECONDS
+
+
+class TestAdvice:
+    CALL_SECONDS = 0.9
+
+    def test_a_lasting_task_is_asked_for_while_urgent_jobs_keep_the_advisor_busy(self):
+        """Guards against a lasting task that waits in an empty cell, for a ticket alone."""
+        rig = CellRig(20)
+        rig.cell.set_entries(["e1", "e2", "e3"])
+        lasting = LASTING._replace(advice=ADVISED.advice)
+        answers: list[tuple[float, AdviceCall]] = []
+        began = rig.now
+        for number in range(100, 200):
+            rig.submit(step(1), job=job_id(number), queue=ADVISED)
+            if number == 130:
+                began = rig.now
+                rig.submit(step(1, daemon=True), job=job_id(1), queue=lasting)
+            for row in [row for row in answers if row[0] <= rig.now]:
+                answers.remove(row)
+                rig.cell.apply_advice(row[1], dict.fromkeys(row[1].runners[::2], "t"), rig.now)
+            plan = rig.plan()
+            if any(order.run.spec.daemon for order in plan.starts):
+                break
+            for order in plan.starts:
+                rig.cell.mark_started(order.run, rig.now)
+                rig.hold(order.run.runner, (order.run.task, order.run.number, "done"))
+            answers += [(rig.now + self.CALL_SECONDS, call) for call in plan.calls]
+            rig.pass_time(0.1)
+        assert 1.0 < rig.now - began < MAX_WAIT_SECONDS
