Try overdue lasting tasks beyond the share of runners on trial

What callers saw: LOST was reported of a lasting task that did not run again with room for it. That this was its cause is not shown.

Cause: a task that is suspected of crashing its runners starts as a trial, and a quarter of the runners has one at a time, each for up to 5 s. A rack that crashes leaves many suspects at once, and a lasting one took its turn after all more urgent ones, though other runners had room.

A stage of lasting tasks that has waited for 1.5 s may try one task beyond the share, as a gang may. It has to wait as long again for the next, so that one stage does not close all runners at once.

--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -136,7 +136,9 @@
         closed: dict[str, Resources] = {}
         for index in indices:
             suspect = index in stage.crashes and stage.is_suspect(index)
-            best = self._best(stage, index, scores, by_id)
+            # The overdue tasks of one stage may not close all runners at once.
+            must_start = stage.spec.gang or (stage.overdue and not chosen)
+            best = self._best(stage, index, scores, by_id, must_start)
             if best is None:
                 if stage.spec.gang:
                     # Runners closed for its trials would otherwise take no other task either.
@@ -198,7 +200,12 @@
         scores[runner.id] = self._policy.score(stage, runner, free, ratio) + cost
 
     def _best(
-        self, stage: Stage, index: int, scores: dict[str, float], by_id: dict[str, RunnerState]
+        self,
+        stage: Stage,
+        index: int,
+        scores: dict[str, float],
+        by_id: dict[str, RunnerState],
+        must_start: bool,
     ) -> RunnerState | None:
         """Return the runner with the lowest score that may run a task, None if there is none."""
         if index in stage.failed_runs or index in stage.last_failed_runner:
@@ -208,7 +215,7 @@
                 if self._may_retry(stage, index, by_id[name])
             }
         if scores and stage.crashes and stage.is_suspect(index):
-            return self.trials.choose([by_id[name] for name in scores], stage.spec.gang)
+            return self.trials.choose([by_id[name] for name in scores], must_start)
         return by_id[min(scores, key=scores.__getitem__)] if scores else None
 
     def _may_retry(self, stage: Stage, index: int, runner: RunnerState) -> bool:
--- a/ragworttiller/scheduling/decisions/trials.py
+++ b/ragworttiller/scheduling/decisions/trials.py
@@ -49,7 +49,8 @@
         runners : iterable of RunnerState
             Runners that can take the task.
         must_start : bool
-            Whether the trial may exceed the share, since a gang starts whole or not at all.
+            Whether the trial may exceed the share: a gang starts whole or not at all, and a lasting
+            task may wait for a short time only.
         """
         if self._slots <= 0 and not must_start:
             return None
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -7,6 +7,7 @@
 from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import AdviceCall
+from ragworttiller.scheduling.records.formats import Blame, Crash
 from ragworttiller.scheduling.state.workspaces import Workspace
 from tests.scheduling_rig import QUEUE, CellRig, job_id, step
 
@@ -100,6 +101,20 @@
         assert seconds_until_start(rig, job_id(1)) >= MAX_WAIT_SECONDS
 
 
+class TestTrials:
+    def test_a_suspected_lasting_task_does_not_wait_for_the_trials_of_others(self):
+        """Guards against a wait for one trial after another, of up to 5 s each."""
+        rig = CellRig(4)
+        rig.submit(step(3))
+        rig.submit(step(2, daemon=True), job=job_id(1), queue=LASTING)
+        for work in rig.cell.jobs.values():
+            (stage,) = work.stages.values()
+            for index in stage.waiting:
+                stage.add_crash(index, Crash("w9", 4.0, str(Blame.LATEST)))
+        assert 1.0 < seconds_until_start(rig, job_id(1)) < MAX_WAIT_SECONDS
+        assert sum(runner.on_trial(rig.now) for runner in rig.cell.runners.values()) == 2
+
+
 class TestAdvice:
     CALL_SECONDS = 0.9
 
