Do not renew a claim in the moment after it was stored

Cause: the first renewal was sent at once. In a slow store the first claim of the acting owner, which names lost runners and their tasks for a successor, had to wait for that renewal.

Change: the first renewal follows after the usual interval, or with the first claim of the acting owner.

--- a/ragworttiller/scheduling/ownership/renewals.py
+++ b/ragworttiller/scheduling/ownership/renewals.py
@@ -92,6 +92,8 @@
             tasks.start_soon(writer.run)
             tasks.start_soon(self._heartbeat_loop)
             tasks.start_soon(self._wake_when_ended)
+            # The claim was stored just now.
+            await self._wait_for_next()
             while not self._term.ended or self._successor is not None:
                 await self._write_next(writer)
             tasks.cancel_scope.cancel()
@@ -156,6 +158,9 @@
             return
         self._term.record_renewal(sent_at)
         on_stored(claim)
+        await self._wait_for_next()
+
+    async def _wait_for_next(self) -> None:
         with self._clock.move_on_after(RENEWAL_INTERVAL_SECONDS):
             await self._requested.wait()
 
