Refuse queued submissions only when no answer can come in time

Callers saw: while the store was slow, the owner refused submissions whenever its append in flight had lasted 0.7 s, although the next one stored all that waited within half a second. And what waited behind an append without any hope was held until the end of its time.

Cause: a fixed limit stood for two cases, a store that is out of reach and one that is slow.

Change: after 0.7 s an append refuses others only if the store has answered nothing since it was sent. Else a submission waits as long as an append as long as the last one, or as the one in flight, would still be in time, and is refused at that moment, before it is sent.

Evidence: the three cases in test_callers failed before.

--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -49,8 +49,8 @@
 # Time for which an append that the store refuses at once is retried; a slow store refuses appends
 # only while too many wait, and is retried for as long as the caller waits.
 REFUSAL_RETRY_SECONDS = 0.6
-# An append in flight for longer delays queued appends past the timeouts of callers.
-MAX_IN_FLIGHT_SECONDS = 0.7
+# The store counts as out of reach when it has answered nothing during an append for longer.
+MAX_SILENT_SECONDS = 0.7
 RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 4.0
 DEFAULT_MAX_BODY_BYTES = 262144
@@ -276,17 +276,22 @@
         """Return when to retry: an outage is expected to last as long again as it already has."""
         return min(max(self._writer.failing_seconds, RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
 
+    @property
+    def _store_out_of_reach(self) -> bool:
+        """Whether an append would be refused or stay without a result, as far as is known."""
+        writer = self._writer
+        since_refusal = self._clock.now() - writer.refused_at
+        if since_refusal < REFUSAL_CACHE_SECONDS and not writer.slow:
+            return True
+        return writer.silent_seconds > max(MAX_SILENT_SECONDS, 2 * writer.last_append_seconds)
+
     async def _append(self, job: str, record: KeyedRecord, timeout: float) -> None:
-        slow = self._writer.slow
-        since_refusal = self._clock.now() - self._writer.refused_at
-        recently_refused = since_refusal < REFUSAL_CACHE_SECONDS and not slow
-        if recently_refused or self._writer.in_flight_seconds > max(
-            MAX_IN_FLIGHT_SECONDS, 2 * self._writer.last_append_seconds
-        ):
+        queue_seconds = self._writer.longest_wait(timeout)
+        if self._store_out_of_reach or queue_seconds <= 0:
             raise StoreDown(job=job, retry_after=self._retry_after())
+        retry_seconds = timeout if self._writer.slow else REFUSAL_RETRY_SECONDS
         try:
-            retry_seconds = timeout if slow else REFUSAL_RETRY_SECONDS
-            await self._writer.append([record], timeout, retry_seconds)
+            await self._writer.append([record], timeout, retry_seconds, queue_seconds)
         except LogUnavailable as exc:
             raise StoreDown(job=job, retry_after=self._retry_after()) from exc
         except AppendUndecided as exc:
--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -108,6 +108,7 @@
         self._refused_at = float("-inf")
         self._failing_since: float | None = None
         self._call_started_at: float | None = None
+        self._answers_at_call = 0
         self._attempt_started_at: float | None = None
         self._fenced: AppendFenced | None = None
 
@@ -128,6 +129,27 @@
         """Seconds for which the append in flight has had no result, 0 if there is none."""
         return 0.0 if self._call_started_at is None else self._clock.now() - self._call_started_at
 
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds in flight of an append since which the store has answered nothing else."""
+        silent = self._store.answer_count == self._answers_at_call
+        return self.in_flight_seconds if silent else 0.0
+
+    def longest_wait(self, timeout: float) -> float:
+        """Return how long an append can be queued and still have its result in time, in seconds.
+
+        It is expected to take as long as the last one, or as long as the one in flight has until
+        now. The value is not positive if no result can come in time.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds within which the result is needed.
+        """
+        if self._call_started_at is None:
+            return timeout
+        return timeout - max(self.last_append_seconds, self.in_flight_seconds)
+
     @property
     def last_append_seconds(self) -> float:
         """Seconds in which the last append was answered, 0 if that was long ago."""
@@ -150,7 +172,11 @@
         self._last_append_seconds = 0.0
 
     async def append(
-        self, records: Sequence[KeyedRecord], timeout: float, retry_seconds: float = float("inf")
+        self,
+        records: Sequence[KeyedRecord],
+        timeout: float,
+        retry_seconds: float = float("inf"),
+        queue_seconds: float = float("inf"),
     ) -> int:
         """Append records and return the partition's end after them, 0 if it is unknown.
 
@@ -162,6 +188,8 @@
             Seconds to wait for a result.
         retry_seconds : float
             Seconds for which an append that the store refuses is retried, within ``timeout``.
+        queue_seconds : float
+            Seconds after which records that have not been sent are refused, within ``timeout``.
 
         Raises
         ------
@@ -176,22 +204,29 @@
             raise self._fenced
         if timeout <= 0:
             raise LogUnavailable(stream=str(self._partition))
-        deadline = self._clock.now() + timeout
-        retry_deadline = min(deadline, self._clock.now() + retry_seconds)
+        queued_at = self._clock.now()
+        deadline = queued_at + timeout
+        retry_deadline = min(deadline, queued_at + retry_seconds)
         item = _PendingAppend(records, deadline, retry_deadline)
         self._queue.append(item)
         self._append_queued.set()
-        with self._clock.move_on_after(timeout):
-            await item.done.wait()
+        await self._wait(item, min(deadline, queued_at + queue_seconds))
+        if not item.done.is_set() and item in self._queue:
+            self._queue.remove(item)
+            raise LogUnavailable(stream=str(self._partition))
+        if not item.done.is_set() and self._clock.now() < deadline:
+            await self._wait(item, deadline)
         if not item.done.is_set():
-            if item in self._queue:
-                self._queue.remove(item)
-                raise LogUnavailable(stream=str(self._partition))
             raise AppendUndecided(stream=str(self._partition))
         if item.error is not None:
             raise item.error
         return item.end
 
+    async def _wait(self, item: _PendingAppend, end: float) -> None:
+        """Wait for the result of an append until a time, in seconds."""
+        with self._clock.move_on_after(end - self._clock.now()):
+            await item.done.wait()
+
     async def run(self) -> None:
         """Append queued records until cancelled or fenced."""
         while self._fenced is None:
@@ -199,6 +234,7 @@
             self._append_queued = anyio.Event()
             while self._queue:
                 self._call_started_at = self._clock.now()
+                self._answers_at_call = self._store.answer_count
                 await self._commit(self._next_batch())
                 self._call_started_at = self._attempt_started_at = None
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -103,6 +103,37 @@
 
         with_entry(body)
 
+    def test_submissions_behind_an_append_that_may_end_in_time_are_not_refused(self):
+        """The store answers other calls, so the append in flight is late but not lost."""
+
+        async def body(rig: EntryRig):
+            rig.service.queue_seconds[JOBS.topic] = 1.5
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.call, "POST")
+                await rig.timers.sleep(1.0)
+                rig.service.queue_seconds.clear()
+                await rig.feed.catch_up()
+                assert (await rig.call("POST", job_id(2))).status == 200
+
+        with_entry(body)
+
+    @pytest.mark.parametrize(("timeout", "held"), [(1.7, 0.0), (2.4, 0.6)])
+    def test_a_queued_submission_is_refused_once_no_answer_can_come_in_time(
+        self, timeout: float, held: float
+    ):
+        async def body(rig: EntryRig):
+            rig.service.queue_seconds[JOBS.topic] = 1.8
+            await rig.call("POST", timeout=3.0)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.call, "POST", job_id(1), BODY, 3.0)
+                await rig.timers.sleep(0.1)
+                start = rig.timers.now()
+                with pytest.raises(StoreDown):
+                    await rig.call("POST", job_id(2), timeout=timeout)
+                assert rig.timers.now() - start == pytest.approx(held, abs=0.05)
+
+        with_entry(body)
+
     async def submit_undecided(self, rig: EntryRig):
         with pytest.raises(SubmissionUndecided):
             await rig.call("POST")
