Let one entry append for all while a slow store has no owner

Callers saw: while the store was slow and the owner had stopped or was being replaced, most submissions were refused or had no known outcome.

Cause: submissions were passed to the owner only. Without one in touch every entry appended itself, and 37 appends fill the queue of the store. A stopping owner withdraws its record and is then out of reach until its successor's claim is read, for seconds in a slow store.

Change: without an owner in touch, the first entry by name appends for all. Any entry can store submissions, also one that is taking over, and safety does not depend on the choice.

Evidence: test_one_entry_appends_for_all_without_an_owner failed before. The log line is now "request answered through the common writer", with the name of the entry.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -86,9 +86,9 @@
     clock : Clock
         Source of time.
     writer : GroupCommit
-        Writer of this entry to the jobs. While its appends are slow, the owner appends for all
-        entries, since a slow store has more throughput with few large calls than with many small
-        ones.
+        Writer of this entry to the jobs. While its appends are slow, one entry, the owner if
+        there is one, appends for all, since a slow store has more throughput with few large calls
+        than with many small ones.
     pace : StorePace, optional
         Tells whether appends are slow; by default by those of the writer only.
     """
@@ -142,13 +142,13 @@
             return reply
 
     async def _write(self, request: CallerRequest, deadline: float) -> Outcome:
-        """Carry out a submission or cancellation, through the owner while the store is slow."""
+        """Carry out a submission or cancellation, through one entry while the store is slow."""
 
         def until_deadline() -> CallerRequest:
             return request._replace(timeout=deadline - self._clock.now())
 
-        async def ask_owner() -> Outcome:
-            return await self._write_through_owner(until_deadline())
+        async def ask_writer() -> Outcome:
+            return await self._write_through(writer, until_deadline())
 
         async def write_locally() -> Outcome:
             return await self._write_locally(until_deadline())
@@ -160,26 +160,40 @@
             attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
             return _combined(await attempts.run(), request)
 
-        if not self._pace.slow or self._owner() not in self._available_peers():
+        writer = self._common_writer
+        if not self._pace.slow or writer == self._peers.instance:
             return await write_here()
-        attempts = StaggeredAttempts(ask_owner, write_here, request.timeout, self._clock)
+        attempts = StaggeredAttempts(ask_writer, write_here, request.timeout, self._clock)
         return _combined(await attempts.run(), request)
 
-    async def _write_through_owner(self, request: CallerRequest) -> Outcome:
+    @property
+    def _common_writer(self) -> str:
+        """Entry that appends for all while the store is slow: the owner or, without one, the first.
+
+        Any entry can store submissions, and one writer keeps the queue of the store short.
+        """
+        peers = self._available_peers()
+        owner = self._owner()
+        if owner in peers or owner == self._peers.instance:
+            return owner
+        return min(peers | {self._peers.instance})
+
+    async def _write_through(self, writer: str, request: CallerRequest) -> Outcome:
         started_at = self._clock.now()
-        outcome = await self._ask(self._owner(), request)
+        outcome = await self._ask(writer, request)
         elapsed = self._clock.now() - started_at
         if outcome.reply is None:
             return outcome
         extra = {"path": request.path, "code": outcome.reply.code, "took": round(elapsed, 3)}
-        log.info("request answered through the owner", extra=extra)
+        extra["entry"] = writer
+        log.info("request answered through the common writer", extra=extra)
         if outcome.reply.code == OK_CODE:
             self._pace.record_append(elapsed)
         return outcome
 
     async def _write_locally(self, request: CallerRequest) -> Outcome:
         async with anyio.create_task_group() as tasks:
-            if self._owner() != self._peers.instance:
+            if self._common_writer != self._peers.instance:
                 tasks.start_soon(self._pace.watch_append)
             outcome = await self._ask_local(request)
             tasks.cancel_scope.cancel()
@@ -198,7 +212,7 @@
         """Return the seconds after which others are asked beside the local attempt."""
         if self._age() > STALE_AGE_SECONDS:
             return STALE_HEAD_START_SECONDS
-        if self._pace.slow or self._owner() == self._peers.instance:
+        if self._pace.slow or self._common_writer == self._peers.instance:
             return OWNER_HEAD_START_SECONDS
         return LOCAL_HEAD_START_SECONDS
 
@@ -257,12 +271,12 @@
     def _write_targets(self) -> list[RelayTarget]:
         """Return the entries to ask for an append after the local attempt failed or is late.
 
-        While this entry reads a slow store, only the owner is asked: more writers would delay all.
+        While this entry reads a slow store, only the common writer is asked.
         """
         if not self._pace.slow or self._age() > STALE_AGE_SECONDS:
             return self._relay_targets()
-        owner = self._owner()
-        return [RelayTarget(owner, float("inf"))] if owner in self._available_peers() else []
+        writer = self._common_writer
+        return [RelayTarget(writer, float("inf"))] if writer != self._peers.instance else []
 
     def _relay_targets(self) -> list[RelayTarget]:
         peers = self._available_peers()
--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
@@ -14,14 +15,16 @@
 
 
 class TestStorePace:
-    def relaying(self, rig: EntryRig, peers: FakePeers, pace: StorePace) -> RelayingCallers:
+    def relaying(
+        self, rig: EntryRig, peers: FakePeers, pace: StorePace, owner: str = "e2"
+    ) -> RelayingCallers:
         return RelayingCallers(
             rig.callers,
             peers,
             rig.config,
             lambda name, sent_at: None,
             lambda: 0.0,
-            lambda: "e2",
+            lambda: owner,
             lambda: {"e1", "e2", "e3"},
             rig.timers,
             rig.writer,
@@ -94,6 +97,32 @@
 
         with_entry(body)
 
+    @pytest.mark.parametrize("owner", ["", "gone"])
+    def test_one_entry_appends_for_all_without_an_owner(self, owner: str):
+        """While the ownership changes, appends of all entries would fill the queue of the store."""
+
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            pace.record_report()
+            peers = FakePeers()
+            peers.instance = "e3"
+            peers.answers["e1"] = CallerReply(200, b"{}")
+            relaying = self.relaying(rig, peers, pace, owner)
+            assert (await relaying.answer(self.request(1))).status == 200
+            assert (peers.asked, rig.stored()) == (["e1"], [])
+
+        with_entry(body)
+
+    def test_an_entry_appends_itself_if_the_common_writer_is_lost(self):
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            pace.record_report()
+            peers = FakePeers()
+            assert (await self.relaying(rig, peers, pace).answer(self.request(1))).status == 200
+            assert (peers.asked, rig.stored()) == (["e2"], [job_id(1)])
+
+        with_entry(body)
+
     def test_a_report_expires(self):
         async def body(rig: EntryRig):
             pace = StorePace(rig.writer, rig.timers)
