Ask the next common writer when the owner of a slow store's cell is lost

Callers saw: when the owner's process ended while the store was slow, submissions were refused or had no known outcome for seconds.

Cause: an entry that lost the connection to the common writer appended itself, and so did all others at the same moment.

Change: it asks the entry that takes the place of the lost one first, and appends itself only if that is lost as well or is this entry.

Evidence: test_another_common_writer_is_asked_if_the_owner_is_lost failed before.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -148,7 +148,7 @@
             return request._replace(timeout=deadline - self._clock.now())
 
         async def ask_writer() -> Outcome:
-            return await self._write_through(writer, until_deadline())
+            return await self._write_through_another(until_deadline())
 
         async def write_locally() -> Outcome:
             return await self._write_locally(until_deadline())
@@ -160,8 +160,7 @@
             attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
             return _combined(await attempts.run(), request)
 
-        writer = self._common_writer
-        if not self._pace.slow or writer == self._peers.instance:
+        if not self._pace.slow or self._common_writer == self._peers.instance:
             return await write_here()
         attempts = StaggeredAttempts(ask_writer, write_here, request.timeout, self._clock)
         return _combined(await attempts.run(), request)
@@ -178,6 +177,21 @@
             return owner
         return min(peers | {self._peers.instance})
 
+    async def _write_through_another(self, request: CallerRequest) -> Outcome:
+        """Ask the common writer and, if it is lost, the one that takes its place."""
+        deadline = self._clock.now() + request.timeout
+        undecided = False
+        asked = {self._peers.instance}
+        while self._clock.now() < deadline and self._common_writer not in asked:
+            writer = self._common_writer
+            asked.add(writer)
+            remaining = deadline - self._clock.now()
+            outcome = await self._write_through(writer, request._replace(timeout=remaining))
+            undecided = undecided or outcome.undecided
+            if outcome.reply is not None:
+                return outcome._replace(undecided=undecided)
+        return Outcome(undecided=undecided)
+
     async def _write_through(self, writer: str, request: CallerRequest) -> Outcome:
         started_at = self._clock.now()
         outcome = await self._ask(writer, request)
--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -123,6 +123,18 @@
 
         with_entry(body)
 
+    def test_another_common_writer_is_asked_if_the_owner_is_lost(self):
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            pace.record_report()
+            peers = FakePeers()
+            peers.instance = "e3"
+            peers.answers["e1"] = CallerReply(200, b"{}")
+            assert (await self.relaying(rig, peers, pace).answer(self.request(1))).status == 200
+            assert (peers.asked, rig.stored()) == (["e2", "e1"], [])
+
+        with_entry(body)
+
     def test_a_report_expires(self):
         async def body(rig: EntryRig):
             pace = StorePace(rig.writer, rig.timers)
