Ask the next common writer beside an owner that is late

Callers saw: when the owner's process was paused while the store was slow, each entry held its first submissions to the end of the caller's time without a known outcome.

Cause: the owner of a slow store had the caller's whole time alone.

Change: after 1.4 s the entry that would take its place is asked as well, and the late one is avoided for 3 s if that succeeds. That is one more writer, not one per entry.

Evidence: the three cases about a paused or late owner in test_store_pace failed before. The test test_entries_do_not_append_beside_a_late_owner now runs at an entry that is not the next writer itself, since that one may append.

--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -148,7 +148,21 @@
             return request._replace(timeout=deadline - self._clock.now())
 
         async def ask_writer() -> Outcome:
-            return await self._write_through_another(until_deadline())
+            return await self._write_through_another(until_deadline(), set())
+
+        async def ask_next_writer() -> Outcome:
+            if self._common_writer_except({writer}) == self._peers.instance:
+                return await write_here()
+            outcome = await self._write_through_another(until_deadline(), {writer})
+            if outcome.succeeded:
+                self._avoid(writer)
+            return outcome
+
+        async def ask_writers() -> Outcome:
+            attempts = StaggeredAttempts(
+                ask_writer, ask_next_writer, OWNER_HEAD_START_SECONDS, self._clock
+            )
+            return _combined(await attempts.run(), request)
 
         async def write_locally() -> Outcome:
             return await self._write_locally(until_deadline())
@@ -160,31 +174,36 @@
             attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
             return _combined(await attempts.run(), request)
 
-        if not self._pace.slow or self._common_writer == self._peers.instance:
+        writer = self._common_writer
+        if not self._pace.slow or writer == self._peers.instance:
             return await write_here()
-        attempts = StaggeredAttempts(ask_writer, write_here, request.timeout, self._clock)
+        attempts = StaggeredAttempts(ask_writers, write_here, request.timeout, self._clock)
         return _combined(await attempts.run(), request)
 
     @property
     def _common_writer(self) -> str:
-        """Entry that appends for all while the store is slow: the owner or, without one, the first.
+        """Entry that appends for all while the store is slow."""
+        return self._common_writer_except(set())
+
+    def _common_writer_except(self, lost: set[str]) -> str:
+        """Return the owner or, without one, the first entry by name.
 
         Any entry can store submissions, and one writer keeps the queue of the store short.
         """
-        peers = self._available_peers()
+        candidates = (self._available_peers() | {self._peers.instance}) - lost
         owner = self._owner()
-        if owner in peers or owner == self._peers.instance:
-            return owner
-        return min(peers | {self._peers.instance})
+        return owner if owner in candidates else min(candidates)
 
-    async def _write_through_another(self, request: CallerRequest) -> Outcome:
+    async def _write_through_another(self, request: CallerRequest, lost: set[str]) -> Outcome:
         """Ask the common writer and, if it is lost, the one that takes its place."""
         deadline = self._clock.now() + request.timeout
         undecided = False
-        asked = {self._peers.instance}
-        while self._clock.now() < deadline and self._common_writer not in asked:
-            writer = self._common_writer
-            asked.add(writer)
+        lost = set(lost)
+        while self._clock.now() < deadline:
+            writer = self._common_writer_except(lost)
+            if writer == self._peers.instance:
+                break
+            lost.add(writer)
             remaining = deadline - self._clock.now()
             outcome = await self._write_through(writer, request._replace(timeout=remaining))
             undecided = undecided or outcome.undecided
@@ -276,7 +295,7 @@
             return await self._peers.call(name, forwarded, request.timeout + CALL_MARGIN_SECONDS)
         except PeerUnreachable:
             log.info("relay to another entry failed", extra={"path": request.path, "entry": name})
-            self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
+            self._avoid(name)
             self._reconnect(name, sent_at)
         except RagworttillerError as exc:
             return error_reply(exc)
@@ -301,6 +320,9 @@
         names = (first + remaining)[:MAX_RELAY_ATTEMPTS]
         return [RelayTarget(name, RELAY_TIMEOUT_SECONDS) for name in names]
 
+    def _avoid(self, name: str) -> None:
+        self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
+
     def _available_peers(self) -> set[str]:
         now = self._clock.now()
         names = self._names() - {self._peers.instance}
@@ -330,6 +352,8 @@
         job = request.path.rpartition("/")[2]
         error = SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS)
         return Outcome(error=error, undecided=True)
+    if not any(outcome.reply or outcome.error for outcome in outcomes):
+        return Outcome()
     replies = [outcome for outcome in outcomes if outcome.reply is not None]
     errors = [outcome for outcome in outcomes if outcome.error is not None]
     return (replies + errors)[0]
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -245,6 +245,7 @@
                 return CallerReply(200, b"{}")
 
             peers = FakePeers()
+            peers.instance = "e3"
             peers.call = call
             rig.service.write_seconds = 0.4
             relaying = self.relaying(rig, peers)
--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from ragworttiller.exceptions import PeerUnreachable
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
@@ -135,6 +136,49 @@
 
         with_entry(body)
 
+    @pytest.mark.parametrize("instance", ["e1", "e3"])
+    def test_a_paused_owner_does_not_hold_callers_to_the_end_of_their_time(self, instance: str):
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            pace.record_report()
+            peers = FakePeers()
+            peers.instance = instance
+
+            async def call(name, message, timeout):
+                peers.asked.append(name)
+                if name == "e2":
+                    await rig.timers.sleep(timeout)
+                    raise PeerUnreachable(instance=name)
+                return CallerReply(200, b"{}")
+
+            peers.call = call
+            start = rig.timers.now()
+            relaying = self.relaying(rig, peers, pace)
+            assert (await relaying.answer(self.request(1))).status == 200
+            assert rig.timers.now() - start < 1.6
+
+        with_entry(body)
+
+    def test_an_owner_that_was_late_is_avoided_for_a_while(self):
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            pace.record_report()
+            peers = FakePeers()
+            peers.instance = "e3"
+
+            async def call(name, message, timeout):
+                peers.asked.append(name)
+                await rig.timers.sleep(timeout if name == "e2" else 0.2)
+                return CallerReply(200, b"{}")
+
+            peers.call = call
+            relaying = self.relaying(rig, peers, pace)
+            for number in range(2):
+                assert (await relaying.answer(self.request(number))).status == 200
+            assert peers.asked == ["e2", "e1", "e1"]
+
+        with_entry(body)
+
     def test_a_report_expires(self):
         async def body(rig: EntryRig):
             pace = StorePace(rig.writer, rig.timers)
