Keep an entry that stops until its claim under way is released

Operators would see: a cell claimed by an entry that is gone, without an owner until three reads of the claims are empty.

Cause: an entry that stops serves on while it holds the cell, but a claim whose append still waits in the store did not count. Such an entry could withdraw and end before its claim was stored, and so never release it. It could also claim after the order to stop, while it asked the owner.

Change: a claim under way counts as holding the cell, within the time of the stop, and an entry that stops claims no more. Not covered: a claim without a result after 2 s that is stored later.

Evidence: test_a_stop_waits_for_a_claim_under_way failed before; the last claim was not released.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -124,6 +124,7 @@
         self._standbys = standbys or NoStandbys()
         self._owner: Owner | None = None
         self._renewals: Renewals | None = None
+        self._claiming = False
         self._claim_read_at: float | None = None
         self._stopping = anyio.Event()
         self._successor = ANY_ENTRY
@@ -194,8 +195,10 @@
                 return
             if previous is not None and await self._only_seems_lost(previous):
                 continue
+            if self._stopping.is_set():
+                return
             try:
-                claimed = await self._ownership.claim(previous)
+                claimed = await self._claim(previous)
                 if claimed is not None:
                     await self._hold(claimed)
             except RagworttillerError as exc:
@@ -213,8 +216,11 @@
 
     @property
     def holds_cell(self) -> bool:
-        """Whether the cell was claimed by this entry, and neither lost nor released since."""
-        return self._renewals is not None
+        """Whether the cell was claimed by this entry, and neither lost nor released since.
+
+        A claim under way counts, since it may be stored.
+        """
+        return self._claiming or self._renewals is not None
 
     def stop(self, successor: str, timeout: float = DEFAULT_SETTLE_SECONDS) -> None:
         """Stop claiming, and release the ownership to another entry.
@@ -242,6 +248,13 @@
             return False
         return self._renewals.term.seems_alive(self.lag)
 
+    async def _claim(self, previous: Claim | None) -> Claimed | None:
+        self._claiming = True
+        try:
+            return await self._ownership.claim(previous)
+        finally:
+            self._claiming = False
+
     async def _only_seems_lost(self, claim: Claim) -> bool:
         """Return whether the owner that wrote a claim says that it acts: it may only be busy."""
         if claim.released or claim.owner == self._name:
--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from ragworttiller.scheduling.records.formats import JOBS
+from ragworttiller.scheduling.ownership.renewals import PRODUCER
+from ragworttiller.scheduling.records.formats import JOBS, OWNER, OWNER_KEY, Claim, decode
 from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
 from tests.scheduling_rig import job_id, step
 
@@ -98,3 +99,27 @@
             assert rig.owner.host.claims.claim.epoch == 2
 
         with_rig(body)
+
+    def test_a_stop_waits_for_a_claim_under_way(self):
+        """Guards against a cell that is claimed by an entry that is gone."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[OWNER.topic] = 1.0
+            rig.kill(first.name)
+            claims = rig.store.partition(OWNER.topic)
+            while claims.producers[PRODUCER].epoch < 2:
+                await rig.timers.sleep(STEP_SECONDS)
+            others = [entry for entry in rig.entries.values() if entry is not first]
+            for entry in others:
+                entry.stop("")
+            for entry in others:
+                while entry.host.holds_cell:
+                    await rig.timers.sleep(STEP_SECONDS)
+                rig.kill(entry.name)
+            await rig.timers.sleep(3.0)
+            _, value = claims.newest()[OWNER_KEY]
+            assert decode(value, Claim).released
+
+        with_rig(body)
