Do not give a takeover up for one refused read of the jobs

Callers would see: no task starts for as long as the store refuses or delays some reads around a change of owner.

Cause: a takeover reads the jobs after its fence. One read that was refused, or that came after more than 1 s, ended the takeover; the cell was released to any entry, which met the same, and each began with a claim and a fence of its own.

Change: the read is repeated for up to 10 s, with a line for each failure, while the claim is renewed.

Evidence: test_a_takeover_outlives_refused_reads_of_the_jobs failed before: ten claims in 6 s.

--- a/ragworttiller/scheduling/ownership/succession.py
+++ b/ragworttiller/scheduling/ownership/succession.py
@@ -24,6 +24,9 @@
 EARLIER_OWNER_RETRY_SECONDS = 0.3
 # More than the longest queue of appends at the store, with repetitions of refused ones.
 FENCE_TIMEOUT_SECONDS = 10.0
+# A store may refuse reads, or send the jobs page by page, for as long.
+JOBS_READ_TIMEOUT_SECONDS = 10.0
+JOBS_READ_RETRY_SECONDS = 0.2
 
 
 class Inherited(NamedTuple):
@@ -145,8 +148,7 @@
             jobs_end = await self._ownership.fence_jobs(epoch, FENCE_TIMEOUT_SECONDS)
         fenced_at = self._clock.now()
         self.takeover_log.record(Step.FENCED)
-        if self._jobs_feed.position < jobs_end:
-            await self._jobs_feed.catch_up()
+        await self._read_jobs(jobs_end)
         self.takeover_log.record(Step.JOBS_READ)
         extra = {
             "epoch": epoch,
@@ -157,6 +159,20 @@
         log.info("earlier owners fenced", extra=extra)
         return max(jobs_end, self._jobs_feed.loaded_end)
 
+    async def _read_jobs(self, end: int) -> None:
+        """Read the jobs up to an offset; one refused or late read is no reason to give up."""
+        deadline = self._clock.now() + JOBS_READ_TIMEOUT_SECONDS
+        while self._jobs_feed.position < end:
+            try:
+                await self._jobs_feed.catch_up()
+                return
+            except LogUnavailable as exc:
+                extra = {"epoch": self._claimed.term.epoch, "end": end, "why": exc.code}
+                log.info("jobs not read in a takeover", extra=extra)
+                if self._clock.now() >= deadline:
+                    raise
+                await self._clock.sleep(JOBS_READ_RETRY_SECONDS)
+
     async def _read_runners(self, feed: Feed) -> None:
         try:
             await feed.load()
--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from ragworttiller.exceptions import LogUnavailable
+from ragworttiller.platform.store import Partition, Store
 from ragworttiller.scheduling.ownership.renewals import PRODUCER
 from ragworttiller.scheduling.records.formats import JOBS, OWNER, OWNER_KEY, Claim, decode
 from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
@@ -100,6 +102,29 @@
 
         with_rig(body)
 
+    def test_a_takeover_outlives_refused_reads_of_the_jobs(self, monkeypatch: pytest.MonkeyPatch):
+        """Guards against a takeover given up, and begun anew elsewhere, for one refused read."""
+        read, refuses = Store.read, False
+
+        async def read_unless_refused(store: Store, partition: Partition, *args):
+            result = await read(store, partition, *args)
+            if partition == JOBS and refuses:
+                raise LogUnavailable(stream=str(partition))
+            return result
+
+        async def body(rig: OwnersRig):
+            nonlocal refuses
+            await start_entries(rig, ENTRIES)
+            first, refuses = rig.owner, True
+            rig.kill(first.name)
+            await rig.timers.sleep(6.0)
+            refuses = False
+            await wait_owner_beside(rig, first, within=1.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        monkeypatch.setattr(Store, "read", read_unless_refused)
+        with_rig(body)
+
     def test_a_stop_waits_for_a_claim_under_way(self):
         """Guards against a cell that is claimed by an entry that is gone."""
 
