Take the record of a change of owner, once read, as proof of the fence

Callers would see: no owner while appends to the jobs take over 4 s from call to answer, or their answers are lost.

Cause: each call of the fence is given up after 4 s, though its record is stored a second later and read by the entry itself. After 10 s the takeover is given up, and the next entry meets the same.

Change: the wait ends once the entry reads the record of its own epoch among the jobs. Only the entry whose claim of that epoch was stored writes it. Later calls of the same sequence number change nothing.

Evidence: test_a_fence_without_an_answer_is_seen_among_the_jobs failed before: no owner in 9 s with appends that take 5 s.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -274,6 +274,7 @@
             self._ownership,
             self._store,
             self.jobs_feed,
+            self.jobs,
             self._earlier_owner,
             self._lease,
             self._clock,
--- a/ragworttiller/scheduling/ownership/succession.py
+++ b/ragworttiller/scheduling/ownership/succession.py
@@ -15,6 +15,7 @@
 from ragworttiller.scheduling.ownership.takeover_log import Step, TakeoverLog
 from ragworttiller.scheduling.ownership.term import TERM_SECONDS
 from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.takeover import Takeover
 
@@ -24,6 +25,7 @@
 EARLIER_OWNER_RETRY_SECONDS = 0.3
 # More than the longest queue of appends at the store, with repetitions of refused ones.
 FENCE_TIMEOUT_SECONDS = 10.0
+FENCE_CHECK_SECONDS = 0.05
 # A store may refuse reads, or send the jobs page by page, for as long.
 JOBS_READ_TIMEOUT_SECONDS = 10.0
 JOBS_READ_RETRY_SECONDS = 0.2
@@ -54,6 +56,8 @@
         The platform's store.
     jobs_feed : Feed
         Feed of the jobs, which the entry runs.
+    jobs : JobFold
+        Jobs read by that feed.
     earlier_owner : EarlierOwner
         Asks the earlier owner.
     lease : float
@@ -73,6 +77,7 @@
         ownership: Ownership,
         store: Store,
         jobs_feed: Feed,
+        jobs: JobFold,
         earlier_owner: EarlierOwner,
         lease: float,
         clock: Clock,
@@ -81,12 +86,14 @@
         self._ownership = ownership
         self._store = store
         self._jobs_feed = jobs_feed
+        self._jobs = jobs
         self._earlier_owner = earlier_owner
         self._lease = lease
         self._clock = clock
         self.takeover_log = TakeoverLog(claimed, clock)
         self._owner_ended_at: float | None = None
         self._takeover: Takeover | None = None
+        self._read_fence_end = 0
 
     async def complete(self) -> Inherited:
         """Make all steps that have to precede the first decision.
@@ -145,7 +152,7 @@
         previous = self._claimed.previous
         jobs_end = previous.jobs_end if previous is not None and previous.released else 0
         if not jobs_end:
-            jobs_end = await self._ownership.fence_jobs(epoch, FENCE_TIMEOUT_SECONDS)
+            jobs_end = await self._fence()
         fenced_at = self._clock.now()
         self.takeover_log.record(Step.FENCED)
         await self._read_jobs(jobs_end)
@@ -159,6 +166,34 @@
         log.info("earlier owners fenced", extra=extra)
         return max(jobs_end, self._jobs_feed.loaded_end)
 
+    async def _fence(self) -> int:
+        """Fence earlier owners and return the end of the record, by its answer or once it is read.
+
+        The answer may be lost, or come later than a call waits for it.
+        """
+        end, failure = 0, None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_once_fence_read, tasks.cancel_scope)
+            try:
+                end = await self._ownership.fence_jobs(
+                    self._claimed.term.epoch, FENCE_TIMEOUT_SECONDS
+                )
+            except RagworttillerError as exc:
+                failure = exc
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return end or self._read_fence_end
+
+    async def _cancel_once_fence_read(self, scope: anyio.CancelScope) -> None:
+        """Stop waiting for an answer once the record is read: only this owner writes its epoch."""
+        epoch = self._claimed.term.epoch
+        while self._jobs.owner_epoch != epoch:
+            await self._clock.sleep(FENCE_CHECK_SECONDS)
+        self._read_fence_end = self._jobs.owner_change_end
+        log.info("fence read among the jobs", extra={"epoch": epoch, "end": self._read_fence_end})
+        scope.cancel()
+
     async def _read_jobs(self, end: int) -> None:
         """Read the jobs up to an offset; one refused or late read is no reason to give up."""
         deadline = self._clock.now() + JOBS_READ_TIMEOUT_SECONDS
--- a/ragworttiller/scheduling/records/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -86,6 +86,8 @@
         Jobs that have changed since the set was last cleared.
     owner_epoch : int
         Epoch of the last owner that has taken over, 0 before the first.
+    owner_change_end : int
+        Offset after its record.
     on_accepted : Callable
         Called with each accepted job that is read for the first time.
     """
@@ -95,6 +97,7 @@
         self.open_jobs: dict[str, JobRow] = {}
         self.touched: set[str] = set()
         self.owner_epoch = 0
+        self.owner_change_end = 0
         self.on_accepted: Callable[[Accepted], None] = lambda accepted: None
 
     def get(self, job: str) -> JobRow | None:
@@ -140,7 +143,8 @@
                 extra={"offset": record.offset, "why": str(exc)},
             )
             return
-        self.owner_epoch = max(self.owner_epoch, epoch)
+        if epoch >= self.owner_epoch:
+            self.owner_epoch, self.owner_change_end = epoch, record.offset + 1
 
     def _apply_accepted(self, job: str, record: Record) -> None:
         if not record.value:
--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -125,6 +125,19 @@
         monkeypatch.setattr(Store, "read", read_unless_refused)
         with_rig(body)
 
+    def test_a_fence_without_an_answer_is_seen_among_the_jobs(self):
+        """Guards against a takeover given up though its fence is stored and was read."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 5.0
+            rig.kill(first.name)
+            await wait_owner_beside(rig, first, within=9.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body)
+
     def test_a_stop_waits_for_a_claim_under_way(self):
         """Guards against a cell that is claimed by an entry that is gone."""
 
