Say in the first claim how long earlier owners may run tasks

Callers saw: LOST was reported of lasting tasks that did not run with room for them; that this was its cause is not shown.

Cause: the first claim of an owner did not tell what it knew of earlier owners' waits, and that it had ordered nothing itself.

A line about an answered request keeps the first failure at the entry: later attempts have no time.

--- a/ragworttiller/scheduling/entry/request_trace.py
+++ b/ragworttiller/scheduling/entry/request_trace.py
@@ -55,8 +55,9 @@
         return fields
 
     def record_local_failure(self, code: str, state: StoreState, now: float) -> None:
-        """Record that the attempt at this entry failed."""
-        self._local_code, self._local_took, self._store = code, now - self._began_at, state
+        """Record that the first attempt at this entry failed; another has no time left."""
+        if not self._local_code:
+            self._local_code, self._local_took, self._store = code, now - self._began_at, state
 
     def record_relay(self, entry: str, state: StoreState) -> None:
         """Record that another entry is asked."""
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -145,7 +145,7 @@
             on_empty_poll=self._claim_poll_empty,
         )
         self._ownership = Ownership(
-            store, self.claims_feed, self.claims, clock, name, incarnation, address
+            store, self.claims_feed, self.claims, clock, name, incarnation, address, self._lease
         )
 
     @property
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -20,7 +20,7 @@
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat, OwnerWatch
 from ragworttiller.scheduling.ownership.renewals import PRODUCER, RETRY_INTERVAL_SECONDS, Renewals
 from ragworttiller.scheduling.ownership.standbys import Standbys
-from ragworttiller.scheduling.ownership.term import ClaimFold, Term
+from ragworttiller.scheduling.ownership.term import TERM_SECONDS, ClaimFold, Term
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import (
     JOBS,
@@ -32,6 +32,8 @@
     encode,
 )
 from ragworttiller.scheduling.records.repeated_append import RepeatedAppend
+from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS
+from ragworttiller.scheduling.state.takeover import longest_wait
 
 log = logging.getLogger(__name__)
 
@@ -73,6 +75,8 @@
         Number that identifies this start of the instance.
     address : str
         Address at which this instance listens for its peers.
+    lease : float
+        Duration of the leases that owners grant, in seconds.
     """
 
     def __init__(
@@ -84,7 +88,9 @@
         name: str,
         incarnation: int,
         address: str = "",
+        lease: float = LEASE_SECONDS,
     ) -> None:
+        self._lease = lease
         self._store = store
         self._feed = feed
         self._fold = fold
@@ -163,7 +169,7 @@
             return None
         # A renewal with the content of the one before may have been read just now.
         read_at = self._claim_read_at
-        claim = self._next_claim(previous)
+        claim = self._next_claim(previous, read_at)
         sent_at = self._clock.now()
         if not await self._append_claim(claim):
             return None
@@ -204,7 +210,7 @@
         record = KeyedRecord(OWNER_CHANGE_KEY, encode(OwnerChange(epoch)))
         return await self._append(JOBS, record, epoch, 0, self._clock.now() + timeout)
 
-    def _next_claim(self, previous: Claim | None) -> Claim:
+    def _next_claim(self, previous: Claim | None, read_at: float) -> Claim:
         """Return the claim after ``previous``, of whose runners none has answered yet."""
         fresh = Claim(
             self._name,
@@ -219,7 +225,10 @@
         )
         if previous is None:
             return fresh
+        age = self._clock.now() - read_at
+        term_left = max(TERM_SECONDS - age, 0.0)
         return fresh._replace(
+            unsettled_seconds=round(longest_wait(previous, term_left, self._lease, age), 3),
             epoch=previous.epoch + 1,
             position=previous.position,
             roster=previous.roster,
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -17,6 +17,32 @@
 EXPIRY_MARGIN_SECONDS = 0.3
 
 
+def longest_wait(claim: Claim, term: float, lease: float, claim_age: float) -> float:
+    """Return after how many seconds all runs of the owner of a claim, and of those before, end.
+
+    Parameters
+    ----------
+    claim : Claim
+        Last claim of the owner.
+    term, lease, claim_age : float
+        As in `Takeover`.
+    """
+    unknown = term + expiry_seconds(lease)
+    own = unknown
+    if claim.released:
+        own = expiry_seconds(lease) if claim.may_order else 0.0
+    if not claim.unsettled:
+        return own
+    if claim.unsettled_seconds is None:
+        return unknown
+    return max(own, claim.unsettled_seconds - claim_age)
+
+
+def expiry_seconds(lease: float) -> float:
+    """Return by when a lease has certainly expired after it was granted, in seconds."""
+    return lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
+
+
 class Takeover:
     """Runners that an earlier owner may have used and that have not answered the new owner.
 
@@ -62,7 +88,7 @@
     ) -> None:
         self._accepted_before = accepted_before
         self.began_at = now
-        self._expiry_seconds = lease * LEASE_STRETCH_FACTOR + EXPIRY_MARGIN_SECONDS
+        self._expiry_seconds = expiry_seconds(lease)
         self._unsettled: frozenset[str] = frozenset()
         self._unsettled_until = float("inf")
         self._unresolved_until: dict[str, float] = {}
--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -161,3 +161,29 @@
             assert decode(value, Claim).released
 
         with_rig(body)
+
+    def test_owners_that_never_acted_do_not_prolong_the_wait_for_a_silent_runner(self):
+        """Guards against lasting tasks that wait anew after each planned stop in a row."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            rig.work_by_job[job_id(1)] = 500.0
+            await rig.submit(job_id(1), step(3, daemon=True, anti_affinity=1))
+            await rig.timers.sleep(2.0)
+            for entry in rig.entries.values():
+                entry.link("w1").cut = True
+            rig.machines["w1"].crash()
+            rig.store.queue_seconds[JOBS.topic] = 2.5
+            first = rig.owner
+            owners = [first, *(e for e in rig.entries.values() if e is not first)]
+            began = rig.timers.now()
+            for owner, successor in zip(owners, owners[1:], strict=False):
+                owner.stop(successor.name)
+                await rig.timers.sleep(1.5)
+            rig.store.queue_seconds.clear()
+            while len(rig.monitor.starts) == 3:
+                await rig.timers.sleep(0.1)
+            assert rig.timers.now() < began + 10.0
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=4)
