--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -209,3 +209,10 @@
     def test_a_replaced_owner_that_acts_on_later_jobs(self, monkeypatch: pytest.MonkeyPatch):
         monkeypatch.setattr(CellHost, "_end_if_superseded", lambda self: None)
         assert find_problems(claim_faults("hide_claim"))
+
+    def test_owners_before_the_last_one_taken_for_ended(self, monkeypatch: pytest.MonkeyPatch):
+        seconds_left = Takeover.seconds_left
+        monkeypatch.setattr(
+            Takeover, "seconds_left", lambda self, now: min(seconds_left(self, now), 0.0)
+        )
+        assert find_problems(claim_faults("release_soon"))
