--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import logging
-import random
 from collections.abc import Callable
-from typing import NamedTuple
 
 import anyio
 from typing_extensions import override
@@ -13,7 +11,6 @@
 from ragworttiller.exceptions import (
     ConfigurationUnconfirmed,
     NotReady,
-    PeerUnreachable,
     RagworttillerError,
     StateUnknown,
     StoreDown,
@@ -31,7 +28,9 @@
     error_reply,
 )
 from ragworttiller.scheduling.entry.entries import PeerReconnector
-from ragworttiller.scheduling.entry.request_trace import record_local_failure, record_relay
+from ragworttiller.scheduling.entry.peer_choice import PeerChoice, RelayTarget
+from ragworttiller.scheduling.entry.peer_requests import LATER_CONFIGURATION, PeerRequests
+from ragworttiller.scheduling.entry.request_trace import record_local_failure
 from ragworttiller.scheduling.entry.staggered_attempts import Outcome, StaggeredAttempts
 from ragworttiller.scheduling.entry.store_pace import StorePace
 from ragworttiller.scheduling.records.group_commit import GroupCommit
@@ -44,30 +43,11 @@
 STALE_HEAD_START_SECONDS = 0.05
 # The same for an append of the owner, and for one of a slow store.
 OWNER_HEAD_START_SECONDS = 1.4
-RELAY_TIMEOUT_SECONDS = 0.5
-CALL_MARGIN_SECONDS = 0.1
-MAX_RELAY_ATTEMPTS = 2
 STALE_AGE_SECONDS = 1.4
 # Share of a query's timeout in which an entry with stale states asks others; then it answers.
 STALE_RELAY_SHARE = 0.5
-AVOID_UNRESPONSIVE_ENTRY_SECONDS = 3.0
-# Code of a reply whose body is a later configuration than the one of the relaying entry.
-LATER_CONFIGURATION = "later_configuration"
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
 READ_FAILURES = (NotReady, ConfigurationUnconfirmed, StateUnknown)
-NO_ANSWER_CODES = (
-    NotReady.code,
-    ConfigurationUnconfirmed.code,
-    StateUnknown.code,
-    LATER_CONFIGURATION,
-)
-
-
-class RelayTarget(NamedTuple):
-    """Entry to ask, and the longest time to wait for its answer, in seconds."""
-
-    name: str
-    timeout: float
 
 
 class RelayingCallers(Callers):
@@ -121,12 +101,10 @@
         self._local = local
         self._peers = peers
         self._config = config
-        self._reconnector = reconnector
         self._age = age
-        self._owner = owner
-        self._names = names
         self._clock = clock
-        self._avoid_until: dict[str, float] = {}
+        self._choice = PeerChoice(peers.instance, names, owner, clock)
+        self._requests = PeerRequests(peers, config, reconnector, self._choice, writer, age, clock)
         peers.handle(CallerRequest, self._serve)
 
     @override
@@ -160,7 +138,7 @@
         is_stale = self._age() > STALE_AGE_SECONDS
         if is_stale:
             with self._clock.move_on_after(STALE_RELAY_SHARE * request.timeout):
-                reply = (await self._relay(request, self._relay_targets())).reply
+                reply = (await self._requests.relay(request, self._choice.relay_targets())).reply
                 if reply is not None:
                     return reply
         remaining = deadline - self._clock.now()
@@ -172,7 +150,7 @@
                 raise
             remaining = deadline - self._clock.now()
             relayed = request._replace(timeout=remaining)
-            reply = (await self._relay(relayed, self._relay_targets())).reply
+            reply = (await self._requests.relay(relayed, self._choice.relay_targets())).reply
             if reply is None:
                 raise
             return reply
@@ -187,11 +165,11 @@
             return await self._write_through_another(until_deadline(), set())
 
         async def ask_next_writer() -> Outcome:
-            if self._common_writer_except({writer}) == self._peers.instance:
+            if self._choice.common_writer({writer}) == self._peers.instance:
                 return await write_here()
             outcome = await self._write_through_another(until_deadline(), {writer})
             if outcome.succeeded:
-                self._avoid(writer)
+                self._choice.avoid(writer)
             return outcome
 
         async def ask_writers() -> Outcome:
@@ -204,39 +182,25 @@
             return await self._write_locally(until_deadline())
 
         async def relay() -> Outcome:
-            return await self._relay(until_deadline(), self._write_targets())
+            return await self._requests.relay(until_deadline(), self._write_targets())
 
         async def write_here() -> Outcome:
             attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
             return _combined(await attempts.run(), request)
 
-        writer = self._common_writer
+        writer = self._choice.common_writer()
         if not self._pace.slow or writer == self._peers.instance:
             return await write_here()
         attempts = StaggeredAttempts(ask_writers, write_here, request.timeout, self._clock)
         return _combined(await attempts.run(), request)
 
-    @property
-    def _common_writer(self) -> str:
-        """Entry that appends for all while the store is slow."""
-        return self._common_writer_except(set())
-
-    def _common_writer_except(self, lost: set[str]) -> str:
-        """Return the owner or, without one, the first entry by name.
-
-        Any entry can store submissions, and one writer keeps the queue of the store short.
-        """
-        candidates = (self._available_peers() | {self._peers.instance}) - lost
-        owner = self._owner()
-        return owner if owner in candidates else min(candidates)
-
     async def _write_through_another(self, request: CallerRequest, lost: set[str]) -> Outcome:
         """Ask the common writer and, if it is lost, the one that takes its place."""
         deadline = self._clock.now() + request.timeout
         undecided = False
         lost = set(lost)
         while self._clock.now() < deadline:
-            writer = self._common_writer_except(lost)
+            writer = self._choice.common_writer(lost)
             if writer == self._peers.instance:
                 break
             lost.add(writer)
@@ -249,7 +213,7 @@
 
     async def _write_through(self, writer: str, request: CallerRequest) -> Outcome:
         started_at = self._clock.now()
-        outcome = await self._ask(writer, request)
+        outcome = await self._requests.ask(writer, request)
         elapsed = self._clock.now() - started_at
         if outcome.reply is None:
             return outcome
@@ -262,7 +226,7 @@
 
     async def _write_locally(self, request: CallerRequest) -> Outcome:
         async with anyio.create_task_group() as tasks:
-            if self._common_writer != self._peers.instance:
+            if self._choice.common_writer() != self._peers.instance:
                 tasks.start_soon(self._pace.watch_append)
             outcome = await self._ask_local(request)
             tasks.cancel_scope.cancel()
@@ -282,92 +246,20 @@
         """Return the seconds after which others are asked beside the local attempt."""
         if self._age() > STALE_AGE_SECONDS:
             return STALE_HEAD_START_SECONDS
-        if self._pace.slow or self._common_writer == self._peers.instance:
+        if self._pace.slow or self._choice.common_writer() == self._peers.instance:
             return OWNER_HEAD_START_SECONDS
         return LOCAL_HEAD_START_SECONDS
 
-    async def _relay(self, request: CallerRequest, targets: list[RelayTarget]) -> Outcome:
-        """Ask other entries until one answers."""
-        deadline = self._clock.now() + request.timeout
-        undecided = False
-        for target in targets:
-            remaining = deadline - self._clock.now()
-            if remaining <= 0:
-                break
-            request = request._replace(timeout=min(remaining, target.timeout))
-            outcome = await self._ask(target.name, request)
-            undecided = undecided or outcome.undecided
-            if outcome.reply is not None:
-                log.info(
-                    "request answered by another entry",
-                    extra={"path": request.path, "entry": target.name, "code": outcome.reply.code},
-                )
-                return outcome._replace(undecided=undecided)
-        return Outcome(undecided=undecided)
-
-    async def _ask(self, name: str, request: CallerRequest) -> Outcome:
-        """Return the outcome of asking an entry, with its reply if that answers the request."""
-        reply = await self._ask_peer(name, request)
-        if reply is None:
-            return Outcome(undecided=True)
-        if reply.code in NO_ANSWER_CODES:
-            return Outcome()
-        return Outcome(reply, undecided=reply.code == SubmissionUndecided.code, final=True)
-
-    async def _ask_peer(self, name: str, request: CallerRequest) -> CallerReply | None:
-        """Send a request to an entry; resend it once if the entry has a later configuration.
-
-        Returns None if no answer arrived; the entry may have carried out the request.
-        """
-        reply = await self._send_to_peer(name, request)
-        if reply is None or reply.code != LATER_CONFIGURATION:
-            return reply
-        self._config.adopt(reply.body)
-        return await self._send_to_peer(name, request)
-
-    async def _send_to_peer(self, name: str, request: CallerRequest) -> CallerReply | None:
-        forwarded = request._replace(version=self._config.version)
-        sent_at = self._clock.now()
-        record_relay(name, self._writer, self._age())
-        try:
-            reply = await self._peers.call(name, forwarded, request.timeout + CALL_MARGIN_SECONDS)
-        except PeerUnreachable:
-            log.info("relay to another entry failed", extra={"path": request.path, "entry": name})
-            self._avoid(name)
-            self._reconnector.reconnect_both_ends(name, sent_at)
-            return None
-        except RagworttillerError as exc:
-            reply = error_reply(exc)
-        self._reconnector.record_answer(name)
-        return reply
-
     def _write_targets(self) -> list[RelayTarget]:
         """Return the entries to ask for an append after the local attempt failed or is late.
 
         While this entry reads a slow store, only the common writer is asked.
         """
         if not self._pace.slow or self._age() > STALE_AGE_SECONDS:
-            return self._relay_targets()
-        writer = self._common_writer
+            return self._choice.relay_targets()
+        writer = self._choice.common_writer()
         return [RelayTarget(writer, float("inf"))] if writer != self._peers.instance else []
 
-    def _relay_targets(self) -> list[RelayTarget]:
-        peers = self._available_peers()
-        owner = self._owner()
-        first = [owner] if owner in peers else []
-        remaining = sorted(peers - set(first))
-        random.shuffle(remaining)
-        names = (first + remaining)[:MAX_RELAY_ATTEMPTS]
-        return [RelayTarget(name, RELAY_TIMEOUT_SECONDS) for name in names]
-
-    def _avoid(self, name: str) -> None:
-        self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
-
-    def _available_peers(self) -> set[str]:
-        now = self._clock.now()
-        names = self._names() - {self._peers.instance}
-        return {name for name in names if self._avoid_until.get(name, 0.0) <= now}
-
     async def _serve(self, sender: str, request: CallerRequest) -> CallerReply:
         version = self._config.version
         if request.version > version:
