--- a/ragworttiller/metrics.py
+++ b/ragworttiller/metrics.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import resource
-from collections.abc import Callable, Iterator, Mapping
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -44,9 +45,14 @@
         self._histogram.record_value(microseconds)
         self._sum += seconds
 
-    def quantile(self, share: float) -> float:
-        """Return the duration in seconds below which ``share`` (0 to 1) of all durations lie."""
-        return float(self._histogram.get_value_at_percentile(share * 100)) / 1e6
+    def quantiles(self, shares: Sequence[float]) -> list[float]:
+        """Return the durations in seconds below which shares (0 to 1) of all durations lie.
+
+        All shares together take one pass over the histogram. Without durations, each is 0.
+        """
+        percentiles = [share * 100 for share in shares]
+        values = self._histogram.get_percentile_to_value_dict(percentiles)
+        return [float(values.get(percentile, 0)) / 1e6 for percentile in percentiles]
 
 
 class Usage(NamedTuple):
@@ -66,6 +72,7 @@
 
 Reading = Callable[[], float]
 LabelReading = Callable[[], Mapping[str, float]]
+DurationReading = Callable[[], Mapping[tuple[str, ...], Distribution]]
 
 
 class Metrics(Collector):
@@ -76,12 +83,14 @@
     """
 
     def __init__(self) -> None:
-        self._waiting: dict[str, Distribution] = {}
-        self._decisions: dict[str, Distribution] = {}
+        self._waiting: dict[str, Distribution] = defaultdict(Distribution)
+        self._decisions: dict[str, Distribution] = defaultdict(Distribution)
         self._answers: dict[str, int] = {}
         self._counters: dict[str, tuple[str, Reading]] = {}
         self._gauges: dict[str, tuple[str, Reading]] = {}
         self._labelled: dict[str, tuple[str, str, LabelReading]] = {}
+        self._labelled_counters: dict[str, tuple[str, str, LabelReading]] = {}
+        self._distributions: dict[str, tuple[str, Sequence[str], DurationReading]] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -102,11 +111,11 @@
 
     def record_wait(self, kind: str, seconds: float) -> None:
         """Record how long a piece of work waited until it started or was answered."""
-        self._waiting.setdefault(kind, Distribution()).record(seconds)
+        self._waiting[kind].record(seconds)
 
     def record_decision(self, kind: str, seconds: float) -> None:
         """Record how long a decision took."""
-        self._decisions.setdefault(kind, Distribution()).record(seconds)
+        self._decisions[kind].record(seconds)
 
     def count_answer(self, code: str) -> None:
         """Count one answer to a caller."""
@@ -124,14 +133,42 @@
         """Register a gauge with one label; ``reading`` returns a bounded number of its values."""
         self._labelled[name] = (help_text, label, reading)
 
+    def counter_by_label(
+        self, name: str, help_text: str, label: str, reading: LabelReading
+    ) -> None:
+        """Register a counter with one label; ``reading`` returns a bounded number of its values."""
+        self._labelled_counters[name] = (help_text, label, reading)
+
+    def durations(
+        self, name: str, help_text: str, labels: Sequence[str], reading: DurationReading
+    ) -> None:
+        """Register durations with labels.
+
+        Parameters
+        ----------
+        name, help_text : str
+            Name and description.
+        labels : sequence of str
+            Names of the labels.
+        reading : Callable
+            Returns the durations by the values of the labels, a bounded number of them.
+        """
+        self._distributions[name] = (help_text, labels, reading)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
     @override
     def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily | SummaryMetricFamily]:
-        yield from self._durations("waiting_seconds", "Waiting time by kind", self._waiting)
-        yield from self._durations("decision_seconds", "Decision time by kind", self._decisions)
+        for name, help_text, kinds in (
+            ("waiting_seconds", "Waiting time by kind", self._waiting),
+            ("decision_seconds", "Decision time by kind", self._decisions),
+        ):
+            by_labels: dict[tuple[str, ...], Distribution] = {(k,): d for k, d in kinds.items()}
+            yield from _duration_families(name, help_text, ["kind"], by_labels)
+        for name, (help_text, labels, durations) in self._distributions.items():
+            yield from _duration_families(name, help_text, labels, durations())
         answers = CounterMetricFamily(
             "ragworttiller_answers", "Answers to callers by code", labels=["code"]
         )
@@ -147,17 +184,26 @@
             for text, value in values().items():
                 family.add_metric([text], value)
             yield family
-
-    def _durations(
-        self, name: str, help_text: str, kinds: dict[str, Distribution]
-    ) -> Iterator[GaugeMetricFamily | SummaryMetricFamily]:
-        summary = SummaryMetricFamily(f"ragworttiller_{name}", help_text, labels=["kind"])
-        quantiles = GaugeMetricFamily(
-            f"ragworttiller_{name}_quantile", help_text, labels=["kind", "quantile"]
-        )
-        for kind, distribution in kinds.items():
-            summary.add_metric([kind], distribution.count, distribution.total)
-            for share in QUANTILES:
-                quantiles.add_metric([kind, str(share)], distribution.quantile(share))
-        yield summary
-        yield quantiles
+        for name, (help_text, label, values) in self._labelled_counters.items():
+            counter = CounterMetricFamily(f"ragworttiller_{name}", help_text, labels=[label])
+            for text, value in values().items():
+                counter.add_metric([text], value)
+            yield counter
+
+
+def _duration_families(
+    name: str,
+    help_text: str,
+    labels: Sequence[str],
+    durations: Mapping[tuple[str, ...], Distribution],
+) -> Iterator[GaugeMetricFamily | SummaryMetricFamily]:
+    summary = SummaryMetricFamily(f"ragworttiller_{name}", help_text, labels=labels)
+    quantiles = GaugeMetricFamily(
+        f"ragworttiller_{name}_quantile", help_text, labels=[*labels, "quantile"]
+    )
+    for values, distribution in durations.items():
+        summary.add_metric(values, distribution.count, distribution.total)
+        for share, seconds in zip(QUANTILES, distribution.quantiles(QUANTILES), strict=True):
+            quantiles.add_metric([*values, str(share)], seconds)
+    yield summary
+    yield quantiles
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import logging
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -22,15 +21,39 @@
 from ragworttiller.platform.channel import ChannelSet, Traffic
 from ragworttiller.platform.decoding import decode_json
 from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
+from ragworttiller.platform.store_meter import AppendNumber, StoreMeter
+from ragworttiller.platform.store_records import (
+    KeyedRecord,
+    NewestPage,
+    Record,
+    Slice,
+    decode_page,
+    decode_slice,
+    encode_record,
+)
+from ragworttiller.timers import SystemTimers
+
+__all__ = [
+    "CONFIG_KEY",
+    "CONFIG_TOPIC",
+    "RUNNERS_TOPIC",
+    "KeyedRecord",
+    "NewestPage",
+    "Partition",
+    "Producer",
+    "Record",
+    "Slice",
+    "Store",
+]
 
 log = logging.getLogger(__name__)
 
-LENGTH_BYTES = 4
-OFFSET_BYTES = 8
 READ_MAX_KB = 1024
 ANSWER_TIMEOUT_SECONDS = 1.0
 # Too many calls, unavailable, out of space: nothing was appended, whatever the body says.
 REFUSAL_STATUSES = (429, 503, 507)
+# Records, or the oldest offset after the one asked for.
+READ_STATUSES = (200, 410)
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 RUNNERS_TOPIC = "keyed.servers"
@@ -46,14 +69,6 @@
         return f"{self.topic}/{self.part}"
 
 
-class Record(NamedTuple):
-    """Record of a keyed topic; ``value`` is empty if the key was deleted."""
-
-    offset: int
-    key: str
-    value: bytes
-
-
 class Producer(NamedTuple):
     """Idempotent writer; a higher epoch of the same name fences it."""
 
@@ -61,28 +76,6 @@
     epoch: int
 
 
-class Slice(NamedTuple):
-    """Records of a partition from one offset on.
-
-    ``start`` is the oldest offset that the store keeps, ``end`` the offset of the next append.
-    """
-
-    end: int
-    start: int
-    records: list[Record]
-
-
-class NewestPage(NamedTuple):
-    """Page with the newest record of each key.
-
-    ``after`` is the key after which the next page starts, empty on the last page.
-    """
-
-    end: int
-    after: str
-    records: list[Record]
-
-
 class _Appended(msgspec.Struct):
     offset: int = 0
     end: int = 0
@@ -90,29 +83,10 @@
     seq: int | None = None
 
 
-class _Item(msgspec.Struct):
-    key: str
-    value: str
-    offset: int
-
-
-class _Page(msgspec.Struct):
-    end: int
-    items: list[_Item] = []
-    has_more: bool = False
-
-
 class _Expired(msgspec.Struct):
     first: int = 0
 
 
-class KeyedRecord(NamedTuple):
-    """Key and value to append."""
-
-    key: str
-    value: bytes
-
-
 class Store:
     """HTTP client of the platform's store.
 
@@ -124,6 +98,8 @@
         Seconds to wait for an answer, in addition to the wait of a read.
     channels : ChannelSet, optional
         Connections to use in place of new ones to the address.
+    meter : StoreMeter, optional
+        Counts and times the calls.
     """
 
     def __init__(
@@ -131,7 +107,9 @@
         address: str,
         timeout: float = ANSWER_TIMEOUT_SECONDS,
         channels: ChannelSet | None = None,
+        meter: StoreMeter | None = None,
     ) -> None:
+        self._meter = meter or StoreMeter(SystemTimers())
         self._channels = channels or ChannelSet(address, timeout)
         self._timeout = timeout
         self._answer_count = 0
@@ -186,12 +164,25 @@
         LogUnavailable
             Nothing was appended.
         """
+        number = AppendNumber(*producer, sequence) if producer is not None else None
+        with self._meter.append(partition.topic, number):
+            return await self._append(partition, records, producer, sequence, at, timeout)
+
+    async def _append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        producer: Producer | None,
+        sequence: int,
+        at: int | None,
+        timeout: float | None,
+    ) -> int:
         query: dict[str, object] = {"topic": partition.topic, "part": partition.part}
         if producer is not None:
             query |= {"producer": producer.name, "epoch": producer.epoch, "seq": sequence}
         if at is not None:
             query["at"] = at
-        body = b"".join(map(_encode_record, records))
+        body = b"".join(map(encode_record, records))
         reply = await self._append_call(
             partition, "/-/log-append?" + urlencode(query), body, timeout
         )
@@ -239,20 +230,27 @@
         if wait:
             query["wait_ms"] = int(wait * 1000)
         target = "/-/log-read?" + urlencode(query)
-        status, content = await self._read_call(partition, target, wait)
+        status, content = await self._read_call(partition, target, self._timeout + wait)
         if status == 410:
             try:
                 start = decode_json(content, _Expired, _Expired.__name__).first
             except Unreadable as exc:
                 raise LogUnavailable(stream=str(partition)) from exc
             raise RecordsExpired(stream=str(partition), start=start, wanted=offset)
-        if status != 200 or len(content) < 2 * OFFSET_BYTES:
+        if status != 200:
             raise LogUnavailable(stream=str(partition))
-        return _decode_slice(content, offset)
+        try:
+            return decode_slice(content, offset)
+        except Unreadable as exc:
+            raise LogUnavailable(stream=str(partition)) from exc
 
-    async def read_newest(self, partition: Partition, after: str = "") -> NewestPage:
+    async def read_newest(
+        self, partition: Partition, after: str = "", timeout: float | None = None
+    ) -> NewestPage:
         """Return a page with the newest record of each key after the key ``after``.
 
+        Wait ``timeout`` seconds for the answer; by default the timeout of the client.
+
         Raises
         ------
         LogUnavailable
@@ -261,16 +259,14 @@
         query: dict[str, object] = {"topic": partition.topic, "part": partition.part}
         if after:
             query["after"] = after
-        status, content = await self._read_call(partition, "/-/log-newest?" + urlencode(query), 0.0)
+        target = "/-/log-newest?" + urlencode(query)
+        status, content = await self._read_call(partition, target, timeout or self._timeout)
         if status != 200:
             raise LogUnavailable(stream=str(partition))
         try:
-            page = decode_json(content, _Page, _Page.__name__)
-            records = [Record(i.offset, i.key, base64.b64decode(i.value)) for i in page.items]
-        except (Unreadable, ValueError) as exc:
+            return decode_page(content, str(partition))
+        except Unreadable as exc:
             raise LogUnavailable(stream=str(partition)) from exc
-        next_after = page.items[-1].key if page.has_more and page.items else ""
-        return NewestPage(page.end, next_after, records)
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -288,37 +284,15 @@
         self._answer_count += 1
         return answer
 
-    async def _read_call(self, partition: Partition, target: str, wait: float) -> tuple[int, bytes]:
+    async def _read_call(
+        self, partition: Partition, target: str, timeout: float
+    ) -> tuple[int, bytes]:
         try:
-            answer = await self._channels.request("GET", target, timeout=self._timeout + wait)
+            answer = await self._channels.request("GET", target, timeout=timeout)
         except (NotSent, ExchangeBroken) as exc:
+            self._meter.reads_unanswered[partition.topic] += 1
             raise LogUnavailable(stream=str(partition)) from exc
         self._answer_count += 1
+        if answer.status not in READ_STATUSES:
+            self._meter.reads_refused[partition.topic] += 1
         return answer.status, answer.body
-
-
-def _encode_record(record: KeyedRecord) -> bytes:
-    key = record.key.encode()
-    length = 1 + len(key) + len(record.value)
-    return length.to_bytes(LENGTH_BYTES, "big") + bytes([len(key)]) + key + record.value
-
-
-def _decode_slice(content: bytes, offset: int) -> Slice:
-    end = int.from_bytes(content[:OFFSET_BYTES], "big")
-    start = int.from_bytes(content[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
-    records: list[Record] = []
-    position = 2 * OFFSET_BYTES
-    while position + LENGTH_BYTES <= len(content):
-        record_start = position + LENGTH_BYTES
-        position = record_start + int.from_bytes(content[position:record_start], "big")
-        records.append(_decode_record(offset + len(records), content[record_start:position]))
-    return Slice(end, start, records)
-
-
-def _decode_record(offset: int, data: bytes) -> Record:
-    """Return the record, with empty key and value if it cannot be decoded."""
-    length = data[0] if data else 0
-    key = data[1 : 1 + length]
-    if not data or len(key) < length:
-        return Record(offset, "", b"")
-    return Record(offset, key.decode("utf-8", "replace"), data[1 + length :])
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Collection, Iterator, Mapping, Sequence
 
 from ragworttiller.resources import Resources
@@ -37,6 +38,8 @@
 GANG_RESERVE_DELAY_SECONDS = 2.0
 GANG_RESERVE_SECONDS = 4.0
 AVOID_FAILED_RUNNER_SECONDS = 2.0
+# With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
+LASTING_PATIENCE_SECONDS = 1.5
 NO_KINDS: frozenset[str] = frozenset()
 
 
@@ -146,6 +149,9 @@
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
+        for work, stage, _ in ready:
+            if stage.overdue:
+                self._advice.plan_for_overdue(work, stage)
         held_back: set[str] = set()
         capped = self._caps.begin()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
@@ -183,26 +189,42 @@
             room = free_resources.upstream_room(work.queue.upstream)
             return self._headroom.allowance(inputs, 0.0, room, now)
 
+        self._start_on_suspended(plan, ready, capped, now)
         left = Leftovers(jobs, free_resources, ready, allowance_now, now)
         self._copies.plan(plan, left)
         self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
+    def _start_on_suspended(
+        self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
+    ) -> None:
+        """Start lasting tasks that have waited for long on suspended runners."""
+        rows = [row for row in ready if row[1].overdue and row[1].waiting]
+        runners = self._pool.accepting_lasting_tasks_only(now) if rows else []
+        if not runners:
+            return
+        free = FreeResources(runners)
+        for work, stage, inputs in rows:
+            allowed = self._allowed_by_cap(work, stage, now) if capped else len(stage.waiting)
+            if allowed:
+                self._start_placeable(plan, work, stage, inputs, free, math.inf, allowed, now)
+
     def _allowed_by_cap(self, work: JobWork, stage: Stage, now: float) -> int:
         """Return how many tasks the cap of its workspace allows a stage, and record if none."""
         allowed = self._caps.allowed(stage, now - (stage.ready_since or now))
         if allowed:
-            stage.release_from_cap(now)
+            stage.cap_hold.end(now)
             return allowed
+        stage.overdue = False
         work.hold_for_cap(stage, now)
-        if not stage.cap_hold_logged:
-            stage.cap_hold_logged = True
+        if not stage.cap_hold.logged:
+            stage.cap_hold.logged = True
             extra = {"stage": str(stage.id), "workspace": stage.workspace}
             log.info("stage held by the cap of its workspace", extra=extra)
         if stage.active_runs:
             # Its next wave starts when a task ends, and needs tickets then.
             self._advice.plan_for_blocked(work, stage, None)
-        elif now - (stage.cap_held_since or now) > RESERVE_DELAY_SECONDS:
+        elif now - (stage.cap_hold.since or now) > RESERVE_DELAY_SECONDS:
             self._caps.reserve(stage)
         return 0
 
@@ -226,9 +248,14 @@
     def _relax_avoidance(
         self, work: JobWork, stage: Stage, free: FreeResources, now: float
     ) -> None:
-        """Let tasks that have failed start on more runners once their stage is blocked for long."""
+        """Let tasks start on more runners once their stage is blocked for long.
+
+        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
+        """
+        blocked = now - (stage.blocked_since or now)
+        stage.overdue = stage.spec.daemon and blocked > LASTING_PATIENCE_SECONDS
         stage.tries_failed_on_probation = False
-        if now - (stage.blocked_since or now) <= AVOID_FAILED_RUNNER_SECONDS:
+        if blocked <= AVOID_FAILED_RUNNER_SECONDS:
             return
         stage.last_failed_runner.clear()
         if stage.failed_runs:
@@ -312,7 +339,7 @@
         """Start tasks on the runners chosen for them; their kind tells its duration ``by_kind``."""
         if not chosen:
             return
-        stage.blocked_since = None
+        stage.blocked_since, stage.overdue = None, False
         needs_ticket = work.queue.advice is not None
         # The runs of a gang have the same number and start from the same checkpoint.
         number = max(stage.next_number(i, self._epoch) for i in chosen) if stage.spec.gang else 0
--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -44,11 +44,13 @@
 
 log = logging.getLogger(__name__)
 
-APPEND_TIMEOUT_SECONDS = 1.5
 # After a refusal by the store, requests are refused at once for this time instead of waiting.
 REFUSAL_CACHE_SECONDS = 0.3
-# An append in flight for longer delays queued appends past the timeouts of callers.
-MAX_IN_FLIGHT_SECONDS = 0.7
+# Time for which an append that the store refuses at once is retried; a slow store refuses appends
+# only while too many wait, and is retried for as long as the caller waits.
+REFUSAL_RETRY_SECONDS = 0.6
+# The store counts as out of reach when it has answered nothing during an append for longer.
+MAX_SILENT_SECONDS = 0.7
 RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 4.0
 DEFAULT_MAX_BODY_BYTES = 262144
@@ -150,8 +152,10 @@
             raise QueueUnknown(host=host, path=path)
         return Target(caller.queue, job, caller.workspace)
 
-    async def submit(self, target: Target, body: bytes, timeout: float) -> None:
-        """Store a job; repeated submissions with one identifier store it once.
+    async def submit(self, target: Target, body: bytes, timeout: float) -> bool:
+        """Store a job, and return whether that took an append.
+
+        Repeated submissions with one identifier store the job once.
 
         Raises
         ------
@@ -168,19 +172,21 @@
         CellFull
             The cell is full for the job, which was not stored.
         """
+        deadline = self._clock.now() + timeout
         if self._is_stored(target):
-            return
+            return False
         job = decode_job(body)
         workspace = self._config.workspaces.get(target.workspace)
         for number, step in enumerate(job.steps):
             if workspace is not None and exceeds_cap(workspace.cap, step):
                 raise GangExceedsCap(job=target.job, step=number, cap=list(workspace.cap))
         if await self._repeats_a_job_or_is_admitted(target, job):
-            return
+            return False
         self._remember_attempt(target.job)
         accepted = Accepted(target.queue, job, self._clock.wall(), target.workspace)
         record = KeyedRecord(target.job, encode(accepted))
-        await self._append(target.job, record, timeout)
+        await self._append(target.job, record, deadline - self._clock.now())
+        return True
 
     def _is_stored(self, target: Target) -> bool:
         """Return whether the job of a submission was read from the store."""
@@ -214,7 +220,7 @@
         if len(self._attempted) > MAX_ATTEMPTS_KEPT:
             self._attempted.pop(next(iter(self._attempted)))
 
-    async def state(self, target: Target) -> JobState:
+    async def state(self, target: Target, timeout: float) -> JobState:
         """Return the state of a job.
 
         Raises
@@ -222,9 +228,9 @@
         JobUnknown
             No such job was accepted.
         StateUnknown
-            The store cannot be read.
+            The store cannot be read within ``timeout`` seconds.
         """
-        return (await self._row(target)).state
+        return (await self._row(target, timeout)).state
 
     async def cancel(self, target: Target, timeout: float) -> None:
         """Cancel a job, also one whose submission is still in flight.
@@ -261,8 +267,8 @@
         position = claim.position if claim else 0
         counted = claim.pending.get(name, 0) if claim else 0
         return counted + sum(
-            row.offset >= position and row.open and row.accepted.queue.key == name
-            for row in self._jobs.jobs.values()
+            row.offset >= position and row.accepted.queue.key == name
+            for row in self._jobs.open_jobs.values()
             if row.accepted is not None
         )
 
@@ -270,33 +276,41 @@
         """Return when to retry: an outage is expected to last as long again as it already has."""
         return min(max(self._writer.failing_seconds, RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
 
+    @property
+    def _store_out_of_reach(self) -> bool:
+        """Whether an append would be refused or stay without a result, as far as is known."""
+        writer = self._writer
+        since_refusal = self._clock.now() - writer.refused_at
+        if since_refusal < REFUSAL_CACHE_SECONDS and not writer.slow:
+            return True
+        return writer.silent_seconds > max(MAX_SILENT_SECONDS, 2 * writer.last_append_seconds)
+
     async def _append(self, job: str, record: KeyedRecord, timeout: float) -> None:
-        recently_refused = self._clock.now() - self._writer.refused_at < REFUSAL_CACHE_SECONDS
-        if recently_refused or self._writer.in_flight_seconds > max(
-            MAX_IN_FLIGHT_SECONDS, 2 * self._writer.last_append_seconds
-        ):
+        queue_seconds = self._writer.longest_wait(timeout)
+        if self._store_out_of_reach or queue_seconds <= 0:
             raise StoreDown(job=job, retry_after=self._retry_after())
+        retry_seconds = timeout if self._writer.slow else REFUSAL_RETRY_SECONDS
         try:
-            await self._writer.append([record], min(timeout, APPEND_TIMEOUT_SECONDS))
+            await self._writer.append([record], timeout, retry_seconds, queue_seconds)
         except LogUnavailable as exc:
             raise StoreDown(job=job, retry_after=self._retry_after()) from exc
         except AppendUndecided as exc:
             raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
 
-    async def _row(self, target: Target) -> JobRow:
+    async def _row(self, target: Target, timeout: float = CATCH_UP_TIMEOUT_SECONDS) -> JobRow:
         """Return the row of a job that the caller may see."""
         job = target.job
         row = self._jobs.get(job)
         if row is None:
-            await self._refresh(job)
+            await self._refresh(job, timeout)
             row = self._jobs.get(job)
         if row is None or not _may_use(target, row):
             raise JobUnknown(job=job)
         return row
 
-    async def _refresh(self, job: str) -> None:
+    async def _refresh(self, job: str, timeout: float = CATCH_UP_TIMEOUT_SECONDS) -> None:
         try:
-            with self._clock.move_on_after(CATCH_UP_TIMEOUT_SECONDS) as scope:
+            with self._clock.move_on_after(min(timeout, CATCH_UP_TIMEOUT_SECONDS)) as scope:
                 await self._feed.catch_up()
         except LogUnavailable as exc:
             raise StateUnknown(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
--- a/ragworttiller/scheduling/entry/callers.py
+++ b/ragworttiller/scheduling/entry/callers.py
@@ -1,22 +1,20 @@
-"""Answers callers from the store, and makes the first of them wait for a starting entry."""
+"""Answers callers from the store."""
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from typing import NamedTuple
 
 from typing_extensions import override
 
 from ragworttiller.exceptions import QueueUnknown, RagworttillerError
 from ragworttiller.platform.submissions import error_body, pending_body, state_body
-from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 
 OK = 200
-# Time that an entry with a reachable store needs at most to read configuration and jobs.
-MAX_START_SECONDS = 0.8
-READY_CHECK_SECONDS = 0.02
+OK_CODE = "ok"
+# Code of the reply to a repeated submission, which needed no append.
+ALREADY_STORED_CODE = "already_stored"
 
 
 class CallerRequest(NamedTuple):
@@ -44,7 +42,7 @@
 
     status: int
     body: bytes
-    code: str = "ok"
+    code: str = OK_CODE
     retry_after: float | None = None
 
 
@@ -81,48 +79,18 @@
         if not target.job and method == "GET":
             return CallerReply(OK, pending_body(self._acceptance.pending(target)))
         if target.job and method == "GET":
-            return CallerReply(OK, state_body(await self._acceptance.state(target)))
+            return CallerReply(
+                OK, state_body(await self._acceptance.state(target, request.timeout))
+            )
         if target.job and method == "POST":
-            await self._acceptance.submit(target, request.body, request.timeout)
-            return CallerReply(OK, b"{}")
+            appended = await self._acceptance.submit(target, request.body, request.timeout)
+            return CallerReply(OK, b"{}", OK_CODE if appended else ALREADY_STORED_CODE)
         if target.job and method == "DELETE":
             await self._acceptance.cancel(target, request.timeout)
             return CallerReply(OK, b"{}")
         raise QueueUnknown(host=request.host, path=request.path)
 
 
-class StartGate(Callers):
-    """Lets the first requests wait until a starting entry can answer.
-
-    Load pattern: callers whose connections were queued while the process loaded. The wait ends a
-    fixed time after the start of the entry: if it is not ready by then, the store is out of reach.
-
-    Parameters
-    ----------
-    callers : Callers
-        Answers the requests.
-    ready : Callable
-        Returns whether the entry can answer.
-    clock : Clock
-        Source of time.
-    """
-
-    def __init__(self, callers: Callers, ready: Callable[[], bool], clock: Clock) -> None:
-        self._callers = callers
-        self._ready = ready
-        self._clock = clock
-        self._opens_at = clock.now() + MAX_START_SECONDS
-
-    @override
-    async def answer(self, request: CallerRequest) -> CallerReply:
-        received_at = self._clock.now()
-        end = min(self._opens_at, received_at + request.timeout)
-        while not self._ready() and self._clock.now() < end:
-            await self._clock.sleep(READY_CHECK_SECONDS)
-        waited = self._clock.now() - received_at
-        return await self._callers.answer(request._replace(timeout=request.timeout - waited))
-
-
 def error_reply(exc: RagworttillerError) -> CallerReply:
     """Return the answer that reports an error to a caller."""
     return CallerReply(exc.status, error_body(exc), exc.code, exc.retry_after)
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import logging
-import random
 from collections.abc import Callable
-from typing import NamedTuple
 
+import anyio
 from typing_extensions import override
 
 from ragworttiller.exceptions import (
     ConfigurationUnconfirmed,
     NotReady,
-    PeerUnreachable,
     RagworttillerError,
     StateUnknown,
     StoreDown,
@@ -23,42 +21,33 @@
 from ragworttiller.scheduling.entry.acceptance import RETRY_AFTER_SECONDS
 from ragworttiller.scheduling.entry.callers import (
     OK,
+    OK_CODE,
     CallerReply,
     CallerRequest,
     Callers,
     error_reply,
 )
+from ragworttiller.scheduling.entry.entries import PeerReconnector
+from ragworttiller.scheduling.entry.peer_choice import PeerChoice, RelayTarget
+from ragworttiller.scheduling.entry.peer_requests import LATER_CONFIGURATION, PeerRequests
+from ragworttiller.scheduling.entry.request_trace import record_local_failure
+from ragworttiller.scheduling.entry.staggered_attempts import Outcome, StaggeredAttempts
+from ragworttiller.scheduling.entry.store_pace import StorePace
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
 log = logging.getLogger(__name__)
 
-# Timeout of the local attempt, after which other entries are asked.
-LOCAL_TIMEOUT_SECONDS = 0.6
-RELAY_TIMEOUT_SECONDS = 0.5
-# The store counts as slow when an append takes longer.
-SLOW_APPEND_SECONDS = 0.15
-# Timeout for answers of a slow store.
-SLOW_STORE_TIMEOUT_SECONDS = 1.4
-STALE_LOCAL_TIMEOUT_SECONDS = 0.05
-CALL_MARGIN_SECONDS = 0.1
-MAX_RELAY_ATTEMPTS = 2
+# Time after which other entries are asked beside an append of this entry.
+LOCAL_HEAD_START_SECONDS = 0.6
+STALE_HEAD_START_SECONDS = 0.05
+# The same for an append of the owner, and for one of a slow store.
+OWNER_HEAD_START_SECONDS = 1.4
 STALE_AGE_SECONDS = 1.4
-AVOID_UNRESPONSIVE_ENTRY_SECONDS = 3.0
-# Code of a reply whose body is a later configuration than the one of the relaying entry.
-LATER_CONFIGURATION = "later_configuration"
+# Share of a query's timeout in which an entry with stale states asks others; then it answers.
+STALE_RELAY_SHARE = 0.5
 STORE_FAILURES = (StoreDown, SubmissionUndecided, StateUnknown)
-NO_ANSWER_CODES = (NotReady.code, ConfigurationUnconfirmed.code, LATER_CONFIGURATION)
-
-
-class RelayResult(NamedTuple):
-    """Result of asking other entries; ``reply`` is None if none of them answered.
-
-    ``undecided`` is whether an entry that did not answer may have carried out the request.
-    """
-
-    reply: CallerReply | None
-    undecided: bool
+READ_FAILURES = (NotReady, ConfigurationUnconfirmed, StateUnknown)
 
 
 class RelayingCallers(Callers):
@@ -76,7 +65,7 @@
         Connections to the other entries.
     config : QueueFold
         Configuration of this entry.
-    reconnect : Callable
+    reconnector : PeerReconnector
         Replaces the connections of an entry that does not answer.
     age : Callable
         Returns the seconds since this entry was last up to date with the store.
@@ -87,9 +76,11 @@
     clock : Clock
         Source of time.
     writer : GroupCommit
-        Writer of this entry to the jobs. While its appends are slow, the owner appends for all
-        entries, since a slow store has more throughput with few large calls than with many small
-        ones.
+        Writer of this entry to the jobs. While its appends are slow, one entry, the owner if
+        there is one, appends for all, since a slow store has more throughput with few large calls
+        than with many small ones.
+    pace : StorePace, optional
+        Tells whether appends are slow; by default by those of the writer only.
     """
 
     def __init__(
@@ -97,150 +88,177 @@
         local: Callers,
         peers: NngPeers,
         config: QueueFold,
-        reconnect: Callable[[str, float], None],
+        reconnector: PeerReconnector,
         age: Callable[[], float],
         owner: Callable[[], str],
         names: Callable[[], set[str]],
         clock: Clock,
         writer: GroupCommit,
+        pace: StorePace | None = None,
     ) -> None:
         self._writer = writer
+        self._pace = pace or StorePace(writer, clock)
         self._local = local
         self._peers = peers
         self._config = config
-        self._reconnect = reconnect
         self._age = age
-        self._owner = owner
-        self._names = names
         self._clock = clock
-        self._avoid_until: dict[str, float] = {}
+        self._choice = PeerChoice(peers.instance, names, owner, clock)
+        self._requests = PeerRequests(peers, config, reconnector, self._choice, writer, age, clock)
         peers.handle(CallerRequest, self._serve)
 
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
-        if request.method == "GET" and self._age() > STALE_AGE_SECONDS:
-            reply = (await self._relay(request)).reply
-            if reply is not None:
-                return reply
+        if request.method == "GET":
+            return await self._answer_query(request)
+        outcome = await self._write(request, self._clock.now() + request.timeout)
+        if outcome.reply is not None:
+            return outcome.reply
+        assert outcome.error is not None
+        raise outcome.error
+
+    async def _answer_query(self, request: CallerRequest) -> CallerReply:
+        """Answer a query within its timeout.
+
+        Raises
+        ------
+        NotReady
+            The time of the caller has passed.
+        """
+        with self._clock.move_on_after(request.timeout):
+            return await self._read(request)
+        reason = "no state could be read in the time of the caller"
+        raise NotReady(
+            instance=self._peers.instance, reason=reason, retry_after=RETRY_AFTER_SECONDS
+        )
+
+    async def _read(self, request: CallerRequest) -> CallerReply:
+        """Answer a query here, or through other entries if this one has not read the store."""
         deadline = self._clock.now() + request.timeout
-        owner_result = await self._write_through_owner(request)
-        if owner_result.reply is not None:
-            return owner_result.reply
-        request = request._replace(timeout=deadline - self._clock.now())
+        is_stale = self._age() > STALE_AGE_SECONDS
+        if is_stale:
+            with self._clock.move_on_after(STALE_RELAY_SHARE * request.timeout):
+                reply = (await self._requests.relay(request, self._choice.relay_targets())).reply
+                if reply is not None:
+                    return reply
+        remaining = deadline - self._clock.now()
         try:
-            return await self._local.answer(request._replace(timeout=self._local_timeout(request)))
-        except STORE_FAILURES as exc:
+            return await self._local.answer(request._replace(timeout=remaining))
+        except READ_FAILURES as exc:
+            record_local_failure(exc.code, self._writer, self._age(), self._clock.now())
+            if is_stale:
+                raise
             remaining = deadline - self._clock.now()
-            relayed = await self._relay(request._replace(timeout=remaining))
-            return self._resolve_failure(exc, relayed, owner_result.undecided or relayed.undecided)
+            relayed = request._replace(timeout=remaining)
+            reply = (await self._requests.relay(relayed, self._choice.relay_targets())).reply
+            if reply is None:
+                raise
+            return reply
 
-    def _resolve_failure(
-        self, exc: RagworttillerError, relayed: RelayResult, undecided: bool
-    ) -> CallerReply:
-        """Return the reply of another entry, or raise an error, after the local attempt failed.
+    async def _write(self, request: CallerRequest, deadline: float) -> Outcome:
+        """Carry out a submission or cancellation, through one entry while the store is slow."""
 
-        A refusal here counts as undecided if another entry may have stored the job.
-        """
-        reply = relayed.reply
-        if reply is not None and reply.status == OK:
-            return reply
-        if isinstance(exc, StoreDown) and undecided:
-            job = exc.fields["job"]
-            raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS) from exc
-        if reply is None or isinstance(exc, SubmissionUndecided):
-            raise exc
-        return reply
-
-    async def _write_through_owner(self, request: CallerRequest) -> RelayResult:
-        """Send a submission or cancellation to the owner while the store is slow."""
-        owner = self._owner()
-        if (
-            request.method == "GET"
-            or not self._store_is_slow
-            or owner not in self._available_peers()
-        ):
-            return RelayResult(None, undecided=False)
-        started_at = self._clock.now()
-        reply = await self._ask_peer(owner, request, SLOW_STORE_TIMEOUT_SECONDS)
-        elapsed = self._clock.now() - started_at
-        if reply is None or reply.code in NO_ANSWER_CODES:
-            return RelayResult(None, undecided=reply is None)
-        extra = {"path": request.path, "code": reply.code, "took": round(elapsed, 3)}
-        log.info("request answered through the owner", extra=extra)
-        if reply.status == OK and elapsed < SLOW_APPEND_SECONDS:
-            self._writer.reset_last_append_seconds()
-        return RelayResult(reply, undecided=False)
+        def until_deadline() -> CallerRequest:
+            return request._replace(timeout=deadline - self._clock.now())
 
-    @property
-    def _store_is_slow(self) -> bool:
-        return self._writer.last_append_seconds > SLOW_APPEND_SECONDS
+        async def ask_writer() -> Outcome:
+            return await self._write_through_another(until_deadline(), set())
 
-    def _local_timeout(self, request: CallerRequest) -> float:
-        """Return the timeout of the local attempt, in seconds."""
-        if self._age() > STALE_AGE_SECONDS:
-            return STALE_LOCAL_TIMEOUT_SECONDS
-        return min(
-            request.timeout,
-            SLOW_STORE_TIMEOUT_SECONDS if self._store_is_slow else LOCAL_TIMEOUT_SECONDS,
-        )
+        async def ask_next_writer() -> Outcome:
+            if self._choice.common_writer({writer}) == self._peers.instance:
+                return await write_here()
+            outcome = await self._write_through_another(until_deadline(), {writer})
+            if outcome.succeeded:
+                self._choice.avoid(writer)
+            return outcome
+
+        async def ask_writers() -> Outcome:
+            attempts = StaggeredAttempts(
+                ask_writer, ask_next_writer, OWNER_HEAD_START_SECONDS, self._clock
+            )
+            return _combined(await attempts.run(), request)
+
+        async def write_locally() -> Outcome:
+            return await self._write_locally(until_deadline())
+
+        async def relay() -> Outcome:
+            return await self._requests.relay(until_deadline(), self._write_targets())
 
-    async def _relay(self, request: CallerRequest) -> RelayResult:
-        """Ask other entries until one answers."""
+        async def write_here() -> Outcome:
+            attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
+            return _combined(await attempts.run(), request)
+
+        writer = self._choice.common_writer()
+        if not self._pace.slow or writer == self._peers.instance:
+            return await write_here()
+        attempts = StaggeredAttempts(ask_writers, write_here, request.timeout, self._clock)
+        return _combined(await attempts.run(), request)
+
+    async def _write_through_another(self, request: CallerRequest, lost: set[str]) -> Outcome:
+        """Ask the common writer and, if it is lost, the one that takes its place."""
+        deadline = self._clock.now() + request.timeout
         undecided = False
-        for name in self._relay_targets():
-            if request.timeout <= 0:
+        lost = set(lost)
+        while self._clock.now() < deadline:
+            writer = self._choice.common_writer(lost)
+            if writer == self._peers.instance:
                 break
-            reply = await self._ask_peer(name, request, RELAY_TIMEOUT_SECONDS)
-            undecided = undecided or reply is None
-            if reply is not None and reply.code not in NO_ANSWER_CODES:
-                log.info(
-                    "request answered by another entry",
-                    extra={"path": request.path, "entry": name, "code": reply.code},
-                )
-                return RelayResult(reply, undecided)
-        return RelayResult(None, undecided)
-
-    async def _ask_peer(
-        self, name: str, request: CallerRequest, max_timeout: float
-    ) -> CallerReply | None:
-        """Send a request to an entry; resend it once if the entry has a later configuration.
-
-        Returns None if no answer arrived; the entry may have carried out the request.
-        """
-        reply = await self._send_to_peer(name, request, max_timeout)
-        if reply is None or reply.code != LATER_CONFIGURATION:
-            return reply
-        self._config.adopt(reply.body)
-        return await self._send_to_peer(name, request, max_timeout)
-
-    async def _send_to_peer(
-        self, name: str, request: CallerRequest, max_timeout: float
-    ) -> CallerReply | None:
-        timeout = min(max_timeout, request.timeout)
-        forwarded = request._replace(timeout=timeout, version=self._config.version)
-        sent_at = self._clock.now()
+            lost.add(writer)
+            remaining = deadline - self._clock.now()
+            outcome = await self._write_through(writer, request._replace(timeout=remaining))
+            undecided = undecided or outcome.undecided
+            if outcome.reply is not None:
+                return outcome._replace(undecided=undecided)
+        return Outcome(undecided=undecided)
+
+    async def _write_through(self, writer: str, request: CallerRequest) -> Outcome:
+        started_at = self._clock.now()
+        outcome = await self._requests.ask(writer, request)
+        elapsed = self._clock.now() - started_at
+        if outcome.reply is None:
+            return outcome
+        extra = {"path": request.path, "code": outcome.reply.code, "took": round(elapsed, 3)}
+        extra["entry"] = writer
+        log.info("request answered through the common writer", extra=extra)
+        if outcome.reply.code == OK_CODE:
+            self._pace.record_append(elapsed)
+        return outcome
+
+    async def _write_locally(self, request: CallerRequest) -> Outcome:
+        async with anyio.create_task_group() as tasks:
+            if self._choice.common_writer() != self._peers.instance:
+                tasks.start_soon(self._pace.watch_append)
+            outcome = await self._ask_local(request)
+            tasks.cancel_scope.cancel()
+        return outcome
+
+    async def _ask_local(self, request: CallerRequest) -> Outcome:
         try:
-            return await self._peers.call(name, forwarded, timeout + CALL_MARGIN_SECONDS)
-        except PeerUnreachable:
-            log.info("relay to another entry failed", extra={"path": request.path, "entry": name})
-            self._avoid_until[name] = self._clock.now() + AVOID_UNRESPONSIVE_ENTRY_SECONDS
-            self._reconnect(name, sent_at)
+            return Outcome(await self._local.answer(request), final=True)
+        except STORE_FAILURES as exc:
+            record_local_failure(exc.code, self._writer, self._age(), self._clock.now())
+            return Outcome(error=exc, undecided=isinstance(exc, SubmissionUndecided))
         except RagworttillerError as exc:
-            return error_reply(exc)
-        return None
+            return Outcome(error=exc, final=True)
+
+    @property
+    def _head_start(self) -> float:
+        """Return the seconds after which others are asked beside the local attempt."""
+        if self._age() > STALE_AGE_SECONDS:
+            return STALE_HEAD_START_SECONDS
+        if self._pace.slow or self._choice.common_writer() == self._peers.instance:
+            return OWNER_HEAD_START_SECONDS
+        return LOCAL_HEAD_START_SECONDS
 
-    def _relay_targets(self) -> list[str]:
-        peers = self._available_peers()
-        owner = self._owner()
-        first = [owner] if owner in peers else []
-        remaining = sorted(peers - set(first))
-        random.shuffle(remaining)
-        return (first + remaining)[:MAX_RELAY_ATTEMPTS]
+    def _write_targets(self) -> list[RelayTarget]:
+        """Return the entries to ask for an append after the local attempt failed or is late.
 
-    def _available_peers(self) -> set[str]:
-        now = self._clock.now()
-        names = self._names() - {self._peers.instance}
-        return {name for name in names if self._avoid_until.get(name, 0.0) <= now}
+        While this entry reads a slow store, only the common writer is asked.
+        """
+        if not self._pace.slow or self._age() > STALE_AGE_SECONDS:
+            return self._choice.relay_targets()
+        writer = self._choice.common_writer()
+        return [RelayTarget(writer, float("inf"))] if writer != self._peers.instance else []
 
     async def _serve(self, sender: str, request: CallerRequest) -> CallerReply:
         version = self._config.version
@@ -252,3 +270,22 @@
             return await self._local.answer(request)
         except RagworttillerError as exc:
             return error_reply(exc)
+
+
+def _combined(outcomes: list[Outcome], request: CallerRequest) -> Outcome:
+    """Return the outcome of a request after all attempts at it.
+
+    A refusal is no answer if another attempt may still carry out the request.
+    """
+    for outcome in outcomes:
+        if outcome.succeeded:
+            return outcome
+    if any(outcome.undecided for outcome in outcomes):
+        job = request.path.rpartition("/")[2]
+        error = SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS)
+        return Outcome(error=error, undecided=True)
+    if not any(outcome.reply or outcome.error for outcome in outcomes):
+        return Outcome()
+    replies = [outcome for outcome in outcomes if outcome.reply is not None]
+    errors = [outcome for outcome in outcomes if outcome.error is not None]
+    return (replies + errors)[0]
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -12,6 +12,7 @@
 from ragworttiller.exceptions import LogUnavailable, RecordsExpired
 from ragworttiller.platform.store import NewestPage, Partition, Record, Store
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.records.paged_load import PagedLoad
 
 log = logging.getLogger(__name__)
 
@@ -77,10 +78,11 @@
         self._partition = partition
         self._fold = fold
         self._clock = clock
-        self._on_change = on_change
+        self.on_change = on_change
         self._poll_seconds = poll_seconds
         self._on_empty_poll = on_empty_poll
         self._lock = anyio.Lock()
+        self._pages = PagedLoad(store, partition, clock)
         self._offsets: dict[str, int] = {}
         self._position: int | None = None
         self._current_at = float("-inf")
@@ -98,6 +100,11 @@
         """Whether the newest record of each key has been loaded."""
         return self._position is not None
 
+    @property
+    def load_seconds_left(self) -> float:
+        """Expected seconds until all keys are loaded, infinite if that is not known."""
+        return self._pages.seconds_left
+
     @property
     def loaded_end(self) -> int:
         """Offset before which a record may have replaced earlier ones of its key, unread."""
@@ -147,15 +154,23 @@
         while outcome is ReadOutcome.BEHIND:
             outcome = await self._read(0.0)
 
+    async def load(self) -> None:
+        """Load the newest record of each key, unless that was done before.
+
+        Raises
+        ------
+        LogUnavailable
+            The store cannot be read.
+        """
+        await self._load_once(None)
+
     async def _read_next(self) -> ReadOutcome:
         return await self._read(self._poll_seconds if self.ready else 0.0)
 
     async def _read(self, wait: float) -> ReadOutcome:
         """Read once."""
         if self._position is None:
-            async with self._lock:
-                if self._position is None:
-                    await self._load()
+            await self.load()
             return ReadOutcome.BEHIND
         asked_at, position = self._clock.now(), self._position
         try:
@@ -165,8 +180,7 @@
                 "records expired before they were read",
                 extra={"partition": str(self._partition), **exc.fields},
             )
-            async with self._lock:
-                await self._load()
+            await self._load_once(position)
             return ReadOutcome.BEHIND
         for record in result.records:
             # A concurrent read may have advanced the position; keys it deleted must not reappear.
@@ -181,19 +195,22 @@
                 waited = 0.0
             self._newest_at = max(self._newest_at, asked_at + waited)
         if result.records:
-            self._on_change()
+            self.on_change()
         elif wait and next_position >= result.end:
             self._on_empty_poll()
         if next_position < result.end:
             return ReadOutcome.BEHIND
         return ReadOutcome.CAUGHT_UP if result.records else ReadOutcome.NOTHING_NEW
 
+    async def _load_once(self, position: int | None) -> None:
+        """Load all keys, unless another read has done so since ``position``."""
+        async with self._lock:
+            if self._position == position:
+                await self._load()
+
     async def _load(self) -> None:
         """Load the newest record of each key and delete keys that no longer exist."""
-        asked_at = self._clock.now()
-        pages = [await self._store.read_newest(self._partition)]
-        while pages[-1].after:
-            pages.append(await self._store.read_newest(self._partition, pages[-1].after))
+        asked_at, pages = await self._pages.read()
         # Applied together: with half of them, an owner could act on jobs without their later state.
         start, keys = pages[0].end, set[str]().union(*map(self._apply_page, pages))
         for key, offset in list(self._offsets.items()):
@@ -201,10 +218,10 @@
                 self._apply(Record(start, key, b""))
         offsets = [record.offset for page in pages for record in page.records]
         self._loaded_end = max(start, *(offset + 1 for offset in offsets), 0)
-        self._position = start
-        self._current_at = asked_at
+        self._position = max(self._position or 0, start)
+        self._current_at = max(self._current_at, asked_at)
         self._newest_at = max(self._newest_at, asked_at)
-        self._on_change()
+        self.on_change()
 
     def _apply_page(self, page: NewestPage) -> set[str]:
         for record in page.records:
--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -33,14 +33,19 @@
 ATTEMPT_TIMEOUT_SECONDS = 4.0
 # Time for which the duration of an append serves as an estimate for the next one.
 APPEND_DURATION_VALID_SECONDS = 10.0
+# The store counts as slow when an append takes longer.
+SLOW_APPEND_SECONDS = 0.15
 
 
 class _PendingAppend:
     """Records of one caller that wait to be appended."""
 
-    def __init__(self, records: Sequence[KeyedRecord], deadline: float) -> None:
+    def __init__(
+        self, records: Sequence[KeyedRecord], deadline: float, retry_deadline: float
+    ) -> None:
         self.records = records
         self.deadline = deadline
+        self.retry_deadline = retry_deadline
         self.done = anyio.Event()
         self.error: RagworttillerError | None = None
         self.end = 0
@@ -103,7 +108,11 @@
         self._refused_at = float("-inf")
         self._failing_since: float | None = None
         self._call_started_at: float | None = None
+        self._answers_at_call = 0
+        self._attempt_started_at: float | None = None
         self._fenced: AppendFenced | None = None
+        self._closed = False
+        self._committed = anyio.Event()
 
     @property
     def refused_at(self) -> float:
@@ -122,19 +131,68 @@
         """Seconds for which the append in flight has had no result, 0 if there is none."""
         return 0.0 if self._call_started_at is None else self._clock.now() - self._call_started_at
 
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds in flight of an append since which the store has answered nothing else."""
+        silent = self._store.answer_count == self._answers_at_call
+        return self.in_flight_seconds if silent else 0.0
+
+    def longest_wait(self, timeout: float) -> float:
+        """Return how long an append can be queued and still have its result in time, in seconds.
+
+        It is expected to take as long as the last one, or as long as the one in flight has until
+        now. The value is not positive if no result can come in time.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds within which the result is needed.
+        """
+        if self._call_started_at is None:
+            return timeout
+        return timeout - max(self.last_append_seconds, self.in_flight_seconds)
+
     @property
     def last_append_seconds(self) -> float:
-        """Seconds that the last append took, 0 if that was long ago."""
+        """Seconds in which the last append was answered, 0 if that was long ago."""
         recent = self._clock.now() - self._last_append_at < APPEND_DURATION_VALID_SECONDS
         return self._last_append_seconds if recent else 0.0
 
+    @property
+    def slow(self) -> bool:
+        """Whether the store takes long for the append in flight, or did for the last one."""
+        return max(self.last_append_seconds, self._attempt_seconds) > SLOW_APPEND_SECONDS
+
+    @property
+    def _attempt_seconds(self) -> float:
+        """Seconds for which the current attempt at an append has waited, 0 if there is none."""
+        started_at = self._attempt_started_at
+        return 0.0 if started_at is None else self._clock.now() - started_at
+
     def reset_last_append_seconds(self) -> None:
         """Set the last duration to 0, so that the store no longer counts as slow."""
         self._last_append_seconds = 0.0
 
-    async def append(self, records: Sequence[KeyedRecord], timeout: float) -> int:
+    async def append(
+        self,
+        records: Sequence[KeyedRecord],
+        timeout: float,
+        retry_seconds: float = float("inf"),
+        queue_seconds: float = float("inf"),
+    ) -> int:
         """Append records and return the partition's end after them, 0 if it is unknown.
 
+        Parameters
+        ----------
+        records : sequence of KeyedRecord
+            Records to append.
+        timeout : float
+            Seconds to wait for a result.
+        retry_seconds : float
+            Seconds for which an append that the store refuses is retried, within ``timeout``.
+        queue_seconds : float
+            Seconds after which records that have not been sent are refused, within ``timeout``.
+
         Raises
         ------
         LogUnavailable
@@ -146,30 +204,52 @@
         """
         if self._fenced:
             raise self._fenced
-        item = _PendingAppend(records, self._clock.now() + timeout)
+        if timeout <= 0:
+            raise LogUnavailable(stream=str(self._partition))
+        queued_at = self._clock.now()
+        deadline = queued_at + timeout
+        retry_deadline = min(deadline, queued_at + retry_seconds)
+        item = _PendingAppend(records, deadline, retry_deadline)
         self._queue.append(item)
         self._append_queued.set()
-        with self._clock.move_on_after(timeout):
-            await item.done.wait()
+        await self._wait(item, min(deadline, queued_at + queue_seconds))
+        if not item.done.is_set() and item in self._queue:
+            self._queue.remove(item)
+            raise LogUnavailable(stream=str(self._partition))
+        if not item.done.is_set() and self._clock.now() < deadline:
+            await self._wait(item, deadline)
         if not item.done.is_set():
-            if item in self._queue:
-                self._queue.remove(item)
-                raise LogUnavailable(stream=str(self._partition))
             raise AppendUndecided(stream=str(self._partition))
         if item.error is not None:
             raise item.error
         return item.end
 
+    async def close(self) -> None:
+        """Append nothing more, and wait until what is in flight has a result.
+
+        What the store refuses is not retried.
+        """
+        self._closed = True
+        while self._call_started_at is not None:
+            await self._committed.wait()
+
+    async def _wait(self, item: _PendingAppend, end: float) -> None:
+        """Wait for the result of an append until a time, in seconds."""
+        with self._clock.move_on_after(end - self._clock.now()):
+            await item.done.wait()
+
     async def run(self) -> None:
         """Append queued records until cancelled or fenced."""
         while self._fenced is None:
             await self._append_queued.wait()
             self._append_queued = anyio.Event()
-            while self._queue:
+            while self._queue and not self._closed:
                 self._call_started_at = self._clock.now()
+                self._answers_at_call = self._store.answer_count
                 await self._commit(self._next_batch())
-                self._last_append_at = self._clock.now()
-                self._last_append_seconds, self._call_started_at = self.in_flight_seconds, None
+                self._call_started_at = self._attempt_started_at = None
+                self._committed.set()
+                self._committed = anyio.Event()
 
     def _next_batch(self) -> list[_PendingAppend]:
         batch = [self._queue.pop(0)]
@@ -183,6 +263,7 @@
         records = [record for item in batch for record in item.records]
         while True:
             attempt = self._attempt(records)
+            self._attempt_started_at = self._clock.now()
             try:
                 end = await attempt.run(self._clock.now() + ATTEMPT_TIMEOUT_SECONDS)
             except AppendUndecided:
@@ -190,6 +271,7 @@
                 self._record_failure()
                 log.info("append result unknown", extra={"partition": str(self._partition)})
             except LogUnavailable as exc:
+                self._record_answer()
                 self._refused_at = self._clock.now()
                 self._record_failure()
                 if not undecided and self._fail_expired(batch, exc):
@@ -206,8 +288,10 @@
                 log.info("append sequence number corrected", extra=exc.fields)
                 self._sequence = expected
             else:
+                self._record_answer()
                 self._finish(batch, end)
                 return
+            self._attempt_started_at = None
             await self._clock.sleep(delay)
             delay = min(2 * delay, MAX_RETRY_DELAY_SECONDS)
 
@@ -222,6 +306,10 @@
             self._retry_interval,
         )
 
+    def _record_answer(self) -> None:
+        self._last_append_at = self._clock.now()
+        self._last_append_seconds, self._attempt_started_at = self._attempt_seconds, None
+
     def _record_failure(self) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
@@ -235,8 +323,9 @@
             item.done.set()
 
     def _fail_expired(self, batch: list[_PendingAppend], error: LogUnavailable) -> bool:
-        """Fail a batch that was not appended, once no caller's deadline leaves time for a retry."""
-        if any(item.deadline > self._clock.now() + MAX_RETRY_DELAY_SECONDS for item in batch):
+        """Fail a batch that was not appended, if no caller's deadline leaves time for a retry."""
+        late = self._clock.now() + MAX_RETRY_DELAY_SECONDS
+        if not self._closed and any(item.retry_deadline > late for item in batch):
             return False
         for item in batch:
             item.fail(error)
--- a/ragworttiller/scheduling/records/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -80,18 +80,24 @@
     ----------
     jobs : dict
         Rows by the job's identifier.
+    open_jobs : dict
+        Rows of the open jobs among them.
     touched : set of str
         Jobs that have changed since the set was last cleared.
     owner_epoch : int
         Epoch of the last owner that has taken over, 0 before the first.
+    owner_change_end : int
+        Offset after its record.
     on_accepted : Callable
         Called with each accepted job that is read for the first time.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobRow] = {}
+        self.open_jobs: dict[str, JobRow] = {}
         self.touched: set[str] = set()
         self.owner_epoch = 0
+        self.owner_change_end = 0
         self.on_accepted: Callable[[Accepted], None] = lambda accepted: None
 
     def get(self, job: str) -> JobRow | None:
@@ -119,6 +125,14 @@
             )
             return
         self.touched.add(job)
+        self._index(job)
+
+    def _index(self, job: str) -> None:
+        row = self.jobs.get(job)
+        if row is not None and row.open:
+            self.open_jobs[job] = row
+        else:
+            self.open_jobs.pop(job, None)
 
     def _apply_owner_change(self, record: Record) -> None:
         try:
@@ -129,7 +143,8 @@
                 extra={"offset": record.offset, "why": str(exc)},
             )
             return
-        self.owner_epoch = max(self.owner_epoch, epoch)
+        if epoch >= self.owner_epoch:
+            self.owner_epoch, self.owner_change_end = epoch, record.offset + 1
 
     def _apply_accepted(self, job: str, record: Record) -> None:
         if not record.value:
--- a/ragworttiller/scheduling/records/repeated_append.py
+++ b/ragworttiller/scheduling/records/repeated_append.py
@@ -41,6 +41,8 @@
         Source of time.
     retry_interval : float
         Seconds without an answer after which the call is first retried.
+    at : int, optional
+        Append only if the partition ends at this offset.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         sequence: int,
         clock: Clock,
         retry_interval: float,
+        at: int | None = None,
     ) -> None:
         self._store = store
         self._partition = partition
@@ -60,16 +63,19 @@
         self._sequence = sequence
         self._clock = clock
         self._retry_interval = retry_interval
+        self._at = at
         self._in_flight = 0
         self._call_ended = anyio.Event()
         self._end: int | None = None
         self._error: RagworttillerError | None = None
         self._undecided = False
+        self._refused = False
+        self._calls = 0
 
     @property
     def undecided(self) -> bool:
-        """Whether a call has no result, or had none for a whole retry interval."""
-        return self._undecided
+        """Whether an earlier call may have appended the records."""
+        return self._undecided or self._calls > 1
 
     async def run(self, deadline: float) -> int:
         """Append the records and return the partition's end after them.
@@ -90,6 +96,7 @@
         """
         async with anyio.create_task_group() as calls:
             await self._call_until_decided(calls, deadline)
+            self._undecided = self._undecided or self._in_flight > 0
             calls.cancel_scope.cancel()
         if self._end is not None:
             return self._end
@@ -102,19 +109,28 @@
         while True:
             answered = self._store.answer_count
             self._in_flight += 1
+            self._calls += 1
             calls.start_soon(self._call)
-            with self._clock.move_on_after(min(retry_interval, deadline - self._clock.now())):
-                while self._end is None and self._error is None and self._in_flight:
-                    await self._call_ended.wait()
-            if self._end is not None or self._error is not None or not self._in_flight:
-                return
-            self._undecided = True
-            if self._clock.now() >= deadline:
+            await self._wait(min(retry_interval, deadline - self._clock.now()))
+            if self._refused:
+                # Answers are late, not lost: the other calls may be answered soon as well.
+                await self._wait(min(retry_interval, deadline - self._clock.now()))
+            if self._decided or self._clock.now() >= deadline:
                 return
             log.info("append retried", extra={"partition": str(self._partition)})
             if self._store.answer_count > answered:
                 retry_interval *= 2
 
+    @property
+    def _decided(self) -> bool:
+        return self._end is not None or self._error is not None or not self._in_flight
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait for the result up to a number of seconds."""
+        with self._clock.move_on_after(seconds):
+            while not self._decided:
+                await self._call_ended.wait()
+
     async def _call(self) -> None:
         try:
             self._end = await self._store.append(
@@ -122,11 +138,13 @@
                 self._records,
                 self._producer,
                 self._sequence,
+                self._at,
                 timeout=CALL_TIMEOUT_SECONDS,
             )
         except AppendUndecided:
             self._undecided = True
         except LogUnavailable as exc:
+            self._refused = True
             # While other calls are in flight, one of them may still append the records.
             if self._in_flight == 1:
                 self._error = exc
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -34,6 +34,8 @@
 START_SLACK_SECONDS = 0.05
 MIN_STALL_SECONDS = 1.5
 STALL_ESTIMATE_SHARE = 0.05
+# Outcome of a run whose lease has expired.
+LAPSED = "lapsed"
 
 
 class RunTracker:
@@ -146,7 +148,7 @@
                 stage.tickets.drop(run.runner)
             self._requeue(stage, run, now)
         if reason in ("unhealthy", "room") and runner is not None:
-            self._suspend(runner, f"start refused: {reason}", now)
+            self._suspend(runner, f"start refused: {reason}", now, refused=True)
 
     def _apply_running(self, runner: RunnerState, row: RunningTask, now: float) -> None:
         run = runner.runs.get((row.task, row.run))
@@ -163,9 +165,9 @@
             self._suspend(runner, "run without progress", now)
             self._stops.add(run, "stalled")
 
-    def _suspend(self, runner: RunnerState, reason: str, now: float) -> None:
+    def _suspend(self, runner: RunnerState, reason: str, now: float, refused: bool = False) -> None:
         """Suspend a runner, with one line for each suspension."""
-        if runner.suspend(now):
+        if runner.suspend(now, refused):
             seconds = round(runner.suspended_until - now, 1)
             extra = {"runner": runner.id, "why": reason, "seconds": seconds}
             log.warning("runner suspended", extra=extra)
@@ -190,6 +192,7 @@
         work = self._jobs.by_id.get(row.task.stage.job)
         if work is not None and work.open and stage is not None and index in stage.waiting:
             stage.adopt(run)
+            self._takeover.adopted += 1
             if stage.trials.get(index) == runner.id:
                 seconds = exclusive_seconds(stage.crashes.get(index, []))
                 self.pool.begin_trial(runner, run, now + seconds)
@@ -211,6 +214,8 @@
         run = runner.runs.get((end.task, end.run))
         extra = {"task": str(end.task), "run": end.run, "runner": runner.id, "how": end.outcome}
         log.info("run ended", extra=extra)
+        if end.outcome == LAPSED and (run is None or run.adopted):
+            self._takeover.lapsed += 1
         stage = self._jobs.stage(end.task.stage)
         if run is not None:
             run.checkpoint = end.checkpoint or run.checkpoint
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 from collections import defaultdict
 from urllib.parse import parse_qs, urlsplit
@@ -70,6 +71,13 @@
         Whether every call is refused.
     write_seconds : float
         Seconds that each append takes; appends are serialized.
+    queue_limit_seconds : float
+        Longest time that serialized appends may wait; further ones are refused.
+    queue_seconds : dict of str to float
+        Seconds for which an append to a topic waits behind those of other writers. It is carried
+        out even if its caller has given up.
+    answer_seconds : float
+        Seconds by which each answer is late.
     """
 
     def __init__(self, timers: TimerService, page: int = PAGE_ITEMS) -> None:
@@ -78,6 +86,9 @@
         self.partitions: dict[tuple[str, int], StoredPartition] = defaultdict(StoredPartition)
         self.down = False
         self.write_seconds = 0.0
+        self.queue_limit_seconds = float("inf")
+        self.queue_seconds: dict[str, float] = {}
+        self.answer_seconds = 0.0
         self._next_write_at = 0.0
         self._closed = False
 
@@ -103,12 +114,21 @@
     async def answer(
         self, method: str, target: str, body: bytes, headers: dict[str, str]
     ) -> Answer:
-        if self.down:
-            return json_answer(503)
+        answer = json_answer(503) if self.down else await self._carry_out(target, body)
+        if self.answer_seconds:
+            await self._timers.sleep(self.answer_seconds)
+        return answer
+
+    async def _carry_out(self, target: str, body: bytes) -> Answer:
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         partition = self.partitions[query["topic"], int(query["part"])]
         if parts.path == "/-/log-append":
+            seconds = self.queue_seconds.get(query["topic"], 0.0)
+            if seconds:
+                return await self._append_from_queue(seconds, partition, query, body)
+            if self._next_write_at - self._timers.now() > self.queue_limit_seconds:
+                return json_answer(503)
             await self._wait_for_write()
             return self._answer_append(partition, query, body)
         if parts.path == "/-/log-newest":
@@ -121,6 +141,25 @@
         if self._next_write_at > now:
             await self._timers.sleep(self._next_write_at - now)
 
+    async def _append_from_queue(
+        self, seconds: float, partition: StoredPartition, query: dict[str, str], body: bytes
+    ) -> Answer:
+        self._record_epoch(partition, query)
+
+        async def append() -> Answer:
+            await self._timers.sleep(seconds)
+            return self._answer_append(partition, query, body)
+
+        return await asyncio.shield(asyncio.ensure_future(append()))
+
+    def _record_epoch(self, partition: StoredPartition, query: dict[str, str]) -> None:
+        """Let the epoch of an append take effect when it arrives: it fences what comes later."""
+        if "producer" not in query:
+            return
+        producer, epoch = partition.producers[query["producer"]], int(query["epoch"])
+        if epoch > producer.epoch:
+            producer.epoch, producer.first_append_pending, producer.answers = epoch, True, {}
+
     def _answer_append(
         self, partition: StoredPartition, query: dict[str, str], body: bytes
     ) -> Answer:
@@ -131,8 +170,7 @@
             epoch = int(query["epoch"])
             if epoch < producer.epoch:
                 return json_answer(409, {"reason": "fenced"})
-            if epoch > producer.epoch:
-                producer.epoch, producer.first_append_pending, producer.answers = epoch, True, {}
+            self._record_epoch(partition, query)
             if sequence in producer.answers:
                 return producer.answers[sequence]
             if not producer.first_append_pending and sequence != producer.last_sequence + 1:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,7 +14,14 @@
     SubmissionUndecided,
     Unreadable,
 )
-from ragworttiller.scheduling.records.formats import JOBS, Claim
+from ragworttiller.scheduling.records.formats import (
+    JOBS,
+    PROGRESS_SUFFIX,
+    Claim,
+    JobState,
+    Progress,
+    encode,
+)
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from tests.entry_rig import BODY, EntryRig, with_entry
 from tests.scheduling_rig import JOB, QUEUE, job_id
@@ -88,6 +95,52 @@
 
         with_entry(body)
 
+    def test_one_refusal_by_a_slow_store_does_not_refuse_other_submissions(self):
+        async def body(rig: EntryRig):
+            rig.service.answer_seconds = 0.3
+            await rig.call("POST")
+            rig.service.down = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.call, "POST", job_id(1))
+                await rig.timers.sleep(0.35)
+                tasks.start_soon(rig.call, "POST", job_id(2))
+                await rig.timers.sleep(0.3)
+                rig.service.down = False
+            assert len(rig.stored()) == 3
+
+        with_entry(body)
+
+    def test_submissions_behind_an_append_that_may_end_in_time_are_not_refused(self):
+        """The store answers other calls, so the append in flight is late but not lost."""
+
+        async def body(rig: EntryRig):
+            rig.service.queue_seconds[JOBS.topic] = 1.5
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.call, "POST")
+                await rig.timers.sleep(1.0)
+                rig.service.queue_seconds.clear()
+                await rig.feed.catch_up()
+                assert (await rig.call("POST", job_id(2))).status == 200
+
+        with_entry(body)
+
+    @pytest.mark.parametrize(("timeout", "held"), [(1.7, 0.0), (2.4, 0.6)])
+    def test_a_queued_submission_is_refused_once_no_answer_can_come_in_time(
+        self, timeout: float, held: float
+    ):
+        async def body(rig: EntryRig):
+            rig.service.queue_seconds[JOBS.topic] = 1.8
+            await rig.call("POST", timeout=3.0)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.call, "POST", job_id(1), BODY, 3.0)
+                await rig.timers.sleep(0.1)
+                start = rig.timers.now()
+                with pytest.raises(StoreDown):
+                    await rig.call("POST", job_id(2), timeout=timeout)
+                assert rig.timers.now() - start == pytest.approx(held, abs=0.05)
+
+        with_entry(body)
+
     async def submit_undecided(self, rig: EntryRig):
         with pytest.raises(SubmissionUndecided):
             await rig.call("POST")
@@ -170,3 +223,18 @@
             assert (await rig.call("GET", "")).body == b'{"pending":2}'
 
         with_entry(body)
+
+    def test_ended_jobs_make_the_count_of_pending_jobs_no_slower(self):
+        async def body(rig: EntryRig):
+            for number in range(5):
+                await rig.call("POST", job_id(number))
+            await rig.call("DELETE", job_id(0))
+            ended = encode(Progress(JobState.COMPLETED, []))
+            rig.service.put(JOBS.topic, job_id(1) + PROGRESS_SUFFIX, ended)
+            rig.service.put(JOBS.topic, job_id(2), b"")
+            await rig.timers.sleep(0.5)
+            assert list(rig.jobs.open_jobs) == [job_id(3), job_id(4)]
+            rig.jobs.jobs = {}
+            assert (await rig.call("GET", "")).body == b'{"pending":2}'
+
+        with_entry(body)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -281,9 +281,12 @@
             await rig.timers.sleep(0.05)
             records = rig.store.partition(OWNER.topic).records
             claims = [decode(record[1 + record[0] :], Claim) for record in records]
-            renewals = [claim for claim in claims if claim.epoch == 2 and claim.position]
-            assert renewals
-            assert {sum(claim.pending.values()) for claim in renewals} == {1}
+            offset = rig.owner.host.jobs.get(job_id(1)).offset
+            acting = [claim for claim in claims if claim.epoch == 2 and claim.may_order]
+            assert acting
+            assert {sum(claim.pending.values()) for claim in acting} == {1}
+            for claim in claims:
+                assert claim.position <= offset or sum(claim.pending.values()) == 1
 
         with_rig(body)
 
@@ -414,7 +417,7 @@
             first, _, link = await self.claimant(service, "e1", timers)
             await first.claim(None)
             second, later, _ = await self.claimant(service, "e2", timers)
-            second._feed._on_change = second.record_claim
+            second._feed.on_change = second.record_claim
             claim = later.claim
             await timers.sleep(2.0)
             store = Store("", 1.0, link)
--- /dev/null
+++ b/tests/test_slow_takeover.py
@@ -0,0 +1,189 @@
+"""Tests of takeovers while the store is slow, or the jobs' partition is busy."""
+
+from __future__ import annotations
+
+import pytest
+
+from ragworttiller.exceptions import LogUnavailable
+from ragworttiller.platform.store import Partition, Store
+from ragworttiller.scheduling.ownership.renewals import PRODUCER
+from ragworttiller.scheduling.records.formats import JOBS, OWNER, OWNER_KEY, Claim, decode
+from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import job_id, step
+
+ENTRIES = ("e1", "e2", "e3", "e4")
+STEP_SECONDS = 0.01
+QUEUE_SECONDS = 1.8
+
+
+async def wait_owner_beside(rig: OwnersRig, first: Entry, within: float) -> float:
+    """Wait until another entry owns the cell and return the seconds that it took."""
+    start = rig.timers.now()
+    while all(e is first or e.host.owner is None for e in rig.entries.values()):
+        assert rig.timers.now() < start + within, "no entry acts as the owner"
+        await rig.timers.sleep(0.01)
+    return rig.timers.now() - start
+
+
+async def seconds_without_orders(rig: OwnersRig, seconds: float) -> float:
+    """Return for how much of a time no entry may give orders."""
+    without = 0.0
+    end = rig.timers.now() + seconds
+    while rig.timers.now() < end:
+        await rig.timers.sleep(STEP_SECONDS)
+        if not any(entry.host.gives_orders for entry in rig.entries.values()):
+            without += STEP_SECONDS
+    return without
+
+
+class TestSlowTakeover:
+    def test_a_claim_is_followed_up_while_the_jobs_partition_is_busy(self):
+        """Guards against a cell without an owner after a claim that is stored."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            await rig.submit(job_id(1), step(6))
+            await rig.timers.sleep(1.0)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 2.4
+            first.stop("e4" if first.name != "e4" else "e3")
+            await wait_owner_beside(rig, first, within=3.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body, work=8.0)
+
+    def test_runs_outlive_a_takeover_while_the_jobs_partition_is_busy(self):
+        """Guards against leases that lapse since nobody follows up a stored claim."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            await rig.submit(job_id(1), step(6))
+            await rig.timers.sleep(1.0)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 2.4
+            first.stop("e4" if first.name != "e4" else "e3")
+            await rig.timers.sleep(5.0)
+            rig.store.queue_seconds.clear()
+            await rig.wait_completed(job_id(1), within=14.0)
+            assert len(rig.monitor.starts) == 6
+            assert rig.monitor.violations == []
+
+        with_rig(body, work=8.0)
+
+    @pytest.mark.parametrize("killed", [False, True])
+    def test_no_entry_claims_over_a_takeover_in_progress(self, killed: bool):
+        """Guards against a takeover that counts as a lost owner, since it takes long."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 3.5
+            if killed:
+                rig.kill(first.name)
+            else:
+                first.stop("e4" if first.name != "e4" else "e3")
+            await rig.timers.sleep(8.0)
+            assert rig.owner not in (None, first)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body)
+
+    def test_a_planned_stop_does_not_wait_for_a_busy_partition_without_an_owner(self):
+        """Guards against a stop that waits for the jobs' partition while no one acts."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = QUEUE_SECONDS
+            rig.store.answer_seconds = 0.3
+            first.stop("e4" if first.name != "e4" else "e3")
+            assert await seconds_without_orders(rig, 6.0) < QUEUE_SECONDS
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body)
+
+    def test_a_takeover_outlives_refused_reads_of_the_jobs(self, monkeypatch: pytest.MonkeyPatch):
+        """Guards against a takeover given up, and begun anew elsewhere, for one refused read."""
+        read, refuses = Store.read, False
+
+        async def read_unless_refused(store: Store, partition: Partition, *args):
+            result = await read(store, partition, *args)
+            if partition == JOBS and refuses:
+                raise LogUnavailable(stream=str(partition))
+            return result
+
+        async def body(rig: OwnersRig):
+            nonlocal refuses
+            await start_entries(rig, ENTRIES)
+            first, refuses = rig.owner, True
+            rig.kill(first.name)
+            await rig.timers.sleep(6.0)
+            refuses = False
+            await wait_owner_beside(rig, first, within=1.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        monkeypatch.setattr(Store, "read", read_unless_refused)
+        with_rig(body)
+
+    def test_a_fence_without_an_answer_is_seen_among_the_jobs(self):
+        """Guards against a takeover given up though its fence is stored and was read."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 5.0
+            rig.kill(first.name)
+            await wait_owner_beside(rig, first, within=9.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body)
+
+    def test_a_stop_waits_for_a_claim_under_way(self):
+        """Guards against a cell that is claimed by an entry that is gone."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[OWNER.topic] = 1.0
+            rig.kill(first.name)
+            claims = rig.store.partition(OWNER.topic)
+            while claims.producers[PRODUCER].epoch < 2:
+                await rig.timers.sleep(STEP_SECONDS)
+            others = [entry for entry in rig.entries.values() if entry is not first]
+            for entry in others:
+                entry.stop("")
+            for entry in others:
+                while entry.host.holds_cell:
+                    await rig.timers.sleep(STEP_SECONDS)
+                rig.kill(entry.name)
+            await rig.timers.sleep(3.0)
+            _, value = claims.newest()[OWNER_KEY]
+            assert decode(value, Claim).released
+
+        with_rig(body)
+
+    def test_owners_that_never_acted_do_not_prolong_the_wait_for_a_silent_runner(self):
+        """Guards against lasting tasks that wait anew after each planned stop in a row."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            rig.work_by_job[job_id(1)] = 500.0
+            await rig.submit(job_id(1), step(3, daemon=True, anti_affinity=1))
+            await rig.timers.sleep(2.0)
+            for entry in rig.entries.values():
+                entry.link("w1").cut = True
+            rig.machines["w1"].crash()
+            rig.store.queue_seconds[JOBS.topic] = 2.5
+            first = rig.owner
+            owners = [first, *(e for e in rig.entries.values() if e is not first)]
+            began = rig.timers.now()
+            for owner, successor in zip(owners, owners[1:], strict=False):
+                owner.stop(successor.name)
+                await rig.timers.sleep(1.5)
+            rig.store.queue_seconds.clear()
+            while len(rig.monitor.starts) == 3:
+                await rig.timers.sleep(0.1)
+            assert rig.timers.now() < began + 10.0
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=4)
