Log what a release and the fence of a takeover are based on

Operators could not see whether an owner that stops had a result for its last append, how long it waited, what its release says of it, or whether its successor appended a fence.

Change: a line when a release begins, with the inputs; jobs_end and the time of the append in the line on the release; and whether a fence was appended in the line on the fence. No change of behaviour.

Evidence: the tests of slow takeovers, owners, gaps and the takeover log pass.

--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -306,10 +306,18 @@
 
     async def _release_when_stopped(self, renewals: Renewals) -> None:
         await self._stopping.wait()
-        settled, owner = False, self._owner
+        settled, owner, stopped_at = False, self._owner, self._clock.now()
         if owner is not None:
             with self._clock.move_on_after(self._settle_seconds):
                 settled = await owner.settle_records()
+        extra = {
+            "epoch": renewals.term.epoch,
+            "successor": self._successor,
+            "acting": owner is not None,
+            "settled": settled,
+            "seconds": round(self._clock.now() - stopped_at, 3),
+        }
+        log.info("release of the cell begins", extra=extra)
         renewals.release(self._successor, settled)
 
     async def _act_as_owner(self, inherited: Inherited, renewals: Renewals) -> None:
--- a/ragworttiller/scheduling/ownership/renewals.py
+++ b/ragworttiller/scheduling/ownership/renewals.py
@@ -150,8 +150,15 @@
             await self._clock.sleep(RETRY_INTERVAL_SECONDS)
             return
         if successor is not None:
-            extra = {"epoch": self._term.epoch, "successor": successor}
-            log.info("ownership released", extra=extra)
+            log.info(
+                "ownership released",
+                extra={
+                    "epoch": self._term.epoch,
+                    "successor": successor,
+                    "jobs_end": claim.jobs_end,
+                    "seconds": round(self._clock.now() - sent_at, 3),
+                },
+            )
             self._end()
             return
         self._term.record_renewal(sent_at)
--- a/ragworttiller/scheduling/ownership/succession.py
+++ b/ragworttiller/scheduling/ownership/succession.py
@@ -151,7 +151,8 @@
         began_at, epoch = self._clock.now(), self._claimed.term.epoch
         previous = self._claimed.previous
         jobs_end = previous.jobs_end if previous is not None and previous.released else 0
-        if not jobs_end:
+        needs_fence = not jobs_end
+        if needs_fence:
             jobs_end = await self._fence()
         fenced_at = self._clock.now()
         self.takeover_log.record(Step.FENCED)
@@ -160,6 +161,7 @@
         extra = {
             "epoch": epoch,
             "jobs_end": jobs_end,
+            "fence_appended": needs_fence,
             "fence": round(fenced_at - began_at, 3),
             "read": round(self._clock.now() - fenced_at, 3),
         }
