--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -247,10 +247,10 @@
         """Release the ownership and serve until the load balancer sends no more requests."""
         callers.drain()
         stopped_at, grace = self._clock.now(), self._settings.bounds.shutdown_grace_s
-        after = WITHDRAW_TIMEOUT_SECONDS + CLOSE_TIMEOUT_SECONDS + STOP_MARGIN_SECONDS
-        longest = max(grace - after, grace / 2)
-        self._host.stop(next(iter(self._standbys.names()), ""), longest - RELEASE_SECONDS)
-        while self._host.holds_cell and self._clock.now() < stopped_at + longest:
+        reserved = WITHDRAW_TIMEOUT_SECONDS + CLOSE_TIMEOUT_SECONDS + STOP_MARGIN_SECONDS
+        longest_hold = max(grace - reserved, grace / 2)
+        self._host.stop(next(iter(self._standbys.names()), ""), longest_hold - RELEASE_SECONDS)
+        while self._host.holds_cell and self._clock.now() < stopped_at + longest_hold:
             await self._clock.sleep(HANDOVER_CHECK_SECONDS)
         # An owner needs the other entries, which drop the connections of one that has withdrawn.
         with self._clock.move_on_after(WITHDRAW_TIMEOUT_SECONDS):
