Test what a release says of appends without a result

A successor of an owner that stopped as planned may skip its fence, so a release must state an end of the jobs only if the owner's last append has a result. No test covered that. It passes with an append that ends within the time of the stop, whose record stands before that end, and with one that does not.

--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.exceptions import LogUnavailable
 from ragworttiller.platform.store import Partition, Store
+from ragworttiller.scheduling.ownership.cell_host import DEFAULT_SETTLE_SECONDS
 from ragworttiller.scheduling.ownership.renewals import PRODUCER
 from ragworttiller.scheduling.records.formats import JOBS, OWNER, OWNER_KEY, Claim, decode
 from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
@@ -161,3 +162,27 @@
             assert decode(value, Claim).released
 
         with_rig(body)
+
+    @pytest.mark.parametrize("queue_seconds", [1.0, 3.0])
+    def test_a_release_vouches_for_no_append_without_a_result(self, queue_seconds: float):
+        """Guards against progress stored after the end up to which a successor reads."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            await rig.submit(job_id(1), step(2))
+            first, jobs = rig.owner, rig.store.partition(JOBS.topic)
+            rig.store.queue_seconds[JOBS.topic] = queue_seconds
+            await rig.timers.sleep(1.0)
+            stored = jobs.end
+            first.stop("e4" if first.name != "e4" else "e3")
+            while first.host.holds_cell:
+                await rig.timers.sleep(STEP_SECONDS)
+            values = [row[1 + row[0] :] for row in rig.store.partition(OWNER.topic).records]
+            released = [claim for claim in (decode(v, Claim) for v in values) if claim.released]
+            in_time = queue_seconds < DEFAULT_SETTLE_SECONDS
+            assert [claim.jobs_end for claim in released] == [stored + 1 if in_time else 0]
+            await rig.wait_completed(job_id(1), within=12.0)
+            assert len(rig.monitor.starts) == 2
+            assert rig.monitor.violations == []
+
+        with_rig(body)
