--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -22,6 +22,8 @@
 from ragworttiller.platform.channel import ChannelSet, Traffic
 from ragworttiller.platform.decoding import decode_json
 from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
+from ragworttiller.platform.store_meter import AppendNumber, StoreMeter
+from ragworttiller.timers import SystemTimers
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +33,8 @@
 ANSWER_TIMEOUT_SECONDS = 1.0
 # Too many calls, unavailable, out of space: nothing was appended, whatever the body says.
 REFUSAL_STATUSES = (429, 503, 507)
+# Records, or the oldest offset after the one asked for.
+READ_STATUSES = (200, 410)
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 RUNNERS_TOPIC = "keyed.servers"
@@ -96,9 +100,12 @@
     offset: int
 
 
+_ITEM_DECODER = msgspec.json.Decoder(_Item)
+
+
 class _Page(msgspec.Struct):
     end: int
-    items: list[_Item] = []
+    items: list[msgspec.Raw] = []
     has_more: bool = False
 
 
@@ -124,6 +131,8 @@
         Seconds to wait for an answer, in addition to the wait of a read.
     channels : ChannelSet, optional
         Connections to use in place of new ones to the address.
+    meter : StoreMeter, optional
+        Counts and times the calls.
     """
 
     def __init__(
@@ -131,7 +140,9 @@
         address: str,
         timeout: float = ANSWER_TIMEOUT_SECONDS,
         channels: ChannelSet | None = None,
+        meter: StoreMeter | None = None,
     ) -> None:
+        self._meter = meter or StoreMeter(SystemTimers())
         self._channels = channels or ChannelSet(address, timeout)
         self._timeout = timeout
         self._answer_count = 0
@@ -186,6 +197,19 @@
         LogUnavailable
             Nothing was appended.
         """
+        number = AppendNumber(*producer, sequence) if producer is not None else None
+        with self._meter.append(partition.topic, number):
+            return await self._append(partition, records, producer, sequence, at, timeout)
+
+    async def _append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        producer: Producer | None,
+        sequence: int,
+        at: int | None,
+        timeout: float | None,
+    ) -> int:
         query: dict[str, object] = {"topic": partition.topic, "part": partition.part}
         if producer is not None:
             query |= {"producer": producer.name, "epoch": producer.epoch, "seq": sequence}
@@ -248,7 +272,11 @@
             raise RecordsExpired(stream=str(partition), start=start, wanted=offset)
         if status != 200 or len(content) < 2 * OFFSET_BYTES:
             raise LogUnavailable(stream=str(partition))
-        return _decode_slice(content, offset)
+        result = _decode_slice(content, offset)
+        if not result.records and len(content) > 2 * OFFSET_BYTES:
+            # Taken for a short read, a record that is cut off would be asked for again at once.
+            raise LogUnavailable(stream=str(partition))
+        return result
 
     async def read_newest(self, partition: Partition, after: str = "") -> NewestPage:
         """Return a page with the newest record of each key after the key ``after``.
@@ -266,10 +294,13 @@
             raise LogUnavailable(stream=str(partition))
         try:
             page = decode_json(content, _Page, _Page.__name__)
-            records = [Record(i.offset, i.key, base64.b64decode(i.value)) for i in page.items]
-        except (Unreadable, ValueError) as exc:
+        except Unreadable as exc:
             raise LogUnavailable(stream=str(partition)) from exc
-        next_after = page.items[-1].key if page.has_more and page.items else ""
+        found = (_decode_item(partition, item) for item in page.items)
+        records = [record for record in found if record is not None]
+        if page.items and not records and page.has_more:
+            raise LogUnavailable(stream=str(partition))
+        next_after = records[-1].key if page.has_more and records else ""
         return NewestPage(page.end, next_after, records)
 
     async def close(self) -> None:
@@ -292,8 +323,11 @@
         try:
             answer = await self._channels.request("GET", target, timeout=self._timeout + wait)
         except (NotSent, ExchangeBroken) as exc:
+            self._meter.reads_unanswered[partition.topic] += 1
             raise LogUnavailable(stream=str(partition)) from exc
         self._answer_count += 1
+        if answer.status not in READ_STATUSES:
+            self._meter.reads_refused[partition.topic] += 1
         return answer.status, answer.body
 
 
@@ -303,7 +337,26 @@
     return length.to_bytes(LENGTH_BYTES, "big") + bytes([len(key)]) + key + record.value
 
 
+def _decode_item(partition: Partition, item: msgspec.Raw) -> Record | None:
+    """Return an item of a page, None without a readable key.
+
+    A value that is no base64 is returned as it was sent: the reader of the records finds it
+    unreadable, while an empty or missing one would mean that the key was deleted.
+    """
+    try:
+        row = _ITEM_DECODER.decode(item)
+    except msgspec.MsgspecError as exc:
+        extra = {"partition": str(partition), "problem": str(exc)}
+        log.warning("record without a readable key left out", extra=extra)
+        return None
+    try:
+        return Record(row.offset, row.key, base64.b64decode(row.value, validate=True))
+    except ValueError:
+        return Record(row.offset, row.key, row.value.encode())
+
+
 def _decode_slice(content: bytes, offset: int) -> Slice:
+    """Return the records in the answer to a read, without one that is cut off at its end."""
     end = int.from_bytes(content[:OFFSET_BYTES], "big")
     start = int.from_bytes(content[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
     records: list[Record] = []
@@ -311,6 +364,8 @@
     while position + LENGTH_BYTES <= len(content):
         record_start = position + LENGTH_BYTES
         position = record_start + int.from_bytes(content[position:record_start], "big")
+        if position > len(content):
+            break
         records.append(_decode_record(offset + len(records), content[record_start:position]))
     return Slice(end, start, records)
 
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -86,6 +86,8 @@
         Last claim.
     jobs_feed, claims_feed : Feed
         Feeds of the jobs and of the claims; run by the entry.
+    on_claims_read : Callable
+        Called after claims or renewals were read.
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         self._settle_seconds = DEFAULT_SETTLE_SECONDS
         self.jobs = JobFold()
         self.claims = ClaimFold()
+        self.on_claims_read: Callable[[], None] = lambda: None
         self.jobs_feed = Feed(
             store, JOBS, self.jobs, clock, JOBS_READ_INTERVAL_SECONDS, self._jobs_changed
         )
@@ -271,6 +274,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             self._renewals = None
+            succession.takeover_log.record_end()
         log.info("ownership ended", extra={"epoch": term.epoch})
 
     async def _take_over(self, succession: Succession, renewals: Renewals) -> None:
@@ -326,6 +330,7 @@
             self._clock,
             self._name,
             self._incarnation,
+            inherited.takeover_log,
             self._address,
             self._connect,
             Retention(self.jobs, self._status_seconds),
@@ -346,6 +351,7 @@
         self._claim_read_at = self._clock.now()
         self._end_if_superseded()
         self._ownership.record_claim()
+        self.on_claims_read()
 
     def _end_if_superseded(self) -> None:
         """End the term before its owner acts on anything read after a later owner's claim."""
--- a/ragworttiller/scheduling/ownership/ownership.py
+++ b/ragworttiller/scheduling/ownership/ownership.py
@@ -206,7 +206,17 @@
 
     def _next_claim(self, previous: Claim | None) -> Claim:
         """Return the claim after ``previous``, of whose runners none has answered yet."""
-        fresh = Claim(self._name, self._incarnation, 1, 0, [], [], {}, address=self._address)
+        fresh = Claim(
+            self._name,
+            self._incarnation,
+            1,
+            0,
+            [],
+            [],
+            {},
+            address=self._address,
+            may_order=False,
+        )
         if previous is None:
             return fresh
         return fresh._replace(
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -180,6 +180,9 @@
     `Learnt`: encoded apart, so that a successor can read the claim even if it cannot read these
     values. ``jobs_end`` is set when an owner has released the cell with no append under way: it has
     neither read nor written any record of the jobs' partition from that offset on.
+    ``unsettled_seconds`` is for how long, from the time of the claim, runs of still earlier
+    owners may be at work on the unsettled runners, None if that is not known. ``may_order`` is
+    whether the owner may have given orders when it wrote the claim.
     """
 
     owner: str
@@ -197,6 +200,8 @@
     pressure: Pressure | None = None
     learnt: bytes = b""
     jobs_end: int = 0
+    unsettled_seconds: float | None = None
+    may_order: bool = True
 
 
 class OwnerChange(NamedTuple):
