--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from ragworttiller.scheduling.records.formats import JOBS
+from ragworttiller.exceptions import LogUnavailable
+from ragworttiller.platform.store import Partition, Store
+from ragworttiller.scheduling.ownership.renewals import PRODUCER
+from ragworttiller.scheduling.records.formats import JOBS, OWNER, OWNER_KEY, Claim, decode
 from tests.owners_rig import Entry, OwnersRig, start_entries, with_rig
 from tests.scheduling_rig import job_id, step
 
@@ -98,3 +101,89 @@
             assert rig.owner.host.claims.claim.epoch == 2
 
         with_rig(body)
+
+    def test_a_takeover_outlives_refused_reads_of_the_jobs(self, monkeypatch: pytest.MonkeyPatch):
+        """Guards against a takeover given up, and begun anew elsewhere, for one refused read."""
+        read, refuses = Store.read, False
+
+        async def read_unless_refused(store: Store, partition: Partition, *args):
+            result = await read(store, partition, *args)
+            if partition == JOBS and refuses:
+                raise LogUnavailable(stream=str(partition))
+            return result
+
+        async def body(rig: OwnersRig):
+            nonlocal refuses
+            await start_entries(rig, ENTRIES)
+            first, refuses = rig.owner, True
+            rig.kill(first.name)
+            await rig.timers.sleep(6.0)
+            refuses = False
+            await wait_owner_beside(rig, first, within=1.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        monkeypatch.setattr(Store, "read", read_unless_refused)
+        with_rig(body)
+
+    def test_a_fence_without_an_answer_is_seen_among_the_jobs(self):
+        """Guards against a takeover given up though its fence is stored and was read."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[JOBS.topic] = 5.0
+            rig.kill(first.name)
+            await wait_owner_beside(rig, first, within=9.0)
+            assert rig.owner.host.claims.claim.epoch == 2
+
+        with_rig(body)
+
+    def test_a_stop_waits_for_a_claim_under_way(self):
+        """Guards against a cell that is claimed by an entry that is gone."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            first = rig.owner
+            rig.store.queue_seconds[OWNER.topic] = 1.0
+            rig.kill(first.name)
+            claims = rig.store.partition(OWNER.topic)
+            while claims.producers[PRODUCER].epoch < 2:
+                await rig.timers.sleep(STEP_SECONDS)
+            others = [entry for entry in rig.entries.values() if entry is not first]
+            for entry in others:
+                entry.stop("")
+            for entry in others:
+                while entry.host.holds_cell:
+                    await rig.timers.sleep(STEP_SECONDS)
+                rig.kill(entry.name)
+            await rig.timers.sleep(3.0)
+            _, value = claims.newest()[OWNER_KEY]
+            assert decode(value, Claim).released
+
+        with_rig(body)
+
+    def test_owners_that_never_acted_do_not_prolong_the_wait_for_a_silent_runner(self):
+        """Guards against lasting tasks that wait anew after each planned stop in a row."""
+
+        async def body(rig: OwnersRig):
+            await start_entries(rig, ENTRIES)
+            rig.work_by_job[job_id(1)] = 500.0
+            await rig.submit(job_id(1), step(3, daemon=True, anti_affinity=1))
+            await rig.timers.sleep(2.0)
+            for entry in rig.entries.values():
+                entry.link("w1").cut = True
+            rig.machines["w1"].crash()
+            rig.store.queue_seconds[JOBS.topic] = 2.5
+            first = rig.owner
+            owners = [first, *(e for e in rig.entries.values() if e is not first)]
+            began = rig.timers.now()
+            for owner, successor in zip(owners, owners[1:], strict=False):
+                owner.stop(successor.name)
+                await rig.timers.sleep(1.5)
+            rig.store.queue_seconds.clear()
+            while len(rig.monitor.starts) == 3:
+                await rig.timers.sleep(0.1)
+            assert rig.timers.now() < began + 10.0
+            assert rig.monitor.violations == []
+
+        with_rig(body, runners=4)
