--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -116,7 +116,7 @@
         self._blocked[work.queue.name] += 1
         if not self._may_search(work, stage):
             return
-        with_room = self._free.with_room(work.queue.upstream, stage.spec)
+        with_room = self._free.with_room(work.queue.upstream, stage.spec, stage.overdue)
         if ahead:
             if room_soon is not None:
                 room_soon = {*room_soon, *(runner.id for runner in with_room)}
@@ -132,7 +132,7 @@
         It comes before those for all other stages, of which there may always be enough for every
         entry.
         """
-        with_room = self._free.with_room(work.queue.upstream, stage.spec)
+        with_room = self._free.with_room(work.queue.upstream, stage.spec, stage.overdue)
         if with_room and self._may_search(work, stage):
             self._plan_call(work, stage, with_room, False)
 
--- a/ragworttiller/scheduling/decisions/free_resources.py
+++ b/ragworttiller/scheduling/decisions/free_resources.py
@@ -22,7 +22,7 @@
     never grows within a pass.
 
     Room that is reserved for a stage is kept from the stages after it, except for those of lasting
-    tasks: each of these has to run whenever there is room for it.
+    tasks that are overdue: each of these has to run whenever there is room for it.
 
     Parameters
     ----------
@@ -56,13 +56,14 @@
             self._labels[upstream] = Counter(name for r in runners for name in r.entry.labels)
         return self._labels[upstream][label]
 
-    def with_room(self, upstream: str, spec: StepSpec) -> list[RunnerState]:
+    def with_room(self, upstream: str, spec: StepSpec, overdue: bool = False) -> list[RunnerState]:
         """Return the runners that meet the rules of a step and have room for one of its tasks.
 
-        Those with the most free CPU at the start of the pass come first.
+        Those with the most free CPU at the start of the pass come first. Lasting tasks that are
+        ``overdue`` have reserved room as well.
         """
         size = spec.reservation
-        kind = (upstream, size, spec.label, spec.image if spec.fills else None, spec.daemon)
+        kind = (upstream, size, spec.label, spec.image if spec.fills else None, overdue)
         if kind in self._without_room:
             return []
         rows: list[RunnerState] = []
@@ -70,7 +71,7 @@
             # Free CPU never exceeds its value at the start of the pass, so no later one has room.
             if self._cpu_at_start[runner.id] < size.cpu:
                 break
-            if size.fits(self.for_step(runner.id, spec)):
+            if size.fits(self.for_stage(runner.id, overdue)):
                 rows.append(runner)
         rows = suitable(rows, upstream, spec)
         if not rows:
@@ -78,13 +79,13 @@
         return rows
 
     def those_with_room(
-        self, names: Iterable[str], upstream: str, spec: StepSpec
+        self, names: Iterable[str], upstream: str, spec: StepSpec, overdue: bool = False
     ) -> list[RunnerState]:
         """Return which of the named runners meet the rules of a step and have room for a task."""
         size, rows = spec.reservation, []
         for name in names:
             runner = self._runners.get(name)
-            if runner is not None and size.fits(self.for_step(name, spec)):
+            if runner is not None and size.fits(self.for_stage(name, overdue)):
                 rows.append(runner)
         return suitable(rows, upstream, spec)
 
@@ -100,14 +101,14 @@
         """Return the resources of a runner that are free and not reserved."""
         return self._free[runner]
 
-    def for_step(self, runner: str, spec: StepSpec) -> Resources:
-        """Return the resources of a runner that tasks of a step may take."""
-        if spec.daemon and runner in self._reserved:
+    def for_stage(self, runner: str, overdue: bool) -> Resources:
+        """Return the resources of a runner that tasks of a stage may take."""
+        if overdue and runner in self._reserved:
             return self._free[runner].plus(self._reserved[runner])
         return self._free[runner]
 
     def reserve(self, runner: str, size: Resources) -> None:
-        """Reserve resources of a runner, which only lasting tasks may take in this pass."""
+        """Reserve resources of a runner, which only overdue lasting tasks may take in this pass."""
         self._reserved[runner] = self._reserved.get(runner, NO_RESOURCES).plus(size)
         self.subtract(runner, size)
 
--- a/ragworttiller/scheduling/decisions/room_maker.py
+++ b/ragworttiller/scheduling/decisions/room_maker.py
@@ -34,7 +34,7 @@
     """Finds the runners that blocked stages will start on soon.
 
     A reservation lasts for one planning pass: the room is left out for the stages that come later
-    in queue order, on that runner alone. Lasting tasks take it all the same.
+    in queue order, on that runner alone. Overdue lasting tasks take it all the same.
 
     Parameters
     ----------
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -285,9 +285,9 @@
         upstream = work.queue.upstream
         if needs_ticket:
             holders = stage.tickets.holders(now)
-            with_room = free_resources.those_with_room(holders, upstream, stage.spec)
+            with_room = free_resources.those_with_room(holders, upstream, stage.spec, stage.overdue)
         else:
-            with_room = free_resources.with_room(upstream, stage.spec)
+            with_room = free_resources.with_room(upstream, stage.spec, stage.overdue)
         if not with_room:
             return False
         indices = self._takeover.startable(stage)
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -182,7 +182,7 @@
     ) -> None:
         """Update the score of a runner, which has none if it can take no task of the stage now."""
         scores.pop(runner.id, None)
-        free = free_resources.for_step(runner.id, stage.spec)
+        free = free_resources.for_stage(runner.id, stage.overdue)
         if not stage.spec.reservation.fits(free):
             return
         running = on_runner[runner.id]
