Show what stands against the runners that could take a waiting task

What operators saw: `tasks wait` counted only runners that accept tasks now, so a lasting task beside suspended, silent or not enrolled runners with room was logged as `no_room` or even `no_runner_suits`.

Now `why` has `not_usable` and `reserved`, and the line says whether the stage is lasting and overdue, its queue, its task that has waited for the longest, what stands against each runner with room, whether a call to the advisor is in flight, the age of the last one, and for how long the stage's reservation counts. `cell job` shows the same. Runners are looked at only for stages that are shown or logged.

--- a/ragworttiller/commands/cell.py
+++ b/ragworttiller/commands/cell.py
@@ -28,6 +28,18 @@
     "beyond",
 ]
 STAGE_COLUMNS = ["stage", "waiting", "live", "done", "failed", "wait"]
+# Taken from the details of the wait; JSON output shows all of them.
+WAIT_COLUMNS = [
+    "seconds",
+    "longest",
+    "suitable",
+    "with_room",
+    "usable",
+    "obstacles",
+    "advice_in_flight",
+    "advice_age",
+    "reserved_left",
+]
 
 
 @app.command()
@@ -79,6 +91,11 @@
     ctx: typer.Context,
     name: Annotated[str, typer.Argument(help="Identifier of the job.")],
 ) -> None:
-    """Show the stages of an open job and the reason why each waits."""
+    """Show the stages of an open job, why each waits, and what stands against its runners."""
     context = context_of(ctx)
-    context.output.rows(context.client.call("GET", api_path("cell", "jobs", name)), STAGE_COLUMNS)
+    rows = context.client.call("GET", api_path("cell", "jobs", name))
+    context.output.rows(
+        # An entry of an earlier version sends no details.
+        [{**(row.get("details") or {}), **row} for row in rows],
+        [*STAGE_COLUMNS, *WAIT_COLUMNS],
+    )
--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -198,6 +198,7 @@
             stage.tickets.recheck_at = self._now + self._recheck_delay
             return True
         wait = self._loads.backlog(entry) - duration
+        stage.tickets.asked_at = self._now
         stage.tickets.call_deadline = self._now + wait + duration + CALL_GRACE_SECONDS
         call = AdviceCall(stage.id, tuple(names), entry, wait, duration, cost.validity, self._now)
         self._calls.append(call)
--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -49,7 +49,15 @@
         return False
     if stage.overdue:
         return True
-    return not (runner.on_probation and (runner.probe_running or running))
+    return not awaits_probe(runner, running)
+
+
+def awaits_probe(runner: RunnerState, running: int) -> bool:
+    """Return whether a runner takes no more tasks of a stage until the one on probe was done.
+
+    ``running`` is the number of the stage's tasks that run there.
+    """
+    return runner.on_probation and (runner.probe_running or bool(running))
 
 
 def at_limit(stage: Stage, running: int) -> bool:
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -2,34 +2,14 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TypedDict
 
-from ragworttiller.scheduling.decisions.runner_rules import accepts_another, at_limit, suits
 from ragworttiller.scheduling.state.interference import PairView
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Stage
-
-
-class WaitReason(StrEnum):
-    """Reason why the waiting tasks of a stage do not start."""
-
-    NOT_DUE = "not_due"
-    PREDECESSORS = "predecessors"
-    TAKEOVER = "takeover"
-    NO_RUNNER_SUITS = "no_runner_suits"
-    NO_ROOM = "no_room"
-    LIMIT = "limit"
-    PROBATION = "probation"
-    TRIAL = "trial"
-    ADVICE = "advice"
-    DENIED = "denied"
-    GANG = "gang"
-    PLANNED = "planned"
-    CAP = "cap"
-    SHARE = "share"
+from ragworttiller.scheduling.state.stage_waits import StageWait, StageWaits, WaitReason
 
 
 class RunnerView(TypedDict):
@@ -48,7 +28,10 @@
 
 
 class StageView(TypedDict):
-    """A stage; ``wait`` is the reason why its waiting tasks do not start, empty if none waits."""
+    """A stage; ``wait`` is the reason why its waiting tasks do not start, empty if none waits.
+
+    ``details`` tells more of this wait, None if none waits.
+    """
 
     stage: str
     waiting: int
@@ -56,22 +39,7 @@
     done: int
     failed: int
     wait: str
-
-
-class LongWait(TypedDict):
-    """A stage whose tasks wait for long, and what is known of the runners that could take one.
-
-    ``seconds`` is the wait of its first task. ``with_room`` counts the suitable runners that have
-    room for a task, and ``not_asked`` those of them about which the advisor was not asked.
-    """
-
-    stage: str
-    waiting: int
-    seconds: float
-    why: str
-    suitable: int
-    with_room: int
-    not_asked: int
+    details: StageWait | None
 
 
 class JobView(TypedDict):
@@ -129,14 +97,16 @@
     def jobs(self, now: float, wall: float) -> list[JobView]:
         """Return the active jobs, oldest first."""
         jobs = sorted(self._cell.jobs.values(), key=lambda work: work.accepted_at)
-        return [self._job(work, now, wall) for work in jobs]
+        waits = StageWaits(self._cell, now, wall)
+        return [self._job(work, waits, now, wall) for work in jobs]
 
     def stages(self, job: str, now: float, wall: float) -> list[StageView]:
         """Return the stages of a job, none if it is not active."""
         work = self._cell.jobs.get(job)
-        return [self._stage(work, s, now, wall) for s in work.stages.values()] if work else []
+        waits = StageWaits(self._cell, now, wall)
+        return [_stage(work, stage, waits) for stage in work.stages.values()] if work else []
 
-    def long_waits(self, now: float, wall: float, min_seconds: float, most: int) -> list[LongWait]:
+    def long_waits(self, now: float, wall: float, min_seconds: float, most: int) -> list[StageWait]:
         """Return the stages that wait for at least ``min_seconds``, ``most`` of them at most.
 
         Stages of lasting tasks come first, since each has to run whenever there is room for it.
@@ -149,31 +119,14 @@
             if stage.longest_wait(now) >= min_seconds
         ]
         rows.sort(key=lambda row: row[:2])
-        return [self._long_wait(work, stage, now, wall) for _, _, work, stage in rows[:most]]
-
-    def _long_wait(self, work: JobWork, stage: Stage, now: float, wall: float) -> LongWait:
-        suitable = self._suitable_runners(work, stage, now)
-        with_room = [r.id for r in suitable if stage.spec.reservation.fits(r.free)]
-        known = stage.tickets.allowed | stage.tickets.denied
-        return LongWait(
-            stage=str(stage.id),
-            waiting=len(stage.waiting),
-            seconds=round(stage.longest_wait(now), 3),
-            why=str(self.wait_reason(work, stage, now, wall)),
-            suitable=len(suitable),
-            with_room=len(with_room),
-            not_asked=sum(name not in known for name in with_room),
-        )
-
-    def _suitable_runners(self, work: JobWork, stage: Stage, now: float) -> list[RunnerState]:
-        usable = self._cell.pool.accepting_tasks(now)
-        return [r for r in usable if suits(r, work.queue.upstream, stage.spec)]
+        waits = StageWaits(self._cell, now, wall)
+        return [waits.describe(work, stage) for _, _, work, stage in rows[:most]]
 
-    def _job(self, work: JobWork, now: float, wall: float) -> JobView:
+    def _job(self, work: JobWork, waits: StageWaits, now: float, wall: float) -> JobView:
         stages = work.stages.values()
         unfinished = [stage for stage in stages if not stage.complete] or list(stages)
         inputs = work.order_inputs(unfinished[0], now, wall)
-        reasons = [self.wait_reason(work, stage, now, wall) for stage in stages if stage.waiting]
+        reasons = [waits.reason(work, stage) for stage in stages if stage.waiting]
         first = next((r for r in reasons if r is not WaitReason.PREDECESSORS), "")
         return JobView(
             job=work.id,
@@ -187,49 +140,18 @@
             wait=str(first),
         )
 
-    def _stage(self, work: JobWork, stage: Stage, now: float, wall: float) -> StageView:
-        return StageView(
-            stage=str(stage.id),
-            waiting=len(stage.waiting),
-            live=len(stage.active_runs) + len(stage.copies),
-            done=len(stage.done),
-            failed=sum(len(runs) for runs in stage.failed_runs.values()),
-            wait=str(self.wait_reason(work, stage, now, wall)) if stage.waiting else "",
-        )
 
-    def wait_reason(self, work: JobWork, stage: Stage, now: float, wall: float) -> WaitReason:
-        """Return the first reason why waiting tasks of a stage do not start."""
-        if self._cell.takeover.blocks(work.row):
-            return WaitReason.TAKEOVER
-        if work.due(stage) > wall:
-            return WaitReason.NOT_DUE
-        if not work.predecessors_complete(stage):
-            return WaitReason.PREDECESSORS
-        if not self._cell.caps.allowed(stage, stage.longest_wait(now)):
-            return WaitReason.CAP
-        suitable = self._suitable_runners(work, stage, now)
-        if not suitable:
-            return WaitReason.NO_RUNNER_SUITS
-        with_room = [r for r in suitable if stage.spec.reservation.fits(r.free)]
-        if not with_room:
-            over = self._cell.owed.is_beyond(work.id) or self._cell.shares.over_share(
-                stage.workspace
-            )
-            return WaitReason.SHARE if over else WaitReason.NO_ROOM
-        running = stage.runs_by_runner()
-        with_room = [r for r in with_room if not at_limit(stage, running[r.id])]
-        if not with_room:
-            return WaitReason.LIMIT
-        with_room = [r for r in with_room if accepts_another(r, stage, running[r.id])]
-        if not with_room:
-            return WaitReason.PROBATION
-        if work.queue.advice and not any(stage.tickets.valid_ticket(r.id, now) for r in with_room):
-            denied = all(r.id in stage.tickets.denied for r in with_room)
-            return WaitReason.DENIED if denied else WaitReason.ADVICE
-        if stage.spec.gang:
-            return WaitReason.GANG
-        suspected = all(stage.is_suspect(index) for index in stage.waiting)
-        return WaitReason.TRIAL if suspected else WaitReason.PLANNED
+def _stage(work: JobWork, stage: Stage, waits: StageWaits) -> StageView:
+    details = waits.describe(work, stage) if stage.waiting else None
+    return StageView(
+        stage=str(stage.id),
+        waiting=len(stage.waiting),
+        live=len(stage.active_runs) + len(stage.copies),
+        done=len(stage.done),
+        failed=sum(len(runs) for runs in stage.failed_runs.values()),
+        wait=details["why"] if details is not None else "",
+        details=details,
+    )
 
 
 def _state(runner: RunnerState, now: float) -> str:
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -18,6 +18,8 @@
         Runners that may and may not run the stage.
     call_deadline : float
         Time until which no other call is made for the stage, 0 if no call is in flight.
+    asked_at : float or None
+        Time of the last call for the stage, None before the first.
     recheck_at : float
         Time before which the stage is assumed to have all tickets it needs.
     """
@@ -26,6 +28,7 @@
         self.allowed: set[str] = set()
         self.denied: set[str] = set()
         self.call_deadline = 0.0
+        self.asked_at: float | None = None
         self.recheck_at = 0.0
         self._tickets: dict[str, tuple[str, float]] = {}
 
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -8,7 +8,8 @@
 from ragworttiller.scheduling.clock import LeaseClock
 from ragworttiller.scheduling.ownership.wait_log import WaitLog
 from ragworttiller.scheduling.records.formats import Claim
-from ragworttiller.scheduling.state.cell_view import CellView, WaitReason
+from ragworttiller.scheduling.state.cell_view import CellView
+from ragworttiller.scheduling.state.stage_waits import StageWait, WaitReason
 from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 ADVISED = QUEUE._replace(advice=AdviceCost(0.3, 0.01, 2.5))
@@ -78,6 +79,76 @@
         assert waits(rig) == [WaitReason.NOT_DUE]
 
 
+class TestObstacles:
+    """Guards against a `no_room` that hides runners with room that take no task."""
+
+    def row(self, rig: CellRig) -> StageWait:
+        (row,) = CellView(rig.cell).long_waits(rig.now, rig.now, 0.0, 1)
+        return row
+
+    def test_each_runner_with_room_counts_under_what_keeps_it_from_the_task(self):
+        rig = CellRig(5)
+        rig.submit(step(1, daemon=True))
+        runners = rig.cell.runners
+        runners["w1"].suspend(rig.now)
+        rig.cell.pool.record_no_answer(runners["w2"], rig.now)
+        runners["w3"].enrolled = False
+        rig.list_runner("w4", state="draining")
+        runners["w5"].lost = True
+        assert rig.plan().starts == []
+        row = self.row(rig)
+        assert row["why"] == WaitReason.NOT_USABLE
+        assert (row["suitable"], row["with_room"], row["usable"]) == (5, 5, 0)
+        assert row["obstacles"] == dict.fromkeys(
+            ("suspended", "silent", "not_enrolled", "draining", "lost"), 1
+        )
+
+    def test_an_overdue_stage_may_use_a_suspended_runner_but_for_its_ticket(self, rig: CellRig):
+        rig.cell.set_entries(["e1"])
+        for name in ("w1", "w2"):
+            rig.cell.runners[name].suspend(rig.now)
+        rig.submit(step(1, daemon=True), queue=ADVISED)
+        rig.plan()
+        rig.pass_time(1.8)
+        rig.plan()
+        row = self.row(rig)
+        assert (row["lasting"], row["overdue"], row["queue"]) == (True, True, ADVISED.key)
+        assert (row["why"], row["usable"]) == (WaitReason.ADVICE, 0)
+        assert row["obstacles"] == {"no_ticket": 2, "suspended": 2}
+        assert (row["advice_in_flight"], row["advice_age"]) == (False, -1.0)
+
+    def test_a_call_in_flight_and_the_longest_wait_are_shown(self, rig: CellRig):
+        rig.cell.set_entries(["e1"])
+        rig.submit(step(2, daemon=True), queue=ADVISED)
+        assert rig.plan().calls
+        rig.pass_time(0.5)
+        row = self.row(rig)
+        assert (row["advice_in_flight"], row["advice_age"]) == (True, 0.5)
+        (stage,) = rig.cell.jobs[JOB].stages.values()
+        stage.requeued_at[1] = rig.now - 5.0
+        assert (self.row(rig)["longest"], self.row(rig)["seconds"]) == (f"{JOB}.0.0.1", 5.0)
+
+    def test_room_reserved_for_others_is_told_from_free_room(self, rig: CellRig):
+        rig.submit(step(1, 4000), job="00000000000000aa")
+        rig.submit(step(1, 4000, daemon=True))
+        rig.cell.runners["w2"].lost = True
+        (other,) = rig.cell.jobs["00000000000000aa"].stages.values()
+        other.reserved_on, other.blocked_since = {"w1"}, rig.now
+        (stage,) = rig.cell.jobs[JOB].stages.values()
+        stage.ready_since = rig.now
+        assert self.row(rig)["why"] == WaitReason.RESERVED
+        assert self.row(rig)["obstacles"] == {"lost": 1, "reserved": 1}
+        stage.overdue = True
+        assert self.row(rig)["why"] == WaitReason.PLANNED
+
+    def test_the_reservation_of_the_stage_itself_tells_how_long_it_counts(self, rig: CellRig):
+        rig.submit(step(1, 4000, daemon=True))
+        (stage,) = rig.cell.jobs[JOB].stages.values()
+        stage.reserved_on, stage.reserved_since = {"w1"}, rig.now
+        rig.pass_time(1.0)
+        assert (self.row(rig)["reserved_on"], self.row(rig)["reserved_left"]) == (1, 3.0)
+
+
 class TestLongWaits:
     def test_a_stage_that_waits_for_long_shows_its_runners_with_room(self, rig: CellRig):
         rig.cell.set_entries(["e1"])
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -252,6 +252,15 @@
         assert "cpu           1500" in shown["workspaces use ws"]
         assert "0.25" in shown["decisions tail"]
 
+    def test_a_waiting_stage_shows_what_stands_against_its_runners(self, entry):
+        """Guards against a view that names a reason only, also of an entry without details."""
+        wait = {"wait": "not_usable", "details": {"obstacles": {"suspended": 2}, "with_room": 2}}
+        entry.prepare("GET /v1/cell/jobs/j", [{"stage": "j.0.0", **wait}, {"stage": "j.0.1"}])
+        lines = run("cell", "job", "j", entries=[entry]).stdout.splitlines()
+        assert "obstacles" in lines[0]
+        assert "not_usable" in lines[1] and '{"suspended":2}' in lines[1]
+        assert lines[2].startswith("j.0.1")
+
     def test_config_check_names_all_errors(self, tmp_path):
         path = tmp_path / "e.ini"
         path.write_text(sample())
--- a/tests/test_workspace_view.py
+++ b/tests/test_workspace_view.py
@@ -9,7 +9,8 @@
 from ragworttiller.platform.configuration import Configuration
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.entry.acceptance import Target
-from ragworttiller.scheduling.state.cell_view import CellView, WaitReason
+from ragworttiller.scheduling.state.cell_view import CellView
+from ragworttiller.scheduling.state.stage_waits import WaitReason
 from ragworttiller.scheduling.state.workspace_view import REST, largest_and_rest, workspaces
 from ragworttiller.scheduling.state.workspaces import Workspace
 from tests.entry_rig import EntryRig, with_entry
