Log and measure for how long lasting tasks wait for their next run

`lasting task runs` is written once for each start that is known to have succeeded: the wait since the last run ended, or since the task was ready, the age of the start order, refused starts, and the seconds by reason as sampled each second for up to five stages. A refused start does not end a wait. The waits are `ragworttiller_owner_lasting_task_wait_seconds`; `ragworttiller_owner_lasting_tasks_waiting` counts those over 3 s now. There is no line for a planning pass, and runners are looked at only while lasting tasks wait.

--- a/ragworttiller/scheduling/entry/entry_metrics.py
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -61,6 +61,11 @@
         "Open jobs with a stage that waits.",
         lambda host: sum(host.pace.waiting.values()),
     ),
+    HostMetric(
+        "owner_lasting_tasks_waiting",
+        "Lasting tasks that have waited for over 3 s.",
+        lambda host: host.waiting_lasting_tasks,
+    ),
     HostMetric(
         "interference_paces",
         "Pace orders sent by this owner.",
@@ -148,6 +153,12 @@
         "Time for which nobody has acted as the owner, as seen here, 0 if an owner acts.",
         lambda: gaps.seconds,
     )
+    metrics.durations(
+        "owner_lasting_task_wait_seconds",
+        "Wait of a lasting task from the end of a run, or from the first pass, to the next run.",
+        (),
+        lambda: host.lasting_waits,
+    )
     for row in HOST_COUNTERS:
         metrics.counter(row.name, row.help_text, partial(row.reading, host))
     for row in HOST_GAUGES:
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ragworttiller.exceptions import RagworttillerError
+from ragworttiller.metrics import Distribution
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.platform.store import Store
 from ragworttiller.scheduling.clock import Clock
@@ -31,6 +32,7 @@
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.retention import Retention
 from ragworttiller.scheduling.state.copy_tally import CopyTally
+from ragworttiller.scheduling.state.lasting_waits import long_waits
 from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS, Cell
 
 log = logging.getLogger(__name__)
@@ -167,6 +169,18 @@
         """Copies of stragglers in the current term, none if this entry is not the owner."""
         return CopyTally() if self._owner is None else self._owner.cell.copies
 
+    @property
+    def lasting_waits(self) -> dict[tuple[str, ...], Distribution]:
+        """Waits of lasting tasks in the current term, none if this entry is not the owner."""
+        return {} if self._owner is None else {(): self._owner.cell.lasting_waits.durations}
+
+    @property
+    def waiting_lasting_tasks(self) -> int:
+        """Lasting tasks that wait for long, 0 if this entry is not the owner."""
+        if self._owner is None:
+            return 0
+        return long_waits(self._owner.cell.jobs.values(), self._clock.now())
+
     @property
     def lag(self) -> float:
         """How late the event loop of the running owner runs, in seconds, 0 without one."""
--- a/ragworttiller/scheduling/ownership/wait_log.py
+++ b/ragworttiller/scheduling/ownership/wait_log.py
@@ -1,18 +1,26 @@
-"""Logs which tasks of a cell wait for long, and why."""
+"""Logs which tasks of a cell wait for long, and why, and samples what lasting tasks wait for."""
 
 from __future__ import annotations
 
 import logging
+from itertools import islice
 
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.state.cell_view import CellView
+from ragworttiller.scheduling.state.lasting_waits import waiting_stages
 from ragworttiller.scheduling.state.owned_cell import Cell
+from ragworttiller.scheduling.state.stage_waits import StageWaits
 
 log = logging.getLogger(__name__)
 
-INTERVAL_SECONDS = 2.0
+SAMPLE_SECONDS = 1.0
+SAMPLES_PER_INTERVAL = 2
 MIN_WAIT_SECONDS = 2.0
 MAX_LINES_PER_INTERVAL = 5
+# Shorter waits of lasting tasks are not sampled.
+MIN_SAMPLED_WAIT_SECONDS = 0.5
+# Each sample looks at all runners of the cell.
+MAX_STAGES_PER_SAMPLE = 5
 
 
 class WaitLog:
@@ -27,13 +35,36 @@
     """
 
     def __init__(self, cell: Cell, clock: Clock) -> None:
+        self._cell = cell
         self._view = CellView(cell)
         self._clock = clock
 
     async def run(self) -> None:
         """Write lines until cancelled."""
-        async for now in self._clock.ticks(INTERVAL_SECONDS):
-            self.write(now, self._clock.wall())
+        samples = 0
+        async for now in self._clock.ticks(SAMPLE_SECONDS):
+            self.sample(now, self._clock.wall())
+            samples += 1
+            if samples % SAMPLES_PER_INTERVAL == 0:
+                self.write(now, self._clock.wall())
+
+    def sample(self, now: float, wall: float) -> None:
+        """Record what the first stages of lasting tasks wait for.
+
+        Parameters
+        ----------
+        now, wall : float
+            Time of the owner, and time of day in seconds since the epoch.
+        """
+        waits = StageWaits(self._cell, now, wall)
+        rows = (
+            (work, stage)
+            for work, stage in waiting_stages(self._cell.jobs.values())
+            if stage.longest_wait(now) >= MIN_SAMPLED_WAIT_SECONDS
+        )
+        for work, stage in islice(rows, MAX_STAGES_PER_SAMPLE):
+            reason = str(waits.reason(work, stage))
+            self._cell.lasting_waits.record_sample(stage, reason, now, SAMPLE_SECONDS)
 
     def write(self, now: float, wall: float) -> None:
         """Write a line for each stage that waits for long, lasting tasks first.
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -26,6 +26,7 @@
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.lasting_waits import LastingWaits
 from ragworttiller.scheduling.state.learnt_store import LearntStore
 from ragworttiller.scheduling.state.orders import Changes, PendingStops, Plan
 from ragworttiller.scheduling.state.owed_jobs import OwedJobs
@@ -190,6 +191,11 @@
         """Copies of stragglers, and what became of them."""
         return self._copies
 
+    @property
+    def lasting_waits(self) -> LastingWaits:
+        """Waits of lasting tasks for their next run."""
+        return self._tracker.lasting_waits
+
     @property
     def runners(self) -> dict[str, RunnerState]:
         """Runners of the cell, by identifier."""
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -21,6 +21,7 @@
 from ragworttiller.scheduling.state.durations import Durations
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import TaskId
+from ragworttiller.scheduling.state.lasting_waits import LastingWaits
 from ragworttiller.scheduling.state.orders import PendingStops, run_fields
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
@@ -69,6 +70,8 @@
     ----------
     pool : RunnerPool
         Runners of the cell.
+    lasting_waits : LastingWaits
+        Times the waits of lasting tasks.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         self._durations = durations
         self._lease = lease
         self._separation = separation
+        self.lasting_waits = LastingWaits()
         self.pool = RunnerPool(runners, takeover, self._requeue_runs, usage)
 
     def apply_hold_answer(self, runner: RunnerState, answer: HoldAnswer, now: float) -> None:
@@ -131,6 +135,7 @@
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.progressed_at = now
+            self._record_wait(run, now)
             runner = self.pool.runners.get(run.runner)
             if runner is not None:
                 runner.next_look_at = float("-inf")
@@ -146,7 +151,7 @@
         if stage is not None:
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
-            self._requeue(stage, run, now)
+            self._requeue(stage, run, now, started=False)
         if reason in ("unhealthy", "room") and runner is not None:
             self._suspend(runner, f"start refused: {reason}", now, refused=True)
 
@@ -154,6 +159,8 @@
         run = runner.runs.get((row.task, row.run))
         if run is None:
             run = self._add_found_run(runner, row, now)
+        if run.state is RunState.STARTING:
+            self._record_wait(run, now)
         run.observe(row.percent, row.checkpoint, row.load, now)
         self._separation.record_report(runner, run, now)
         if runner.record_lasting_probe(run, now):
@@ -285,9 +292,19 @@
         if run is not None:
             self._requeue(stage, run, now)
 
-    def _requeue(self, stage: Stage, run: Run, now: float) -> None:
+    def _record_wait(self, run: Run, now: float) -> None:
+        """Record that a run is known to have started."""
+        stage = self._jobs.stage(run.task.stage)
+        if stage is not None:
+            self.lasting_waits.record_start(stage, run, now)
+
+    def _requeue(self, stage: Stage, run: Run, now: float, started: bool = True) -> None:
         """Let the task of an ended run go on as its copy, or wait if it has none."""
         promoted = stage.requeue(run, now)
+        if started:
+            self.lasting_waits.record_end(stage, run, now)
+        else:
+            self.lasting_waits.record_refusal(stage, run)
         if promoted is not None:
             self._copies.promote(promoted)
         self._break_gang(stage, run)
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -17,6 +17,7 @@
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
 from ragworttiller.scheduling.state.runs.cap_hold import CapHold
 from ragworttiller.scheduling.state.runs.run import Run
+from ragworttiller.scheduling.state.runs.task_wait import TaskWait
 from ragworttiller.scheduling.state.tickets import Tickets
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
@@ -60,6 +61,8 @@
         failed, suspended or on probation, and that the advisor is called for them first.
     requeued_at : dict of int to float
         Time in seconds at which the last run of a task ended without completing it, by index.
+    waits : dict of int to TaskWait
+        Waits of its lasting tasks for a run, by index, until the run is known to have started.
     preemptions : Counter
         Number of runs of each task that were stopped for more urgent tasks.
     preemption_checked_at : float
@@ -121,6 +124,7 @@
         self.tries_failed_on_probation = False
         self.overdue = False
         self.requeued_at: dict[int, float] = {}
+        self.waits: dict[int, TaskWait] = {}
         self.preemptions: Counter[int] = Counter()
         self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
@@ -244,6 +248,7 @@
         run.image = self.image
         run.pace.assume_unknown()
         self.waiting.remove(index)
+        self.waits.pop(index, None)
         self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
         self.active_runs[index] = run
 
--- /dev/null
+++ b/ragworttiller/scheduling/state/runs/task_wait.py
@@ -0,0 +1,30 @@
+"""Wait of a lasting task between two of its runs."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+
+class TaskWait:
+    """Wait of one lasting task for its next run.
+
+    Parameters
+    ----------
+    since : float
+        Time in seconds since when the task waits.
+    first : bool
+        Whether this owner knows of no earlier run.
+
+    Attributes
+    ----------
+    refused : int
+        Starts during this wait that were refused or have expired.
+    seconds_by_reason : dict of str to float
+        Seconds of the wait by what it was for, as far as that was looked at.
+    """
+
+    def __init__(self, since: float, first: bool) -> None:
+        self.since = since
+        self.first = first
+        self.refused = 0
+        self.seconds_by_reason: dict[str, float] = defaultdict(float)
