Log when renewals of a runner's lease are withheld, and what preceded a lapse

What operators saw: `run ended` with `lapsed` means that nobody renewed the lease.

`lease renewals withheld` has the age of the runner's last answer and why; `lease renewals granted again` has for how long they were withheld and for how long of that the runner answered. Both are compared once for each claim. `run ended` with `lapsed` has `heard`, the seconds from the answer before to this one, and `granted`, those since the last renewal was sent.

--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -17,6 +17,7 @@
 from ragworttiller.scheduling.decisions.pass_pace import ProportionalPause
 from ragworttiller.scheduling.ownership.pace_log import OwnerPace, PaceLog
 from ragworttiller.scheduling.ownership.recorder import Recorder
+from ragworttiller.scheduling.ownership.renewal_log import RenewalLog
 from ragworttiller.scheduling.ownership.renewals import PRODUCER, Renewals
 from ragworttiller.scheduling.ownership.runner_calls import RunnerCalls
 from ragworttiller.scheduling.ownership.takeover_log import TakeoverLog
@@ -102,6 +103,7 @@
             cell, term, clock, self._recorder, connect, self.request_plan, lambda: self.lag
         )
         self._wait_log = WaitLog(cell, clock)
+        self._renewal_log = RenewalLog(cell.pool)
         self._pass_pace = ProportionalPause()
         self._plan_requested = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -158,10 +160,12 @@
         position, now = self._jobs_feed.position, self._clock.now()
         wall = self._clock.wall()
         claim = self._cell.claim(self._name, self._incarnation, position, now, self._address, wall)
+        self._renewal_log.observe(now)
         return claim._replace(lag=round(self.lag, 1))
 
     def _enroll_runners(self, claim: Claim) -> None:
         self._cell.pool.enroll(claim)
+        self._renewal_log.observe(self._clock.now())
         self._cell.pool.owned_at = self._term.renewed_at
         self._takeover_log.record_stored_claim(self._cell)
         self.request_plan()
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -106,7 +106,7 @@
         if self.pool.runners.get(runner.id) is not runner:
             log.info("answer of a removed runner ignored", extra={"runner": runner.id})
             return
-        first = not runner.has_answered
+        first, silent = not runner.has_answered, runner.silent_seconds(now)
         newest = runner.record_answer(answer.clock, now)
         if first:
             runner.assume_earlier_lease(self._lease + EXPIRY_MARGIN_SECONDS, now)
@@ -118,7 +118,7 @@
             if end.number > runner.last_end_seen:
                 runner.last_end_seen = end.number
                 runner.record_end(end.task, end.run)
-                self._apply_end(runner, end, now)
+                self._apply_end(runner, end, silent, now)
         if not newest:
             return
         listed = set()
@@ -217,10 +217,16 @@
             self._stops.add(run, "task is not waiting")
         return run
 
-    def _apply_end(self, runner: RunnerState, end: EndedRun, now: float) -> None:
+    def _apply_end(
+        self, runner: RunnerState, end: EndedRun, silent: float | None, now: float
+    ) -> None:
+        """Apply an end; ``silent`` is the time in seconds since the answer before this one."""
         run = runner.runs.get((end.task, end.run))
-        extra = {"task": str(end.task), "run": end.run, "runner": runner.id, "how": end.outcome}
-        log.info("run ended", extra=extra)
+        extra: dict[str, object] = {"task": str(end.task), "run": end.run, "runner": runner.id}
+        if end.outcome == LAPSED:
+            granted = runner.seconds_since_grant(now)
+            extra |= {"heard": silent, "granted": granted, "known": run is not None}
+        log.info("run ended", extra={**extra, "how": end.outcome})
         if end.outcome == LAPSED and (run is None or run.adopted):
             self._takeover.lapsed += 1
         stage = self._jobs.stage(end.task.stage)
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -108,6 +108,7 @@
         self._filling_runs = 0
         self._clock_reading: tuple[float, float] | None = None
         self._lease_end = 0.0
+        self._granted_at: float | None = None
         self._unanswered_looks = 0
         self._recent_ends: dict[tuple[TaskId, int], None] = {}
         self._trial: Run | None = None
@@ -286,6 +287,7 @@
             return None
         end = self.clock_at(now) + duration
         self._lease_end = max(self._lease_end, end)
+        self._granted_at = now
         return end
 
     def grant_start(self, now: float, duration: float) -> float:
@@ -310,6 +312,10 @@
         """Return the seconds since the last answer, None if there was none."""
         return round(now - self.last_answer_at, 3) if self.has_answered else None
 
+    def seconds_since_grant(self, now: float) -> float | None:
+        """Return the seconds since this owner last sent a renewal, None if it sent none."""
+        return None if self._granted_at is None else round(now - self._granted_at, 3)
+
     def lease_left(self, now: float) -> float | None:
         """Return the longest time in seconds for which the lease may last, None if unknown.
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -96,6 +96,8 @@
             assert platform.advisor.calls >= 2
             page = await platform.metrics("e1")
             assert 'ragworttiller_answers_total{code="ok"} 1.0' in page
+            assert "ragworttiller_owner_lasting_tasks_waiting 0.0" in page
+            assert "# TYPE ragworttiller_owner_lasting_task_wait_seconds summary" in page
             assert 'ragworttiller_waiting_seconds_quantile{kind="POST",quantile="0.99"}' in page
 
         with_platform(body)
