Say in the line of a job that ends as failed which task failed it

The line now names the task and either its failed runs or the runners lost under it. Which job fails does not change: the task is the one that `update_final_state` finds.

--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -133,7 +133,7 @@
         self._changed[work.id] = None
         state = work.update_final_state()
         if state is not None:
-            log.info("job ended", extra={"job": work.id, "state": str(state)})
+            _log_end(work, state)
             self._stop_all(work, str(state))
 
     def take_progress(self) -> dict[str, Progress]:
@@ -186,3 +186,15 @@
         if work.row.open:
             self._awaiting_end_record.add(work.id)
         self._changed.pop(work.id, None)
+
+
+def _log_end(work: JobWork, state: JobState) -> None:
+    """Write the line of a job that has ended, with the task that failed it."""
+    extra: dict[str, object] = {"job": work.id, "state": str(state)}
+    task = work.given_up_task() if state is JobState.FAILED else None
+    if task is not None:
+        crashes = [crash._asdict() for crash in task.crashes]
+        attempts = work.queue.attempts
+        extra |= {"task": task.task, "failed_runs": task.failed_runs, "attempts": attempts}
+        extra |= {"why": "crashes" if crashes else "failed runs", "crashes": crashes}
+    log.info("job ended", extra=extra)
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -3,21 +3,40 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Set
+from typing import NamedTuple
 
 from ragworttiller.platform.configuration import Queue
 from ragworttiller.scheduling.decisions.crash_rules import gives_up
 from ragworttiller.scheduling.decisions.estimates import EstimatePolicy
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
-from ragworttiller.scheduling.records.formats import JobState, Progress, stage_id
+from ragworttiller.scheduling.records.formats import Crash, JobState, Progress, stage_id
 from ragworttiller.scheduling.records.job_fold import JobRow
 from ragworttiller.scheduling.state.durations import DurationKey, duration_key
-from ragworttiller.scheduling.state.jobs import JobSpec, StageId, waves
+from ragworttiller.scheduling.state.jobs import JobSpec, StageId, TaskId, waves
 from ragworttiller.scheduling.state.runs import Stage
 
 # Maximum age that a job is given when its owner first reads it.
 MAX_INITIAL_AGE_SECONDS = 60.0
 
 
+class GivenUpTask(NamedTuple):
+    """Task that is not started again, which fails its job.
+
+    Attributes
+    ----------
+    task : str
+        Name of the task.
+    failed_runs : tuple of int
+        Numbers of its runs that ended as failed.
+    crashes : tuple of Crash
+        Runners lost under it; empty if it is given up for its failed runs.
+    """
+
+    task: str
+    failed_runs: tuple[int, ...]
+    crashes: tuple[Crash, ...]
+
+
 class JobWork:
     """Stages, state and scheduling inputs of one active job.
 
@@ -192,14 +211,23 @@
             return None
         if self.complete:
             self.state = JobState.COMPLETED
-        elif any(self._given_up(stage) for stage in self.stages.values()):
+        elif self.given_up_task() is not None:
             self.state = JobState.FAILED
         return JobState(self.state) if self.state else None
 
-    def _given_up(self, stage: Stage) -> bool:
-        """Return whether some task of a stage is not started again."""
-        if any(gives_up(rows) for rows in stage.crashes.values()):
-            return True
+    def given_up_task(self) -> GivenUpTask | None:
+        """Return the first task that is not started again, None if there is none."""
+        return next(filter(None, map(self._given_up, self.stages.values())), None)
+
+    def _given_up(self, stage: Stage) -> GivenUpTask | None:
+        """Return the first task of a stage that is not started again."""
+        for index, rows in stage.crashes.items():
+            if gives_up(rows):
+                failed = stage.failed_runs.get(index, ())
+                return GivenUpTask(str(TaskId(stage.id, index)), tuple(failed), tuple(rows))
         if stage.spec.daemon:
-            return False
-        return any(len(runs) >= self.queue.attempts for runs in stage.failed_runs.values())
+            return None
+        for index, runs in stage.failed_runs.items():
+            if len(runs) >= self.queue.attempts:
+                return GivenUpTask(str(TaskId(stage.id, index)), tuple(runs), ())
+        return None
