--- a/ragworttiller/scheduling/decisions/start_obstacles.py
+++ b/ragworttiller/scheduling/decisions/start_obstacles.py
@@ -50,7 +50,7 @@
     stage: Stage,
     running: int,
     needs_ticket: bool,
-    reserved: Resources,
+    reserved: Resources | None,
     now: float,
 ) -> set[Obstacle]:
     """Return all that stands against a start, also what an overdue stage may override.
@@ -65,29 +65,39 @@
         Number of the stage's tasks that run there.
     needs_ticket : bool
         Whether a start needs a ticket of the advisor.
-    reserved : Resources
-        Resources of the runner that are reserved for other stages.
+    reserved : Resources or None
+        Resources of the runner that are reserved for other stages, None for none.
     now : float
         Time in seconds.
     """
-    silent = runner.misses > 0 or now - runner.last_answer_at >= MAX_ANSWER_AGE_SECONDS
-    denied = needs_ticket and runner.id in stage.tickets.denied
-    ticket = not needs_ticket or bool(stage.tickets.valid_ticket(runner.id, now))
-    rows = {
-        Obstacle.LOST: runner.lost or runner.ended_at is not None,
-        Obstacle.UNLISTED: not runner.listed,
-        Obstacle.DRAINING: runner.entry.draining,
-        Obstacle.SILENT: silent,
-        Obstacle.NOT_ENROLLED: not runner.enrolled,
-        Obstacle.SUSPENDED: now < runner.suspended_until,
-        Obstacle.TRIAL: runner.on_trial(now),
-        Obstacle.LIMIT: at_limit(stage, running),
-        Obstacle.PROBATION: awaits_probe(runner, running),
-        Obstacle.DENIED: denied and not ticket,
-        Obstacle.NO_TICKET: not denied and not ticket,
-        Obstacle.RESERVED: not stage.spec.reservation.fits(runner.free.minus(reserved)),
-    }
-    return {obstacle for obstacle, holds in rows.items() if holds}
+    found: set[Obstacle] = set()
+    if not runner.accepts_tasks(now):
+        found |= _closed_by(runner, now)
+    if at_limit(stage, running):
+        found.add(Obstacle.LIMIT)
+    if awaits_probe(runner, running):
+        found.add(Obstacle.PROBATION)
+    if needs_ticket and not stage.tickets.valid_ticket(runner.id, now):
+        denied = runner.id in stage.tickets.denied
+        found.add(Obstacle.DENIED if denied else Obstacle.NO_TICKET)
+    if reserved is not None and not stage.spec.reservation.fits(runner.free.minus(reserved)):
+        found.add(Obstacle.RESERVED)
+    return found
+
+
+def _closed_by(runner: RunnerState, now: float) -> set[Obstacle]:
+    """Return why no task starts on a runner, whatever its stage."""
+    answer_is_old = now - runner.last_answer_at >= MAX_ANSWER_AGE_SECONDS
+    rows = (
+        (Obstacle.LOST, runner.lost or runner.ended_at is not None),
+        (Obstacle.UNLISTED, not runner.listed),
+        (Obstacle.DRAINING, runner.entry.draining),
+        (Obstacle.SILENT, runner.misses > 0 or answer_is_old),
+        (Obstacle.NOT_ENROLLED, not runner.enrolled),
+        (Obstacle.SUSPENDED, now < runner.suspended_until),
+        (Obstacle.TRIAL, runner.on_trial(now)),
+    )
+    return {obstacle for obstacle, holds in rows if holds}
 
 
 def effective(found: set[Obstacle], runner: RunnerState, stage: Stage, now: float) -> set[Obstacle]:
@@ -95,7 +105,7 @@
 
     An overdue stage of lasting tasks overrides some of those that were ``found``.
     """
-    if not stage.overdue:
+    if not found or not stage.overdue:
         return found
     left = found - OVERRIDDEN_WHEN_OVERDUE
     if runner.accepts_lasting_tasks_only(now):
--- a/ragworttiller/scheduling/ownership/wait_log.py
+++ b/ragworttiller/scheduling/ownership/wait_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from itertools import islice
+from heapq import nlargest
 
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.state.cell_view import CellView
@@ -20,7 +20,7 @@
 # Shorter waits of lasting tasks are not sampled.
 MIN_SAMPLED_WAIT_SECONDS = 0.5
 # Each sample looks at all runners of the cell.
-MAX_STAGES_PER_SAMPLE = 5
+MAX_STAGES_PER_SAMPLE = 3
 
 
 class WaitLog:
@@ -49,7 +49,7 @@
                 self.write(now, self._clock.wall())
 
     def sample(self, now: float, wall: float) -> None:
-        """Record what the first stages of lasting tasks wait for.
+        """Record what the stages of lasting tasks that wait for the longest wait for.
 
         Parameters
         ----------
@@ -57,14 +57,14 @@
             Time of the owner, and time of day in seconds since the epoch.
         """
         waits = StageWaits(self._cell, now, wall)
-        rows = (
-            (work, stage)
+        rows = [
+            (stage.longest_wait(now), stage.id, work, stage)
             for work, stage in waiting_stages(self._cell.jobs.values())
-            if stage.longest_wait(now) >= MIN_SAMPLED_WAIT_SECONDS
-        )
-        for work, stage in islice(rows, MAX_STAGES_PER_SAMPLE):
-            reason = str(waits.reason(work, stage))
-            self._cell.lasting_waits.record_sample(stage, reason, now, SAMPLE_SECONDS)
+        ]
+        for seconds, _, work, stage in nlargest(MAX_STAGES_PER_SAMPLE, rows):
+            if seconds >= MIN_SAMPLED_WAIT_SECONDS:
+                reason = str(waits.reason(work, stage))
+                self._cell.lasting_waits.record_sample(stage, reason, now, SAMPLE_SECONDS)
 
     def write(self, now: float, wall: float) -> None:
         """Write a line for each stage that waits for long, lasting tasks first.
--- a/ragworttiller/scheduling/state/stage_waits.py
+++ b/ragworttiller/scheduling/state/stage_waits.py
@@ -210,12 +210,14 @@
         )
         return _Runners(len(suits), staying, rows)
 
-    def _reserved_for_others(self, stage: Stage, runner: str) -> Resources:
-        """Return what the last planning pass reserved on a runner for other stages."""
+    def _reserved_for_others(self, stage: Stage, runner: str) -> Resources | None:
+        """Return what the last pass reserved on a runner for other stages, None for nothing."""
         if self._reserved is None:
             self._reserved = self._reservations()
+        if runner not in self._reserved:
+            return None
         total = NO_RESOURCES
-        for name, size in self._reserved.get(runner, ()):
+        for name, size in self._reserved[runner]:
             if name != stage.id:
                 total = total.plus(size)
         return total
