Answer the requests in progress when a stopping entry ends

What callers saw: 500 for a request still in progress 1 s after the drain of a stopping entry.

Cause: HttpServer passed int(1.5) to uvicorn, which then cancels the requests; a cancelled request is answered 500. Requests may last 2.4 s, and the last ones arrive at the end of the drain.

The process ends as early as before if no request is in progress.

--- a/ragworttiller/connection/server.py
+++ b/ragworttiller/connection/server.py
@@ -85,13 +85,13 @@
             access_log=False,
             backlog=LISTEN_BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
-            timeout_graceful_shutdown=int(drain_seconds),
             ssl_certfile=tls and tls.certificate,
             ssl_keyfile=str(tls.key) if tls and tls.key else None,
             ssl_ca_certs=str(tls.authority) if tls and tls.authority else None,
             ssl_cert_reqs=ssl.CERT_REQUIRED if tls and tls.authority else ssl.CERT_NONE,
         )
         self._server = _Uvicorn(config)
+        self._set_drain_seconds(drain_seconds)
         self._stopped = anyio.Event()
 
     @property
@@ -114,6 +114,18 @@
         """Ask callers to close their connections after their next answer."""
         self._app.draining = True
 
-    def stop(self) -> None:
-        """Accept no new connections; `run` returns when the last request is answered."""
+    def stop(self, drain_seconds: float | None = None) -> None:
+        """Accept no new connections; `run` returns when the last request is answered.
+
+        Parameters
+        ----------
+        drain_seconds : float, optional
+            Seconds that requests in progress may take, in place of those given before.
+        """
+        if drain_seconds is not None:
+            self._set_drain_seconds(drain_seconds)
         self._server.should_exit = True
+
+    def _set_drain_seconds(self, seconds: float) -> None:
+        # Declared as whole seconds, but passed on to `asyncio.timeout`.
+        self._server.config.timeout_graceful_shutdown = seconds  # type: ignore[assignment]
--- a/ragworttiller/scheduling/entry/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -9,11 +9,23 @@
 
 import msgspec
 
-from ragworttiller.exceptions import BodyTooLarge, RagworttillerError
+from ragworttiller.exceptions import (
+    BodyTooLarge,
+    RagworttillerError,
+    Stopping,
+    SubmissionUndecided,
+)
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.submissions import API_KEY_HEADER, DEADLINE_HEADER
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.entry.callers import CallerRequest, Callers, error_reply
+from ragworttiller.scheduling.entry.acceptance import RETRY_AFTER_SECONDS
+from ragworttiller.scheduling.entry.callers import (
+    CallerReply,
+    CallerRequest,
+    Callers,
+    error_reply,
+)
+from ragworttiller.scheduling.entry.open_requests import OpenRequests
 from ragworttiller.scheduling.entry.operators import ROOT as OPERATORS_ROOT
 from ragworttiller.scheduling.entry.request_trace import traced_request
 
@@ -44,11 +56,20 @@
         Records response times by method, and the codes of answers.
     clock : Clock
         Source of time.
+    instance : str
+        Name of this instance.
     """
 
     def __init__(
-        self, callers: Callers, max_body: Callable[[], int], metrics: Metrics, clock: Clock
+        self,
+        callers: Callers,
+        max_body: Callable[[], int],
+        metrics: Metrics,
+        clock: Clock,
+        instance: str = "",
     ) -> None:
+        self._instance = instance
+        self._open_requests = OpenRequests()
         self._metrics = metrics
         self._callers = callers
         self._max_body = max_body
@@ -59,8 +80,7 @@
         started_at = self._clock.now()
         with traced_request(started_at) as trace:
             try:
-                request = await self._request(scope, receive)
-                reply = await self._callers.answer(request)
+                reply = await self._answer(scope, receive)
             except RagworttillerError as exc:
                 reply = error_reply(exc)
         elapsed = self._clock.now() - started_at
@@ -74,6 +94,24 @@
             log.info("request answered", extra=extra)
         await _reply(send, reply.status, reply.body, reply.retry_after)
 
+    def end_requests(self) -> None:
+        """Answer all requests at once as far as is known; the process is about to end."""
+        self._open_requests.end()
+
+    async def _answer(self, scope: Scope, receive: Receive) -> CallerReply:
+        request = None
+        stopping = Stopping(instance=self._instance, retry_after=RETRY_AFTER_SECONDS)
+        if self._open_requests.ended:
+            raise stopping
+        with self._open_requests.track():
+            request = await self._request(scope, receive)
+            return await self._callers.answer(request)
+        if request is None or request.method == "GET":
+            raise stopping
+        # It may have been stored.
+        job = request.path.rpartition("/")[2]
+        raise SubmissionUndecided(job=job, retry_after=RETRY_AFTER_SECONDS)
+
     async def _request(self, scope: Scope, receive: Receive) -> CallerRequest:
         headers = dict(scope["headers"])
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -53,7 +53,10 @@
 
 # The load balancer sends new connections until up to two readiness checks have failed.
 DRAIN_SECONDS = 2.6
+# Time that the last requests have at least, as far as the grace period allows.
 CLOSE_TIMEOUT_SECONDS = 1.5
+# Requests that are ended have this long to send their answers.
+LAST_ANSWER_SECONDS = 0.4
 # Part of the grace period that is left once the last requests were answered.
 STOP_MARGIN_SECONDS = 0.5
 # Part of a stop in which an owner stores that it has released the cell.
@@ -197,7 +200,7 @@
             loading_seconds,
         )
         self._callers = CallerApp(
-            self._gate, lambda: self._acceptance.max_body, self._metrics, clock
+            self._gate, lambda: self._acceptance.max_body, self._metrics, clock, self._name
         )
         self._stopping = anyio.Event()
 
@@ -229,9 +232,9 @@
             tasks.start_soon(self._host.run)
             tasks.start_soon(self._owner_gaps.run)
             await self._stopping.wait()
-            await self._hand_over(callers)
-            callers.stop()
-            await callers.stopped()
+            stopped_at = self._clock.now()
+            await self._hand_over(callers, stopped_at)
+            await self._finish_requests(callers, stopped_at)
             tasks.cancel_scope.cancel()
         log.info("entry stopped", extra={"incarnation": self._incarnation})
 
@@ -243,10 +246,10 @@
         """Begin a graceful shutdown."""
         self._stopping.set()
 
-    async def _hand_over(self, callers: HttpServer) -> None:
+    async def _hand_over(self, callers: HttpServer, stopped_at: float) -> None:
         """Release the ownership and serve until the load balancer sends no more requests."""
         callers.drain()
-        stopped_at, grace = self._clock.now(), self._settings.bounds.shutdown_grace_s
+        grace = self._settings.bounds.shutdown_grace_s
         reserved = WITHDRAW_TIMEOUT_SECONDS + CLOSE_TIMEOUT_SECONDS + STOP_MARGIN_SECONDS
         longest_hold = max(grace - reserved, grace / 2)
         self._host.stop(next(iter(self._standbys.names()), ""), longest_hold - RELEASE_SECONDS)
@@ -258,6 +261,16 @@
         drain = min(DRAIN_SECONDS, grace / 2)
         await self._clock.sleep(max(stopped_at + drain - self._clock.now(), 0.0))
 
+    async def _finish_requests(self, callers: HttpServer, stopped_at: float) -> None:
+        """Let requests in progress end while the grace period allows, then answer the others."""
+        end = stopped_at + self._settings.bounds.shutdown_grace_s - STOP_MARGIN_SECONDS
+        seconds = max(end - self._clock.now(), LAST_ANSWER_SECONDS)
+        callers.stop(seconds)
+        with self._clock.move_on_after(seconds - LAST_ANSWER_SECONDS):
+            await callers.stopped()
+        self._callers.end_requests()
+        await callers.stopped()
+
     def _unready_reasons(self) -> list[str]:
         checks = {
             "stopping": not self._stopping.is_set(),
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -34,7 +34,7 @@
     SEPARATIONS,
     SHARE_ORDERS,
 )
-from ragworttiller.scheduling.records.formats import ENTRIES, OWNER, OWNER_KEY, Claim, decode
+from ragworttiller.scheduling.records.formats import ENTRIES, JOBS, OWNER, OWNER_KEY, Claim, decode
 from standins.platform.deployment import ROOT, Deployment, render, settings_fields
 from tests.scheduling_rig import job_body, step
 
@@ -205,6 +205,23 @@
 
         with_platform(body)
 
+    def test_a_request_in_progress_when_a_stop_ends_gets_its_answer(self, with_platform):
+        """Guards against a 500 for a request that arrives at the end of the drain."""
+
+        async def body(platform: Platform):
+            platform.start("e1")
+            await platform.wait_ready("e1")
+            platform.entries["e1"].send_signal(signal.SIGTERM)
+            with anyio.fail_after(5.9):
+                await anyio.sleep(2.4)
+                platform.store.queue_seconds[JOBS.topic] = 8.0
+                assert await platform.submit("e1", JOB_A, step(1)) == 504
+                while platform.entries["e1"].poll() is None:
+                    await anyio.sleep(0.05)
+            assert platform.entries["e1"].returncode == 0
+
+        with_platform(body)
+
     async def unready(self, platform: Platform) -> bool:
         return await platform.ready("e1") == 503
 
