Look through the entries for the common writer only without an owner

What it cost: each submission built the set of all entries to find the common writer, up to three times, also while the store is fast and nobody is asked.

Now the owner is found by a look-up of its name, and while the store is fast the common writer is not needed to choose the way of a submission. Without an owner, as between two terms, the names are enumerated as before. The choice is the same. The new test, in which the names cannot be enumerated, fails before the change.

--- a/ragworttiller/scheduling/entry/peer_choice.py
+++ b/ragworttiller/scheduling/entry/peer_choice.py
@@ -63,9 +63,11 @@
         lost : set of str
             Entries that do not answer.
         """
-        candidates = (self._available() | {self._instance}) - lost
         owner = self._owner()
-        return owner if owner in candidates else min(candidates)
+        # Asked for each submission, so the names are enumerated only without an owner.
+        if owner not in lost and (owner == self._instance or self._is_available(owner)):
+            return owner
+        return min((self._available() | {self._instance}) - lost)
 
     def relay_targets(self) -> list[RelayTarget]:
         """Return the entries to ask one after the other: the owner, then random ones."""
@@ -78,6 +80,11 @@
         return [RelayTarget(name, RELAY_TIMEOUT_SECONDS) for name in names]
 
     def _available(self) -> set[str]:
-        now = self._clock.now()
         names = self._names() - {self._instance}
-        return {name for name in names if self._avoid_until.get(name, 0.0) <= now}
+        return {name for name in names if not self._is_avoided(name)}
+
+    def _is_available(self, name: str) -> bool:
+        return name in self._names() and not self._is_avoided(name)
+
+    def _is_avoided(self, name: str) -> bool:
+        return self._avoid_until.get(name, 0.0) > self._clock.now()
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -188,8 +188,10 @@
             attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
             return _combined(await attempts.run(), request)
 
+        if not self._pace.slow:
+            return await write_here()
         writer = self._choice.common_writer()
-        if not self._pace.slow or writer == self._peers.instance:
+        if writer == self._peers.instance:
             return await write_here()
         attempts = StaggeredAttempts(ask_writers, write_here, request.timeout, self._clock)
         return _combined(await attempts.run(), request)
--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 import anyio
 import pytest
 
@@ -16,9 +18,21 @@
 from tests.test_relaying_callers import FakePeers
 
 
+class Names(Container[str]):
+    """Names of entries that can be looked up, but not enumerated."""
+
+    def __contains__(self, name: object) -> bool:
+        return name in ("e1", "e2", "e3")
+
+
 class TestStorePace:
     def relaying(
-        self, rig: EntryRig, peers: FakePeers, pace: StorePace, owner: str = "e2"
+        self,
+        rig: EntryRig,
+        peers: FakePeers,
+        pace: StorePace,
+        owner: str = "e2",
+        names: Container[str] = frozenset({"e1", "e2", "e3"}),
     ) -> RelayingCallers:
         return RelayingCallers(
             rig.callers,
@@ -27,7 +41,7 @@
             PeerReconnector(peers, rig.timers),
             lambda: 0.0,
             lambda: owner,
-            lambda: {"e1", "e2", "e3"},
+            lambda: names,
             rig.timers,
             rig.writer,
             pace,
@@ -62,6 +76,17 @@
 
         with_entry(body)
 
+    @pytest.mark.parametrize("owner", ["e1", "e2"])
+    def test_no_submission_looks_through_all_entries_while_the_store_is_fast(self, owner: str):
+        """Guards against a cost for each submission that grows with the number of entries."""
+
+        async def body(rig: EntryRig):
+            pace = StorePace(rig.writer, rig.timers)
+            relaying = self.relaying(rig, FakePeers(), pace, owner, Names())
+            assert (await relaying.answer(self.request(1))).status == 200
+
+        with_entry(body)
+
     def test_a_fast_append_is_not_reported(self):
         async def body(rig: EntryRig):
             reports: list[bool] = []
