Report a slow store through few entries

What it cost: each entry that found the store slow before it was told reported it to all others, so that with N entries that find it at one moment N * (N - 1) messages went out, 1,332 with 37 entries.

Now an entry tells the owner and the first two other entries by name, and these pass on to all what is new to them. The message is unchanged; an entry of an earlier version passes nothing on.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -27,11 +27,11 @@
 from ragworttiller.scheduling.entry.entry_metrics import register_metrics
 from ragworttiller.scheduling.entry.key_check import KeyCheck
 from ragworttiller.scheduling.entry.operators import Operators
-from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
+from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.entry.slow_store_reports import SlowStoreReports
 from ragworttiller.scheduling.entry.start_gate import StartGate
 from ragworttiller.scheduling.entry.store_metrics import register_store_metrics
-from ragworttiller.scheduling.entry.store_pace import StorePace
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import (
     EarlierOwnerPeer,
@@ -168,8 +168,9 @@
         )
         record = EntryRecord(instance.peer_address, self._incarnation, instance.speed)
         self._announcer = Announcer(self._store, clock, self._name, record)
-        self._pace = StorePace(self._writer, clock, self._report_slow_store)
-        self._peers.handle(SlowStore, self._handle_slow_store)
+        reports = SlowStoreReports(
+            self._peers, lambda: self._entries.names, self._owner_name, self._writer, clock
+        )
         relaying = RelayingCallers(
             LocalCallers(self._acceptance),
             self._peers,
@@ -180,7 +181,7 @@
             lambda: self._entries.names,
             clock,
             self._writer,
-            self._pace,
+            reports.pace,
         )
         self._metrics = Metrics()
         register_metrics(
@@ -290,13 +291,6 @@
     async def _handle_owner_query(self, sender: str, message: OwnerQuery) -> OwnerStatus:
         return OwnerStatus(self._host.acts_as_owner(message.epoch))
 
-    def _report_slow_store(self) -> None:
-        for name in self._entries.names - {self._name}:
-            self._peers.post(name, SlowStore())
-
-    async def _handle_slow_store(self, sender: str, message: SlowStore) -> None:
-        self._pace.record_report()
-
     def _owner_name(self) -> str:
         claim = self._host.claims.claim
         return claim.owner if claim else ""
--- a/ragworttiller/scheduling/entry/store_pace.py
+++ b/ragworttiller/scheduling/entry/store_pace.py
@@ -58,9 +58,11 @@
         self.record_report()
         self._report()
 
-    def record_report(self) -> None:
-        """Record that another entry has found the store slow."""
+    def record_report(self) -> bool:
+        """Record that an entry has found the store slow; return whether that is new here."""
+        is_new = not self._reported
         self._reported_until = self._clock.now() + REPORT_VALID_SECONDS
+        return is_new
 
     def record_append(self, seconds: float) -> None:
         """Record how long the owner took to answer a submission that needed an append."""
