--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Set
+from functools import partial
+from typing import NamedTuple
 
 import anyio
 from typing_extensions import override
@@ -31,7 +33,7 @@
 from ragworttiller.scheduling.entry.peer_choice import PeerChoice, RelayTarget
 from ragworttiller.scheduling.entry.peer_requests import LATER_CONFIGURATION, PeerRequests
 from ragworttiller.scheduling.entry.request_trace import record_local_failure
-from ragworttiller.scheduling.entry.staggered_attempts import Outcome, StaggeredAttempts
+from ragworttiller.scheduling.entry.staggered_attempts import Attempt, Outcome, StaggeredAttempts
 from ragworttiller.scheduling.entry.store_pace import StorePace
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
@@ -50,6 +52,17 @@
 READ_FAILURES = (NotReady, ConfigurationUnconfirmed, StateUnknown)
 
 
+class _Write(NamedTuple):
+    """Submission or cancellation, and the time of the clock by which it is to be answered."""
+
+    request: CallerRequest
+    deadline: float
+
+    def now(self, clock: Clock) -> CallerRequest:
+        """Return the request with the time that is left."""
+        return self.request._replace(timeout=self.deadline - clock.now())
+
+
 class RelayingCallers(Callers):
     """Answers locally, or through another entry while this one cannot reach the store.
 
@@ -111,7 +124,7 @@
     async def answer(self, request: CallerRequest) -> CallerReply:
         if request.method == "GET":
             return await self._answer_query(request)
-        outcome = await self._write(request, self._clock.now() + request.timeout)
+        outcome = await self._write(_Write(request, self._clock.now() + request.timeout))
         if outcome.reply is not None:
             return outcome.reply
         assert outcome.error is not None
@@ -155,59 +168,67 @@
                 raise
             return reply
 
-    async def _write(self, request: CallerRequest, deadline: float) -> Outcome:
+    async def _write(self, write: _Write) -> Outcome:
         """Carry out a submission or cancellation, through one entry while the store is slow."""
+        if not self._pace.slow:
+            return await self._write_here(write)
+        writer = self._choice.common_writer()
+        if writer == self._peers.instance:
+            return await self._write_here(write)
+        return await self._first_success(
+            write,
+            partial(self._ask_writers, write, writer),
+            partial(self._write_here, write),
+            write.request.timeout,
+        )
 
-        def until_deadline() -> CallerRequest:
-            return request._replace(timeout=deadline - self._clock.now())
-
-        async def ask_writer() -> Outcome:
-            return await self._write_through_another(until_deadline(), set())
-
-        async def ask_next_writer() -> Outcome:
-            if self._choice.common_writer({writer}) == self._peers.instance:
-                return await write_here()
-            outcome = await self._write_through_another(until_deadline(), {writer})
-            if outcome.succeeded:
-                self._choice.avoid(writer)
-            return outcome
-
-        async def ask_writers() -> Outcome:
-            attempts = StaggeredAttempts(
-                ask_writer, ask_next_writer, OWNER_HEAD_START_SECONDS, self._clock
-            )
-            return _combined(await attempts.run(), request)
+    async def _write_here(self, write: _Write) -> Outcome:
+        """Append here; if that fails or is late, ask others as well."""
+        return await self._first_success(
+            write,
+            partial(self._write_locally, write),
+            partial(self._relay_write, write),
+            self._head_start,
+        )
 
-        async def write_locally() -> Outcome:
-            return await self._write_locally(until_deadline())
+    async def _ask_writers(self, write: _Write, writer: str) -> Outcome:
+        """Ask the common writer; if it is late, ask the one that takes its place as well."""
+        return await self._first_success(
+            write,
+            partial(self._write_through_another, write, frozenset()),
+            partial(self._ask_next_writer, write, writer),
+            OWNER_HEAD_START_SECONDS,
+        )
 
-        async def relay() -> Outcome:
-            return await self._requests.relay(until_deadline(), self._write_targets())
+    async def _ask_next_writer(self, write: _Write, late: str) -> Outcome:
+        """Write as if the common writer were lost, and avoid it if that succeeds sooner."""
+        if self._choice.common_writer({late}) == self._peers.instance:
+            return await self._write_here(write)
+        outcome = await self._write_through_another(write, {late})
+        if outcome.succeeded:
+            self._choice.avoid(late)
+        return outcome
 
-        async def write_here() -> Outcome:
-            attempts = StaggeredAttempts(write_locally, relay, self._head_start, self._clock)
-            return _combined(await attempts.run(), request)
+    async def _relay_write(self, write: _Write) -> Outcome:
+        return await self._requests.relay(write.now(self._clock), self._write_targets())
 
-        if not self._pace.slow:
-            return await write_here()
-        writer = self._choice.common_writer()
-        if writer == self._peers.instance:
-            return await write_here()
-        attempts = StaggeredAttempts(ask_writers, write_here, request.timeout, self._clock)
-        return _combined(await attempts.run(), request)
+    async def _first_success(
+        self, write: _Write, first: Attempt, second: Attempt, head_start: float
+    ) -> Outcome:
+        """Return the outcome of two attempts, of which the second begins if the first is late."""
+        attempts = StaggeredAttempts(first, second, head_start, self._clock)
+        return _combined(await attempts.run(), write.request)
 
-    async def _write_through_another(self, request: CallerRequest, lost: set[str]) -> Outcome:
+    async def _write_through_another(self, write: _Write, lost: Set[str]) -> Outcome:
         """Ask the common writer and, if it is lost, the one that takes its place."""
-        deadline = self._clock.now() + request.timeout
         undecided = False
         lost = set(lost)
-        while self._clock.now() < deadline:
+        while self._clock.now() < write.deadline:
             writer = self._choice.common_writer(lost)
             if writer == self._peers.instance:
                 break
             lost.add(writer)
-            remaining = deadline - self._clock.now()
-            outcome = await self._write_through(writer, request._replace(timeout=remaining))
+            outcome = await self._write_through(writer, write.now(self._clock))
             undecided = undecided or outcome.undecided
             if outcome.reply is not None:
                 return outcome._replace(undecided=undecided)
@@ -226,11 +247,11 @@
             self._pace.record_append(elapsed)
         return outcome
 
-    async def _write_locally(self, request: CallerRequest) -> Outcome:
+    async def _write_locally(self, write: _Write) -> Outcome:
         async with anyio.create_task_group() as tasks:
             if self._choice.common_writer() != self._peers.instance:
                 tasks.start_soon(self._pace.watch_append)
-            outcome = await self._ask_local(request)
+            outcome = await self._ask_local(write.now(self._clock))
             tasks.cancel_scope.cancel()
         return outcome
 
