--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -151,7 +151,7 @@
         if stage is not None:
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
-            self._requeue(stage, run, now, started=False)
+            self._requeue(stage, run, now, ran=False)
         if reason in ("unhealthy", "room") and runner is not None:
             self._suspend(runner, f"start refused: {reason}", now, refused=True)
 
@@ -304,10 +304,10 @@
         if stage is not None:
             self.lasting_waits.record_start(stage, run, now)
 
-    def _requeue(self, stage: Stage, run: Run, now: float, started: bool = True) -> None:
+    def _requeue(self, stage: Stage, run: Run, now: float, ran: bool = True) -> None:
         """Let the task of an ended run go on as its copy, or wait if it has none."""
         promoted = stage.requeue(run, now)
-        if started:
+        if ran:
             self.lasting_waits.record_end(stage, run, now)
         else:
             self.lasting_waits.record_refusal(stage, run)
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -148,14 +148,14 @@
     def longest_wait(self, now: float) -> float:
         """Return for how many seconds the first of the waiting tasks could have started."""
         first = self.longest_waiting()
-        return 0.0 if first is None else now - self._waiting_since(first, now)
+        return 0.0 if first is None else now - self._startable_since(first, now)
 
     def longest_waiting(self) -> int | None:
         """Return the index of the task that has waited for the longest, None if none waits."""
         ready = float("inf")
-        return min(self.waiting, key=lambda i: self._waiting_since(i, ready), default=None)
+        return min(self.waiting, key=lambda i: self._startable_since(i, ready), default=None)
 
-    def _waiting_since(self, index: int, default: float) -> float:
+    def _startable_since(self, index: int, default: float) -> float:
         """Return since when a task could have started, ``default`` before the first pass."""
         ready_since = default if self.ready_since is None else self.ready_since
         return self.requeued_at.get(index, ready_since)
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -104,7 +104,6 @@
         )
 
     def test_an_overdue_stage_may_use_a_suspended_runner_but_for_its_ticket(self, rig: CellRig):
-        rig.cell.set_entries(["e1"])
         for name in ("w1", "w2"):
             rig.cell.runners[name].suspend(rig.now)
         rig.submit(step(1, daemon=True), queue=ADVISED)
