--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -17,6 +17,7 @@
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
 from ragworttiller.scheduling.state.runs.cap_hold import CapHold
 from ragworttiller.scheduling.state.runs.run import Run
+from ragworttiller.scheduling.state.runs.task_wait import TaskWait
 from ragworttiller.scheduling.state.tickets import Tickets
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
@@ -60,6 +61,8 @@
         failed, suspended or on probation, and that the advisor is called for them first.
     requeued_at : dict of int to float
         Time in seconds at which the last run of a task ended without completing it, by index.
+    waits : dict of int to TaskWait
+        Waits of its lasting tasks for a run, by index, until the run is known to have started.
     preemptions : Counter
         Number of runs of each task that were stopped for more urgent tasks.
     preemption_checked_at : float
@@ -121,6 +124,7 @@
         self.tries_failed_on_probation = False
         self.overdue = False
         self.requeued_at: dict[int, float] = {}
+        self.waits: dict[int, TaskWait] = {}
         self.preemptions: Counter[int] = Counter()
         self.preemption_checked_at = float("-inf")
         self.reserved_on: set[str] = set()
@@ -143,9 +147,18 @@
 
     def longest_wait(self, now: float) -> float:
         """Return for how many seconds the first of the waiting tasks could have started."""
-        ready_since = now if self.ready_since is None else self.ready_since
-        waiting_since = (self.requeued_at.get(index, ready_since) for index in self.waiting)
-        return now - min(waiting_since, default=now)
+        first = self.longest_waiting()
+        return 0.0 if first is None else now - self._startable_since(first, now)
+
+    def longest_waiting(self) -> int | None:
+        """Return the index of the task that has waited for the longest, None if none waits."""
+        ready = float("inf")
+        return min(self.waiting, key=lambda i: self._startable_since(i, ready), default=None)
+
+    def _startable_since(self, index: int, default: float) -> float:
+        """Return since when a task could have started, ``default`` before the first pass."""
+        ready_since = default if self.ready_since is None else self.ready_since
+        return self.requeued_at.get(index, ready_since)
 
     @property
     def has_started(self) -> bool:
@@ -235,6 +248,7 @@
         run.image = self.image
         run.pace.assume_unknown()
         self.waiting.remove(index)
+        self.waits.pop(index, None)
         self._last_run_numbers[index] = max(self._last_run_numbers.get(index, 0), run.number)
         self.active_runs[index] = run
 
