Name suspended runners in calls for overdue lasting tasks

Callers saw a lasting task that did not run though a runner had room for it.

Cause: an overdue lasting stage may start on a suspended runner, but in a queue with an advisor it needs a ticket for that, and calls named only runners that accept all tasks. A task whose only runners with room were suspended waited for the end of the suspension, up to 12 s.

Calls for overdue stages now name suspended runners with room too, unless enough others are known to be allowed. The flag is set before these calls are planned, so that a call does not wait for the next pass.

CALL_SECONDS of a test class is a constant of the module now, since two classes use it.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -16,7 +16,6 @@
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.runner_rules import suitable
 from ragworttiller.scheduling.state.job_work import JobWork
-from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import RunState, Stage
 
 # The advisor is called for the first stages of a queue before a runner has room for them: for one
@@ -123,18 +122,27 @@
             self._plan_call_ahead(work, stage, room_soon)
         elif with_room and not stage.tickets.known:
             self._plan_call_ahead(work, stage)
-        elif not (with_room and self._plan_call(work, stage, with_room, False)):
-            stage.tickets.recheck_at = self._now + self._recheck_delay
+        else:
+            names = self._candidate_policy.choose_runners(stage, with_room, self._now, False)
+            if not self._plan_call(work, stage, names):
+                stage.tickets.recheck_at = self._now + self._recheck_delay
 
-    def plan_for_overdue(self, work: JobWork, stage: Stage) -> None:
+    def plan_for_overdue(self, work: JobWork, stage: Stage, suspended: FreeResources) -> None:
         """Plan a call for an overdue stage of lasting tasks if there is room for one of them.
 
         It comes before those for all other stages, of which there may always be enough for every
-        entry.
+        entry. It names suspended runners with room as well, unless enough others are known to be
+        allowed.
         """
-        with_room = self._free.with_room(work.queue.upstream, stage.spec, stage.overdue)
-        if with_room and self._may_search(work, stage):
-            self._plan_call(work, stage, with_room, False)
+        upstream = work.queue.upstream
+        with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
+        last_resort = suspended.with_room(upstream, stage.spec)
+        if not (with_room or last_resort) or not self._may_search(work, stage):
+            return
+        names = self._candidate_policy.choose_runners(stage, with_room, self._now, False)
+        if len(stage.tickets.allowed.intersection(names)) < len(stage.waiting):
+            names += self._candidate_policy.choose_runners(stage, last_resort, self._now, False)
+        self._plan_call(work, stage, names)
 
     def plan_for_successors(self, jobs: Iterable[JobWork], silent: Set[str]) -> None:
         """Plan calls for stages whose predecessors are about to end.
@@ -179,15 +187,13 @@
             for runner in suitable(self._free.of_upstream(upstream), upstream, stage.spec)
             if room_soon is None or runner.id not in allowed or runner.id in room_soon
         ]
-        if not self._plan_call(work, stage, named, True):
+        names = self._candidate_policy.choose_runners(stage, named, self._now, True)
+        if not self._plan_call(work, stage, names):
             stage.tickets.recheck_at = self._now + self._recheck_delay
 
-    def _plan_call(
-        self, work: JobWork, stage: Stage, runners: Sequence[RunnerState], ahead: bool
-    ) -> bool:
-        """Plan a call if an entry is available; return whether the stage needs one."""
+    def _plan_call(self, work: JobWork, stage: Stage, names: Sequence[str]) -> bool:
+        """Plan a call that names runners, if an entry is available; return whether it is needed."""
         cost = work.queue.advice
-        names = self._candidate_policy.choose_runners(stage, runners, self._now, ahead)
         if cost is None or not names:
             return False
         names = names[:MAX_RUNNERS_PER_CALL]
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -149,11 +149,10 @@
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
-        for work, stage, _ in ready:
-            if stage.overdue:
-                self._advice.plan_for_overdue(work, stage)
-        held_back: set[str] = set()
         capped = self._caps.begin()
+        self._mark_overdue(ready, capped, now)
+        self._ask_for_overdue(ready, now)
+        held_back: set[str] = set()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
             if work.queue.upstream in held_back and not inputs.lasts:
                 continue
@@ -236,6 +235,27 @@
                 cpu = len(stage.waiting) * stage.spec.reservation.cpu
                 self._headroom.record_arrival(work.queue.upstream, inputs.priority, cpu, now)
 
+    def _mark_overdue(self, ready: list[ReadyStage], capped: bool, now: float) -> None:
+        """Mark the stages of lasting tasks that wait for long though their cap allows them.
+
+        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
+        """
+        for _, stage, _ in ready:
+            if stage.spec.daemon:
+                waited = now - (stage.blocked_since or now)
+                stage.overdue = waited > LASTING_PATIENCE_SECONDS and not (
+                    capped and not self._caps.allowed(stage, waited)
+                )
+
+    def _ask_for_overdue(self, ready: list[ReadyStage], now: float) -> None:
+        """Plan calls to the advisor for overdue stages, also about suspended runners."""
+        overdue = [(work, stage) for work, stage, _ in ready if stage.overdue]
+        if not overdue:
+            return
+        suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now))
+        for work, stage in overdue:
+            self._advice.plan_for_overdue(work, stage, suspended)
+
     def _ready_stages(self, jobs: Collection[JobWork], now: float, wall: float) -> list[ReadyStage]:
         rows: list[ReadyStage] = []
         for work in jobs:
@@ -248,12 +268,8 @@
     def _relax_avoidance(
         self, work: JobWork, stage: Stage, free: FreeResources, now: float
     ) -> None:
-        """Let tasks start on more runners once their stage is blocked for long.
-
-        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
-        """
+        """Let tasks that have failed start on more runners once their stage is blocked for long."""
         blocked = now - (stage.blocked_since or now)
-        stage.overdue = stage.spec.daemon and blocked > LASTING_PATIENCE_SECONDS
         stage.tries_failed_on_probation = False
         if blocked <= AVOID_FAILED_RUNNER_SECONDS:
             return
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -13,15 +13,31 @@
 
 LASTING = QUEUE._replace(name="lasting", prefix="/l/", priority=2)
 ADVISED = QUEUE._replace(name="advised", prefix="/a/", advice=AdviceCost(0.9, 0.01, 2.0))
+ADVISED_LASTING = LASTING._replace(advice=ADVISED.advice)
 MAX_WAIT_SECONDS = 3.0
+CALL_SECONDS = 0.9
 
 
-def seconds_until_start(rig: CellRig, job: str, limit: float = 10.0) -> float:
-    """Return the seconds until a task of a job starts, while no other run ends."""
+def seconds_until_start(
+    rig: CellRig, job: str, limit: float = 10.0, advised: bool = False
+) -> float:
+    """Return the seconds until a task of a job starts, while no other run ends.
+
+    Calls to the advisor, if it is ``advised``, are answered after their usual duration.
+    """
     began = rig.now
+    answers: list[tuple[float, AdviceCall]] = []
     while rig.now < began + limit:
-        if any(order.run.task.stage.job == job for order in rig.start_all()):
+        for row in [row for row in answers if row[0] <= rig.now]:
+            answers.remove(row)
+            rig.cell.apply_advice(row[1], dict.fromkeys(row[1].runners, "t"), rig.now)
+        plan = rig.plan()
+        if any(order.run.task.stage.job == job for order in plan.starts):
             break
+        for order in plan.starts:
+            rig.cell.mark_started(order.run, rig.now)
+        if advised:
+            answers += [(rig.now + CALL_SECONDS, call) for call in plan.calls]
         rig.pass_time(0.25)
     return rig.now - began
 
@@ -100,6 +116,26 @@
         rig.submit(step(1, requires="a"), job=job_id(1))
         assert seconds_until_start(rig, job_id(1)) >= MAX_WAIT_SECONDS
 
+    def test_the_advisor_is_asked_about_a_suspended_runner_that_alone_has_room(self, rig: CellRig):
+        """Guards against a wait for the end of a suspension, for want of a ticket alone."""
+        rig.cell.set_entries(["e1"])
+        for seconds in (0.0, 3.5, 6.5):
+            rig.pass_time(seconds)
+            rig.cell.runners["w1"].suspend(rig.now)
+        rig.submit(step(2, daemon=True, requires="a"), job=job_id(1), queue=ADVISED_LASTING)
+        assert 1.0 < seconds_until_start(rig, job_id(1), advised=True) < MAX_WAIT_SECONDS
+
+    def test_runners_that_have_not_failed_are_named_before_suspended_ones(self):
+        rig = CellRig(3)
+        rig.cell.set_entries(["e1"])
+        rig.cell.runners["w1"].suspend(rig.now)
+        rig.submit(step(1, daemon=True), queue=ADVISED_LASTING)
+        (call,) = rig.plan().calls
+        rig.cell.apply_advice(call, {"w2": "t", "w3": "t"}, rig.now - 10.0)
+        rig.pass_time(1.75)
+        (call,) = rig.plan().calls
+        assert set(call.runners) == {"w2", "w3"}
+
 
 class TestTrials:
     def test_a_suspected_lasting_task_does_not_wait_for_the_trials_of_others(self):
@@ -116,20 +152,17 @@
 
 
 class TestAdvice:
-    CALL_SECONDS = 0.9
-
     def test_a_lasting_task_is_asked_for_while_urgent_jobs_keep_the_advisor_busy(self):
         """Guards against a lasting task that waits in an empty cell, for a ticket alone."""
         rig = CellRig(20)
         rig.cell.set_entries(["e1", "e2", "e3"])
-        lasting = LASTING._replace(advice=ADVISED.advice)
         answers: list[tuple[float, AdviceCall]] = []
         began = rig.now
         for number in range(100, 200):
             rig.submit(step(1), job=job_id(number), queue=ADVISED)
             if number == 130:
                 began = rig.now
-                rig.submit(step(1, daemon=True), job=job_id(1), queue=lasting)
+                rig.submit(step(1, daemon=True), job=job_id(1), queue=ADVISED_LASTING)
             for row in [row for row in answers if row[0] <= rig.now]:
                 answers.remove(row)
                 rig.cell.apply_advice(row[1], dict.fromkeys(row[1].runners[::2], "t"), rig.now)
@@ -139,6 +172,6 @@
             for order in plan.starts:
                 rig.cell.mark_started(order.run, rig.now)
                 rig.hold(order.run.runner, (order.run.task, order.run.number, "done"))
-            answers += [(rig.now + self.CALL_SECONDS, call) for call in plan.calls]
+            answers += [(rig.now + CALL_SECONDS, call) for call in plan.calls]
             rig.pass_time(0.1)
         assert 1.0 < rig.now - began < MAX_WAIT_SECONDS
