Start the lasting task first that has waited for the longest

Callers saw one task of a lasting job wait while others of it ended and started again.

Cause: the last of the waiting tasks starts first, and the task of an ended run was appended. With room for some of its tasks only, a stage started the same ones again and again. Now the waiting tasks of a lasting stage are kept in the order of their waits. A start that was refused never ran, so that it does not begin a new wait.

Other stages keep their order: a task that has failed is repeated before others start. Gangs start whole, so that the order does not matter to them, and Takeover.startable reads the same list.

--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -146,7 +146,7 @@
         if stage is not None:
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
-            self._requeue(stage, run, now)
+            self._requeue(stage, run, now, ran=False)
         if reason in ("unhealthy", "room") and runner is not None:
             self._suspend(runner, f"start refused: {reason}", now, refused=True)
 
@@ -285,9 +285,9 @@
         if run is not None:
             self._requeue(stage, run, now)
 
-    def _requeue(self, stage: Stage, run: Run, now: float) -> None:
+    def _requeue(self, stage: Stage, run: Run, now: float, ran: bool = True) -> None:
         """Let the task of an ended run go on as its copy, or wait if it has none."""
-        promoted = stage.requeue(run, now)
+        promoted = stage.requeue(run, now, ran)
         if promoted is not None:
             self._copies.promote(promoted)
         self._break_gang(stage, run)
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -33,7 +33,8 @@
     """One step of one occurrence, with the state of each of its tasks.
 
     While the job is open, every task is in exactly one of ``done``, ``waiting`` and
-    ``active_runs``. The last task in ``waiting`` starts first. A task of a speculative step may
+    ``active_runs``. The last task in ``waiting`` starts first: of a lasting step the one that has
+    waited for the longest, of others the one that ended last. A task of a speculative step may
     have a second run, in ``copies``, beside the one in ``active_runs``.
 
     Parameters
@@ -296,11 +297,11 @@
         self.crashes.pop(index, None)
         self.trials.pop(index, None)
 
-    def requeue(self, run: Run, now: float) -> Run | None:
+    def requeue(self, run: Run, now: float, ran: bool = True) -> Run | None:
         """Return the task of an ended run to the waiting tasks if the run is the active one.
 
         If the task has a copy, that becomes its active run instead, and is returned. The end of a
-        copy leaves the active run alone.
+        copy leaves the active run alone. Unless the run has ``ran``, the earlier wait goes on.
         """
         index = run.task.ordinal
         if self.copies.get(index) is run:
@@ -315,6 +316,14 @@
         if index in self.copies:
             self.active_runs[index] = self.copies.pop(index)
             return self.active_runs[index]
+        if ran:
+            self.requeued_at[index] = now
         self.waiting.append(index)
-        self.requeued_at[index] = now
+        if self.spec.daemon:
+            # Others of its stage may go on ending for ever.
+            self.waiting.sort(key=self._waiting_since, reverse=True)
         return None
+
+    def _waiting_since(self, index: int) -> float:
+        """Return the time at which the last run of a task ended, -inf if there was none."""
+        return self.requeued_at.get(index, float("-inf"))
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -71,6 +71,31 @@
         assert seconds_until_start(rig, job_id(1)) < MAX_WAIT_SECONDS
 
 
+class TestOrderOfWaits:
+    def test_the_task_that_has_waited_for_the_longest_starts_first(self):
+        """Guards against a task that waits for as long as others of its stage end."""
+        rig = CellRig(1)
+        rig.submit(step(4, 2000, daemon=True))
+        started: list[int] = []
+        for _ in range(6):
+            started += [order.run.task.ordinal for order in rig.start_all()]
+            rig.pass_time(0.25)
+            first = next(iter(rig.cell.runners["w1"].runs.values()))
+            rig.hold("w1", (first.task, first.number, "stopped"))
+        assert started == [0, 1, 2, 3, 0, 1, 2]
+
+    def test_a_refused_start_does_not_end_the_wait_of_a_task(self):
+        """Guards against a task that waits behind all others after a start that never ran."""
+        rig = CellRig(2)
+        rig.submit(step(3, 4000, daemon=True))
+        first, second = rig.start_all()
+        rig.hold(second.run.runner, (second.run.task, second.run.number, "stopped"))
+        rig.pass_time(0.5)
+        rig.cell.mark_start_refused(first.run, "ticket", rig.now)
+        orders = rig.plan().starts
+        assert [order.run.task.ordinal for order in orders] == [0, 2]
+
+
 class TestRunnersThatHaveFailed:
     @pytest.fixture()
     def rig(self) -> CellRig:
