Let a lasting stage be overdue by the longest wait of its tasks

Callers saw one task of a lasting job wait while others of it started.

Cause: a stage was overdue 1.5 s after the last start of any of its tasks, so a stage of which one task after the other ended and started again never was. Its waiting tasks got neither reserved room nor a place on runners that are suspended or on probation. It is overdue now while any of its tasks has waited for longer than that.

A trial of an overdue stage may exceed the share of runners for trials.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -242,10 +242,9 @@
         """
         for _, stage, _ in ready:
             if stage.spec.daemon:
-                waited = now - (stage.blocked_since or now)
-                stage.overdue = waited > LASTING_PATIENCE_SECONDS and not (
-                    capped and not self._caps.allowed(stage, waited)
-                )
+                stage.overdue = stage.blocked_since is not None and _waits_for_long(stage, now)
+                if stage.overdue and capped:
+                    stage.overdue = self._caps.allowed(stage, stage.longest_wait(now)) > 0
 
     def _ask_for_overdue(self, ready: list[ReadyStage], now: float) -> None:
         """Plan calls to the advisor for overdue stages, also about suspended runners."""
@@ -355,7 +354,7 @@
         """Start tasks on the runners chosen for them; their kind tells its duration ``by_kind``."""
         if not chosen:
             return
-        stage.blocked_since, stage.overdue = None, False
+        stage.blocked_since = None
         needs_ticket = work.queue.advice is not None
         # The runs of a gang have the same number and start from the same checkpoint.
         number = max(stage.next_number(i, self._epoch) for i in chosen) if stage.spec.gang else 0
@@ -375,12 +374,15 @@
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
             order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
             plan.starts.append(order)
+        # Its other tasks may have waited for as long.
+        stage.overdue = stage.overdue and _waits_for_long(stage, now)
         self._last_tasks.record_starts(chosen.values())
 
     def _begin_trial(self, stage: Stage, run: Run, runner: RunnerState, now: float) -> None:
         rows = stage.crashes[run.task.ordinal]
         seconds = exclusive_seconds(rows)
         stage.trials[run.task.ordinal] = runner.id
+        stage.last_trial_at = now
         self._pool.begin_trial(runner, run, now + seconds)
         extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
         log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
@@ -400,6 +402,11 @@
         return _fits_whole(work, stage, free)
 
 
+def _waits_for_long(stage: Stage, now: float) -> bool:
+    """Return whether a task of a lasting stage has waited for longer than it should."""
+    return stage.longest_wait(now) > LASTING_PATIENCE_SECONDS
+
+
 def _fits_whole(work: JobWork, stage: Stage, free: FreeResources) -> bool:
     """Return whether all tasks of a stage fit at once while only lasting tasks run."""
     spec = stage.spec
--- a/ragworttiller/scheduling/decisions/task_placement.py
+++ b/ragworttiller/scheduling/decisions/task_placement.py
@@ -136,9 +136,7 @@
         closed: dict[str, Resources] = {}
         for index in indices:
             suspect = index in stage.crashes and stage.is_suspect(index)
-            # The overdue tasks of one stage may not close all runners at once.
-            must_start = stage.spec.gang or (stage.overdue and not chosen)
-            best = self._best(stage, index, scores, by_id, must_start)
+            best = self._best(stage, index, scores, by_id, not chosen)
             if best is None:
                 if stage.spec.gang:
                     # Runners closed for its trials would otherwise take no other task either.
@@ -205,9 +203,12 @@
         index: int,
         scores: dict[str, float],
         by_id: dict[str, RunnerState],
-        must_start: bool,
+        first: bool,
     ) -> RunnerState | None:
-        """Return the runner with the lowest score that may run a task, None if there is none."""
+        """Return the runner with the lowest score that may run a task, None if there is none.
+
+        ``first`` is whether none of the stage was chosen before it.
+        """
         if index in stage.failed_runs or index in stage.last_failed_runner:
             scores = {
                 name: score
@@ -215,6 +216,7 @@
                 if self._may_retry(stage, index, by_id[name])
             }
         if scores and stage.crashes and stage.is_suspect(index):
+            must_start = stage.spec.gang or (first and self.trials.may_exceed_share(stage))
             return self.trials.choose([by_id[name] for name in scores], must_start)
         return by_id[min(scores, key=scores.__getitem__)] if scores else None
 
--- a/ragworttiller/scheduling/decisions/trials.py
+++ b/ragworttiller/scheduling/decisions/trials.py
@@ -5,12 +5,14 @@
 from collections.abc import Iterable
 
 from ragworttiller.scheduling.state.runner_state import RunnerState
+from ragworttiller.scheduling.state.runs import Stage
 
 MAX_TRIAL_SHARE = 0.25
 # What a lasting task on the runner counts, in seconds of its work: it has to be placed again.
 LASTING_TASK_SECONDS = 10.0
 # What a runner that has crashed lately counts, in thousandths of a core times seconds.
 UNSOUND_COST = 1e6
+OVERDUE_TRIAL_INTERVAL_SECONDS = 1.5
 
 
 class Trials:
@@ -39,6 +41,13 @@
         self._slots = most - on_trial
         self._now = now
 
+    def may_exceed_share(self, stage: Stage) -> bool:
+        """Return whether a trial of an overdue stage may exceed the share of runners.
+
+        Its tasks do so one after the other, so that they do not close all runners at once.
+        """
+        return stage.overdue and self._now - stage.last_trial_at > OVERDUE_TRIAL_INTERVAL_SECONDS
+
     def choose(
         self, runners: Iterable[RunnerState], must_start: bool = False
     ) -> RunnerState | None:
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -73,6 +73,8 @@
         Runners lost under a task since it last outlived its trial, by index.
     trials : dict of int to str
         Runner on which a task is tried, by index.
+    last_trial_at : float
+        Time in seconds at which the last trial of one of its tasks began, -inf before the first.
     cap_hold : CapHold
         Time for which the cap of its workspace has kept its tasks waiting.
     last_failed_runner : dict of int to str
@@ -115,6 +117,7 @@
         self.checkpoints: dict[int, str] = {}
         self.crashes: dict[int, list[Crash]] = {}
         self.trials: dict[int, str] = {}
+        self.last_trial_at = float("-inf")
         self.last_failed_runner: dict[int, str] = {}
         self.tickets = Tickets()
         self.blocked_since: float | None = None
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -9,7 +9,7 @@
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.records.formats import Blame, Crash
 from ragworttiller.scheduling.state.workspaces import Workspace
-from tests.scheduling_rig import QUEUE, CellRig, job_id, step
+from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 LASTING = QUEUE._replace(name="lasting", prefix="/l/", priority=2)
 ADVISED = QUEUE._replace(name="advised", prefix="/a/", advice=AdviceCost(0.9, 0.01, 2.0))
@@ -71,6 +71,47 @@
         assert seconds_until_start(rig, job_id(1)) < MAX_WAIT_SECONDS
 
 
+class TestOverdueStages:
+    def test_a_task_is_overdue_though_others_of_its_stage_start(self):
+        """Guards against a task that waits beside a suspended runner while its sisters start."""
+        rig = CellRig(2)
+        rig.cell.runners["w2"].suspended_until = rig.now + 12.0
+        rig.submit(step(5, 4000, daemon=True))
+        (order,) = rig.start_all()
+        began = rig.now
+        while order.run.runner == "w1" and rig.now < began + 10.0:
+            rig.pass_time(1.0)
+            rig.hold("w1", (order.run.task, order.run.number, "stopped"))
+            order, *others = rig.start_all()
+            if others:
+                break
+        assert rig.now - began <= MAX_WAIT_SECONDS
+
+    def test_a_stage_is_not_overdue_after_all_its_tasks_that_waited_for_long_have_started(self):
+        rig = CellRig(2)
+        rig.submit(step(2, 4000, daemon=True))
+        rig.start_all()
+        rig.cell.runners["w2"].suspended_until = rig.now + 12.0
+        for name in ("w1", "w2"):
+            (run,) = rig.cell.runners[name].runs.values()
+            rig.hold(name, (run.task, run.number, "stopped"))
+        assert [order.run.runner for order in rig.start_all()] == ["w1"]
+        rig.pass_time(1.25)
+        assert rig.start_all() == []
+
+    def test_sisters_close_one_runner_after_the_other_for_their_trials(self):
+        """Guards against overdue trials of one stage that keep all other tasks from starting."""
+        rig = CellRig(4)
+        rig.submit(step(3, daemon=True))
+        (stage,) = rig.cell.jobs[JOB].stages.values()
+        for index in stage.waiting:
+            stage.add_crash(index, Crash("w9", 4.0, str(Blame.LATEST)))
+        for _ in range(12):
+            rig.start_all()
+            rig.pass_time(0.25)
+        assert sum(runner.on_trial(rig.now) for runner in rig.cell.runners.values()) == 2
+
+
 class TestOrderOfWaits:
     def test_the_task_that_has_waited_for_the_longest_starts_first(self):
         """Guards against a task that waits for as long as others of its stage end."""
