Test that a lasting task runs soon on a runner that was cut off

A runner that answers again takes tasks once a stored claim names it, for which the owner renews its claim at once. The test guards against a wait for that; it passes on the code as it is.

--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -9,6 +9,7 @@
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.records.formats import Blame, Crash
 from ragworttiller.scheduling.state.workspaces import Workspace
+from tests.owners_rig import OwnersRig, start_entries, with_rig
 from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 LASTING = QUEUE._replace(name="lasting", prefix="/l/", priority=2)
@@ -203,6 +204,28 @@
         assert set(call.runners) == {"w2", "w3"}
 
 
+class TestRunnersThatAnswerAgain:
+    @pytest.mark.parametrize("cut_seconds", [2.0, 4.5, 8.0])
+    def test_a_lasting_task_runs_soon_on_a_runner_that_was_cut_off(self, cut_seconds: float):
+        """Guards against a runner that waits for its enrollment once it answers again."""
+
+        async def play(rig: OwnersRig) -> None:
+            rig.work = 1000.0
+            await start_entries(rig)
+            await rig.submit(JOB, step(1, daemon=True))
+            await rig.timers.sleep(2.0)
+            links = [entry.link("w1") for entry in rig.entries.values()]
+            for link in links:
+                link.cut = True
+            await rig.timers.sleep(cut_seconds)
+            for link in links:
+                link.cut = False
+            await rig.timers.sleep(1.0)
+            assert rig.runners["w1"].running, rig.monitor.starts
+
+        with_rig(play, runners=1)
+
+
 class TestTrials:
     def test_a_suspected_lasting_task_does_not_wait_for_the_trials_of_others(self):
         """Guards against a wait for one trial after another, of up to 5 s each."""
