Keep failures and suspensions of runners in a module of their own

RunnerState held the clock, the lease, the resources and the record of failures. The last is its base class RunnerHealth now, so that all names stay; behaviour is unchanged.

--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -7,6 +7,7 @@
 from ragworttiller.platform.listing import RunnerEntry
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.state.jobs import TaskId
+from ragworttiller.scheduling.state.runner_health import RunnerHealth
 from ragworttiller.scheduling.state.runs import Run
 from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
 
@@ -14,17 +15,13 @@
 MIN_CLOCK_RATE = 0.98
 MAX_ANSWER_AGE_SECONDS = 1.7
 SUSPECT_AFTER_SECONDS = 0.8
-FAILURE_WINDOW_SECONDS = 4.0
-FAILURES_TO_SUSPEND = 2
-SUSPEND_STEP_SECONDS = 3.0
-MAX_SUSPEND_SECONDS = 12.0
 # Consecutive unanswered looks that count as a missed call: single ones are lost on the way.
 LOOKS_PER_MISS = 2
 MAX_RECENT_ENDS = 500
 
 
-class RunnerState:
-    """One boot of a runner: its clock, lease, free resources and recent failures.
+class RunnerState(RunnerHealth):
+    """One boot of a runner: its clock, lease and free resources, beside its health.
 
     Parameters
     ----------
@@ -76,6 +73,7 @@
     """
 
     def __init__(self, entry: RunnerEntry, usage: WorkspaceUsage | None = None) -> None:
+        super().__init__()
         self._usage = usage or WorkspaceUsage()
         self.id = entry.runner
         self.entry = entry
@@ -97,11 +95,7 @@
         self.next_look_at = float("-inf")
         self.admits_filling: Callable[[str], bool] | None = None
         self.last_answer_at = float("-inf")
-        self.suspended_until = 0.0
         self.leaves_at = float("inf")
-        self._suspensions = 0
-        self._refused_until = float("-inf")
-        self._failures: list[float] = []
         self._used = NO_RESOURCES
         self._used_by_lasting = NO_RESOURCES
         self._serving_runs = 0
@@ -140,11 +134,6 @@
         waiting = waiting and self.ended_at is None
         return waiting and self.listed and not self.entry.draining
 
-    @property
-    def on_probation(self) -> bool:
-        """Whether the runner gets one probe task at a time after a suspension."""
-        return self._suspensions > 0
-
     @property
     def runs_serving_task(self) -> bool:
         """Whether a task with a tail latency bound runs here."""
@@ -186,11 +175,11 @@
 
     def accepts_tasks(self, now: float) -> bool:
         """Return whether tasks may start on the runner."""
-        return now >= self.suspended_until and self._usable(now)
+        return not self.suspended(now) and self._usable(now)
 
     def accepts_lasting_tasks_only(self, now: float) -> bool:
         """Return whether the runner is suspended, but need not refuse a start."""
-        return self._refused_until <= now < self.suspended_until and self._usable(now)
+        return self.suspended(now) and not self.refused_lately(now) and self._usable(now)
 
     def _usable(self, now: float) -> bool:
         """Return whether tasks may start on the runner as far as no suspension forbids it."""
@@ -356,55 +345,3 @@
         self.free = self.entry.capacity.minus(self._used)
         self._serving_runs += change if run.spec.target else 0
         self._filling_runs += change if run.spec.fills else 0
-
-    def record_failure(self, now: float) -> bool:
-        """Record a failed run and return whether the runner is to be suspended for it."""
-        recent = [at for at in self._failures if now - at < FAILURE_WINDOW_SECONDS]
-        self._failures = [*recent, now]
-        return len(self._failures) >= FAILURES_TO_SUSPEND or self.on_probation
-
-    def suspend(self, now: float, refused: bool = False) -> bool:
-        """Start no tasks on the runner for a while; consecutive suspensions grow longer.
-
-        Parameters
-        ----------
-        now : float
-            Time of the owner, in seconds.
-        refused : bool
-            Whether the runner has refused a start, so that it would refuse the next one too.
-
-        Returns
-        -------
-        bool
-            Whether the suspension is new.
-        """
-        if refused:
-            self._refused_until = now + SUSPEND_STEP_SECONDS
-        if now < self.suspended_until:
-            return False
-        self._suspensions += 1
-        self.suspended_until = now + min(
-            SUSPEND_STEP_SECONDS * self._suspensions, MAX_SUSPEND_SECONDS
-        )
-        return True
-
-    def record_lasting_probe(self, run: Run, now: float) -> bool:
-        """Count a lasting probe that has run for the failure window as a success.
-
-        Returns
-        -------
-        bool
-            Whether this has ended the probation.
-        """
-        if not self.on_probation or not run.spec.daemon or run.started_at < self.suspended_until:
-            return False
-        if now - run.started_at < FAILURE_WINDOW_SECONDS:
-            return False
-        self.record_success(now)
-        return True
-
-    def record_success(self, now: float) -> None:
-        """Record a task that was done, which ends the probation after a suspension."""
-        self._failures.clear()
-        if now >= self.suspended_until:
-            self._suspensions = 0
