Search no suspended runners that the advisor has denied

A search for runners to name that finds none is due again in the next pass, and a pass makes a limited number of searches. Stages without an advisor need none.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -136,7 +136,11 @@
         """
         upstream = work.queue.upstream
         with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
-        last_resort = suspended.with_room(upstream, stage.spec)
+        last_resort = [
+            runner
+            for runner in suspended.with_room(upstream, stage.spec)
+            if runner.id not in stage.tickets.denied
+        ]
         if not (with_room or last_resort) or not self._may_search(work, stage):
             return
         names = self._candidate_policy.choose_runners(stage, with_room, self._now, False)
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -248,7 +248,7 @@
 
     def _ask_for_overdue(self, ready: list[ReadyStage], now: float) -> None:
         """Plan calls to the advisor for overdue stages, also about suspended runners."""
-        overdue = [(work, stage) for work, stage, _ in ready if stage.overdue]
+        overdue = [(work, stage) for work, stage, _ in ready if stage.overdue and work.queue.advice]
         if not overdue:
             return
         suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now))
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -175,7 +175,7 @@
 
     def accepts_tasks(self, now: float) -> bool:
         """Return whether tasks may start on the runner."""
-        return not self.suspended(now) and self._usable(now)
+        return now >= self.suspended_until and self._usable(now)
 
     def accepts_lasting_tasks_only(self, now: float) -> bool:
         """Return whether the runner is suspended, but need not refuse a start."""
