--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -149,11 +149,10 @@
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
-        for work, stage, _ in ready:
-            if stage.overdue:
-                self._advice.plan_for_overdue(work, stage)
-        held_back: set[str] = set()
         capped = self._caps.begin()
+        self._mark_overdue(ready, capped, now)
+        self._ask_for_overdue(ready, now)
+        held_back: set[str] = set()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
             if work.queue.upstream in held_back and not inputs.lasts:
                 continue
@@ -236,6 +235,26 @@
                 cpu = len(stage.waiting) * stage.spec.reservation.cpu
                 self._headroom.record_arrival(work.queue.upstream, inputs.priority, cpu, now)
 
+    def _mark_overdue(self, ready: list[ReadyStage], capped: bool, now: float) -> None:
+        """Mark the stages of lasting tasks that wait for long though their cap allows them.
+
+        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
+        """
+        for _, stage, _ in ready:
+            if stage.spec.daemon:
+                stage.overdue = stage.blocked_since is not None and _waits_for_long(stage, now)
+                if stage.overdue and capped:
+                    stage.overdue = self._caps.allowed(stage, stage.longest_wait(now)) > 0
+
+    def _ask_for_overdue(self, ready: list[ReadyStage], now: float) -> None:
+        """Plan calls to the advisor for overdue stages, also about suspended runners."""
+        overdue = [(work, stage) for work, stage, _ in ready if stage.overdue and work.queue.advice]
+        if not overdue:
+            return
+        suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now))
+        for work, stage in overdue:
+            self._advice.plan_for_overdue(work, stage, suspended)
+
     def _ready_stages(self, jobs: Collection[JobWork], now: float, wall: float) -> list[ReadyStage]:
         rows: list[ReadyStage] = []
         for work in jobs:
@@ -248,12 +267,8 @@
     def _relax_avoidance(
         self, work: JobWork, stage: Stage, free: FreeResources, now: float
     ) -> None:
-        """Let tasks start on more runners once their stage is blocked for long.
-
-        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
-        """
+        """Let tasks that have failed start on more runners once their stage is blocked for long."""
         blocked = now - (stage.blocked_since or now)
-        stage.overdue = stage.spec.daemon and blocked > LASTING_PATIENCE_SECONDS
         stage.tries_failed_on_probation = False
         if blocked <= AVOID_FAILED_RUNNER_SECONDS:
             return
@@ -339,7 +354,7 @@
         """Start tasks on the runners chosen for them; their kind tells its duration ``by_kind``."""
         if not chosen:
             return
-        stage.blocked_since, stage.overdue = None, False
+        stage.blocked_since = None
         needs_ticket = work.queue.advice is not None
         # The runs of a gang have the same number and start from the same checkpoint.
         number = max(stage.next_number(i, self._epoch) for i in chosen) if stage.spec.gang else 0
@@ -359,12 +374,15 @@
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
             order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
             plan.starts.append(order)
+        # Its other tasks may have waited for as long.
+        stage.overdue = stage.overdue and _waits_for_long(stage, now)
         self._last_tasks.record_starts(chosen.values())
 
     def _begin_trial(self, stage: Stage, run: Run, runner: RunnerState, now: float) -> None:
         rows = stage.crashes[run.task.ordinal]
         seconds = exclusive_seconds(rows)
         stage.trials[run.task.ordinal] = runner.id
+        stage.last_trial_at = now
         self._pool.begin_trial(runner, run, now + seconds)
         extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
         log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
@@ -384,6 +402,11 @@
         return _fits_whole(work, stage, free)
 
 
+def _waits_for_long(stage: Stage, now: float) -> bool:
+    """Return whether a task of a lasting stage has waited for longer than it should."""
+    return stage.longest_wait(now) > LASTING_PATIENCE_SECONDS
+
+
 def _fits_whole(work: JobWork, stage: Stage, free: FreeResources) -> bool:
     """Return whether all tasks of a stage fit at once while only lasting tasks run."""
     spec = stage.spec
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -306,7 +306,7 @@
 
     def _requeue(self, stage: Stage, run: Run, now: float, ran: bool = True) -> None:
         """Let the task of an ended run go on as its copy, or wait if it has none."""
-        promoted = stage.requeue(run, now)
+        promoted = stage.requeue(run, now, ran)
         if ran:
             self.lasting_waits.record_end(stage, run, now)
         else:
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -9,19 +9,36 @@
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.records.formats import Blame, Crash
 from ragworttiller.scheduling.state.workspaces import Workspace
-from tests.scheduling_rig import QUEUE, CellRig, job_id, step
+from tests.owners_rig import OwnersRig, start_entries, with_rig
+from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 LASTING = QUEUE._replace(name="lasting", prefix="/l/", priority=2)
 ADVISED = QUEUE._replace(name="advised", prefix="/a/", advice=AdviceCost(0.9, 0.01, 2.0))
+ADVISED_LASTING = LASTING._replace(advice=ADVISED.advice)
 MAX_WAIT_SECONDS = 3.0
+CALL_SECONDS = 0.9
 
 
-def seconds_until_start(rig: CellRig, job: str, limit: float = 10.0) -> float:
-    """Return the seconds until a task of a job starts, while no other run ends."""
+def seconds_until_start(
+    rig: CellRig, job: str, limit: float = 10.0, advised: bool = False
+) -> float:
+    """Return the seconds until a task of a job starts, while no other run ends.
+
+    Calls to the advisor, if it is ``advised``, are answered after their usual duration.
+    """
     began = rig.now
+    answers: list[tuple[float, AdviceCall]] = []
     while rig.now < began + limit:
-        if any(order.run.task.stage.job == job for order in rig.start_all()):
+        for row in [row for row in answers if row[0] <= rig.now]:
+            answers.remove(row)
+            rig.cell.apply_advice(row[1], dict.fromkeys(row[1].runners, "t"), rig.now)
+        plan = rig.plan()
+        if any(order.run.task.stage.job == job for order in plan.starts):
             break
+        for order in plan.starts:
+            rig.cell.mark_started(order.run, rig.now)
+        if advised:
+            answers += [(rig.now + CALL_SECONDS, call) for call in plan.calls]
         rig.pass_time(0.25)
     return rig.now - began
 
@@ -55,6 +72,72 @@
         assert seconds_until_start(rig, job_id(1)) < MAX_WAIT_SECONDS
 
 
+class TestOverdueStages:
+    def test_a_task_is_overdue_though_others_of_its_stage_start(self):
+        """Guards against a task that waits beside a suspended runner while its sisters start."""
+        rig = CellRig(2)
+        rig.cell.runners["w2"].suspended_until = rig.now + 12.0
+        rig.submit(step(5, 4000, daemon=True))
+        (order,) = rig.start_all()
+        began = rig.now
+        while order.run.runner == "w1" and rig.now < began + 10.0:
+            rig.pass_time(1.0)
+            rig.hold("w1", (order.run.task, order.run.number, "stopped"))
+            order, *others = rig.start_all()
+            if others:
+                break
+        assert rig.now - began <= MAX_WAIT_SECONDS
+
+    def test_a_stage_is_not_overdue_after_all_its_tasks_that_waited_for_long_have_started(self):
+        rig = CellRig(2)
+        rig.submit(step(2, 4000, daemon=True))
+        rig.start_all()
+        rig.cell.runners["w2"].suspended_until = rig.now + 12.0
+        for name in ("w1", "w2"):
+            (run,) = rig.cell.runners[name].runs.values()
+            rig.hold(name, (run.task, run.number, "stopped"))
+        assert [order.run.runner for order in rig.start_all()] == ["w1"]
+        rig.pass_time(1.25)
+        assert rig.start_all() == []
+
+    def test_sisters_close_one_runner_after_the_other_for_their_trials(self):
+        """Guards against overdue trials of one stage that keep all other tasks from starting."""
+        rig = CellRig(4)
+        rig.submit(step(3, daemon=True))
+        (stage,) = rig.cell.jobs[JOB].stages.values()
+        for index in stage.waiting:
+            stage.add_crash(index, Crash("w9", 4.0, str(Blame.LATEST)))
+        for _ in range(12):
+            rig.start_all()
+            rig.pass_time(0.25)
+        assert sum(runner.on_trial(rig.now) for runner in rig.cell.runners.values()) == 2
+
+
+class TestOrderOfWaits:
+    def test_the_task_that_has_waited_for_the_longest_starts_first(self):
+        """Guards against a task that waits for as long as others of its stage end."""
+        rig = CellRig(1)
+        rig.submit(step(4, 2000, daemon=True))
+        started: list[int] = []
+        for _ in range(6):
+            started += [order.run.task.ordinal for order in rig.start_all()]
+            rig.pass_time(0.25)
+            first = next(iter(rig.cell.runners["w1"].runs.values()))
+            rig.hold("w1", (first.task, first.number, "stopped"))
+        assert started == [0, 1, 2, 3, 0, 1, 2]
+
+    def test_a_refused_start_does_not_end_the_wait_of_a_task(self):
+        """Guards against a task that waits behind all others after a start that never ran."""
+        rig = CellRig(2)
+        rig.submit(step(3, 4000, daemon=True))
+        first, second = rig.start_all()
+        rig.hold(second.run.runner, (second.run.task, second.run.number, "stopped"))
+        rig.pass_time(0.5)
+        rig.cell.mark_start_refused(first.run, "ticket", rig.now)
+        orders = rig.plan().starts
+        assert [order.run.task.ordinal for order in orders] == [0, 2]
+
+
 class TestRunnersThatHaveFailed:
     @pytest.fixture()
     def rig(self) -> CellRig:
@@ -100,6 +183,48 @@
         rig.submit(step(1, requires="a"), job=job_id(1))
         assert seconds_until_start(rig, job_id(1)) >= MAX_WAIT_SECONDS
 
+    def test_the_advisor_is_asked_about_a_suspended_runner_that_alone_has_room(self, rig: CellRig):
+        """Guards against a wait for the end of a suspension, for want of a ticket alone."""
+        rig.cell.set_entries(["e1"])
+        for seconds in (0.0, 3.5, 6.5):
+            rig.pass_time(seconds)
+            rig.cell.runners["w1"].suspend(rig.now)
+        rig.submit(step(2, daemon=True, requires="a"), job=job_id(1), queue=ADVISED_LASTING)
+        assert 1.0 < seconds_until_start(rig, job_id(1), advised=True) < MAX_WAIT_SECONDS
+
+    def test_runners_that_have_not_failed_are_named_before_suspended_ones(self):
+        rig = CellRig(3)
+        rig.cell.set_entries(["e1"])
+        rig.cell.runners["w1"].suspend(rig.now)
+        rig.submit(step(1, daemon=True), queue=ADVISED_LASTING)
+        (call,) = rig.plan().calls
+        rig.cell.apply_advice(call, {"w2": "t", "w3": "t"}, rig.now - 10.0)
+        rig.pass_time(1.75)
+        (call,) = rig.plan().calls
+        assert set(call.runners) == {"w2", "w3"}
+
+
+class TestRunnersThatAnswerAgain:
+    @pytest.mark.parametrize("cut_seconds", [2.0, 4.5, 8.0])
+    def test_a_lasting_task_runs_soon_on_a_runner_that_was_cut_off(self, cut_seconds: float):
+        """Guards against a runner that waits for its enrollment once it answers again."""
+
+        async def play(rig: OwnersRig) -> None:
+            rig.work = 1000.0
+            await start_entries(rig)
+            await rig.submit(JOB, step(1, daemon=True))
+            await rig.timers.sleep(2.0)
+            links = [entry.link("w1") for entry in rig.entries.values()]
+            for link in links:
+                link.cut = True
+            await rig.timers.sleep(cut_seconds)
+            for link in links:
+                link.cut = False
+            await rig.timers.sleep(1.0)
+            assert rig.runners["w1"].running, rig.monitor.starts
+
+        with_rig(play, runners=1)
+
 
 class TestTrials:
     def test_a_suspected_lasting_task_does_not_wait_for_the_trials_of_others(self):
@@ -116,20 +241,17 @@
 
 
 class TestAdvice:
-    CALL_SECONDS = 0.9
-
     def test_a_lasting_task_is_asked_for_while_urgent_jobs_keep_the_advisor_busy(self):
         """Guards against a lasting task that waits in an empty cell, for a ticket alone."""
         rig = CellRig(20)
         rig.cell.set_entries(["e1", "e2", "e3"])
-        lasting = LASTING._replace(advice=ADVISED.advice)
         answers: list[tuple[float, AdviceCall]] = []
         began = rig.now
         for number in range(100, 200):
             rig.submit(step(1), job=job_id(number), queue=ADVISED)
             if number == 130:
                 began = rig.now
-                rig.submit(step(1, daemon=True), job=job_id(1), queue=lasting)
+                rig.submit(step(1, daemon=True), job=job_id(1), queue=ADVISED_LASTING)
             for row in [row for row in answers if row[0] <= rig.now]:
                 answers.remove(row)
                 rig.cell.apply_advice(row[1], dict.fromkeys(row[1].runners[::2], "t"), rig.now)
@@ -139,6 +261,6 @@
             for order in plan.starts:
                 rig.cell.mark_started(order.run, rig.now)
                 rig.hold(order.run.runner, (order.run.task, order.run.number, "done"))
-            answers += [(rig.now + self.CALL_SECONDS, call) for call in plan.calls]
+            answers += [(rig.now + CALL_SECONDS, call) for call in plan.calls]
             rig.pass_time(0.1)
         assert 1.0 < rig.now - began < MAX_WAIT_SECONDS
