Retry the entries after 0.5 s if the calls of all of them have failed

Cause: an entry gets no call for 2 s after a failed one, and with a single entry that is all of them. The test waited 2 s between the calls before, 0.5 s now. While another entry is sound, nothing changes. Ruled out: calls that are not planned for want of room or tickets (the runners were allowed, free and sound).

--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -25,6 +25,8 @@
 # A long call waits for an almost idle entry, so that the choice among long calls is made late.
 MAX_BACKLOG_OF_LONG_CALL_SECONDS = 0.1
 AVOID_FAILED_ENTRY_SECONDS = 2.0
+# The same while all entries have failed lately, so that one failed call bars none for long.
+RETRY_FAILED_ENTRY_SECONDS = 0.5
 SHORT_CALL_ENTRIES_SHARE = 0.3
 
 
@@ -77,7 +79,7 @@
 
     def __init__(self) -> None:
         self._backlog_seconds: dict[str, float] = {}
-        self._avoid_until: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
 
     def set_entries(self, entries: Sequence[str]) -> None:
         """Set the available entries; those that remain keep their backlog."""
@@ -100,7 +102,7 @@
         if duration > SHORT_CALL_SECONDS:
             names = names[int(len(names) * SHORT_CALL_ENTRIES_SHARE) :]
             max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
-        names = [n for n in names if self._avoid_until.get(n, 0.0) <= now]
+        names = self._usable(names, now)
         if not names:
             return None
         name = min(names, key=self._backlog_seconds.__getitem__)
@@ -109,6 +111,14 @@
         self._backlog_seconds[name] += duration
         return name
 
+    def _usable(self, names: Sequence[str], now: float) -> list[str]:
+        """Return the entries that no call has failed at lately, or if there are none, just now."""
+        for seconds in (AVOID_FAILED_ENTRY_SECONDS, RETRY_FAILED_ENTRY_SECONDS):
+            usable = [n for n in names if self._failed_at.get(n, -math.inf) + seconds <= now]
+            if usable:
+                return usable
+        return []
+
     def backlog(self, entry: str) -> float:
         """Return the backlog of an entry, in seconds."""
         return self._backlog_seconds.get(entry, 0.0)
@@ -120,7 +130,7 @@
 
     def mark_failed(self, entry: str, now: float) -> None:
         """Assign no calls to an entry for a while after a failed one."""
-        self._avoid_until[entry] = now + AVOID_FAILED_ENTRY_SECONDS
+        self._failed_at[entry] = now
 
 
 class CandidatePolicy(ABC):
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -142,3 +142,16 @@
             answers += [(rig.now + self.CALL_SECONDS, call) for call in plan.calls]
             rig.pass_time(0.1)
         assert 1.0 < rig.now - began < MAX_WAIT_SECONDS
+
+    def test_a_failed_call_does_not_keep_a_lasting_task_from_the_only_entry(self):
+        """Guards against 2 s without any call, after which another one may fail."""
+        rig = CellRig(4)
+        rig.cell.set_entries(["e1"])
+        rig.submit(step(1, daemon=True), job=job_id(1), queue=ADVISED)
+        began, calls = rig.now, rig.plan().calls
+        rig.pass_time(0.9)
+        rig.cell.mark_advice_failed(calls.pop(), rig.now)
+        while not calls:
+            rig.pass_time(0.1)
+            calls = rig.plan().calls
+        assert 0.4 < rig.now - began - 0.9 < 1.0
