Call the advisor for lasting tasks first, and while short calls keep all entries busy

Seen: a lasting task got no call within 10 s while short calls came faster than two entries serve them, in a cell with room; six lasting stages behind two entries took over 3 s. Cause: a long call waits for an entry with less than 0.1 s of calls, which short calls never leave; lasting stages are asked for first only 1.5 s after they are blocked, counted anew at each start of the stage; and a stage that finds no entry is delayed, so that a later one that is not takes the next entry. Now calls for lasting stages with room come first after 0.5 s, the longest wait first, queue up behind short calls, and are not delayed. The tests fail on the code before.

--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -87,21 +87,27 @@
             backlogs = self._backlog_seconds
             self._backlog_seconds = {name: backlogs.get(name, 0.0) for name in sorted(entries)}
 
-    def assign(self, duration: float, now: float) -> str | None:
+    def assign(self, duration: float, now: float, urgent: bool = False) -> str | None:
         """Assign a call to the entry with the smallest backlog; return None if all are too large.
 
+        While short calls come faster than they are served, no entry that takes them is ever almost
+        idle, so an urgent long call queues up behind them.
+
         Parameters
         ----------
         duration : float
             Duration of the call in seconds; part of the entry's backlog until `end_call`.
         now : float
             Time in seconds.
+        urgent : bool
+            Whether a long call may wait as long as a short one.
         """
         names = list(self._backlog_seconds)
         max_backlog = MAX_BACKLOG_SECONDS
         if duration > SHORT_CALL_SECONDS:
             names = names[int(len(names) * SHORT_CALL_ENTRIES_SHARE) :]
-            max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
+            if not urgent:
+                max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
         names = self._usable(names, now)
         if not names:
             return None
--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -126,15 +126,15 @@
         elif not (with_room and self._plan_call(work, stage, with_room, False)):
             stage.tickets.recheck_at = self._now + self._recheck_delay
 
-    def plan_for_overdue(self, work: JobWork, stage: Stage) -> None:
-        """Plan a call for an overdue stage of lasting tasks if there is room for one of them.
+    def plan_for_lasting(self, work: JobWork, stage: Stage) -> None:
+        """Plan a call for lasting tasks that have waited if there is room for one of them.
 
         It comes before those for all other stages, of which there may always be enough for every
-        entry.
+        entry, and takes the first entry that is free.
         """
         with_room = self._free.with_room(work.queue.upstream, stage.spec, stage.overdue)
         if with_room and self._may_search(work, stage):
-            self._plan_call(work, stage, with_room, False)
+            self._plan_call(work, stage, with_room, False, urgent=True)
 
     def plan_for_successors(self, jobs: Iterable[JobWork], silent: Set[str]) -> None:
         """Plan calls for stages whose predecessors are about to end.
@@ -183,7 +183,12 @@
             stage.tickets.recheck_at = self._now + self._recheck_delay
 
     def _plan_call(
-        self, work: JobWork, stage: Stage, runners: Sequence[RunnerState], ahead: bool
+        self,
+        work: JobWork,
+        stage: Stage,
+        runners: Sequence[RunnerState],
+        ahead: bool,
+        urgent: bool = False,
     ) -> bool:
         """Plan a call if an entry is available; return whether the stage needs one."""
         cost = work.queue.advice
@@ -192,10 +197,12 @@
             return False
         names = names[:MAX_RUNNERS_PER_CALL]
         duration = call_duration(cost, len(names))
-        entry = self._loads.assign(duration, self._now)
+        entry = self._loads.assign(duration, self._now, urgent)
         if entry is None:
             self._no_entry_for.add(duration > SHORT_CALL_SECONDS)
-            stage.tickets.recheck_at = self._now + self._recheck_delay
+            # With a delay, a later stage would take the next entry before an urgent one.
+            if not urgent:
+                stage.tickets.recheck_at = self._now + self._recheck_delay
             return True
         wait = self._loads.backlog(entry) - duration
         stage.tickets.call_deadline = self._now + wait + duration + CALL_GRACE_SECONDS
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -40,6 +40,8 @@
 AVOID_FAILED_RUNNER_SECONDS = 2.0
 # With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
 LASTING_PATIENCE_SECONDS = 1.5
+# Leaves time for calls to several stages, and for those before them, within the same 3 s.
+LASTING_ADVICE_PATIENCE_SECONDS = 0.5
 NO_KINDS: frozenset[str] = frozenset()
 
 
@@ -149,9 +151,7 @@
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
-        for work, stage, _ in ready:
-            if stage.overdue:
-                self._advice.plan_for_overdue(work, stage)
+        self._plan_calls_for_lasting(ready, now)
         held_back: set[str] = set()
         capped = self._caps.begin()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
@@ -195,6 +195,15 @@
         self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
+    def _plan_calls_for_lasting(self, ready: list[ReadyStage], now: float) -> None:
+        """Plan calls for the lasting tasks that have waited, the longest wait first."""
+        rows = [
+            (stage.longest_wait(now), work, stage) for work, stage, _ in ready if stage.spec.daemon
+        ]
+        for wait, work, stage in sorted(rows, key=lambda row: -row[0]):
+            if wait > LASTING_ADVICE_PATIENCE_SECONDS:
+                self._advice.plan_for_lasting(work, stage)
+
     def _start_on_suspended(
         self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
     ) -> None:
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -4,14 +4,17 @@
 
 import pytest
 
-from ragworttiller.platform.configuration import AdviceCost
+from ragworttiller.platform.configuration import AdviceCost, Queue
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.records.formats import Blame, Crash
+from ragworttiller.scheduling.state.orders import Plan
 from ragworttiller.scheduling.state.workspaces import Workspace
 from tests.scheduling_rig import QUEUE, CellRig, job_id, step
 
 LASTING = QUEUE._replace(name="lasting", prefix="/l/", priority=2)
+SHORT_COST = AdviceCost(0.018, 0.0003, 2.0)
+LONG_COST = AdviceCost(0.45, 0.0065, 2.0)
 ADVISED = QUEUE._replace(name="advised", prefix="/a/", advice=AdviceCost(0.9, 0.01, 2.0))
 MAX_WAIT_SECONDS = 3.0
 
@@ -115,6 +118,51 @@
         assert sum(runner.on_trial(rig.now) for runner in rig.cell.runners.values()) == 2
 
 
+class AdvisorLoad:
+    """Jobs that come all the time and end at once, and entries that make one call at a time."""
+
+    def __init__(self, entries: int, jobs_per_pass: int, queue: Queue) -> None:
+        self.rig = CellRig(20)
+        self.rig.cell.set_entries([f"e{number}" for number in range(entries)])
+        self._jobs, self._queue = jobs_per_pass, queue
+        self._answers: list[tuple[float, AdviceCall]] = []
+        self._free_at: dict[str, float] = {}
+        self._number = 100
+
+    def tick(self) -> Plan:
+        """Advance the time and return the plan; short tasks end as they start."""
+        for _ in range(self._jobs):
+            self._number += 1
+            self.rig.submit(step(1), job=job_id(self._number), queue=self._queue)
+        self._answer()
+        plan = self.rig.plan()
+        for order in plan.starts:
+            self.rig.cell.mark_started(order.run, self.rig.now)
+            if not order.run.spec.daemon:
+                end = (order.run.task, order.run.number, "done")
+                self.rig.hold(order.run.runner, end)
+        for call in plan.calls:
+            until = max(self.rig.now, self._free_at.get(call.entry, 0.0)) + call.duration
+            self._free_at[call.entry] = until
+            self._answers.append((until, call))
+        self.rig.cell.mark_recorded(self.rig.cell.take_changes())
+        self.rig.pass_time(0.1)
+        return plan
+
+    def seconds_until_lasting(self, tasks: int, limit: float = 10.0) -> float:
+        """Return the seconds until as many lasting tasks run."""
+        began = self.rig.now
+        while tasks > 0 and self.rig.now < began + limit:
+            tasks -= sum(order.run.spec.daemon for order in self.tick().starts)
+        return self.rig.now - began
+
+    def _answer(self) -> None:
+        for row in [row for row in self._answers if row[0] <= self.rig.now]:
+            self._answers.remove(row)
+            tickets = dict.fromkeys(row[1].runners[::2], "t")
+            self.rig.cell.apply_advice(row[1], tickets, self.rig.now)
+
+
 class TestAdvice:
     CALL_SECONDS = 0.9
 
@@ -143,6 +191,23 @@
             rig.pass_time(0.1)
         assert 1.0 < rig.now - began < MAX_WAIT_SECONDS
 
+    @pytest.mark.parametrize(
+        ("entries", "jobs_per_pass", "stages", "cost"),
+        [(2, 10, 1, SHORT_COST), (2, 2, 6, LONG_COST)],
+        ids=["short calls", "several stages"],
+    )
+    def test_lasting_tasks_are_asked_for_while_calls_keep_all_entries_busy(
+        self, entries: int, jobs_per_pass: int, stages: int, cost: AdviceCost
+    ):
+        """Guards against waits for an almost idle entry, and for 1.5 s before each call."""
+        load = AdvisorLoad(entries, jobs_per_pass, ADVISED._replace(advice=cost))
+        for _ in range(30):
+            load.tick()
+        for number in range(stages):
+            queue = LASTING._replace(advice=LONG_COST)
+            load.rig.submit(step(1, daemon=True), job=job_id(number), queue=queue)
+        assert load.seconds_until_lasting(stages) < MAX_WAIT_SECONDS
+
     def test_a_failed_call_does_not_keep_a_lasting_task_from_the_only_entry(self):
         """Guards against 2 s without any call, after which another one may fail."""
         rig = CellRig(4)
