--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -29,12 +30,15 @@
         Task, run and runner of each start.
     runners : list of RunnerService
         Monitored runners.
+    crashes : Counter of str
+        Number of crashes of a runner under each task.
     """
 
     def __init__(self) -> None:
         self.violations: list[str] = []
         self.starts: list[tuple[str, int, str]] = []
         self.runners: list[RunnerService] = []
+        self.crashes: Counter[str] = Counter()
         self._running: dict[str, set[tuple[str, int]]] = {}
         self._done: set[str] = set()
 
@@ -204,6 +208,12 @@
             row["born"] = self._born
         return json.dumps({**row, "labels": ["a", "r1-1"], "zone": "a", "seq": 1}).encode()
 
+    @property
+    def free_cpu(self) -> int:
+        """Processor time that no run uses, in thousandths of a core."""
+        self.end_due_runs()
+        return self.capacity.cpu - sum(row.size.cpu for row in self._running.values())
+
     def percents(self) -> dict[str, int]:
         """Return the percent at which each running task works."""
         self.end_due_runs()
@@ -241,6 +251,7 @@
         """Drop all runs without reporting their ends to the owner."""
         for task, row in self._running.items():
             self._monitor.record_end(task, row.run, self.name)
+            self._monitor.crashes[task] += 1
         self._running.clear()
 
     def _outcome(self, task: str, row: _Run) -> str:
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
 
 from ragworttiller.exceptions import AppendUndecided, LogUnavailable
+from ragworttiller.platform.configuration import Queue
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.platform.store import (
     CONFIG_KEY,
@@ -52,15 +54,24 @@
 }
 CRASH_DELAY_SECONDS = 0.01
 RETURN_SECONDS = 3.0
+# Share of the machines on which the advisor allows a stage of a queue that asks it.
+ALLOWED_SHARE = 0.7
 
 
-class NoAdvice(Advice):
+class RigAdvice(Advice):
+    """Allows each stage on the machines that the rig does, through the running entries."""
+
+    def __init__(self, rig: OwnersRig):
+        self._rig = rig
+
     @property
     def entries(self) -> list[str]:
-        return []
+        entries = self._rig.entries.values()
+        return [entry.name for entry in entries if not entry.scope.cancel_called]
 
     async def ask(self, call: AdviceCall) -> dict[str, str]:
-        raise AssertionError(call)
+        await self._rig.timers.sleep(call.wait + call.duration)
+        return {name: "t" for name in call.runners if self._rig.allows(str(call.stage), name)}
 
 
 class RigStandbys(Standbys):
@@ -117,7 +128,7 @@
         self.host = CellHost(
             self.store,
             self.config,
-            NoAdvice(),
+            RigAdvice(rig),
             rig.timers,
             name,
             incarnation,
@@ -288,8 +299,13 @@
                 return entry
         return None
 
-    async def submit(self, job: str, *steps: dict):
-        accepted = Accepted(QUEUE, decode_job(job_body(*steps)), self.timers.wall())
+    def allows(self, stage: str, boot: str) -> bool:
+        """Return whether the advisor allows a stage on the machine of a boot."""
+        machine = boot.split("-")[0]
+        return random.Random(f"{stage} {machine}").random() < ALLOWED_SHARE
+
+    async def submit(self, job: str, *steps: dict, queue: Queue = QUEUE):
+        accepted = Accepted(queue, decode_job(job_body(*steps)), self.timers.wall())
         await self._append(KeyedRecord(job, encode(accepted)))
 
     async def cancel(self, job: str):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,11 +4,13 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import anyio
 
+from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.scheduling.records.formats import JobState
+from standins.platform.runner import RunnerService
 from tests.claim_faults import ClaimFaults
 from tests.fault_injector import (
     EntryFaults,
@@ -18,14 +20,16 @@
     deliver_late,
     lift_faults,
 )
+from tests.lasting_judge import LastingJudge, LastingTask
 from tests.owners_rig import OwnersRig, start_entries, with_rig
-from tests.scheduling_rig import job_id, step
+from tests.scheduling_rig import QUEUE, job_id, step
 
 InjectorChoice = Callable[[OwnersRig, int], list[FaultInjector]]
 
 FAULT_SECONDS = 40.0
 SECONDS_TO_END = 120.0
 LASTING_TASKS = 2
+LASTING_CPU = 1000
 MAX_LASTING_JOBS = 3
 # Two starts may follow the third crash under a task.
 MAX_DEADLY_STARTS = 5
@@ -47,6 +51,8 @@
         )
         if deadly:
             self.kinds = (*self.kinds, self.deadly)
+        advice = AdviceCost(0.45, 0.0065, 2.0) if seed % 2 else None
+        self.lasting_queue = QUEUE._replace(prefix="/lasting/", advice=advice)
         self.crashing: list[str] = []
         self.finite: list[str] = []
         self.lasting: list[str] = []
@@ -98,31 +104,80 @@
             return
         self.rig.work_by_job[job] = self.rng.uniform(5.0, 15.0)
         self.rig.failing.add(job)
-        await self.rig.submit(job, step(LASTING_TASKS, daemon=True))
+        await self.rig.submit(job, step(LASTING_TASKS, daemon=True), queue=self.lasting_queue)
         self.lasting.append(job)
 
 
+class LastingWatch:
+    """Judges the lasting tasks all the time from the end of the faults on."""
+
+    def __init__(self, rig: OwnersRig, work: Workload):
+        self.rig = rig
+        self.work = work
+        self.judge = LastingJudge()
+        self._last_seen: dict[str, float] = {}
+
+    async def run(self):
+        """Check the tasks; a change of owner counts as a disturbance until it is completed."""
+        calm_since = self.rig.timers.now()
+        while True:
+            await self.rig.timers.sleep(0.1)
+            now = self.rig.timers.now()
+            if not self._takeover_completed():
+                calm_since = now
+            self.judge.check(now, calm_since, list(self._tasks()))
+
+    def _takeover_completed(self) -> bool:
+        entry = self.rig.owner
+        owner = entry.host.owner if entry is not None else None
+        return owner is not None and not owner.cell.takeover.unresolved
+
+    def _tasks(self) -> Iterator[LastingTask]:
+        now, boots = self.rig.timers.now(), self.rig.runners.values()
+        running = {task for boot in boots for task in boot.running}
+        for job in self.work.lasting:
+            with_room = [boot.name for boot in boots if self._has_room(boot, job)]
+            for index in range(LASTING_TASKS):
+                name = f"{job}.0.0.{index}"
+                if name in running or name not in self._last_seen:
+                    self._last_seen[name] = now
+                yield LastingTask(name, name in running, self._last_seen[name], with_room)
+
+    def _has_room(self, boot: RunnerService, job: str) -> bool:
+        asked = self.work.lasting_queue.advice is not None
+        allowed = not asked or self.rig.allows(f"{job}.0.0", boot.name)
+        return allowed and boot.free_cpu >= LASTING_CPU
+
+
 class Judge:
     """Checks that nothing was lost once the faults are lifted."""
 
     def __init__(self, rig: OwnersRig, work: Workload):
         self.rig = rig
         self.work = work
+        self.watch = LastingWatch(rig, work)
 
     async def problems(self) -> list[str]:
         """Return the tasks that ran twice, overbooked their runner or were lost."""
         lost: list[str] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.watch.run)
+            await self._check_all(lost)
+            tasks.cancel_scope.cancel()
+        return [*self.rig.monitor.violations, *lost]
+
+    async def _check_all(self, lost: list[str]):
         for check in (
             self._jobs_end,
             self._deadly_fail,
             self._lasting_run,
+            self._none_lost,
             self._cancelled_stop,
         ):
             try:
                 await check()
             except AssertionError as exc:
                 lost.append(f"lost: {exc}")
-        return [*self.rig.monitor.violations, *lost]
 
     async def _jobs_end(self):
         await self.rig.wait_completed(*self.work.finite, within=SECONDS_TO_END)
@@ -151,6 +206,14 @@
             seen |= self._running()
         assert expected <= seen, f"lasting tasks not at work: {sorted(expected - seen)}"
 
+    async def _none_lost(self):
+        """No lasting task waited with room for it, and none is given up without two crashes."""
+        assert not self.watch.judge.lost, f"not run: {self.watch.judge.lost}"
+        states = await self.rig.states(self.work.lasting)
+        for job, state in zip(self.work.lasting, states, strict=True):
+            crashes = [self.rig.monitor.crashes[f"{job}.0.0.{i}"] for i in range(LASTING_TASKS)]
+            assert state != JobState.FAILED or max(crashes) > 1, f"given up without cause: {job}"
+
     async def _cancelled_stop(self):
         for job in [*self.work.lasting, *self.work.to_cancel]:
             await self.rig.cancel(job)
