--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -8,6 +8,7 @@
 
 import math
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -79,6 +80,7 @@
 
     def __init__(self) -> None:
         self._backlog_seconds: dict[str, float] = {}
+        self._long_calls: Counter[str] = Counter()
         self._failed_at: dict[str, float] = {}
 
     def set_entries(self, entries: Sequence[str]) -> None:
@@ -86,12 +88,14 @@
         if self._backlog_seconds.keys() != set(entries):
             backlogs = self._backlog_seconds
             self._backlog_seconds = {name: backlogs.get(name, 0.0) for name in sorted(entries)}
+            self._long_calls = Counter({name: self._long_calls[name] for name in entries})
 
     def assign(self, duration: float, now: float, urgent: bool = False) -> str | None:
         """Assign a call to the entry with the smallest backlog; return None if all are too large.
 
         While short calls come faster than they are served, no entry that takes them is ever almost
-        idle, so an urgent long call queues up behind them.
+        idle, so an urgent long call queues up behind them, but not behind another long one: the
+        runners that it names would be full by the time of its answer.
 
         Parameters
         ----------
@@ -100,13 +104,15 @@
         now : float
             Time in seconds.
         urgent : bool
-            Whether a long call may wait as long as a short one.
+            Whether a long call may wait for as many short ones as a short call.
         """
         names = list(self._backlog_seconds)
         max_backlog = MAX_BACKLOG_SECONDS
         if duration > SHORT_CALL_SECONDS:
             names = names[int(len(names) * SHORT_CALL_ENTRIES_SHARE) :]
-            if not urgent:
+            if urgent:
+                names = [name for name in names if not self._long_calls[name]]
+            else:
                 max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
         names = self._usable(names, now)
         if not names:
@@ -115,6 +121,7 @@
         if self._backlog_seconds[name] > max_backlog:
             return None
         self._backlog_seconds[name] += duration
+        self._long_calls[name] += duration > SHORT_CALL_SECONDS
         return name
 
     def _usable(self, names: Sequence[str], now: float) -> list[str]:
@@ -133,6 +140,8 @@
         """Remove an ended call from the backlog of its entry."""
         if entry in self._backlog_seconds:
             self._backlog_seconds[entry] = max(self._backlog_seconds[entry] - duration, 0.0)
+            long_calls = self._long_calls[entry] - (duration > SHORT_CALL_SECONDS)
+            self._long_calls[entry] = max(long_calls, 0)
 
     def mark_failed(self, entry: str, now: float) -> None:
         """Assign no calls to an entry for a while after a failed one."""
