--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -8,6 +8,7 @@
 
 import math
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -25,6 +26,8 @@
 # A long call waits for an almost idle entry, so that the choice among long calls is made late.
 MAX_BACKLOG_OF_LONG_CALL_SECONDS = 0.1
 AVOID_FAILED_ENTRY_SECONDS = 2.0
+# The same while all entries have failed lately, so that one failed call bars none for long.
+RETRY_FAILED_ENTRY_SECONDS = 0.5
 SHORT_CALL_ENTRIES_SHARE = 0.3
 
 
@@ -77,38 +80,58 @@
 
     def __init__(self) -> None:
         self._backlog_seconds: dict[str, float] = {}
-        self._avoid_until: dict[str, float] = {}
+        self._long_calls: Counter[str] = Counter()
+        self._failed_at: dict[str, float] = {}
 
     def set_entries(self, entries: Sequence[str]) -> None:
         """Set the available entries; those that remain keep their backlog."""
         if self._backlog_seconds.keys() != set(entries):
             backlogs = self._backlog_seconds
             self._backlog_seconds = {name: backlogs.get(name, 0.0) for name in sorted(entries)}
+            self._long_calls = Counter({name: self._long_calls[name] for name in entries})
 
-    def assign(self, duration: float, now: float) -> str | None:
+    def assign(self, duration: float, now: float, urgent: bool = False) -> str | None:
         """Assign a call to the entry with the smallest backlog; return None if all are too large.
 
+        While short calls come faster than they are served, no entry that takes them is ever almost
+        idle, so an urgent long call queues up behind them, but not behind another long one: the
+        runners that it names would be full by the time of its answer.
+
         Parameters
         ----------
         duration : float
             Duration of the call in seconds; part of the entry's backlog until `end_call`.
         now : float
             Time in seconds.
+        urgent : bool
+            Whether a long call may wait for as many short ones as a short call.
         """
         names = list(self._backlog_seconds)
         max_backlog = MAX_BACKLOG_SECONDS
         if duration > SHORT_CALL_SECONDS:
             names = names[int(len(names) * SHORT_CALL_ENTRIES_SHARE) :]
-            max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
-        names = [n for n in names if self._avoid_until.get(n, 0.0) <= now]
+            if urgent:
+                names = [name for name in names if not self._long_calls[name]]
+            else:
+                max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
+        names = self._usable(names, now)
         if not names:
             return None
         name = min(names, key=self._backlog_seconds.__getitem__)
         if self._backlog_seconds[name] > max_backlog:
             return None
         self._backlog_seconds[name] += duration
+        self._long_calls[name] += duration > SHORT_CALL_SECONDS
         return name
 
+    def _usable(self, names: Sequence[str], now: float) -> list[str]:
+        """Return the entries that no call has failed at lately, or if there are none, just now."""
+        for seconds in (AVOID_FAILED_ENTRY_SECONDS, RETRY_FAILED_ENTRY_SECONDS):
+            usable = [n for n in names if self._failed_at.get(n, -math.inf) + seconds <= now]
+            if usable:
+                return usable
+        return []
+
     def backlog(self, entry: str) -> float:
         """Return the backlog of an entry, in seconds."""
         return self._backlog_seconds.get(entry, 0.0)
@@ -117,10 +140,12 @@
         """Remove an ended call from the backlog of its entry."""
         if entry in self._backlog_seconds:
             self._backlog_seconds[entry] = max(self._backlog_seconds[entry] - duration, 0.0)
+            long_calls = self._long_calls[entry] - (duration > SHORT_CALL_SECONDS)
+            self._long_calls[entry] = max(long_calls, 0)
 
     def mark_failed(self, entry: str, now: float) -> None:
         """Assign no calls to an entry for a while after a failed one."""
-        self._avoid_until[entry] = now + AVOID_FAILED_ENTRY_SECONDS
+        self._failed_at[entry] = now
 
 
 class CandidatePolicy(ABC):
--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -127,26 +127,23 @@
             if not self._plan_call(work, stage, names):
                 stage.tickets.recheck_at = self._now + self._recheck_delay
 
-    def plan_for_overdue(self, work: JobWork, stage: Stage, suspended: FreeResources) -> None:
-        """Plan a call for an overdue stage of lasting tasks if there is room for one of them.
+    def plan_for_lasting(self, work: JobWork, stage: Stage, suspended: FreeResources) -> None:
+        """Plan a call for lasting tasks that have waited if there is room for one of them.
 
         It comes before those for all other stages, of which there may always be enough for every
-        entry. It names suspended runners with room as well, unless enough others are known to be
-        allowed.
+        entry, and takes the first entry that is free. For an overdue stage it names ``suspended``
+        runners with room as well, unless enough others are known to be allowed.
         """
-        upstream = work.queue.upstream
+        upstream, tickets = work.queue.upstream, stage.tickets
         with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
-        last_resort = [
-            runner
-            for runner in suspended.with_room(upstream, stage.spec)
-            if runner.id not in stage.tickets.denied
-        ]
+        last_resort = suspended.with_room(upstream, stage.spec) if stage.overdue else []
+        last_resort = [runner for runner in last_resort if runner.id not in tickets.denied]
         if not (with_room or last_resort) or not self._may_search(work, stage):
             return
         names = self._candidate_policy.choose_runners(stage, with_room, self._now, False)
-        if len(stage.tickets.allowed.intersection(names)) < len(stage.waiting):
+        if len(tickets.allowed.intersection(names)) < len(stage.waiting):
             names += self._candidate_policy.choose_runners(stage, last_resort, self._now, False)
-        self._plan_call(work, stage, names)
+        self._plan_call(work, stage, names, urgent=True)
 
     def plan_for_successors(self, jobs: Iterable[JobWork], silent: Set[str]) -> None:
         """Plan calls for stages whose predecessors are about to end.
@@ -195,17 +192,21 @@
         if not self._plan_call(work, stage, names):
             stage.tickets.recheck_at = self._now + self._recheck_delay
 
-    def _plan_call(self, work: JobWork, stage: Stage, names: Sequence[str]) -> bool:
+    def _plan_call(
+        self, work: JobWork, stage: Stage, names: Sequence[str], urgent: bool = False
+    ) -> bool:
         """Plan a call that names runners, if an entry is available; return whether it is needed."""
         cost = work.queue.advice
         if cost is None or not names:
             return False
         names = names[:MAX_RUNNERS_PER_CALL]
         duration = call_duration(cost, len(names))
-        entry = self._loads.assign(duration, self._now)
+        entry = self._loads.assign(duration, self._now, urgent)
         if entry is None:
             self._no_entry_for.add(duration > SHORT_CALL_SECONDS)
-            stage.tickets.recheck_at = self._now + self._recheck_delay
+            # With a delay, a later stage would take the next entry before an urgent one.
+            if not urgent:
+                stage.tickets.recheck_at = self._now + self._recheck_delay
             return True
         wait = self._loads.backlog(entry) - duration
         stage.tickets.asked_at = self._now
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -40,6 +40,8 @@
 AVOID_FAILED_RUNNER_SECONDS = 2.0
 # With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
 LASTING_PATIENCE_SECONDS = 1.5
+# Leaves time for calls to several stages, and for those before them, within the same 3 s.
+LASTING_ADVICE_PATIENCE_SECONDS = 0.5
 NO_KINDS: frozenset[str] = frozenset()
 
 
@@ -151,7 +153,7 @@
         self._record_arrivals(ready, now)
         capped = self._caps.begin()
         self._mark_overdue(ready, capped, now)
-        self._ask_for_overdue(ready, now)
+        self._plan_calls_for_lasting(ready, now)
         held_back: set[str] = set()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
             if work.queue.upstream in held_back and not inputs.lasts:
@@ -194,6 +196,17 @@
         self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
+    def _plan_calls_for_lasting(self, ready: list[ReadyStage], now: float) -> None:
+        """Plan calls for the lasting tasks that have waited, the longest wait first."""
+        rows = [
+            (stage.longest_wait(now), work, stage) for work, stage, _ in ready if stage.spec.daemon
+        ]
+        overdue = any(stage.overdue for _, _, stage in rows)
+        suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
+        for wait, work, stage in sorted(rows, key=lambda row: -row[0]):
+            if wait > LASTING_ADVICE_PATIENCE_SECONDS:
+                self._advice.plan_for_lasting(work, stage, suspended)
+
     def _start_on_suspended(
         self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
     ) -> None:
@@ -246,15 +259,6 @@
                 if stage.overdue and capped:
                     stage.overdue = self._caps.allowed(stage, stage.longest_wait(now)) > 0
 
-    def _ask_for_overdue(self, ready: list[ReadyStage], now: float) -> None:
-        """Plan calls to the advisor for overdue stages, also about suspended runners."""
-        overdue = [(work, stage) for work, stage, _ in ready if stage.overdue and work.queue.advice]
-        if not overdue:
-            return
-        suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now))
-        for work, stage in overdue:
-            self._advice.plan_for_overdue(work, stage, suspended)
-
     def _ready_stages(self, jobs: Collection[JobWork], now: float, wall: float) -> list[ReadyStage]:
         rows: list[ReadyStage] = []
         for work in jobs:
