Count the loss of a runner as a crash only once its end is proved

What callers saw: a job of lasting tasks was shown failed though no task had failed; its runners had been out of reach four times.

Cause: a runner whose lease had expired was recorded as a crash under its tasks, like one in whose place another boot answers. Four such rows give a task up, and nothing took them back when the boot answered again. A successor counted inherited trials and withdrawn tasks the same way.

It is dropped if the boot answers, and counts once another boot answers in its place: as beside, since the runner may have crashed after the run had ended, or as trial if it fell silent right after the start of a trial. Losses alone neither suspect nor give up. Beside a proved crash they make a task suspected, and one with five of both waits up to 15 s (a lasting one 3 s) for the proof. Without that a deadly task whose runners return after their leases would start a sixth time before its crashes are proved.

Non-trial rows of older progress are read as losses, as they may be unproved.

--- a/ragworttiller/scheduling/decisions/crash_blame.py
+++ b/ragworttiller/scheduling/decisions/crash_blame.py
@@ -21,12 +21,14 @@
 PROMPT_CRASH_SECONDS = 0.1
 
 
-def blame_runs(runner: RunnerState, alone: bool, now: float) -> list[tuple[Run, Crash]]:
+def blame_runs(
+    runner: RunnerState, alone: bool, proved: bool, now: float
+) -> list[tuple[Run, Crash]]:
     """Return the runs that a lost runner may have crashed of, each with what speaks for it.
 
-    A draining runner leaves as planned. One of which no other boot answers may only be out of
-    reach, one that has crashed lately may crash of itself, and several at once have another cause:
-    in a trial, only a crash right after the start speaks for itself.
+    A draining runner leaves as planned. One that has crashed lately may crash of itself, several at
+    once have another cause: in a trial, only a crash right after the start speaks for itself.
+    One whose leases had expired before its end was proved may have crashed after the runs.
 
     Parameters
     ----------
@@ -34,6 +36,8 @@
         Lost runner, with its runs.
     alone : bool
         Whether no other runner without a trial was lost at the same moment.
+    proved : bool
+        Whether another boot was known to answer in its place before its leases had expired.
     now : float
         Time in seconds.
     """
@@ -50,9 +54,13 @@
         # Nothing has started beside it: that explains the crash.
         prompt = silent_since - together[0].started_at <= PROMPT_CRASH_SECONDS
         sound = alone and silent_since >= runner.unsound_until
-        sure = runner.ended_at is not None and (prompt or sound)
-        blame = Blame.TRIAL if sure else Blame.LATEST
+        if proved:
+            blame = Blame.TRIAL if prompt or sound else Blame.LATEST
+        else:
+            blame = Blame.TRIAL if prompt else Blame.BESIDE
         return _with_crashes(runner.id, together, silent_since, blame)
+    if not proved:
+        return _with_crashes(runner.id, runs, silent_since, Blame.BESIDE)
     beside = [run for run in runs if run not in together]
     rows = _with_crashes(runner.id, together, silent_since, Blame.LATEST)
     return rows + _with_crashes(runner.id, beside, silent_since, Blame.BESIDE)
--- a/ragworttiller/scheduling/decisions/crash_rules.py
+++ b/ragworttiller/scheduling/decisions/crash_rules.py
@@ -18,6 +18,10 @@
 # How much longer than at its crashes a task has to run to be cleared.
 TRIAL_STRETCH = 2.0
 CRASHES_BESIDE_TO_SUSPECT = 2
+# How long a task that may have crashed as many runners as allowed waits for the proof. A lasting
+# task has to run again soon.
+MAX_PROOF_WAIT_SECONDS = 15.0
+MAX_LASTING_PROOF_WAIT_SECONDS = 3.0
 # Crashes at which a task is given up, by how many of them were in a trial that proves it.
 CRASHES_TO_GIVE_UP = {0: 4, 1: 4, 2: 3}
 MAX_TRIALS_COUNTED = max(CRASHES_TO_GIVE_UP)
@@ -25,11 +29,27 @@
 MAX_STARTS = 5
 
 
-def is_suspect(crashes: Sequence[Crash]) -> bool:
-    """Return whether a task may start only as a trial, given the crashes under it."""
-    return any(row.blame != Blame.BESIDE for row in crashes) or (
-        len(crashes) >= CRASHES_BESIDE_TO_SUSPECT
-    )
+def is_suspect(crashes: Sequence[Crash], losses: int = 0) -> bool:
+    """Return whether a task may start only as a trial, given the crashes under it.
+
+    ``losses`` is the number of its runners that may only be out of reach. They count only beside a
+    crash, since a runner that crashes may answer again only after the next ones have started.
+    """
+    if not crashes:
+        return False
+    blamed = any(row.blame != Blame.BESIDE for row in crashes)
+    return blamed or len(crashes) + losses >= CRASHES_BESIDE_TO_SUSPECT
+
+
+def proof_wait_seconds(crashes: Sequence[Crash], losses: int, lasts: bool) -> float:
+    """Return for how long a task waits for what became of its runners, in seconds.
+
+    Only one under which a runner has crashed waits, and only if it must not start again in case all
+    of its ``losses`` are crashes. ``lasts`` is whether the task is a lasting one.
+    """
+    if not crashes or not losses or len(crashes) + losses < MAX_STARTS:
+        return 0.0
+    return MAX_LASTING_PROOF_WAIT_SECONDS if lasts else MAX_PROOF_WAIT_SECONDS
 
 
 def trial_seconds(crashes: Sequence[Crash]) -> float:
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -294,6 +294,8 @@
         if stage.trials:
             # A trial of an earlier owner may still run.
             indices = [index for index in indices if index not in stage.trials]
+        if stage.losses:
+            indices = [index for index in indices if not stage.awaits_proof(index, now)]
         if allowance < len(indices) * stage.spec.reservation.cpu:
             indices = indices[: int(allowance // stage.spec.reservation.cpu)]
         if allowed < len(indices):
@@ -365,6 +367,7 @@
         rows = stage.crashes[run.task.ordinal]
         seconds = exclusive_seconds(rows)
         stage.trials[run.task.ordinal] = runner.id
+        stage.trial_addresses[run.task.ordinal] = runner.entry.address
         self._pool.begin_trial(runner, run, now + seconds)
         extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
         log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -71,13 +71,27 @@
     blame: str
 
 
+class Loss(NamedTuple):
+    """Loss of a runner under a task, as `Crash`, that may only be out of reach.
+
+    It counts as a crash once another boot answers at its ``address``, which is empty if unknown.
+    """
+
+    runner: str
+    address: str
+    seconds: float
+    blame: str
+
+
 class StageProgress(NamedTuple):
     """Ended and checkpointed tasks of one stage.
 
     ``done`` has one bit for each task, the lowest first. ``failures`` has the numbers of the failed
     runs, so that an end that is reported again counts once; it, ``checkpoints``, ``crashes`` and
     ``trials`` are keyed by the index of the task. ``trials`` has the runner on which a task is
-    tried; it is written before the start.
+    tried; it is written before the start. ``losses`` are keyed like ``crashes``; None marks a
+    record of a version that did not tell them apart. ``trial_addresses`` has the addresses of the
+    runners in ``trials``, for an owner that finds them no longer listed.
     """
 
     occurrence: int
@@ -87,6 +101,8 @@
     checkpoints: dict[int, str]
     crashes: dict[int, list[Crash]] = {}
     trials: dict[int, str] = {}
+    losses: dict[int, list[Loss]] | None = None
+    trial_addresses: dict[int, str] = {}
 
 
 class Progress(NamedTuple):
@@ -100,13 +116,15 @@
     """Runner on which the owner starts no more tasks, and the tasks that it may still run.
 
     ``renewed`` is whether the owner keeps renewing its lease, as on a draining runner. A ``silent``
-    one has missed calls. The tasks that started last come first.
+    one has missed calls. The tasks that started last come first. ``address`` is that of the runner,
+    empty if unknown.
     """
 
     runner: str
     tasks: list[str]
     renewed: bool = False
     silent: bool = False
+    address: str = ""
 
 
 class PressureRow(NamedTuple):
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -70,6 +70,7 @@
         self._config_version = -1
         self.by_id: dict[str, JobWork] = {}
         self.inherited_trials: set[StageId] = set()
+        self.inherited_losses: set[StageId] = set()
         fold.touched |= set(fold.jobs)
 
     def refresh(self, now: float, wall: float) -> None:
@@ -97,6 +98,7 @@
         self.by_id[job] = work
         self._configure(work)
         self.inherited_trials.update(s.id for s in work.stages.values() if s.trials)
+        self.inherited_losses.update(s.id for s in work.stages.values() if s.losses)
 
     def pending(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -283,7 +283,7 @@
     def plan(self, now: float, wall: float) -> Plan:
         """Return the starts, stops, advisor calls, looks and pace orders that are due now."""
         self.pool.end_runs(now)
-        self._tracker.settle_inherited()
+        self._tracker.crashes.settle(now)
         for run in self._runs_to_evacuate(now):
             self._stops.add(run, "runner drains")
         self._separation.begin(self.runners, self._stops, self._stage_of, now)
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -33,6 +33,8 @@
         Runners on which an earlier owner's tasks may still run.
     on_lost : Callable
         Called with a runner whose runs have all certainly ended with it, and the current time.
+    on_ended : Callable
+        Called with a boot in place of which another one answers, also if it was lost before.
     usage : WorkspaceUsage
         Receives what runs on the runners, by workspace.
 
@@ -52,12 +54,14 @@
         listed: RunnerFold,
         takeover: Takeover,
         on_lost: Callable[[RunnerState, float], None],
+        on_ended: Callable[[RunnerState], None],
         usage: WorkspaceUsage,
     ) -> None:
         self._usage = usage
         self._listed = listed
         self._takeover = takeover
         self._on_lost = on_lost
+        self._on_ended = on_ended
         # The platform may keep listing a boot for a while after it has ended.
         self._ended_boots: set[str] = set()
         self._list_version = -1
@@ -141,7 +145,8 @@
             runner.enrolled = False
             runner.renewal_withheld = runner.renewal_withheld or suspect
             silent = runner.misses > 0 and not runner.entry.draining
-            row = Withdrawn(runner.id, runner.latest_tasks(), not suspect, silent)
+            tasks, address = runner.latest_tasks(), runner.entry.address
+            row = Withdrawn(runner.id, tasks, not suspect, silent, address)
             withdrawn.append(row)
         return withdrawn
 
@@ -228,6 +233,10 @@
             self._doubtful[current.id] = current
             current.enrolled = False
 
+    def has_ended(self, boot: str) -> bool:
+        """Return whether another boot was known to answer in place of one that is listed."""
+        return boot in self._ended_boots
+
     def end_runs(self, now: float) -> None:
         """End the runs of boots and leases that had ended while this owner still owned the cell."""
         self._takeover.expire(min(now, self.owned_at))
@@ -261,6 +270,7 @@
         self._record_unsound(runner, now)
         self._mark_lost(runner, now, reason)
         self._ended_boots.add(runner.id)
+        self._on_ended(runner)
 
     def _record_unsound(self, runner: RunnerState, now: float) -> None:
         """Record that a boot has ended, unless a trial explains it."""
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -6,10 +6,11 @@
 from collections.abc import Iterator
 from statistics import median
 
-from ragworttiller.scheduling.decisions.crash_rules import is_suspect
+from ragworttiller.scheduling.decisions.crash_rules import is_suspect, proof_wait_seconds
 from ragworttiller.scheduling.records.formats import (
     Blame,
     Crash,
+    Loss,
     StageProgress,
     decode_bitmap,
     encode_bitmap,
@@ -69,9 +70,15 @@
     reserved_since : float or None
         Time in seconds since when room is reserved for it, None if there is no reservation.
     crashes : dict of int to list of Crash
-        Runners lost under a task since it last outlived its trial, by index.
+        Runners that crashed under a task since it last outlived its trial, by index.
+    losses : dict of int to list of Loss
+        Runners lost under a task since then that may only be out of reach, by index.
+    lost_at : dict of int to float
+        Time in seconds at which this owner learnt of the last of them, by index.
     trials : dict of int to str
         Runner on which a task is tried, by index.
+    trial_addresses : dict of int to str
+        Address of the runner on which a task was last tried, by index.
     cap_hold : CapHold
         Time for which the cap of its workspace has kept its tasks waiting.
     last_failed_runner : dict of int to str
@@ -113,7 +120,10 @@
         self.failed_runs: dict[int, list[int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.crashes: dict[int, list[Crash]] = {}
+        self.losses: dict[int, list[Loss]] = {}
+        self.lost_at: dict[int, float] = {}
         self.trials: dict[int, str] = {}
+        self.trial_addresses: dict[int, str] = {}
         self.last_failed_runner: dict[int, str] = {}
         self.tickets = Tickets()
         self.blocked_since: float | None = None
@@ -156,7 +166,9 @@
     @property
     def has_progress(self) -> bool:
         """Whether there is something to record about a task."""
-        return bool(self.done or self.failed_runs or self.checkpoints or self.crashes)
+        return bool(
+            self.done or self.failed_runs or self.checkpoints or self.crashes or self.losses
+        )
 
     def runs_by_runner(self) -> Counter[str]:
         """Return the number of runs on each runner that has any."""
@@ -184,8 +196,23 @@
         self.waiting = [index for index in self.waiting if index not in self.done]
         self.failed_runs = {index: list(runs) for index, runs in progress.failures.items()}
         self.checkpoints = dict(progress.checkpoints)
-        self.crashes = {index: list(rows) for index, rows in progress.crashes.items()}
+        self._restore_crashes(progress)
         self.trials = dict(progress.trials)
+        self.trial_addresses = dict(progress.trial_addresses)
+
+    def _restore_crashes(self, progress: StageProgress) -> None:
+        """Restore crashes and losses; of a record without losses, only trials are proved."""
+        if progress.losses is not None:
+            self.crashes = {index: list(rows) for index, rows in progress.crashes.items()}
+            self.losses = {index: list(rows) for index, rows in progress.losses.items()}
+            return
+        for index, rows in progress.crashes.items():
+            for row in rows:
+                if row.blame == Blame.TRIAL:
+                    self.add_crash(index, row)
+                else:
+                    loss = Loss(row.runner, "", row.seconds, str(Blame.BESIDE))
+                    self.losses.setdefault(index, []).append(loss)
 
     def progress(self) -> StageProgress:
         """Return the progress of the stage to record."""
@@ -197,6 +224,8 @@
             {i: text for i, text in self.checkpoints.items() if i not in self.done},
             {index: list(rows) for index, rows in self.crashes.items()},
             dict(self.trials),
+            {index: list(rows) for index, rows in self.losses.items()},
+            {i: address for i, address in self.trial_addresses.items() if i in self.trials},
         )
 
     def start(self, index: int, runner: str, epoch: int, now: float, number: int = 0) -> Run:
@@ -289,11 +318,34 @@
 
     def is_suspect(self, index: int) -> bool:
         """Return whether a task starts only as a trial."""
-        return index in self.crashes and is_suspect(self.crashes[index])
+        if index not in self.crashes:
+            return False
+        return is_suspect(self.crashes[index], len(self.losses.get(index, ())))
+
+    def add_loss(self, index: int, loss: Loss, now: float) -> None:
+        """Record the loss of a runner under a task that may only be out of reach."""
+        rows = [row for row in self.losses.get(index, ()) if row.runner != loss.runner]
+        self.losses[index] = [*rows, loss]
+        self.lost_at[index] = now
+
+    def take_loss(self, index: int, runner: str) -> Loss | None:
+        """Return the loss of a runner under a task, which is then no longer recorded as such."""
+        rows = self.losses.pop(index, [])
+        left = [row for row in rows if row.runner != runner]
+        if left:
+            self.losses[index] = left
+        return next((row for row in rows if row.runner == runner), None)
+
+    def awaits_proof(self, index: int, now: float) -> bool:
+        """Return whether a task waits until it is known what became of its runners."""
+        rows, losses = self.crashes.get(index, ()), self.losses.get(index, ())
+        seconds = proof_wait_seconds(rows, len(losses), self.spec.daemon)
+        return now < self.lost_at.get(index, float("-inf")) + seconds
 
     def clear_crashes(self, index: int) -> None:
         """Record that a task has outlived what its runners crashed of."""
         self.crashes.pop(index, None)
+        self.losses.pop(index, None)
         self.trials.pop(index, None)
 
     def requeue(self, run: Run, now: float) -> Run | None:
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -50,6 +50,25 @@
             rig.add_entry(owner.name)
 
 
+async def cut_off_each_start(rig: OwnersRig, times: int, seconds: float):
+    """Cut the runner of each of the first starts of the task off from all entries for a while."""
+    until = rig.timers.now() + 60.0
+    async with anyio.create_task_group() as tasks:
+        for number in range(times):
+            while starts_of(rig)[DEADLY_TASK] <= number:
+                assert rig.timers.now() < until, f"started {number} times only"
+                await rig.timers.sleep(0.005)
+            boots = [boot for task, _, boot in rig.monitor.starts if task == DEADLY_TASK]
+            tasks.start_soon(cut_off, rig, boots[-1], seconds)
+
+
+async def cut_off(rig: OwnersRig, machine: str, seconds: float):
+    for cut in (True, False):
+        for entry in rig.entries.values():
+            entry.link(machine).cut = cut
+        await rig.timers.sleep(seconds)
+
+
 async def state_of(rig: OwnersRig, job: str) -> JobState:
     return (await rig.states([job]))[0]
 
@@ -90,6 +109,24 @@
 
         with_rig(body, runners=4)
 
+    @pytest.mark.parametrize("keeps_ids", [False, True])
+    @pytest.mark.parametrize("daemon", [False, True])
+    @pytest.mark.parametrize("seconds", [6.0, 8.0, 12.0])
+    def test_it_is_given_up_though_its_runners_return_after_their_leases(
+        self, seconds: float, daemon: bool, keeps_ids: bool
+    ):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            rig.return_seconds = seconds
+            rig.deadly = {DEADLY_TASK}
+            await rig.submit(DEADLY, step(1, daemon=daemon))
+            await wait_failed(rig, DEADLY, within=90.0)
+            await rig.timers.sleep(20.0)
+            assert await state_of(rig, DEADLY) == JobState.FAILED
+            assert starts_of(rig)[DEADLY_TASK] <= MAX_DEADLY_STARTS
+
+        with_rig(body, runners=6, keeps_ids=keeps_ids)
+
     @pytest.mark.parametrize("delay", [0.0, 0.3, 2.0, 3.2, 4.0])
     def test_its_crashes_outlive_a_change_of_owner(self, delay: float):
         async def body(rig: OwnersRig):
@@ -120,6 +157,25 @@
         with_rig(body, runners=4)
 
 
+class TestCutOff:
+    """A task whose runners are out of reach for a while, one after another."""
+
+    @pytest.mark.parametrize("daemon", [False, True])
+    def test_a_task_whose_runners_were_only_silent_is_not_given_up(self, daemon: bool):
+        async def body(rig: OwnersRig):
+            await start_entries(rig)
+            rig.work_by_job[DEADLY] = 60.0
+            await rig.submit(DEADLY, step(1, daemon=daemon))
+            await cut_off_each_start(rig, 5, 16.0)
+            await rig.timers.sleep(3.0)
+            assert starts_of(rig)[DEADLY_TASK] == 6
+            assert await state_of(rig, DEADLY) == JobState.QUEUED
+            assert any(DEADLY_TASK in boot.running for boot in rig.runners.values())
+            assert not rig.monitor.violations
+
+        with_rig(body, runners=6)
+
+
 class TestSoak:
     """Deadly tasks, and runners that restart under their identifiers, amid random faults."""
 
