--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -313,6 +313,8 @@
         if stage.trials:
             # A trial of an earlier owner may still run.
             indices = [index for index in indices if index not in stage.trials]
+        if stage.losses:
+            indices = [index for index in indices if not stage.awaits_proof(index, now)]
         if allowance < len(indices) * stage.spec.reservation.cpu:
             indices = indices[: int(allowance // stage.spec.reservation.cpu)]
         if allowed < len(indices):
@@ -387,6 +389,7 @@
         seconds = exclusive_seconds(rows)
         stage.trials[run.task.ordinal] = runner.id
         stage.last_trial_at = now
+        stage.trial_addresses[run.task.ordinal] = runner.entry.address
         self._pool.begin_trial(runner, run, now + seconds)
         extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
         log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
