--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -82,6 +82,7 @@
         self._backlog_seconds: dict[str, float] = {}
         self._long_calls: Counter[str] = Counter()
         self._failed_at: dict[str, float] = {}
+        self._last_failed_at = -math.inf
 
     def set_entries(self, entries: Sequence[str]) -> None:
         """Set the available entries; those that remain keep their backlog."""
@@ -126,6 +127,8 @@
 
     def _usable(self, names: Sequence[str], now: float) -> list[str]:
         """Return the entries that no call has failed at lately, or if there are none, just now."""
+        if now >= self._last_failed_at + AVOID_FAILED_ENTRY_SECONDS:
+            return list(names)
         for seconds in (AVOID_FAILED_ENTRY_SECONDS, RETRY_FAILED_ENTRY_SECONDS):
             usable = [n for n in names if self._failed_at.get(n, -math.inf) + seconds <= now]
             if usable:
@@ -145,7 +148,7 @@
 
     def mark_failed(self, entry: str, now: float) -> None:
         """Assign no calls to an entry for a while after a failed one."""
-        self._failed_at[entry] = now
+        self._failed_at[entry] = self._last_failed_at = now
 
 
 class CandidatePolicy(ABC):
--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -161,9 +161,11 @@
         if cost is None or tickets.call_deadline > self._now or tickets.recheck_at > self._now:
             return False
         if (call_duration(cost, 1) > SHORT_CALL_SECONDS) in self._no_entry_for:
+            tickets.awaits_call = True
             return False
         self._searches_due += 1
-        return self._searches_due <= MAX_SEARCHES_PER_PASS
+        tickets.awaits_call = self._searches_due > MAX_SEARCHES_PER_PASS
+        return not tickets.awaits_call
 
     def _plan_call_ahead(
         self, work: JobWork, stage: Stage, room_soon: Collection[str] | None = None
@@ -200,8 +202,9 @@
         entry = self._loads.assign(duration, self._now, urgent)
         if entry is None:
             self._no_entry_for.add(duration > SHORT_CALL_SECONDS)
-            # With a delay, a later stage would take the next entry before an urgent one.
-            if not urgent:
+            stage.tickets.awaits_call = True
+            # With a delay, a later stage would take the next entry before a lasting one.
+            if not stage.spec.daemon:
                 stage.tickets.recheck_at = self._now + self._recheck_delay
             return True
         wait = self._loads.backlog(entry) - duration
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -198,7 +198,9 @@
     def _plan_calls_for_lasting(self, ready: list[ReadyStage], now: float) -> None:
         """Plan calls for the lasting tasks that have waited, the longest wait first."""
         rows = [
-            (stage.longest_wait(now), work, stage) for work, stage, _ in ready if stage.spec.daemon
+            (stage.longest_wait(now), work, stage)
+            for work, stage, _ in ready
+            if stage.spec.daemon and stage.tickets.awaits_call
         ]
         for wait, work, stage in sorted(rows, key=lambda row: -row[0]):
             if wait > LASTING_ADVICE_PATIENCE_SECONDS:
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -20,6 +20,8 @@
         Time until which no other call is made for the stage, 0 if no call is in flight.
     recheck_at : float
         Time before which the stage is assumed to have all tickets it needs.
+    awaits_call : bool
+        Whether no search for the runners to name, or no entry, was left for a call that was due.
     """
 
     def __init__(self) -> None:
@@ -27,6 +29,7 @@
         self.denied: set[str] = set()
         self.call_deadline = 0.0
         self.recheck_at = 0.0
+        self.awaits_call = False
         self._tickets: dict[str, tuple[str, float]] = {}
 
     @property
