--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -199,7 +199,9 @@
     def _plan_calls_for_lasting(self, ready: list[ReadyStage], now: float) -> None:
         """Plan calls for the lasting tasks that have waited, the longest wait first."""
         rows = [
-            (stage.longest_wait(now), work, stage) for work, stage, _ in ready if stage.spec.daemon
+            (stage.longest_wait(now), work, stage)
+            for work, stage, _ in ready
+            if stage.spec.daemon and stage.tickets.awaits_call
         ]
         overdue = any(stage.overdue for _, _, stage in rows)
         suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -22,6 +22,8 @@
         Time of the last call for the stage, None before the first.
     recheck_at : float
         Time before which the stage is assumed to have all tickets it needs.
+    awaits_call : bool
+        Whether no search for the runners to name, or no entry, was left for a call that was due.
     """
 
     def __init__(self) -> None:
@@ -30,6 +32,7 @@
         self.call_deadline = 0.0
         self.asked_at: float | None = None
         self.recheck_at = 0.0
+        self.awaits_call = False
         self._tickets: dict[str, tuple[str, float]] = {}
 
     @property
