--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -47,7 +47,7 @@
     """
     if at_limit(stage, running):
         return False
-    if stage.overdue:
+    if stage.overdue or not runner.on_probation:
         return True
     return not awaits_probe(runner, running)
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -201,7 +201,7 @@
         rows = [
             (stage.longest_wait(now), work, stage)
             for work, stage, _ in ready
-            if stage.spec.daemon and stage.tickets.awaits_call
+            if stage.spec.daemon and (stage.tickets.awaits_call or stage.overdue)
         ]
         overdue = any(stage.overdue for _, _, stage in rows)
         suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -209,13 +209,13 @@
 
 class TestRunnersThatAnswerAgain:
     @pytest.mark.parametrize("cut_seconds", [2.0, 4.5, 8.0])
-    def test_a_lasting_task_runs_soon_on_a_runner_that_was_cut_off(self, cut_seconds: float):
-        """Guards against a runner that waits for its enrollment once it answers again."""
+    def test_lasting_tasks_run_soon_on_a_runner_that_was_cut_off(self, cut_seconds: float):
+        """Guards against a runner closed for a trial, since its silence was taken for a crash."""
 
         async def play(rig: OwnersRig) -> None:
             rig.work = 1000.0
             await start_entries(rig)
-            await rig.submit(JOB, step(1, daemon=True))
+            await rig.submit(JOB, step(2, daemon=True))
             await rig.timers.sleep(2.0)
             links = [entry.link("w1") for entry in rig.entries.values()]
             for link in links:
@@ -224,7 +224,7 @@
             for link in links:
                 link.cut = False
             await rig.timers.sleep(1.0)
-            assert rig.runners["w1"].running, rig.monitor.starts
+            assert len(rig.runners["w1"].running) == 2, rig.monitor.starts
 
         with_rig(play, runners=1)
 
