Let no lasting tasks that no call helps use up the searches of a pass

What callers saw: nothing yet; found by review. With 16 or more lasting stages that wait while each runner with room is denied to them or at their limit, no other stage of an advised queue was called for any more, lasting or not, although runners that suit had room.

Cause: a pass makes 16 searches for runners to name. Calls for lasting tasks come first, and a search for them that found no runner was repeated in each pass, so that the 16 longest waits took all searches for ever.

Evidence: simulated play on 4 runners, lasting stages of 5 tasks with an anti-affinity of 1. With 14 such stages a new job and a new lasting task start 1.0 s after they come; with 20 neither starts within 10 s. The test fails with 20 and with 60 stages before the change.

A search that finds none is now repeated after the usual delay, its stage comes after the other lasting ones, and lasting tasks take half of the searches at most.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -31,6 +31,8 @@
 MAX_RECHECK_DELAY_SECONDS = 0.4
 # A search for the runners to name looks at all runners of an upstream.
 MAX_SEARCHES_PER_PASS = 16
+# Lasting tasks come first, and leave some of these searches to all other stages.
+MAX_URGENT_SEARCHES_PER_PASS = 8
 
 
 class AdvicePlanner:
@@ -132,9 +134,14 @@
 
         It comes before those for all other stages, of which there may always be enough for every
         entry, and takes the first entry that is free. For an overdue stage it names ``suspended``
-        runners with room as well, unless enough others are known to be allowed.
+        runners with room as well, unless enough others are known to be allowed. A search that finds
+        no runner to name is not repeated at once: stages that wait for long come first in each
+        pass, and would take all of its searches.
         """
         upstream, tickets = work.queue.upstream, stage.tickets
+        searched = self._searches_due >= MAX_URGENT_SEARCHES_PER_PASS
+        if searched or tickets.urgent_recheck_at > self._now:
+            return
         with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
         last_resort = suspended.with_room(upstream, stage.spec) if stage.overdue else []
         last_resort = [runner for runner in last_resort if runner.id not in tickets.denied]
@@ -143,7 +150,8 @@
         names = self._candidate_policy.choose_runners(stage, with_room, self._now, False)
         if len(tickets.allowed.intersection(names)) < len(stage.waiting):
             names += self._candidate_policy.choose_runners(stage, last_resort, self._now, False)
-        self._plan_call(work, stage, names, urgent=True)
+        needed = self._plan_call(work, stage, names, urgent=True)
+        tickets.urgent_recheck_at = 0.0 if needed else self._now + self._recheck_delay
 
     def plan_for_successors(self, jobs: Iterable[JobWork], silent: Set[str]) -> None:
         """Plan calls for stages whose predecessors are about to end.
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -197,13 +197,17 @@
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
     def _plan_calls_for_lasting(self, ready: list[ReadyStage], now: float) -> None:
-        """Plan calls for the lasting tasks that have waited, the longest wait first."""
+        """Plan calls for the lasting tasks that have waited, the longest wait first.
+
+        Stages for which the last search found no runner to name come after the others.
+        """
         rows = [
             (stage.longest_wait(now), work, stage) for work, stage, _ in ready if stage.spec.daemon
         ]
         overdue = any(stage.overdue for _, _, stage in rows)
         suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
-        for wait, work, stage in sorted(rows, key=lambda row: -row[0]):
+        rows.sort(key=lambda row: (row[2].tickets.urgent_recheck_at, -row[0]))
+        for wait, work, stage in rows:
             if wait > LASTING_ADVICE_PATIENCE_SECONDS:
                 self._advice.plan_for_lasting(work, stage, suspended)
 
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -22,6 +22,9 @@
         Time of the last call for the stage, None before the first.
     recheck_at : float
         Time before which the stage is assumed to have all tickets it needs.
+    urgent_recheck_at : float
+        Time before which no runner with room is assumed to need a ticket for the stage, 0 unless
+        the last search found none.
     """
 
     def __init__(self) -> None:
@@ -30,6 +33,7 @@
         self.call_deadline = 0.0
         self.asked_at: float | None = None
         self.recheck_at = 0.0
+        self.urgent_recheck_at = 0.0
         self._tickets: dict[str, tuple[str, float]] = {}
 
     @property
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -246,8 +246,10 @@
 class AdvisorLoad:
     """Jobs that come all the time and end at once, and entries that make one call at a time."""
 
-    def __init__(self, entries: int, jobs_per_pass: int, queue: Queue) -> None:
-        self.rig = CellRig(20)
+    def __init__(
+        self, entries: int, jobs_per_pass: int, queue: Queue, runners: int = 20
+    ) -> None:
+        self.rig = CellRig(runners)
         self.rig.cell.set_entries([f"e{number}" for number in range(entries)])
         self._jobs, self._queue = jobs_per_pass, queue
         self._answers: list[tuple[float, AdviceCall]] = []
@@ -330,6 +332,26 @@
             load.rig.submit(step(1, daemon=True), job=job_id(number), queue=queue)
         assert load.seconds_until_lasting(stages) < MAX_WAIT_SECONDS
 
+    @pytest.mark.parametrize("stages", [20, 60])
+    def test_lasting_tasks_that_no_call_helps_keep_the_advisor_from_no_others(self, stages: int):
+        """Guards against searches for stages at their limit of each runner that end all calls."""
+        load = AdvisorLoad(4, 0, ADVISED, runners=4)
+        for number in range(100, 100 + stages):
+            load.rig.submit(step(5, 10, daemon=True, anti_affinity=1), job=job_id(number))
+            assert len(load.rig.start_all()) == 4
+            work = load.rig.cell.jobs[job_id(number)]
+            work.queue = ADVISED_LASTING
+            (stage,) = work.stages.values()
+            stage.tickets.allowed |= load.rig.cell.runners.keys()
+        for _ in range(20):
+            load.tick()
+        load.rig.submit(step(1, daemon=True), job=job_id(1), queue=ADVISED_LASTING)
+        load.rig.submit(step(1), job=job_id(2), queue=ADVISED)
+        jobs: set[str] = set()
+        for _ in range(30):
+            jobs |= {order.run.task.stage.job for order in load.tick().starts}
+        assert {job_id(1), job_id(2)} <= jobs
+
     def test_a_failed_call_does_not_keep_a_lasting_task_from_the_only_entry(self):
         """Guards against 2 s without any call, after which another one may fail."""
         rig = CellRig(4)
