Attribute late crashes to tasks if calls were refused before the leases ended

What callers saw: nothing yet; found by review. A task that crashes its runner 0.2 s or more after its start, on runners that are back only after their leases have expired, was started for ever.

Cause: since a loss whose end is proved after the leases counts as one beside others, of which no number gives a task up: the runner may have been out of reach and have crashed later. But a runner that is out of reach leaves calls unanswered, while nothing listens at the address of one that has crashed.

A loss still counts only once another boot answers, and is dropped if the same one does. The two new tests fail before the change.

--- a/ragworttiller/scheduling/decisions/crash_blame.py
+++ b/ragworttiller/scheduling/decisions/crash_blame.py
@@ -28,7 +28,7 @@
 
     A draining runner leaves as planned. One that has crashed lately may crash of itself, several at
     once have another cause: in a trial, only a crash right after the start speaks for itself.
-    One whose leases had expired before its end was proved may have crashed after the runs.
+    One whose leases may have expired before its end may have crashed after the runs.
 
     Parameters
     ----------
@@ -37,7 +37,7 @@
     alone : bool
         Whether no other runner without a trial was lost at the same moment.
     proved : bool
-        Whether another boot was known to answer in its place before its leases had expired.
+        Whether it had ended before its leases had expired, provided that it has ended at all.
     now : float
         Time in seconds.
     """
--- a/ragworttiller/scheduling/state/crashes.py
+++ b/ragworttiller/scheduling/state/crashes.py
@@ -244,8 +244,15 @@
 
 
 def _ended_before_its_leases(runner: RunnerState) -> bool:
-    """Return whether the end of a boot was known before its leases had certainly expired."""
-    return runner.ended_at is not None and not runner.lease_expired(runner.ended_at)
+    """Return whether a boot had ended before its leases, provided that it has ended at all.
+
+    Another boot answered by then, or nothing listened at its address, unlike at that of a runner
+    that is out of reach.
+    """
+    return any(
+        at is not None and not runner.lease_expired(at)
+        for at in (runner.ended_at, runner.refused_since)
+    )
 
 
 def _stands_in(runner: RunnerState, boot: str, address: str) -> bool:
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -56,6 +56,8 @@
         Time of the first of these calls, None if there is none.
     refuses : bool
         Whether nothing listened at its address at the last call.
+    refused_since : float or None
+        Time of the first such call since its last answer, None if there was none.
     unsound_until : float
         Time until which a crash may be the runner's own fault: a boot at its address has ended.
     leaves_at : float
@@ -87,6 +89,7 @@
         self.misses = 0
         self.silent_since: float | None = None
         self.refuses = False
+        self.refused_since: float | None = None
         self.unsound_until = float("-inf")
         self.last_end_seen = 0
         self.last_end_recorded = 0
@@ -218,6 +221,8 @@
         """Record a call that the runner did not answer; nothing listens there if it ``refused``."""
         self.misses += 1
         self.refuses = refused
+        if refused and self.refused_since is None:
+            self.refused_since = now
         if self.silent_since is None:
             self.silent_since = now
 
@@ -235,6 +240,7 @@
         self.misses = 0
         self.silent_since = None
         self.refuses = False
+        self.refused_since = None
         self.lost = False
         self._unanswered_looks = 0
         if self._clock_reading is not None and clock < self._clock_reading[0]:
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -188,6 +188,8 @@
         self.keeps_ids = keeps_ids
         # Time after which a machine that was crashed by a task is up again.
         self.return_seconds = RETURN_SECONDS
+        # Time from the start of a task to the crash that it causes.
+        self.crash_seconds = CRASH_DELAY_SECONDS
         self.stop_seconds = 0.0
         self.sizes: dict[str, Resources] = {}
         self.client = Store("", 1.0, Link(self.store, self.timers))
@@ -237,7 +239,9 @@
             self.tasks.start_soon(self.crash_and_return, machine)
 
     async def crash_and_return(self, machine: str):
-        """Crash the boot of a machine in a moment; the next boot follows some seconds later."""
+        """Crash the boot of a machine after a while; the next boot follows some seconds later."""
+        if self.crash_seconds > CRASH_DELAY_SECONDS:
+            await self.timers.sleep(self.crash_seconds - CRASH_DELAY_SECONDS)
         self.machines[machine].refuses = True
         await self.timers.sleep(CRASH_DELAY_SECONDS)
         if self.machines[machine].boot is None:
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -295,6 +295,21 @@
         rig.end_boot(order.run.runner)
         assert [row.blame for row in stage_of(rig).crashes[0]] == [Blame.LATEST, Blame.TRIAL]
 
+    @pytest.mark.parametrize("refused", [False, True])
+    def test_a_runner_that_refused_calls_before_its_leases_ended_crashed_under_its_tasks(
+        self, refused: bool
+    ):
+        rig = CellRig(2)
+        rig.submit(step(1))
+        (order,) = rig.start_all()
+        runner = rig.cell.runners[order.run.runner]
+        rig.cell.pool.record_no_answer(runner, rig.now + 1.0, refused=refused)
+        self.lapse(rig, order.run)
+        assert not stage_of(rig).crashes
+        rig.end_boot(runner.id)
+        blame = Blame.LATEST if refused else Blame.BESIDE
+        assert [row.blame for row in stage_of(rig).crashes[0]] == [blame]
+
     def test_an_end_that_was_proved_after_the_leases_is_no_proof_though_no_plan_was_made_between(
         self,
     ):
