--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -246,9 +246,7 @@
 class AdvisorLoad:
     """Jobs that come all the time and end at once, and entries that make one call at a time."""
 
-    def __init__(
-        self, entries: int, jobs_per_pass: int, queue: Queue, runners: int = 20
-    ) -> None:
+    def __init__(self, entries: int, jobs_per_pass: int, queue: Queue, runners: int = 20) -> None:
         self.rig = CellRig(runners)
         self.rig.cell.set_entries([f"e{number}" for number in range(entries)])
         self._jobs, self._queue = jobs_per_pass, queue
