Avoid trials on runners that were out of reach lately

What callers saw: a record of the users has a lasting task that was lost four times in a row, on runners that had run visibly fewer tasks than others. A suspected task is tried where the least work is lost, which is often a runner that is empty since it was out of reach, and that may be so again: such a trial takes a lease and proves nothing.

A runner that was lost and answers again now counts 20 core-seconds more for 20 s, so that a nearly empty sound runner is chosen before it, and a busy one is not. It is not unsound: its crash in a trial still counts as proof, since silence is no sign of crashes of its own.

The new test fails before the change with one lasting task on the other runner.

--- a/ragworttiller/scheduling/decisions/trials.py
+++ b/ragworttiller/scheduling/decisions/trials.py
@@ -12,6 +12,10 @@
 LASTING_TASK_SECONDS = 10.0
 # What a runner that has crashed lately counts, in thousandths of a core times seconds.
 UNSOUND_COST = 1e6
+# A runner that was out of reach for longer than its leases may be so again within this time.
+RETURN_SECONDS = 20.0
+# What such a runner counts: a trial that its lease ends proves nothing, but spoils little else.
+RETURN_COST = 2e4
 OVERDUE_TRIAL_INTERVAL_SECONDS = 1.5
 
 
@@ -20,7 +24,8 @@
 
     Load pattern: a crash leaves a few suspected tasks, and a rack that crashes leaves dozens at
     once. Each is tried where the least work is lost if its runner crashes, and only a share of the
-    runners has a trial at a time, so that all other tasks go on starting.
+    runners has a trial at a time, so that all other tasks go on starting. A runner that was out of
+    reach is empty when it answers again, and is not chosen for that alone.
     """
 
     def __init__(self) -> None:
@@ -71,6 +76,8 @@
     def _harm(self, runner: RunnerState) -> float:
         """Return the work that is lost if a runner crashes, in thousandths of a core times s."""
         harm = UNSOUND_COST if self._now < runner.unsound_until else 0.0
+        if self._now - runner.returned_at < RETURN_SECONDS:
+            harm += RETURN_COST
         for run in runner.runs.values():
             seconds = LASTING_TASK_SECONDS
             if not run.spec.daemon:
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -60,6 +60,8 @@
         Time of the first such call since its last answer, None if there was none.
     unsound_until : float
         Time until which a crash may be the runner's own fault: a boot at its address has ended.
+    returned_at : float
+        Time of its first answer after it was last lost, -inf if there was none.
     leaves_at : float
         Time at which a draining runner may shut down.
     last_end_seen, last_end_recorded : int
@@ -98,6 +100,7 @@
         self.next_look_at = float("-inf")
         self.admits_filling: Callable[[str], bool] | None = None
         self.last_answer_at = float("-inf")
+        self.returned_at = float("-inf")
         self.leaves_at = float("inf")
         self._used = NO_RESOURCES
         self._used_by_lasting = NO_RESOURCES
@@ -241,7 +244,8 @@
         self.silent_since = None
         self.refuses = False
         self.refused_since = None
-        self.lost = False
+        if self.lost:
+            self.lost, self.returned_at = False, now
         self._unanswered_looks = 0
         if self._clock_reading is not None and clock < self._clock_reading[0]:
             return False
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -404,6 +404,23 @@
         (order,) = rig.start_all()
         assert order.run.runner != lasting.run.runner
 
+    @pytest.mark.parametrize(("busy", "returned"), [(1, False), (3, True)])
+    def test_a_trial_avoids_a_runner_that_was_out_of_reach_lately_unless_much_work_is_lost(
+        self, busy: int, returned: bool
+    ):
+        """Guards against trials on runners that are empty since they were just silent."""
+        rig = CellRig(2)
+        rig.pass_time(6.0, "w1")
+        rig.end_runs()
+        rig.submit(step(busy, daemon=True), job=OTHER)
+        assert {order.run.runner for order in rig.start_all()} == {"w2"}
+        rig.hold("w1")
+        rig.enroll("w1")
+        rig.submit(step(1))
+        stage_of(rig).crashes[0] = [crash(Blame.LATEST, "w0")]
+        (order,) = rig.start_all()
+        assert (order.run.runner == "w1") == returned
+
     def test_only_a_share_of_the_runners_has_a_trial_at_a_time(self):
         trials = Trials()
         rig = CellRig(8)
