Look for runners with room only if a call may be made for a lasting stage

What callers saw: nothing yet; found by review. Each pass looked for runners with room for each lasting stage that waits, also while all entries were taken or a call was in flight.

No test: the tests measure no time.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -140,7 +140,7 @@
         """
         upstream, tickets = work.queue.upstream, stage.tickets
         searched = self._searches_due >= MAX_URGENT_SEARCHES_PER_PASS
-        if searched or tickets.urgent_recheck_at > self._now:
+        if searched or tickets.urgent_recheck_at > self._now or not self._search_due(work, stage):
             return
         with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
         last_resort = suspended.with_room(upstream, stage.spec) if stage.overdue else []
@@ -174,14 +174,18 @@
 
     def _may_search(self, work: JobWork, stage: Stage) -> bool:
         """Return whether to search runners to name for a stage now, which counts as a search."""
-        cost, tickets = work.queue.advice, stage.tickets
-        if cost is None or tickets.call_deadline > self._now or tickets.recheck_at > self._now:
-            return False
-        if (call_duration(cost, 1) > SHORT_CALL_SECONDS) in self._no_entry_for:
+        if not self._search_due(work, stage):
             return False
         self._searches_due += 1
         return self._searches_due <= MAX_SEARCHES_PER_PASS
 
+    def _search_due(self, work: JobWork, stage: Stage) -> bool:
+        """Return whether a call may be made for a stage, and some entry may be free for it."""
+        cost, tickets = work.queue.advice, stage.tickets
+        if cost is None or tickets.call_deadline > self._now or tickets.recheck_at > self._now:
+            return False
+        return (call_duration(cost, 1) > SHORT_CALL_SECONDS) not in self._no_entry_for
+
     def _plan_call_ahead(
         self, work: JobWork, stage: Stage, room_soon: Collection[str] | None = None
     ) -> None:
