Make no call for lasting tasks that start in the same pass

What callers saw: nothing yet; found by review. Once the tickets of a lasting stage had come, the pass that started its tasks called the advisor for it again: calls for lasting tasks are planned before the starts, for as many tasks as wait then. So each stage took two calls, and the entry that had just become free was taken from a stage that had none.

The test fails before the change.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -14,8 +14,9 @@
     call_duration,
 )
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
-from ragworttiller.scheduling.decisions.runner_rules import suitable
+from ragworttiller.scheduling.decisions.runner_rules import accepts_another, suitable
 from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import RunState, Stage
 
 # The advisor is called for the first stages of a queue before a runner has room for them: for one
@@ -145,6 +146,10 @@
         with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
         last_resort = suspended.with_room(upstream, stage.spec) if stage.overdue else []
         last_resort = [runner for runner in last_resort if runner.id not in tickets.denied]
+        places = _places_with_ticket(stage, [*with_room, *last_resort], self._now)
+        if places >= len(stage.waiting):
+            # They start in this pass.
+            return
         if not (with_room or last_resort) or not self._may_search(work, stage):
             return
         names = self._candidate_policy.choose_runners(stage, with_room, self._now, False)
@@ -240,3 +245,18 @@
                 if run.expected_end - self._now > seconds:
                     return False
         return True
+
+
+def _places_with_ticket(stage: Stage, runners: Iterable[RunnerState], now: float) -> int:
+    """Return how many tasks of a stage fit on runners for which it has a valid ticket."""
+    holders = stage.tickets.holders(now)
+    if not holders:
+        return 0
+    spec, running = stage.spec, stage.runs_by_runner()
+    return sum(
+        spec.reservation.copies_in(
+            runner.free, (spec.per_runner or spec.tasks) - running[runner.id]
+        )
+        for runner in runners
+        if runner.id in holders and accepts_another(runner, stage, running[runner.id])
+    )
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -350,6 +350,21 @@
             jobs |= {order.run.task.stage.job for order in load.tick().starts}
         assert {job_id(1), job_id(2)} <= jobs
 
+    def test_no_entry_is_called_again_for_tasks_that_have_just_got_their_tickets(self):
+        """Guards against two calls for each lasting stage while others wait for their first."""
+        rig = CellRig(60)
+        rig.cell.set_entries(["e1", "e2", "e3"])
+        for number in range(4):
+            rig.submit(step(5, daemon=True), job=job_id(number), queue=ADVISED_LASTING)
+        calls = rig.plan().calls
+        assert len(calls) == 3
+        rig.pass_time(1.0)
+        for call in calls:
+            rig.cell.apply_advice(call, dict.fromkeys(call.runners[::2], "t"), rig.now)
+        plan = rig.plan()
+        assert len(plan.starts) == 15
+        assert {call.stage.job for call in plan.calls} == {job_id(3)}
+
     def test_a_failed_call_does_not_keep_a_lasting_task_from_the_only_entry(self):
         """Guards against 2 s without any call, after which another one may fail."""
         rig = CellRig(4)
