Test that urgent calls queue behind short ones only, and losses beside a crash

A review reverted single lines of the fixes: no test failed without the rule of, that an urgent call queues up behind no other long call. That losses count beside a crash was tested by plays only in which calls are refused, and these are attributed by that now. Both new tests fail without their rule.

--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -53,6 +53,18 @@
         assert loads.assign(0.03, 0.0) == "a"
         assert loads.assign(0.7, 0.0) == "a"
 
+    def test_an_urgent_long_call_queues_up_behind_short_ones_but_not_behind_a_long_one(self):
+        """Guards against answers that name runners which have filled up meanwhile."""
+        loads = EntryLoads()
+        loads.set_entries(["a"])
+        for _ in range(10):
+            assert loads.assign(0.1, 0.0) == "a"
+        assert loads.assign(0.2, 0.0) is None
+        assert loads.assign(0.2, 0.0, urgent=True) == "a"
+        assert loads.assign(0.2, 0.0, urgent=True) is None
+        loads.end_call("a", 0.2)
+        assert loads.assign(0.2, 0.2, urgent=True) == "a"
+
     def test_the_backlog_includes_all_calls_in_flight(self):
         loads = EntryLoads()
         loads.set_entries(["a"])
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -87,6 +87,10 @@
         assert not is_suspect([crash(Blame.BESIDE)])
         assert is_suspect([crash(Blame.BESIDE)] * 2)
 
+    def test_a_runner_out_of_reach_makes_a_task_a_suspect_only_beside_a_crash(self):
+        assert is_suspect([crash(Blame.BESIDE)], losses=1)
+        assert not is_suspect([], losses=5)
+
     def test_a_trial_lasts_longer_than_it_took_the_slowest_crash(self):
         rows = [crash(Blame.BESIDE, seconds=2.0), crash(Blame.BESIDE, seconds=1.0)]
         assert trial_seconds(rows) > 2.0
