Call the advisor for no lasting tasks that the cap of their workspace holds

What callers saw: nothing yet; found by review. Lasting stages held by the cap of their workspace wait for the longest, so that calls for them come before all others, again whenever their tickets have expired unused.

Cause: calls for lasting stages are planned since by their wait, whether their cap allows a start or not.

The test fails before the change. A held stage of which tasks run is still called for at its place in the queue, as before.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -153,7 +153,7 @@
         self._record_arrivals(ready, now)
         capped = self._caps.begin()
         self._mark_overdue(ready, capped, now)
-        self._plan_calls_for_lasting(ready, now)
+        self._plan_calls_for_lasting(ready, capped, now)
         held_back: set[str] = set()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
             if work.queue.upstream in held_back and not inputs.lasts:
@@ -196,10 +196,11 @@
         self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
-    def _plan_calls_for_lasting(self, ready: list[ReadyStage], now: float) -> None:
+    def _plan_calls_for_lasting(self, ready: list[ReadyStage], capped: bool, now: float) -> None:
         """Plan calls for the lasting tasks that have waited, the longest wait first.
 
-        Stages for which the last search found no runner to name come after the others.
+        Stages for which the last search found no runner to name come after the others. None is made
+        for a stage that is held by the cap of its workspace, whose tickets would expire unused.
         """
         rows = [
             (stage.longest_wait(now), work, stage) for work, stage, _ in ready if stage.spec.daemon
@@ -208,7 +209,9 @@
         suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
         rows.sort(key=lambda row: (row[2].tickets.urgent_recheck_at, -row[0]))
         for wait, work, stage in rows:
-            if wait > LASTING_ADVICE_PATIENCE_SECONDS:
+            if wait <= LASTING_ADVICE_PATIENCE_SECONDS:
+                continue
+            if not capped or self._caps.allowed(stage, wait):
                 self._advice.plan_for_lasting(work, stage, suspended)
 
     def _start_on_suspended(
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -365,6 +365,21 @@
         assert len(plan.starts) == 15
         assert {call.stage.job for call in plan.calls} == {job_id(3)}
 
+    def test_no_entry_is_called_for_lasting_tasks_that_their_cap_holds(self):
+        """Guards against calls, ahead of all others, for tickets that expire unused."""
+        rig = CellRig(4)
+        rig.configure(Workspace("a", frozenset(), 100.0, Resources(1000, 0)))
+        rig.cell.set_entries([f"e{number}" for number in range(6)])
+        rig.submit(step(1, daemon=True), job=job_id(1), workspace="a")
+        assert len(rig.start_all()) == 1
+        for number in range(2, 6):
+            rig.submit(
+                step(1, daemon=True), job=job_id(number), queue=ADVISED_LASTING, workspace="a"
+            )
+        for _ in range(10):
+            assert not rig.plan().calls
+            rig.pass_time(0.25)
+
     def test_a_failed_call_does_not_keep_a_lasting_task_from_the_only_entry(self):
         """Guards against 2 s without any call, after which another one may fail."""
         rig = CellRig(4)
