--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -14,8 +14,9 @@
     call_duration,
 )
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
-from ragworttiller.scheduling.decisions.runner_rules import suitable
+from ragworttiller.scheduling.decisions.runner_rules import accepts_another, suitable
 from ragworttiller.scheduling.state.job_work import JobWork
+from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import RunState, Stage
 
 # The advisor is called for the first stages of a queue before a runner has room for them: for one
@@ -31,6 +32,8 @@
 MAX_RECHECK_DELAY_SECONDS = 0.4
 # A search for the runners to name looks at all runners of an upstream.
 MAX_SEARCHES_PER_PASS = 16
+# Lasting tasks come first, and leave some of these searches to all other stages.
+MAX_URGENT_SEARCHES_PER_PASS = 8
 
 
 class AdvicePlanner:
@@ -132,18 +135,28 @@
 
         It comes before those for all other stages, of which there may always be enough for every
         entry, and takes the first entry that is free. For an overdue stage it names ``suspended``
-        runners with room as well, unless enough others are known to be allowed.
+        runners with room as well, unless enough others are known to be allowed. A search that finds
+        no runner to name is not repeated at once: stages that wait for long come first in each
+        pass, and would take all of its searches.
         """
         upstream, tickets = work.queue.upstream, stage.tickets
+        searched = self._searches_due >= MAX_URGENT_SEARCHES_PER_PASS
+        if searched or tickets.urgent_recheck_at > self._now or not self._search_due(work, stage):
+            return
         with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
         last_resort = suspended.with_room(upstream, stage.spec) if stage.overdue else []
         last_resort = [runner for runner in last_resort if runner.id not in tickets.denied]
+        places = _places_with_ticket(stage, [*with_room, *last_resort], self._now)
+        if places >= len(stage.waiting):
+            # They start in this pass.
+            return
         if not (with_room or last_resort) or not self._may_search(work, stage):
             return
         names = self._candidate_policy.choose_runners(stage, with_room, self._now, False)
         if len(tickets.allowed.intersection(names)) < len(stage.waiting):
             names += self._candidate_policy.choose_runners(stage, last_resort, self._now, False)
-        self._plan_call(work, stage, names, urgent=True)
+        needed = self._plan_call(work, stage, names, urgent=True)
+        tickets.urgent_recheck_at = 0.0 if needed else self._now + self._recheck_delay
 
     def plan_for_successors(self, jobs: Iterable[JobWork], silent: Set[str]) -> None:
         """Plan calls for stages whose predecessors are about to end.
@@ -166,15 +179,21 @@
 
     def _may_search(self, work: JobWork, stage: Stage) -> bool:
         """Return whether to search runners to name for a stage now, which counts as a search."""
+        if not self._search_due(work, stage):
+            return False
+        self._searches_due += 1
+        stage.tickets.awaits_call = self._searches_due > MAX_SEARCHES_PER_PASS
+        return not stage.tickets.awaits_call
+
+    def _search_due(self, work: JobWork, stage: Stage) -> bool:
+        """Return whether a call may be made for a stage, and some entry may be free for it."""
         cost, tickets = work.queue.advice, stage.tickets
         if cost is None or tickets.call_deadline > self._now or tickets.recheck_at > self._now:
             return False
         if (call_duration(cost, 1) > SHORT_CALL_SECONDS) in self._no_entry_for:
             tickets.awaits_call = True
             return False
-        self._searches_due += 1
-        tickets.awaits_call = self._searches_due > MAX_SEARCHES_PER_PASS
-        return not tickets.awaits_call
+        return True
 
     def _plan_call_ahead(
         self, work: JobWork, stage: Stage, room_soon: Collection[str] | None = None
@@ -231,3 +250,18 @@
                 if run.expected_end - self._now > seconds:
                     return False
         return True
+
+
+def _places_with_ticket(stage: Stage, runners: Iterable[RunnerState], now: float) -> int:
+    """Return how many tasks of a stage fit on runners for which it has a valid ticket."""
+    holders = stage.tickets.holders(now)
+    if not holders:
+        return 0
+    spec, running = stage.spec, stage.runs_by_runner()
+    return sum(
+        spec.reservation.copies_in(
+            runner.free, (spec.per_runner or spec.tasks) - running[runner.id]
+        )
+        for runner in runners
+        if runner.id in holders and accepts_another(runner, stage, running[runner.id])
+    )
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -56,8 +56,12 @@
         Time of the first of these calls, None if there is none.
     refuses : bool
         Whether nothing listened at its address at the last call.
+    refused_since : float or None
+        Time of the first such call since its last answer, None if there was none.
     unsound_until : float
         Time until which a crash may be the runner's own fault: a boot at its address has ended.
+    returned_at : float
+        Time of its first answer after it was last lost, -inf if there was none.
     leaves_at : float
         Time at which a draining runner may shut down.
     last_end_seen, last_end_recorded : int
@@ -87,6 +91,7 @@
         self.misses = 0
         self.silent_since: float | None = None
         self.refuses = False
+        self.refused_since: float | None = None
         self.unsound_until = float("-inf")
         self.last_end_seen = 0
         self.last_end_recorded = 0
@@ -95,6 +100,7 @@
         self.next_look_at = float("-inf")
         self.admits_filling: Callable[[str], bool] | None = None
         self.last_answer_at = float("-inf")
+        self.returned_at = float("-inf")
         self.leaves_at = float("inf")
         self._used = NO_RESOURCES
         self._used_by_lasting = NO_RESOURCES
@@ -218,6 +224,8 @@
         """Record a call that the runner did not answer; nothing listens there if it ``refused``."""
         self.misses += 1
         self.refuses = refused
+        if refused and self.refused_since is None:
+            self.refused_since = now
         if self.silent_since is None:
             self.silent_since = now
 
@@ -235,7 +243,9 @@
         self.misses = 0
         self.silent_since = None
         self.refuses = False
-        self.lost = False
+        self.refused_since = None
+        if self.lost:
+            self.lost, self.returned_at = False, now
         self._unanswered_looks = 0
         if self._clock_reading is not None and clock < self._clock_reading[0]:
             return False
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -24,6 +24,9 @@
         Time before which the stage is assumed to have all tickets it needs.
     awaits_call : bool
         Whether no search for the runners to name, or no entry, was left for a call that was due.
+    urgent_recheck_at : float
+        Time before which no runner with room is assumed to need a ticket for the stage, 0 unless
+        the last search found none.
     """
 
     def __init__(self) -> None:
@@ -33,6 +36,7 @@
         self.asked_at: float | None = None
         self.recheck_at = 0.0
         self.awaits_call = False
+        self.urgent_recheck_at = 0.0
         self._tickets: dict[str, tuple[str, float]] = {}
 
     @property
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -87,6 +87,10 @@
         assert not is_suspect([crash(Blame.BESIDE)])
         assert is_suspect([crash(Blame.BESIDE)] * 2)
 
+    def test_a_runner_out_of_reach_makes_a_task_a_suspect_only_beside_a_crash(self):
+        assert is_suspect([crash(Blame.BESIDE)], losses=1)
+        assert not is_suspect([], losses=5)
+
     def test_a_trial_lasts_longer_than_it_took_the_slowest_crash(self):
         rows = [crash(Blame.BESIDE, seconds=2.0), crash(Blame.BESIDE, seconds=1.0)]
         assert trial_seconds(rows) > 2.0
@@ -295,6 +299,21 @@
         rig.end_boot(order.run.runner)
         assert [row.blame for row in stage_of(rig).crashes[0]] == [Blame.LATEST, Blame.TRIAL]
 
+    @pytest.mark.parametrize("refused", [False, True])
+    def test_a_runner_that_refused_calls_before_its_leases_ended_crashed_under_its_tasks(
+        self, refused: bool
+    ):
+        rig = CellRig(2)
+        rig.submit(step(1))
+        (order,) = rig.start_all()
+        runner = rig.cell.runners[order.run.runner]
+        rig.cell.pool.record_no_answer(runner, rig.now + 1.0, refused=refused)
+        self.lapse(rig, order.run)
+        assert not stage_of(rig).crashes
+        rig.end_boot(runner.id)
+        blame = Blame.LATEST if refused else Blame.BESIDE
+        assert [row.blame for row in stage_of(rig).crashes[0]] == [blame]
+
     def test_an_end_that_was_proved_after_the_leases_is_no_proof_though_no_plan_was_made_between(
         self,
     ):
@@ -389,6 +408,23 @@
         (order,) = rig.start_all()
         assert order.run.runner != lasting.run.runner
 
+    @pytest.mark.parametrize(("busy", "returned"), [(1, False), (3, True)])
+    def test_a_trial_avoids_a_runner_that_was_out_of_reach_lately_unless_much_work_is_lost(
+        self, busy: int, returned: bool
+    ):
+        """Guards against trials on runners that are empty since they were just silent."""
+        rig = CellRig(2)
+        rig.pass_time(6.0, "w1")
+        rig.end_runs()
+        rig.submit(step(busy, daemon=True), job=OTHER)
+        assert {order.run.runner for order in rig.start_all()} == {"w2"}
+        rig.hold("w1")
+        rig.enroll("w1")
+        rig.submit(step(1))
+        stage_of(rig).crashes[0] = [crash(Blame.LATEST, "w0")]
+        (order,) = rig.start_all()
+        assert (order.run.runner == "w1") == returned
+
     def test_only_a_share_of_the_runners_has_a_trial_at_a_time(self):
         trials = Trials()
         rig = CellRig(8)
