Don't suspend a runner for lasting tasks that fail after a long run

The jobs were late, not lost: before this commit the last one was completed 133.6 s after the end of the faults. They waited while one to four of five runners had room.

Cause: the lasting tasks of the soak fail at the end of each run of 5 to 15 s. Two such ends within 4 s on one runner suspended it ("repeated failures"), on probation a single one, for 3 to 12 s each. Lasting tasks that have waited for 1.5 s start on suspended runners, so they went on failing there, and the runners stayed closed for all other tasks. A lasting task that has run for 4 s ended a probation as a success, and its end counted as a failure of the runner all the same.

Change: the end of a lasting run that has lasted for the failure window doesn't count against its runner. Lasting tasks that fail sooner, and all other failures, count as before.

The test failed before (5.0-1: no start).

Ruled out: a lost record of a job, a change of owner (the last one is 1 s before the end of the faults), the trials of the deadly task (given up 10.8 s after the faults).

--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -289,7 +289,7 @@
             if not stage.spec.daemon:
                 stage.add_failed_run(index, end.run)
                 stage.last_failed_runner[index] = runner.id
-            if runner.record_failure(now):
+            if runner.record_failure(run, now):
                 self._suspend(runner, "repeated failures", now)
         if stage.spec.checkpoints and end.checkpoint and index not in stage.done:
             stage.checkpoints[index] = end.checkpoint
--- a/ragworttiller/scheduling/state/runner_health.py
+++ b/ragworttiller/scheduling/state/runner_health.py
@@ -41,8 +41,21 @@
         """Return whether the runner has refused a start, so that it would refuse the next one."""
         return now < self._refused_until
 
-    def record_failure(self, now: float) -> bool:
-        """Record a failed run and return whether the runner is to be suspended for it."""
+    def record_failure(self, run: Run | None, now: float) -> bool:
+        """Record a failed run and return whether the runner is to be suspended for it.
+
+        A lasting task that has run for the failure window counts as a success of the runner, so
+        that its own end says nothing against the runner.
+
+        Parameters
+        ----------
+        run : Run or None
+            The run, None if this owner does not know it.
+        now : float
+            Time of the owner, in seconds.
+        """
+        if run is not None and _is_lasting_success(run, now):
+            return False
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_SECONDS]
         self._failures = [*recent, now]
         return len(self._failures) >= FAILURES_TO_SUSPEND or self.on_probation
@@ -80,9 +93,9 @@
         bool
             Whether this has ended the probation.
         """
-        if not self.on_probation or not run.spec.daemon or run.started_at < self.suspended_until:
+        if not self.on_probation or run.started_at < self.suspended_until:
             return False
-        if now - run.started_at < FAILURE_WINDOW_SECONDS:
+        if not _is_lasting_success(run, now):
             return False
         self.record_success(now)
         return True
@@ -92,3 +105,8 @@
         self._failures.clear()
         if not self.suspended(now):
             self._suspensions = 0
+
+
+def _is_lasting_success(run: Run, now: float) -> bool:
+    """Return whether a lasting task has run for the failure window."""
+    return run.spec.daemon and now - run.started_at >= FAILURE_WINDOW_SECONDS
--- a/tests/test_runner_conditions.py
+++ b/tests/test_runner_conditions.py
@@ -84,6 +84,20 @@
         lines = [row for row in caplog.records if row.message == "probation ended"]
         assert [row.runner for row in lines] == ["w1"]
 
+    @pytest.mark.parametrize(("seconds", "started"), [(3.0, 0), (5.0, 1)])
+    def test_lasting_tasks_that_end_late_close_their_runner_for_no_other_task(
+        self, seconds: float, started: int
+    ):
+        """Guards against jobs that wait while lasting tasks fail at the end of long runs."""
+        rig = CellRig(1)
+        rig.submit(step(2, daemon=True))
+        orders = rig.start_all()
+        rig.pass_time(seconds)
+        rig.hold("w1", *[(order.run.task, order.run.number, "failed") for order in orders])
+        rig.cancel()
+        rig.submit(step(1), job=job_id(1))
+        assert len(rig.start_all()) == started
+
     def test_a_stalled_task_is_stopped(self, rig: CellRig):
         rig.submit(step(1))
         (only,) = rig.start_all()
