Let the stand-in store queue appends as the platform's does

All claims end as append_undecided, and are retried by three entries.

Cause: the stand-in. Its queue was one for all partitions, had no limit, and kept the time of appends whose callers had given up, which it never carried out. At the end of the faults appends to come had to wait 26 s, so that each claim (2 s, three calls) timed out and none was stored. The platform has a queue for each partition, returns 503 while more than 2 s are waiting, and carries out what it has accepted. The stand-in does so now, and an epoch takes effect when its append is accepted, as with `queue_seconds`. The client of the rig has the result of a sent append before its caller ends: otherwise a job is stored that no check knows of.

Ruled out: a fault of the retries; the claims were retried as designed, at most three calls each.

--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -16,6 +16,8 @@
 
 PRODUCER_ANSWERS_KEPT = 5
 PAGE_ITEMS = 500
+# An append is refused while the appends before it take longer than this.
+MAX_QUEUE_SECONDS = 2.0
 
 
 class _Producer:
@@ -33,9 +35,12 @@
     ----------
     first : int
         Offset of the oldest retained record.
+    busy_until : float
+        Time at which the queued appends are carried out, in seconds.
     """
 
     def __init__(self) -> None:
+        self.busy_until = 0.0
         self.records: list[bytes] = []
         self.first = 0
         self.producers: dict[str, _Producer] = defaultdict(_Producer)
@@ -70,10 +75,11 @@
     down : bool
         Whether every call is refused.
     write_seconds : float
-        Seconds that each append takes; appends are serialized.
+        Seconds that each append takes; the appends to a partition are serialized. A queued append
+        is carried out even if its caller has given up.
     queue_seconds : dict of str to float
-        Seconds for which an append to a topic waits behind those of other writers. It is carried
-        out even if its caller has given up.
+        Seconds for which an append to a topic waits behind those of other writers, which are not
+        simulated.
     answer_seconds : float
         Seconds by which each answer is late.
     """
@@ -86,7 +92,6 @@
         self.write_seconds = 0.0
         self.queue_seconds: dict[str, float] = {}
         self.answer_seconds = 0.0
-        self._next_write_at = 0.0
         self._closed = False
 
     def partition(self, topic: str) -> StoredPartition:
@@ -121,20 +126,24 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         partition = self.partitions[query["topic"], int(query["part"])]
         if parts.path == "/-/log-append":
-            seconds = self.queue_seconds.get(query["topic"], 0.0)
-            if seconds:
-                return await self._append_from_queue(seconds, partition, query, body)
-            await self._wait_for_write()
-            return self._answer_append(partition, query, body)
+            return await self._queue_append(partition, query, body)
         if parts.path == "/-/log-newest":
             return self._newest(partition, query)
         return await self._read(partition, query)
 
-    async def _wait_for_write(self) -> None:
+    async def _queue_append(
+        self, partition: StoredPartition, query: dict[str, str], body: bytes
+    ) -> Answer:
+        queue = self.queue_seconds.get(query["topic"], 0.0)
+        if queue:
+            return await self._append_from_queue(queue, partition, query, body)
         now = self._timers.now()
-        self._next_write_at = max(self._next_write_at, now) + self.write_seconds
-        if self._next_write_at > now:
-            await self._timers.sleep(self._next_write_at - now)
+        if partition.busy_until - now > MAX_QUEUE_SECONDS:
+            return json_answer(503)
+        partition.busy_until = max(partition.busy_until, now) + self.write_seconds
+        if partition.busy_until > now:
+            return await self._append_from_queue(partition.busy_until - now, partition, query, body)
+        return self._answer_append(partition, query, body)
 
     async def _append_from_queue(
         self, seconds: float, partition: StoredPartition, query: dict[str, str], body: bytes
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -54,6 +54,7 @@
 }
 CRASH_DELAY_SECONDS = 0.01
 RETURN_SECONDS = 3.0
+APPEND_TIMEOUT_SECONDS = 10.0
 # Share of the machines on which the advisor allows a stage of a queue that asks it.
 ALLOWED_SHARE = 0.7
 
@@ -316,7 +317,9 @@
     async def _append(self, record: KeyedRecord):
         while True:
             try:
-                await self.client.append(JOBS, [record])
+                # An append that was sent has its result before its caller ends: no other follows.
+                with anyio.CancelScope(shield=True):
+                    await self.client.append(JOBS, [record], timeout=APPEND_TIMEOUT_SECONDS)
                 return
             except (LogUnavailable, AppendUndecided):
                 await self.timers.sleep(0.2)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -6,8 +6,10 @@
 import pytest
 
 from ragworttiller.exceptions import AppendUndecided, LogUnavailable
+from ragworttiller.platform.store import KeyedRecord, Partition
 from ragworttiller.timers import ManualTimers
 from standins.memory import MemoryLog
+from tests.store_rig import PARTITION, StoreRig, virtual
 
 
 class TestMemoryLog:
@@ -65,3 +67,36 @@
                 await timers.advance(5.0)
 
         anyio.run(scenario)
+
+
+class TestStoreService:
+    @virtual
+    async def test_an_append_is_carried_out_after_its_caller_has_given_up(self):
+        """Guards against time in the queue of the store that is spent on appends never made."""
+        rig = StoreRig()
+        rig.service.write_seconds = 1.5
+        with pytest.raises(AppendUndecided):
+            await rig.store.append(PARTITION, [KeyedRecord("a", b"1")], timeout=1.0)
+        assert rig.values() == {}
+        await rig.timers.sleep(0.6)
+        assert rig.values() == {"a": b"1"}
+
+    @virtual
+    async def test_an_append_is_refused_while_more_than_two_seconds_are_waiting(self):
+        """Guards against a queue without a limit, which delays claims long after its cause."""
+        rig = StoreRig()
+        rig.service.write_seconds = 0.6
+        refused: list[int] = []
+
+        async def append(number: int):
+            try:
+                await rig.store.append(PARTITION, [KeyedRecord(str(number), b"1")], timeout=4.0)
+            except LogUnavailable:
+                refused.append(number)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(6):
+                tasks.start_soon(append, number)
+                await rig.timers.sleep(0.01)
+            await rig.store.append(Partition("keyed.others"), [KeyedRecord("a", b"1")], timeout=0.7)
+        assert (refused, sorted(rig.values())) == ([4, 5], ["0", "1", "2", "3"])
