Let the advisor of the soak answer by machine, also where boots keep its identifier

Cause: the rig. Entries know a boot as w1@1000000 if boots keep the identifier of their machine, and the rig took all of it for the name of the machine; the judge asks for w1. So both drew another answer, and the judge counted room on runners that the advisor had denied (`tasks wait` says denied, the two allowed runners w1 and w3 were full).

--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import re
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
@@ -304,7 +305,7 @@
 
     def allows(self, stage: str, boot: str) -> bool:
         """Return whether the advisor allows a stage on the machine of a boot."""
-        machine = boot.split("-")[0]
+        machine = re.split("[-@]", boot)[0]
         return random.Random(f"{stage} {machine}").random() < ALLOWED_SHARE
 
     async def submit(self, job: str, *steps: dict, queue: Queue = QUEUE):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,6 +9,7 @@
 from ragworttiller.platform.store import KeyedRecord, Partition
 from ragworttiller.timers import ManualTimers
 from standins.memory import MemoryLog
+from tests.owners_rig import OwnersRig, with_rig
 from tests.store_rig import PARTITION, StoreRig, virtual
 
 
@@ -100,3 +101,15 @@
                 await rig.timers.sleep(0.01)
             await rig.store.append(Partition("keyed.others"), [KeyedRecord("a", b"1")], timeout=0.7)
         assert (refused, sorted(rig.values())) == ([4, 5], ["0", "1", "2", "3"])
+
+
+class TestAdvice:
+    def test_the_answer_for_a_machine_does_not_depend_on_the_boot(self):
+        """Guards against a judge that counts runners which the advisor has denied."""
+
+        async def body(rig: OwnersRig):
+            for stage in map(str, range(20)):
+                boots = ("w1", "w1-boot2", "w1@1031000")
+                assert len({rig.allows(stage, boot) for boot in boots}) == 1
+
+        with_rig(body)
