--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import re
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
@@ -54,6 +55,7 @@
 }
 CRASH_DELAY_SECONDS = 0.01
 RETURN_SECONDS = 3.0
+APPEND_TIMEOUT_SECONDS = 10.0
 # Share of the machines on which the advisor allows a stage of a queue that asks it.
 ALLOWED_SHARE = 0.7
 
@@ -307,7 +309,7 @@
 
     def allows(self, stage: str, boot: str) -> bool:
         """Return whether the advisor allows a stage on the machine of a boot."""
-        machine = boot.split("-")[0]
+        machine = re.split("[-@]", boot)[0]
         return random.Random(f"{stage} {machine}").random() < ALLOWED_SHARE
 
     async def submit(self, job: str, *steps: dict, queue: Queue = QUEUE):
@@ -320,7 +322,9 @@
     async def _append(self, record: KeyedRecord):
         while True:
             try:
-                await self.client.append(JOBS, [record])
+                # An append that was sent has its result before its caller ends: no other follows.
+                with anyio.CancelScope(shield=True):
+                    await self.client.append(JOBS, [record], timeout=APPEND_TIMEOUT_SECONDS)
                 return
             except (LogUnavailable, AppendUndecided):
                 await self.timers.sleep(0.2)
