--- a/ragworttiller/scheduling/decisions/free_resources.py
+++ b/ragworttiller/scheduling/decisions/free_resources.py
@@ -71,7 +71,9 @@
             # Free CPU never exceeds its value at the start of the pass, so no later one has room.
             if self._cpu_at_start[runner.id] < size.cpu:
                 break
-            if size.fits(self.for_stage(runner.id, overdue)):
+            # No call for stages that are not overdue, since a pass asks this most often.
+            room = self.for_stage(runner.id, overdue) if overdue else self._free[runner.id]
+            if size.fits(room):
                 rows.append(runner)
         rows = suitable(rows, upstream, spec)
         if not rows:
@@ -85,7 +87,10 @@
         size, rows = spec.reservation, []
         for name in names:
             runner = self._runners.get(name)
-            if runner is not None and size.fits(self.for_stage(name, overdue)):
+            if runner is None:
+                continue
+            room = self.for_stage(name, overdue) if overdue else self._free[name]
+            if size.fits(room):
                 rows.append(runner)
         return suitable(rows, upstream, spec)
 
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -104,7 +104,9 @@
 
     def accepting_lasting_tasks_only(self, now: float) -> list[RunnerState]:
         """Return the suspended runners on which a lasting task may be tried."""
-        return [r for r in self.runners.values() if r.accepts_lasting_tasks_only(now)]
+        # Each pass asks this of all runners, of which few are suspended.
+        suspended = [r for r in self.runners.values() if now < r.suspended_until]
+        return [r for r in suspended if r.accepts_lasting_tasks_only(now)]
 
     def silent(self) -> set[str]:
         """Return the runners that have missed a call since their last answer."""
