Read the figures of the owner for metrics from a view of their own

No change of behaviour. Tests: test_earlier_owner, test_entry_process, test_slow_takeover, test_owners, test_reference, test_lasting_waits, test_kinds, test_workspace_view, test_state_reads.

--- a/ragworttiller/scheduling/entry/entry_metrics.py
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -12,25 +12,26 @@
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.ownership.cell_host import CellHost
+from ragworttiller.scheduling.ownership.owner_figures import OwnerFigures
 from ragworttiller.scheduling.ownership.owner_gaps import OwnerGaps
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.workspace_view import largest_and_rest, used_cpu, waiting_jobs
 
 
-class HostMetric(NamedTuple):
-    """A metric with one value, read from the host of the cell."""
+class OwnerMetric(NamedTuple):
+    """A metric with one value, read from the owner that the entry runs."""
 
     name: str
     help_text: str
-    reading: Callable[[CellHost], float]
+    reading: Callable[[OwnerFigures], float]
 
 
-class HostMetricByKind(NamedTuple):
-    """A metric with a value for each kind of runner, read from the host of the cell."""
+class OwnerMetricByKind(NamedTuple):
+    """A metric with a value for each kind of runner, read from the owner that the entry runs."""
 
     name: str
     help_text: str
-    readings: Callable[[CellHost], dict[str, float]]
+    readings: Callable[[OwnerFigures], dict[str, float]]
 
 
 class CellMetricByWorkspace(NamedTuple):
@@ -41,63 +42,65 @@
     readings: Callable[[Cell], dict[str, float]]
 
 
-HOST_COUNTERS = (
-    HostMetric("copies_started", "Copies of stragglers.", lambda host: host.copies.started),
-    HostMetric("copies_won", "Copies that ended first.", lambda host: host.copies.won),
-    HostMetric("copies_wasted", "Copies that did not.", lambda host: host.copies.wasted),
-    HostMetric(
+OWNER_COUNTERS = (
+    OwnerMetric("copies_started", "Copies of stragglers.", lambda owner: owner.copies.started),
+    OwnerMetric("copies_won", "Copies that ended first.", lambda owner: owner.copies.won),
+    OwnerMetric("copies_wasted", "Copies that did not.", lambda owner: owner.copies.wasted),
+    OwnerMetric(
         "copies_wasted_core_seconds",
         "Processor time that wasted copies reserved.",
-        lambda host: host.copies.wasted_core_seconds,
+        lambda owner: owner.copies.wasted_core_seconds,
     ),
 )
 
-HOST_GAUGES = (
-    HostMetric("owner_planning_share", "Share of time in passes.", lambda host: host.pace.planning),
-    HostMetric("owner_longest_pass_seconds", "Longest pass.", lambda host: host.pace.longest),
-    HostMetric("owner_lag_seconds", "Longest delay of a timer.", lambda host: host.pace.lag),
-    HostMetric(
+OWNER_GAUGES = (
+    OwnerMetric(
+        "owner_planning_share", "Share of time in passes.", lambda owner: owner.pace.planning
+    ),
+    OwnerMetric("owner_longest_pass_seconds", "Longest pass.", lambda owner: owner.pace.longest),
+    OwnerMetric("owner_lag_seconds", "Longest delay of a timer.", lambda owner: owner.pace.lag),
+    OwnerMetric(
         "owner_waiting_jobs",
         "Open jobs with a stage that waits.",
-        lambda host: sum(host.pace.waiting.values()),
+        lambda owner: sum(owner.pace.waiting.values()),
     ),
-    HostMetric(
+    OwnerMetric(
         "owner_lasting_tasks_waiting",
         "Lasting tasks that have waited for over 3 s.",
-        lambda host: host.waiting_lasting_tasks,
+        lambda owner: owner.waiting_lasting_tasks,
     ),
-    HostMetric(
+    OwnerMetric(
         "interference_paces",
         "Pace orders sent by this owner.",
-        lambda host: host.interference_count("paces"),
+        lambda owner: owner.interference_count("paces"),
     ),
-    HostMetric(
+    OwnerMetric(
         "interference_stops",
         "Filling tasks that this owner stopped for a serving one.",
-        lambda host: host.interference_count("stops"),
+        lambda owner: owner.interference_count("stops"),
     ),
-    HostMetric(
+    OwnerMetric(
         "interference_placements",
         "Placements that believed pairs changed.",
-        lambda host: host.interference_count("placements"),
+        lambda owner: owner.interference_count("placements"),
     ),
-    HostMetric(
+    OwnerMetric(
         "interference_pairs",
         "Pairs of images of which something is known.",
-        lambda host: host.interference_count("pairs"),
+        lambda owner: owner.interference_count("pairs"),
     ),
 )
 
 GAUGES_BY_KIND = (
-    HostMetricByKind(
+    OwnerMetricByKind(
         "owner_kind_time_ratio",
         "Duration of tasks on a kind of runner relative to the mean.",
-        lambda host: host.kind_ratios,
+        lambda owner: owner.kind_ratios,
     ),
-    HostMetricByKind(
+    OwnerMetricByKind(
         "owner_kind_samples",
         "Tasks from which the speed of a kind was learnt.",
-        lambda host: host.kind_samples,
+        lambda owner: owner.kind_samples,
     ),
 )
 
@@ -157,16 +160,16 @@
         "owner_lasting_task_wait_seconds",
         "Wait of a lasting task from the end of a run, or from the first pass, to the next run.",
         (),
-        lambda: host.lasting_waits,
+        lambda: host.figures.lasting_waits,
     )
-    for row in HOST_COUNTERS:
-        metrics.counter(row.name, row.help_text, partial(row.reading, host))
-    for row in HOST_GAUGES:
-        metrics.gauge(row.name, row.help_text, partial(row.reading, host))
+    for row in OWNER_COUNTERS:
+        metrics.counter(row.name, row.help_text, partial(row.reading, host.figures))
+    for row in OWNER_GAUGES:
+        metrics.gauge(row.name, row.help_text, partial(row.reading, host.figures))
     for name, help_text, of_cell in GAUGES_BY_WORKSPACE:
         metrics.gauge_by_label(name, help_text, "workspace", partial(_of_cell, host, of_cell))
-    for name, help_text, of_host in GAUGES_BY_KIND:
-        metrics.gauge_by_label(name, help_text, "kind", partial(of_host, host))
+    for name, help_text, of_owner in GAUGES_BY_KIND:
+        metrics.gauge_by_label(name, help_text, "kind", partial(of_owner, host.figures))
 
 
 def _refusals(admission: AdmissionGate, reason: RefusalReason) -> float:
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -110,7 +110,12 @@
             self._store,
             self._config,
             PeerAdvice(
-                self._peers, self._entries, advisor, reconnector, clock, lambda: self._host.lag
+                self._peers,
+                self._entries,
+                advisor,
+                reconnector,
+                clock,
+                lambda: self._host.figures.lag,
             ),
             clock,
             self._name,
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -8,7 +8,6 @@
 import anyio
 
 from ragworttiller.exceptions import RagworttillerError
-from ragworttiller.metrics import Distribution
 from ragworttiller.platform.runners import RunnerClient
 from ragworttiller.platform.store import Store
 from ragworttiller.scheduling.clock import Clock
@@ -19,9 +18,9 @@
     UnreachableEarlierOwner,
 )
 from ragworttiller.scheduling.ownership.owner import Owner
+from ragworttiller.scheduling.ownership.owner_figures import OwnerFigures
 from ragworttiller.scheduling.ownership.owner_watch import POLL_SECONDS, OwnerHeartbeat
 from ragworttiller.scheduling.ownership.ownership import Claimed, Ownership
-from ragworttiller.scheduling.ownership.pace_log import NO_PACE, OwnerPace
 from ragworttiller.scheduling.ownership.renewals import Renewals
 from ragworttiller.scheduling.ownership.standbys import NoStandbys, Standbys
 from ragworttiller.scheduling.ownership.succession import Inherited, Succession
@@ -31,8 +30,6 @@
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.retention import Retention
-from ragworttiller.scheduling.state.copy_tally import CopyTally
-from ragworttiller.scheduling.state.lasting_waits import long_waits
 from ragworttiller.scheduling.state.owned_cell import LEASE_SECONDS, Cell
 
 log = logging.getLogger(__name__)
@@ -86,6 +83,8 @@
         Jobs recorded in the store.
     claims : ClaimFold
         Last claim.
+    figures : OwnerFigures
+        What the owner measures while this entry owns the cell.
     jobs_feed, claims_feed : Feed
         Feeds of the jobs and of the claims; run by the entry.
     on_claims_read : Callable
@@ -133,6 +132,7 @@
         self._settle_seconds = DEFAULT_SETTLE_SECONDS
         self.jobs = JobFold()
         self.claims = ClaimFold()
+        self.figures = OwnerFigures(lambda: self._owner, clock)
         self.on_claims_read: Callable[[], None] = lambda: None
         self.jobs_feed = Feed(
             store, JOBS, self.jobs, clock, JOBS_READ_INTERVAL_SECONDS, self._jobs_changed
@@ -155,47 +155,6 @@
         """Running owner, None while this entry does not own the cell."""
         return self._owner
 
-    def interference_count(self, name: str) -> float:
-        """Return a count of the owner's separation policy, 0 if this entry is not the owner."""
-        return 0.0 if self._owner is None else float(self._owner.cell.separation.counts[name])
-
-    @property
-    def pace(self) -> OwnerPace:
-        """Pace of the running owner, `NO_PACE` while this entry does not own the cell."""
-        return NO_PACE if self._owner is None else self._owner.pace
-
-    @property
-    def copies(self) -> CopyTally:
-        """Copies of stragglers in the current term, none if this entry is not the owner."""
-        return CopyTally() if self._owner is None else self._owner.cell.copies
-
-    @property
-    def lasting_waits(self) -> dict[tuple[str, ...], Distribution]:
-        """Waits of lasting tasks in the current term, none if this entry is not the owner."""
-        return {} if self._owner is None else {(): self._owner.cell.lasting_waits.durations}
-
-    @property
-    def waiting_lasting_tasks(self) -> int:
-        """Lasting tasks that wait for long, 0 if this entry is not the owner."""
-        if self._owner is None:
-            return 0
-        return long_waits(self._owner.cell.jobs.values(), self._clock.now())
-
-    @property
-    def lag(self) -> float:
-        """How late the event loop of the running owner runs, in seconds, 0 without one."""
-        return 0.0 if self._owner is None else self._owner.lag
-
-    @property
-    def kind_ratios(self) -> dict[str, float]:
-        """Relative task durations by kind of runner, none while this entry owns no cell."""
-        return {} if self._owner is None else self._owner.cell.kind_ratios()
-
-    @property
-    def kind_samples(self) -> dict[str, float]:
-        """Numbers of their samples by kind of runner, none while this entry owns no cell."""
-        return {} if self._owner is None else self._owner.cell.kind_samples()
-
     @property
     def seconds_since_renewal(self) -> float:
         """Seconds since a claim or a renewal was read, -1 before the first."""
@@ -260,7 +219,7 @@
         """
         if self._renewals is None or self._renewals.term.epoch != epoch:
             return False
-        return self._renewals.term.seems_alive(self.lag)
+        return self._renewals.term.seems_alive(self.figures.lag)
 
     async def _claim(self, previous: Claim | None) -> Claimed | None:
         self._claiming = True
