Keep the precedence of lasting stages, and the start of a trial, out of the planner

StagePlanner had over 400 lines: beside placing tasks in order it marked stages of lasting tasks as overdue, planned their calls to the advisor, and recorded the start of a trial. The first two are now in decisions/lasting_stages.py with the two patiences that they share, and the last stands beside the choice of the runner in decisions/trials.py, so its log line has that module's logger.

Tests: test_lasting_tasks, test_crash_blame, test_advice, test_caps, test_cell_decisions, test_decisions, test_owner_pace.

--- /dev/null
+++ b/ragworttiller/scheduling/decisions/lasting_stages.py
@@ -0,0 +1,84 @@
+"""Decides which stages of lasting tasks are overdue, and calls the advisor for them first."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
+from ragworttiller.scheduling.decisions.caps import Caps
+from ragworttiller.scheduling.decisions.fair_order import ReadyStage
+from ragworttiller.scheduling.decisions.free_resources import FreeResources
+from ragworttiller.scheduling.state.runner_pool import RunnerPool
+from ragworttiller.scheduling.state.runs import Stage
+
+# With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
+LASTING_PATIENCE_SECONDS = 1.5
+# Leaves time for calls to several stages, and for those before them, within the same 3 s.
+LASTING_ADVICE_PATIENCE_SECONDS = 0.5
+
+
+class LastingStages:
+    """Puts stages of lasting tasks that have waited before all others.
+
+    Load pattern: while bursts of short tasks fill the runners and the advisor, a lasting task that
+    has ended would wait for as long as they go on. Lasting tasks have no limit of attempts, and
+    each has to run whenever there is room for it.
+
+    Parameters
+    ----------
+    pool : RunnerPool
+        Runners of the cell.
+    caps : Caps
+        Limits what each workspace starts.
+    advice : AdvicePlanner
+        Plans calls to the advisor.
+    """
+
+    def __init__(self, pool: RunnerPool, caps: Caps, advice: AdvicePlanner) -> None:
+        self._pool = pool
+        self._caps = caps
+        self._advice = advice
+
+    def mark_overdue(self, ready: Sequence[ReadyStage], capped: bool, now: float) -> None:
+        """Mark the stages that wait for long though their cap allows them.
+
+        Parameters
+        ----------
+        ready : sequence of ReadyStage
+            Stages of which tasks may start, of lasting tasks and of others.
+        capped : bool
+            Whether workspaces have caps.
+        now : float
+            Time in seconds.
+        """
+        for _, stage, _ in ready:
+            if stage.spec.daemon:
+                stage.overdue = stage.blocked_since is not None and waits_for_long(stage, now)
+                if stage.overdue and capped:
+                    stage.overdue = self._caps.allowed(stage, stage.longest_wait(now)) > 0
+
+    def plan_calls(self, ready: Sequence[ReadyStage], now: float) -> None:
+        """Plan calls to the advisor for stages that have waited, the longest wait first.
+
+        Parameters
+        ----------
+        ready : sequence of ReadyStage
+            Stages of which tasks may start, of lasting tasks and of others.
+        now : float
+            Time in seconds.
+        """
+        rows = [
+            (stage.longest_wait(now), work, stage)
+            for work, stage, _ in ready
+            if stage.spec.daemon and (stage.tickets.awaits_call or stage.overdue)
+        ]
+        overdue = any(stage.overdue for _, _, stage in rows)
+        suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
+        for wait, work, stage in sorted(rows, key=lambda row: -row[0]):
+            if wait > LASTING_ADVICE_PATIENCE_SECONDS:
+                self._advice.plan_for_lasting(work, stage, suspended)
+
+
+def waits_for_long(stage: Stage, now: float) -> bool:
+    """Return whether a task of a lasting stage has waited for longer than it should."""
+    return stage.longest_wait(now) > LASTING_PATIENCE_SECONDS
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -11,12 +11,12 @@
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
 from ragworttiller.scheduling.decisions.caps import RESERVE_DELAY_SECONDS, Caps
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
-from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.fair_order import ReadyStage, ShareOrder
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
 from ragworttiller.scheduling.decisions.kinds import KindPolicy
 from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, SlowStart
+from ragworttiller.scheduling.decisions.lasting_stages import LastingStages, waits_for_long
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.pass_speeds import PassSpeeds
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
@@ -24,11 +24,12 @@
 from ragworttiller.scheduling.decisions.runner_rules import suits
 from ragworttiller.scheduling.decisions.stragglers import Leftovers
 from ragworttiller.scheduling.decisions.task_placement import Placer
+from ragworttiller.scheduling.decisions.trials import begin_trial
 from ragworttiller.scheduling.state.job_work import JobWork
-from ragworttiller.scheduling.state.orders import Plan, StartOrder, run_fields
+from ragworttiller.scheduling.state.orders import Plan, StartOrder
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Run, Stage
+from ragworttiller.scheduling.state.runs import Stage
 from ragworttiller.scheduling.state.speeds import Speeds
 from ragworttiller.scheduling.state.takeover import Takeover
 
@@ -38,10 +39,6 @@
 GANG_RESERVE_DELAY_SECONDS = 2.0
 GANG_RESERVE_SECONDS = 4.0
 AVOID_FAILED_RUNNER_SECONDS = 2.0
-# With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
-LASTING_PATIENCE_SECONDS = 1.5
-# Leaves time for calls to several stages, and for those before them, within the same 3 s.
-LASTING_ADVICE_PATIENCE_SECONDS = 0.5
 NO_KINDS: frozenset[str] = frozenset()
 
 
@@ -119,6 +116,7 @@
         self.loads = EntryLoads()
         self._advice = AdvicePlanner(self.loads, candidate_policy)
         self._room_maker = room_maker
+        self._lasting = LastingStages(pool, caps, self._advice)
 
     def plan(
         self,
@@ -152,8 +150,8 @@
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
         capped = self._caps.begin()
-        self._mark_overdue(ready, capped, now)
-        self._plan_calls_for_lasting(ready, now)
+        self._lasting.mark_overdue(ready, capped, now)
+        self._lasting.plan_calls(ready, now)
         held_back: set[str] = set()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
             if work.queue.upstream in held_back and not inputs.lasts:
@@ -196,19 +194,6 @@
         self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
-    def _plan_calls_for_lasting(self, ready: list[ReadyStage], now: float) -> None:
-        """Plan calls for the lasting tasks that have waited, the longest wait first."""
-        rows = [
-            (stage.longest_wait(now), work, stage)
-            for work, stage, _ in ready
-            if stage.spec.daemon and (stage.tickets.awaits_call or stage.overdue)
-        ]
-        overdue = any(stage.overdue for _, _, stage in rows)
-        suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
-        for wait, work, stage in sorted(rows, key=lambda row: -row[0]):
-            if wait > LASTING_ADVICE_PATIENCE_SECONDS:
-                self._advice.plan_for_lasting(work, stage, suspended)
-
     def _start_on_suspended(
         self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
     ) -> None:
@@ -250,17 +235,6 @@
                 cpu = len(stage.waiting) * stage.spec.reservation.cpu
                 self._headroom.record_arrival(work.queue.upstream, inputs.priority, cpu, now)
 
-    def _mark_overdue(self, ready: list[ReadyStage], capped: bool, now: float) -> None:
-        """Mark the stages of lasting tasks that wait for long though their cap allows them.
-
-        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
-        """
-        for _, stage, _ in ready:
-            if stage.spec.daemon:
-                stage.overdue = stage.blocked_since is not None and _waits_for_long(stage, now)
-                if stage.overdue and capped:
-                    stage.overdue = self._caps.allowed(stage, stage.longest_wait(now)) > 0
-
     def _ready_stages(self, jobs: Collection[JobWork], now: float, wall: float) -> list[ReadyStage]:
         rows: list[ReadyStage] = []
         for work in jobs:
@@ -378,24 +352,14 @@
             run.start_deadline = runner.grant_start(now, START_DEADLINE_SECONDS)
             runner.add(run)
             if stage.crashes and stage.is_suspect(index):
-                self._begin_trial(stage, run, runner, now)
+                begin_trial(self._pool, stage, run, runner, now)
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
             order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
             plan.starts.append(order)
         # Its other tasks may have waited for as long.
-        stage.overdue = stage.overdue and _waits_for_long(stage, now)
+        stage.overdue = stage.overdue and waits_for_long(stage, now)
         self._last_tasks.record_starts(chosen.values())
 
-    def _begin_trial(self, stage: Stage, run: Run, runner: RunnerState, now: float) -> None:
-        rows = stage.crashes[run.task.ordinal]
-        seconds = exclusive_seconds(rows)
-        stage.trials[run.task.ordinal] = runner.id
-        stage.last_trial_at = now
-        stage.trial_addresses[run.task.ordinal] = runner.entry.address
-        self._pool.begin_trial(runner, run, now + seconds)
-        extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
-        log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
-
     def _reserves_for_gang(
         self, work: JobWork, stage: Stage, free: FreeResources, now: float
     ) -> bool:
@@ -411,11 +375,6 @@
         return _fits_whole(work, stage, free)
 
 
-def _waits_for_long(stage: Stage, now: float) -> bool:
-    """Return whether a task of a lasting stage has waited for longer than it should."""
-    return stage.longest_wait(now) > LASTING_PATIENCE_SECONDS
-
-
 def _fits_whole(work: JobWork, stage: Stage, free: FreeResources) -> bool:
     """Return whether all tasks of a stage fit at once while only lasting tasks run."""
     spec = stage.spec
--- a/ragworttiller/scheduling/decisions/trials.py
+++ b/ragworttiller/scheduling/decisions/trials.py
@@ -1,11 +1,17 @@
-"""Chooses the runner on which a task that is suspected of crashing runners is tried."""
+"""Trials of tasks that are suspected of crashing runners: the choice of a runner, and the start."""
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable
 
+from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
+from ragworttiller.scheduling.state.orders import run_fields
+from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Stage
+from ragworttiller.scheduling.state.runs import Run, Stage
+
+log = logging.getLogger(__name__)
 
 MAX_TRIAL_SHARE = 0.25
 # What a lasting task on the runner counts, in seconds of its work: it has to be placed again.
@@ -77,3 +83,28 @@
                 seconds = 0.0 if run.checkpoint else self._now - run.started_at
             harm += run.reservation.cpu * (seconds + 1.0)
         return harm
+
+
+def begin_trial(pool: RunnerPool, stage: Stage, run: Run, runner: RunnerState, now: float) -> None:
+    """Record that a run of a suspected task starts, and start nothing else beside it for a while.
+
+    Parameters
+    ----------
+    pool : RunnerPool
+        Runners of the cell.
+    stage : Stage
+        Stage of the task.
+    run, runner : Run, RunnerState
+        Run of the task, and the runner on which it starts.
+    now : float
+        Time in seconds.
+    """
+    index = run.task.ordinal
+    rows = stage.crashes[index]
+    seconds = exclusive_seconds(rows)
+    stage.trials[index] = runner.id
+    stage.last_trial_at = now
+    stage.trial_addresses[index] = runner.entry.address
+    pool.begin_trial(runner, run, now + seconds)
+    extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
+    log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
