Say once which runners stay, and which are closed to a waiting stage

StageWaits spelt out the conditions of the obstacles `lost`, `unlisted` and `draining` again to count the runners that stay, filtered the runners that are not closed in two places, and had two methods `reason` and `_reason` that a reader had to tell apart. The conditions now stand beside the obstacles (`stays`), the filter is a property, and the method that looks at runners is `_reason_of_runners`. A suspension is read through RunnerHealth.suspended wherever a state or an obstacle is shown.

No change of behaviour. Tests: test_cell_view, test_lasting_waits, test_workspace_view, test_commands, test_interference.

--- a/ragworttiller/scheduling/decisions/start_obstacles.py
+++ b/ragworttiller/scheduling/decisions/start_obstacles.py
@@ -32,7 +32,7 @@
     RESERVED = "reserved"
 
 
-# The room on such a runner is none that could be used soon.
+# The room on such a runner cannot be used soon; see `stays`.
 LEAVING = frozenset({Obstacle.LOST, Obstacle.UNLISTED, Obstacle.DRAINING})
 # No task starts on such a runner, whatever its stage.
 CLOSED = LEAVING | {
@@ -85,6 +85,13 @@
     return found
 
 
+def stays(runner: RunnerState) -> bool:
+    """Return whether no obstacle in `LEAVING` holds of a runner, with room or without."""
+    return (
+        runner.listed and not runner.lost and runner.ended_at is None and not runner.entry.draining
+    )
+
+
 def _closed_by(runner: RunnerState, now: float) -> set[Obstacle]:
     """Return why no task starts on a runner, whatever its stage."""
     answer_is_old = now - runner.last_answer_at >= MAX_ANSWER_AGE_SECONDS
@@ -94,7 +101,7 @@
         (Obstacle.DRAINING, runner.entry.draining),
         (Obstacle.SILENT, runner.misses > 0 or answer_is_old),
         (Obstacle.NOT_ENROLLED, not runner.enrolled),
-        (Obstacle.SUSPENDED, now < runner.suspended_until),
+        (Obstacle.SUSPENDED, runner.suspended(now)),
         (Obstacle.TRIAL, runner.on_trial(now)),
     )
     return {obstacle for obstacle, holds in rows if holds}
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -165,4 +165,4 @@
         return "unreached"
     if runner.on_trial(now):
         return "trial"
-    return "resting" if now < runner.suspended_until else "not_enrolled"
+    return "resting" if runner.suspended(now) else "not_enrolled"
--- a/ragworttiller/scheduling/state/stage_waits.py
+++ b/ragworttiller/scheduling/state/stage_waits.py
@@ -15,6 +15,7 @@
     Obstacle,
     effective,
     obstacles,
+    stays,
 )
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import StageId, TaskId
@@ -22,6 +23,8 @@
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Stage
 
+WITHOUT_TICKET = frozenset({Obstacle.DENIED, Obstacle.NO_TICKET})
+
 
 class WaitReason(StrEnum):
     """Reason why the waiting tasks of a stage do not start."""
@@ -81,7 +84,10 @@
 
 
 class _Candidate(NamedTuple):
-    """Runner that suits a stage and has room; ``effective`` is what keeps its tasks from it."""
+    """Runner that suits a stage and has room, and the obstacles to a start there.
+
+    ``found`` are all obstacles, and ``effective`` those of them that the stage does not override.
+    """
 
     runner: RunnerState
     found: set[Obstacle]
@@ -95,6 +101,11 @@
     staying: int
     with_room: list[_Candidate]
 
+    @property
+    def open_with_room(self) -> list[_Candidate]:
+        """Runners with room that are not closed to the stage."""
+        return [row for row in self.with_room if not row.effective & CLOSED]
+
 
 class StageWaits:
     """Waits of the stages of a cell at one moment.
@@ -115,17 +126,16 @@
 
     def reason(self, work: JobWork, stage: Stage) -> WaitReason:
         """Return the first reason why waiting tasks of a stage do not start."""
-        return self._own_reason(work, stage) or self._reason(
-            work, stage, self._runners(work, stage)
-        )
+        own = self._own_reason(work, stage)
+        return own or self._reason_of_runners(work, stage, self._runners(work, stage))
 
     def describe(self, work: JobWork, stage: Stage) -> StageWait:
         """Return what is known of the wait of a stage; it looks at all runners of the cell."""
         now, tickets, longest = self._now, stage.tickets, stage.longest_waiting()
         runners = self._runners(work, stage)
+        why = self._own_reason(work, stage) or self._reason_of_runners(work, stage, runners)
         known = tickets.allowed | tickets.denied
         counts = Counter(str(obstacle) for row in runners.with_room for obstacle in row.found)
-        open_to_tasks = [row for row in runners.with_room if not row.effective & CLOSED]
         left = (stage.reserved_since or float("-inf")) + MAX_RESERVED_SECONDS - now
         return StageWait(
             stage=str(stage.id),
@@ -135,12 +145,12 @@
             waiting=len(stage.waiting),
             longest="" if longest is None else str(TaskId(stage.id, longest)),
             seconds=round(stage.longest_wait(now), 3),
-            why=str(self._own_reason(work, stage) or self._reason(work, stage, runners)),
+            why=str(why),
             suitable=runners.suitable,
             with_room=len(runners.with_room),
             usable=sum(not row.effective for row in runners.with_room),
             obstacles=dict(sorted(counts.items())),
-            not_asked=sum(row.runner.id not in known for row in open_to_tasks),
+            not_asked=sum(row.runner.id not in known for row in runners.open_with_room),
             advice_in_flight=tickets.call_deadline > now,
             advice_age=-1.0 if tickets.asked_at is None else round(now - tickets.asked_at, 3),
             reserved_on=len(stage.reserved_on),
@@ -159,11 +169,11 @@
             return WaitReason.CAP
         return None
 
-    def _reason(self, work: JobWork, stage: Stage, runners: _Runners) -> WaitReason:
+    def _reason_of_runners(self, work: JobWork, stage: Stage, runners: _Runners) -> WaitReason:
         """Return the first reason that depends on runners."""
         if not runners.staying:
             return WaitReason.NO_RUNNER_SUITS
-        with_room = [row for row in runners.with_room if not row.effective & CLOSED]
+        with_room = runners.open_with_room
         if not with_room:
             return self._reason_without_room(work, stage, runners)
         for obstacle, why in (
@@ -173,9 +183,7 @@
             with_room = [row for row in with_room if obstacle not in row.effective]
             if not with_room:
                 return why
-        with_ticket = [
-            row for row in with_room if not row.effective & {Obstacle.DENIED, Obstacle.NO_TICKET}
-        ]
+        with_ticket = [row for row in with_room if not row.effective & WITHOUT_TICKET]
         if not with_ticket:
             denied = all(Obstacle.DENIED in row.effective for row in with_room)
             return WaitReason.DENIED if denied else WaitReason.ADVICE
@@ -195,6 +203,7 @@
         return WaitReason.SHARE if over else WaitReason.NO_ROOM
 
     def _runners(self, work: JobWork, stage: Stage) -> _Runners:
+        """Look at all runners of the cell for those that suit a stage."""
         suits = suitable(self._cell.runners.values(), work.queue.upstream, stage.spec)
         running = stage.runs_by_runner()
         size, needs_ticket = stage.spec.reservation, work.queue.advice is not None
@@ -205,10 +214,7 @@
             reserved = self._reserved_for_others(stage, runner.id)
             found = obstacles(runner, stage, running[runner.id], needs_ticket, reserved, self._now)
             rows.append(_Candidate(runner, found, effective(found, runner, stage, self._now)))
-        staying = sum(
-            r.listed and not r.lost and r.ended_at is None and not r.entry.draining for r in suits
-        )
-        return _Runners(len(suits), staying, rows)
+        return _Runners(len(suits), sum(map(stays, suits)), rows)
 
     def _reserved_for_others(self, stage: Stage, runner: str) -> Resources | None:
         """Return what the last pass reserved on a runner for other stages, None for nothing."""
