Name what a passed-on write and a stopping entry's answer do

`_Write.now` returned a request, not a time; it is `with_time_left`. The code after the tracked part of CallerApp._answer is reached only once requests have been ended, which nothing said. In SlowStoreReports `first` were the relays, and two docstrings of EntryLoads could be read both ways.

No change of behaviour.

--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -105,7 +105,7 @@
         now : float
             Time in seconds.
         urgent : bool
-            Whether a long call may wait for as many short ones as a short call.
+            Whether a long call may wait behind short ones for as long as a short call may.
         """
         names = list(self._backlog_seconds)
         max_backlog = MAX_BACKLOG_SECONDS
@@ -126,7 +126,7 @@
         return name
 
     def _usable(self, names: Sequence[str], now: float) -> list[str]:
-        """Return the entries that no call has failed at lately, or if there are none, just now."""
+        """Return the entries without a recent failure; without any, those to be tried again."""
         if now >= self._last_failed_at + AVOID_FAILED_ENTRY_SECONDS:
             return list(names)
         for seconds in (AVOID_FAILED_ENTRY_SECONDS, RETRY_FAILED_ENTRY_SECONDS):
--- a/ragworttiller/scheduling/entry/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -99,6 +99,7 @@
         self._open_requests.end()
 
     async def _answer(self, scope: Scope, receive: Receive) -> CallerReply:
+        """Return the reply to a request, or raise what is known of it once requests are ended."""
         request = None
         stopping = Stopping(instance=self._instance, retry_after=RETRY_AFTER_SECONDS)
         if self._open_requests.ended:
@@ -106,6 +107,7 @@
         with self._open_requests.track():
             request = await self._request(scope, receive)
             return await self._callers.answer(request)
+        # The requests were ended meanwhile.
         if request is None or request.method == "GET":
             raise stopping
         # It may have been stored.
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -58,8 +58,8 @@
     request: CallerRequest
     deadline: float
 
-    def now(self, clock: Clock) -> CallerRequest:
-        """Return the request with the time that is left."""
+    def with_time_left(self, clock: Clock) -> CallerRequest:
+        """Return the request with the time that is left as its timeout."""
         return self.request._replace(timeout=self.deadline - clock.now())
 
 
@@ -210,7 +210,7 @@
         return outcome
 
     async def _relay_write(self, write: _Write) -> Outcome:
-        return await self._requests.relay(write.now(self._clock), self._write_targets())
+        return await self._requests.relay(write.with_time_left(self._clock), self._write_targets())
 
     async def _first_success(
         self, write: _Write, first: Attempt, second: Attempt, head_start: float
@@ -228,7 +228,7 @@
             if writer == self._peers.instance:
                 break
             lost.add(writer)
-            outcome = await self._write_through(writer, write.now(self._clock))
+            outcome = await self._write_through(writer, write.with_time_left(self._clock))
             undecided = undecided or outcome.undecided
             if outcome.reply is not None:
                 return outcome._replace(undecided=undecided)
@@ -251,7 +251,7 @@
         async with anyio.create_task_group() as tasks:
             if self._choice.common_writer() != self._peers.instance:
                 tasks.start_soon(self._pace.watch_append)
-            outcome = await self._ask_local(write.now(self._clock))
+            outcome = await self._ask_local(write.with_time_left(self._clock))
             tasks.cancel_scope.cancel()
         return outcome
 
--- a/ragworttiller/scheduling/entry/slow_store_reports.py
+++ b/ragworttiller/scheduling/entry/slow_store_reports.py
@@ -68,8 +68,8 @@
     def _relays(self) -> Set[str]:
         """Return the entries that pass reports on; entries mostly agree on them."""
         names, owner = self._names(), self._owner()
-        first = {owner} & names
-        return first.union(nsmallest(SPARE_RELAYS, names - first))
+        relays = {owner} & names
+        return relays.union(nsmallest(SPARE_RELAYS, names - relays))
 
     def _post(self, names: Set[str]) -> None:
         for name in names - {self._peers.instance}:
