Say what a current wait, its samples and an unsettled loss are

`_wait` returned a wait and also began it, and record_sample attributed "some seconds" to "what its tasks wait for". `_record_loss`, `_watch` and `_crash` of the crashes had no docstring though a loss and a crash are told apart only by what follows, and that of proof_wait_seconds had to be read twice. Names and docstrings only.

Tests: test_lasting_waits, test_crash_blame, test_cell_view, test_renewal_log.

--- a/ragworttiller/scheduling/decisions/crash_rules.py
+++ b/ragworttiller/scheduling/decisions/crash_rules.py
@@ -18,8 +18,8 @@
 # How much longer than at its crashes a task has to run to be cleared.
 TRIAL_STRETCH = 2.0
 CRASHES_BESIDE_TO_SUSPECT = 2
-# How long a task that may have crashed as many runners as allowed waits for the proof. A lasting
-# task has to run again soon.
+# How long a task under which as many runners as allowed may have crashed waits for the proof. A
+# lasting task has to run again soon.
 MAX_PROOF_WAIT_SECONDS = 15.0
 MAX_LASTING_PROOF_WAIT_SECONDS = 3.0
 # Crashes at which a task is given up, by how many of them were in a trial that proves it.
@@ -42,10 +42,10 @@
 
 
 def proof_wait_seconds(crashes: Sequence[Crash], losses: int, lasts: bool) -> float:
-    """Return for how long a task waits for what became of its runners, in seconds.
+    """Return for how many seconds a task waits to learn whether its lost runners have crashed.
 
-    Only one under which a runner has crashed waits, and only if it must not start again in case all
-    of its ``losses`` are crashes. ``lasts`` is whether the task is a lasting one.
+    It waits only if a runner has crashed under it, and if it could not start again should all of
+    its ``losses`` be crashes too. ``lasts`` is whether the task is a lasting one.
     """
     if not crashes or not losses or len(crashes) + losses < MAX_STARTS:
         return 0.0
--- a/ragworttiller/scheduling/state/crashes.py
+++ b/ragworttiller/scheduling/state/crashes.py
@@ -188,6 +188,7 @@
         )
 
     def _record_loss(self, task: TaskId, crash: Crash, address: str, now: float) -> None:
+        """Record the loss of a runner that may only be out of reach, to be settled later."""
         stage, work = self._jobs.stage(task.stage), self._jobs.by_id.get(task.stage.job)
         if stage is None or work is None or task.ordinal in stage.done:
             return
@@ -200,6 +201,7 @@
         self._jobs.mark_changed(work)
 
     def _watch(self, task: TaskId, loss: Loss, now: float) -> None:
+        """Note that the loss of a boot under a task is to be settled."""
         row = self._silent.setdefault(loss.runner, _Silent(loss.address, now, []))
         row.tasks.append(task)
 
@@ -270,4 +272,5 @@
 
 
 def _crash(loss: Loss) -> Crash:
+    """Return a loss as the crash that it counts as once the end of the boot is proved."""
     return Crash(loss.runner, loss.seconds, loss.blame)
--- a/ragworttiller/scheduling/state/lasting_waits.py
+++ b/ragworttiller/scheduling/state/lasting_waits.py
@@ -37,20 +37,32 @@
 
     def record_refusal(self, stage: Stage, run: Run) -> None:
         """Record that a start was refused or has expired."""
-        wait = _wait(stage, run.task.ordinal)
+        wait = _current_wait(stage, run.task.ordinal)
         if wait is not None:
             wait.refused += 1
 
     def record_sample(self, stage: Stage, reason: str, now: float, seconds: float) -> None:
-        """Attribute up to some seconds of the waits of a stage to what its tasks wait for."""
+        """Attribute the last seconds of the waits of a stage to the reason why its tasks wait.
+
+        Parameters
+        ----------
+        stage : Stage
+            Stage of lasting tasks.
+        reason : str
+            Reason for which its waiting tasks do not start.
+        now : float
+            Time in seconds.
+        seconds : float
+            Seconds since the last sample; a wait that is shorter counts in full.
+        """
         for index in stage.waiting:
-            wait = _wait(stage, index)
+            wait = _current_wait(stage, index)
             if wait is not None:
                 wait.seconds_by_reason[reason] += min(seconds, now - wait.since)
 
     def record_start(self, stage: Stage, run: Run, now: float) -> None:
         """Record that a run is known to have started, and write the line of its wait."""
-        wait = _wait(stage, run.task.ordinal)
+        wait = _current_wait(stage, run.task.ordinal)
         if wait is None:
             return
         del stage.waits[run.task.ordinal]
@@ -77,12 +89,17 @@
 
 def long_waits(jobs: Iterable[JobWork], now: float) -> int:
     """Return the number of lasting tasks that have waited for over `LONG_WAIT_SECONDS`."""
-    waits = [_wait(stage, index) for _, stage in waiting_stages(jobs) for index in stage.waiting]
+    waits = [
+        _current_wait(stage, index) for _, stage in waiting_stages(jobs) for index in stage.waiting
+    ]
     return sum(wait is not None and now - wait.since > LONG_WAIT_SECONDS for wait in waits)
 
 
-def _wait(stage: Stage, index: int) -> TaskWait | None:
-    """Return the wait of a lasting task, None if it has not been ready."""
+def _current_wait(stage: Stage, index: int) -> TaskWait | None:
+    """Return the wait of a lasting task, None for other tasks and before the first pass.
+
+    Before the first run that this owner knows of, it begins when its stage was ready.
+    """
     if not stage.spec.daemon:
         return None
     if index not in stage.waits and stage.ready_since is not None:
--- a/ragworttiller/scheduling/state/runs/task_wait.py
+++ b/ragworttiller/scheduling/state/runs/task_wait.py
@@ -20,7 +20,7 @@
     refused : int
         Starts during this wait that were refused or have expired.
     seconds_by_reason : dict of str to float
-        Seconds of the wait by what it was for, as far as that was looked at.
+        Seconds of the wait by its reason, as far as it was sampled.
     """
 
     def __init__(self, since: float, first: bool) -> None:
