Ask a job itself which of its stages have waiting tasks

JobWork now has waiting_stages and has_waiting_tasks beside ready, which differs in that predecessors and due times count. The function of the same name for all lasting stages of a cell is waiting_lasting_stages.

No change of behaviour. Tests: test_cell_view, test_lasting_waits, test_workspace_view, test_takeover_log, test_pace_log, test_slow_takeover.

--- a/ragworttiller/scheduling/ownership/pace_log.py
+++ b/ragworttiller/scheduling/ownership/pace_log.py
@@ -105,11 +105,7 @@
 
     def _waiting(self) -> dict[str, int]:
         return dict(
-            Counter(
-                work.queue.key
-                for work in self._cell.jobs.values()
-                if work.open and any(stage.waiting for stage in work.stages.values())
-            )
+            Counter(work.queue.key for work in self._cell.jobs.values() if work.has_waiting_tasks)
         )
 
     def _capacity_shares(self, cpu: Callable[[Stage], int]) -> dict[str, float]:
--- a/ragworttiller/scheduling/ownership/takeover_log.py
+++ b/ragworttiller/scheduling/ownership/takeover_log.py
@@ -60,7 +60,7 @@
             return
         self._takeover = cell.takeover
         self.record(Step.ACTING_CLAIM_STORED)
-        if not _has_waiting_tasks(cell):
+        if not any(work.has_waiting_tasks for work in cell.jobs.values()):
             self._write("takeover completed", "no task waits")
         elif self._since(Step.ACTING_CLAIM_STORED) > MAX_START_WAIT_SECONDS:
             self._write("takeover completed", "no task was started")
@@ -101,9 +101,3 @@
                 "unsettled": len(takeover.unresolved),
             }
         log.info(message, extra=extra)
-
-
-def _has_waiting_tasks(cell: Cell) -> bool:
-    return any(
-        stage.waiting for work in cell.jobs.values() if work.open for stage in work.stages.values()
-    )
--- a/ragworttiller/scheduling/ownership/wait_log.py
+++ b/ragworttiller/scheduling/ownership/wait_log.py
@@ -7,7 +7,7 @@
 
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.state.cell_view import CellView
-from ragworttiller.scheduling.state.lasting_waits import waiting_stages
+from ragworttiller.scheduling.state.lasting_waits import waiting_lasting_stages
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.stage_waits import StageWaits
 
@@ -59,7 +59,7 @@
         waits = StageWaits(self._cell, now, wall)
         rows = [
             (stage.longest_wait(now), stage.id, work, stage)
-            for work, stage in waiting_stages(self._cell.jobs.values())
+            for work, stage in waiting_lasting_stages(self._cell.jobs.values())
         ]
         for seconds, _, work, stage in nlargest(MAX_STAGES_PER_SAMPLE, rows):
             if seconds >= MIN_SAMPLED_WAIT_SECONDS:
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -103,6 +103,17 @@
         """Whether tasks of the job may start."""
         return not self.state and not self.row.cancelled
 
+    @property
+    def has_waiting_tasks(self) -> bool:
+        """Whether the job is open and a task of it waits, also one that may not start yet."""
+        return self.open and any(stage.waiting for stage in self.stages.values())
+
+    def waiting_stages(self) -> Iterator[Stage]:
+        """Yield the stages that have waiting tasks, none unless the job is open."""
+        for stage in self.stages.values() if self.open else ():
+            if stage.waiting:
+                yield stage
+
     def ready(self, wall: float) -> Iterator[Stage]:
         """Yield the due stages that have waiting tasks and whose predecessors are complete."""
         for stage in self.stages.values():
--- a/ragworttiller/scheduling/state/lasting_waits.py
+++ b/ragworttiller/scheduling/state/lasting_waits.py
@@ -79,18 +79,20 @@
         log.info("lasting task runs", extra=extra)
 
 
-def waiting_stages(jobs: Iterable[JobWork]) -> Iterator[tuple[JobWork, Stage]]:
+def waiting_lasting_stages(jobs: Iterable[JobWork]) -> Iterator[tuple[JobWork, Stage]]:
     """Yield the stages of lasting tasks that have waiting tasks, with their jobs."""
     for work in jobs:
-        for stage in work.stages.values() if work.open else ():
-            if stage.spec.daemon and stage.waiting:
+        for stage in work.waiting_stages():
+            if stage.spec.daemon:
                 yield work, stage
 
 
 def long_waits(jobs: Iterable[JobWork], now: float) -> int:
     """Return the number of lasting tasks that have waited for over `LONG_WAIT_SECONDS`."""
     waits = [
-        _current_wait(stage, index) for _, stage in waiting_stages(jobs) for index in stage.waiting
+        _current_wait(stage, index)
+        for _, stage in waiting_lasting_stages(jobs)
+        for index in stage.waiting
     ]
     return sum(wait is not None and now - wait.since > LONG_WAIT_SECONDS for wait in waits)
 
--- a/ragworttiller/scheduling/state/stage_waits.py
+++ b/ragworttiller/scheduling/state/stage_waits.py
@@ -232,8 +232,8 @@
         """Return the stages for which room is reserved on each runner, and the size of a task."""
         rows: dict[str, list[tuple[StageId, Resources]]] = {}
         for work in self._cell.jobs.values():
-            for stage in work.stages.values() if work.open else ():
-                if not stage.waiting or stage.blocked_since is None:
+            for stage in work.waiting_stages():
+                if stage.blocked_since is None:
                     continue
                 for runner in stage.reserved_on:
                     rows.setdefault(runner, []).append((stage.id, stage.spec.reservation))
--- a/ragworttiller/scheduling/state/workspace_view.py
+++ b/ragworttiller/scheduling/state/workspace_view.py
@@ -74,7 +74,7 @@
     waiting: Counter[str] = Counter()
     beyond: Counter[str] = Counter()
     for work in cell.jobs.values():
-        if work.open and any(stage.waiting for stage in work.stages.values()):
+        if work.has_waiting_tasks:
             waiting[work.workspace] += 1
             beyond[work.workspace] += cell.owed.is_beyond(work.id)
     return waiting, beyond
