Let options and sections share their name and help

Both classes of the configuration kept a name and a sentence for the reference with the same two properties.

No change of behaviour. Tests: test_config, test_reference, test_routing_settings, test_template.

--- a/ragworttiller/config/base.py
+++ b/ragworttiller/config/base.py
@@ -50,7 +50,33 @@
         self.allowed = allowed
 
 
-class Option(ABC, Generic[T]):
+class _Described:
+    """Part of a configuration file that the reference describes.
+
+    Parameters
+    ----------
+    name : str
+        Name in the file and in the settings tree.
+    help : str
+        One sentence for the reference.
+    """
+
+    def __init__(self, name: str, help: str) -> None:
+        self._name = name
+        self._help = help
+
+    @property
+    def name(self) -> str:
+        """Name in the file and in the settings tree."""
+        return self._name
+
+    @property
+    def help(self) -> str:
+        """One sentence for the reference."""
+        return self._help
+
+
+class Option(_Described, ABC, Generic[T]):
     """One typed option.
 
     Parameters
@@ -78,22 +104,11 @@
         sample: str = "",
         optional: bool = False,
     ) -> None:
-        self._name = name
-        self._help = help
+        super().__init__(name, help)
         self._default = default
         self._sample = sample
         self._optional = optional
 
-    @property
-    def name(self) -> str:
-        """Name in the file and in the settings tree."""
-        return self._name
-
-    @property
-    def help(self) -> str:
-        """One sentence for the reference."""
-        return self._help
-
     @property
     def default(self) -> str | None:
         """Text that is used for a missing option, None if there is none."""
@@ -146,7 +161,7 @@
         return None
 
 
-class Section:
+class Section(_Described):
     """Named group of options.
 
     Parameters
@@ -164,21 +179,10 @@
     def __init__(
         self, name: str, help: str, values_type: type, options: Sequence[Option[Any]]
     ) -> None:
-        self._name = name
-        self._help = help
+        super().__init__(name, help)
         self._values_type = values_type
         self._options = {option.name: option for option in options}
 
-    @property
-    def name(self) -> str:
-        """Name in the file and in the settings tree."""
-        return self._name
-
-    @property
-    def help(self) -> str:
-        """One sentence for the reference."""
-        return self._help
-
     @property
     def values_type(self) -> type:
         """``NamedTuple`` that holds the values of the options."""
