Move the room that is kept free for a gang out of the planner

StagePlanner still decided on its own when later stages wait for a gang, with two constants and two functions of the module that nothing else used but the relaxation of avoidance. They are now in decisions/gang_room.py.

Tests: test_owner_pace, test_cell_decisions, test_lasting_tasks, test_decisions, test_headroom, test_crash_blame, test_room_maker, test_advice, test_cell_work, test_moves, test_copies, test_caps.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from collections.abc import Collection, Iterator, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
@@ -13,6 +13,7 @@
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.fair_order import ReadyStage, ShareOrder
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
+from ragworttiller.scheduling.decisions.gang_room import possible_runners, reserves_for_gang
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
 from ragworttiller.scheduling.decisions.kinds import KindPolicy
 from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, SlowStart
@@ -21,7 +22,6 @@
 from ragworttiller.scheduling.decisions.pass_speeds import PassSpeeds
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
-from ragworttiller.scheduling.decisions.runner_rules import suits
 from ragworttiller.scheduling.decisions.stragglers import Leftovers
 from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.decisions.trials import begin_trial
@@ -36,8 +36,6 @@
 log = logging.getLogger(__name__)
 
 START_DEADLINE_SECONDS = 1.2
-GANG_RESERVE_DELAY_SECONDS = 2.0
-GANG_RESERVE_SECONDS = 4.0
 AVOID_FAILED_RUNNER_SECONDS = 2.0
 NO_KINDS: frozenset[str] = frozenset()
 
@@ -180,7 +178,7 @@
                 ahead = self._advice.call_seconds(work)
                 room_soon = self._room_maker.make_room(work, stage, inputs, ahead, allowed)
             self._advice.plan_for_blocked(work, stage, room_soon)
-            if self._reserves_for_gang(work, stage, free_resources, now):
+            if reserves_for_gang(work, stage, free_resources, now):
                 held_back.add(work.queue.upstream)
 
         def allowance_now(work: JobWork, stage: Stage) -> float:
@@ -255,7 +253,7 @@
         stage.last_failed_runner.clear()
         if stage.failed_runs:
             stage.tries_failed_on_probation = all(
-                runner.on_probation for runner in _possible_runners(work, stage, free)
+                runner.on_probation for runner in possible_runners(work, stage, free)
             )
 
     def _start_placeable(
@@ -359,35 +357,3 @@
         # Its other tasks may have waited for as long.
         stage.overdue = stage.overdue and waits_for_long(stage, now)
         self._last_tasks.record_starts(chosen.values())
-
-    def _reserves_for_gang(
-        self, work: JobWork, stage: Stage, free: FreeResources, now: float
-    ) -> bool:
-        """Return whether later stages must not start, to free room for a gang that waits long.
-
-        Lasting tasks start all the same, since each has to run whenever there is room for it.
-        """
-        if not stage.spec.gang or stage.active_runs or stage.blocked_since is None:
-            return False
-        waited = now - stage.blocked_since
-        if not 0 < waited - GANG_RESERVE_DELAY_SECONDS < GANG_RESERVE_SECONDS:
-            return False
-        return _fits_whole(work, stage, free)
-
-
-def _fits_whole(work: JobWork, stage: Stage, free: FreeResources) -> bool:
-    """Return whether all tasks of a stage fit at once while only lasting tasks run."""
-    spec = stage.spec
-    places = sum(
-        spec.reservation.copies_in(runner.free_of_lasting_tasks, spec.per_runner or spec.tasks)
-        for runner in _possible_runners(work, stage, free)
-    )
-    return places >= spec.tasks
-
-
-def _possible_runners(work: JobWork, stage: Stage, free: FreeResources) -> Iterator[RunnerState]:
-    """Yield the runners that suit a stage and that the advisor has not denied."""
-    denied = work.denied_runners(stage)
-    for runner in free.of_upstream(work.queue.upstream):
-        if runner.id not in denied and suits(runner, work.queue.upstream, stage.spec):
-            yield runner
