--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -4,44 +4,39 @@
 
 import logging
 import math
-from collections.abc import Collection, Iterator, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
 from ragworttiller.scheduling.decisions.caps import RESERVE_DELAY_SECONDS, Caps
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
-from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.fair_order import ReadyStage, ShareOrder
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
+from ragworttiller.scheduling.decisions.gang_room import possible_runners, reserves_for_gang
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
 from ragworttiller.scheduling.decisions.kinds import KindPolicy
 from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, SlowStart
+from ragworttiller.scheduling.decisions.lasting_stages import LastingStages, waits_for_long
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.pass_speeds import PassSpeeds
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
-from ragworttiller.scheduling.decisions.runner_rules import suits
 from ragworttiller.scheduling.decisions.stragglers import Leftovers
 from ragworttiller.scheduling.decisions.task_placement import Placer
+from ragworttiller.scheduling.decisions.trials import begin_trial
 from ragworttiller.scheduling.state.job_work import JobWork
-from ragworttiller.scheduling.state.orders import Plan, StartOrder, run_fields
+from ragworttiller.scheduling.state.orders import Plan, StartOrder
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Run, Stage
+from ragworttiller.scheduling.state.runs import Stage
 from ragworttiller.scheduling.state.speeds import Speeds
 from ragworttiller.scheduling.state.takeover import Takeover
 
 log = logging.getLogger(__name__)
 
 START_DEADLINE_SECONDS = 1.2
-GANG_RESERVE_DELAY_SECONDS = 2.0
-GANG_RESERVE_SECONDS = 4.0
 AVOID_FAILED_RUNNER_SECONDS = 2.0
-# With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
-LASTING_PATIENCE_SECONDS = 1.5
-# Leaves time for calls to several stages, and for those before them, within the same 3 s.
-LASTING_ADVICE_PATIENCE_SECONDS = 0.5
 NO_KINDS: frozenset[str] = frozenset()
 
 
@@ -119,6 +114,7 @@
         self.loads = EntryLoads()
         self._advice = AdvicePlanner(self.loads, candidate_policy)
         self._room_maker = room_maker
+        self._lasting = LastingStages(pool, caps, self._advice)
 
     def plan(
         self,
@@ -152,8 +148,8 @@
         ready = self._ready_stages(jobs.values(), now, wall)
         self._record_arrivals(ready, now)
         capped = self._caps.begin()
-        self._mark_overdue(ready, capped, now)
-        self._plan_calls_for_lasting(ready, capped, now)
+        self._lasting.mark_overdue(ready, capped, now)
+        self._lasting.plan_calls(ready, capped, now)
         held_back: set[str] = set()
         for work, stage, inputs in self._shares.arrange(ready, self._order, capacity, now):
             if work.queue.upstream in held_back and not inputs.lasts:
@@ -182,7 +178,7 @@
                 ahead = self._advice.call_seconds(work)
                 room_soon = self._room_maker.make_room(work, stage, inputs, ahead, allowed)
             self._advice.plan_for_blocked(work, stage, room_soon)
-            if self._reserves_for_gang(work, stage, free_resources, now):
+            if reserves_for_gang(work, stage, free_resources, now):
                 held_back.add(work.queue.upstream)
 
         def allowance_now(work: JobWork, stage: Stage) -> float:
@@ -196,26 +192,6 @@
         self._moves.plan(left)
         self._advice.plan_for_successors(jobs.values(), self._pool.silent())
 
-    def _plan_calls_for_lasting(self, ready: list[ReadyStage], capped: bool, now: float) -> None:
-        """Plan calls for the lasting tasks that have waited, the longest wait first.
-
-        Stages for which the last search found no runner to name come after the others. None is made
-        for a stage that is held by the cap of its workspace, whose tickets would expire unused.
-        """
-        rows = [
-            (stage.longest_wait(now), work, stage)
-            for work, stage, _ in ready
-            if stage.spec.daemon and (stage.tickets.awaits_call or stage.overdue)
-        ]
-        overdue = any(stage.overdue for _, _, stage in rows)
-        suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
-        rows.sort(key=lambda row: (row[2].tickets.urgent_recheck_at, -row[0]))
-        for wait, work, stage in rows:
-            if wait <= LASTING_ADVICE_PATIENCE_SECONDS:
-                continue
-            if not capped or self._caps.allowed(stage, wait):
-                self._advice.plan_for_lasting(work, stage, suspended)
-
     def _start_on_suspended(
         self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
     ) -> None:
@@ -257,17 +233,6 @@
                 cpu = len(stage.waiting) * stage.spec.reservation.cpu
                 self._headroom.record_arrival(work.queue.upstream, inputs.priority, cpu, now)
 
-    def _mark_overdue(self, ready: list[ReadyStage], capped: bool, now: float) -> None:
-        """Mark the stages of lasting tasks that wait for long though their cap allows them.
-
-        Lasting tasks have no limit of attempts, and each has to run whenever there is room for it.
-        """
-        for _, stage, _ in ready:
-            if stage.spec.daemon:
-                stage.overdue = stage.blocked_since is not None and _waits_for_long(stage, now)
-                if stage.overdue and capped:
-                    stage.overdue = self._caps.allowed(stage, stage.longest_wait(now)) > 0
-
     def _ready_stages(self, jobs: Collection[JobWork], now: float, wall: float) -> list[ReadyStage]:
         rows: list[ReadyStage] = []
         for work in jobs:
@@ -288,7 +253,7 @@
         stage.last_failed_runner.clear()
         if stage.failed_runs:
             stage.tries_failed_on_probation = all(
-                runner.on_probation for runner in _possible_runners(work, stage, free)
+                runner.on_probation for runner in possible_runners(work, stage, free)
             )
 
     def _start_placeable(
@@ -385,57 +350,10 @@
             run.start_deadline = runner.grant_start(now, START_DEADLINE_SECONDS)
             runner.add(run)
             if stage.crashes and stage.is_suspect(index):
-                self._begin_trial(stage, run, runner, now)
+                begin_trial(self._pool, stage, run, runner, now)
             ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
             order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
             plan.starts.append(order)
         # Its other tasks may have waited for as long.
-        stage.overdue = stage.overdue and _waits_for_long(stage, now)
+        stage.overdue = stage.overdue and waits_for_long(stage, now)
         self._last_tasks.record_starts(chosen.values())
-
-    def _begin_trial(self, stage: Stage, run: Run, runner: RunnerState, now: float) -> None:
-        rows = stage.crashes[run.task.ordinal]
-        seconds = exclusive_seconds(rows)
-        stage.trials[run.task.ordinal] = runner.id
-        stage.last_trial_at = now
-        stage.trial_addresses[run.task.ordinal] = runner.entry.address
-        self._pool.begin_trial(runner, run, now + seconds)
-        extra = {**run_fields(run), "crashes": len(rows), "seconds": round(seconds, 3)}
-        log.info("suspected task is tried", extra={**extra, "beside": len(runner.runs) - 1})
-
-    def _reserves_for_gang(
-        self, work: JobWork, stage: Stage, free: FreeResources, now: float
-    ) -> bool:
-        """Return whether later stages must not start, to free room for a gang that waits long.
-
-        Lasting tasks start all the same, since each has to run whenever there is room for it.
-        """
-        if not stage.spec.gang or stage.active_runs or stage.blocked_since is None:
-            return False
-        waited = now - stage.blocked_since
-        if not 0 < waited - GANG_RESERVE_DELAY_SECONDS < GANG_RESERVE_SECONDS:
-            return False
-        return _fits_whole(work, stage, free)
-
-
-def _waits_for_long(stage: Stage, now: float) -> bool:
-    """Return whether a task of a lasting stage has waited for longer than it should."""
-    return stage.longest_wait(now) > LASTING_PATIENCE_SECONDS
-
-
-def _fits_whole(work: JobWork, stage: Stage, free: FreeResources) -> bool:
-    """Return whether all tasks of a stage fit at once while only lasting tasks run."""
-    spec = stage.spec
-    places = sum(
-        spec.reservation.copies_in(runner.free_of_lasting_tasks, spec.per_runner or spec.tasks)
-        for runner in _possible_runners(work, stage, free)
-    )
-    return places >= spec.tasks
-
-
-def _possible_runners(work: JobWork, stage: Stage, free: FreeResources) -> Iterator[RunnerState]:
-    """Yield the runners that suit a stage and that the advisor has not denied."""
-    denied = work.denied_runners(stage)
-    for runner in free.of_upstream(work.queue.upstream):
-        if runner.id not in denied and suits(runner, work.queue.upstream, stage.spec):
-            yield runner
