--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,6 +28,8 @@
 
 FAULT_SECONDS = 40.0
 SECONDS_TO_END = 120.0
+# Time for a claim and for the leases and terms of the owners before it.
+SECONDS_TO_OWN = 20.0
 LASTING_TASKS = 2
 LASTING_CPU = 1000
 MAX_LASTING_JOBS = 3
@@ -123,11 +125,11 @@
         while True:
             await self.rig.timers.sleep(0.1)
             now = self.rig.timers.now()
-            if not self._takeover_completed():
+            if not self.takeover_completed():
                 calm_since = now
             self.judge.check(now, calm_since, list(self._tasks()))
 
-    def _takeover_completed(self) -> bool:
+    def takeover_completed(self) -> bool:
         entry = self.rig.owner
         owner = entry.host.owner if entry is not None else None
         return owner is not None and not owner.cell.takeover.unresolved
@@ -168,6 +170,7 @@
 
     async def _check_all(self, lost: list[str]):
         for check in (
+            self._owned,
             self._jobs_end,
             self._deadly_fail,
             self._lasting_run,
@@ -179,6 +182,13 @@
             except AssertionError as exc:
                 lost.append(f"lost: {exc}")
 
+    async def _owned(self):
+        """Check that an entry owns the cell and has completed its takeover."""
+        until = self.rig.timers.now() + SECONDS_TO_OWN
+        while not self.watch.takeover_completed():
+            assert self.rig.timers.now() < until, f"no owner for {SECONDS_TO_OWN} s"
+            await self.rig.timers.sleep(0.1)
+
     async def _jobs_end(self):
         await self.rig.wait_completed(*self.work.finite, within=SECONDS_TO_END)
 
