--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -55,7 +55,8 @@
 class Blame(StrEnum):
     """What speaks for a task having crashed its runner.
 
-    It was tried there, with nothing starting beside it; it started last; or it only ran there.
+    It was tried there, with nothing starting beside it; it started last; or it only ran there, also
+    if the runner may have ended only after the run.
     """
 
     TRIAL = "trial"
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -46,10 +46,9 @@
     stops : PendingStops
         Receives runs that are to be stopped.
     speeds : Speeds
-        Receives the durations of runs.
+        Receives the durations of runs, to compare runners.
     copies : CopyTally
         Counts the copies of tasks and what becomes of them.
-        Receives the durations of runs, to compare runners.
     durations : Durations
         Receives the durations of runs, to compare them with their estimates.
     lease : float
