--- a/ragworttiller/scheduling/decisions/trials.py
+++ b/ragworttiller/scheduling/decisions/trials.py
@@ -20,7 +20,8 @@
 UNSOUND_COST = 1e6
 # A runner that was out of reach for longer than its leases may be so again within this time.
 RETURN_SECONDS = 20.0
-# What such a runner counts: a trial that its lease ends proves nothing, but spoils little else.
+# What such a runner counts, in thousandths of a core times seconds: if its lease expires during the
+# trial, nothing is proved.
 RETURN_COST = 2e4
 OVERDUE_TRIAL_INTERVAL_SECONDS = 1.5
 
