--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -46,6 +46,7 @@
     "status_s": 120,
 }
 CAPACITY = Resources(64000, 131072, 0)
+STARTUP_SECONDS = 0.3
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -126,6 +127,26 @@
         self._cell.record.add(f"{text}: {answer.status}{result}")
         return answer
 
+    async def _hold(self, command: dict[str, Any]) -> Any:
+        """Answer a hold; a lasting task is at work, at 100 percent, soon after its start."""
+        answer = await super()._hold(command)
+        content = json.loads(answer.body)
+        for row in content["running"]:
+            run = self._running.get(row[0])
+            if run is not None and run.ends_at == float("inf"):
+                row[3] = 100 if self._timers.now() - run.started_at >= STARTUP_SECONDS else 50
+        return answer._replace(body=json.dumps(content).encode())
+
+    def at_work(self) -> list[str]:
+        """Return the lasting tasks that are at work now."""
+        now = self._timers.now()
+        return [t for t, r in self._running.items() if now - r.started_at >= STARTUP_SECONDS]
+
+    def _stop(self, command: dict[str, Any]) -> Any:
+        answer = super()._stop(command)
+        self._cell.record.add(f"stop of {command['task']} run {command['run']} at {self.name}")
+        return answer
+
     def _end(self, task: str, end_state: str) -> None:
         run = self._running[task].run
         super()._end(task, end_state)
