--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Long tasks whose estimate is far off: see claim.txt."""
+"""A runner crashes under a gang: see claim.txt."""
 
 import asyncio
 import sys
@@ -9,57 +9,61 @@
 
 from harness import BROKEN, HELD, NOT_RUN, TROUBLE, Cell, main  # noqa: E402
 
-LONG, SHORT = "a" * 16, "b" * 16
-TASKS, RUNNERS = 10, 12
-WORK_SECONDS = 300.0
-# Ten times too low in the trouble, exact without it.
-ESTIMATE_MS = 30000 if TROUBLE else 300000
-TRAFFIC_SECONDS = 50.0
+GANG = "9" * 16
+RUNNERS = 12
+MEMBERS = 20
+WORK_SECONDS = 6.0
+DOWN_SECONDS = 2.0
 FINISH_SECONDS = 14.0
-WATCH_SECONDS = 30.0
+WATCH_SECONDS = 25.0
 ALLOWED_SECONDS = 3.0
 
 
-def work(task: str) -> float:
-    return WORK_SECONDS if task.startswith(LONG) else 0.5
+async def crash(cell: Cell) -> None:
+    """Let the runner with the most members crash; the others' runs end as broken."""
+    rows = [m for m in cell.machines if m.runner is not None]
+    machine = max(rows, key=lambda m: len(m.runner.running))
+    machine.crash()
+    for other in rows:
+        for task in list(other.runner.running) if other.runner is not None else []:
+            other.runner._end(task, "broken")
+    await asyncio.sleep(DOWN_SECONDS)
+    await machine.up()
 
 
 async def script(cell: Cell) -> int:
-    await cell.begin(RUNNERS, work=work)
+    await cell.begin(RUNNERS, work=lambda task: WORK_SECONDS)
     await asyncio.sleep(2)
-    began = cell.record.now
-    step = {"count": TASKS, "cpu": 11000, "mem_mb": 16000, "estimate_ms": ESTIMATE_MS}
-    if not await cell.submit(LONG, [step]):
-        return NOT_RUN
-    await asyncio.sleep(began + TRAFFIC_SECONDS - cell.record.now)
-    if not await cell.submit(SHORT, [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500}]):
+    step = {"cpu": 5000, "mem_mb": 9000, "estimate_ms": 6000}
+    if not await cell.submit(GANG, [{"count": MEMBERS, "gang": True, **step}]):
         return NOT_RUN
     ended = cell.record.now
     cell.record.add("the traffic has ended")
-    # From finish_s after the end of the traffic on, no job may have nothing running for 3 s.
-    idle = {LONG: 0.0, SHORT: 0.0}
-    worst = dict(idle)
-    done = False
-    last = cell.record.now
+    deadline = cell.record.now + 10
+    while len(cell.running(GANG)) < MEMBERS:
+        if cell.record.now > deadline:
+            return NOT_RUN
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(2.0)
+    if TROUBLE:
+        await crash(cell)
+        ended = cell.record.now
+        cell.record.add("calm from here on")
+    idle, worst, last = 0.0, 0.0, ended
     while cell.record.now < ended + FINISH_SECONDS + WATCH_SECONDS:
         await asyncio.sleep(0.05)
         now = cell.record.now
-        done = done or any(task.startswith(SHORT) and how == "done" for task, _, how in cell.ends)
-        for job in idle:
-            waits = not cell.running(job) and not (job == SHORT and done)
-            idle[job] = idle[job] + now - last if waits else 0.0
-            if now >= ended + FINISH_SECONDS:
-                worst[job] = max(worst[job], min(idle[job], now - ended - FINISH_SECONDS))
+        # One end of a member as done represents all.
+        done = any(task.startswith(GANG) and how == "done" for task, _, how in cell.ends)
+        idle = idle + now - last if not done and not cell.running(GANG) else 0.0
+        if now >= ended + FINISH_SECONDS:
+            worst = max(worst, min(idle, now - ended - FINISH_SECONDS))
         last = now
-    stops = sum(task.startswith(LONG) and how == "stopped" for task, _, how in cell.ends)
-    cell.record.add(f"runs of {LONG} that were stopped: {stops}")
-    for job, seconds in worst.items():
-        cell.record.add(f"{job} had nothing running for {seconds:.1f} s on end")
-    await cell.state(LONG)
-    await cell.state(SHORT)
-    for line in cell.log_lines("runner suspended")[:40]:
-        cell.record.add(line[:300])
-    return BROKEN if max(worst.values()) >= ALLOWED_SECONDS else HELD
+    cell.record.add(f"{GANG} had nothing running for {worst:.1f} s on end")
+    tasks = [task for m in cell.machines if m.runner is not None for task in m.runner.running]
+    cell.record.add(f"{len(tasks)} tasks run on {len(cell.machines)} runners")
+    await cell.state(GANG)
+    return BROKEN if worst >= ALLOWED_SECONDS else HELD
 
 
 main(script, HERE)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A lasting task that fills loses its runner, and each other runner serves: see claim.txt."""
+"""A job that can never be done, then a gang: see claim.txt."""
 
 import asyncio
 import sys
@@ -9,54 +9,52 @@
 
 from harness import BROKEN, HELD, NOT_RUN, TROUBLE, Cell, main  # noqa: E402
 
-SERVING, FILLING = "1" * 16, "2" * 16
-RUNNERS = 8
-# The lease of 10 s is over by then, and the 3 s and the 4 s before them are calm.
-QUIET_SECONDS = 20.0
+POISON, GANG = "e" * 16, "9" * 16
+USUAL = [f"{number:016x}" for number in range(1, 19)]
+RUNNERS = 12
+MEMBERS = 16
+WORK_SECONDS = 0.8
+FINISH_SECONDS = 14.0
 WATCH_SECONDS = 20.0
 ALLOWED_SECONDS = 3.0
-TARGET_MS, TAIL_MS = 400, 40
-
-
-async def all_run(cell: Cell, job: str, tasks: int) -> bool:
-    deadline = cell.record.now + 10
-    while len(cell.running(job)) < tasks and cell.record.now < deadline:
-        await asyncio.sleep(0.1)
-    return len(cell.running(job)) == tasks
 
 
 async def script(cell: Cell) -> int:
-    # Each serving task stays far below its target, whatever works beside it.
-    await cell.begin(RUNNERS, work=lambda task: float("inf"), figure=lambda task: TAIL_MS)
+    await cell.begin(
+        RUNNERS,
+        work=lambda task: WORK_SECONDS,
+        fails=lambda task, _: TROUBLE and task.startswith(POISON),
+    )
     await asyncio.sleep(2)
-    lasting = {"cpu": 13000, "mem_mb": 14000, "daemon": True}
-    serving = {"count": RUNNERS - 1, "anti_affinity": 1, "target_ms": TARGET_MS, **lasting}
-    if not await cell.submit(SERVING, [{**serving, "image": "stock-watch"}]):
-        return NOT_RUN
-    if not await all_run(cell, SERVING, RUNNERS - 1):
-        return NOT_RUN
-    if not await cell.submit(FILLING, [{"count": 1, "fills": True, "image": "reindex", **lasting}]):
+    # One job of 20 can never be done.
+    step = {"cpu": 5000, "mem_mb": 9000, "estimate_ms": 800}
+    for job in USUAL:
+        if not await cell.submit(job, [{"count": 6, **step}]):
+            return NOT_RUN
+        await asyncio.sleep(0.2)
+    await asyncio.sleep(1)
+    if not await cell.submit(POISON, [{"count": 10, "anti_affinity": 1, **step}]):
         return NOT_RUN
-    if not await all_run(cell, FILLING, 1):
+    await asyncio.sleep(4)
+    if not await cell.submit(GANG, [{"count": MEMBERS, "gang": True, **step}]):
         return NOT_RUN
-    await asyncio.sleep(3.0)
-    if TROUBLE:
-        for machine in cell.machines:
-            if machine.runner is not None and f"{FILLING}.0.0.0" in machine.runner.running:
-                machine.crash()
-    lost = cell.record.now
-    idle, worst, last = 0.0, 0.0, lost
-    while cell.record.now < lost + QUIET_SECONDS + WATCH_SECONDS:
+    ended = cell.record.now
+    cell.record.add("the traffic has ended")
+    idle, worst, last = 0.0, 0.0, ended
+    while cell.record.now < ended + FINISH_SECONDS + WATCH_SECONDS:
         await asyncio.sleep(0.05)
         now = cell.record.now
-        idle = 0.0 if cell.running(FILLING) else idle + now - last
-        if now >= lost + QUIET_SECONDS:
-            worst = max(worst, min(idle, now - lost - QUIET_SECONDS))
+        # One end of a member as done represents all.
+        done = any(task.startswith(GANG) and how == "done" for task, _, how in cell.ends)
+        idle = idle + now - last if not done and not cell.running(GANG) else 0.0
+        if now >= ended + FINISH_SECONDS:
+            worst = max(worst, min(idle, now - ended - FINISH_SECONDS))
         last = now
-    cell.record.add(f"{FILLING} had nothing running for {worst:.1f} s on end")
-    rows = [m.runner for m in cell.machines if m.runner is not None]
-    cell.record.add(f"runners that are up: {len(rows)}, tasks on each: {[r.running for r in rows]}")
-    await cell.state(FILLING)
+    cell.record.add(f"{GANG} had nothing running for {worst:.1f} s on end")
+    tasks = [task for m in cell.machines if m.runner is not None for task in m.runner.running]
+    cell.record.add(f"{len(tasks)} tasks run on {len(cell.machines)} runners")
+    for job in (POISON, GANG):
+        await cell.state(job)
     return BROKEN if worst >= ALLOWED_SECONDS else HELD
 
 
