--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import http.client
 import json
 import os
@@ -48,6 +49,14 @@
 CAPACITY = Resources(64000, 131072, 0)
 STARTUP_SECONDS = 0.3
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent() -> None:
+    """Let the kernel end this process if the script ends before it."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
 
 
 class Record:
@@ -269,6 +278,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=end_with_parent,
             )
 
     async def call(
