Tell in the line of a wait what is suspected, and how many tasks have room

Two gangs of the review (review/1, review/3) wait for ever, and the line `tasks wait` is the same for both: `why` "gang", 12 of 12 runners usable, no obstacles. It cannot tell suspected members from runners on probation, nor either from a lack of room.

The line, and `cell job`, now have `suspected` (waiting tasks that start only as a trial), `unproved` (tasks that wait to learn whether their lost runners have crashed), `places` (how many of its tasks have room on the usable runners at once) and `on_probation` (how many of these runners take one task at a time).

Test: a gang with suspected members on a runner on probation shows all four.

--- a/ragworttiller/commands/cell.py
+++ b/ragworttiller/commands/cell.py
@@ -37,9 +37,12 @@
 WAIT_COLUMNS = [
     "seconds",
     "longest",
+    "suspected",
     "suitable",
     "with_room",
     "usable",
+    "places",
+    "on_probation",
     "obstacles",
     "advice_in_flight",
     "advice_age",
--- a/ragworttiller/scheduling/state/stage_waits.py
+++ b/ragworttiller/scheduling/state/stage_waits.py
@@ -53,12 +53,17 @@
 
     ``longest`` is the task that has waited for the longest, and ``seconds`` its wait. ``overdue``
     is whether the stage is one of lasting tasks that may start on runners that have failed.
+    ``suspected`` counts the waiting tasks that start only as a trial, and ``unproved`` those that
+    wait to learn whether their lost runners have crashed.
 
     ``suitable`` counts the runners that meet the rules of the stage, in any state, ``with_room``
     those of them that have room for a task, and ``usable`` those of these that nothing stands
-    against. ``obstacles`` counts what stands against the runners with room; a runner counts under
-    each `Obstacle` that it has, also one that an overdue stage overrides. ``not_asked`` are runners
-    with room that take tasks and of which the advisor has said nothing.
+    against. ``places`` is how many tasks have room on these, and ``on_probation`` how many of them
+    take one task at a time.
+
+    ``obstacles`` counts what stands against the runners with room; a runner counts under each
+    `Obstacle` that it has, also one that an overdue stage overrides. ``not_asked`` are runners with
+    room that take tasks and of which the advisor has said nothing.
 
     ``advice_in_flight`` is whether a call to the advisor has no answer yet, ``advice_age`` the age
     in seconds of the last call, -1 if there was none. ``reserved_on`` counts the runners on which
@@ -76,9 +81,13 @@
     longest: str
     seconds: float
     why: str
+    suspected: int
+    unproved: int
     suitable: int
     with_room: int
     usable: int
+    places: int
+    on_probation: int
     obstacles: dict[str, int]
     not_asked: int
     advice_in_flight: bool
@@ -107,6 +116,11 @@
     staying: int
     with_room: list[Candidate]
 
+    @property
+    def usable(self) -> list[RunnerState]:
+        """Runners with room that nothing stands against."""
+        return [row.runner for row in self.with_room if not row.effective]
+
     @property
     def open_with_room(self) -> list[Candidate]:
         """Runners with room that are not closed to the stage."""
@@ -139,6 +153,7 @@
         """Return what is known of the wait of a stage; it looks at all runners of the cell."""
         now, tickets, longest = self._now, stage.tickets, stage.longest_waiting()
         runners = self._runners(work, stage)
+        usable = runners.usable
         why = self._own_reason(work, stage) or self._reason_of_runners(work, stage, runners)
         known = tickets.allowed | tickets.denied
         counts = Counter(str(obstacle) for row in runners.with_room for obstacle in row.found)
@@ -154,9 +169,13 @@
             longest="" if longest is None else str(TaskId(stage.id, longest)),
             seconds=round(stage.longest_wait(now), 3),
             why=str(why),
+            suspected=sum(map(stage.is_suspect, stage.waiting)),
+            unproved=sum(stage.awaits_proof(index, now) for index in stage.waiting),
             suitable=runners.suitable,
             with_room=len(runners.with_room),
-            usable=sum(not row.effective for row in runners.with_room),
+            usable=len(usable),
+            places=_places(stage, usable),
+            on_probation=sum(runner.on_probation for runner in usable),
             obstacles=dict(sorted(counts.items())),
             not_asked=sum(row.runner.id not in known for row in runners.open_with_room),
             advice_in_flight=tickets.call_deadline > now,
@@ -252,3 +271,12 @@
                 for runner in stage.reserved_on:
                     rows.setdefault(runner, []).append((stage.id, stage.spec.reservation))
         return rows
+
+
+def _places(stage: Stage, runners: list[RunnerState]) -> int:
+    """Return how many tasks of a stage have room on some runners at once."""
+    spec, running = stage.spec, stage.runs_by_runner()
+    return sum(
+        spec.reservation.copies_in(r.free, (spec.per_runner or spec.tasks) - running[r.id])
+        for r in runners
+    )
--- a/tests/test_cell_view.py
+++ b/tests/test_cell_view.py
@@ -7,7 +7,7 @@
 from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.scheduling.clock import LeaseClock
 from ragworttiller.scheduling.ownership.wait_log import WaitLog
-from ragworttiller.scheduling.records.formats import Claim
+from ragworttiller.scheduling.records.formats import Blame, Claim, Crash, Loss
 from ragworttiller.scheduling.state.cell_view import CellView
 from ragworttiller.scheduling.state.stage_waits import StageWait, WaitReason
 from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
@@ -147,6 +147,22 @@
         rig.pass_time(1.0)
         assert (self.row(rig)["reserved_on"], self.row(rig)["reserved_left"]) == (1, 3.0)
 
+    def test_a_gang_shows_its_suspected_members_and_runners_on_probation(self, rig: CellRig):
+        """Guards against a wait that names neither, with room for the gang on all runners."""
+        rig.submit(step(6, gang=True))
+        (stage,) = rig.cell.jobs[JOB].stages.values()
+        for index in range(5):
+            stage.add_crash(index, Crash("w9", 1.0, str(Blame.LATEST)))
+        stage.losses[5] = [Loss(f"w{n}", "", 1.0, str(Blame.BESIDE)) for n in range(5)]
+        stage.add_crash(5, Crash("w9", 1.0, str(Blame.LATEST)))
+        stage.lost_at[5] = rig.now
+        rig.cell.runners["w1"].suspend(rig.now)
+        rig.pass_time(3.5)
+        rig.plan()
+        row = self.row(rig)
+        assert (row["why"], row["suspected"], row["unproved"]) == (WaitReason.GANG, 6, 1)
+        assert (row["usable"], row["places"], row["on_probation"]) == (2, 8, 1)
+
 
 class TestLongWaits:
     def test_a_stage_that_waits_for_long_shows_its_runners_with_room(self, rig: CellRig):
