Try the suspected members of a gang together

Cause: all members that had started on the crashed runner are suspected, each suspected task got a runner of its own, closed to all others, and a gang starts whole or not at all. A gang with about as many suspected members as runners that suit it can then never start, and only a run would clear it. Ruled out: the wait for a proof (one crash only), a runner that stays closed (12 usable).

Suspected members are now tried together on as few runners as they fit on; the others start elsewhere, and join them only if there is no other room. So such a gang fits whenever it would fit without a suspicion. What starts on one runner counts as one trial: its crash blames each of these members as in a trial of its own, also by a successor that a claim tells of it, and the job is given up after two such trials as before. A runner with several members on trial counts once for the share of runners with a trial; it counted once for each.

--- a/ragworttiller/scheduling/decisions/crash_blame.py
+++ b/ragworttiller/scheduling/decisions/crash_blame.py
@@ -48,7 +48,7 @@
         return []
     silent_since = _silent_since(runner, now)
     together = started_last(runs)
-    if len(together) == 1 and together[0].trial:
+    if _is_one_trial(together):
         # Nothing has started beside it: that explains the crash.
         prompt = silent_since - together[0].started_at <= PROMPT_CRASH_SECONDS
         sound = alone and silent_since >= runner.unsound_until
@@ -65,6 +65,13 @@
     return rows + _with_crashes(runner.id, beside, silent_since, Blame.BESIDE)
 
 
+def _is_one_trial(runs: Sequence[Run]) -> bool:
+    """Return whether some runs are the trial of one task, or of one gang."""
+    if not runs or not all(run.trial for run in runs):
+        return False
+    return len(runs) == 1 or (runs[0].spec.gang and len({run.task.stage for run in runs}) == 1)
+
+
 def started_last(runs: Sequence[Run]) -> list[Run]:
     """Return the runs that started last, together, none of which was adopted.
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -21,11 +21,11 @@
 from ragworttiller.scheduling.decisions.lasting_stages import LastingStages, waits_for_long
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.pass_speeds import PassSpeeds
+from ragworttiller.scheduling.decisions.placer import Placer
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.stragglers import Leftovers
-from ragworttiller.scheduling.decisions.task_placement import Placer
-from ragworttiller.scheduling.decisions.trials import begin_trial
+from ragworttiller.scheduling.decisions.trials import begin_trial, tried_tasks
 from ragworttiller.scheduling.decisions.undone_starts import undo_gang_starts, undo_start
 from ragworttiller.scheduling.state.contained_errors import ContainedErrors
 from ragworttiller.scheduling.state.job_work import JobWork
@@ -384,6 +384,7 @@
         number = max(stage.next_number(i, self._epoch) for i in chosen) if stage.spec.gang else 0
         checkpoint = next(iter(stage.checkpoints.values()), "") if stage.spec.gang else None
         planned = len(plan.starts)
+        tried = tried_tasks(stage, chosen)
         for index, name in chosen.items():
             runner = self._pool.runners[name]
             try:
@@ -396,7 +397,7 @@
                 seconds = START_DEADLINE_SECONDS + (PLACEMENT_SECONDS if stage.spec.daemon else 0.0)
                 run.start_deadline = runner.grant_start(now, seconds)
                 runner.add(run)
-                if stage.crashes and stage.is_suspect(index):
+                if index in tried:
                     begin_trial(self._pool, stage, run, runner, now)
                 ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
                 order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
--- a/ragworttiller/scheduling/decisions/stragglers.py
+++ b/ragworttiller/scheduling/decisions/stragglers.py
@@ -7,13 +7,13 @@
 from typing import NamedTuple
 
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
+from ragworttiller.scheduling.decisions.placer import Placer
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs
 from ragworttiller.scheduling.decisions.straggler_policy import (
     LearntDurations,
     RunOutlook,
     sibling_median,
 )
-from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.decisions.waiting_stages import WaitingStages
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.orders import PendingStops
--- a/ragworttiller/scheduling/state/crashes.py
+++ b/ragworttiller/scheduling/state/crashes.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Sequence, Set
 from typing import NamedTuple
 
 from ragworttiller.exceptions import Unreadable
@@ -135,30 +135,38 @@
     def _settle_withdrawn(self, row: Withdrawn, now: float) -> None:
         """Settle the tasks that were on a runner that had fallen silent before the takeover."""
         rows = list(_tasks(row))
-        explained = self._ended_by_a_trial(row.runner, rows)
+        tried = self._tried_last(row.runner, rows)
         for position, (task, seconds) in enumerate(rows):
             stage = self._jobs.stage(task.stage)
             if stage is None or task.ordinal not in stage.waiting:
                 continue
-            if explained and position:
+            if tried and task not in tried:
                 self._acquit(stage, task, row.runner)
             elif seconds <= MAX_CRASH_SECONDS:
                 latest = position < row.latest
                 self._record_inherited(task, row.runner, row.address, latest, seconds, now)
 
-    def _ended_by_a_trial(self, boot: str, rows: Sequence[tuple[TaskId, float]]) -> bool:
-        """Return whether the trial of the first task explains the loss of a boot to the others.
+    def _tried_last(self, boot: str, rows: Sequence[tuple[TaskId, float]]) -> Set[TaskId]:
+        """Return the tasks whose trial explains the loss of a boot to the others, if there are any.
 
         As for the runs of this owner, nothing has started beside a trial that started last, alone.
-        Tasks that were adopted together, or whose seconds are unknown, are not told apart.
+        Tasks that were adopted together, or whose seconds are unknown, are not told apart, unless
+        they are the members of one gang that were tried together.
         """
         if not rows:
-            return False
-        (first, latest), *others = rows
+            return frozenset()
+        first, latest = rows[0]
         stage = self._jobs.stage(first.stage)
-        if stage is None or _open_trials(stage).get(first.ordinal) != boot:
-            return False
-        return all(seconds > latest + SAME_START_SECONDS for _, seconds in others)
+        trials = _open_trials(stage) if stage is not None else {}
+        if stage is None or trials.get(first.ordinal) != boot:
+            return frozenset()
+        tried = {first}
+        if stage.spec.gang:
+            tried |= {TaskId(stage.id, index) for index, on in trials.items() if on == boot}
+        others = [seconds for task, seconds in rows if task not in tried]
+        if any(seconds <= latest + SAME_START_SECONDS for seconds in others):
+            return frozenset()
+        return tried
 
     def _acquit(self, stage: Stage, task: TaskId, boot: str) -> None:
         """Drop an earlier trial on a boot that was lost under the trial of another task."""
--- a/ragworttiller/scheduling/state/job_previews.py
+++ b/ragworttiller/scheduling/state/job_previews.py
@@ -5,8 +5,9 @@
 from collections.abc import Sequence
 
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
+from ragworttiller.scheduling.decisions.placer import Placer
 from ragworttiller.scheduling.decisions.separation import SeparationPolicy
-from ragworttiller.scheduling.decisions.task_placement import PlacementPolicy, Placer
+from ragworttiller.scheduling.decisions.task_placement import PlacementPolicy
 from ragworttiller.scheduling.records.formats import MAX_OFFSET, Accepted
 from ragworttiller.scheduling.records.job_fold import JobRow
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -13,12 +13,12 @@
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
+from ragworttiller.scheduling.decisions.placer import Placer
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
 from ragworttiller.scheduling.decisions.straggler_policy import LearntDurations, TailDurations
 from ragworttiller.scheduling.decisions.stragglers import StragglerSearch
-from ragworttiller.scheduling.decisions.task_placement import Placer
 from ragworttiller.scheduling.records.formats import Claim
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -140,7 +140,8 @@
     def begin_trial(self, runner: RunnerState, run: Run, until: float) -> None:
         """Let no other task start on a runner until a time in seconds, or the end of the run."""
         runner.begin_trial(run, until)
-        self._trials.append(runner)
+        if runner not in self._trials:
+            self._trials.append(runner)
 
     def on_trial(self, now: float) -> int:
         """Return the number of runners on which a suspected task is being tried."""
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -202,9 +202,13 @@
         )
 
     def begin_trial(self, run: Run, until: float) -> None:
-        """Let no other task start here until a time in seconds, or until the run has ended."""
+        """Let no other task start here until a time in seconds, or until the run has ended.
+
+        Members of a gang may be tried together: of these, the one for which the trial is longest.
+        """
         run.trial = True
-        self._trial, self._trial_until = run, until
+        if self._trial is None or self._trial.key not in self.runs or until > self._trial_until:
+            self._trial, self._trial_until = run, until
 
     def on_trial(self, now: float) -> bool:
         """Return whether no task starts here because another one is being tried."""
