Let a job of a quiet cell run beside probes, and long probes end a probation

Cause: a runner that was suspended is on probation until a probe is done there, and takes one probe at a time and one task of a stage. A gang wider than the cell starts no probe, and nothing else came; a probe that takes 90 s closed its runner for as long. Ruled out: suspensions (12 runners usable 30 s later), room held back (no other stage).

Changed: - A stage is overdue, as lasting ones were before, if nothing of its job has run for 1.5 s in an upstream with under half of its processors in use. Then probation, reservations, a gang that waits, headroom, last tasks and the share of trials hold it no longer. Suspensions do, but for lasting tasks. - A probe that has worked for 4 s, and twice as long as it took runs to fail there, ends the probation; only lasting probes of 4 s did. - In a busy cell a gang joins probes after 8 s, and a failed task tries runners on probation then, also while a runner without room is on none.

Weighed and left: a probation that ends by time alone. An idle runner that fails all that it starts would get a full load at once.

The one on a lasting probe that closes its runner had a quiet cell for its setup, in which another job no longer waits for 4 s; its probe now takes half of the processors, and it asserts the same.

--- a/ragworttiller/scheduling/decisions/lasting_stages.py
+++ b/ragworttiller/scheduling/decisions/lasting_stages.py
@@ -1,4 +1,4 @@
-"""Decides which stages of lasting tasks are overdue, and calls the advisor for them first."""
+"""Calls the advisor first for lasting tasks that wait."""
 
 from __future__ import annotations
 
@@ -10,17 +10,14 @@
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
-from ragworttiller.scheduling.state.runs import Stage
 from ragworttiller.scheduling.state.takeover import Takeover
 
-# With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
-LASTING_PATIENCE_SECONDS = 1.5
 # Leaves time for calls to several stages, and for those before them, within the same 3 s.
 LASTING_ADVICE_PATIENCE_SECONDS = 0.5
 
 
 class LastingStages:
-    """Puts stages of lasting tasks that have waited before all others.
+    """Plans calls to the advisor for lasting tasks before those for all others.
 
     Load pattern: while bursts of short tasks fill the runners and the advisor, a lasting task that
     has ended would wait for as long as they go on. Lasting tasks have no limit of attempts, and
@@ -41,24 +38,6 @@
         self._caps = caps
         self._advice = advice
 
-    def mark_overdue(self, ready: Sequence[ReadyStage], capped: bool, now: float) -> None:
-        """Mark the stages that wait for long though their cap allows them.
-
-        Parameters
-        ----------
-        ready : sequence of ReadyStage
-            Stages of which tasks may start, of lasting tasks and of others.
-        capped : bool
-            Whether workspaces have caps.
-        now : float
-            Time in seconds.
-        """
-        for _, stage, _ in ready:
-            if stage.spec.daemon:
-                stage.overdue = stage.blocked_since is not None and waits_for_long(stage, now)
-                if stage.overdue and capped:
-                    stage.overdue = self._caps.allowed(stage, stage.longest_wait(now)) > 0
-
     def plan_calls(self, ready: Sequence[ReadyStage], capped: bool, now: float) -> None:
         """Plan calls to the advisor for stages that have waited, the longest wait first.
 
@@ -117,8 +96,3 @@
                 if not capped or self._caps.allowed(stage, 0.0):
                     seconds = takeover.seconds_held(takeover.holding(work.row, stage), now)
                     self._advice.plan_for_held(work, stage, seconds)
-
-
-def waits_for_long(stage: Stage, now: float) -> bool:
-    """Return whether a task of a lasting stage has waited for longer than it should."""
-    return stage.longest_wait(now) > LASTING_PATIENCE_SECONDS
--- a/ragworttiller/scheduling/decisions/placer.py
+++ b/ragworttiller/scheduling/decisions/placer.py
@@ -103,7 +103,6 @@
         """Update the score of a runner, which has none if it can take no task of the stage now."""
         stage = self._stage
         self.scores.pop(runner.id, None)
-        self._costs.pop(runner.id, None)
         free = self._free.for_stage(runner.id, stage.overdue)
         if not stage.spec.reservation.fits(free):
             return
@@ -112,6 +111,7 @@
             return
         cost = 0.0
         if self._separates:
+            self._costs.pop(runner.id, None)
             if not self._separation.joins(stage, runner, running):
                 return
             cost = self._costs[runner.id] = self._separation.cost(stage, runner, self._late)
--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -48,7 +48,7 @@
     # A pass makes this test for each runner, and most stages have no limit.
     if stage.spec.per_runner and at_limit(stage, running):
         return False
-    if stage.overdue or not runner.on_probation:
+    if not runner.on_probation or stage.overdue or stage.joins_probes:
         return True
     return not awaits_probe(runner, running)
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -18,8 +18,9 @@
 from ragworttiller.scheduling.decisions.headroom import HeadroomPolicy
 from ragworttiller.scheduling.decisions.kinds import KindPolicy
 from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, SlowStart
-from ragworttiller.scheduling.decisions.lasting_stages import LastingStages, waits_for_long
+from ragworttiller.scheduling.decisions.lasting_stages import LastingStages
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
+from ragworttiller.scheduling.decisions.overdue_stages import OverdueStages, waits_for_long
 from ragworttiller.scheduling.decisions.pass_speeds import PassSpeeds
 from ragworttiller.scheduling.decisions.placer import Placer
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
@@ -42,6 +43,8 @@
 # The placement of a lasting task is stored before its start is ordered with a deadline of its own.
 PLACEMENT_SECONDS = 2.0
 AVOID_FAILED_RUNNER_SECONDS = 2.0
+# How long a gang, or a task that has failed, leaves runners on probation to other tasks.
+MAX_PROBE_WAIT_SECONDS = 8.0
 NO_KINDS: frozenset[str] = frozenset()
 
 
@@ -124,6 +127,7 @@
         self.loads = EntryLoads()
         self._advice = AdvicePlanner(self.loads, candidate_policy)
         self._room_maker = room_maker
+        self._overdue = OverdueStages(pool, caps)
         self._lasting = LastingStages(pool, caps, self._advice)
 
     def plan(
@@ -157,9 +161,10 @@
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
         ready = self._contained.ready(jobs, lambda rows: self._ready_stages(rows, now, wall), now)
         capped, lasting = self._caps.begin(), self._lasting
+        self._overdue.begin()
         attempt, for_all = self._errors.attempt, self._contained.for_all
         for_all(ready, lambda rows: self._record_arrivals(rows, now), now, "arrivals")
-        for_all(ready, lambda rows: lasting.mark_overdue(rows, capped, now), now, "overdue stages")
+        for_all(ready, lambda rows: self._overdue.mark(rows, capped, now), now, "overdue stages")
         for_all(ready, lambda rows: lasting.plan_calls(rows, capped, now), now, "lasting calls")
         ready = self._contained.without_aside(ready, now)
         held_back: set[str] = set()
@@ -202,11 +207,9 @@
         Upstreams whose room is kept for a gang are added to ``held_back``.
         """
         work, stage, inputs = row
-        if work.queue.upstream in held_back and not inputs.lasts:
+        if work.queue.upstream in held_back and not (inputs.lasts or stage.overdue):
             return
-        room = free_resources.upstream_room(work.queue.upstream)
-        waited = now - (stage.ready_since or now)
-        allowance = self._headroom.allowance(inputs, waited, room, now)
+        allowance = self._allowance(work, stage, inputs, free_resources, now)
         if allowance < stage.spec.reservation.cpu:
             return
         allowed = self._allowed_by_cap(work, stage, now) if capped else len(stage.waiting)
@@ -234,11 +237,26 @@
         if reserves_for_gang(work, stage, free_resources, now):
             held_back.add(work.queue.upstream)
 
+    def _allowance(
+        self,
+        work: JobWork,
+        stage: Stage,
+        inputs: OrderInputs,
+        free_resources: FreeResources,
+        now: float,
+    ) -> float:
+        """Return the processor time that the tasks of a stage may reserve now."""
+        if stage.overdue:
+            return math.inf
+        room = free_resources.upstream_room(work.queue.upstream)
+        waited = now - (stage.ready_since or now)
+        return self._headroom.allowance(inputs, waited, room, now)
+
     def _start_on_suspended(
         self, plan: Plan, ready: list[ReadyStage], capped: bool, now: float
     ) -> None:
         """Start lasting tasks that have waited for long on suspended runners."""
-        rows = [row for row in ready if row[1].overdue and row[1].waiting]
+        rows = [row for row in ready if row[1].overdue and row[1].waiting and row[2].lasts]
         runners = self._pool.accepting_lasting_tasks_only(now) if rows else []
         if not runners:
             return
@@ -291,11 +309,12 @@
     ) -> None:
         """Let tasks that have failed start on more runners once their stage is blocked for long."""
         blocked = now - (stage.blocked_since or now)
-        stage.tries_failed_on_probation = False
+        stage.joins_probes = stage.spec.gang and blocked > MAX_PROBE_WAIT_SECONDS
+        stage.tries_failed_on_probation = stage.overdue or blocked > MAX_PROBE_WAIT_SECONDS
         if blocked <= AVOID_FAILED_RUNNER_SECONDS:
             return
         stage.last_failed_runner.clear()
-        if stage.failed_runs:
+        if stage.failed_runs and not stage.tries_failed_on_probation:
             stage.tries_failed_on_probation = all(
                 runner.on_probation for runner in possible_runners(work, stage, free)
             )
@@ -362,6 +381,8 @@
             ratio = min(time_ratios[runner.id] for runner in slow_rows)
             slow_start = SlowStart(upstream, slow, ratio, expected)
             waiting = self._last_tasks.waiting(stage, slow_start, len(left))
+            if stage.overdue:
+                waiting = 0
             started |= start(slow_rows, left[: len(left) - waiting])
         return bool(started)
 
@@ -407,6 +428,6 @@
                     undo_gang_starts(plan, planned, stage, self._pool.runners, now)
                 undo_start(stage, index, runner, now)
                 raise
-        # Its other tasks may have waited for as long.
-        stage.overdue = stage.overdue and waits_for_long(stage, now)
+        # Other lasting tasks of it may have waited for as long.
+        stage.overdue = stage.overdue and stage.spec.daemon and waits_for_long(stage, now)
         self._last_tasks.record_starts(chosen.values())
--- a/ragworttiller/scheduling/decisions/start_obstacles.py
+++ b/ragworttiller/scheduling/decisions/start_obstacles.py
@@ -41,7 +41,7 @@
     Obstacle.SUSPENDED,
     Obstacle.TRIAL,
 }
-# These do not keep an overdue lasting task from a runner.
+# These do not keep a task of an overdue stage from a runner.
 OVERRIDDEN_WHEN_OVERDUE = frozenset({Obstacle.PROBATION, Obstacle.RESERVED})
 
 
@@ -110,11 +110,11 @@
 def effective(found: set[Obstacle], runner: RunnerState, stage: Stage, now: float) -> set[Obstacle]:
     """Return the obstacles that keep a task of a stage from a runner now.
 
-    An overdue stage of lasting tasks overrides some of those that were ``found``.
+    An overdue stage overrides some of those that were ``found``.
     """
     if not found or not stage.overdue:
         return found
     left = found - OVERRIDDEN_WHEN_OVERDUE
-    if runner.accepts_lasting_tasks_only(now):
+    if stage.spec.daemon and runner.accepts_lasting_tasks_only(now):
         left -= {Obstacle.SUSPENDED}
     return left
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -103,6 +103,11 @@
         """Whether tasks of the job may start."""
         return not self.state and not self.row.cancelled
 
+    @property
+    def runs_anything(self) -> bool:
+        """Whether a task of the job runs, or is about to."""
+        return any(stage.active_runs for stage in self.stages.values())
+
     @property
     def has_waiting_tasks(self) -> bool:
         """Whether the job is open and a task of it waits, also one that may not start yet."""
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -262,7 +262,7 @@
             self._record_wait(run, now)
         run.observe(row.percent, row.checkpoint, row.load, now)
         self._note_errors("separation", runner, now, self._separation.record_report, run, now)
-        if runner.record_lasting_probe(run, now):
+        if runner.record_probe(run, now):
             log.info("probation ended", extra=run_fields(run))
         stage = self._jobs.stage(row.task.stage)
         if stage is not None:
--- a/ragworttiller/scheduling/state/runner_health.py
+++ b/ragworttiller/scheduling/state/runner_health.py
@@ -8,13 +8,16 @@
 FAILURES_TO_SUSPEND = 2
 SUSPEND_STEP_SECONDS = 3.0
 MAX_SUSPEND_SECONDS = 12.0
+# How much longer than the runs that failed a probe has to work to end a probation.
+PROBE_STRETCH = 2.0
+MAX_PROBE_SECONDS = 60.0
 
 
 class RunnerHealth:
     """Failures on one boot of a runner, and what follows from them; times are in seconds.
 
     A runner on which several runs fail is suspended. After that it is on probation, until a task
-    is done there.
+    is done there, or has worked for longer than those that failed.
 
     Attributes
     ----------
@@ -26,6 +29,7 @@
         self.suspended_until = 0.0
         self._suspensions = 0
         self._refused_until = float("-inf")
+        self._longest_failure = 0.0
         self._failures: list[float] = []
 
     @property
@@ -44,8 +48,8 @@
     def record_failure(self, run: Run | None, now: float) -> bool:
         """Record a failed run and return whether the runner is to be suspended for it.
 
-        A lasting task that has run for the failure window counts as a success of the runner, so
-        that its own end says nothing against the runner.
+        A lasting task that would have ended a probation counts as a success of the runner, so that
+        its own end says nothing against the runner.
 
         Parameters
         ----------
@@ -54,8 +58,10 @@
         now : float
             Time of the owner, in seconds.
         """
-        if run is not None and _is_lasting_success(run, now):
-            return False
+        if run is not None:
+            if run.spec.daemon and self._outlives_failures(run, now):
+                return False
+            self._longest_failure = max(self._longest_failure, now - run.started_at)
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_SECONDS]
         self._failures = [*recent, now]
         return len(self._failures) >= FAILURES_TO_SUSPEND or self.on_probation
@@ -85,8 +91,8 @@
         )
         return True
 
-    def record_lasting_probe(self, run: Run, now: float) -> bool:
-        """Count a lasting probe that has run for the failure window as a success.
+    def record_probe(self, run: Run, now: float) -> bool:
+        """Count a probe that has outlived the runs that failed as a success.
 
         Returns
         -------
@@ -95,7 +101,7 @@
         """
         if not self.on_probation or run.started_at < self.suspended_until:
             return False
-        if not _is_lasting_success(run, now):
+        if not self._outlives_failures(run, now):
             return False
         self.record_success(now)
         return True
@@ -105,8 +111,18 @@
         self._failures.clear()
         if not self.suspended(now):
             self._suspensions = 0
+            self._longest_failure = 0.0
+
+    def _outlives_failures(self, run: Run, now: float) -> bool:
+        """Return whether a run has worked for longer than it took others to fail here."""
+        needed = max(FAILURE_WINDOW_SECONDS, PROBE_STRETCH * self._longest_failure)
+        return _worked_seconds(run, now) >= min(needed, MAX_PROBE_SECONDS)
 
 
-def _is_lasting_success(run: Run, now: float) -> bool:
-    """Return whether a lasting task has run for the failure window."""
-    return run.spec.daemon and now - run.started_at >= FAILURE_WINDOW_SECONDS
+def _worked_seconds(run: Run, now: float) -> float:
+    """Return for how many seconds a run is known to have worked.
+
+    Lasting and filling tasks need not report progress.
+    """
+    reported = run.spec.daemon or run.spec.fills
+    return (now if reported else run.progressed_at) - run.started_at
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -57,11 +57,17 @@
         Name under which tasks that behave alike are known.
     ready_since : float or None
         Time in seconds from which its tasks could start, None before the first planning pass then.
+    idle_since : float or None
+        Time in seconds of the first planning pass since when none of its tasks has started, None if
+        there was none.
     tries_failed_on_probation : bool
         Whether tasks that have failed may start on runners on probation, for want of others.
+    joins_probes : bool
+        Whether its tasks start on runners on probation beside a probe, and several at a time.
     overdue : bool
-        Whether its lasting tasks have waited for so long that they may start on runners that have
-        failed, suspended or on probation, and that the advisor is called for them first.
+        Whether its tasks have waited for so long that they may start on runners on probation and in
+        reserved room, and if they last also on suspended runners. The advisor is then called for
+        lasting ones first.
     requeued_at : dict of int to float
         Time in seconds at which the last run of a task ended without completing it, by index.
     waits : dict of int to TaskWait
@@ -142,7 +148,9 @@
         self.tickets = Tickets()
         self.blocked_since: float | None = None
         self.ready_since: float | None = None
+        self.idle_since: float | None = None
         self.tries_failed_on_probation = False
+        self.joins_probes = False
         self.overdue = False
         self.requeued_at: dict[int, float] = {}
         self.waits: dict[int, TaskWait] = {}
@@ -256,6 +264,7 @@
     def start(self, index: int, runner: str, epoch: int, now: float, number: int = 0) -> Run:
         """Start a waiting task and return its run; ``number`` 0 means the next run number."""
         self.waiting.remove(index)
+        self.idle_since = None
         self.certain.add(index)
         if self.spec.daemon:
             self.placements.place(index, runner)
--- a/tests/test_runner_conditions.py
+++ b/tests/test_runner_conditions.py
@@ -72,7 +72,7 @@
         rig = CellRig(1)
         rig.cell.runners["w1"].suspend(rig.now)
         rig.pass_time(3.5)
-        rig.submit(step(1, daemon=True))
+        rig.submit(step(1, 2000, daemon=True))
         rig.submit(step(1), job=job_id(1))
         (probe,) = rig.start_all()
         assert probe.run.spec.daemon
