Blame a job that fails everywhere, and measure a stall by the run's own pace

Cause: a run stood still if its percent, a whole number, had not changed for 1.5 s or 5% of the estimate, whatever it had taken before; and each failed or stalled run spoke against its runner, though the same job did the same on all.

Changed: the next percent may take three times as long as those before, and the limit doubles with each stop of the task. A stage that has failed on two other runners within 30 s, and none of whose tasks was done or outlived the failures, counts against no runner, with one line `failures blamed on a stage`. Suspensions, stalls and probations are in `HealthTracker`, out of run_tracker.

Weighed: a quarter of the runners for one job; three failures in place of two.

Tests: 5 of the 8 in test_failure_blame.py fail on; the others hold the protection (stalls after progress, several jobs that stand still, a task done elsewhere). test_runner_conditions.py passes unchanged.

--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -14,6 +14,7 @@
 from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.crashes import Crashes
 from ragworttiller.scheduling.state.durations import Durations
+from ragworttiller.scheduling.state.health_tracker import HealthTracker
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import TaskId
 from ragworttiller.scheduling.state.lasting_waits import LastingWaits
@@ -30,8 +31,6 @@
 log = logging.getLogger(__name__)
 
 START_SLACK_SECONDS = 0.05
-MIN_STALL_SECONDS = 1.5
-STALL_ESTIMATE_SHARE = 0.05
 # Outcome of a run whose lease has expired.
 LAPSED = "lapsed"
 
@@ -97,6 +96,7 @@
         self._durations = durations
         self._lease = lease
         self._separation = separation
+        self._health = HealthTracker(stops)
         self.lasting_waits = LastingWaits()
         self.pool = RunnerPool(
             runners, takeover, self._requeue_runs, self._record_ended, usage, errors
@@ -249,8 +249,8 @@
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
             self._requeue(stage, run, now, ran=False)
-        if reason in ("unhealthy", "room") and runner is not None:
-            self._suspend(runner, f"start refused: {reason}", now, refused=True)
+        if runner is not None:
+            self._health.record_refusal(runner, reason, now)
 
     def _apply_running(self, runner: RunnerState, row: RunningTask, now: float) -> None:
         run = runner.runs.get((row.task, row.run))
@@ -262,29 +262,10 @@
             self._record_wait(run, now)
         run.observe(row.percent, row.checkpoint, row.load, now)
         self._note_errors("separation", runner, now, self._separation.record_report, run, now)
-        if runner.record_probe(run, now):
-            log.info("probation ended", extra=run_fields(run))
         stage = self._jobs.stage(row.task.stage)
         if stage is not None:
             self.crashes.clear_outlived(stage, run, now)
-        if stage is not None and self._stalled(stage, run, now):
-            self._suspend(runner, "run without progress", now)
-            self._stops.add(run, "stalled")
-
-    def _suspend(self, runner: RunnerState, reason: str, now: float, refused: bool = False) -> None:
-        """Suspend a runner, with one line for each suspension."""
-        if runner.suspend(now, refused):
-            seconds = round(runner.suspended_until - now, 1)
-            extra = {"runner": runner.id, "why": reason, "seconds": seconds}
-            log.warning("runner suspended", extra=extra)
-
-    def _stalled(self, stage: Stage, run: Run, now: float) -> bool:
-        spec = stage.spec
-        if run.state is not RunState.RUNNING or spec.daemon or spec.fills or spec.gang:
-            return False
-        return now - run.progressed_at > max(
-            MIN_STALL_SECONDS, STALL_ESTIMATE_SHARE * spec.estimate
-        )
+        self._health.record_report(runner, stage, run, now)
 
     def _add_found_run(self, runner: RunnerState, row: RunningTask, now: float) -> Run:
         """Add a reported run that this owner did not start; adopt it if its task is waiting."""
@@ -385,7 +366,7 @@
 
     def _apply_done(self, runner: RunnerState, stage: Stage, end: EndedRun, now: float) -> None:
         """Apply the end of a run that has done its task."""
-        runner.record_success(now)
+        self._health.record_done(runner, stage, now)
         self._mark_done(stage, end)
 
     def _mark_done(self, stage: Stage, end: EndedRun) -> None:
@@ -408,8 +389,7 @@
             if not stage.spec.daemon:
                 stage.add_failed_run(index, end.run)
                 stage.last_failed_runner[index] = runner.id
-            if runner.record_failure(run, now):
-                self._suspend(runner, "repeated failures", now)
+            self._health.record_failure(runner, stage, run, now)
         if stage.spec.checkpoints and end.checkpoint and index not in stage.done:
             stage.checkpoints[index] = end.checkpoint
         if run is not None:
--- a/ragworttiller/scheduling/state/runs/run.py
+++ b/ragworttiller/scheduling/state/runs/run.py
@@ -87,6 +87,15 @@
         """Task and run number, which identify the run on its runner."""
         return self.task, self.number
 
+    @property
+    def seconds_per_percent(self) -> float:
+        """Time that a percent of the work has taken so far, in seconds; 0 before any progress."""
+        if self._progress_base is None:
+            return 0.0
+        base_percent, base_at = self._progress_base
+        gained = self.percent - base_percent
+        return (self.progressed_at - base_at) / gained if gained > 0 else 0.0
+
     @property
     def expected_end(self) -> float:
         """Time at which the run should end: from its progress, or as expected if there is none."""
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -17,6 +17,7 @@
 )
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec, TaskId
 from ragworttiller.scheduling.state.runs.cap_hold import CapHold
+from ragworttiller.scheduling.state.runs.failure_record import FailureRecord
 from ragworttiller.scheduling.state.runs.placements import Placements
 from ragworttiller.scheduling.state.runs.run import Run
 from ragworttiller.scheduling.state.runs.task_wait import TaskWait
@@ -80,6 +81,8 @@
         Runners on which room was reserved for it in the last planning pass.
     reserved_since : float or None
         Time in seconds since when room is reserved for it, None if there is no reservation.
+    failures : FailureRecord
+        Where its tasks have failed lately.
     crashes : dict of int to list of Crash
         Runners that crashed under a task since it last outlived its trial, by index.
     losses : dict of int to list of Loss
@@ -136,6 +139,7 @@
         self.durations: deque[float] = deque(maxlen=MAX_DURATIONS)
         self.failed_runs: dict[int, list[int]] = {}
         self.checkpoints: dict[int, str] = {}
+        self.failures = FailureRecord()
         self.crashes: dict[int, list[Crash]] = {}
         self.losses: dict[int, list[Loss]] = {}
         self.lost_at: dict[int, float] = {}
