--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -6,6 +6,7 @@
 import random
 import re
 from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -59,6 +60,7 @@
 CRASH_DELAY_SECONDS = 0.01
 RETURN_SECONDS = 3.0
 APPEND_TIMEOUT_SECONDS = 10.0
+CAPACITY = Resources(4000, 8000, 0)
 # Share of the machines on which the advisor allows a stage of a queue that asks it.
 ALLOWED_SHARE = 0.7
 
@@ -229,22 +231,23 @@
 
     def boot(self, machine: str, name: str):
         """Start a boot on a machine that is off, and list it."""
-        self.machines[machine].boot = RunnerService(
-            name,
-            self.timers,
-            self.monitor,
-            Resources(4000, 8000, 0),
-            work=self.work_seconds,
-            fails=self.fails,
-            rate=0.98,
-            size=lambda task: self.sizes.get(task.split(".")[0], Resources(1000, 100, 0)),
-            stop_seconds=self.stop_seconds,
-            on_start=lambda task: self._on_start(machine, task),
-            born=int(self.timers.wall() * 1000) if self.keeps_ids else 0,
-            figure=lambda task: self.figure(name, task),
-        )
+        options = {
+            "work": self.work_seconds,
+            "fails": self.fails,
+            "rate": 0.98,
+            "size": lambda task: self.sizes.get(task.split(".")[0], Resources(1000, 100, 0)),
+            "stop_seconds": self.stop_seconds,
+            "on_start": lambda task: self._on_start(machine, task),
+            "born": int(self.timers.wall() * 1000) if self.keeps_ids else 0,
+            "figure": lambda task: self.figure(name, task),
+        }
+        self.machines[machine].boot = self.new_boot(machine, name, options)
         self.list_boot(machine)
 
+    def new_boot(self, machine: str, name: str, options: dict[str, Any]) -> RunnerService:
+        """Return a boot of a machine."""
+        return RunnerService(name, self.timers, self.monitor, CAPACITY, **options)
+
     def _on_start(self, machine: str, task: str):
         if task in self.deadly:
             self.tasks.start_soon(self.crash_and_return, machine)
@@ -370,14 +373,15 @@
 
 
 def with_rig(
-    body: Callable[[OwnersRig], Awaitable[None]],
+    body: Callable[[Any], Awaitable[None]],
     runners: int = 3,
     work: float = 0.5,
     keeps_ids: bool = False,
+    rig_type: type[OwnersRig] = OwnersRig,
 ):
     async def main():
         async with anyio.create_task_group() as tasks:
-            await body(OwnersRig(tasks, runners, work, keeps_ids))
+            await body(rig_type(tasks, runners, work, keeps_ids))
             tasks.cancel_scope.cancel()
 
     run_virtual(main)
