Let filling tasks join serving ones where no other room is, within budgets

Cause: the default policy kept filling tasks from each runner that serves, for as long as it serves, and stopped all filling runs beside a serving one at once, whatever their budget and whether they had another place.

`KeepApart` has a module of its own.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -233,7 +233,9 @@
         upstream, allowed = work.queue.upstream, stage.tickets.allowed
         named = [
             runner
-            for runner in suitable(self._free.of_upstream(upstream), upstream, stage.spec)
+            for runner in suitable(
+                self._free.of_upstream(upstream), upstream, stage.spec, stage.overdue
+            )
             if room_soon is None or runner.id not in allowed or runner.id in room_soon
         ]
         calls = self._calls_at_once(work)
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -19,6 +19,7 @@
 )
 from ragworttiller.scheduling.decisions.fair_order import NoShares, ShareOrder, WeightedShares
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
+from ragworttiller.scheduling.decisions.keep_apart import KeepApart
 from ragworttiller.scheduling.decisions.kinds import AvoidSlowKinds, IgnoreKinds, KindPolicy
 from ragworttiller.scheduling.decisions.last_tasks import LastTasksPolicy, StartNow, WaitForFast
 from ragworttiller.scheduling.decisions.learned_separation import LearnedSeparation
@@ -29,7 +30,7 @@
     ObservationPolicy,
 )
 from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, QueueOrder, SlackOrder
-from ragworttiller.scheduling.decisions.separation import KeepApart, SeparationPolicy
+from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.decisions.task_placement import (
     FastTightFit,
     FirstFit,
@@ -62,7 +63,7 @@
     "none": NoHeadroom,
 }
 SEPARATIONS: Mapping[str, Callable[[float], SeparationPolicy]] = {
-    "none": lambda bound: KeepApart(),
+    "none": KeepApart,
     "learned": LearnedSeparation,
 }
 ShareOrderFactory = Callable[[WorkspaceUsage, OwedJobs, QueueFold], ShareOrder]
--- a/ragworttiller/scheduling/decisions/free_resources.py
+++ b/ragworttiller/scheduling/decisions/free_resources.py
@@ -75,7 +75,7 @@
             room = self.for_stage(runner.id, overdue) if overdue else self._free[runner.id]
             if size.fits(room):
                 rows.append(runner)
-        rows = suitable(rows, upstream, spec)
+        rows = suitable(rows, upstream, spec, overdue)
         if not rows:
             self._without_room.add(kind)
         return rows
@@ -92,7 +92,7 @@
             room = self.for_stage(name, overdue) if overdue else self._free[name]
             if size.fits(room):
                 rows.append(runner)
-        return suitable(rows, upstream, spec)
+        return suitable(rows, upstream, spec, overdue)
 
     def runner(self, name: str) -> RunnerState | None:
         """Return a runner on which tasks may start, None if it is not one of them."""
--- a/ragworttiller/scheduling/decisions/runner_rules.py
+++ b/ragworttiller/scheduling/decisions/runner_rules.py
@@ -14,8 +14,13 @@
     return bool(suitable([runner], upstream, spec))
 
 
-def suitable(runners: Iterable[RunnerState], upstream: str, spec: StepSpec) -> list[RunnerState]:
-    """Return the runners that meet the rules of a step, regardless of their free resources."""
+def suitable(
+    runners: Iterable[RunnerState], upstream: str, spec: StepSpec, overdue: bool = False
+) -> list[RunnerState]:
+    """Return the runners that meet the rules of a step, regardless of their free resources.
+
+    Filling tasks of an ``overdue`` stage may join serving ones.
+    """
     label = spec.label
     cpu, memory, accelerators = spec.reservation
     # Compared here rather than by `Resources.fits`, since a pass makes this test most often.
@@ -30,7 +35,7 @@
     ]
     if not spec.fills:
         return rows
-    return [runner for runner in rows if not runner.keeps_filling_away(spec.image)]
+    return [runner for runner in rows if not runner.keeps_filling_away(spec.image, overdue)]
 
 
 def accepts_another(runner: RunnerState, stage: Stage, running: int) -> bool:
--- a/ragworttiller/scheduling/decisions/separation.py
+++ b/ragworttiller/scheduling/decisions/separation.py
@@ -1,4 +1,4 @@
-"""Policy that keeps tasks apart which slow each other down, and its baseline."""
+"""Policy that keeps tasks apart which slow each other down."""
 
 from __future__ import annotations
 
@@ -6,15 +6,11 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
-from typing_extensions import override
-
 from ragworttiller.scheduling.state.interference import PairView
 from ragworttiller.scheduling.state.orders import PaceOrder, PendingStops
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run, Stage
 
-SHARING_REASON = "serving task on the runner"
-
 
 class SeparationPolicy(ABC):
     """Decides which tasks are kept apart on runners, and at which pace filling tasks work.
@@ -100,61 +96,3 @@
     @abstractmethod
     def pairs(self, now: float) -> list[PairView]:
         """Return what is known of the pairs of images."""
-
-
-class KeepApart(SeparationPolicy):
-    """Keep filling tasks away from serving ones, and learn nothing; the baseline."""
-
-    @override
-    def begin(
-        self,
-        runners: Mapping[str, RunnerState],
-        stops: PendingStops,
-        stage_of: Callable[[Run], Stage | None],
-        now: float,
-    ) -> None:
-        for runner in runners.values():
-            if runner.runs_filling_task and runner.runs_serving_task:
-                for run in runner.runs.values():
-                    if run.spec.fills:
-                        stops.add(run, SHARING_REASON)
-
-    @override
-    def pace_orders(self, now: float) -> list[PaceOrder]:
-        return []
-
-    @override
-    def looks(self, now: float) -> list[RunnerState]:
-        return []
-
-    @override
-    def concerns(self, stage: Stage) -> bool:
-        return False
-
-    @override
-    def cost(self, stage: Stage, runner: RunnerState, late: bool) -> float:
-        return 0.0
-
-    @override
-    def joins(self, stage: Stage, runner: RunnerState, running: int) -> bool:
-        return True
-
-    @override
-    def record_placement(self, stage: Stage, chosen: str, instead: str) -> None:
-        pass
-
-    @override
-    def record_answer(self, runner: RunnerState, now: float) -> None:
-        pass
-
-    @override
-    def record_report(self, runner: RunnerState, run: Run, now: float) -> None:
-        pass
-
-    @override
-    def record_end(self, runner: RunnerState, run: Run, outcome: str, now: float) -> None:
-        pass
-
-    @override
-    def pairs(self, now: float) -> list[PairView]:
-        return []
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -73,7 +73,8 @@
     next_look_at : float
         Time before which no look can be due, -inf if its runs have changed since it was computed.
     admits_filling : Callable or None
-        Returns whether a filling task of an image may join the serving ones, None if none may.
+        Returns whether a filling task of an image, whose stage may be overdue, may join the serving
+        ones; None if none may.
     """
 
     def __init__(self, entry: RunnerEntry, usage: WorkspaceUsage | None = None) -> None:
@@ -98,7 +99,7 @@
         self.look_in_flight = False
         self.last_look_at = float("-inf")
         self.next_look_at = float("-inf")
-        self.admits_filling: Callable[[str], bool] | None = None
+        self.admits_filling: Callable[[str, bool], bool] | None = None
         self.last_answer_at = float("-inf")
         self.returned_at = float("-inf")
         self.leaves_at = float("inf")
@@ -156,11 +157,14 @@
         """Number of tasks here whose processor time is not reserved."""
         return self._filling_runs
 
-    def keeps_filling_away(self, image: str) -> bool:
-        """Return whether a filling task of an image may not join the serving ones here."""
+    def keeps_filling_away(self, image: str, overdue: bool) -> bool:
+        """Return whether a filling task of an image may not join the serving ones here.
+
+        ``overdue`` is whether its stage has waited for long.
+        """
         if not self.runs_serving_task:
             return False
-        return self.admits_filling is None or not self.admits_filling(image)
+        return self.admits_filling is None or not self.admits_filling(image, overdue)
 
     @property
     def runs_trial(self) -> bool:
--- a/ragworttiller/scheduling/state/stage_waits.py
+++ b/ragworttiller/scheduling/state/stage_waits.py
@@ -237,7 +237,8 @@
 
     def _runners(self, work: JobWork, stage: Stage) -> _Runners:
         """Look at all runners of the cell for those that suit a stage."""
-        suits = suitable(self._cell.runners.values(), work.queue.upstream, stage.spec)
+        everyone = self._cell.runners.values()
+        suits = suitable(everyone, work.queue.upstream, stage.spec, stage.overdue)
         running = stage.runs_by_runner()
         size, needs_ticket = stage.spec.reservation, work.queue.advice is not None
         rows: list[Candidate] = []
