--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 
 from ragworttiller.platform.runner_answers import EndedRun, HoldAnswer, RunningTask
-from ragworttiller.scheduling.decisions.crash_rules import exclusive_seconds
 from ragworttiller.scheduling.decisions.separation import SeparationPolicy
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
-from ragworttiller.scheduling.state.active_jobs import UNKNOWN_STEP, ActiveJobs
+from ragworttiller.scheduling.state.active_jobs import ActiveJobs
 from ragworttiller.scheduling.state.contained_errors import ContainedErrors
 from ragworttiller.scheduling.state.copy_tally import CopyTally
 from ragworttiller.scheduling.state.crashes import Crashes
 from ragworttiller.scheduling.state.durations import Durations
+from ragworttiller.scheduling.state.found_runs import FoundRuns
 from ragworttiller.scheduling.state.health_tracker import HealthTracker
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.jobs import TaskId
@@ -26,7 +26,6 @@
 from ragworttiller.scheduling.state.takeover import EXPIRY_MARGIN_SECONDS, Takeover
 from ragworttiller.scheduling.state.work_items import items_in, runner_item, stage_id_item
 from ragworttiller.scheduling.state.workspace_usage import WorkspaceUsage
-from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 log = logging.getLogger(__name__)
 
@@ -102,6 +101,7 @@
             runners, takeover, self._requeue_runs, self._record_ended, usage, errors
         )
         self.crashes = Crashes(jobs, self.pool, takeover)
+        self._found = FoundRuns(jobs, self.pool, takeover, stops, copies)
         # Ends of runs of jobs that could not be added yet, by job.
         self._early_ends: dict[str, list[tuple[RunnerState, EndedRun]]] = {}
         jobs.on_added_late = self._apply_early_reports
@@ -154,27 +154,10 @@
         """Count a reported run after an error, so that its task starts nowhere else beside it."""
         items = [stage_id_item(row.task.stage), runner_item(runner)]
         self._errors.note(error, now, "report of a run", items)
-        stage, run = self._jobs.stage(row.task.stage), runner.runs.get((row.task, row.run))
+        run = runner.runs.get((row.task, row.run))
         if run is None:
-            spec = stage.spec if stage is not None else UNKNOWN_STEP
-            workspace = stage.workspace if stage is not None else NO_WORKSPACE
-            run = Run(row.task, row.run, runner.id, spec, now, workspace)
-            run.measure_progress_from_next_report()
-            run.state = RunState.RUNNING
-            runner.add(run)
-        self._adopt_plainly(run)
-
-    def _adopt_plainly(self, run: Run) -> None:
-        stage, index = self._jobs.stage(run.task.stage), run.task.ordinal
-        if stage is not None and index in stage.waiting:
-            stage.adopt(run)
-        elif stage is None or not any(run is known for known in stage.runs_of(index)):
-            self._stop_unasked(run)
-
-    def _stop_unasked(self, run: Run) -> None:
-        """Stop a run whose task is not waiting, unless its job is still to be added."""
-        if not self._jobs.awaits_adding(run.task.stage.job):
-            self._stops.add(run, "task is not waiting")
+            run = self._found.add_plainly(runner, row, now)
+        self._found.adopt_plainly(run)
 
     def _apply_early_reports(self, work: JobWork, now: float) -> None:
         """Apply what runners have reported of a job that could not be added at first."""
@@ -186,10 +169,10 @@
         for runner in self.pool.runners.values():
             for run in [r for r in runner.runs.values() if r.task.stage.job == work.id]:
                 try:
-                    self._place_found_run(runner, run, now)
+                    self._found.place(runner, run, now)
                 except Exception as exc:
                     self._errors.note(exc, now, "report of a run", items_in((runner, run)))
-                    self._adopt_plainly(run)
+                    self._found.adopt_plainly(run)
 
     def _contain_end(
         self, error: Exception, runner: RunnerState, end: EndedRun, now: float
@@ -255,9 +238,9 @@
     def _apply_running(self, runner: RunnerState, row: RunningTask, now: float) -> None:
         run = runner.runs.get((row.task, row.run))
         if run is None:
-            run = self._add_found_run(runner, row, now)
+            run = self._found.add(runner, row, now)
         elif row.task.stage.job not in self._jobs.by_id:
-            self._stop_unasked(run)
+            self._found.stop_unasked(run)
         if run.state is RunState.STARTING:
             self._record_wait(run, now)
         run.observe(row.percent, row.checkpoint, row.load, now)
@@ -267,41 +250,6 @@
             self.crashes.clear_outlived(stage, run, now)
         self._health.record_report(runner, stage, run, now)
 
-    def _add_found_run(self, runner: RunnerState, row: RunningTask, now: float) -> Run:
-        """Add a reported run that this owner did not start; adopt it if its task is waiting."""
-        spec, workspace = self._jobs.step_spec(row.task), self._jobs.workspace(row.task)
-        run = Run(row.task, row.run, runner.id, spec, now, workspace)
-        run.measure_progress_from_next_report()
-        run.state = RunState.RUNNING
-        runner.add(run)
-        self._place_found_run(runner, run, now)
-        return run
-
-    def _place_found_run(self, runner: RunnerState, run: Run, now: float) -> None:
-        """Adopt a run that this owner did not start if its task is waiting, or else stop it."""
-        stage, index = self._jobs.stage(run.task.stage), run.task.ordinal
-        work = self._jobs.by_id.get(run.task.stage.job)
-        if work is not None and work.open and stage is not None and index in stage.waiting:
-            stage.adopt(run)
-            if run.spec.daemon and not stage.placements.is_stored(index, runner.id):
-                self._jobs.mark_changed(work)
-            self._takeover.adopted += 1
-            if stage.trials.get(index) == runner.id:
-                seconds = exclusive_seconds(stage.crashes.get(index, []))
-                self.pool.begin_trial(runner, run, now + seconds)
-            log.info("run of an earlier owner adopted", extra=run_fields(run))
-        elif work is not None and work.open and stage and stage.accepts_found_copy(index):
-            copy = stage.adopt_copy(run)
-            self._copies.adopt(copy)
-            extra = {**run_fields(run), "copy": copy.number, "on": copy.runner}
-            log.info("second run of a speculative task adopted", extra=extra)
-        else:
-            other = stage.active_runs.get(index) if stage is not None else None
-            if other is not None:
-                extra = {**run_fields(run), "other": other.number, "on": other.runner}
-                log.warning("second run of a task found", extra=extra)
-            self._stop_unasked(run)
-
     def _apply_end(
         self, runner: RunnerState, end: EndedRun, silent: float | None, now: float
     ) -> None:
