Start a whole gang beside a reservation under half of the cap

The reservation lasts until the stage starts, which may wait for a task of minutes.

A gang starts now if all of it stays under half of the cap, after 1 s as the one task does. The new test fails on (no start within 2 s beside a task of 90 s); it also holds that a gang that would pass half of the cap waits.

--- a/ragworttiller/scheduling/decisions/caps.py
+++ b/ragworttiller/scheduling/decisions/caps.py
@@ -81,12 +81,15 @@
     ) -> int:
         """Return how many tasks of a stage start although its workspace's room is reserved.
 
-        One does if nothing of its stage runs, it has waited, and half of the cap stays unused.
+        One does, or a whole gang, if nothing of its stage runs, it has waited, and half of the cap
+        stays unused.
         """
-        if stage.active_runs or stage.spec.gang or waited < MAX_RESERVED_WAIT_SECONDS:
+        if stage.active_runs or waited < MAX_RESERVED_WAIT_SECONDS:
             return 0
         half = Resources(*(math.ceil(RESERVABLE_SHARE * limit) for limit in cap))
-        return copies_within(half, used, stage.spec.size, 1)
+        needed = stage.spec.tasks if stage.spec.gang else 1
+        count = copies_within(half, used, stage.spec.size, needed)
+        return count if count == needed else 0
 
     def allows_copy(self, stage: Stage) -> bool:
         """Return whether a second run of a task that runs already fits within the cap."""
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -214,6 +214,23 @@
             rig.hold(run.runner, (run.task, run.number, "done"))
         assert [order.run.task.stage.job for order in rig.start_all()] == [JOB]
 
+    def test_a_gang_starts_beside_a_reservation_under_half_of_the_cap(self):
+        """Guards against a gang that waits for the end of a long task it needs no room of."""
+        rig = capped_rig(8000)
+        rig.submit(step(1, estimate_ms=90_000), job=job_id(1), workspace="a")
+        rig.start_all()
+        rig.submit(step(8, gang=True), job=JOB, workspace="a")
+        for _ in range(6):
+            rig.start_all()
+            rig.pass_time(0.5)
+        rig.submit(step(3, gang=True), job=job_id(2), workspace="a")
+        rig.submit(step(4, gang=True), job=job_id(3), workspace="a")
+        started = []
+        for _ in range(8):
+            started += [order.run.task.stage.job for order in rig.start_all()]
+            rig.pass_time(0.25)
+        assert started == [job_id(2)] * 3
+
     def test_lasting_tasks_that_leave_no_room_hold_nothing_else(self):
         rig = capped_rig(3000)
         rig.submit(step(1, 1000, service=True, estimate_ms=0), job=job_id(1), workspace="a")
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -195,7 +195,6 @@
         stage.waits_for_fast_since = rig.now - 2.0
         assert [rig.kind_of(run) for run in rig.advance(0.1)] == ["b"]
 
-
     def test_an_idle_job_waits_for_no_fast_runner_in_a_quiet_cell(self):
         """Guards against a wait for as long as a fast runner could gain, beside idle ones."""
         rig = self.rig("wait_for_fast")
