Count failures against runners while a task of the job works on elsewhere

Suspected cause: a step of long tasks that fails at once on three bad runners was taken for the cause, since none of its tasks was done yet, so that the third and fourth bad runner stayed open to it.

A run of the step that works on for half as long again as the failed ones had worked, 0.5 s at least, now shows that the runners are to blame, as a task that was done does. A new test fails on the code before (two of four bad runners suspended).

--- a/ragworttiller/scheduling/decisions/failure_blame.py
+++ b/ragworttiller/scheduling/decisions/failure_blame.py
@@ -2,7 +2,9 @@
 
 Load pattern: some runners fail all that they start, and some jobs fail wherever they run. Both look
 the same on one runner. A stage that fails on one runner after the other, and of which nothing was
-done, is the cause itself; otherwise a single such job would close all runners of a quiet cell.
+done, is the cause itself; otherwise a single such job would close all runners of a quiet cell. A
+task of it that works on elsewhere, for longer than it took the others to fail, shows that it is
+not.
 """
 
 from __future__ import annotations
@@ -11,6 +13,9 @@
 
 # Runners on which a stage has failed, while none of its tasks was done, before it is the cause.
 RUNNERS_TO_BLAME_STAGE = 2
+# How much longer than failed runs another one has to work to outlive them.
+OUTLIVING_FACTOR = 1.5
+MIN_OUTLIVING_SECONDS = 0.5
 MIN_STALL_SECONDS = 1.5
 STALL_ESTIMATE_SHARE = 0.05
 # Progress is reported in whole percents: how much longer than before the next one may take.
@@ -32,10 +37,17 @@
     now : float
         Time in seconds.
     """
-    if stage.failures.succeeded(now):
+    failures = stage.failures
+    if len(failures.runners(now) - {runner}) < RUNNERS_TO_BLAME_STAGE:
         return True
-    others = stage.failures.runners(now) - {runner}
-    return len(others) < RUNNERS_TO_BLAME_STAGE
+    return failures.succeeded(now) or _outlived(stage, now)
+
+
+def _outlived(stage: Stage, now: float) -> bool:
+    """Return whether a run of a stage works on for longer than it took others to fail."""
+    needed = OUTLIVING_FACTOR * stage.failures.longest_seconds(now)
+    needed = max(needed, MIN_OUTLIVING_SECONDS)
+    return any(run.worked_seconds(now) >= needed for run in stage.active_runs.values())
 
 
 def stands_still(stage: Stage, run: Run, now: float) -> bool:
--- a/ragworttiller/scheduling/state/health_tracker.py
+++ b/ragworttiller/scheduling/state/health_tracker.py
@@ -38,12 +38,11 @@
             log.info("probation ended", extra=run_fields(run))
         if stage is None:
             return
-        if run.spec.daemon and runner.outlives_failures(run, now):
-            stage.failures.record_success(now)
         if run in self._stops or not stands_still(stage, run, now):
             return
         self._stops.add(run, "stalled")
-        stage.failures.record_stall(run.task.ordinal, runner.id, now)
+        seconds = now - run.started_at
+        stage.failures.record_stall(run.task.ordinal, runner.id, seconds, now)
         if speaks_against_runner(stage, runner.id, now):
             self._suspend(runner, "run without progress", now)
         else:
@@ -53,7 +52,8 @@
         self, runner: RunnerState, stage: Stage, run: Run | None, now: float
     ) -> None:
         """Record a failed run; ``run`` is None if this owner does not know it."""
-        stage.failures.record(runner.id, now)
+        seconds = now - run.started_at if run is not None else 0.0
+        stage.failures.record(runner.id, seconds, now)
         if not speaks_against_runner(stage, runner.id, now):
             if run is not None:
                 self._log_stage_blamed(stage, run)
--- a/ragworttiller/scheduling/state/runner_health.py
+++ b/ragworttiller/scheduling/state/runner_health.py
@@ -59,7 +59,7 @@
             Time of the owner, in seconds.
         """
         if run is not None:
-            if run.spec.daemon and self.outlives_failures(run, now):
+            if run.spec.daemon and self._outlives_failures(run, now):
                 return False
             self._longest_failure = max(self._longest_failure, now - run.started_at)
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_SECONDS]
@@ -101,7 +101,7 @@
         """
         if not self.on_probation or run.started_at < self.suspended_until:
             return False
-        if not self.outlives_failures(run, now):
+        if not self._outlives_failures(run, now):
             return False
         self.record_success(now)
         return True
@@ -113,16 +113,7 @@
             self._suspensions = 0
             self._longest_failure = 0.0
 
-    def outlives_failures(self, run: Run, now: float) -> bool:
+    def _outlives_failures(self, run: Run, now: float) -> bool:
         """Return whether a run has worked for longer than it took others to fail here."""
         needed = max(FAILURE_WINDOW_SECONDS, PROBE_STRETCH * self._longest_failure)
-        return _worked_seconds(run, now) >= min(needed, MAX_PROBE_SECONDS)
-
-
-def _worked_seconds(run: Run, now: float) -> float:
-    """Return for how many seconds a run is known to have worked.
-
-    Lasting and filling tasks need not report progress.
-    """
-    reported = run.spec.daemon or run.spec.fills
-    return (now if reported else run.progressed_at) - run.started_at
+        return run.worked_seconds(now) >= min(needed, MAX_PROBE_SECONDS)
--- a/tests/test_failure_blame.py
+++ b/tests/test_failure_blame.py
@@ -77,6 +77,21 @@
             rig.hold(name, *[(run.task, run.number, "failed") for run in runs])
         assert suspended(rig) == set(rig.cell.runners) - {good.runner}
 
+    def test_failures_count_against_all_runners_while_long_tasks_work_on_elsewhere(self):
+        """Guards against runners that stay open since no task of a long step is done yet."""
+        rig = CellRig(8)
+        rig.submit(step(24, 500, anti_affinity=3, estimate_ms=60_000))
+        rig.start_all()
+        rig.pass_time(1.0)
+        bad = ("w1", "w2", "w3", "w4")
+        for _ in range(2):
+            for name in bad:
+                runs = list(rig.cell.runners[name].runs.values())
+                rig.hold(name, *[(run.task, run.number, "failed") for run in runs])
+            rig.start_all()
+            rig.pass_time(1.0)
+        assert suspended(rig) == set(bad)
+
     def test_a_lasting_task_that_works_elsewhere_speaks_against_the_others_runners(self):
         rig = CellRig(4)
         rig.submit(step(8, 2000, daemon=True))
