Call a cell quiet for a job only if all that the job needs is little used

A stage is overdue while under half of the processors of its upstream are in use. Where accelerators or memory are what is scarce, each job that waits for them would have been overdue, taken the room that is kept for others and ignored probations.

Each resource that the tasks of the stage request counts now.

--- a/ragworttiller/scheduling/decisions/overdue_stages.py
+++ b/ragworttiller/scheduling/decisions/overdue_stages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from ragworttiller.scheduling.decisions.caps import Caps
 from ragworttiller.scheduling.decisions.fair_order import ReadyStage
@@ -13,7 +14,7 @@
 
 # With a call to the advisor, less than the 3 s for which a lasting task may wait while it has room.
 PATIENCE_SECONDS = 1.5
-# In a cell with more processors in use, a job waits for others rather than for such a rule.
+# In a cell of which more is in use, a job waits for others rather than for such a rule.
 MAX_SHARE_IN_USE = 0.5
 
 
@@ -23,8 +24,8 @@
     Load pattern: after failures or crashes the last job of a cell waits for runners that others
     would have to prove sound, and there are no others. A lasting task is overdue in any cell, since
     it has to run whenever there is room for it. Any other stage is only while nothing of its job
-    runs and the cell is quiet: in a busy one, overdue stages would fill runners that fail all that
-    they start.
+    runs and less than half of what its tasks need is in use: in a busy cell, overdue stages would
+    fill runners that fail all that they start, and take room that is kept for others.
 
     Parameters
     ----------
@@ -37,11 +38,11 @@
     def __init__(self, pool: RunnerPool, caps: Caps) -> None:
         self._pool = pool
         self._caps = caps
-        self._quiet: dict[str, bool] = {}
+        self._shares: dict[str, Shares] = {}
 
     def begin(self) -> None:
         """Start a new planning pass."""
-        self._quiet.clear()
+        self._shares.clear()
 
     def mark(self, ready: Sequence[ReadyStage], capped: bool, now: float) -> None:
         """Mark the stages that are overdue, as far as their cap allows them to start.
@@ -72,26 +73,44 @@
             stage.idle_since = now
         if now - stage.idle_since <= PATIENCE_SECONDS:
             return False
-        return self._is_quiet(work.queue.upstream) and not work.runs_anything
+        return self._is_quiet(work.queue.upstream, stage) and not work.runs_anything
 
-    def _is_quiet(self, upstream: str) -> bool:
-        """Return whether few enough of the processors of an upstream are in use."""
-        if upstream not in self._quiet:
-            share = share_in_use(self._pool.runners.values(), upstream)
-            self._quiet[upstream] = share < MAX_SHARE_IN_USE
-        return self._quiet[upstream]
+    def _is_quiet(self, upstream: str, stage: Stage) -> bool:
+        """Return whether little enough is in use of each resource that a stage needs."""
+        if upstream not in self._shares:
+            self._shares[upstream] = shares_in_use(self._pool.runners.values(), upstream)
+        rows = zip(stage.spec.reservation, self._shares[upstream], strict=True)
+        return all(share < MAX_SHARE_IN_USE for needed, share in rows if needed)
 
 
-def share_in_use(runners: Iterable[RunnerState], upstream: str) -> float:
-    """Return the share of the processors of an upstream's listed runners that runs reserve."""
-    capacity = free = 0
+class Shares(NamedTuple):
+    """Shares of the resources of an upstream that runs reserve."""
+
+    cpu: float
+    memory: float
+    accelerators: float
+
+
+def shares_in_use(runners: Iterable[RunnerState], upstream: str) -> Shares:
+    """Return the shares of the resources of an upstream's listed runners that runs reserve."""
+    cpu = memory = accelerators = 0
+    free_cpu = free_memory = free_accelerators = 0
     # No calls for each runner, since a pass asks this of all of them.
     for runner in runners:
-        entry = runner.entry
-        if runner.listed and not runner.lost and not entry.draining and entry.upstream == upstream:
-            capacity += entry.capacity.cpu
-            free += runner.free.cpu
-    return 1 - free / max(capacity, 1)
+        entry, free = runner.entry, runner.free
+        if not runner.listed or runner.lost or entry.draining or entry.upstream != upstream:
+            continue
+        cpu += entry.capacity.cpu
+        memory += entry.capacity.memory
+        accelerators += entry.capacity.accelerators
+        free_cpu += free.cpu
+        free_memory += free.memory
+        free_accelerators += free.accelerators
+    return Shares(
+        1 - free_cpu / max(cpu, 1),
+        1 - free_memory / max(memory, 1),
+        1 - free_accelerators / max(accelerators, 1),
+    )
 
 
 def waits_for_long(stage: Stage, now: float) -> bool:
--- a/tests/test_overdue_stages.py
+++ b/tests/test_overdue_stages.py
@@ -136,6 +136,18 @@
         assert [order.run.runner for order in started].count("w4") <= 1
 
 
+class TestQuietCell:
+    @pytest.mark.parametrize(("memory", "quiet"), [(100, True), (5000, False)])
+    def test_a_cell_is_quiet_for_a_job_only_if_all_that_it_needs_is(self, memory: int, quiet: bool):
+        """Guards against jobs that wait for memory and take what is kept for others."""
+        rig = CellRig(3)
+        rig.submit(step(3, 100, mem_mb=memory, anti_affinity=1, estimate_ms=90_000), job=OTHER)
+        assert len(rig.start_all()) == 3
+        put_on_probation(rig)
+        rig.submit(step(5, gang=True))
+        assert (seconds_until_whole(rig, JOB, 5) < MAX_IDLE_SECONDS) == quiet
+
+
 class TestHeldBack:
     def test_a_gang_that_cannot_start_holds_back_no_job_of_a_quiet_cell(self):
         """Guards against jobs that wait for as long as one gang after the other waits."""
