Put properties before methods in the classes that had them between

Only their order changed: the syntax trees are equal but for the order of members, and for one docstring, which said that only lasting tasks are overdue.

--- a/ragworttiller/exceptions/base.py
+++ b/ragworttiller/exceptions/base.py
@@ -49,15 +49,6 @@
     template: ClassVar[str] = "internal error"
     registry: ClassVar[dict[str, type[RagworttillerError]]] = {}
 
-    def __init_subclass__(cls, **kwargs: Any) -> None:
-        super().__init_subclass__(**kwargs)
-        RagworttillerError.registry[cls.code] = cls
-
-    def __init__(self, *, retry_after: float | None = None, **fields: Any) -> None:
-        self._retry_after = retry_after
-        self._fields = fields
-        super().__init__(self.template.format(**fields))
-
     @property
     def retry_after(self) -> float | None:
         """Seconds after which the caller may retry."""
@@ -68,6 +59,15 @@
         """Values for the placeholders of the message."""
         return self._fields
 
+    def __init_subclass__(cls, **kwargs: Any) -> None:
+        super().__init_subclass__(**kwargs)
+        RagworttillerError.registry[cls.code] = cls
+
+    def __init__(self, *, retry_after: float | None = None, **fields: Any) -> None:
+        self._retry_after = retry_after
+        self._fields = fields
+        super().__init__(self.template.format(**fields))
+
     def body(self) -> ErrorBody:
         """Return the error as it is sent in HTTP answers and messages."""
         return ErrorBody(
--- a/ragworttiller/placement/index.py
+++ b/ragworttiller/placement/index.py
@@ -75,12 +75,6 @@
         self._shapes: dict[tuple[Site, Resources], int] = {}
         self._room_increases = 0
 
-    def __len__(self) -> int:
-        return len(self._workers)
-
-    def __contains__(self, name: str) -> bool:
-        return name in self._workers
-
     @property
     def rng(self) -> random.Random:
         """Random numbers for sampling."""
@@ -96,6 +90,12 @@
         """Distinct sites and capacities of schedulable workers."""
         return self._shapes.keys()
 
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._workers
+
     def workers(self) -> Iterable[WorkerRoom]:
         """Return all workers in the order in which they were added."""
         return self._workers.values()
--- a/ragworttiller/process/cell.py
+++ b/ragworttiller/process/cell.py
@@ -130,6 +130,21 @@
         self._cleaned_up_at = 0.0
         self._build(rng)
 
+    @property
+    @override
+    def ready(self) -> bool:
+        return self._context.stream.ready and not self._state.stopping
+
+    @property
+    def holder(self) -> str:
+        """Name under which this owner holds licenses."""
+        return self._state.holder
+
+    @property
+    def started(self) -> int:
+        """Number of start commands that workers have answered."""
+        return self._starter.started
+
     def _build(self, rng: random.Random) -> None:
         state = self._state
         retries, quarantine, learner = Retries(), Quarantine(), Learner()
@@ -175,21 +190,6 @@
             self._remote_tasks,
         )
 
-    @property
-    @override
-    def ready(self) -> bool:
-        return self._context.stream.ready and not self._state.stopping
-
-    @property
-    def holder(self) -> str:
-        """Name under which this owner holds licenses."""
-        return self._state.holder
-
-    @property
-    def started(self) -> int:
-        """Number of start commands that workers have answered."""
-        return self._starter.started
-
     async def answer(self, verb: str, arguments: dict[str, Any]) -> Any:
         """Answer a call from an entry or from another shard's owner."""
         return await self._calls.answer(verb, arguments)
--- a/ragworttiller/process/membership.py
+++ b/ragworttiller/process/membership.py
@@ -32,6 +32,11 @@
     def members(self) -> dict[str, MemberRow]:
         """Live instances by name, this one included unless it is leaving."""
 
+    @property
+    def holder(self) -> str:
+        """``instance@incarnation`` of this process."""
+        return f"{self.instance}@{self.incarnation}"
+
     @abstractmethod
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after every change of the live set."""
@@ -51,11 +56,6 @@
         family = tuple(shards)
         self._families.update(dict.fromkeys(family, family))
 
-    @property
-    def holder(self) -> str:
-        """``instance@incarnation`` of this process."""
-        return f"{self.instance}@{self.incarnation}"
-
 
 class FixedMembership(Membership):
     """Membership that changes only by `set_members`, for tests and single processes.
--- a/ragworttiller/process/node.py
+++ b/ragworttiller/process/node.py
@@ -135,6 +135,10 @@
         self._decisions.subscribe(self._record_wait)
         self._register_metrics()
 
+    @property
+    def _drained(self) -> bool:
+        return self._membership.instance in self._drains.names("instances")
+
     async def run(self) -> None:
         """Serve until `stop` is called, then hand over shards and finish open requests."""
         async with anyio.create_task_group() as tasks:
@@ -159,10 +163,6 @@
         """Begin a graceful stop."""
         self._stopping.set()
 
-    @property
-    def _drained(self) -> bool:
-        return self._membership.instance in self._drains.names("instances")
-
     async def _apply_drain(self) -> None:
         """Leave the membership while an operator drains this instance, and rejoin afterwards."""
         leave_announced = False
--- a/ragworttiller/routing/runners.py
+++ b/ragworttiller/routing/runners.py
@@ -43,9 +43,6 @@
         self._runners: dict[str, Runner] = {}
         self._entries = 1
 
-    def __len__(self) -> int:
-        return len(self._runners)
-
     @property
     def runners(self) -> dict[str, Runner]:
         """Runners by name."""
@@ -72,6 +69,9 @@
         """Names of the runners that are suspended or being probed."""
         return [r.name for r in self._runners.values() if r.state in SUSPENDED_STATES]
 
+    def __len__(self) -> int:
+        return len(self._runners)
+
     def update(
         self, listed: Iterable[ListedRunner], settings: UpstreamSettings, entries: int
     ) -> None:
--- a/ragworttiller/scheduling/decisions/serving_relief.py
+++ b/ragworttiller/scheduling/decisions/serving_relief.py
@@ -42,6 +42,11 @@
         self._filling: list[Run] = []
         self._retained_at = float("-inf")
 
+    @property
+    def runners(self) -> Collection[str]:
+        """Runners on which there is something of a relief to remember."""
+        return self._reliefs.keys()
+
     def begin(self, runners: Mapping[str, RunnerState], now: float) -> bool:
         """Begin a planning pass, and return whether what concerns gone runs was forgotten."""
         self._runners = runners
@@ -54,11 +59,6 @@
             del self._reliefs[name]
         return True
 
-    @property
-    def runners(self) -> Collection[str]:
-        """Runners on which there is something of a relief to remember."""
-        return self._reliefs.keys()
-
     def relieve(
         self, runner: RunnerState, stops: PendingStops, harm: Harm, now: float
     ) -> tuple[list[Run], list[Run]]:
--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -129,6 +129,15 @@
         """Longest body of a request, in bytes."""
         return self._config.current.max_body if self._config.current else DEFAULT_MAX_BODY_BYTES
 
+    @property
+    def _store_out_of_reach(self) -> bool:
+        """Whether an append would be refused or stay without a result, as far as is known."""
+        writer = self._writer
+        since_refusal = self._clock.now() - writer.refused_at
+        if since_refusal < REFUSAL_CACHE_SECONDS and not writer.slow:
+            return True
+        return writer.silent_seconds > max(MAX_SILENT_SECONDS, 2 * writer.last_append_seconds)
+
     async def target(self, host: str, path: str, key: str = "") -> Target:
         """Return the queue and the job that a request addresses, and the workspace that calls.
 
@@ -276,15 +285,6 @@
         """Return when to retry: an outage is expected to last as long again as it already has."""
         return min(max(self._writer.failing_seconds, RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
 
-    @property
-    def _store_out_of_reach(self) -> bool:
-        """Whether an append would be refused or stay without a result, as far as is known."""
-        writer = self._writer
-        since_refusal = self._clock.now() - writer.refused_at
-        if since_refusal < REFUSAL_CACHE_SECONDS and not writer.slow:
-            return True
-        return writer.silent_seconds > max(MAX_SILENT_SECONDS, 2 * writer.last_append_seconds)
-
     async def _append(self, job: str, record: KeyedRecord, timeout: float) -> None:
         queue_seconds = self._writer.longest_wait(timeout)
         if self._store_out_of_reach or queue_seconds <= 0:
--- a/ragworttiller/scheduling/entry/configuration_watch.py
+++ b/ragworttiller/scheduling/entry/configuration_watch.py
@@ -101,6 +101,15 @@
     def age(self) -> float:
         return min(self._feed.newest_age, self._clock.now() - self._confirmed_at)
 
+    @property
+    def _is_needed(self) -> bool:
+        current = self._config.current
+        return self._has_workspaces or (current is not None and current.workspaces is not None)
+
+    @property
+    def _is_confirmed(self) -> bool:
+        return self.ready and self.age <= ASK_AGE_SECONDS
+
     async def run(self) -> None:
         """Ask other entries while the configuration is not confirmed, until cancelled."""
         async for _ in self._clock.ticks(ASK_PERIOD_SECONDS):
@@ -117,15 +126,6 @@
                 self._round_began_at = self._clock.now()
                 await self._ask_all()
 
-    @property
-    def _is_needed(self) -> bool:
-        current = self._config.current
-        return self._has_workspaces or (current is not None and current.workspaces is not None)
-
-    @property
-    def _is_confirmed(self) -> bool:
-        return self.ready and self.age <= ASK_AGE_SECONDS
-
     async def _ask_all(self) -> None:
         """Ask some entries, and the store if its feed is late, until one of them confirms."""
         async with anyio.create_task_group() as tasks:
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -120,6 +120,15 @@
         self._requests = PeerRequests(peers, config, reconnector, self._choice, writer, age, clock)
         peers.handle(CallerRequest, self._serve)
 
+    @property
+    def _head_start(self) -> float:
+        """Return the seconds after which others are asked beside the local attempt."""
+        if self._age() > STALE_AGE_SECONDS:
+            return STALE_HEAD_START_SECONDS
+        if self._pace.slow or self._choice.common_writer() == self._peers.instance:
+            return OWNER_HEAD_START_SECONDS
+        return LOCAL_HEAD_START_SECONDS
+
     @override
     async def answer(self, request: CallerRequest) -> CallerReply:
         if request.method == "GET":
@@ -264,15 +273,6 @@
         except RagworttillerError as exc:
             return Outcome(error=exc, final=True)
 
-    @property
-    def _head_start(self) -> float:
-        """Return the seconds after which others are asked beside the local attempt."""
-        if self._age() > STALE_AGE_SECONDS:
-            return STALE_HEAD_START_SECONDS
-        if self._pace.slow or self._choice.common_writer() == self._peers.instance:
-            return OWNER_HEAD_START_SECONDS
-        return LOCAL_HEAD_START_SECONDS
-
     def _write_targets(self) -> list[RelayTarget]:
         """Return the entries to ask for an append after the local attempt failed or is late.
 
--- a/ragworttiller/scheduling/ownership/cell_host.py
+++ b/ragworttiller/scheduling/ownership/cell_host.py
@@ -166,6 +166,20 @@
         """Seconds since a claim or a renewal was read, -1 before the first."""
         return -1.0 if self._claim_read_at is None else self._clock.now() - self._claim_read_at
 
+    @property
+    def gives_orders(self) -> bool:
+        """Whether this entry may give orders as the owner of the cell now."""
+        renewals = self._renewals
+        return self._owner is not None and renewals is not None and renewals.term.valid
+
+    @property
+    def holds_cell(self) -> bool:
+        """Whether the cell was claimed by this entry, and neither lost nor released since.
+
+        A claim under way counts, since it may be stored.
+        """
+        return self._claiming or self._renewals is not None
+
     async def run(self) -> None:
         """Claim the cell whenever it may be claimed, until cancelled or stopped."""
         while not self._stopping.is_set():
@@ -206,20 +220,6 @@
         if failure is not None:
             raise failure
 
-    @property
-    def gives_orders(self) -> bool:
-        """Whether this entry may give orders as the owner of the cell now."""
-        renewals = self._renewals
-        return self._owner is not None and renewals is not None and renewals.term.valid
-
-    @property
-    def holds_cell(self) -> bool:
-        """Whether the cell was claimed by this entry, and neither lost nor released since.
-
-        A claim under way counts, since it may be stored.
-        """
-        return self._claiming or self._renewals is not None
-
     def stop(self, successor: str, timeout: float = DEFAULT_SETTLE_SECONDS) -> None:
         """Stop claiming, and release the ownership to another entry.
 
--- a/ragworttiller/scheduling/ownership/term.py
+++ b/ragworttiller/scheduling/ownership/term.py
@@ -85,10 +85,6 @@
         """Whether the owner may give orders now."""
         return not self.ended and self._clock.now() - self._renewed_at < TERM_SECONDS
 
-    def longest_lease(self, lease: float) -> float:
-        """Return for how long a lease may be granted now, at most ``lease``, in seconds."""
-        return min(lease, self._renewed_at + LEASES_END_SECONDS - self._clock.now())
-
     @property
     def renewed_at(self) -> float:
         """Time at which the last stored renewal was sent: no later owner had claimed by then."""
@@ -99,15 +95,19 @@
         """Whether the last renewal is recent enough to assume that the store is reachable."""
         return self.renewed_within(RECENT_RENEWAL_SECONDS)
 
-    def renewed_within(self, seconds: float) -> bool:
-        """Return whether the owner may act and its last stored renewal is at most so old."""
-        return self.valid and self._clock.now() - self._renewed_at < seconds
-
     @property
     def ended(self) -> bool:
         """Whether another owner has claimed, or the ownership was released."""
         return self._end.is_set()
 
+    def longest_lease(self, lease: float) -> float:
+        """Return for how long a lease may be granted now, at most ``lease``, in seconds."""
+        return min(lease, self._renewed_at + LEASES_END_SECONDS - self._clock.now())
+
+    def renewed_within(self, seconds: float) -> bool:
+        """Return whether the owner may act and its last stored renewal is at most so old."""
+        return self.valid and self._clock.now() - self._renewed_at < seconds
+
     async def wait_ended(self) -> None:
         """Wait until another owner has claimed, or the ownership was released."""
         await self._end.wait()
--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -137,21 +137,6 @@
         silent = self._store.answer_count == self._answers_at_call
         return self.in_flight_seconds if silent else 0.0
 
-    def longest_wait(self, timeout: float) -> float:
-        """Return how long an append can be queued and still have its result in time, in seconds.
-
-        It is expected to take as long as the last one, or as long as the one in flight has until
-        now. The value is not positive if no result can come in time.
-
-        Parameters
-        ----------
-        timeout : float
-            Seconds within which the result is needed.
-        """
-        if self._call_started_at is None:
-            return timeout
-        return timeout - max(self.last_append_seconds, self.in_flight_seconds)
-
     @property
     def last_append_seconds(self) -> float:
         """Seconds in which the last append was answered, 0 if that was long ago."""
@@ -169,6 +154,21 @@
         started_at = self._attempt_started_at
         return 0.0 if started_at is None else self._clock.now() - started_at
 
+    def longest_wait(self, timeout: float) -> float:
+        """Return how long an append can be queued and still have its result in time, in seconds.
+
+        It is expected to take as long as the last one, or as long as the one in flight has until
+        now. The value is not positive if no result can come in time.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds within which the result is needed.
+        """
+        if self._call_started_at is None:
+            return timeout
+        return timeout - max(self.last_append_seconds, self.in_flight_seconds)
+
     def reset_last_append_seconds(self) -> None:
         """Set the last duration to 0, so that the store no longer counts as slow."""
         self._last_append_seconds = 0.0
--- a/ragworttiller/scheduling/records/repeated_append.py
+++ b/ragworttiller/scheduling/records/repeated_append.py
@@ -77,6 +77,10 @@
         """Whether an earlier call may have appended the records."""
         return self._undecided or self._calls > 1
 
+    @property
+    def _decided(self) -> bool:
+        return self._end is not None or self._error is not None or not self._in_flight
+
     async def run(self, deadline: float) -> int:
         """Append the records and return the partition's end after them.
 
@@ -121,10 +125,6 @@
             if self._store.answer_count > answered:
                 retry_interval *= 2
 
-    @property
-    def _decided(self) -> bool:
-        return self._end is not None or self._error is not None or not self._in_flight
-
     async def _wait(self, seconds: float) -> None:
         """Wait for the result up to a number of seconds."""
         with self._clock.move_on_after(seconds):
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -92,6 +92,18 @@
         self.on_added_late: Callable[[JobWork, float], None] = lambda work, now: None
         fold.touched |= set(fold.jobs)
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether the progress of some job has changed and is not being stored."""
+        return bool(self._changed)
+
+    @property
+    def withholds_ends(self) -> bool:
+        """Whether runners have to keep their ends, since the effects of some are not stored."""
+        recent = self._refreshed_at - MAX_WITHHELD_SECONDS
+        failures = (*self._unencoded.values(), *self._not_added.values())
+        return any(since > recent for since in failures)
+
     def refresh(self, now: float, wall: float) -> None:
         """Update jobs and queues from the folds."""
         self._refreshed_at = now
@@ -201,11 +213,6 @@
         row = self._fold.get(task.stage.job)
         return row.accepted.workspace if row is not None and row.accepted else NO_WORKSPACE
 
-    @property
-    def has_changes(self) -> bool:
-        """Whether the progress of some job has changed and is not being stored."""
-        return bool(self._changed)
-
     def mark_changed(self, work: JobWork) -> None:
         """Record that the progress of a job has changed; if it has ended now, stop its runs."""
         self._changed[work.id] = None
@@ -236,13 +243,6 @@
         self._unencoded.setdefault(job, self._refreshed_at)
         self._errors.put_aside(job_item(job), error, self._refreshed_at, "progress")
 
-    @property
-    def withholds_ends(self) -> bool:
-        """Whether runners have to keep their ends, since the effects of some are not stored."""
-        recent = self._refreshed_at - MAX_WITHHELD_SECONDS
-        failures = (*self._unencoded.values(), *self._not_added.values())
-        return any(since > recent for since in failures)
-
     def has_deferred_change(self, job: str) -> bool:
         """Return whether the progress of a job could not be encoded."""
         return job in self._unencoded
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -83,11 +83,6 @@
                 if name in restored:
                     stage.restore(restored[name])
 
-    def set_widths(self, widths: tuple[int, ...] | None) -> None:
-        """Set how many tasks of each step the cap of the workspace allows, None for all."""
-        self._widths = widths
-        self._critical_path_seconds = self.spec.critical_path_seconds(self._widths)
-
     @property
     def has_started(self) -> bool:
         """Whether a task of the job has started."""
@@ -113,6 +108,11 @@
         """Whether the job is open and a task of it waits, also one that may not start yet."""
         return self.open and any(stage.waiting for stage in self.stages.values())
 
+    def set_widths(self, widths: tuple[int, ...] | None) -> None:
+        """Set how many tasks of each step the cap of the workspace allows, None for all."""
+        self._widths = widths
+        self._critical_path_seconds = self.spec.critical_path_seconds(self._widths)
+
     def waiting_stages(self) -> Iterator[Stage]:
         """Yield the stages that have waiting tasks, none unless the job is open."""
         for stage in self.stages.values() if self.open else ():
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -236,6 +236,16 @@
         """Active jobs, by identifier."""
         return self._active.by_id
 
+    @property
+    def has_changed_jobs(self) -> bool:
+        """Whether the progress of some job has changed and is not being stored."""
+        return self._active.has_changes
+
+    @property
+    def withholds_ends(self) -> bool:
+        """Whether runners have to keep their ends, since the effects of some are not stored."""
+        return self._active.withholds_ends
+
     def refresh(self, now: float, wall: float) -> None:
         """Update jobs, runners and queues from the folds."""
         touched = list(self._job_fold.touched)
@@ -461,11 +471,6 @@
             stage.tickets.end_call(call.entry)
         return stage
 
-    @property
-    def has_changed_jobs(self) -> bool:
-        """Whether the progress of some job has changed and is not being stored."""
-        return self._active.has_changes
-
     def placement_stored(self, run: Run) -> bool:
         """Return whether the last stored placement of a lasting task is that of a run."""
         stage = self._stage_of(run)
@@ -487,11 +492,6 @@
         """Record that the progress of a job cannot be encoded; it is tried again later."""
         self._active.defer_change(job, error)
 
-    @property
-    def withholds_ends(self) -> bool:
-        """Whether runners have to keep their ends, since the effects of some are not stored."""
-        return self._active.withholds_ends
-
     def has_deferred_change(self, job: str) -> bool:
         """Return whether the progress of a job could not be encoded."""
         return self._active.has_deferred_change(job)
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -87,14 +87,6 @@
         self.kinds: Mapping[str, int] = {}
         self.owned_at = float("-inf")
 
-    def awaits_ownership(self, now: float) -> bool:
-        """Return whether an end of runs counts only once the ownership was proved after it."""
-        return self._takeover.expires_between(self.owned_at, now) or any(
-            self._has_ended(runner, now) and not self._has_ended(runner, self.owned_at)
-            for runner in self._doubtful_runners()
-            if not runner.lost
-        )
-
     @property
     def awaits_enrollment(self) -> bool:
         """Whether tasks could start on some runner once the stored claim names it."""
@@ -109,6 +101,14 @@
         """Whether a claim should tell at once what may have ended with some runner."""
         return any(runner.awaits_withdrawal for runner in self._doubtful.values())
 
+    def awaits_ownership(self, now: float) -> bool:
+        """Return whether an end of runs counts only once the ownership was proved after it."""
+        return self._takeover.expires_between(self.owned_at, now) or any(
+            self._has_ended(runner, now) and not self._has_ended(runner, self.owned_at)
+            for runner in self._doubtful_runners()
+            if not runner.lost
+        )
+
     def accepting_tasks(self, now: float) -> list[RunnerState]:
         """Return the runners on which tasks may start."""
         try:
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -144,15 +144,6 @@
         waiting = waiting and self.ended_at is None
         return waiting and self.listed and not self.entry.draining
 
-    def keeps_filling_away(self, image: str, overdue: bool) -> bool:
-        """Return whether a filling task of an image may not join the serving ones here.
-
-        ``overdue`` is whether its stage has waited for long.
-        """
-        if not self.serving_runs:
-            return False
-        return self.admits_filling is None or not self.admits_filling(image, overdue)
-
     @property
     def runs_trial(self) -> bool:
         """Whether a task that is or was tried runs here."""
@@ -163,6 +154,20 @@
         """Whether a task started after the last suspension is running."""
         return any(run.started_at >= self.suspended_until for run in self.runs.values())
 
+    @property
+    def awaits_withdrawal(self) -> bool:
+        """Whether the stored claim should tell at once what may have ended with the runner."""
+        return self.refuses and self.enrolled and bool(self.runs)
+
+    def keeps_filling_away(self, image: str, overdue: bool) -> bool:
+        """Return whether a filling task of an image may not join the serving ones here.
+
+        ``overdue`` is whether its stage has waited for long.
+        """
+        if not self.serving_runs:
+            return False
+        return self.admits_filling is None or not self.admits_filling(image, overdue)
+
     def suspect(self, now: float) -> bool:
         """Return whether the runner may be unreachable; its lease is then not renewed."""
         return (
@@ -205,11 +210,6 @@
         """Return whether no task starts here because another one is being tried."""
         return self._trial is not None and self._trial.key in self.runs and now < self._trial_until
 
-    @property
-    def awaits_withdrawal(self) -> bool:
-        """Whether the stored claim should tell at once what may have ended with the runner."""
-        return self.refuses and self.enrolled and bool(self.runs)
-
     def record_miss(self, now: float, refused: bool = False) -> None:
         """Record a call that the runner did not answer; nothing listens there if it ``refused``."""
         self.misses += 1
--- a/ragworttiller/scheduling/state/runs/run.py
+++ b/ragworttiller/scheduling/state/runs/run.py
@@ -87,15 +87,6 @@
         """Task and run number, which identify the run on its runner."""
         return self.task, self.number
 
-    def worked_seconds(self, now: float) -> float:
-        """Return for how many seconds the run is known to have worked.
-
-        Lasting and filling tasks need not report progress.
-        """
-        if self.spec.daemon or self.spec.fills:
-            return now - self.started_at
-        return self.progressed_at - self.started_at
-
     @property
     def seconds_per_percent(self) -> float:
         """Time that a percent of the work has taken so far, in seconds; 0 before any progress."""
@@ -116,6 +107,15 @@
             return self.started_at + self.expected_seconds
         return self.progressed_at + elapsed * (100 - self.percent) / gained
 
+    def worked_seconds(self, now: float) -> float:
+        """Return for how many seconds the run is known to have worked.
+
+        Lasting and filling tasks need not report progress.
+        """
+        if self.spec.daemon or self.spec.fills:
+            return now - self.started_at
+        return self.progressed_at - self.started_at
+
     def resume(self, checkpoint: str) -> None:
         """Start from a checkpoint, empty for none."""
         self.checkpoint = checkpoint
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -178,6 +178,24 @@
         """Time in seconds of the last end that did not complete its task, -inf if there is none."""
         return max(self.requeued_at.values(), default=float("-inf"))
 
+    @property
+    def has_started(self) -> bool:
+        """Whether a task has started."""
+        ended = self.done or self.failed_runs or self.crashes or self.losses
+        return bool(ended or self.active_runs or self._last_run_numbers)
+
+    @property
+    def has_progress(self) -> bool:
+        """Whether there is something to record about a task."""
+        ended = self.done or self.failed_runs or self.checkpoints or self.crashes or self.losses
+        return bool(ended or self.placements.boots)
+
+    @property
+    def may_have_copies(self) -> bool:
+        """Whether the step allows copies of its tasks."""
+        spec = self.spec
+        return spec.speculative and not (spec.gang or spec.daemon or spec.fills)
+
     def longest_wait(self, now: float) -> float:
         """Return for how many seconds the first of the waiting tasks could have started."""
         first = self.longest_waiting()
@@ -193,18 +211,6 @@
         ready_since = default if self.ready_since is None else self.ready_since
         return self.requeued_at.get(index, ready_since)
 
-    @property
-    def has_started(self) -> bool:
-        """Whether a task has started."""
-        ended = self.done or self.failed_runs or self.crashes or self.losses
-        return bool(ended or self.active_runs or self._last_run_numbers)
-
-    @property
-    def has_progress(self) -> bool:
-        """Whether there is something to record about a task."""
-        ended = self.done or self.failed_runs or self.checkpoints or self.crashes or self.losses
-        return bool(ended or self.placements.boots)
-
     def runs_by_runner(self) -> Counter[str]:
         """Return the number of runs on each runner that has any."""
         counts = Counter(run.runner for run in self.active_runs.values())
@@ -219,12 +225,6 @@
             if index in runs:
                 yield runs[index]
 
-    @property
-    def may_have_copies(self) -> bool:
-        """Whether the step allows copies of its tasks."""
-        spec = self.spec
-        return spec.speculative and not (spec.gang or spec.daemon or spec.fills)
-
     def restore(self, progress: StageProgress) -> None:
         """Restore the progress that an earlier owner recorded."""
         self.done = {index for index in decode_bitmap(progress.done) if index < self.spec.tasks}
--- a/ragworttiller/scheduling/state/stage_waits.py
+++ b/ragworttiller/scheduling/state/stage_waits.py
@@ -52,7 +52,7 @@
     """Wait of a stage, and what is known of the runners that could take one of its tasks.
 
     ``longest`` is the task that has waited for the longest, and ``seconds`` its wait. ``overdue``
-    is whether the stage is one of lasting tasks that may start on runners that have failed.
+    is whether it has waited for so long that it may start on runners that have failed.
     ``suspected`` counts the waiting tasks that start only as a trial, and ``unproved`` those that
     wait to learn whether their lost runners have crashed.
 
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -159,6 +159,16 @@
         """Unresolved runners on which no more than the tasks named may run, as last claimed."""
         return [row for row in self._withdrawn.values() if row.runner in self._unresolved_until]
 
+    @property
+    def all_settled(self) -> bool:
+        """Whether no runner is unresolved, so that nothing is blocked."""
+        return not self._unresolved_until
+
+    @property
+    def _any_task_may_run_unseen(self) -> bool:
+        """Whether some unresolved runner may run any task."""
+        return any(name not in self._withdrawn for name in self._unresolved_until)
+
     def called_not_renewed(self, runner: str) -> bool:
         """Return whether the last claim says that the lease of a runner is not renewed."""
         row = self._withdrawn.get(runner)
@@ -215,11 +225,6 @@
         """Return whether the runs of the earlier owner on some runner have ended in a time span."""
         return any(start < until <= end for until in self._unresolved_until.values())
 
-    @property
-    def all_settled(self) -> bool:
-        """Whether no runner is unresolved, so that nothing is blocked."""
-        return not self._unresolved_until
-
     def blocks(self, row: JobRow, stage: Stage) -> bool:
         """Return whether no waiting task of a stage may start yet; ``row`` is that of its job."""
         return self.may_hide_runs_of(row) and bool(stage.waiting) and not self.startable(row, stage)
@@ -290,11 +295,6 @@
         """Return after how many seconds all runs of earlier owners on some runners have ended."""
         return max([self._unresolved_until[name] - now for name in runners], default=0.0)
 
-    @property
-    def _any_task_may_run_unseen(self) -> bool:
-        """Whether some unresolved runner may run any task."""
-        return any(name not in self._withdrawn for name in self._unresolved_until)
-
     def _is_placed(self, row: JobRow, stage: Stage) -> bool:
         """Return whether stored placements name all runners on which the tasks may run."""
         return stage.spec.daemon and self.placements_known and row.progress_known
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -40,6 +40,16 @@
         self._tickets: dict[str, tuple[str, float]] = {}
         self._call_deadlines: dict[str, float] = {}
 
+    @property
+    def known(self) -> bool:
+        """Whether the advisor has answered about any runner."""
+        return bool(self.allowed or self.denied)
+
+    @property
+    def allowed_share(self) -> float:
+        """Share of the runners asked about that may run the stage; one must be allowed."""
+        return len(self.allowed) / (len(self.allowed) + len(self.denied))
+
     def begin_call(self, entry: str, now: float, deadline: float) -> None:
         """Record a call that an entry makes now, and by when it is given up, in seconds."""
         self.asked_at = now
@@ -51,16 +61,6 @@
         self._call_deadlines.pop(entry, None)
         self.call_deadline = max(self._call_deadlines.values(), default=0.0)
 
-    @property
-    def known(self) -> bool:
-        """Whether the advisor has answered about any runner."""
-        return bool(self.allowed or self.denied)
-
-    @property
-    def allowed_share(self) -> float:
-        """Share of the runners asked about that may run the stage; one must be allowed."""
-        return len(self.allowed) / (len(self.allowed) + len(self.denied))
-
     def record_advice(
         self, named: Iterable[str], granted: dict[str, str], granted_at: float, validity: float
     ) -> None:
--- a/ragworttiller/scheduling/state/workspace_usage.py
+++ b/ragworttiller/scheduling/state/workspace_usage.py
@@ -43,6 +43,11 @@
         self._by_workspace: dict[str, Use] = {}
         self.changes = 0
 
+    @property
+    def workspaces(self) -> Iterable[str]:
+        """Workspaces with known runs."""
+        return self._by_workspace.keys()
+
     def add(self, run: Run) -> None:
         """Count a run that was ordered or found."""
         self.changes += 1
@@ -66,11 +71,6 @@
             lasting = lasting.minus(size)
         self._by_workspace[run.workspace] = Use(total.minus(size), lasting, runs - 1)
 
-    @property
-    def workspaces(self) -> Iterable[str]:
-        """Workspaces with known runs."""
-        return self._by_workspace.keys()
-
     def known(self, workspace: str) -> Use:
         """Return what the known runs of a workspace use."""
         return self._by_workspace.get(workspace, NO_USE)
