--- a/review/7/play.py
+++ b/review/7/play.py
@@ -31,9 +31,9 @@
 ENTRIES = 5
 WORK_SECONDS = 0.64
 GRACE_SECONDS = 6.0
-RESTART_SECONDS = 1.0
+RESTART_SECONDS = 0.2
 # The bench carries lost writes out 1 to 6 s later (`platform_lost`, `late`).
-LATE_SECONDS = 5.5
+LATE_SECONDS = 5.9
 # For so long writes may be lost, a share of 0.35 of them.
 LOSS_SECONDS = 4.5
 # RULES.md, LOST: a job has nothing running for 3 s though there is room.
