Give membership of entries a package of its own

Cause: entries.py held the fold of the entry records, the announcer, the replacement of connections and the calls to the advisor through other entries.

Change: scheduling/membership/ with one module for each. EntryFold is called Members. Nothing else changes.

--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -24,7 +24,6 @@
 from ragworttiller.scheduling.entry.callers import LocalCallers
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.dry_runs import DryRuns
-from ragworttiller.scheduling.entry.entries import Announcer, EntryFold, PeerAdvice, PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
 from ragworttiller.scheduling.entry.entry_metrics import register_metrics
 from ragworttiller.scheduling.entry.key_check import KeyCheck
@@ -34,6 +33,10 @@
 from ragworttiller.scheduling.entry.slow_store_reports import SlowStoreReports
 from ragworttiller.scheduling.entry.start_gate import StartGate
 from ragworttiller.scheduling.entry.store_metrics import register_store_metrics
+from ragworttiller.scheduling.membership.announcer import Announcer
+from ragworttiller.scheduling.membership.members import Members
+from ragworttiller.scheduling.membership.peer_advice import PeerAdvice
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import (
     EarlierOwnerPeer,
@@ -104,16 +107,16 @@
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
         )
         self._config = QueueFold()
-        self._entries = EntryFold(self._peers)
+        self._members = Members(self._peers)
         reconnector = PeerReconnector(self._peers, clock)
         advisor = Advisor(settings.platform.advisor_address or "")
-        self._standbys = PeerStandbys(self._peers, self._entries)
+        self._standbys = PeerStandbys(self._peers, self._members)
         self._host = CellHost(
             self._store,
             self._config,
             PeerAdvice(
                 self._peers,
-                self._entries,
+                self._members,
                 advisor,
                 reconnector,
                 clock,
@@ -143,13 +146,13 @@
             clock,
         )
         dry_runs = DryRuns(self._config, self._admission, clock)
-        self._operators = Operators(self._peers, self._entries, self._host, clock, dry_runs)
+        self._operators = Operators(self._peers, self._members, self._host, clock, dry_runs)
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
         self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
         self._peers.handle(OwnerQuery, self._handle_owner_query)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
         self._entries_feed = Feed(
-            self._store, ENTRIES, self._entries, clock, poll_seconds=ENTRIES_POLL_SECONDS
+            self._store, ENTRIES, self._members, clock, poll_seconds=ENTRIES_POLL_SECONDS
         )
         producer = Producer(f"{self._name}-{self._incarnation}", 1)
         self._writer = GroupCommit(self._store, JOBS, producer, clock, exclusive=True)
@@ -157,7 +160,7 @@
             self._config,
             self._config_feed,
             self._peers,
-            lambda: self._entries.names,
+            lambda: self._members.names,
             self._owner_name,
             clock,
             settings.platform.has_workspaces,
@@ -177,7 +180,7 @@
         record = EntryRecord(instance.peer_address, self._incarnation, instance.speed)
         self._announcer = Announcer(self._store, clock, self._name, record)
         reports = SlowStoreReports(
-            self._peers, lambda: self._entries.names, self._owner_name, self._writer, clock
+            self._peers, lambda: self._members.names, self._owner_name, self._writer, clock
         )
         relaying = RelayingCallers(
             LocalCallers(self._acceptance),
@@ -186,7 +189,7 @@
             reconnector,
             lambda: self._host.claims_feed.age,
             self._owner_name,
-            lambda: self._entries.names,
+            lambda: self._members.names,
             clock,
             self._writer,
             reports.pace,
--- a/ragworttiller/scheduling/entry/operators.py
+++ b/ragworttiller/scheduling/entry/operators.py
@@ -11,8 +11,8 @@
 from ragworttiller.process.peers import Peers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.dry_runs import DryRuns
-from ragworttiller.scheduling.entry.entries import EntryFold
 from ragworttiller.scheduling.entry.peer_messages import DryRunRequest, ViewReply, ViewRequest
+from ragworttiller.scheduling.membership.members import Members
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.state.cell_view import CellView
 from ragworttiller.scheduling.state.owned_cell import Cell
@@ -45,7 +45,7 @@
     ----------
     peers : Peers
         Connections to the other entries.
-    fold : EntryFold
+    members : Members
         Announced entries.
     host : CellHost
         Ownership of the cell at this entry.
@@ -56,11 +56,11 @@
     """
 
     def __init__(
-        self, peers: Peers, fold: EntryFold, host: CellHost, clock: Clock, dry_runs: DryRuns
+        self, peers: Peers, members: Members, host: CellHost, clock: Clock, dry_runs: DryRuns
     ) -> None:
         self._dry_runs = dry_runs
         self._peers = peers
-        self._fold = fold
+        self._members = members
         self._host = host
         self._clock = clock
         peers.handle(ViewRequest, self._serve)
@@ -117,7 +117,7 @@
             owner=claim.owner if claim else "",
             epoch=claim.epoch if claim else 0,
             renewed=round(self._host.seconds_since_renewal, 3),
-            entries=sorted(self._fold.names),
+            entries=sorted(self._members.names),
             runners=len(claim.roster) if claim else 0,
             open_jobs=dict(counts),
         )
--- a/ragworttiller/scheduling/entry/peer_requests.py
+++ b/ragworttiller/scheduling/entry/peer_requests.py
@@ -17,10 +17,10 @@
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, error_reply
-from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.peer_choice import PeerChoice, RelayTarget
 from ragworttiller.scheduling.entry.request_trace import record_relay
 from ragworttiller.scheduling.entry.staggered_attempts import Outcome
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -29,12 +29,12 @@
     Callers,
     error_reply,
 )
-from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.peer_choice import PeerChoice, RelayTarget
 from ragworttiller.scheduling.entry.peer_requests import LATER_CONFIGURATION, PeerRequests
 from ragworttiller.scheduling.entry.request_trace import record_local_failure
 from ragworttiller.scheduling.entry.staggered_attempts import Attempt, Outcome, StaggeredAttempts
 from ragworttiller.scheduling.entry.store_pace import StorePace
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
--- /dev/null
+++ b/ragworttiller/scheduling/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Entries of the cell: which there are, which can be reached, and the calls made by them."""
--- a/ragworttiller/scheduling/ownership/standbys.py
+++ b/ragworttiller/scheduling/ownership/standbys.py
@@ -7,7 +7,7 @@
 from typing_extensions import override
 
 from ragworttiller.process.peers import Peers
-from ragworttiller.scheduling.entry.entries import EntryFold
+from ragworttiller.scheduling.membership.members import Members
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 
 # Tolerates the loss of two standbys at once; each standby costs a continuous stream of messages.
@@ -45,13 +45,13 @@
     ----------
     peers : Peers
         Connections to the other entries.
-    fold : EntryFold
+    members : Members
         Entries that have announced themselves.
     """
 
-    def __init__(self, peers: Peers, fold: EntryFold) -> None:
+    def __init__(self, peers: Peers, members: Members) -> None:
         self._peers = peers
-        self._fold = fold
+        self._members = members
 
     @override
     def send(self, heartbeat: OwnerHeartbeat) -> None:
@@ -70,6 +70,6 @@
 
     def _successors(self, owner: str) -> list[str]:
         """Return the entries other than an owner, in the order in which they are to claim."""
-        others = sorted(self._fold.names - {owner}, key=lambda name: (name < owner, name))
-        others.sort(key=lambda name: -self._fold.speeds.get(name, 0.0))
+        others = sorted(self._members.names - {owner}, key=lambda name: (name < owner, name))
+        others.sort(key=lambda name: -self._members.speeds.get(name, 0.0))
         return others
--- a/tests/test_malformed_records.py
+++ b/tests/test_malformed_records.py
@@ -19,8 +19,8 @@
 from ragworttiller.platform.submissions import MAX_TASKS, decode_job
 from ragworttiller.process.calls import Call, CallTable
 from ragworttiller.scheduling.entry.callers import error_reply
-from ragworttiller.scheduling.entry.entries import EntryFold
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
+from ragworttiller.scheduling.membership.members import Members
 from ragworttiller.scheduling.ownership.term import ClaimFold
 from ragworttiller.scheduling.records.formats import (
     OWNER_CHANGE_KEY,
@@ -118,7 +118,7 @@
         async def main():
             a, b, *_ = pair()
             b.handle(CellCall, echo)
-            fold = EntryFold(a)
+            fold = Members(a)
             async with running(a, b):
                 fold.apply(Record(1, "c", encode(EntryRecord(odd, 1))))
                 await anyio.sleep(0.05)
@@ -132,7 +132,7 @@
     @pytest.mark.parametrize("speed", [float("nan"), float("inf"), 1e308, -1.0])
     def test_an_entry_of_odd_speed_is_asked_last(self, speed: float):
         async def main():
-            fold = EntryFold(pair()[0])
+            fold = Members(pair()[0])
             fold.apply(Record(1, "c", encode(EntryRecord("127.0.0.1:1", 1, speed))))
             assert fold.speeds["c"] == 0.0
 
--- a/tests/test_peer_advice.py
+++ b/tests/test_peer_advice.py
@@ -6,8 +6,10 @@
 
 from ragworttiller.exceptions import PeerUnreachable
 from ragworttiller.scheduling.decisions.advice import AdviceCall
-from ragworttiller.scheduling.entry.entries import EntryFold, PeerAdvice, PeerReconnector
 from ragworttiller.scheduling.entry.peer_messages import AdviceReply
+from ragworttiller.scheduling.membership.members import Members
+from ragworttiller.scheduling.membership.peer_advice import PeerAdvice
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.state.jobs import StageId
 from standins.virtual_time import LoopTimers, run_virtual
 
@@ -71,7 +73,7 @@
         peers.quick = quick
         kept.append(peers)
         reconnector = PeerReconnector(peers, timers)
-        advice = PeerAdvice(peers, EntryFold(peers), None, reconnector, timers, lambda: lag)
+        advice = PeerAdvice(peers, Members(peers), None, reconnector, timers, lambda: lag)
 
         async def call(start: float):
             await timers.sleep(start)
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -7,8 +7,8 @@
 
 from ragworttiller.exceptions import PeerUnreachable, SubmissionUndecided
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
-from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.records.formats import JOBS
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from tests.entry_rig import BODY, EntryRig, configuration, with_entry
--- a/tests/test_standbys.py
+++ b/tests/test_standbys.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ragworttiller.platform.store import Record
-from ragworttiller.scheduling.entry.entries import EntryFold
+from ragworttiller.scheduling.membership.members import Members
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import MAX_STANDBYS, PeerStandbys
 from ragworttiller.scheduling.records.formats import EntryRecord, encode
@@ -29,9 +29,9 @@
         pass
 
 
-def standbys(*speeds: float) -> tuple[PeerStandbys, EntryFold, FakePeers]:
+def standbys(*speeds: float) -> tuple[PeerStandbys, Members, FakePeers]:
     peers = FakePeers()
-    fold = EntryFold(peers)
+    fold = Members(peers)
     for number, speed in enumerate(speeds, 1):
         record = EntryRecord(f"10.0.0.{number}:1", 1, speed)
         fold.apply(Record(number, f"e{number}", encode(record)))
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -9,10 +9,10 @@
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.submissions import DEADLINE_HEADER, decode_job
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, Callers
-from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.entry_api import CallerApp
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.start_gate import MAX_START_SECONDS, StartGate
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.records.formats import JOBS, Accepted, encode
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -9,10 +9,10 @@
 
 from ragworttiller.exceptions import PeerUnreachable
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
-from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.store_pace import REPORT_VALID_SECONDS, StorePace
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from tests.entry_rig import BODY, EntryRig, with_entry
 from tests.scheduling_rig import QUEUE, job_id
 from tests.test_relaying_callers import FakePeers
--- a/tests/workspace_keys_rig.py
+++ b/tests/workspace_keys_rig.py
@@ -22,12 +22,12 @@
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, LocalCallers
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
-from ragworttiller.scheduling.entry.entries import PeerReconnector
 from ragworttiller.scheduling.entry.key_check import KeyCheck
 from ragworttiller.scheduling.entry.peer_messages import (
     PEER_CODEC,
 )
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS
 from ragworttiller.scheduling.records.group_commit import GroupCommit
