Keep the record of an entry true, and answer entries without one

Cause: an entry withdraws its record without a condition. Carried out 6 s later, that write removes the record of its next start. The entry announced itself once and never looked again, its calls got no answer since a reply needs a record of the asker, and as the owner it dropped itself from its own list.

Change: the withdrawal is conditional on what was read last. An entry reads its own record and announces itself again when that is missing, unreadable, of another start, or when another name has its address; ever more rarely if that repeats. It never leaves its own list. The first message of a connection states the address of its sender, and replies go there if the record says otherwise. On related paths: replies that wait for a connection go over the next one, and a batch that was queued for long is tried once.

Ruled out: keys with the number of the start, since readers of before would take each for an entry of its own; a heartbeat through the store, for its calls; a reply address in each call, since earlier versions could not read the batch.

--- a/ragworttiller/messages.py
+++ b/ragworttiller/messages.py
@@ -27,6 +27,12 @@
     payload: bytes
 
 
+class Introduction(NamedTuple):
+    """States at which ``IP address:port`` its sender listens; sent first on each connection."""
+
+    address: str
+
+
 class ErrorReply(NamedTuple):
     """Reply that carries an error."""
 
@@ -208,6 +214,7 @@
     5: ConfigState,
     6: Counts,
     7: NamesWanted,
+    8: Introduction,
     10: LicensedRequest,
     11: LicensedAnswer,
     12: BurnAttempt,
--- a/ragworttiller/process/nng_peers.py
+++ b/ragworttiller/process/nng_peers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import anyio
@@ -17,27 +17,37 @@
 
 from ragworttiller.codec import Codec
 from ragworttiller.exceptions import InvalidField, PeerUnreachable, RagworttillerError
-from ragworttiller.messages import ENVELOPE_CODEC, PAYLOAD_CODEC, Envelope, ErrorReply
+from ragworttiller.messages import (
+    ENVELOPE_CODEC,
+    PAYLOAD_CODEC,
+    Envelope,
+    ErrorReply,
+    Introduction,
+)
 from ragworttiller.process.calls import ANY_INCARNATION, Call, CallTable
+from ragworttiller.process.introductions import Introductions
 from ragworttiller.process.message_handlers import MessageHandlers
 from ragworttiller.process.outbox import Outbox, QueuedEnvelope
 from ragworttiller.process.peers import Handler, Peers
+from ragworttiller.process.push_sockets import (
+    SOCKET_BUFFER_BATCHES,
+    dial,
+    end_attempts,
+    new_push_socket,
+)
 from ragworttiller.timers import TimerService
 
 log = logging.getLogger(__name__)
 
+# Receiver of a message for whichever instance listens at an address.
+ANY_INSTANCE = ""
+
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-SOCKET_BUFFER_BATCHES = 8
 SEND_TIMEOUT_SECONDS = 2.0
 CONNECTION_CHECK_PERIOD_SECONDS = 0.1
 SEND_RETRY_DELAY_SECONDS = 0.02
-RECONNECT_MIN_MS = 100
-RECONNECT_MAX_MS = 1000
-# nng aborts the process if a socket is closed while one of its dialers resolves its address, also a
-# numeric one, which it does before each attempt to connect. So a socket without a connection gets
-# this reconnect time and is closed later, when an attempt that had begun is past that.
-CLOSING_RECONNECT_MS = 3_600_000
-CLOSE_DELAY_SECONDS = 0.25
+# An instance without a connection for as long counts as unreachable; connecting takes less.
+UNREACHABLE_AFTER_SECONDS = 0.5
 
 
 class PeerTraffic(NamedTuple):
@@ -85,6 +95,8 @@
         self._connection_lost_callbacks: list[Callable[[str], None]] = []
         self._calls = CallTable()
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._introductions = Introductions()
+        self._unreachable: dict[str, float] = {}
         self._traffic = PeerTraffic()
         self._bound = anyio.Event()
 
@@ -93,6 +105,11 @@
     def instance(self) -> str:
         return self._instance
 
+    @property
+    @override
+    def unreachable(self) -> Mapping[str, float]:
+        return self._unreachable
+
     @property
     def traffic(self) -> PeerTraffic:
         """Messages and bytes since the start of the process."""
@@ -153,14 +170,22 @@
         outbox.scope.cancel()
         outbox.clear()
         self._sockets.pop(name, None)
+        self._unreachable.pop(name, None)
         self._calls.fail(name)
 
     def reconnect(self, name: str) -> None:
-        """Replace the connection to an instance, which may have stalled."""
+        """Replace the connection to an instance, which may have stalled.
+
+        Its calls end without a reply; replies and one-way messages that wait are sent on the next.
+        """
         outbox = self._outboxes.get(name)
-        if outbox is not None:
-            self.drop_peer(name)
-            self.set_peer(name, outbox.address, outbox.incarnation)
+        if outbox is None:
+            return
+        waiting = outbox.take_one_way()
+        self.drop_peer(name)
+        self.set_peer(name, outbox.address, outbox.incarnation)
+        for item in waiting:
+            self._outboxes[name].push(item)
 
     @override
     def on_connection_lost(self, callback: Callable[[str], None]) -> None:
@@ -203,17 +228,29 @@
     async def _check_connections(self) -> None:
         """Detect lost connections, which show within a short time that a process has ended."""
         async for _ in self._timers.ticks(CONNECTION_CHECK_PERIOD_SECONDS):
-            lost = [
-                name
-                for name, socket in self._sockets.items()
-                if self._outboxes[name].update_connection(bool(socket.pipes))
-            ]
-            for name in lost:
+            now = self._timers.now()
+            for name in self._introductions.take_unused(now):
+                self.drop_peer(name)
+            lost = self._read_connections(now)
+            for name in (name for name in lost if not self._introductions.opened(name)):
                 log.info("connection to instance %s lost", name)
                 self._calls.fail(name)
                 for callback in self._connection_lost_callbacks:
                     callback(name)
 
+    def _read_connections(self, now: float) -> list[str]:
+        """Read which instances are connected, and return those whose connection was just lost."""
+        outboxes = {name: self._outboxes[name] for name in self._sockets}
+        lost = [
+            name
+            for name, socket in self._sockets.items()
+            if outboxes[name].update_connection(bool(socket.pipes), now)
+        ]
+        since = {name: outbox.disconnected_since for name, outbox in outboxes.items()}
+        end = now - UNREACHABLE_AFTER_SECONDS
+        self._unreachable = {n: at for n, at in since.items() if at is not None and at <= end}
+        return lost
+
     def _envelope(self, receiver: str, message: Any, correlation: int) -> Envelope:
         outbox = self._outboxes.get(receiver)
         incarnation = ANY_INCARNATION if outbox is None else outbox.incarnation
@@ -233,19 +270,15 @@
         if self._outboxes.get(outbox.name) is not outbox:
             # Dropped or replaced before this task began; its socket would replace the current one.
             return
-        socket = pynng.Push0(
-            send_buffer_size=SOCKET_BUFFER_BATCHES,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-        )
+        socket = new_push_socket()
         self._sockets[outbox.name] = socket
         with socket:
             try:
                 with outbox.scope:
-                    _dial(socket, outbox)
+                    dial(socket, outbox.name, outbox.address)
                     await self._send_queued(socket, outbox)
             finally:
-                await self._end_attempts(socket)
+                await end_attempts(socket, self._timers)
 
     async def _send_queued(self, socket: pynng.Push0, outbox: Outbox) -> None:
         """Send what is queued until cancelled."""
@@ -253,35 +286,48 @@
             await outbox.queued.wait()
             # The outbox is empty if the peer was dropped in the meantime.
             if items := outbox.batch():
-                await self._send_batch(socket, items)
-
-    async def _end_attempts(self, socket: pynng.Push0) -> None:
-        """Wait until a socket that is about to be closed does not begin to connect."""
-        for dialer in socket.dialers:
-            dialer.reconnect_time_max = CLOSING_RECONNECT_MS
-            dialer.reconnect_time_min = CLOSING_RECONNECT_MS
-        if socket.dialers and not socket.pipes:
-            with anyio.CancelScope(shield=True):
-                await self._timers.sleep(CLOSE_DELAY_SECONDS)
-
-    async def _send_batch(self, socket: pynng.Push0, items: list[QueuedEnvelope]) -> None:
-        data = ENVELOPE_CODEC.encode([item.envelope for item in items])
-        while items[0].queued_at + SEND_TIMEOUT_SECONDS > self._timers.now():
+                await self._send_batch(socket, outbox, items)
+                outbox.end_batch()
+
+    async def _send_batch(
+        self, socket: pynng.Push0, outbox: Outbox, items: list[QueuedEnvelope]
+    ) -> None:
+        """Send envelopes, with an introduction if they are the first of a connection."""
+        introduced, data = outbox.introduced, self._encode(items, outbox.introduced)
+        while True:
+            if introduced != outbox.introduced:
+                introduced, data = outbox.introduced, self._encode(items, outbox.introduced)
             try:
                 socket.send(data, block=False)
             except pynng.TryAgain:
+                if items[0].queued_at + SEND_TIMEOUT_SECONDS <= self._timers.now():
+                    break
                 await self._timers.sleep(SEND_RETRY_DELAY_SECONDS)
                 continue
             except pynng.NNGException as exc:
                 extra = {"instance": items[0].envelope.receiver, "why": str(exc)}
                 log.warning("messages to an instance not sent", extra=extra)
                 break
-            self._count_traffic(messages_out=len(items), bytes_out=len(data))
+            outbox.introduced = True
+            self._count_traffic(messages_out=len(items) + (not introduced), bytes_out=len(data))
             return
         for item in items:
             if item.call is not None:
                 item.call.fail()
 
+    def _encode(self, items: list[QueuedEnvelope], introduced: bool) -> bytes:
+        envelopes = [item.envelope for item in items]
+        if not introduced:
+            envelopes.insert(0, self._introduction())
+        return ENVELOPE_CODEC.encode(envelopes)
+
+    def _introduction(self) -> Envelope:
+        """Return the message that introduces this instance to whoever listens at an address."""
+        payload = self._codec.encode_one(Introduction(self._address))
+        return Envelope(
+            self._instance, self._incarnation, ANY_INSTANCE, ANY_INCARNATION, 0, False, payload
+        )
+
     async def _receive_loop(self, socket: pynng.Pull0) -> None:
         descriptor = socket.recv_fd
         while True:
@@ -306,7 +352,8 @@
 
     def _dispatch(self, envelope: Envelope) -> None:
         incarnation_matches = envelope.receiver_incarnation in (ANY_INCARNATION, self._incarnation)
-        if envelope.receiver != self._instance or not incarnation_matches:
+        name_matches = envelope.receiver in (ANY_INSTANCE, self._instance)
+        if not name_matches or not incarnation_matches:
             return
         try:
             message = self._codec.decode_one(envelope.payload)
@@ -315,7 +362,9 @@
                 "message from %s dropped because it could not be decoded: %s", envelope.sender, exc
             )
             return
-        if envelope.reply:
+        if isinstance(message, Introduction):
+            self._introductions.record(envelope.sender, envelope.sender_incarnation, message)
+        elif envelope.reply:
             self._calls.deliver_reply(envelope, message)
         elif self._tasks is not None:
             self._tasks.start_soon(self._run_handler, envelope, message)
@@ -340,17 +389,32 @@
             True,
             payload,
         )
-        self._enqueue(reply, None)
+        outbox = self._reply_outbox(envelope)
+        if outbox is None:
+            self._enqueue(reply, None)
+        else:
+            outbox.push(QueuedEnvelope(reply, None, self._timers.now()))
+
+    def _reply_outbox(self, call: Envelope) -> Outbox | None:
+        """Return the outbox to the address that a caller has stated, None if it is as known.
+
+        It is opened if needed, and dropped some time after its last reply.
+        """
+        address = self._introductions.address_of(call.sender, call.sender_incarnation)
+        known = self._outboxes.get(call.sender)
+        if address is None or call.sender == self._instance:
+            return None
+        if known is not None and known.address == address:
+            return None
+        name = f"{call.sender}@{address}"
+        if name not in self._outboxes:
+            log.info(
+                "connection opened for replies", extra={"instance": call.sender, "address": address}
+            )
+            self.set_peer(name, address, ANY_INCARNATION)
+        self._introductions.use(name, self._timers.now())
+        return self._outboxes[name]
 
     def _count_traffic(self, **amounts: int) -> None:
         totals = {name: getattr(self._traffic, name) + add for name, add in amounts.items()}
         self._traffic = self._traffic._replace(**totals)
-
-
-def _dial(socket: pynng.Push0, outbox: Outbox) -> None:
-    try:
-        socket.dial(f"tcp://{outbox.address}", block=False)
-    except (pynng.NNGException, ValueError) as exc:
-        # Calls to this instance end unanswered; the others are not affected.
-        extra = {"instance": outbox.name, "address": outbox.address[:80], "why": str(exc)}
-        log.warning("instance has an invalid address", extra=extra)
--- a/ragworttiller/process/outbox.py
+++ b/ragworttiller/process/outbox.py
@@ -32,6 +32,13 @@
         Name of the instance and ``IP address:port`` on which it listens.
     incarnation : int
         Incarnation that messages are addressed to.
+
+    Attributes
+    ----------
+    introduced : bool
+        Whether this end has introduced itself on the present connection.
+    disconnected_since : float or None
+        Time of the first reading without a connection since the last one with it, in seconds.
     """
 
     def __init__(self, name: str, address: str, incarnation: int) -> None:
@@ -40,7 +47,10 @@
         self.incarnation = incarnation
         self.scope = anyio.CancelScope()
         self.queued = anyio.Event()
+        self.introduced = False
+        self.disconnected_since: float | None = None
         self._items: deque[QueuedEnvelope] = deque()
+        self._unsent: list[QueuedEnvelope] = []
         self._connected = False
         self._disconnected_readings = 0
 
@@ -49,11 +59,15 @@
         """Whether the queue is empty."""
         return not self._items
 
-    def update_connection(self, connected: bool) -> bool:
+    def update_connection(self, connected: bool, now: float) -> bool:
         """Record a reading of the connection; return whether it has just been lost."""
         if connected:
             self._connected, self._disconnected_readings = True, 0
+            self.disconnected_since = None
             return False
+        self.introduced = False
+        if self.disconnected_since is None:
+            self.disconnected_since = now
         self._disconnected_readings += 1
         lost = self._connected and self._disconnected_readings >= MIN_DISCONNECTED_READINGS
         self._connected = self._connected and not lost
@@ -69,7 +83,10 @@
         self.queued.set()
 
     def batch(self) -> list[QueuedEnvelope]:
-        """Remove and return the oldest envelopes, as many as fit into one socket message."""
+        """Remove and return the oldest envelopes, as many as fit into one socket message.
+
+        They count as unsent until `end_batch`.
+        """
         items: list[QueuedEnvelope] = []
         size = 0
         while self._items and (not items or size < BATCH_BYTES):
@@ -77,6 +94,18 @@
             size += len(items[-1].envelope.payload)
         if not self._items:
             self.queued = anyio.Event()
+        self._unsent = items
+        return items
+
+    def end_batch(self) -> None:
+        """Record that the last batch was sent, or given up."""
+        self._unsent = []
+
+    def take_one_way(self) -> list[QueuedEnvelope]:
+        """Remove and return the unsent messages that are no calls: one-way ones and replies."""
+        items = [item for item in (*self._unsent, *self._items) if item.call is None]
+        self._unsent = [item for item in self._unsent if item.call is not None]
+        self._items = deque(item for item in self._items if item.call is not None)
         return items
 
     def clear(self) -> None:
--- a/ragworttiller/process/peers.py
+++ b/ragworttiller/process/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 Handler = Callable[[str, Any], Awaitable[Any]]
@@ -21,6 +21,14 @@
     def instance(self) -> str:
         """Name of this instance."""
 
+    @property
+    def unreachable(self) -> Mapping[str, float]:
+        """Time in seconds since which there is no connection to an instance, by its name.
+
+        Instances that are connected, or not known, are left out.
+        """
+        return {}
+
     @abstractmethod
     def handle(self, message_type: type, handler: Handler) -> None:
         """Register the handler of a message type."""
--- a/ragworttiller/scheduling/entry/entry_metrics.py
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -11,6 +11,7 @@
 from ragworttiller.scheduling.decisions.admission import RefusalReason
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
+from ragworttiller.scheduling.membership.membership import Membership
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.owner_figures import OwnerFigures
 from ragworttiller.scheduling.ownership.owner_gaps import OwnerGaps
@@ -124,6 +125,7 @@
     watch: ConfigurationWatch,
     host: CellHost,
     gaps: OwnerGaps,
+    membership: Membership,
 ) -> None:
     """Register what an entry shows beside the answers to its callers.
 
@@ -141,6 +143,8 @@
         Knows what the owner of the cell measures while this entry is the owner.
     gaps : OwnerGaps
         Knows whether an owner acts.
+    membership : Membership
+        Knows the entries of the cell.
     """
     traffic = store.traffic
     metrics.counter("store_calls", "Calls to the platform's store.", lambda: traffic.calls)
@@ -161,6 +165,13 @@
         "Time for which nobody has acted as the owner, as seen here, 0 if an owner acts.",
         lambda: gaps.seconds,
     )
+    members = membership.members
+    metrics.gauge("entries", "Entries of the cell, this one included.", lambda: len(members.names))
+    metrics.counter(
+        "entry_record_corrections",
+        "Times that the record of this entry was missing or another one's.",
+        lambda: membership.corrections,
+    )
     metrics.durations(
         "owner_lasting_task_wait_seconds",
         "Wait of a lasting task from the end of a run, or from the first pass, to the next run.",
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -33,10 +33,7 @@
 from ragworttiller.scheduling.entry.slow_store_reports import SlowStoreReports
 from ragworttiller.scheduling.entry.start_gate import StartGate
 from ragworttiller.scheduling.entry.store_metrics import register_store_metrics
-from ragworttiller.scheduling.membership.announcer import Announcer
-from ragworttiller.scheduling.membership.members import Members
-from ragworttiller.scheduling.membership.peer_advice import PeerAdvice
-from ragworttiller.scheduling.membership.reconnector import PeerReconnector
+from ragworttiller.scheduling.membership.membership import Membership
 from ragworttiller.scheduling.ownership.cell_host import CellHost
 from ragworttiller.scheduling.ownership.earlier_owner import (
     EarlierOwnerPeer,
@@ -49,7 +46,7 @@
 from ragworttiller.scheduling.ownership.owner_watch import OwnerHeartbeat
 from ragworttiller.scheduling.ownership.standbys import PeerStandbys
 from ragworttiller.scheduling.records.feed import Feed
-from ragworttiller.scheduling.records.formats import ENTRIES, JOBS, EntryRecord
+from ragworttiller.scheduling.records.formats import JOBS, EntryRecord
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.state.submission_windows import SubmissionWindows
@@ -69,7 +66,6 @@
 HANDOVER_CHECK_SECONDS = 0.02
 WITHDRAW_TIMEOUT_SECONDS = 0.5
 MAX_CLAIMS_AGE_SECONDS = 1.8
-ENTRIES_POLL_SECONDS = 5.0
 MAX_INCARNATION = 2**53
 
 
@@ -107,21 +103,20 @@
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
         )
         self._config = QueueFold()
-        self._members = Members(self._peers)
-        reconnector = PeerReconnector(self._peers, clock)
-        advisor = Advisor(settings.platform.advisor_address or "")
-        self._standbys = PeerStandbys(self._peers, self._members)
+        self._membership = Membership(
+            self._store,
+            self._peers,
+            clock,
+            EntryRecord(instance.peer_address, self._incarnation, instance.speed),
+            Advisor(settings.platform.advisor_address or ""),
+            lambda: self._host.figures.lag,
+        )
+        members, reconnector = self._membership.members, self._membership.reconnector
+        self._standbys = PeerStandbys(self._peers, members)
         self._host = CellHost(
             self._store,
             self._config,
-            PeerAdvice(
-                self._peers,
-                self._members,
-                advisor,
-                reconnector,
-                clock,
-                lambda: self._host.figures.lag,
-            ),
+            self._membership.advice,
             clock,
             self._name,
             self._incarnation,
@@ -146,21 +141,18 @@
             clock,
         )
         dry_runs = DryRuns(self._config, self._admission, clock)
-        self._operators = Operators(self._peers, self._members, self._host, clock, dry_runs)
+        self._operators = Operators(self._peers, members, self._host, clock, dry_runs)
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
         self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
         self._peers.handle(OwnerQuery, self._handle_owner_query)
         self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
-        self._entries_feed = Feed(
-            self._store, ENTRIES, self._members, clock, poll_seconds=ENTRIES_POLL_SECONDS
-        )
         producer = Producer(f"{self._name}-{self._incarnation}", 1)
         self._writer = GroupCommit(self._store, JOBS, producer, clock, exclusive=True)
         self._watch = ConfigurationWatch(
             self._config,
             self._config_feed,
             self._peers,
-            lambda: self._members.names,
+            lambda: members.names,
             self._owner_name,
             clock,
             settings.platform.has_workspaces,
@@ -177,10 +169,8 @@
             KeyCheck(self._config, self._watch, max_age, self._name),
             self._admission,
         )
-        record = EntryRecord(instance.peer_address, self._incarnation, instance.speed)
-        self._announcer = Announcer(self._store, clock, self._name, record)
         reports = SlowStoreReports(
-            self._peers, lambda: self._members.names, self._owner_name, self._writer, clock
+            self._peers, lambda: members.names, self._owner_name, self._writer, clock
         )
         relaying = RelayingCallers(
             LocalCallers(self._acceptance),
@@ -189,7 +179,7 @@
             reconnector,
             lambda: self._host.claims_feed.age,
             self._owner_name,
-            lambda: self._members.names,
+            lambda: members.names,
             clock,
             self._writer,
             reports.pace,
@@ -202,6 +192,7 @@
             self._watch,
             self._host,
             self._owner_gaps,
+            self._membership,
         )
         register_store_metrics(self._metrics, self._store_meter)
         self._gate = StartGate(
@@ -240,16 +231,13 @@
         async with anyio.create_task_group() as tasks:
             for server in (callers, balancer):
                 tasks.start_soon(server.run)
-            for feed in (self._config_feed, self._entries_feed):
-                tasks.start_soon(feed.run)
-            for feed in (self._host.claims_feed, self._host.jobs_feed):
+            for feed in (self._config_feed, self._host.claims_feed, self._host.jobs_feed):
                 tasks.start_soon(feed.run)
             tasks.start_soon(self._gate.run)
             tasks.start_soon(self._peers.run)
             tasks.start_soon(self._watch.run)
             tasks.start_soon(self._writer.run)
-            tasks.start_soon(self._announcer.run)
-            tasks.start_soon(self._announcer.announce)
+            tasks.start_soon(self._membership.run)
             tasks.start_soon(self._host.run)
             tasks.start_soon(self._owner_gaps.run)
             await self._stopping.wait()
@@ -280,7 +268,7 @@
             await self._clock.sleep(HANDOVER_CHECK_SECONDS)
         # An owner needs the other entries, which drop the connections of one that has withdrawn.
         with self._clock.move_on_after(WITHDRAW_TIMEOUT_SECONDS):
-            await self._announcer.withdraw()
+            await self._membership.withdraw()
         drain = min(DRAIN_SECONDS, grace / 2)
         await self._clock.sleep(max(stopped_at + drain - self._clock.now(), 0.0))
 
--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ragworttiller.codec import MessagePackCodec
-from ragworttiller.messages import ErrorReply
+from ragworttiller.messages import ErrorReply, Introduction
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
 from ragworttiller.scheduling.ownership.earlier_owner import (
     OwnerQuery,
@@ -98,5 +98,6 @@
         15: ConfigurationAnswer,
         16: SlowStore,
         17: DryRunRequest,
+        18: Introduction,
     }
 )
--- a/ragworttiller/scheduling/membership/peer_advice.py
+++ b/ragworttiller/scheduling/membership/peer_advice.py
@@ -14,12 +14,10 @@
 from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
 from ragworttiller.scheduling.entry.peer_messages import AdviceReply, AdviceRequest
 from ragworttiller.scheduling.membership.members import Members
-from ragworttiller.scheduling.membership.reconnector import PeerReconnector
+from ragworttiller.scheduling.membership.reconnector import LAGS_A_CALL, PeerReconnector
 
 CALL_MARGIN_SECONDS = 0.5
 ADVISOR_MARGIN_SECONDS = 1.0
-# Steps of this entry's event loop on the way of a call: sending it, and reading its answer.
-LAGS_A_CALL = 2
 
 
 class PeerAdvice(Advice):
--- a/ragworttiller/scheduling/membership/reconnector.py
+++ b/ragworttiller/scheduling/membership/reconnector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
@@ -10,6 +11,9 @@
 
 log = logging.getLogger(__name__)
 
+# Steps of this entry's event loop on the way of a call: sending it, and reading its answer.
+LAGS_A_CALL = 2
+
 
 class PeerReconnector:
     """Replaces unresponsive connections at both ends, since each end sends over its own.
@@ -23,6 +27,11 @@
         Connections to the other entries.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    on_replaced : Callable
+        Called after a connection was replaced because of an unanswered call.
     """
 
     def __init__(self, peers: NngPeers, clock: Clock) -> None:
@@ -30,6 +39,7 @@
         self._clock = clock
         self._replaced_at: dict[str, float] = {}
         self._answered_at: dict[str, float] = {}
+        self.on_replaced: Callable[[], None] = lambda: None
         peers.handle(ConnectionSuspect, self._handle_suspect)
 
     def reconnect_both_ends(self, name: str, sent_at: float) -> None:
@@ -43,12 +53,17 @@
             Time of the unanswered call, in seconds. A connection that was opened later is kept, and
             one on which another call was answered since: the entry is only slow.
         """
-        never = float("-inf")
-        if sent_at <= max(self._replaced_at.get(name, never), self._answered_at.get(name, never)):
+        replaced_at = self._replaced_at.get(name, float("-inf"))
+        if sent_at <= max(replaced_at, self.answered_at(name)):
             return
         log.info("connection to an entry replaced", extra={"entry": name})
         self._replace(name)
         self._peers.post(name, ConnectionSuspect())
+        self.on_replaced()
+
+    def answered_at(self, name: str) -> float:
+        """Return the time of the last answer of an entry in seconds, -inf without any."""
+        return self._answered_at.get(name, float("-inf"))
 
     def record_answer(self, name: str) -> None:
         """Record that an entry has answered a call."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,200 @@
+"""Tests of what an entry keeps of the others: records, their corrections, and connections."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from ragworttiller.platform.store import Record, Store
+from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
+from ragworttiller.scheduling.membership.announcer import Announcer
+from ragworttiller.scheduling.membership.members import Members
+from ragworttiller.scheduling.membership.reconnector import PeerReconnector
+from ragworttiller.scheduling.ownership.earlier_owner import OwnerQuery, OwnerStatus
+from ragworttiller.scheduling.records.feed import Feed
+from ragworttiller.scheduling.records.formats import ENTRIES, EntryRecord, encode
+from standins.platform.service import Link
+from standins.platform.store import StoreService
+from standins.virtual_peers import VirtualNetwork, VirtualPeers
+from standins.virtual_time import LoopTimers, run_virtual
+from tests.test_standbys import FakePeers
+
+CORRECTED_SECONDS = 1.0
+
+
+class Cell:
+    """Store and network of entries that only keep track of each other."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup):
+        self.tasks = tasks
+        self.timers = LoopTimers()
+        self.store = StoreService(self.timers)
+        self.network = VirtualNetwork(self.timers)
+
+    def start(self, name: str, incarnation: int = 1, address: str = "") -> Member:
+        member = Member(self, name, incarnation, address or f"{name}:1")
+        self.tasks.start_soon(member.run)
+        return member
+
+    def records(self) -> dict[str, EntryRecord]:
+        """Return the records in the store."""
+        peers = FakePeers()
+        members = Members(peers)
+        for name, (offset, value) in self.store.partition(ENTRIES.topic).newest().items():
+            members.apply(Record(offset, name, value))
+        return {n: r for n in members.names if (r := members.record_of(n)) is not None}
+
+    def put(self, name: str, value: bytes):
+        """Carry out a late write of an entry record."""
+        self.store.put(ENTRIES.topic, name, value)
+
+
+class Member:
+    """One entry of a `Cell`."""
+
+    def __init__(self, cell: Cell, name: str, incarnation: int, address: str):
+        self.scope = anyio.CancelScope()
+        self.record = EntryRecord(address, incarnation, 1.0)
+        self.is_owner = False
+        self.link = Link(cell.store, cell.timers)
+        store = Store("", 1.0, self.link)
+        self.peers = VirtualPeers(cell.network, name, incarnation, address, PEER_CODEC)
+        self.members = Members(self.peers)
+        feed = Feed(store, ENTRIES, self.members, cell.timers)
+        self.reconnector = PeerReconnector(self.peers, cell.timers)
+        self.announcer = Announcer(store, feed, self.members, cell.timers, name, self.record)
+        self._parts = (self.peers, feed, self.announcer)
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                for part in self._parts:
+                    tasks.start_soon(part.run)
+
+
+def play(body: Callable[[Cell], Awaitable[None]]):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            await body(Cell(tasks))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+class TestMembers:
+    def test_an_entry_never_leaves_its_own_list(self):
+        """Guards against an owner that gives itself no calls since its record was removed."""
+        members = Members(FakePeers())
+        members.apply(Record(1, "e3", encode(EntryRecord("a:1", 1))))
+        members.apply(Record(2, "e3", b""))
+        assert members.names == members.reachable == {"e3"}
+
+    def test_an_entry_whose_address_another_has_is_no_member(self):
+        """Guards against calls to a lost entry whose address was given to another machine."""
+        members = Members(FakePeers())
+        members.apply(Record(1, "e1", encode(EntryRecord("a:1", 1))))
+        members.apply(Record(2, "e2", encode(EntryRecord("a:1", 2))))
+        assert (members.names, members.replaced) == ({"e2", "e3"}, {"e1"})
+        members.apply(Record(3, "e2", b""))
+        assert (members.names, members.replaced) == ({"e1", "e3"}, set())
+
+
+class TestAnnouncer:
+    @pytest.mark.parametrize(
+        "late_write",
+        [b"", encode(EntryRecord("e1:1", 7)), b"unreadable"],
+        ids=["withdrawal", "announcement", "odd bytes"],
+    )
+    def test_a_late_write_of_an_earlier_start_is_corrected(self, late_write: bytes):
+        """Guards against an entry that is missing from the list until it is replaced."""
+
+        async def body(cell: Cell):
+            member = cell.start("e1")
+            await cell.timers.sleep(1.0)
+            cell.put("e1", late_write)
+            await cell.timers.sleep(CORRECTED_SECONDS)
+            assert cell.records() == {"e1": member.record}
+
+        play(body)
+
+    def test_a_record_of_another_name_at_its_address_is_corrected(self):
+        """Guards against a late announcement of the machine that had the address before."""
+
+        async def body(cell: Cell):
+            member = cell.start("e2", address="a:1")
+            await cell.timers.sleep(1.0)
+            cell.put("e1", encode(EntryRecord("a:1", 7)))
+            await cell.timers.sleep(CORRECTED_SECONDS)
+            assert cell.records() == {"e2": member.record}
+
+        play(body)
+
+    @pytest.mark.parametrize("seconds", [0.1, 3.0])
+    def test_a_late_withdrawal_does_not_remove_the_record_of_the_next_start(self, seconds: float):
+        """Guards against an entry without a record, whose calls nobody answers (review/7)."""
+
+        async def body(cell: Cell):
+            first = cell.start("e1")
+            await cell.timers.sleep(1.0)
+            first.link.late_next = [seconds] * 3
+            await first.announcer.withdraw()
+            first.scope.cancel()
+            second = cell.start("e1", incarnation=2)
+            await cell.timers.sleep(seconds)
+            await first.link.deliver_late()
+            assert cell.records() == {"e1": second.record}
+            assert cell.store.partition(ENTRIES.topic).end == 2
+
+        play(body)
+
+    def test_two_processes_of_one_name_write_ever_more_rarely(self):
+        async def body(cell: Cell):
+            cell.start("e1", 1, "a:1")
+            cell.start("e1", 2, "b:1")
+            await cell.timers.sleep(60.0)
+            assert cell.store.partition(ENTRIES.topic).end < 30
+
+        play(body)
+
+    def test_a_calm_list_costs_one_write_an_entry(self):
+        async def body(cell: Cell):
+            for number in range(7):
+                cell.start(f"e{number}")
+            await cell.timers.sleep(60.0)
+            assert cell.store.partition(ENTRIES.topic).end == 7
+
+        play(body)
+
+    def test_entries_that_stop_at_once_are_all_withdrawn_in_time(self):
+        async def body(cell: Cell):
+            rows = [cell.start(f"e{number}") for number in range(3)]
+            await cell.timers.sleep(1.0)
+            async with anyio.create_task_group() as tasks:
+                for row in rows:
+                    tasks.start_soon(row.announcer.withdraw)
+            assert cell.records() == {}
+
+        play(body)
+
+
+class TestReplies:
+    @pytest.mark.parametrize("listed", [False, True])
+    def test_a_call_is_answered_though_the_record_of_its_caller_is_gone_or_old(self, listed: bool):
+        """Guards against an entry whose calls get no answer since its record is gone (review/7)."""
+
+        async def answer(sender: str, message: OwnerQuery) -> OwnerStatus:
+            return OwnerStatus(True)
+
+        async def body(cell: Cell):
+            one, two = cell.start("e1"), cell.start("e2")
+            await cell.timers.sleep(1.0)
+            if listed:
+                two.peers.set_peer("e1", "old:1", 9)
+            else:
+                two.peers.drop_peer("e1")
+            two.peers.handle(OwnerQuery, answer)
+            assert await one.peers.call("e2", OwnerQuery(1), 0.5) == OwnerStatus(True)
+
+        play(body)
--- a/tests/test_peer_advice.py
+++ b/tests/test_peer_advice.py
@@ -20,6 +20,7 @@
     """Peers whose answers take some seconds; a replaced connection ends the calls on it."""
 
     instance = "e1"
+    unreachable: dict[str, float] = {}
 
     def __init__(self, timers: LoopTimers, seconds: float):
         self.timers = timers
--- a/tests/test_standbys.py
+++ b/tests/test_standbys.py
@@ -18,6 +18,7 @@
 
     def __init__(self) -> None:
         self.posted: list[tuple[str, Any]] = []
+        self.unreachable: dict[str, float] = {}
 
     def post(self, instance: str, message: Any) -> None:
         self.posted.append((instance, message))
