Give calls to the advisor to entries that can be reached

Cause: the first 0.3 of all entries that ever announced themselves, by name, take short calls only, and the record of a killed entry stays for ever. The two that are left were the first by name, so each long call went to a lost entry.

Change: connections tell which entries can be reached (none for 0.5 s: unreachable), and calls, heartbeats, successions and passed-on requests go to those. An unanswered call lets up to 16 others be asked for an answer, since connections to machines without power stay open. Reserved entries take long calls if no other works. An entry that fails while others answer is tried ever more rarely. The owner removes records of entries that were unreachable for a minute, or whose address another has. EntryLoads has a module of its own.

Ruled out: that the failures of the lost entries bar the others (one is barred for 2 s); configuration queries keep all entries, since a start without the store must not count fewer answers.

--- a/ragworttiller/scheduling/decisions/advice.py
+++ b/ragworttiller/scheduling/decisions/advice.py
@@ -1,14 +1,9 @@
-"""Choice of the entry that calls the advisor and of the runners that the call names.
-
-The advisor serves one call at a time per instance, so calls are distributed over the entries, and
-some entries are reserved for short calls.
-"""
+"""Calls to the advisor, and the choice of the runners that they name."""
 
 from __future__ import annotations
 
 import math
 from abc import ABC, abstractmethod
-from collections import Counter
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -20,16 +15,7 @@
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Stage
 
-SHORT_CALL_SECONDS = 0.15
 MAX_RUNNERS_PER_CALL = 100
-MAX_BACKLOG_SECONDS = 1.5
-# A long call waits for an almost idle entry, so that the choice among long calls is made late.
-MAX_BACKLOG_OF_LONG_CALL_SECONDS = 0.1
-AVOID_FAILED_ENTRY_SECONDS = 2.0
-# The same while all entries have failed lately, so that one failed call bars none for long.
-RETRY_FAILED_ENTRY_SECONDS = 0.5
-SHORT_CALL_ENTRIES_SHARE = 0.3
-MAX_CALLS_AT_ONCE = 4
 
 
 class AdviceCall(NamedTuple):
@@ -72,97 +58,6 @@
         """
 
 
-class EntryLoads:
-    """Calls to the advisor in flight at each entry.
-
-    The advisor serves one call at a time per instance, so calls of one entry queue up. Some entries
-    are reserved for short calls, which would otherwise wait behind long ones.
-    """
-
-    def __init__(self) -> None:
-        self._backlog_seconds: dict[str, float] = {}
-        self._long_calls: Counter[str] = Counter()
-        self._failed_at: dict[str, float] = {}
-        self._last_failed_at = -math.inf
-
-    def set_entries(self, entries: Sequence[str]) -> None:
-        """Set the available entries; those that remain keep their backlog."""
-        if self._backlog_seconds.keys() != set(entries):
-            backlogs = self._backlog_seconds
-            self._backlog_seconds = {name: backlogs.get(name, 0.0) for name in sorted(entries)}
-            self._long_calls = Counter({name: self._long_calls[name] for name in entries})
-
-    def assign(self, duration: float, now: float, urgent: bool = False) -> str | None:
-        """Assign a call to the entry with the smallest backlog; return None if all are too large.
-
-        While short calls come faster than they are served, no entry that takes them is ever almost
-        idle, so an urgent long call queues up behind them, but not behind another long one: the
-        runners that it names would be full by the time of its answer.
-
-        Parameters
-        ----------
-        duration : float
-            Duration of the call in seconds; part of the entry's backlog until `end_call`.
-        now : float
-            Time in seconds.
-        urgent : bool
-            Whether a long call may wait behind short ones for as long as a short call may.
-        """
-        names = list(self._backlog_seconds)
-        max_backlog = MAX_BACKLOG_SECONDS
-        if duration > SHORT_CALL_SECONDS:
-            names = names[int(len(names) * SHORT_CALL_ENTRIES_SHARE) :]
-            if urgent:
-                names = [name for name in names if not self._long_calls[name]]
-            else:
-                max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
-        names = self._usable(names, now)
-        if not names:
-            return None
-        name = min(names, key=self._backlog_seconds.__getitem__)
-        if self._backlog_seconds[name] > max_backlog:
-            return None
-        self._backlog_seconds[name] += duration
-        self._long_calls[name] += duration > SHORT_CALL_SECONDS
-        return name
-
-    def _usable(self, names: Sequence[str], now: float) -> list[str]:
-        """Return the entries without a recent failure; without any, those to be tried again."""
-        if now >= self._last_failed_at + AVOID_FAILED_ENTRY_SECONDS:
-            return list(names)
-        for seconds in (AVOID_FAILED_ENTRY_SECONDS, RETRY_FAILED_ENTRY_SECONDS):
-            usable = [n for n in names if self._failed_at.get(n, -math.inf) + seconds <= now]
-            if usable:
-                return usable
-        return []
-
-    def calls_at_once(self, now: float) -> int:
-        """Return how many long calls may be made for one stage at once.
-
-        One stage takes no more than half of the entries that are idle, so that the calls of the
-        next ones need not wait for it.
-        """
-        names = list(self._backlog_seconds)
-        long_entries = self._usable(names[int(len(names) * SHORT_CALL_ENTRIES_SHARE) :], now)
-        idle = [self._backlog_seconds[name] for name in long_entries].count(0.0)
-        return min(max(idle // 2, 1), MAX_CALLS_AT_ONCE)
-
-    def backlog(self, entry: str) -> float:
-        """Return the backlog of an entry, in seconds."""
-        return self._backlog_seconds.get(entry, 0.0)
-
-    def end_call(self, entry: str, duration: float) -> None:
-        """Remove an ended call from the backlog of its entry."""
-        if entry in self._backlog_seconds:
-            self._backlog_seconds[entry] = max(self._backlog_seconds[entry] - duration, 0.0)
-            long_calls = self._long_calls[entry] - (duration > SHORT_CALL_SECONDS)
-            self._long_calls[entry] = max(long_calls, 0)
-
-    def mark_failed(self, entry: str, now: float) -> None:
-        """Assign no calls to an entry for a while after a failed one."""
-        self._failed_at[entry] = self._last_failed_at = now
-
-
 class CandidatePolicy(ABC):
     """Chooses the runners that a call to the advisor names."""
 
--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -8,12 +8,11 @@
 
 from ragworttiller.scheduling.decisions.advice import (
     MAX_RUNNERS_PER_CALL,
-    SHORT_CALL_SECONDS,
     AdviceCall,
     CandidatePolicy,
-    EntryLoads,
     call_duration,
 )
+from ragworttiller.scheduling.decisions.entry_loads import SHORT_CALL_SECONDS, EntryLoads
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.runner_rules import accepts_another, suitable
 from ragworttiller.scheduling.state.job_work import JobWork
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -7,11 +7,12 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from ragworttiller.resources import Resources
-from ragworttiller.scheduling.decisions.advice import CandidatePolicy, EntryLoads
+from ragworttiller.scheduling.decisions.advice import CandidatePolicy
 from ragworttiller.scheduling.decisions.advice_planner import AdvicePlanner
 from ragworttiller.scheduling.decisions.caps import RESERVE_DELAY_SECONDS, Caps
 from ragworttiller.scheduling.decisions.contained_stages import ContainedStages
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
+from ragworttiller.scheduling.decisions.entry_loads import EntryLoads
 from ragworttiller.scheduling.decisions.fair_order import ReadyStage, ShareOrder
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.gang_room import possible_runners, reserves_for_gang
--- a/ragworttiller/scheduling/entry/entry_metrics.py
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -167,6 +167,11 @@
     )
     members = membership.members
     metrics.gauge("entries", "Entries of the cell, this one included.", lambda: len(members.names))
+    metrics.gauge(
+        "entries_unreachable",
+        "Entries to which this one has no connection.",
+        lambda: len(members.names) - len(members.reachable),
+    )
     metrics.counter(
         "entry_record_corrections",
         "Times that the record of this entry was missing or another one's.",
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -110,6 +110,7 @@
             EntryRecord(instance.peer_address, self._incarnation, instance.speed),
             Advisor(settings.platform.advisor_address or ""),
             lambda: self._host.figures.lag,
+            lambda: self._host.gives_orders,
         )
         members, reconnector = self._membership.members, self._membership.reconnector
         self._standbys = PeerStandbys(self._peers, members)
@@ -170,7 +171,7 @@
             self._admission,
         )
         reports = SlowStoreReports(
-            self._peers, lambda: members.names, self._owner_name, self._writer, clock
+            self._peers, lambda: members.reachable, self._owner_name, self._writer, clock
         )
         relaying = RelayingCallers(
             LocalCallers(self._acceptance),
@@ -179,7 +180,7 @@
             reconnector,
             lambda: self._host.claims_feed.age,
             self._owner_name,
-            lambda: members.names,
+            lambda: members.reachable,
             clock,
             self._writer,
             reports.pace,
--- a/ragworttiller/scheduling/entry/operators.py
+++ b/ragworttiller/scheduling/entry/operators.py
@@ -27,6 +27,7 @@
     """State of the cell as known to an entry.
 
     ``renewed`` is the time in seconds since a claim or renewal was last read, -1 before the first.
+    ``unreachable`` are the entries to which the answering one has no connection.
     """
 
     instance: str
@@ -34,6 +35,7 @@
     epoch: int
     renewed: float
     entries: list[str]
+    unreachable: list[str]
     runners: int
     open_jobs: dict[str, int]
 
@@ -118,6 +120,7 @@
             epoch=claim.epoch if claim else 0,
             renewed=round(self._host.seconds_since_renewal, 3),
             entries=sorted(self._members.names),
+            unreachable=sorted(self._members.names - self._members.reachable),
             runners=len(claim.roster) if claim else 0,
             open_jobs=dict(counts),
         )
--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -35,6 +35,14 @@
     """Reports to an entry that its answers do not arrive over its current connection."""
 
 
+class ConnectionQuery(NamedTuple):
+    """Asks an entry for an answer, which shows that the connections in both directions work."""
+
+
+class ConnectionAnswer(NamedTuple):
+    """Answers a `ConnectionQuery`."""
+
+
 class ConfigurationQuery(NamedTuple):
     """Asks an entry which version of the configuration it has; ``version`` is the asker's."""
 
@@ -99,5 +107,7 @@
         16: SlowStore,
         17: DryRunRequest,
         18: Introduction,
+        19: ConnectionQuery,
+        20: ConnectionAnswer,
     }
 )
--- a/ragworttiller/scheduling/membership/announcer.py
+++ b/ragworttiller/scheduling/membership/announcer.py
@@ -101,7 +101,7 @@
     async def withdraw(self) -> None:
         """Remove the record, unless it is another one's by now.
 
-        If that fails, the other entries rely on timeouts.
+        If that fails, the owner removes it later (`RecordRemover`).
         """
         self._withdrawn = True
         removal = KeyedRecord(self._name, b"")
--- a/ragworttiller/scheduling/membership/membership.py
+++ b/ragworttiller/scheduling/membership/membership.py
@@ -11,9 +11,12 @@
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.membership.announcer import Announcer
+from ragworttiller.scheduling.membership.connection_checks import ConnectionChecks
+from ragworttiller.scheduling.membership.departures import GoneWhenUnreachable
 from ragworttiller.scheduling.membership.members import Members
 from ragworttiller.scheduling.membership.peer_advice import PeerAdvice
 from ragworttiller.scheduling.membership.reconnector import PeerReconnector
+from ragworttiller.scheduling.membership.record_remover import RecordRemover
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import ENTRIES, EntryRecord
 
@@ -37,6 +40,8 @@
         Client of the advisor.
     lag : Callable
         Returns how late the event loop of this entry runs, in seconds.
+    is_owner : Callable
+        Returns whether this entry owns the cell.
 
     Attributes
     ----------
@@ -56,12 +61,17 @@
         record: EntryRecord,
         advisor: Advisor,
         lag: Callable[[], float],
+        is_owner: Callable[[], bool],
     ) -> None:
         self.members = Members(peers)
         self.reconnector = PeerReconnector(peers, clock)
         self.advice = PeerAdvice(peers, self.members, advisor, self.reconnector, clock, lag)
         self._feed = Feed(store, ENTRIES, self.members, clock, poll_seconds=POLL_SECONDS)
+        self._checks = ConnectionChecks(peers, self.members, self.reconnector, clock, lag)
         self._announcer = Announcer(store, self._feed, self.members, clock, peers.instance, record)
+        self._remover = RecordRemover(
+            store, self._feed, self.members, peers, GoneWhenUnreachable(), is_owner, clock
+        )
 
     @property
     def corrections(self) -> int:
@@ -71,7 +81,7 @@
     async def run(self) -> None:
         """Announce this entry and follow the others until cancelled."""
         async with anyio.create_task_group() as tasks:
-            for part in (self._feed, self._announcer):
+            for part in (self._feed, self._announcer, self._checks, self._remover):
                 tasks.start_soon(part.run)
 
     async def withdraw(self) -> None:
--- a/ragworttiller/scheduling/membership/peer_advice.py
+++ b/ragworttiller/scheduling/membership/peer_advice.py
@@ -59,7 +59,7 @@
     @property
     @override
     def entries(self) -> list[str]:
-        return sorted(self._members.names)
+        return sorted(self._members.reachable)
 
     @override
     async def ask(self, call: AdviceCall) -> dict[str, str]:
--- a/ragworttiller/scheduling/ownership/standbys.py
+++ b/ragworttiller/scheduling/ownership/standbys.py
@@ -39,7 +39,7 @@
 
 
 class PeerStandbys(Standbys):
-    """The other entries with the most cores; of equal ones, those after this one by name.
+    """The reachable entries with the most cores; of equal ones, those after this one by name.
 
     Parameters
     ----------
@@ -61,7 +61,6 @@
     @override
     def rank_after(self, owner: str) -> int:
         names, own = self._successors(owner), self._peers.instance
-        # The record of this entry may be withdrawn or not be stored yet.
         return names.index(own) if own in names else len(names)
 
     def names(self) -> list[str]:
@@ -69,7 +68,7 @@
         return self._successors(self._peers.instance)[:MAX_STANDBYS]
 
     def _successors(self, owner: str) -> list[str]:
-        """Return the entries other than an owner, in the order in which they are to claim."""
-        others = sorted(self._members.names - {owner}, key=lambda name: (name < owner, name))
+        """Return the reachable entries but an owner, in the order in which they are to claim."""
+        others = sorted(self._members.reachable - {owner}, key=lambda name: (name < owner, name))
         others.sort(key=lambda name: -self._members.speeds.get(name, 0.0))
         return others
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -454,6 +454,7 @@
         The platform counts the validity of a ticket from its grant, and the answer may be late.
         """
         stage = self._end_call(call)
+        self._planner.loads.mark_answered(call.entry, now)
         if stage is not None:
             granted_at = min(call.granted_at, now)
             stage.tickets.record_advice(call.runners, granted, granted_at, call.validity)
@@ -461,7 +462,7 @@
     def mark_advice_failed(self, call: AdviceCall, now: float) -> None:
         """Record that a call to the advisor failed; its entry gets no calls for a while."""
         self._end_call(call)
-        self._planner.loads.mark_failed(call.entry, now)
+        self._planner.loads.mark_failed(call.entry, now, call.asked_at)
 
     def _end_call(self, call: AdviceCall) -> Stage | None:
         """Mark a call as ended and return its stage, None if the job is no longer active."""
--- a/tests/owners_rig.py
+++ b/tests/owners_rig.py
@@ -138,14 +138,14 @@
         self.host = CellHost(
             self.store,
             self.config,
-            RigAdvice(rig),
+            self.new_advice(),
             rig.timers,
             name,
             incarnation,
             connect=self.connect,
-            standbys=RigStandbys(rig, name),
-            address=name,
-            earlier_owner=RigEarlierOwner(rig),
+            standbys=self.new_standbys(),
+            address=self.address,
+            earlier_owner=self.new_earlier_owner(),
             policies=rig.policies,
         )
         self.scope = anyio.CancelScope()
@@ -155,6 +155,20 @@
     def links(self) -> list[Link]:
         return [self.store_link, *self.runner_links.values()]
 
+    @property
+    def address(self) -> str:
+        """Address at which it listens for the other entries."""
+        return self.name
+
+    def new_advice(self) -> Advice:
+        return RigAdvice(self.rig)
+
+    def new_standbys(self) -> Standbys:
+        return RigStandbys(self.rig, self.name)
+
+    def new_earlier_owner(self) -> EarlierOwner:
+        return RigEarlierOwner(self.rig)
+
     def link(self, machine: str) -> Link:
         """Return the link to a machine, on which each of its boots answers, if there are any."""
         if machine not in self.runner_links:
@@ -297,11 +311,14 @@
         if name in self.entries:
             self.kill(name)
         self._incarnation += 1
-        entry = self.entries[name] = Entry(self, name, self._incarnation)
+        entry = self.entries[name] = self.new_entry(name, self._incarnation)
         self.started_entries.append(entry)
         self.tasks.start_soon(entry.run)
         return entry
 
+    def new_entry(self, name: str, incarnation: int) -> Entry:
+        return Entry(self, name, incarnation)
+
     def kill(self, name: str):
         self.entries[name].scope.cancel()
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -9,10 +9,10 @@
     MAX_RUNNERS_PER_CALL,
     AdviceCall,
     AllCandidates,
-    EntryLoads,
     UsefulCandidates,
     call_duration,
 )
+from ragworttiller.scheduling.decisions.entry_loads import EntryLoads
 from ragworttiller.scheduling.state.jobs import StageId, StepSpec
 from ragworttiller.scheduling.state.runs import Stage
 from ragworttiller.scheduling.state.tickets import Tickets
@@ -85,6 +85,38 @@
         assert loads.assign(0.03, 1.0) == "e1"
         assert loads.backlog("e1") == pytest.approx(0.03)
 
+    def test_long_calls_go_to_reserved_entries_while_all_others_fail(self):
+        """Guards against a queue whose calls nobody makes although entries are left."""
+        loads = EntryLoads()
+        loads.set_entries([f"e{n}" for n in range(7)])
+        for name in ("e2", "e3", "e4", "e5", "e6"):
+            loads.mark_failed(name, 0.0)
+        assert [loads.assign(0.7, 1.0) for _ in range(3)] == ["e0", "e1", None]
+        assert loads.calls_at_once(1.0) == 1
+
+    def test_an_entry_that_fails_while_others_answer_is_tried_ever_more_rarely(self):
+        loads = EntryLoads()
+        loads.set_entries(["a", "b"])
+        now, waits = 0.0, []
+        for _ in range(4):
+            loads.mark_failed("a", now)
+            loads.mark_answered("b", now + 0.1)
+            failed_at = now
+            while loads.assign(0.0, now) != "a":
+                now += 0.5
+            waits.append(now - failed_at)
+        assert waits == [2.0, 4.0, 8.0, 8.0]
+
+    def test_a_failure_of_all_entries_does_not_count_against_each_of_them(self):
+        """Guards against calls of one entry alone for long after an outage of the advisor."""
+        loads = EntryLoads()
+        loads.set_entries(["a", "b"])
+        for at in (0.0, 1.0, 2.0, 3.0):
+            for name in ("a", "b"):
+                loads.mark_failed(name, at)
+        loads.mark_answered("a", 4.0)
+        assert {loads.assign(0.1, 5.0) for _ in range(4)} == {"a", "b"}
+
     def test_one_entry_alone_takes_long_and_short_calls(self):
         loads = EntryLoads()
         loads.set_entries(["a"])
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -142,6 +142,7 @@
                 overview = await platform.show(name, "show")
                 assert overview["owner"] in ("e1", "e2")
                 assert overview["entries"] == ["e1", "e2"]
+                assert overview["unreachable"] == []
                 assert list(overview["open_jobs"].values()) == [1]
                 (job,) = await platform.show(name, "jobs")
                 assert (job["job"], job["wait"]) == (JOB_A, "no_runner_suits")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,11 +8,14 @@
 import pytest
 
 from ragworttiller.platform.store import Record, Store
-from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
+from ragworttiller.process.nng_peers import UNREACHABLE_AFTER_SECONDS
+from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, ConnectionQuery
 from ragworttiller.scheduling.membership.announcer import Announcer
+from ragworttiller.scheduling.membership.connection_checks import ConnectionChecks
+from ragworttiller.scheduling.membership.departures import GONE_AFTER_SECONDS, GoneWhenUnreachable
 from ragworttiller.scheduling.membership.members import Members
 from ragworttiller.scheduling.membership.reconnector import PeerReconnector
-from ragworttiller.scheduling.ownership.earlier_owner import OwnerQuery, OwnerStatus
+from ragworttiller.scheduling.membership.record_remover import CHECK_PERIOD_SECONDS, RecordRemover
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import ENTRIES, EntryRecord, encode
 from standins.platform.service import Link
@@ -64,8 +67,20 @@
         self.members = Members(self.peers)
         feed = Feed(store, ENTRIES, self.members, cell.timers)
         self.reconnector = PeerReconnector(self.peers, cell.timers)
+        checks = ConnectionChecks(
+            self.peers, self.members, self.reconnector, cell.timers, lambda: 0.0
+        )
         self.announcer = Announcer(store, feed, self.members, cell.timers, name, self.record)
-        self._parts = (self.peers, feed, self.announcer)
+        remover = RecordRemover(
+            store,
+            feed,
+            self.members,
+            self.peers,
+            GoneWhenUnreachable(),
+            lambda: self.is_owner,
+            cell.timers,
+        )
+        self._parts = (self.peers, feed, self.announcer, checks, remover)
 
     async def run(self):
         with self.scope:
@@ -179,14 +194,76 @@
         play(body)
 
 
+class TestRecordRemover:
+    def test_an_entry_that_was_killed_for_good_leaves_the_list(self):
+        """Guards against a list that grows with every machine that was ever replaced."""
+
+        async def body(cell: Cell):
+            owner, lost = cell.start("e1"), cell.start("e2")
+            owner.is_owner = True
+            await cell.timers.sleep(1.0)
+            lost.scope.cancel()
+            await cell.timers.sleep(GONE_AFTER_SECONDS / 2)
+            assert set(cell.records()) == {"e1", "e2"}
+            await cell.timers.sleep(GONE_AFTER_SECONDS / 2 + 2 * CHECK_PERIOD_SECONDS)
+            assert set(cell.records()) == owner.members.names == {"e1"}
+
+        play(body)
+
+    def test_an_entry_that_was_only_cut_off_is_a_member_again(self):
+        async def body(cell: Cell):
+            owner, cut = cell.start("e1"), cell.start("e2")
+            owner.is_owner = True
+            await cell.timers.sleep(1.0)
+            cell.network.silent.add("e2:1")
+            owner.peers.reconnect("e2")
+            await cell.timers.sleep(GONE_AFTER_SECONDS + 2 * CHECK_PERIOD_SECONDS)
+            cell.network.silent.clear()
+            await cell.timers.sleep(CORRECTED_SECONDS)
+            assert cell.records()["e2"] == cut.record
+            assert owner.members.reachable == {"e1", "e2"}
+
+        play(body)
+
+
+class TestReachability:
+    def test_a_killed_entry_is_unreachable_soon_and_reachable_again_once_it_is_back(self):
+        async def body(cell: Cell):
+            one, two = cell.start("e1"), cell.start("e2")
+            await cell.timers.sleep(1.0)
+            assert one.members.reachable == {"e1", "e2"}
+            two.scope.cancel()
+            await cell.timers.sleep(UNREACHABLE_AFTER_SECONDS + 0.3)
+            assert one.members.reachable == {"e1"}
+            cell.start("e2", incarnation=2)
+            await cell.timers.sleep(0.5)
+            assert one.members.reachable == {"e1", "e2"}
+
+        play(body)
+
+    def test_one_unanswered_call_shows_all_machines_without_power(self):
+        """Guards against calls that find out one after the other, each in its whole timeout."""
+
+        async def body(cell: Cell):
+            one = cell.start("e1")
+            lost = [cell.start(f"e{number}") for number in range(2, 7)]
+            cell.start("e7")
+            await cell.timers.sleep(1.0)
+            for entry in lost:
+                cell.network.silent.add(entry.record.address)
+                entry.scope.cancel()
+            one.reconnector.reconnect_both_ends("e2", cell.timers.now())
+            await cell.timers.sleep(2.0)
+            assert one.members.reachable == {"e1", "e7"}
+
+        play(body)
+
+
 class TestReplies:
     @pytest.mark.parametrize("listed", [False, True])
     def test_a_call_is_answered_though_the_record_of_its_caller_is_gone_or_old(self, listed: bool):
         """Guards against an entry whose calls get no answer since its record is gone (review/7)."""
 
-        async def answer(sender: str, message: OwnerQuery) -> OwnerStatus:
-            return OwnerStatus(True)
-
         async def body(cell: Cell):
             one, two = cell.start("e1"), cell.start("e2")
             await cell.timers.sleep(1.0)
@@ -194,7 +271,6 @@
                 two.peers.set_peer("e1", "old:1", 9)
             else:
                 two.peers.drop_peer("e1")
-            two.peers.handle(OwnerQuery, answer)
-            assert await one.peers.call("e2", OwnerQuery(1), 0.5) == OwnerStatus(True)
+            await one.peers.call("e2", ConnectionQuery(), 0.5)
 
         play(body)
--- a/tests/test_standbys.py
+++ b/tests/test_standbys.py
@@ -48,6 +48,12 @@
         chosen, _, _ = standbys(2.0, 0.5, 1.0, 0.5, 1.0, 2.0)
         assert chosen.names() == ["e6", "e1", "e5"]
 
+    def test_an_unreachable_entry_is_no_standby(self):
+        """Guards against a planned stop that hands the cell to an entry that was lost."""
+        chosen, _, peers = standbys(1, 1, 1, 1, 1)
+        peers.unreachable = {"e4": 7.0}
+        assert chosen.names() == ["e5", "e1", "e2"]
+
     def test_a_removed_entry_is_no_standby(self):
         chosen, fold, _ = standbys(1, 1, 1)
         fold.apply(Record(9, "e1", b""))
