Divide a long progress among records, and tell final refusals of the store

Cause: the progress of a job was one record, longer than record_bytes. The refusal was taken for a store that is away, so the owner repeated the append for ever, with all other jobs in it.

Change: a long progress is divided into records whose first one tells how many count; changes of many jobs into appends of at most request_bytes. Both limits are settings. A final refusal (400, 413, 422, or too long to be sent at all) has an error of its own, concerns one caller's records or one job, and is not repeated unchanged. A submission that is refused so is answered at once.

Not done: all parts of a long progress are written with each change of its job.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -7,9 +7,10 @@
 
 from ragworttiller.config.base import Section, read_sections
 from ragworttiller.config.log_section import LOG_SECTION
-from ragworttiller.config.options import Address, Choice, Flag, ListOf, Number, Text
+from ragworttiller.config.options import Address, Choice, Flag, Integer, ListOf, Number, Text
 from ragworttiller.config.settings import LogSettings
 from ragworttiller.platform.names import PRESSURE_CONTRACT, WORKSPACES_CONTRACT
+from ragworttiller.platform.store_records import StoreLimits
 
 
 class EntryInstance(NamedTuple):
@@ -30,12 +31,19 @@
 
 
 class EntryPlatform(NamedTuple):
-    """Addresses of the platform's services, and the contracts that are in force."""
+    """Addresses and limits of the platform's services, and the contracts that are in force."""
 
     store_address: str
     advisor_address: str | None
+    record_bytes: int = StoreLimits().record_bytes
+    request_bytes: int = StoreLimits().request_bytes
     contracts: list[str] = []
 
+    @property
+    def store_limits(self) -> StoreLimits:
+        """Lengths that the store accepts."""
+        return StoreLimits(self.record_bytes, self.request_bytes)
+
     @property
     def has_workspaces(self) -> bool:
         """Whether the deployment has workspaces, even if no configuration was read yet."""
@@ -146,6 +154,22 @@
                 "Address of the placement advisor, which lists the runners that may run a stage.",
                 optional=True,
             ),
+            Integer(
+                "record_bytes",
+                "Longest record that the store accepts.",
+                low=10_000,
+                high=2**30,
+                unit="bytes",
+                default="262144",
+            ),
+            Integer(
+                "request_bytes",
+                "Most bytes of all records of one append.",
+                low=20_000,
+                high=2**30,
+                unit="bytes",
+                default="2097152",
+            ),
             ListOf(
                 Text("contracts", "Contracts of the platform that are in force."),
                 default="",
--- a/ragworttiller/exceptions/__init__.py
+++ b/ragworttiller/exceptions/__init__.py
@@ -58,9 +58,11 @@
     AppendConflict,
     AppendFenced,
     AppendOutOfOrder,
+    AppendRefused,
     AppendUndecided,
     LogUnavailable,
     RecordsExpired,
+    RecordTooLong,
 )
 from ragworttiller.exceptions.submissions import (
     ApiKeyUnknown,
@@ -82,6 +84,7 @@
     "AppendConflict",
     "AppendFenced",
     "AppendOutOfOrder",
+    "AppendRefused",
     "AppendUndecided",
     "BodyTooLarge",
     "CellFull",
@@ -116,6 +119,7 @@
     "QuotaExceeded",
     "RagworttillerError",
     "Ran",
+    "RecordTooLong",
     "RecordsExpired",
     "RunnerBroken",
     "RunnerGone",
--- a/ragworttiller/exceptions/store.py
+++ b/ragworttiller/exceptions/store.py
@@ -14,6 +14,27 @@
     template = "log stream {stream!r} is not available"
 
 
+class AppendRefused(LogUnavailable):
+    """The store does not accept these records, whatever its state, such as ones that are too long.
+
+    Unlike other refusals it is final: the same records are not sent again.
+    """
+
+    code = "append_refused"
+    status = 400
+    ran = Ran.NO
+    template = "log stream {stream!r} does not accept these records: {why}"
+
+
+class RecordTooLong(RagworttillerError):
+    """A record is longer than the store accepts, and cannot be divided."""
+
+    code = "record_too_long"
+    status = 400
+    ran = Ran.NO
+    template = "record {key!r} has {bytes} bytes of {limit}"
+
+
 class RecordsExpired(RagworttillerError):
     """Records that a reader still needs have been removed by the log's retention."""
 
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -13,6 +13,7 @@
     AppendConflict,
     AppendFenced,
     AppendOutOfOrder,
+    AppendRefused,
     AppendUndecided,
     LogUnavailable,
     RecordsExpired,
@@ -23,13 +24,16 @@
 from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
 from ragworttiller.platform.store_meter import AppendNumber, StoreMeter
 from ragworttiller.platform.store_records import (
+    LENGTH_BYTES,
     KeyedRecord,
     NewestPage,
     Record,
     Slice,
+    StoreLimits,
     decode_page,
     decode_slice,
     encode_record,
+    record_size,
 )
 from ragworttiller.timers import SystemTimers
 
@@ -44,6 +48,7 @@
     "Record",
     "Slice",
     "Store",
+    "StoreLimits",
 ]
 
 log = logging.getLogger(__name__)
@@ -52,6 +57,8 @@
 ANSWER_TIMEOUT_SECONDS = 1.0
 # Too many calls, unavailable, out of space: nothing was appended, whatever the body says.
 REFUSAL_STATUSES = (429, 503, 507)
+# Bad request, too large: the same records would be refused again.
+FINAL_REFUSAL_STATUSES = (400, 413, 422)
 # Records, or the oldest offset after the one asked for.
 READ_STATUSES = (200, 410)
 CONFIG_TOPIC = "keyed.op"
@@ -100,6 +107,8 @@
         Connections to use in place of new ones to the address.
     meter : StoreMeter, optional
         Counts and times the calls.
+    limits : StoreLimits
+        Lengths that the store accepts; what exceeds them is not sent.
     """
 
     def __init__(
@@ -108,12 +117,19 @@
         timeout: float = ANSWER_TIMEOUT_SECONDS,
         channels: ChannelSet | None = None,
         meter: StoreMeter | None = None,
+        limits: StoreLimits = StoreLimits(),  # noqa: B008
     ) -> None:
+        self._limits = limits
         self._meter = meter or StoreMeter(SystemTimers())
         self._channels = channels or ChannelSet(address, timeout)
         self._timeout = timeout
         self._answer_count = 0
 
+    @property
+    def limits(self) -> StoreLimits:
+        """Lengths that the store accepts."""
+        return self._limits
+
     @property
     def answer_count(self) -> int:
         """Number of answers received; it increases while the store is reachable."""
@@ -161,13 +177,23 @@
             The sequence number does not follow the last one.
         AppendUndecided
             It is unknown whether the records are or will be appended.
+        AppendRefused
+            Nothing was appended, and the same records never will be.
         LogUnavailable
             Nothing was appended.
         """
+        self._check_lengths(partition, records)
         number = AppendNumber(*producer, sequence) if producer is not None else None
         with self._meter.append(partition.topic, number):
             return await self._append(partition, records, producer, sequence, at, timeout)
 
+    def _check_lengths(self, partition: Partition, records: Sequence[KeyedRecord]) -> None:
+        sizes = [record_size(record) for record in records]
+        if max(sizes, default=0) > self._limits.record_bytes:
+            raise AppendRefused(stream=str(partition), why=f"one has {max(sizes)} bytes")
+        if sum(sizes) + LENGTH_BYTES * len(sizes) > self._limits.request_bytes:
+            raise AppendRefused(stream=str(partition), why=f"they have {sum(sizes)} bytes")
+
     async def _append(
         self,
         partition: Partition,
@@ -189,6 +215,8 @@
         status = reply.status
         if status in REFUSAL_STATUSES:
             raise LogUnavailable(stream=str(partition))
+        if status in FINAL_REFUSAL_STATUSES:
+            raise AppendRefused(stream=str(partition), why=f"status {status}")
         if status != 200 and not reply.refused:
             log.warning(
                 "append answered without a result",
--- a/ragworttiller/platform/store_records.py
+++ b/ragworttiller/platform/store_records.py
@@ -17,6 +17,13 @@
 OFFSET_BYTES = 8
 
 
+class StoreLimits(NamedTuple):
+    """Most bytes of a record, key included, and of all records of one append."""
+
+    record_bytes: int = 262_144
+    request_bytes: int = 2_097_152
+
+
 class Record(NamedTuple):
     """Record of a keyed topic; ``value`` is empty if the key was deleted."""
 
@@ -69,11 +76,16 @@
 _ITEM_DECODER = msgspec.json.Decoder(_Item)
 
 
+def record_size(record: KeyedRecord) -> int:
+    """Return the length of a record in bytes, as the store counts it."""
+    return 1 + len(record.key.encode()) + len(record.value)
+
+
 def encode_record(record: KeyedRecord) -> bytes:
     """Return a record as a part of the body of an append."""
     key = record.key.encode()
-    length = 1 + len(key) + len(record.value)
-    return length.to_bytes(LENGTH_BYTES, "big") + bytes([len(key)]) + key + record.value
+    length = record_size(record).to_bytes(LENGTH_BYTES, "big")
+    return length + bytes([len(key)]) + key + record.value
 
 
 def decode_slice(content: bytes, offset: int) -> Slice:
--- a/ragworttiller/scheduling/entry/acceptance.py
+++ b/ragworttiller/scheduling/entry/acceptance.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ragworttiller.exceptions import (
+    AppendRefused,
     AppendUndecided,
     CellFull,
     GangExceedsCap,
@@ -292,6 +293,9 @@
         retry_seconds = timeout if self._writer.slow else REFUSAL_RETRY_SECONDS
         try:
             await self._writer.append([record], timeout, retry_seconds, queue_seconds)
+        except AppendRefused:
+            # It would be refused again.
+            raise
         except LogUnavailable as exc:
             raise StoreDown(job=job, retry_after=self._retry_after()) from exc
         except AppendUndecided as exc:
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -99,7 +99,11 @@
         self._name = instance.name
         self._incarnation = random.SystemRandom().randrange(1, MAX_INCARNATION)
         self._store_meter = StoreMeter(clock)
-        self._store = Store(settings.platform.store_address, meter=self._store_meter)
+        self._store = Store(
+            settings.platform.store_address,
+            meter=self._store_meter,
+            limits=settings.platform.store_limits,
+        )
         self._peers = NngPeers(
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
         )
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -98,7 +98,7 @@
         self._writer = GroupCommit(
             store, JOBS, Producer(PRODUCER, term.epoch), clock, first_sequence=1
         )
-        self._recorder = Recorder(cell, term, self._writer, clock, retention)
+        self._recorder = Recorder(cell, term, self._writer, clock, retention, store.limits)
         self._errors = cell.errors
         self._pace_log = PaceLog(cell, clock)
         self._calls = RunnerCalls(
--- a/ragworttiller/scheduling/ownership/recorder.py
+++ b/ragworttiller/scheduling/ownership/recorder.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import logging
+from typing import NamedTuple
 
 import anyio
 
-from ragworttiller.exceptions import AppendFenced, AppendUndecided, LogUnavailable
-from ragworttiller.platform.store import KeyedRecord
+from ragworttiller.exceptions import (
+    AppendFenced,
+    AppendRefused,
+    AppendUndecided,
+    LogUnavailable,
+)
+from ragworttiller.platform.store import KeyedRecord, StoreLimits
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.ownership.term import Term
-from ragworttiller.scheduling.records.formats import PROGRESS_SUFFIX, encode
-from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.group_commit import MAX_BATCH_BYTES, GroupCommit
+from ragworttiller.scheduling.records.job_records import JobRecords, batches
+from ragworttiller.scheduling.records.progress_parts import progress_records
 from ragworttiller.scheduling.records.retention import Retention
 from ragworttiller.scheduling.state.orders import Changes
 from ragworttiller.scheduling.state.owned_cell import Cell
@@ -22,6 +29,14 @@
 RECORDING_WAIT_SECONDS = 0.5
 APPEND_TIMEOUT_SECONDS = 3.0
 RETENTION_INTERVAL_SECONDS = 10.0
+MAX_REFUSED = 100
+
+
+class Refused(NamedTuple):
+    """Records that the store has refused for good, which are not sent again unchanged."""
+
+    records: list[KeyedRecord]
+    error: AppendRefused
 
 
 class Recorder:
@@ -39,6 +54,8 @@
         Source of time.
     retention : Retention, optional
         Selects the ended jobs to drop; without it none are dropped.
+    limits : StoreLimits
+        Lengths that the store accepts.
     """
 
     def __init__(
@@ -48,12 +65,15 @@
         writer: GroupCommit,
         clock: Clock,
         retention: Retention | None = None,
+        limits: StoreLimits = StoreLimits(),  # noqa: B008
     ) -> None:
         self._cell = cell
         self._term = term
         self._writer = writer
         self._clock = clock
         self._retention = retention
+        self._limits = limits
+        self._refused: dict[str, Refused] = {}
         self._requested = anyio.Event()
         self._recorded = anyio.Event()
         self._begun = 0
@@ -104,33 +124,62 @@
 
     async def _record(self, changes: Changes) -> bool:
         """Store changes and return whether they are stored."""
-        records = self._encoded(changes)
         try:
-            if records:
-                await self._writer.append(records, APPEND_TIMEOUT_SECONDS)
+            limit = min(MAX_BATCH_BYTES, self._limits.request_bytes)
+            for batch in batches(self._encoded(changes), limit):
+                await self._append(batch, changes)
         except AppendFenced:
             self._term.end_fenced("store")
             return False
         except (LogUnavailable, AppendUndecided) as exc:
-            log.warning("job progress not stored", extra={"jobs": len(records), "why": exc.code})
+            extra = {"jobs": len(changes.progress), "why": exc.code}
+            log.warning("job progress not stored", extra=extra)
             self._cell.restore_changes(changes)
             self._requested.set()
             return False
+        if self._cell.withholds_ends:
+            changes.ends.clear()
         self._cell.mark_recorded(changes)
         return True
 
-    def _encoded(self, changes: Changes) -> list[KeyedRecord]:
-        """Return the records of changes, from which jobs that cannot be encoded are taken out."""
-        records: list[KeyedRecord] = []
+    def _encoded(self, changes: Changes) -> list[JobRecords]:
+        """Return the records of changes, from which jobs that cannot be stored are taken out."""
+        rows: list[JobRecords] = []
         for job, progress in list(changes.progress.items()):
             try:
-                records.append(KeyedRecord(job + PROGRESS_SUFFIX, encode(progress)))
+                records = progress_records(job, progress, self._limits.record_bytes)
             except Exception as exc:
-                del changes.progress[job]
-                self._cell.defer_change(job, exc)
-        if self._cell.withholds_ends:
-            changes.ends.clear()
-        return records
+                self._defer(job, changes, exc)
+                continue
+            refused = self._refused.get(job)
+            if refused is not None and refused.records == records:
+                self._defer(job, changes, refused.error)
+            else:
+                rows.append(JobRecords(job, records))
+        return rows
+
+    async def _append(self, batch: list[JobRecords], changes: Changes) -> None:
+        """Append the records of some jobs; those of a job that the store refuses are left out."""
+        try:
+            records = [record for row in batch for record in row.records]
+            await self._writer.append(records, APPEND_TIMEOUT_SECONDS)
+        except AppendRefused as exc:
+            if len(batch) > 1:
+                for row in batch:
+                    await self._append([row], changes)
+                return
+            self._refused[batch[0].job] = Refused(batch[0].records, exc)
+            if len(self._refused) > MAX_REFUSED:
+                del self._refused[next(iter(self._refused))]
+            self._defer(batch[0].job, changes, exc)
+        else:
+            for row in batch:
+                self._refused.pop(row.job, None)
+
+    def _defer(self, job: str, changes: Changes, error: Exception) -> None:
+        """Take a job that cannot be stored out of the changes; it is tried again later."""
+        changes.progress.pop(job, None)
+        self._cell.defer_change(job, error)
 
     async def _retention_loop(self, retention: Retention) -> None:
         async for now in self._clock.ticks(RETENTION_INTERVAL_SECONDS):
--- a/ragworttiller/scheduling/records/formats.py
+++ b/ragworttiller/scheduling/records/formats.py
@@ -126,10 +126,14 @@
 
 
 class Progress(NamedTuple):
-    """Progress of a job by stage; ``state`` is set once the job has ended."""
+    """Progress of a job by stage; ``state`` is set once the job has ended.
+
+    ``parts`` is the number of records among which it is divided, 0 in all but the first of them.
+    """
 
     state: str
     stages: list[StageProgress]
+    parts: int = 1
 
 
 class Withdrawn(NamedTuple):
@@ -289,6 +293,11 @@
     return msgspec.msgpack.encode(record)
 
 
+def encode_value(value: object) -> bytes:
+    """Return a part of a record, encoded as in the record."""
+    return msgspec.msgpack.encode(value)
+
+
 def decode(value: bytes, record_type: type[T]) -> T:
     """Return the decoded record.
 
--- a/ragworttiller/scheduling/records/group_commit.py
+++ b/ragworttiller/scheduling/records/group_commit.py
@@ -10,6 +10,7 @@
 from ragworttiller.exceptions import (
     AppendFenced,
     AppendOutOfOrder,
+    AppendRefused,
     AppendUndecided,
     LogUnavailable,
     RagworttillerError,
@@ -38,7 +39,13 @@
 
 
 class _PendingAppend:
-    """Records of one caller that wait to be appended."""
+    """Records of one caller that wait to be appended.
+
+    Attributes
+    ----------
+    alone : bool
+        Whether they are sent in a call of their own, since a call with others was refused for good.
+    """
 
     def __init__(
         self, records: Sequence[KeyedRecord], deadline: float, retry_deadline: float
@@ -48,6 +55,7 @@
         self.retry_deadline = retry_deadline
         self.done = anyio.Event()
         self.error: RagworttillerError | None = None
+        self.alone = False
         self.end = 0
 
     @property
@@ -195,6 +203,8 @@
 
         Raises
         ------
+        AppendRefused
+            The store does not accept the records.
         LogUnavailable
             The records were not appended and will not be.
         AppendUndecided
@@ -253,8 +263,11 @@
 
     def _next_batch(self) -> list[_PendingAppend]:
         batch = [self._queue.pop(0)]
-        size = batch[0].size
-        while self._queue and (size := size + self._queue[0].size) < MAX_BATCH_BYTES:
+        size, limit = batch[0].size, min(MAX_BATCH_BYTES, self._store.limits.request_bytes)
+        while self._queue and not (batch[0].alone or self._queue[0].alone):
+            size += self._queue[0].size
+            if size >= limit:
+                break
             batch.append(self._queue.pop(0))
         return batch
 
@@ -270,6 +283,11 @@
                 undecided = True
                 self._record_failure()
                 log.info("append result unknown", extra={"partition": str(self._partition)})
+            except AppendRefused as exc:
+                self._record_answer()
+                self._failing_since = None
+                self._refuse(batch, exc)
+                return
             except LogUnavailable as exc:
                 self._record_answer()
                 self._refused_at = self._clock.now()
@@ -322,6 +340,17 @@
             item.end = end
             item.done.set()
 
+    def _refuse(self, batch: list[_PendingAppend], error: AppendRefused) -> None:
+        """Fail records that the store does not accept; of several callers each is tried alone."""
+        if len(batch) == 1:
+            extra = {"partition": str(self._partition), "why": str(error), "bytes": batch[0].size}
+            log.warning("append refused for good", extra=extra)
+            batch[0].fail(error)
+            return
+        for item in batch:
+            item.alone = True
+        self._queue[:0] = batch
+
     def _fail_expired(self, batch: list[_PendingAppend], error: LogUnavailable) -> bool:
         """Fail a batch that was not appended, if no caller's deadline leaves time for a retry."""
         late = self._clock.now() + MAX_RETRY_DELAY_SECONDS
--- a/ragworttiller/scheduling/records/job_fold.py
+++ b/ragworttiller/scheduling/records/job_fold.py
@@ -23,10 +23,14 @@
     decode_owner_change,
     has_run,
 )
+from ragworttiller.scheduling.records.progress_parts import merge_parts
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
 log = logging.getLogger(__name__)
 
+PART_PREFIX = PROGRESS_SUFFIX.removeprefix("/") + "/"
+MAX_PARTS = 100_000
+
 NO_PROGRESS = Progress("", [])
 
 
@@ -41,6 +45,8 @@
         Offset of the record of acceptance.
     progress : Progress
         Recorded progress.
+    parts : dict of int to Progress
+        Records of the progress by number, if it was ever divided among several.
     progress_known : bool
         Whether each record of progress could be read; those after an unreadable one may lack what
         it said.
@@ -53,6 +59,7 @@
         self.accepted: Accepted | None = None
         self.offset = -1
         self.progress = NO_PROGRESS
+        self.parts: dict[int, Progress] = {}
         self.progress_known = True
         self.canceller: str | None = None
 
@@ -123,7 +130,10 @@
             )
             return
         try:
-            self._appliers[slash + kind](self, job, record)
+            if kind.startswith(PART_PREFIX):
+                self._apply_progress(job, record, _part_number(kind))
+            else:
+                self._appliers[slash + kind](self, job, record)
         except (Unreadable, KeyError, ValueError) as exc:
             log.warning(
                 "unreadable job record skipped", extra={"offset": record.offset, "why": repr(exc)}
@@ -161,7 +171,7 @@
             row.offset = record.offset
             self.on_accepted(row.accepted)
 
-    def _apply_progress(self, job: str, record: Record) -> None:
+    def _apply_progress(self, job: str, record: Record, part: int = 0) -> None:
         if not record.value:
             return
         row = self.jobs.setdefault(job, JobRow())
@@ -172,6 +182,9 @@
         except (Unreadable, ValueError):
             row.progress_known = False
             raise
+        if part or progress.parts > 1 or row.parts:
+            row.parts[part] = progress
+            progress = merge_parts(row.parts)
         row.progress = progress
 
     def _apply_cancelled(self, job: str, record: Record) -> None:
@@ -183,3 +196,17 @@
         PROGRESS_SUFFIX: _apply_progress,
         CANCEL_SUFFIX: _apply_cancelled,
     }
+
+
+def _part_number(kind: str) -> int:
+    """Return the number of a part of a progress, from the end of its key.
+
+    Raises
+    ------
+    ValueError
+        It is no number, or out of range.
+    """
+    number = int(kind.removeprefix(PART_PREFIX))
+    if not 0 < number < MAX_PARTS:
+        raise ValueError(f"part {number} is out of range")
+    return number
--- a/ragworttiller/scheduling/records/repeated_append.py
+++ b/ragworttiller/scheduling/records/repeated_append.py
@@ -8,7 +8,12 @@
 import anyio
 import anyio.abc
 
-from ragworttiller.exceptions import AppendUndecided, LogUnavailable, RagworttillerError
+from ragworttiller.exceptions import (
+    AppendRefused,
+    AppendUndecided,
+    LogUnavailable,
+    RagworttillerError,
+)
 from ragworttiller.platform.store import KeyedRecord, Partition, Producer, Store
 from ragworttiller.scheduling.clock import Clock
 
@@ -91,6 +96,8 @@
 
         Raises
         ------
+        AppendRefused
+            The store accepts the records in no call.
         LogUnavailable
             No call has appended the records.
         AppendUndecided
@@ -104,6 +111,8 @@
             calls.cancel_scope.cancel()
         if self._end is not None:
             return self._end
+        if isinstance(self._error, AppendRefused):
+            raise self._error
         if isinstance(self._error, LogUnavailable) and self._undecided:
             raise AppendUndecided(stream=str(self._partition)) from self._error
         raise self._error or AppendUndecided(stream=str(self._partition))
@@ -143,6 +152,8 @@
             )
         except AppendUndecided:
             self._undecided = True
+        except AppendRefused as exc:
+            self._error = exc
         except LogUnavailable as exc:
             self._refused = True
             # While other calls are in flight, one of them may still append the records.
--- a/ragworttiller/scheduling/records/retention.py
+++ b/ragworttiller/scheduling/records/retention.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX, PROGRESS_SUFFIX
-from ragworttiller.scheduling.records.job_fold import JobFold
+from ragworttiller.scheduling.records.formats import CANCEL_SUFFIX
+from ragworttiller.scheduling.records.job_fold import JobFold, JobRow
+from ragworttiller.scheduling.records.progress_parts import part_key
 
 # Ended jobs are kept longer than callers can query them, by this factor: a submission repeated
 # after its job was dropped would be accepted as a new job.
@@ -35,5 +36,10 @@
             if not row.open and job not in self._ended:
                 self._ended[job] = now
         old = [job for job, at in self._ended.items() if now - at > self._retention_seconds]
-        suffixes = ("", PROGRESS_SUFFIX, CANCEL_SUFFIX)
-        return [job + suffix for job in old[:MAX_JOBS_PER_PASS] for suffix in suffixes]
+        return [key for job in old[:MAX_JOBS_PER_PASS] for key in _keys(job, rows[job])]
+
+
+def _keys(job: str, row: JobRow) -> list[str]:
+    """Return the keys of all records of a job."""
+    parts = [part_key(job, number) for number in sorted({0, *row.parts})]
+    return [job, *parts, job + CANCEL_SUFFIX]
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -16,6 +16,7 @@
 
 PRODUCER_ANSWERS_KEPT = 5
 PAGE_ITEMS = 500
+RECORD_BYTES = 262_144
 # An append is refused while the appends before it take longer than this.
 MAX_QUEUE_SECONDS = 2.0
 
@@ -69,6 +70,8 @@
         Source of time.
     page : int
         Maximum number of items in one page of newest records.
+    record_bytes : int
+        Longest record that is accepted.
 
     Attributes
     ----------
@@ -84,7 +87,10 @@
         Seconds by which each answer is late.
     """
 
-    def __init__(self, timers: TimerService, page: int = PAGE_ITEMS) -> None:
+    def __init__(
+        self, timers: TimerService, page: int = PAGE_ITEMS, record_bytes: int = RECORD_BYTES
+    ) -> None:
+        self.record_bytes = record_bytes
         self._timers = timers
         self._page = page
         self.partitions: dict[tuple[str, int], StoredPartition] = defaultdict(StoredPartition)
@@ -168,6 +174,8 @@
     def _answer_append(
         self, partition: StoredPartition, query: dict[str, str], body: bytes
     ) -> Answer:
+        if max(map(len, _split_records(body)), default=0) > self.record_bytes:
+            return json_answer(400)
         producer = None
         sequence = int(query.get("seq", 0))
         if "producer" in query:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ragworttiller.exceptions import (
+    AppendRefused,
     JobUnknown,
     NotReady,
     QueueUnknown,
@@ -58,6 +59,19 @@
 
         with_entry(body)
 
+    def test_a_job_that_the_store_never_accepts_is_refused_at_once_and_for_good(self):
+        """Guards against callers who come back for a job that cannot be stored."""
+
+        async def body(rig: EntryRig):
+            rig.service.record_bytes = 100
+            started_at = rig.timers.now()
+            with pytest.raises(AppendRefused):
+                await rig.call("POST")
+            assert rig.timers.now() - started_at < 0.1
+            assert rig.stored() == []
+
+        with_entry(body)
+
     def test_retry_after_grows_with_the_duration_of_an_outage(self):
         async def body(rig: EntryRig):
             rig.service.down = True
