Count a job as pending until a runner has begun a task of it

Cause: a stage counted as started once a run number was given out, that is when a start is ordered, and stayed so when the start was refused or had expired.

Change: it counts once a runner is known to have begun a run: an answer, a report, an end, a crash, a run that was found. An order without an answer counts as pending until then.

--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -206,6 +206,7 @@
         else:
             if end.outcome == "failed" and not stage.spec.daemon:
                 stage.add_failed_run(index, end.run)
+            stage.begun = True
             for other in [r for r in stage.runs_of(index) if r.number == end.run]:
                 stage.requeue(other, now)
         self._jobs.mark_changed(work)
@@ -332,6 +333,7 @@
         self, runner: RunnerState, stage: Stage, end: EndedRun, run: Run | None, now: float
     ) -> None:
         index = end.task.ordinal
+        stage.begun = True
         if end.outcome == "failed":
             stage.clear_crashes(index)
             if not stage.spec.daemon:
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -19,7 +19,7 @@
 from ragworttiller.scheduling.state.runs.cap_hold import CapHold
 from ragworttiller.scheduling.state.runs.failure_record import FailureRecord
 from ragworttiller.scheduling.state.runs.placements import Placements
-from ragworttiller.scheduling.state.runs.run import Run
+from ragworttiller.scheduling.state.runs.run import Run, RunState
 from ragworttiller.scheduling.state.runs.task_wait import TaskWait
 from ragworttiller.scheduling.state.tickets import Tickets
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
@@ -58,6 +58,9 @@
         Name under which tasks that behave alike are known.
     ready_since : float or None
         Time in seconds from which its tasks could start, None before the first planning pass then.
+    begun : bool
+        Whether a runner is known to have begun a run that has ended, or that was found. The order
+        of a start alone does not count: it may be refused, or never arrive.
     idle_since : float or None
         Time in seconds of the first planning pass since when none of its tasks has started, None if
         there was none.
@@ -152,6 +155,7 @@
         self.tickets = Tickets()
         self.blocked_since: float | None = None
         self.ready_since: float | None = None
+        self.begun = False
         self.idle_since: float | None = None
         self.tries_failed_on_probation = False
         self.joins_probes = False
@@ -180,9 +184,11 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether a task has started."""
-        ended = self.done or self.failed_runs or self.crashes or self.losses
-        return bool(ended or self.active_runs or self._last_run_numbers)
+        """Whether a runner has begun a task, as far as that is known."""
+        if self.begun or self.done or self.failed_runs or self.crashes or self.losses:
+            return True
+        runs = (*self.active_runs.values(), *self.copies.values())
+        return any(run.state is not RunState.STARTING for run in runs)
 
     @property
     def has_progress(self) -> bool:
@@ -301,7 +307,7 @@
     def adopt(self, run: Run) -> None:
         """Add a run that an earlier owner started."""
         index = run.task.ordinal
-        run.adopted = True
+        self.begun = run.adopted = True
         run.image = self.image
         run.pace.assume_unknown()
         self.waiting.remove(index)
@@ -402,6 +408,7 @@
         copy leaves the active run alone. Unless the run has ``ran``, the earlier wait goes on.
         """
         index = run.task.ordinal
+        self.begun = self.begun or run.state is not RunState.STARTING
         if self.copies.get(index) is run:
             del self.copies[index]
             return None
--- a/tests/test_cell_decisions.py
+++ b/tests/test_cell_decisions.py
@@ -440,3 +440,23 @@
         rig.submit(step(1, 4000), job="00000000000000aa")
         rig.start_all()
         assert rig.cell.pending() == {f"{QUEUE.host} {QUEUE.prefix}": 1}
+
+    @pytest.mark.parametrize("reason", ["room", "ticket", "late", "unhealthy"])
+    def test_a_job_whose_start_was_refused_is_pending(self, rig: CellRig, reason: str):
+        """Guards against a job that is not counted though no runner has begun it (review/10)."""
+        rig.submit(step(1))
+        (order,) = rig.plan().starts
+        assert rig.cell.pending() == {f"{QUEUE.host} {QUEUE.prefix}": 1}
+        rig.cell.mark_start_refused(order.run, reason, rig.now)
+        assert rig.cell.pending() == {f"{QUEUE.host} {QUEUE.prefix}": 1}
+
+    @pytest.mark.parametrize("outcome", ["stopped", "lapsed", "failed"])
+    @pytest.mark.parametrize("answered", [True, False])
+    def test_a_job_that_a_runner_has_begun_is_not_pending(
+        self, rig: CellRig, outcome: str, answered: bool
+    ):
+        rig.submit(step(1))
+        (order,) = rig.start_all() if answered else rig.plan().starts
+        run = order.run
+        rig.hold(run.runner, (run.task, run.number, outcome))
+        assert rig.cell.pending() == {f"{QUEUE.host} {QUEUE.prefix}": 0}
