--- a/ragworttiller/messages.py
+++ b/ragworttiller/messages.py
@@ -10,6 +10,9 @@
 from ragworttiller.codec import MessagePackCodec
 from ragworttiller.exceptions import ErrorBody
 
+# Receiver of a message for whichever instance listens at an address.
+ANY_INSTANCE = ""
+
 
 class Envelope(NamedTuple):
     """One message with its addresses.
--- a/ragworttiller/process/nng_peers.py
+++ b/ragworttiller/process/nng_peers.py
@@ -8,7 +8,7 @@
 
 import logging
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -18,6 +18,7 @@
 from ragworttiller.codec import Codec
 from ragworttiller.exceptions import InvalidField, PeerUnreachable, RagworttillerError
 from ragworttiller.messages import (
+    ANY_INSTANCE,
     ENVELOPE_CODEC,
     PAYLOAD_CODEC,
     Envelope,
@@ -28,6 +29,8 @@
 from ragworttiller.process.introductions import Introductions
 from ragworttiller.process.message_handlers import MessageHandlers
 from ragworttiller.process.outbox import Outbox, QueuedEnvelope
+from ragworttiller.process.outbox_sender import SEND_RETRY_DELAY_SECONDS, OutboxSender
+from ragworttiller.process.peer_traffic import PeerTraffic, PeerTrafficCounter
 from ragworttiller.process.peers import Handler, Peers
 from ragworttiller.process.push_sockets import (
     SOCKET_BUFFER_BATCHES,
@@ -39,26 +42,12 @@
 
 log = logging.getLogger(__name__)
 
-# Receiver of a message for whichever instance listens at an address.
-ANY_INSTANCE = ""
-
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-SEND_TIMEOUT_SECONDS = 2.0
 CONNECTION_CHECK_PERIOD_SECONDS = 0.1
-SEND_RETRY_DELAY_SECONDS = 0.02
 # An instance without a connection for as long counts as unreachable; connecting takes less.
 UNREACHABLE_AFTER_SECONDS = 0.5
 
 
-class PeerTraffic(NamedTuple):
-    """Messages and bytes since the start of the process, envelopes included."""
-
-    messages_in: int = 0
-    messages_out: int = 0
-    bytes_in: int = 0
-    bytes_out: int = 0
-
-
 class NngPeers(Peers):
     """Peers over pynng push and pull sockets.
 
@@ -97,7 +86,17 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._introductions = Introductions()
         self._unreachable: dict[str, float] = {}
-        self._traffic = PeerTraffic()
+        self._traffic = PeerTrafficCounter()
+        introduction = Envelope(
+            instance,
+            incarnation,
+            ANY_INSTANCE,
+            ANY_INCARNATION,
+            0,
+            False,
+            codec.encode_one(Introduction(address)),
+        )
+        self._sender = OutboxSender(introduction, timers, self._traffic)
         self._bound = anyio.Event()
 
     @property
@@ -113,7 +112,7 @@
     @property
     def traffic(self) -> PeerTraffic:
         """Messages and bytes since the start of the process."""
-        return self._traffic
+        return self._traffic.total
 
     @property
     def open_calls(self) -> int:
@@ -276,58 +275,10 @@
             try:
                 with outbox.scope:
                     dial(socket, outbox.name, outbox.address)
-                    await self._send_queued(socket, outbox)
+                    await self._sender.run(socket, outbox)
             finally:
                 await end_attempts(socket, self._timers)
 
-    async def _send_queued(self, socket: pynng.Push0, outbox: Outbox) -> None:
-        """Send what is queued until cancelled."""
-        while True:
-            await outbox.queued.wait()
-            # The outbox is empty if the peer was dropped in the meantime.
-            if items := outbox.batch():
-                await self._send_batch(socket, outbox, items)
-                outbox.end_batch()
-
-    async def _send_batch(
-        self, socket: pynng.Push0, outbox: Outbox, items: list[QueuedEnvelope]
-    ) -> None:
-        """Send envelopes, with an introduction if they are the first of a connection."""
-        introduced, data = outbox.introduced, self._encode(items, outbox.introduced)
-        while True:
-            if introduced != outbox.introduced:
-                introduced, data = outbox.introduced, self._encode(items, outbox.introduced)
-            try:
-                socket.send(data, block=False)
-            except pynng.TryAgain:
-                if items[0].queued_at + SEND_TIMEOUT_SECONDS <= self._timers.now():
-                    break
-                await self._timers.sleep(SEND_RETRY_DELAY_SECONDS)
-                continue
-            except pynng.NNGException as exc:
-                extra = {"instance": items[0].envelope.receiver, "why": str(exc)}
-                log.warning("messages to an instance not sent", extra=extra)
-                break
-            outbox.introduced = True
-            self._count_traffic(messages_out=len(items) + (not introduced), bytes_out=len(data))
-            return
-        for item in items:
-            if item.call is not None:
-                item.call.fail()
-
-    def _encode(self, items: list[QueuedEnvelope], introduced: bool) -> bytes:
-        envelopes = [item.envelope for item in items]
-        if not introduced:
-            envelopes.insert(0, self._introduction())
-        return ENVELOPE_CODEC.encode(envelopes)
-
-    def _introduction(self) -> Envelope:
-        """Return the message that introduces this instance to whoever listens at an address."""
-        payload = self._codec.encode_one(Introduction(self._address))
-        return Envelope(
-            self._instance, self._incarnation, ANY_INSTANCE, ANY_INCARNATION, 0, False, payload
-        )
-
     async def _receive_loop(self, socket: pynng.Pull0) -> None:
         descriptor = socket.recv_fd
         while True:
@@ -346,7 +297,7 @@
                 "batch of %d bytes dropped because it could not be decoded: %s", len(data), exc
             )
             return
-        self._count_traffic(messages_in=len(envelopes), bytes_in=len(data))
+        self._traffic.count_received(len(envelopes), len(data))
         for envelope in envelopes:
             self._dispatch(envelope)
 
@@ -414,7 +365,3 @@
             self.set_peer(name, address, ANY_INCARNATION)
         self._introductions.use(name, self._timers.now())
         return self._outboxes[name]
-
-    def _count_traffic(self, **amounts: int) -> None:
-        totals = {name: getattr(self._traffic, name) + add for name, add in amounts.items()}
-        self._traffic = self._traffic._replace(**totals)
--- a/ragworttiller/scheduling/decisions/crash_rules.py
+++ b/ragworttiller/scheduling/decisions/crash_rules.py
@@ -27,7 +27,8 @@
 # Crashes at which a task is given up, by how many of them were in a trial that proves it.
 CRASHES_TO_GIVE_UP = {0: 4, 1: 4, 2: 3}
 MAX_TRIALS_COUNTED = max(CRASHES_TO_GIVE_UP)
-# The platform allows two starts after the third crash.
+# The platform allows to give a task up under which two runners have crashed, and allows two starts
+# after the third crash.
 MAX_STARTS = 5
 
 
--- a/standins/virtual_peers.py
+++ b/standins/virtual_peers.py
@@ -124,7 +124,7 @@
         connection = VirtualConnection(self._network, self._address, outbox.address)
         self._sockets[outbox.name] = connection  # type: ignore[assignment]
         with outbox.scope:
-            await self._send_queued(connection, outbox)  # type: ignore[arg-type]
+            await self._sender.run(connection, outbox)  # type: ignore[arg-type]
 
     def deliver(self, data: bytes) -> None:
         """Receive a batch after the delay of the network, unless this instance has ended."""
--- a/tests/test_nng_peers.py
+++ b/tests/test_nng_peers.py
@@ -17,7 +17,7 @@
     CellReply,
     Envelope,
 )
-from ragworttiller.process import introductions, nng_peers, outbox
+from ragworttiller.process import introductions, outbox, outbox_sender
 from ragworttiller.process.calls import Call
 from ragworttiller.process.nng_peers import CONNECTION_CHECK_PERIOD_SECONDS, NngPeers
 from ragworttiller.process.outbox import MIN_DISCONNECTED_READINGS
@@ -407,7 +407,7 @@
 
     def test_a_batch_that_waited_for_long_is_tried_once(self, monkeypatch):
         """Guards against messages that are dropped since the event loop was late."""
-        monkeypatch.setattr(nng_peers, "SEND_TIMEOUT_SECONDS", 0.0)
+        monkeypatch.setattr(outbox_sender, "SEND_TIMEOUT_SECONDS", 0.0)
 
         async def main():
             a, b, *_ = pair()
