Remove no records of entries as an owner that reaches none of them

Cause, found on reading the change: an owner that is cut off from all other entries, but not from the store, would remove the records of all of them each minute, and each would announce itself again.

Change: an owner that reaches no other entry removes only replaced ones.

--- a/ragworttiller/scheduling/membership/departures.py
+++ b/ragworttiller/scheduling/membership/departures.py
@@ -22,7 +22,7 @@
         Parameters
         ----------
         names : set of str
-            Entries of the cell.
+            Entries of the cell, the owner among them.
         replaced : set of str
             Names under which there is a record, of entries whose address another one has now.
         unreachable : mapping of str to float
@@ -47,13 +47,16 @@
 
     Load pattern: machines are replaced all the time under new names, most of them killed, so that
     they do not withdraw their records. An entry that is only cut off announces itself again once it
-    reads that its record is gone, so no proof of its end is needed.
+    reads that its record is gone, so no proof of its end is needed. An owner that reaches no other
+    entry is more likely cut off itself, and removes only replaced ones.
     """
 
     @override
     def gone(
         self, names: Set[str], replaced: Set[str], unreachable: Mapping[str, float], now: float
     ) -> list[str]:
+        if len(names - unreachable.keys()) == 1:
+            return sorted(replaced)
         end = now - GONE_AFTER_SECONDS
         lost = {name for name in names if unreachable.get(name, now) <= end}
         return sorted(lost | replaced)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -200,19 +200,21 @@
 
         async def body(cell: Cell):
             owner, lost = cell.start("e1"), cell.start("e2")
+            cell.start("e3")
             owner.is_owner = True
             await cell.timers.sleep(1.0)
             lost.scope.cancel()
             await cell.timers.sleep(GONE_AFTER_SECONDS / 2)
-            assert set(cell.records()) == {"e1", "e2"}
+            assert set(cell.records()) == {"e1", "e2", "e3"}
             await cell.timers.sleep(GONE_AFTER_SECONDS / 2 + 2 * CHECK_PERIOD_SECONDS)
-            assert set(cell.records()) == owner.members.names == {"e1"}
+            assert set(cell.records()) == owner.members.names == {"e1", "e3"}
 
         play(body)
 
     def test_an_entry_that_was_only_cut_off_is_a_member_again(self):
         async def body(cell: Cell):
             owner, cut = cell.start("e1"), cell.start("e2")
+            cell.start("e3")
             owner.is_owner = True
             await cell.timers.sleep(1.0)
             cell.network.silent.add("e2:1")
@@ -221,7 +223,22 @@
             cell.network.silent.clear()
             await cell.timers.sleep(CORRECTED_SECONDS)
             assert cell.records()["e2"] == cut.record
-            assert owner.members.reachable == {"e1", "e2"}
+            assert owner.members.reachable == {"e1", "e2", "e3"}
+
+        play(body)
+
+    def test_an_owner_that_is_cut_off_itself_removes_no_other(self):
+        """Guards against entries that all lose each other since their owner reaches none."""
+
+        async def body(cell: Cell):
+            owner, *_ = (cell.start(f"e{number}") for number in range(1, 5))
+            owner.is_owner = True
+            await cell.timers.sleep(1.0)
+            cell.network.silent.add("e1:1")
+            for name in ("e2", "e3", "e4"):
+                owner.peers.reconnect(name)
+            await cell.timers.sleep(2 * GONE_AFTER_SECONDS)
+            assert cell.store.partition(ENTRIES.topic).end == 4
 
         play(body)
 
