--- a/ragworttiller/entry_process.py
+++ b/ragworttiller/entry_process.py
@@ -32,7 +32,7 @@
     path : Path
         Settings file in INI format.
     listeners : dict
-        Sockets that are open already, by the name of the setting that holds their address.
+        Sockets that listen already, by the name of the setting that holds their address.
     listening_at : float
         Time of ``time.monotonic`` since which they listen.
     """
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -11,7 +11,6 @@
 from ragworttiller.config.entry import EntrySettings
 from ragworttiller.connection.server import HttpServer
 from ragworttiller.exceptions import PartCancelled
-from ragworttiller.listeners import PEER_ADDRESS
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.advisor import Advisor
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
@@ -80,7 +79,7 @@
     clock : Clock
         Source of time.
     listeners : dict, optional
-        Sockets that are open already, by the name of the setting that holds their address.
+        Sockets that listen already, by the name of the setting that holds their address.
     loading_seconds : float
         Seconds for which these sockets have listened.
     """
@@ -240,7 +239,7 @@
             for feed in (self._config_feed, self._host.claims_feed, self._host.jobs_feed):
                 tasks.start_soon(feed.run)
             tasks.start_soon(self._gate.run)
-            tasks.start_soon(self._run_peers)
+            tasks.start_soon(self._peers.run)
             tasks.start_soon(self._watch.run)
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._membership.run)
@@ -255,13 +254,6 @@
             raise PartCancelled(instance=self._name)
         log.info("entry stopped", extra={"incarnation": self._incarnation})
 
-    async def _run_peers(self) -> None:
-        """Listen for peers at the address that was reserved until now."""
-        reserved = self._listeners.pop(PEER_ADDRESS, None)
-        if reserved is not None:
-            reserved.close()
-        await self._peers.run()
-
     def _server(self, setting: str, address: str, app: CallerApp | ReadyApp) -> HttpServer:
         listener = self._listeners.get(setting)
         return HttpServer(address, app, CLOSE_TIMEOUT_SECONDS, listener=listener)
