Take an error for an answer when connections are checked

Cause, found on the last reading: a check expected an answer or none. An entry that answers it by an error would have ended the checks of the asker, with them its membership, and so its process.

Change: an error is logged and counts as an answer.

Evidence: the new test fails without the change.

--- a/ragworttiller/scheduling/membership/connection_checks.py
+++ b/ragworttiller/scheduling/membership/connection_checks.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 import anyio
 
-from ragworttiller.exceptions import PeerUnreachable
+from ragworttiller.exceptions import PeerUnreachable, RagworttillerError
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.peer_messages import ConnectionAnswer, ConnectionQuery
 from ragworttiller.scheduling.membership.members import Members
 from ragworttiller.scheduling.membership.reconnector import LAGS_A_CALL, PeerReconnector
 
+log = logging.getLogger(__name__)
+
 CHECK_TIMEOUT_SECONDS = 1.0
 CHECK_INTERVAL_SECONDS = 2.0
 MAX_CHECKS_AT_ONCE = 16
@@ -86,8 +89,13 @@
         except PeerUnreachable:
             if self._reconnector.reconnect_both_ends(name, sent_at):
                 self.request()
-        else:
-            self._reconnector.record_answer(name)
+            return
+        except RagworttillerError as exc:
+            # An error is an answer, too.
+            log.info(
+                "connection check answered by an error", extra={"entry": name, "why": exc.code}
+            )
+        self._reconnector.record_answer(name)
 
     async def _answer(self, sender: str, message: ConnectionQuery) -> ConnectionAnswer:
         return ConnectionAnswer()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from ragworttiller.exceptions import PeerUnreachable
+from ragworttiller.exceptions import NotOwner, PeerUnreachable
 from ragworttiller.platform.store import Record, Store
 from ragworttiller.process.nng_peers import UNREACHABLE_AFTER_SECONDS
 from ragworttiller.scheduling.decisions.advice import AdviceCall
@@ -269,6 +269,23 @@
 
         play(body)
 
+    def test_an_entry_that_answers_a_check_by_an_error_ends_no_other(self):
+        """Guards against an entry that ends since another one answers oddly."""
+
+        async def fail(sender: str, message: ConnectionQuery):
+            raise NotOwner(instance="e3", shard="?")
+
+        async def body(cell: Cell):
+            one, two, odd = (cell.start(f"e{number}") for number in (1, 2, 3))
+            odd.peers.handle(ConnectionQuery, fail)
+            await cell.timers.sleep(1.0)
+            two.scope.cancel()
+            one.membership.advice.on_unanswered()
+            await cell.timers.sleep(3.0)
+            assert one.members.reachable == {"e1", "e3"}
+
+        play(body)
+
 
 class TestReplies:
     @pytest.mark.parametrize("listed", [False, True])
