Close connections to servers that have been idle for too long

What was seen: after a crowd of 420 submissions the owner kept 21 descriptors more than before, for as long as it ran, though no call was using them (44 against 23; limits of tests/test_client_crowds.py).

Cause: an idle connection is not used again after 4 s, but it was closed only when a later call came upon it. Calls take the one that was used last, so the others stayed.

Change: each answer closes the connections that have been idle for longer than that.

Ruled out: connections of callers, which the same run closes at once.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -113,12 +113,15 @@
         It must be open and have been used within the last `MAX_IDLE_SECONDS`; the server must have
         neither closed it nor written to it since the last answer.
         """
-        if self._stream is None or self._poll is None:
-            return False
-        if time.monotonic() - self._used_at > MAX_IDLE_SECONDS:
+        if self._stream is None or self._poll is None or self.stale:
             return False
         return not self._poll.poll(0)
 
+    @property
+    def stale(self) -> bool:
+        """Whether the connection was last used too long ago."""
+        return time.monotonic() - self._used_at > MAX_IDLE_SECONDS
+
     async def open(self) -> None:
         """Connect.
 
@@ -267,6 +270,7 @@
             self._idle.append(channel)
         else:
             await channel.close()
+        await self._close_stale()
         return answer
 
     async def close(self) -> None:
@@ -275,6 +279,11 @@
         for channel in idle:
             await channel.close()
 
+    async def _close_stale(self) -> None:
+        """Close the channels that have been idle for too long; the last used one is the newest."""
+        while self._idle and self._idle[0].stale:
+            await self._idle.pop(0).close()
+
     async def _channel(self) -> Channel:
         while self._idle:
             channel = self._idle.pop()
