Bound what callers can make an entry hold

What was seen: clients that don't behave made an entry exceed the memory of its machine, and kept its connections for as long as they liked.

Cause: one class. Nothing in the server had a bound: not a head, not trailers, not a body as it comes, not what is sent ahead, not the time of any of these, not the number of connections. uvicorn's httptools protocol keeps each field in a list, also those of trailers, and joins incomplete ones again with each read; a field of 6 bytes takes 140. It starts the application at the end of a head, so bodies piled up there.

Change: `BoundedProtocol`, a subclass of uvicorn's, for the entry and the daemon alike. A request is received whole before the application gets it, so that whatever is refused was not accepted (400, 408, 413, 414, 431, and 503 with Retry-After, each with `connection: close`). Parsing goes no further than a request ends, so little is parsed ahead of an answer. Who is ended when is decided without I/O in `ConnectionTable`: one budget of bytes for the process from `memory_mb` and a number of connections from `max_fds` (both new in the settings); whoever holds the most for the longest without progress goes first, and what was handed on keeps its answer and counts until it is done. The configuration's `max_header_bytes`, `header_timeout_ms` and `idle_timeout_ms` are in force now. A refused client is read for 2 s more, so that no reset takes the refusal with it. Logs have one line a second for each reason. Small receive and send buffers keep what the kernel holds for one connection at some 30 KB.

Ruled out: uvicorn's `limit_concurrency` closes nothing and counts no bytes; h11 bounds a head, but nothing else here, and parses in Python.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -6,9 +6,16 @@
 from typing import NamedTuple
 
 from ragworttiller.config.base import Section, read_sections
+from ragworttiller.config.limit_options import limit_options
 from ragworttiller.config.log_section import LOG_SECTION
 from ragworttiller.config.options import Address, Choice, Flag, Integer, ListOf, Number, Text
 from ragworttiller.config.settings import LogSettings
+from ragworttiller.connection.limits import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MB,
+    ConnectionLimits,
+    connection_limits,
+)
 from ragworttiller.platform.names import PRESSURE_CONTRACT, WORKSPACES_CONTRACT
 from ragworttiller.platform.store_records import StoreLimits
 
@@ -74,6 +81,18 @@
         return (self.config_apply_ms if self.strict_revoke else self.revoke_ms) / 1000
 
 
+class EntryLimits(NamedTuple):
+    """Resources that the process may use: memory in MiB, and file descriptors."""
+
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_DESCRIPTORS
+
+    @property
+    def connections(self) -> ConnectionLimits:
+        """Limits on the connections of callers."""
+        return connection_limits(self.memory_mb, self.max_fds)
+
+
 class EntryPolicies(NamedTuple):
     """Names of the policies by which the owner of the cell decides."""
 
@@ -98,6 +117,7 @@
     instance: EntryInstance
     platform: EntryPlatform
     bounds: EntryBounds
+    limits: EntryLimits
     policies: EntryPolicies
     log: LogSettings
 
@@ -223,6 +243,12 @@
             ),
         ],
     ),
+    Section(
+        "limits",
+        "Resources that this process may use, from which the limits on its callers follow.",
+        EntryLimits,
+        limit_options(),
+    ),
     Section(
         "policies",
         "Policies by which the owner of the cell decides; each has a simple one to compare with.",
--- a/ragworttiller/connection/server.py
+++ b/ragworttiller/connection/server.py
@@ -6,13 +6,19 @@
 import socket
 import ssl
 from collections.abc import Iterator
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
 import uvicorn
 from typing_extensions import override
 
+from ragworttiller.connection.bounded_protocol import BoundedProtocol
+from ragworttiller.connection.limits import DEFAULT_CONNECTION_LIMITS, RequestLimits
+from ragworttiller.connection.request_policy import FixedPolicy, RequestPolicy
+from ragworttiller.connection.server_guard import ServerConnections
 from ragworttiller.listeners import LISTEN_BACKLOG, open_listener
+from ragworttiller.timers import SystemTimers
 
 if TYPE_CHECKING:
     from starlette.types import ASGIApp, Message, Receive, Scope, Send
@@ -20,7 +26,12 @@
     from ragworttiller.config.settings import TlsSettings
 
 
-KEEP_ALIVE_SECONDS = 30
+# The connection table ends idle connections sooner.
+KEEP_ALIVE_SECONDS = 3600
+EXPIRY_CHECK_SECONDS = 0.5
+# Connections that are accepted before others are served. Each takes a descriptor at once, also if
+# it is then refused.
+ACCEPTED_AT_ONCE = 16
 
 
 class _Uvicorn(uvicorn.Server):
@@ -31,6 +42,13 @@
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    @override
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        for listener in sockets or []:
+            # asyncio takes one number for this and for the connections accepted at once.
+            listener.listen(LISTEN_BACKLOG)
+
 
 class _DrainMiddleware:
     """Middleware that asks callers to close their connections while the server is draining."""
@@ -63,6 +81,12 @@
         Files for HTTPS; without a certificate the server uses plain HTTP.
     listener : socket, optional
         Socket that listens on the address already.
+    connections : ServerConnections, optional
+        Connections of the process, which share its limits; by default those of this server only.
+    policy : RequestPolicy, optional
+        Limits on each request; by default those of `RequestLimits`.
+    max_connections : int, optional
+        Most connections; by default as many as the limits of the process allow.
     """
 
     def __init__(
@@ -72,18 +96,28 @@
         drain_seconds: float,
         tls: TlsSettings | None = None,
         listener: socket.socket | None = None,
+        connections: ServerConnections | None = None,
+        policy: RequestPolicy | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self._socket = listener or open_listener(address)
+        self._connections = connections or ServerConnections(
+            DEFAULT_CONNECTION_LIMITS, SystemTimers()
+        )
+        self._guard = self._connections.guard(
+            policy or FixedPolicy(RequestLimits()), max_connections
+        )
         self._app = _DrainMiddleware(app)
         config = uvicorn.Config(
             self._app,
             loop="asyncio",
-            http="httptools",
+            http=partial(BoundedProtocol, self._guard),  # type: ignore[arg-type]
             ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
-            backlog=LISTEN_BACKLOG,
+            proxy_headers=False,
+            backlog=ACCEPTED_AT_ONCE,
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
             ssl_certfile=tls and tls.certificate,
             ssl_keyfile=str(tls.key) if tls and tls.key else None,
@@ -102,7 +136,10 @@
     async def run(self) -> None:
         """Serve until `stop`, then finish the requests in progress."""
         try:
-            await self._server.serve(sockets=[self._socket])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._end_expired)
+                await self._server.serve(sockets=[self._socket])
+                tasks.cancel_scope.cancel()
         finally:
             self._stopped.set()
 
@@ -126,6 +163,10 @@
             self._set_drain_seconds(drain_seconds)
         self._server.should_exit = True
 
+    async def _end_expired(self) -> None:
+        async for _ in self._connections.timers.ticks(EXPIRY_CHECK_SECONDS):
+            self._connections.end_expired(self._guard)
+
     def _set_drain_seconds(self, seconds: float) -> None:
         # Declared as whole seconds, but passed on to `asyncio.timeout`.
         self._server.config.timeout_graceful_shutdown = seconds  # type: ignore[assignment]
--- a/ragworttiller/exceptions/__init__.py
+++ b/ragworttiller/exceptions/__init__.py
@@ -18,6 +18,13 @@
     JobUnfinished,
     JobUnsuccessful,
 )
+from ragworttiller.exceptions.connections import (
+    HeadTooLarge,
+    MalformedRequest,
+    RequestTimeout,
+    TargetTooLong,
+    TooManyRequests,
+)
 from ragworttiller.exceptions.inputs import (
     BodyTooLarge,
     InvalidField,
@@ -94,6 +101,7 @@
     "EntryUnreachable",
     "ErrorBody",
     "GangExceedsCap",
+    "HeadTooLarge",
     "InvalidField",
     "JobNameTaken",
     "JobUnfinished",
@@ -103,6 +111,7 @@
     "KeyReused",
     "KeyUnknown",
     "LogUnavailable",
+    "MalformedRequest",
     "NoRunner",
     "NotFound",
     "NotOwner",
@@ -121,6 +130,7 @@
     "Ran",
     "RecordTooLong",
     "RecordsExpired",
+    "RequestTimeout",
     "RunnerBroken",
     "RunnerGone",
     "RunnerRefused",
@@ -129,6 +139,8 @@
     "Stopping",
     "StoreDown",
     "SubmissionUndecided",
+    "TargetTooLong",
+    "TooManyRequests",
     "Unauthorized",
     "Unplaceable",
     "Unreadable",
--- a/ragworttiller/listeners.py
+++ b/ragworttiller/listeners.py
@@ -12,6 +12,10 @@
 from pathlib import Path
 
 LISTEN_BACKLOG = 2048
+# Bytes of a connection that the kernel holds unread, and unsent; it doubles them for its own use.
+# Without a limit they grow to megabytes.
+RECEIVE_BUFFER_BYTES = 16_384
+SEND_BUFFER_BYTES = 32_768
 INSTANCE_SECTION = "instance"
 ENTRY_ADDRESSES = ("callers_address", "readiness_address")
 
@@ -32,6 +36,9 @@
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit these.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         listener.bind((host.strip("[]"), int(port)))
         listener.listen(LISTEN_BACKLOG)
     except (OSError, ValueError):
--- a/ragworttiller/platform/configuration.py
+++ b/ragworttiller/platform/configuration.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Iterator
-from typing import Annotated, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
@@ -15,6 +15,11 @@
 log = logging.getLogger(__name__)
 
 
+DEFAULT_HEAD_BYTES = 16_384
+DEFAULT_HEAD_TIMEOUT_MS = 3000
+DEFAULT_IDLE_TIMEOUT_MS = 15_000
+
+
 class AdviceCost(NamedTuple):
     """Duration of a call to the advisor and validity of its tickets, in seconds."""
 
@@ -50,14 +55,18 @@
 class Configuration(NamedTuple):
     """One complete version of the configuration.
 
-    ``max_body`` is in bytes. ``workspaces`` is None in a deployment without workspaces, where no
-    call needs a key.
+    ``max_body`` and ``max_head``, of the request line and the header fields, are in bytes,
+    ``head_timeout`` and ``idle_timeout`` in seconds. ``workspaces`` is None in a deployment without
+    workspaces, where no call needs a key.
     """
 
     version: int
     queues: tuple[Queue, ...]
     max_body: int
     workspaces: tuple[Workspace, ...] | None = None
+    max_head: int = DEFAULT_HEAD_BYTES
+    head_timeout: float = DEFAULT_HEAD_TIMEOUT_MS / 1000
+    idle_timeout: float = DEFAULT_IDLE_TIMEOUT_MS / 1000
 
 
 # A higher version would hide all later ones.
@@ -95,6 +104,10 @@
 
 class _Limits(msgspec.Struct):
     max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)] = 262144
+    # Of any type: a value that is no number must not make the routes unreadable.
+    max_header_bytes: Any = DEFAULT_HEAD_BYTES
+    header_timeout_ms: Any = DEFAULT_HEAD_TIMEOUT_MS
+    idle_timeout_ms: Any = DEFAULT_IDLE_TIMEOUT_MS
 
 
 class _Cap(msgspec.Struct):
@@ -132,7 +145,22 @@
     workspaces = None
     if wire.tenants is not None:
         workspaces = _decode_workspaces(wire.tenants, wire.version)
-    return Configuration(wire.version, queues, wire.limits.max_body_bytes, workspaces)
+    limits = wire.limits
+    return Configuration(
+        wire.version,
+        queues,
+        limits.max_body_bytes,
+        workspaces,
+        int(_number(limits.max_header_bytes, DEFAULT_HEAD_BYTES)),
+        _number(limits.header_timeout_ms, DEFAULT_HEAD_TIMEOUT_MS) / 1000,
+        _number(limits.idle_timeout_ms, DEFAULT_IDLE_TIMEOUT_MS) / 1000,
+    )
+
+
+def _number(value: Any, default: float) -> float:
+    """Return a value that is a number in range, or the default."""
+    valid = isinstance(value, int | float) and not isinstance(value, bool)
+    return value if valid and 0 <= value <= MAX_TIME_MS else default
 
 
 def _decode_queues(rows: list[msgspec.Raw], has_workspaces: bool, version: int) -> Iterator[Queue]:
--- a/ragworttiller/platform/submissions.py
+++ b/ragworttiller/platform/submissions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Annotated, Any
 
 import msgspec
@@ -122,6 +123,15 @@
     return InvalidField(field=field, problem=problem, allowed=allowed)
 
 
+def caller_timeout(headers: dict[bytes, bytes]) -> float | None:
+    """Return the seconds for which a caller waits, None if its request does not say or is wrong."""
+    try:
+        timeout = float(headers[DEADLINE_HEADER]) / 1000
+    except (KeyError, ValueError):
+        return None
+    return None if math.isnan(timeout) else max(timeout, 0.0)
+
+
 def state_body(state: str) -> bytes:
     """Return the body of an answer with the state of a job."""
     return msgspec.json.encode({"state": state})
--- a/ragworttiller/scheduling/entry/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ragworttiller.connection.bounded_protocol import RECEIVE_SECONDS
 from ragworttiller.exceptions import (
     BodyTooLarge,
     RagworttillerError,
@@ -16,7 +17,7 @@
     SubmissionUndecided,
 )
 from ragworttiller.metrics import Metrics
-from ragworttiller.platform.submissions import API_KEY_HEADER, DEADLINE_HEADER
+from ragworttiller.platform.submissions import API_KEY_HEADER, caller_timeout
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.acceptance import RETRY_AFTER_SECONDS
 from ragworttiller.scheduling.entry.callers import (
@@ -33,6 +34,8 @@
 log = logging.getLogger(__name__)
 
 DEFAULT_TIMEOUT_SECONDS = 3.0
+# A caller that says it waits for longer is answered by then.
+MAX_TIMEOUT_SECONDS = 60.0
 # Share of a caller's timeout that is used here; the remainder is for sending the answer.
 TIMEOUT_SHARE = 0.8
 # Answers whose cause is the store, or an entry that cannot reach it.
@@ -122,7 +125,8 @@
         if scope["method"] == "POST":
             body = await _body(receive, self._max_body())
         key = headers.get(API_KEY_HEADER, b"").decode("latin-1")
-        timeout = _timeout(headers)
+        timeout = _timeout(headers) - scope.get("state", {}).get(RECEIVE_SECONDS, 0.0)
+        timeout = max(timeout, 0.0) * TIMEOUT_SHARE
         return CallerRequest(scope["method"], host, scope["path"], body, timeout, key=key)
 
 
@@ -202,10 +206,5 @@
 
 
 def _timeout(headers: dict[bytes, bytes]) -> float:
-    try:
-        timeout = float(headers[DEADLINE_HEADER]) / 1000
-    except (KeyError, ValueError):
-        timeout = DEFAULT_TIMEOUT_SECONDS
-    if math.isnan(timeout):
-        timeout = DEFAULT_TIMEOUT_SECONDS
-    return max(timeout, 0.0) * TIMEOUT_SHARE
+    timeout = caller_timeout(headers)
+    return DEFAULT_TIMEOUT_SECONDS if timeout is None else min(timeout, MAX_TIMEOUT_SECONDS)
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -10,6 +10,7 @@
 
 from ragworttiller.config.entry import EntrySettings
 from ragworttiller.connection.server import HttpServer
+from ragworttiller.connection.server_guard import ServerConnections
 from ragworttiller.exceptions import PartCancelled
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.advisor import Advisor
@@ -21,6 +22,7 @@
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
+from ragworttiller.scheduling.entry.caller_policy import CallerPolicy
 from ragworttiller.scheduling.entry.callers import LocalCallers
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.dry_runs import DryRuns
@@ -67,6 +69,8 @@
 WITHDRAW_TIMEOUT_SECONDS = 0.5
 MAX_CLAIMS_AGE_SECONDS = 1.8
 MAX_INCARNATION = 2**53
+# Connections of the load balancer and of operators.
+READINESS_CONNECTIONS = 32
 
 
 class EntryNode:
@@ -200,6 +204,9 @@
             self._membership,
         )
         register_store_metrics(self._metrics, self._store_meter)
+        self._connections = ServerConnections(settings.limits.connections, clock)
+        self._connections.register_metrics(self._metrics)
+        self._policy = CallerPolicy(self._config, self._connections.max_body)
         self._gate = StartGate(
             relaying,
             lambda: self._acceptance.ready,
@@ -228,7 +235,9 @@
             self._operators,
             lambda: self._acceptance.max_body,
         )
-        balancer = self._server("readiness_address", instance.readiness_address, ready_app)
+        balancer = self._server(
+            "readiness_address", instance.readiness_address, ready_app, READINESS_CONNECTIONS
+        )
         log.info(
             "entry started",
             extra={"incarnation": self._incarnation, "settings": instance._asdict()},
@@ -254,9 +263,22 @@
             raise PartCancelled(instance=self._name)
         log.info("entry stopped", extra={"incarnation": self._incarnation})
 
-    def _server(self, setting: str, address: str, app: CallerApp | ReadyApp) -> HttpServer:
-        listener = self._listeners.get(setting)
-        return HttpServer(address, app, CLOSE_TIMEOUT_SECONDS, listener=listener)
+    def _server(
+        self,
+        setting: str,
+        address: str,
+        app: CallerApp | ReadyApp,
+        max_connections: int | None = None,
+    ) -> HttpServer:
+        return HttpServer(
+            address,
+            app,
+            CLOSE_TIMEOUT_SECONDS,
+            listener=self._listeners.get(setting),
+            connections=self._connections,
+            policy=self._policy,
+            max_connections=max_connections,
+        )
 
     def stop(self) -> None:
         """Begin a graceful shutdown."""
--- a/standins/platform/deployment.py
+++ b/standins/platform/deployment.py
@@ -95,6 +95,11 @@
         Folder for settings files and logs.
     work : Callable
         Returns the run time of a task in seconds, given its name.
+
+    Attributes
+    ----------
+    limits : dict
+        Limits on callers in the configurations that are written from now on.
     """
 
     def __init__(
@@ -108,6 +113,7 @@
         self.addresses: dict[str, str] = {}
         self.entries: dict[str, subprocess.Popen[bytes]] = {}
         self.fields: dict[str, dict[str, Any]] = {}
+        self.limits: dict[str, int] = {}
         self._work_seconds = work
 
     async def run(self, tasks: anyio.abc.TaskGroup, runners: int = 3) -> None:
@@ -126,7 +132,8 @@
         advice = {"decision_ms": 20, "per_worker_ms": 0, "validity_ms": 2000}
         route = {"name": "q", "host": HOST, "path_prefix": PREFIX, "service": "desk"}
         routes = [{**route, "attempts": 2, "placement_advisor": advice, **fields}]
-        value = json.dumps({"version": version, "routes": routes}).encode()
+        configuration = {"version": version, "routes": routes, "limits": self.limits}
+        value = json.dumps(configuration).encode()
         self.store.put(CONFIG_TOPIC, CONFIG_KEY, value)
 
     async def _serve(self, tasks: anyio.abc.TaskGroup, service: Service) -> str:
@@ -134,9 +141,18 @@
         tasks.start_soon(server.run)
         return f"127.0.0.1:{server.port}"
 
-    def start(self, name: str) -> None:
-        """Start an entry; a restarted one keeps its addresses."""
+    def start(self, name: str, limits: dict[str, Any] | None = None) -> None:
+        """Start an entry; a restarted one keeps its addresses.
+
+        Parameters
+        ----------
+        name : str
+            Name of the entry.
+        limits : dict, optional
+            Limits of its machine that differ from those of `settings_fields`.
+        """
         fields = settings_fields(name, self.addresses["store"], self.addresses["advisor"])
+        fields["limits"].update(limits or {})
         self.fields.setdefault(name, fields)
         path = self.folder / f"{name}.ini"
         template = (ROOT / "deploy" / "settings.ini").read_text()
--- a/standins/platform/http.py
+++ b/standins/platform/http.py
@@ -5,11 +5,19 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+from ragworttiller.connection.limits import ConnectionLimits, RequestLimits
+from ragworttiller.connection.request_policy import FixedPolicy
 from ragworttiller.connection.server import HttpServer
+from ragworttiller.connection.server_guard import ServerConnections
+from ragworttiller.timers import SystemTimers
 from standins.platform.service import Service
 
 Message = MutableMapping[str, Any]
 
+# The store takes appends of up to 2 MiB, of many entries at once.
+REQUEST_LIMITS = RequestLimits(max_body=4 * 1024 * 1024)
+CONNECTION_LIMITS = ConnectionLimits(connections=2000, request_bytes=512 * 1024 * 1024)
+
 
 class ServiceApp:
     """ASGI application that passes requests to a service.
@@ -50,4 +58,8 @@
 
 def serve(service: Service) -> HttpServer:
     """Return a server of a service on a free port of loopback; the caller runs it."""
-    return HttpServer("127.0.0.1:0", ServiceApp(service), 0.2)
+    connections = ServerConnections(CONNECTION_LIMITS, SystemTimers())
+    policy = FixedPolicy(REQUEST_LIMITS)
+    return HttpServer(
+        "127.0.0.1:0", ServiceApp(service), 0.2, connections=connections, policy=policy
+    )
