Give the daemon the limits of its machine, and count the time that a request takes to arrive

What was seen: the daemon with its default settings reached 315 MB with 60 clients that send one field without end, and 1,268 MB with short fields or trailers, on.

Cause: as for the entry, the same server had no bound.

Change: `memory_mb` and `max_fds` in its section of limits, with the same defaults; longest body and longest time of a body come from its own settings, and a deadline that a caller states holds for the body too. What the request took to arrive is taken off the time for its answer. Settings with longer bodies than the memory has room for are refused at the start.

Evidence: tests/test_daemon_crowds.py fails on for its memory (bound: the default of 256 MB) and passes with this.

--- a/ragworttiller/config/defaults.py
+++ b/ragworttiller/config/defaults.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from ragworttiller.config.base import Problem, Section, read_sections
+from ragworttiller.config.limit_options import limit_options
 from ragworttiller.config.log_section import LOG_SECTION
 from ragworttiller.config.options import (
     Address,
@@ -24,6 +25,7 @@
     ShardSettings,
     TlsSettings,
 )
+from ragworttiller.connection.limits import max_body
 from ragworttiller.exceptions import SettingsInvalid
 
 MIN_TOKEN_LENGTH = 16
@@ -162,6 +164,7 @@
                 unit="appends/second",
                 default="25",
             ),
+            *limit_options(),
         ],
     ),
     Section(
@@ -213,7 +216,7 @@
 def _contradictions(settings: Settings) -> list[Problem]:
     """Return the problems of options that are valid separately but not together."""
     problems = []
-    membership, tls = settings.membership, settings.tls
+    membership, limits, tls = settings.membership, settings.limits, settings.tls
     if membership.suspect_after < 2 * membership.heartbeat_period:
         problems.append(
             Problem(
@@ -223,6 +226,9 @@
                 "at least twice heartbeat_period",
             )
         )
+    if limits.max_body_bytes > max_body(limits.connections):
+        problem = f"{limits.memory_mb} leaves no room for a request of max_body_bytes"
+        problems.append(Problem("limits", "memory_mb", problem, "more memory, or shorter bodies"))
     if (tls.certificate is None) != (tls.key is None):
         missing = "key" if tls.key is None else "certificate"
         problems.append(Problem("tls", missing, "is missing", "certificate and key together"))
--- a/ragworttiller/config/settings.py
+++ b/ragworttiller/config/settings.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from ragworttiller.connection.limits import ConnectionLimits, connection_limits
+
 
 class InstanceSettings(NamedTuple):
     """Name and addresses of this instance."""
@@ -40,13 +42,20 @@
 
 
 class LimitSettings(NamedTuple):
-    """Limits on the work that one instance accepts; times are in seconds."""
+    """Limits on the work that one instance accepts; times are in seconds, memory is in MiB."""
 
     max_body_bytes: int
     request_timeout: float
     notice_seconds: float
     drain_seconds: float
     appends_per_second: float
+    memory_mb: int
+    max_fds: int
+
+    @property
+    def connections(self) -> ConnectionLimits:
+        """Limits on the connections of callers and operators."""
+        return connection_limits(self.memory_mb, self.max_fds)
 
 
 class OperatorSettings(NamedTuple):
--- a/ragworttiller/connection/connection_table.py
+++ b/ragworttiller/connection/connection_table.py
@@ -15,16 +15,12 @@
 from typing_extensions import override
 
 from ragworttiller.connection.ended_connections import EndReason
+from ragworttiller.connection.limits import IN_PROGRESS_SHARE, RESERVED_REQUESTS
 
 # A client that sends less makes no progress.
 PROGRESS_BYTES = 1024
 # Each search for connections to end makes room for more than one.
 SPARE_SHARE = 1 / 16
-# Part of the memory that requests may take which were handed on and are not answered yet.
-IN_PROGRESS_SHARE = 0.5
-# A request is handed on while there is room for so many of its size, so that small ones still are
-# when large ones no longer are.
-RESERVED_REQUESTS = 4
 NEVER = float("inf")
 
 
@@ -184,11 +180,6 @@
         """Bytes of the requests among them that were handed on."""
         return self._in_progress
 
-    @property
-    def max_request(self) -> int:
-        """Bytes of the largest request that is handed on in calm."""
-        return self._max_in_progress // RESERVED_REQUESTS
-
     @property
     def connections(self) -> int:
         """Number of connections."""
--- a/ragworttiller/connection/limits.py
+++ b/ragworttiller/connection/limits.py
@@ -17,6 +17,13 @@
 # Room for the largest request that the platform allows beside others.
 MIN_REQUEST_BYTES = 8 * BYTES_PER_MB
 MIN_CONNECTIONS = 16
+# Part of the memory for requests that those may take which are worked on.
+IN_PROGRESS_SHARE = 0.5
+# A request is handed on while there is room for so many of its size, so that small ones still are
+# when large ones no longer are.
+RESERVED_REQUESTS = 4
+# Memory of a head as long as requests may have, all of it in the shortest fields.
+MAX_HEAD_MEMORY = 720 * 1024
 
 
 class RequestLimits(NamedTuple):
@@ -44,6 +51,12 @@
     request_bytes: int
 
 
+def max_body(limits: ConnectionLimits) -> int:
+    """Return the bytes of the longest body for which there is room in calm, beside its head."""
+    largest = int(limits.request_bytes * IN_PROGRESS_SHARE) // RESERVED_REQUESTS
+    return largest - MAX_HEAD_MEMORY
+
+
 def connection_limits(memory_mb: int, descriptors: int) -> ConnectionLimits:
     """Return the limits of a process.
 
--- a/ragworttiller/connection/server_guard.py
+++ b/ragworttiller/connection/server_guard.py
@@ -6,14 +6,12 @@
 
 from ragworttiller.connection.connection_table import ConnectionTable, Listener
 from ragworttiller.connection.ended_connections import EndedConnections
-from ragworttiller.connection.limits import ConnectionLimits
+from ragworttiller.connection.limits import ConnectionLimits, max_body
 from ragworttiller.connection.request_policy import RequestPolicy
 from ragworttiller.metrics import Metrics
 from ragworttiller.timers import TimerService
 
 REPORT_SECONDS = 1.0
-# Memory of a head as long as requests may have, all of it in the shortest fields.
-MAX_HEAD_MEMORY = 720 * 1024
 
 
 class ServerGuard(NamedTuple):
@@ -57,7 +55,7 @@
     @property
     def max_body(self) -> int:
         """Bytes of the longest body for which there is room in calm, with its head."""
-        return self._table.max_request - MAX_HEAD_MEMORY
+        return max_body(self._limits)
 
     @property
     def ended(self) -> EndedConnections:
--- a/ragworttiller/process/node.py
+++ b/ragworttiller/process/node.py
@@ -15,6 +15,7 @@
 from ragworttiller.connection.drain_api import DrainApi
 from ragworttiller.connection.operator_api import OperatorAccess, OperatorApi
 from ragworttiller.connection.server import HttpServer
+from ragworttiller.connection.server_guard import ServerConnections
 from ragworttiller.connection.status_api import Readiness, StatusApi
 from ragworttiller.decisions import Decision, DecisionLog
 from ragworttiller.messages import MemberRow
@@ -34,6 +35,7 @@
 from ragworttiller.process.shards import ShardHost
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import CONFIG_STREAM, cell_stream, ledger_stream
+from ragworttiller.request.caller_policy import CallerPolicy
 from ragworttiller.request.licensed import LicensedRequests
 from ragworttiller.routing.dispatcher import Dispatcher
 from ragworttiller.services.http import (
@@ -131,6 +133,8 @@
             timers,
             self._rooms,
         )
+        self._connections = ServerConnections(settings.limits.connections, timers)
+        self._connections.register_metrics(self._metrics)
         self._server = self._create_http_server()
         self._decisions.subscribe(self._record_wait)
         self._register_metrics()
@@ -276,6 +280,8 @@
             ),
             settings.limits.drain_seconds,
             settings.tls,
+            connections=self._connections,
+            policy=CallerPolicy(settings.limits.max_body_bytes, settings.limits.request_timeout),
         )
 
     def _register_metrics(self) -> None:
--- a/ragworttiller/request/caller_request.py
+++ b/ragworttiller/request/caller_request.py
@@ -8,6 +8,8 @@
 
 from starlette.requests import Request
 
+from ragworttiller.connection.bounded_protocol import RECEIVE_SECONDS
+from ragworttiller.connection.request_policy import Headers
 from ragworttiller.exceptions import BodyTooLarge, InvalidField, KeyMissing
 from ragworttiller.services.runner import Exchange
 
@@ -61,7 +63,8 @@
     workspace = check_name("workspace", request.path_params["workspace"])
     upstream = check_name("upstream", request.path_params["upstream"])
     key = _key(request)
-    budget = _budget(request, default_budget)
+    receive_seconds = request.scope.get("state", {}).get(RECEIVE_SECONDS, 0.0)
+    budget = max(_budget(request, default_budget) - receive_seconds, 0.0)
     body = await read_body(request, max_body)
     headers = [(k, v) for k, v in request.headers.items() if k in FORWARDED_HEADERS]
     attempt = uuid.uuid4().hex
@@ -111,14 +114,26 @@
     return key
 
 
+def caller_timeout(headers: Headers) -> float | None:
+    """Return the seconds for which the sender of a request waits, None if it does not say."""
+    text = dict(headers).get(DEADLINE_HEADER.encode())
+    if text is None:
+        return None
+    return _seconds(text.decode("latin-1"))
+
+
+def _seconds(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
+
+
 def _budget(request: Request, default: float) -> float:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return default
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
+    value = _seconds(text)
     if not 0 < value <= default:
         raise InvalidField(
             field=DEADLINE_HEADER, problem=f"{text!r}", allowed=f"more than 0, up to {default} s"
