Bound the answers of the store, the advisor and runners

What would be seen: an answer without end, or many at once, fills the memory of the process that asked. Not seen on a site; found by the table of what others can fill.

Cause: `AnswerParser` kept all that came, header fields and trailers at many times their length.

Change: an answer has 8 MiB, its head 64 KiB, and all incomplete answers of a process 32 MiB; beyond that the exchange is broken off like any other that failed. Trailers are left out.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -17,6 +17,7 @@
 import httpcore
 import httptools
 
+from ragworttiller.platform.answer_limits import AnswerTooLong
 from ragworttiller.platform.exchange import (
     Answer,
     AnswerParser,
@@ -164,9 +165,10 @@
             self._traffic.calls += 1
             written = await self._exchange(head + body, parser)
             reusable = written and parser.reusable
-        except (*_NETWORK_FAILURES, httptools.HttpParserError) as exc:
+        except (*_NETWORK_FAILURES, httptools.HttpParserError, AnswerTooLong) as exc:
             raise ExchangeBroken(str(exc)) from exc
         finally:
+            parser.release()
             if not reusable:
                 await self.close()
         answer = parser.answer()
--- a/ragworttiller/platform/exchange.py
+++ b/ragworttiller/platform/exchange.py
@@ -8,6 +8,14 @@
 
 import httptools
 
+from ragworttiller.platform.answer_limits import (
+    ALL_ANSWERS,
+    MAX_ANSWER_BYTES,
+    MAX_ANSWER_HEAD_BYTES,
+    AnswerTooLong,
+    IncompleteAnswers,
+)
+
 UNAVAILABLE = 503
 FIRST_FINAL_STATUS = 200
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
@@ -89,9 +97,14 @@
     ----------
     method : str
         Method of the request; the answer to ``HEAD`` has no body.
+    all_answers : IncompleteAnswers
+        Counts the bytes of all answers that the process is receiving.
     """
 
-    def __init__(self, method: str) -> None:
+    def __init__(self, method: str, all_answers: IncompleteAnswers = ALL_ANSWERS) -> None:
+        self._all_answers = all_answers
+        self._held = 0
+        self._head_bytes = 0
         self._without_body = method == "HEAD"
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[str, str]] = []
@@ -119,9 +132,32 @@
         ------
         httptools.HttpParserError
             They are no valid answer.
+        AnswerTooLong
+            The answer exceeds a limit, or there is no room for it.
         """
+        if self._held + len(data) > MAX_ANSWER_BYTES:
+            raise AnswerTooLong("the answer is too long")
+        self._all_answers.add(len(data))
+        self._held += len(data)
+        if not self._in_body:
+            self._feed_head(data)
+            return
         self._parser.feed_data(data)
 
+    def release(self) -> None:
+        """Count the answer as no longer being received."""
+        self._all_answers.remove(self._held)
+        self._held = 0
+
+    def _feed_head(self, data: bytes) -> None:
+        """Parse no more at once than a head may have; its fields take several times that."""
+        for start in range(0, len(data), MAX_ANSWER_HEAD_BYTES):
+            piece = data[start : start + MAX_ANSWER_HEAD_BYTES]
+            self._parser.feed_data(piece)
+            self._head_bytes += 0 if self._in_body else len(piece)
+            if self._head_bytes > MAX_ANSWER_HEAD_BYTES:
+                raise AnswerTooLong("the head of the answer is too long")
+
     def end(self) -> bool:
         """Parse the end of the connection, and return whether it completes the answer."""
         names = {name for name, _ in self._headers}
@@ -140,8 +176,8 @@
         self._more_than_one = self._complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        if not self._complete:
+        """Add a header; nobody reads trailers."""
+        if not self._complete and not self._in_body:
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
