--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -13,7 +13,15 @@
 import pytest
 
 from standins.platform.deployment import HOST, Deployment
-from tests.crowd_rig import KILOBYTE, MEGABYTE, Crowd, Meter, Script, process_usage
+from tests.crowd_rig import (
+    KILOBYTE,
+    MEGABYTE,
+    QUIET_SECONDS,
+    Crowd,
+    Meter,
+    Script,
+    process_usage,
+)
 from tests.scheduling_rig import job_body, step
 
 MEMORY_MB = 96
@@ -289,6 +297,42 @@
         with_site(test)
 
 
+def many_occurrences() -> bytes:
+    """Return a short submission of a job that runs many times, none of them soon."""
+    return job_body(step(1), times=10_000, first_run_ms=1.9e12, interval_ms=1000)
+
+
+def many_steps() -> bytes:
+    """Return a short submission of a job with as many steps as a job may have."""
+    return job_body(*[{}] * 500)
+
+
+def many_tasks() -> bytes:
+    """Return a short submission of a job with as many tasks as a job may have."""
+    return job_body(step(100_000))
+
+
+class TestJobs:
+    """Guards against short submissions of jobs that take a large memory once they are accepted."""
+
+    @pytest.mark.parametrize(
+        ("make_body", "count"), [(many_occurrences, 8), (many_steps, 60), (many_tasks, 30)]
+    )
+    def test_jobs_with_many_parts(self, with_site, make_body: Callable[[], bytes], count: int):
+        async def test(site: Site):
+            await site.check_alive()
+            with site.meter() as meter:
+                for number in range(count):
+                    path = f"/q/{job_name(number)}"
+                    reply = await site.platform.call(ENTRY, "POST", path, make_body())
+                    assert reply.status in (200, 503)
+                await anyio.sleep(QUIET_SECONDS)
+                await site.check_alive()
+            assert meter.memory <= MEMORY_MB * MEGABYTE, f"{meter.memory / MEGABYTE:.0f} MB"
+
+        with_site(test)
+
+
 class TestConnections:
     """Guards against clients that hold connections of the process for as long as they like."""
 
