Give a body behind another request its own time, and count requests in a module of their own

What callers would see: a second request whose head comes in the same piece as the end of the first one, and whose body takes longer than the time of a head, was refused with 408.

Cause: the phase of the connection was set when a head ended, and reset by the answer to the request before.

Change: the body's time begins when the request's turn comes. What counts the bytes of a request is now `RequestMeter`, without I/O, so that the protocol only acts on it. A connection that is lost while its request is worked on forgets the head of that request as soon as that is done.

--- a/ragworttiller/connection/bounded_protocol.py
+++ b/ragworttiller/connection/bounded_protocol.py
@@ -21,6 +21,7 @@
 
 from ragworttiller.connection.connection_table import NEVER, Connection, ConnectionState, Phase
 from ragworttiller.connection.ended_connections import EndReason
+from ragworttiller.connection.request_meter import RequestMeter
 from ragworttiller.connection.server_guard import ServerGuard
 from ragworttiller.exceptions import (
     BodyTooLarge,
@@ -32,23 +33,12 @@
     TooManyRequests,
 )
 
-# Empty lines before a request, beside the longest head.
-EMPTY_LINES_BYTES = 64
-# Framing of a chunk that does not count against the limit of the trailers.
-CHUNK_FRAMING_BYTES = 16
-# Most bytes that are parsed at once where other requests may follow in them.
-PARSED_BYTES = 4096
-# Memory of a header field, and of a request, beside their bytes.
-FIELD_BYTES = 160
-REQUEST_BYTES = 8192
 # Answers that a client does not read are buffered up to here; then the application waits.
 UNSENT_BYTES = 16_384
 # A refused client that still sends is read for so long, so that no reset overtakes the refusal.
 LINGER_SECONDS = 2.0
 LINGER_BYTES = 1024 * 1024
 RETRY_AFTER_SECONDS = 1.0
-HEAD_END = b"\r\n\r\n"
-CHUNKED_BODY_END = b"0\r\n\r\n"
 # Key of a request's state under which the application finds the seconds that receiving it took.
 RECEIVE_SECONDS = "receive_seconds"
 
@@ -76,29 +66,22 @@
         self._guard = guard
         self._policy = guard.policy
         self._limits = guard.policy.limits
+        self._meter = RequestMeter(self._limits)
         self._now = guard.timers.now()
+        self._begun_at = self._now
         self._state = ConnectionState(
             self, guard.listener, self._now, self._now + self._limits.idle_timeout
         )
+        # Found while a piece is parsed; the request is refused after it.
         self._refusal: Refusal | None = None
-        # Request that is being received.
-        self._begun_at = self._now
-        self._in_head = True
-        self._content_length: int | None = None
-        self._body_bytes = 0
-        self._cost = 0
-        # Bytes since the last request or head ended, without those of bodies.
-        self._framing = 0
-        # Set by the callbacks of the parser while it reads one piece.
-        self._uncounted = 0
-        self._chunks = 0
-        self._ended_part = False
-        # Requests that wait for the answer to an earlier one: their costs, and bytes not parsed.
-        self._waiting_costs: deque[int] = deque()
-        self._sent_ahead = b""
+        # Application for the request that is being received.
         self._next_app: Any = None
+        # Requests that wait for the answer to an earlier one: their memory, and bytes not parsed.
+        self._waiting_memory: deque[int] = deque()
+        self._sent_ahead = b""
         self._is_answering = False
         self._closes_after_answer = False
+        self._is_lost = False
         # Time by which the client has to read some of its answers.
         self._unread_deadline = NEVER
         # Bytes read and dropped since the refusal; None before.
@@ -119,6 +102,7 @@
     @override
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        self._is_lost = True
         self._forget_requests()
         self._guard.table.remove(self._state)
 
@@ -157,34 +141,18 @@
                 return
             if self._state.phase is Phase.IDLE:
                 self._begin_request()
-            count = self._next_length(data, position)
+            count = self._meter.next_length(data, position)
             self._feed(data if count == len(data) else data[position : position + count])
             position += count
 
     def _begin_request(self) -> None:
-        self._limits = self._policy.limits
+        self._limits = self._meter.limits = self._policy.limits
         self._begun_at = self._now
         self._state.enter(Phase.HEAD, self._now, self._now + self._limits.head_timeout)
 
-    def _next_length(self, data: bytes, position: int) -> int:
-        """Return how many bytes to parse: no further than a request ends, as far as can be told."""
-        left = len(data) - position
-        if not self._in_head and self._content_length is not None:
-            return min(left, self._content_length - self._body_bytes)
-        mark = HEAD_END if self._in_head else CHUNKED_BODY_END
-        most = self._max_framing - self._framing if self._in_head else PARSED_BYTES
-        end = data.find(mark, position)
-        count = left if end < 0 else end + len(mark) - position
-        return min(count, most)
-
-    @property
-    def _max_framing(self) -> int:
-        return self._limits.max_head + EMPTY_LINES_BYTES
-
     def _feed(self, data: bytes) -> None:
-        self._uncounted = self._chunks = 0
-        self._ended_part = False
-        body_before = self._body_bytes
+        meter = self._meter
+        meter.begin_piece()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -192,25 +160,21 @@
             self._closes_after_answer = True
         except httptools.HttpParserError:
             self._refusal = self._refusal or Refusal(EndReason.MALFORMED, MalformedRequest())
-        if self._ended_part:
-            self._framing = 0
-        else:
-            framing = len(data) - (self._body_bytes - body_before)
-            allowed = CHUNK_FRAMING_BYTES * self._chunks
-            self._framing = max(self._framing + framing - allowed, 0)
-        if self._uncounted:
-            self._count_received(self._uncounted)
-        if self._framing >= self._max_framing:
+        meter.end_piece(len(data))
+        self._count_received(meter.take_uncounted())
+        if meter.head_too_large:
             self._refusal = self._refusal or self._head_refusal()
         self._refuse_if_needed()
 
     def _count_received(self, count: int) -> None:
+        if not count:
+            return
         for state in self._guard.table.receive(self._state, count, self._now):
             state.connection.make_room(EndReason.TOO_MANY_BYTES)
 
     def _head_refusal(self) -> Refusal:
         limit = self._limits.max_head
-        if self._in_head and self.headers is not None and len(self.url) > limit // 2:
+        if self._meter.in_head and self.headers is not None and len(self.url) > limit // 2:
             return Refusal(EndReason.HEAD_TOO_LARGE, TargetTooLong(limit=limit))
         return Refusal(EndReason.HEAD_TOO_LARGE, HeadTooLarge(limit=limit))
 
@@ -232,64 +196,51 @@
     @override
     def on_message_begin(self) -> None:
         super().on_message_begin()
-        self._add_cost(REQUEST_BYTES)
+        self._meter.begin_request()
 
     @override
     def on_url(self, url: bytes) -> None:
         super().on_url(url)
-        self._add_cost(len(url))
+        self._meter.add_target(len(url))
 
     @override
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._in_head:
+        if not self._meter.in_head:
             # Nobody reads trailers.
             return
         super().on_header(name, value)
-        self._add_cost(len(name) + len(value) + FIELD_BYTES)
-        if name.lower() == b"content-length":
-            self._content_length = int(value)
+        self._meter.add_field(name.lower(), value)
 
     @override
     def on_headers_complete(self) -> None:
-        self._in_head = False
-        self._ended_part = True
-        if self._content_length is not None and self._content_length > self._limits.max_body:
+        self._meter.end_head()
+        if self._meter.body_too_large:
             self._refuse_body()
-        if not self._is_answering:
-            self._state.enter(Phase.BODY, self._now, self._body_deadline())
         super().on_headers_complete()
 
     def on_chunk_header(self) -> None:
         """Begin a chunk of a body."""
-        self._chunks += 1
+        self._meter.begin_chunk()
 
     @override
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits.max_body:
+        self._meter.add_body(len(body))
+        if self._meter.body_too_large:
             self._refuse_body()
         if self._refusal is None:
-            self._add_cost(len(body))
             self.cycle.body += body
 
     @override
     def on_message_complete(self) -> None:
-        self._ended_part = self._in_head = True
-        self._content_length = None
-        self._body_bytes = 0
+        memory = self._meter.end_request()
         if self._refusal is not None or self._dropped is not None:
             return
         super().on_message_complete()
-        self._waiting_costs.append(self._cost)
-        self._cost = 0
+        self._waiting_memory.append(memory)
         app, self._next_app = self._next_app, None
         if app is not None:
             self._hand_on(self.cycle, app)
 
-    def _add_cost(self, count: int) -> None:
-        self._cost += count
-        self._uncounted += count
-
     def _refuse_body(self) -> None:
         error = BodyTooLarge(limit=self._limits.max_body)
         self._refusal = self._refusal or Refusal(EndReason.BODY_TOO_LARGE, error)
@@ -307,31 +258,33 @@
             self._hand_on(cycle, app)
             return
         self._next_app = app
+        self._state.enter(Phase.BODY, self._now, self._body_deadline())
         if cycle.waiting_for_100_continue and self._refusal is None:
             cycle.waiting_for_100_continue = False
             self.transport.write(STATUS_LINE[100] + b"\r\n")
 
     def _hand_on(self, cycle: RequestResponseCycle, app: Any) -> None:
-        cost = self._waiting_costs.popleft()
-        # Counted before the request can be handed on.
-        if self._uncounted:
-            uncounted, self._uncounted = self._uncounted, 0
-            self._count_received(uncounted)
+        memory = self._waiting_memory.popleft()
+        # What is handed on has to be counted as received before.
+        self._count_received(self._meter.take_uncounted())
         if self._dropped is not None:
             return
-        if not self._guard.table.hand_on(self._state, cost, self._now):
+        if not self._guard.table.hand_on(self._state, memory, self._now):
             self._refusal = Refusal(EndReason.TOO_MANY_IN_PROGRESS, _overload())
             return
         self._is_answering = True
         self._state.deadline = self._unread_deadline
         cycle.scope["state"][RECEIVE_SECONDS] = self._now - self._begun_at
-        super()._start_asgi_task(cycle, partial(self._run, app, cost))
+        super()._start_asgi_task(cycle, partial(self._run, app, memory))
 
-    async def _run(self, app: Any, cost: int, scope: Any, receive: Any, send: Any) -> None:
+    async def _run(self, app: Any, memory: int, scope: Any, receive: Any, send: Any) -> None:
+        """Run the application on a request, which counts until it is done with it."""
         try:
             await app(scope, receive, send)
         finally:
-            self._guard.table.finish(cost)
+            self._guard.table.finish(memory)
+            if self._is_lost:
+                self._forget_last_request()
 
     @override
     def on_response_complete(self) -> None:
@@ -438,7 +391,7 @@
         """Forget the requests that were not handed on."""
         self._sent_ahead = b""
         self._next_app = None
-        self._waiting_costs.clear()
+        self._waiting_memory.clear()
         self.pipeline.clear()
         self._guard.table.forget(self._state, self._state.received)
         if not self._is_answering:
--- a/ragworttiller/connection/ended_connections.py
+++ b/ragworttiller/connection/ended_connections.py
@@ -22,7 +22,6 @@
     TOO_MANY_CONNECTIONS = "too_many_connections"
     TOO_MANY_BYTES = "too_many_bytes"
     TOO_MANY_IN_PROGRESS = "too_many_in_progress"
-    SENT_AHEAD = "sent_ahead"
 
 
 # Reasons that occur with clients that behave.
--- a/tests/test_connection_table.py
+++ b/tests/test_connection_table.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from uvicorn.server import ServerState
 
-from ragworttiller.connection.bounded_protocol import REQUEST_BYTES, BoundedProtocol
+from ragworttiller.connection.bounded_protocol import BoundedProtocol
 from ragworttiller.connection.connection_table import (
     Connection,
     ConnectionState,
@@ -22,6 +22,7 @@
 )
 from ragworttiller.connection.ended_connections import EndReason
 from ragworttiller.connection.limits import ConnectionLimits, RequestLimits
+from ragworttiller.connection.request_meter import REQUEST_BYTES
 from ragworttiller.connection.request_policy import FixedPolicy
 from ragworttiller.connection.server_guard import ServerConnections
 from ragworttiller.timers import ManualTimers
--- a/tests/test_legal_requests.py
+++ b/tests/test_legal_requests.py
@@ -165,6 +165,27 @@
         with_server(body)
 
 
+    def test_a_body_whose_head_came_with_an_earlier_request_has_its_own_time(self):
+        """Guards against the time of a head for a body, which may take longer."""
+
+        async def body(rig: ServerRig):
+            connection = await rig.connect()
+            first = b"POST /wait HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+            end_of_first = b"1\r\nx\r\n0\r\na: b\r\n\r\n"
+            second = b"POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nab"
+            await connection.send(first)
+            await connection.send(end_of_first + second)
+            await anyio.sleep(0.1)
+            rig.gate.set()
+            assert (await connection.answer()).body == b"1"
+            await connection.send(b"c")
+            await anyio.sleep(LIMITS.head_timeout + 1.0)
+            await connection.send(b"d")
+            assert (await connection.answer()).body == b"4"
+
+        with_server(body, LIMITS._replace(body_timeout=20.0))
+
+
 class TestSizes:
     @pytest.mark.parametrize("memory_mb", [160, 200, 300, 552])
     def test_the_smallest_machines_have_room_for_the_largest_request(self, memory_mb: int):
