Let no more connections wait to be accepted than the machine has memory for

Cause: the kernel holds up to 32 KiB unread of each connection that waits to be accepted, and 2,048 may wait: 64 MB, too much for a machine with 160 MB beside the rest. Found by adding up the table of what others can fill.

Change: once the server runs, as many may wait as there may be connections, at least 512.

--- a/ragworttiller/connection/server.py
+++ b/ragworttiller/connection/server.py
@@ -32,10 +32,24 @@
 # Connections that are accepted before others are served. Each takes a descriptor at once, also if
 # it is then refused.
 ACCEPTED_AT_ONCE = 16
+# A burst of callers waits in the queue; beyond it, the kernel drops the opening packets.
+MIN_QUEUE_LENGTH = 512
 
 
 class _Uvicorn(uvicorn.Server):
-    """Uvicorn without signal handlers; the daemon installs its own."""
+    """Uvicorn without signal handlers; the daemon installs its own.
+
+    Parameters
+    ----------
+    config : uvicorn.Config
+        Configuration of uvicorn.
+    queue_length : int
+        Connections that may wait to be accepted; the kernel holds unread bytes of each.
+    """
+
+    def __init__(self, config: uvicorn.Config, queue_length: int) -> None:
+        super().__init__(config)
+        self._queue_length = queue_length
 
     @override
     @contextlib.contextmanager
@@ -47,7 +61,7 @@
         await super().startup(sockets)
         for listener in sockets or []:
             # asyncio takes one number for this and for the connections accepted at once.
-            listener.listen(LISTEN_BACKLOG)
+            listener.listen(self._queue_length)
 
 
 class _DrainMiddleware:
@@ -124,7 +138,9 @@
             ssl_ca_certs=str(tls.authority) if tls and tls.authority else None,
             ssl_cert_reqs=ssl.CERT_REQUIRED if tls and tls.authority else ssl.CERT_NONE,
         )
-        self._server = _Uvicorn(config)
+        longest = max(self._guard.listener.max_connections, MIN_QUEUE_LENGTH)
+        queue_length = min(longest, LISTEN_BACKLOG)
+        self._server = _Uvicorn(config, queue_length)
         self._set_drain_seconds(drain_seconds)
         self._stopped = anyio.Event()
 
