Survive clients that reset their connections while they are refused

A client whose request was refused for its time had reset its connection at that moment; closing the sending half raised OSError (ENOTCONN), which ended the check of deadlines, with it the server, and with it the process.

Cause: asyncio's `write_eof` fails on a connection that the client has reset, until the event loop has noticed.

Change: such a connection is aborted. Any other error of one connection at its deadline is logged and ends only that connection.

Evidence: test_a_connection_that_was_reset_does_not_end_the_server fails without the two catches and passes with them.

--- a/ragworttiller/connection/bounded_protocol.py
+++ b/ragworttiller/connection/bounded_protocol.py
@@ -280,7 +280,9 @@
     async def _run(self, app: Any, memory: int, scope: Any, receive: Any, send: Any) -> None:
         """Run the application on a request, which counts until it is done with it."""
         try:
-            await app(scope, receive, send)
+            # A client that has left already would be told nothing.
+            if not self._is_lost:
+                await app(scope, receive, send)
         finally:
             self._guard.table.finish(memory)
             if self._is_lost:
@@ -313,9 +315,8 @@
             return
         if phase is Phase.IDLE:
             self._count_end(reason)
-        self.transport.abort()
-        # Before the event loop says so: others that come in the meantime find the room free.
-        self._guard.table.remove(self._state)
+        # Others that come before the event loop has closed it find the room free.
+        self.abort()
 
     @override
     def expire(self) -> None:
@@ -335,6 +336,11 @@
                 self._count_end(EndReason.ANSWER_NOT_READ)
             self.transport.abort()
 
+    @override
+    def abort(self) -> None:
+        self.transport.abort()
+        self._guard.table.remove(self._state)
+
     def _refuse_if_needed(self) -> None:
         refusal, self._refusal = self._refusal, None
         if refusal is not None:
@@ -370,11 +376,16 @@
         self._dropped = 0
         self._forget_requests()
         self._guard.table.close(self._state, self._guard.timers.now(), LINGER_SECONDS)
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-            self.flow.resume_reading()
-        else:
+        if not self.transport.can_write_eof():
             self.transport.close()
+            return
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The client has reset the connection, and the event loop has not noticed yet.
+            self.transport.abort()
+            return
+        self.flow.resume_reading()
 
     def _close(self) -> None:
         self._forget_requests()
--- a/ragworttiller/connection/connection_table.py
+++ b/ragworttiller/connection/connection_table.py
@@ -53,6 +53,10 @@
     def expire(self) -> None:
         """End what did not happen before the deadline of the phase."""
 
+    @abstractmethod
+    def abort(self) -> None:
+        """Close at once, whatever is in progress."""
+
 
 class ConnectionState:
     """One connection as the table knows it.
@@ -199,7 +203,7 @@
         listener = state.listener
         ended: list[ConnectionState] = []
         if len(listener.states) >= listener.max_connections:
-            ended = self._least_useful(listener, now) or [state]
+            ended = self._least_useful(listener, 1, now) or [state]
         listener.states.add(state)
         return ended
 
@@ -256,9 +260,9 @@
             ended.append(state)
         return ended
 
-    def _least_useful(self, listener: Listener, now: float) -> list[ConnectionState]:
+    def _least_useful(self, listener: Listener, excess: int, now: float) -> list[ConnectionState]:
         """Return connections that make room for others: closing ones, idle ones, then receiving."""
-        count = max(int(listener.max_connections * SPARE_SHARE), 1)
+        count = max(int(listener.max_connections * SPARE_SHARE), excess)
         candidates = [s for s in listener.states if s.phase is not Phase.IN_PROGRESS]
         return heapq.nsmallest(count, candidates, key=lambda state: self._usefulness(state, now))
 
--- a/ragworttiller/connection/server_guard.py
+++ b/ragworttiller/connection/server_guard.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import logging
 from typing import NamedTuple
 
-from ragworttiller.connection.connection_table import ConnectionTable, Listener
+from ragworttiller.connection.connection_table import ConnectionState, ConnectionTable, Listener
 from ragworttiller.connection.ended_connections import EndedConnections
 from ragworttiller.connection.limits import ConnectionLimits, max_body
 from ragworttiller.connection.request_policy import RequestPolicy
 from ragworttiller.metrics import Metrics
 from ragworttiller.timers import TimerService
 
+log = logging.getLogger(__name__)
+
 REPORT_SECONDS = 1.0
 
 
@@ -89,11 +92,19 @@
         """End the connections to an address whose deadline has passed, and log what was ended."""
         now = self._timers.now()
         for state in self._table.expired(guard.listener, now):
-            state.connection.expire()
+            self._expire(state)
         if now >= self._reported_at + REPORT_SECONDS:
             self._reported_at = now
             self._ended.report(self._table.connections, self._table.held)
 
+    def _expire(self, state: ConnectionState) -> None:
+        try:
+            state.connection.expire()
+        except Exception:
+            # One connection must not end the server, and must not stay either.
+            log.exception("connection not ended in order")
+            state.connection.abort()
+
     def register_metrics(self, metrics: Metrics) -> None:
         """Register what operators see of the connections."""
         table = self._table
--- a/tests/test_legal_requests.py
+++ b/tests/test_legal_requests.py
@@ -164,7 +164,6 @@
 
         with_server(body)
 
-
     def test_a_body_whose_head_came_with_an_earlier_request_has_its_own_time(self):
         """Guards against the time of a head for a body, which may take longer."""
 
--- a/tests/test_refused_requests.py
+++ b/tests/test_refused_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Iterator
 
@@ -263,6 +264,26 @@
         with_server(body, connections=ConnectionLimits(100, 8 * 1024 * 1024))
 
 
+class TestResetConnections:
+    def test_a_connection_that_was_reset_does_not_end_the_server(self, monkeypatch):
+        """Guards against an error of one connection that ends the process with all others."""
+
+        async def body(rig: ServerRig):
+            stalled = await rig.connect()
+            await stalled.send(b"GET / HTTP/1.1\r\n")
+            monkeypatch.setattr(asyncio.selector_events._SelectorSocketTransport, "write_eof", fail)
+            assert (await stalled.answer()).status == 408
+            assert await stalled.ends()
+            connection = await rig.connect()
+            await connection.send(b"GET / HTTP/1.1\r\n\r\n")
+            assert (await connection.answer()).status == 200
+
+        def fail(transport):
+            raise OSError(107, "Transport endpoint is not connected")
+
+        with_server(body)
+
+
 class TestReports:
     def test_a_crowd_costs_one_line_a_second_for_each_reason(self, caplog):
         async def body(rig: ServerRig):
