--- a/ragworttiller/connection/connection_table.py
+++ b/ragworttiller/connection/connection_table.py
@@ -198,12 +198,16 @@
     def add(self, state: ConnectionState, now: float) -> list[ConnectionState]:
         """Add a connection, and return those that have to make room for it.
 
-        That is the new one itself if requests are in progress on all others.
+        The new one is among them if requests are in progress on too many others. A connection that
+        is refused stays for a moment, so there may be one more than the limit.
         """
         listener = state.listener
+        excess = len(listener.states) + 1 - listener.max_connections
         ended: list[ConnectionState] = []
-        if len(listener.states) >= listener.max_connections:
-            ended = self._least_useful(listener, 1, now) or [state]
+        if excess > 0:
+            ended = self._least_useful(listener, excess, now)
+            if len(ended) < excess:
+                ended.append(state)
         listener.states.add(state)
         return ended
 
--- a/tests/test_connection_table.py
+++ b/tests/test_connection_table.py
@@ -164,6 +164,16 @@
         rig.receive(late, SMALL)
         assert rig.complete(late)
 
+    def test_refused_connections_make_no_room_beyond_the_limit(self):
+        """Guards against a limit that rises by one with each connection that is refused."""
+        rig = TableRig()
+        for _ in range(5 * MAX_CONNECTIONS):
+            connection = rig.connect()
+            rig.receive(connection, 10)
+            rig.complete(connection)
+            rig.check()
+        assert len(rig.in_progress) <= MAX_CONNECTIONS
+
     @given(st.lists(st.integers(1, 20_000), max_size=MAX_CONNECTIONS))
     def test_nobody_is_ended_in_calm(self, lengths):
         rig = TableRig()
