Take the arrival of a request off a deadline that its caller has stated, and off no other

What callers would see: a body that takes over 3 s to arrive, of a caller that states no deadline, was refused at once, though such a body has 30 s.

Cause: the time of arrival was taken off the default of 3 s too.

Change: it is taken off a stated deadline only. The daemon's policy for callers has a name of its own, and a comment no longer describes deployments.

--- a/ragworttiller/connection/limits.py
+++ b/ragworttiller/connection/limits.py
@@ -76,7 +76,7 @@
     )
 
 
-# Machines of the platform have between 160 and 552 MiB, and 1,638 descriptors or more.
+# For settings that do not state the resources of the machine.
 DEFAULT_MEMORY_MB = 256
 DEFAULT_DESCRIPTORS = 4096
 DEFAULT_CONNECTION_LIMITS = connection_limits(DEFAULT_MEMORY_MB, DEFAULT_DESCRIPTORS)
--- a/ragworttiller/process/node.py
+++ b/ragworttiller/process/node.py
@@ -35,7 +35,7 @@
 from ragworttiller.process.shards import ShardHost
 from ragworttiller.process.stream import Stream
 from ragworttiller.records import CONFIG_STREAM, cell_stream, ledger_stream
-from ragworttiller.request.caller_policy import CallerPolicy
+from ragworttiller.request.caller_policy import DaemonCallerPolicy
 from ragworttiller.request.licensed import LicensedRequests
 from ragworttiller.routing.dispatcher import Dispatcher
 from ragworttiller.services.http import (
@@ -281,7 +281,9 @@
             settings.limits.drain_seconds,
             settings.tls,
             connections=self._connections,
-            policy=CallerPolicy(settings.limits.max_body_bytes, settings.limits.request_timeout),
+            policy=DaemonCallerPolicy(
+                settings.limits.max_body_bytes, settings.limits.request_timeout
+            ),
         )
 
     def _register_metrics(self) -> None:
--- a/ragworttiller/request/caller_policy.py
+++ b/ragworttiller/request/caller_policy.py
@@ -9,7 +9,7 @@
 from ragworttiller.request.caller_request import caller_timeout
 
 
-class CallerPolicy(FixedPolicy):
+class DaemonCallerPolicy(FixedPolicy):
     """Limits by the settings, and the deadline that a caller states.
 
     Parameters
--- a/ragworttiller/scheduling/entry/entry_api.py
+++ b/ragworttiller/scheduling/entry/entry_api.py
@@ -125,8 +125,7 @@
         if scope["method"] == "POST":
             body = await _body(receive, self._max_body())
         key = headers.get(API_KEY_HEADER, b"").decode("latin-1")
-        timeout = _timeout(headers) - scope.get("state", {}).get(RECEIVE_SECONDS, 0.0)
-        timeout = max(timeout, 0.0) * TIMEOUT_SHARE
+        timeout = _timeout(headers, scope.get("state", {}).get(RECEIVE_SECONDS, 0.0))
         return CallerRequest(scope["method"], host, scope["path"], body, timeout, key=key)
 
 
@@ -205,6 +204,10 @@
     await send({"type": "http.response.body", "body": body})
 
 
-def _timeout(headers: dict[bytes, bytes]) -> float:
-    timeout = caller_timeout(headers)
-    return DEFAULT_TIMEOUT_SECONDS if timeout is None else min(timeout, MAX_TIMEOUT_SECONDS)
+def _timeout(headers: dict[bytes, bytes], receive_seconds: float) -> float:
+    """Return the seconds for an answer to a request that took some seconds to arrive."""
+    stated = caller_timeout(headers)
+    if stated is None:
+        return DEFAULT_TIMEOUT_SECONDS * TIMEOUT_SHARE
+    left = max(stated - receive_seconds, 0.0)
+    return min(left, MAX_TIMEOUT_SECONDS) * TIMEOUT_SHARE
