Break off the longest answer when there is no room for all

What would be seen: one server that sends long answers and never ends them makes the calls to the store and to all runners fail while it does.

Cause: beyond the bound of all incomplete answers, whichever came last was broken off.

Change: the longest is. The search for it runs only beyond the bound.

--- a/ragworttiller/platform/answer_limits.py
+++ b/ragworttiller/platform/answer_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
+
 # The store sends up to 1 MiB of records, a third more in base64.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
@@ -16,17 +18,26 @@
     """
 
 
+class IncompleteAnswer(ABC):
+    """An answer that is being received."""
+
+    @abstractmethod
+    def break_off(self) -> None:
+        """Forget what was received; what comes later is refused."""
+
+
 class IncompleteAnswers:
     """Bytes of the answers that a process is receiving.
 
     Parameters
     ----------
     max_bytes : int
-        Most bytes of all together.
+        Most bytes of all together; beyond it the longest answer is broken off.
     """
 
     def __init__(self, max_bytes: int = MAX_INCOMPLETE_BYTES) -> None:
         self._max_bytes = max_bytes
+        self._lengths: dict[IncompleteAnswer, int] = {}
         self._held = 0
 
     @property
@@ -34,21 +45,26 @@
         """Bytes of all incomplete answers."""
         return self._held
 
-    def add(self, count: int) -> None:
-        """Count bytes.
+    def add(self, answer: IncompleteAnswer, count: int) -> None:
+        """Count bytes of an answer.
 
         Raises
         ------
         AnswerTooLong
-            There is no room for them; they are not counted.
+            It is the longest, and there is no room for it; it is no longer counted.
         """
-        if self._held + count > self._max_bytes:
-            raise AnswerTooLong("too many bytes of incomplete answers")
+        self._lengths[answer] = self._lengths.get(answer, 0) + count
         self._held += count
+        while self._held > self._max_bytes:
+            longest = max(self._lengths, key=lambda item: self._lengths[item])
+            self.remove(longest)
+            if longest is answer:
+                raise AnswerTooLong("too many bytes of incomplete answers")
+            longest.break_off()
 
-    def remove(self, count: int) -> None:
-        """Count bytes as no longer held."""
-        self._held -= count
+    def remove(self, answer: IncompleteAnswer) -> None:
+        """Count an answer as no longer held."""
+        self._held -= self._lengths.pop(answer, 0)
 
 
 # All connections of a process share its memory.
--- a/ragworttiller/platform/exchange.py
+++ b/ragworttiller/platform/exchange.py
@@ -7,12 +7,14 @@
 from typing import NamedTuple
 
 import httptools
+from typing_extensions import override
 
 from ragworttiller.platform.answer_limits import (
     ALL_ANSWERS,
     MAX_ANSWER_BYTES,
     MAX_ANSWER_HEAD_BYTES,
     AnswerTooLong,
+    IncompleteAnswer,
     IncompleteAnswers,
 )
 
@@ -90,7 +92,7 @@
         raise NotSent("invalid character in the request") from exc
 
 
-class AnswerParser:
+class AnswerParser(IncompleteAnswer):
     """Parser of one answer.
 
     Parameters
@@ -103,7 +105,8 @@
 
     def __init__(self, method: str, all_answers: IncompleteAnswers = ALL_ANSWERS) -> None:
         self._all_answers = all_answers
-        self._held = 0
+        self._length = 0
+        self._broken_off = False
         self._head_bytes = 0
         self._without_body = method == "HEAD"
         self._parser = httptools.HttpResponseParser(self)
@@ -135,10 +138,10 @@
         AnswerTooLong
             The answer exceeds a limit, or there is no room for it.
         """
-        if self._held + len(data) > MAX_ANSWER_BYTES:
-            raise AnswerTooLong("the answer is too long")
-        self._all_answers.add(len(data))
-        self._held += len(data)
+        self._length += len(data)
+        if self._broken_off or self._length > MAX_ANSWER_BYTES:
+            raise AnswerTooLong("the answer is too long, or there is no room for it")
+        self._all_answers.add(self, len(data))
         if not self._in_body:
             self._feed_head(data)
             return
@@ -146,8 +149,13 @@
 
     def release(self) -> None:
         """Count the answer as no longer being received."""
-        self._all_answers.remove(self._held)
-        self._held = 0
+        self._all_answers.remove(self)
+
+    @override
+    def break_off(self) -> None:
+        self._broken_off = True
+        self._body.clear()
+        self._headers.clear()
 
     def _feed_head(self, data: bytes) -> None:
         """Parse no more at once than a head may have; its fields take several times that."""
--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -105,5 +105,22 @@
             parser.release()
         assert shared.held == 0
 
+    def test_the_longest_answer_gives_way_to_a_short_one(self):
+        """Guards against a server whose long answers break off those of all others."""
+        shared = IncompleteAnswers(1_000_000)
+        long_ones = [AnswerParser("GET", shared) for _ in range(3)]
+        for number, parser in enumerate(long_ones):
+            parser.feed(START + b"\r\n" + b"x" * (300_000 + number))
+        short = AnswerParser("GET", shared)
+        short.feed(START + b"content-length: 120000\r\n\r\n" + b"y" * 120_000)
+        assert short.complete
+        assert shared.held <= 1_000_000
+        with pytest.raises(AnswerTooLong):
+            long_ones[2].feed(b"x")
+        long_ones[0].feed(b"x")
+        for parser in (*long_ones, short):
+            parser.release()
+        assert shared.held == 0
+
     def test_the_limits_fit_each_other(self):
         assert MAX_ANSWER_BYTES * 4 <= answer_limits.MAX_INCOMPLETE_BYTES
