Log what tells a full link from a store that is away

Change: 'new configuration in force' has its length, 'answer not received whole in time' the bytes and seconds, 'readiness changed' the reasons at each change.

--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -106,6 +106,12 @@
         self._poll: select.poll | None = None
         self._stream: httpcore.AsyncNetworkStream | None = None
         self._used_at = 0.0
+        self._received = 0
+
+    @property
+    def received(self) -> int:
+        """Bytes received of the last answer."""
+        return self._received
 
     @property
     def usable(self) -> bool:
@@ -187,6 +193,7 @@
         stream = self._stream
         assert stream is not None
         self._traffic.bytes_out += len(request)
+        self._received = 0
         written = False
         try:
             await stream.write(request)
@@ -197,6 +204,7 @@
         while not parser.complete:
             data = await stream.read(READ_BYTES)
             self._traffic.bytes_in += len(data)
+            self._received += len(data)
             if data:
                 parser.feed(data)
             elif not parser.end():
@@ -265,6 +273,9 @@
             with anyio.fail_after(seconds + self.slack()):
                 answer = await channel.request(method, target, headers, body)
         except TimeoutError as exc:
+            if channel.received:
+                extra = {"port": self._port, "received": channel.received, "seconds": seconds}
+                log.info("answer not received whole in time", extra=extra)
             # The idle connections to a server that timed out are likely to time out as well.
             await self.close()
             raise ExchangeBroken("no complete answer within the timeout") from exc
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -31,6 +31,7 @@
 from ragworttiller.scheduling.entry.key_check import KeyCheck
 from ragworttiller.scheduling.entry.operators import Operators
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC
+from ragworttiller.scheduling.entry.readiness import Readiness
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.slow_store_reports import SlowStoreReports
 from ragworttiller.scheduling.entry.start_gate import StartGate
@@ -218,6 +219,14 @@
             self._gate, lambda: self._acceptance.max_body, self._metrics, clock, self._name
         )
         self._stopping = anyio.Event()
+        self._readiness = Readiness(
+            {
+                "stopping": lambda: not self._stopping.is_set(),
+                "configuration not read": lambda: self._watch.ready,
+                "jobs not read": lambda: self._host.jobs_feed.ready,
+                "store not reached": lambda: self._host.claims_feed.age < MAX_CLAIMS_AGE_SECONDS,
+            }
+        )
 
     async def run(self) -> None:
         """Serve until `stop`, then finish requests in progress.
@@ -230,7 +239,7 @@
         instance = self._settings.instance
         callers = self._server("callers_address", instance.callers_address, self._callers)
         ready_app = ReadyApp(
-            self._unready_reasons,
+            self._readiness.reasons,
             self._metrics.exposition,
             self._operators,
             lambda: self._acceptance.max_body,
@@ -309,15 +318,6 @@
         self._callers.end_requests()
         await callers.stopped()
 
-    def _unready_reasons(self) -> list[str]:
-        checks = {
-            "stopping": not self._stopping.is_set(),
-            "configuration not read": self._watch.ready,
-            "jobs not read": self._host.jobs_feed.ready,
-            "store not reached": self._host.claims_feed.age < MAX_CLAIMS_AGE_SECONDS,
-        }
-        return [reason for reason, passed in checks.items() if not passed]
-
     async def _handle_heartbeat(self, sender: str, heartbeat: OwnerHeartbeat) -> None:
         self._host.record_heartbeat(heartbeat)
 
--- a/ragworttiller/scheduling/records/queue_fold.py
+++ b/ragworttiller/scheduling/records/queue_fold.py
@@ -92,7 +92,11 @@
             by_host.setdefault(queue.host, []).append(queue)
         self._by_host = by_host
         self._index_workspaces(configuration)
-        extra = {"version": configuration.version, "queues": len(configuration.queues)}
+        extra = {
+            "version": configuration.version,
+            "queues": len(configuration.queues),
+            "bytes": len(value),
+        }
         log.info("new configuration in force", extra=extra)
 
     def _index_workspaces(self, configuration: Configuration) -> None:
