--- a/tests/entry_rig.py
+++ b/tests/entry_rig.py
@@ -16,6 +16,7 @@
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.job_fold import JobFold
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from standins.platform.bandwidth import Bandwidth, SlowLink
 from standins.platform.service import Link
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
@@ -38,10 +39,14 @@
         store: StoreService | None = None,
         timers: LoopTimers | None = None,
         producer: str = "e",
+        bandwidth: Bandwidth | None = None,
     ):
         self.timers = timers or LoopTimers()
         self.service = store or StoreService(self.timers)
-        self.link = Link(self.service, self.timers)
+        if bandwidth is None:
+            self.link = Link(self.service, self.timers)
+        else:
+            self.link = SlowLink(self.service, self.timers, bandwidth)
         client = Store("", 1.0, self.link)
         self.jobs = JobFold()
         self.feed = Feed(client, JOBS, self.jobs, self.timers)
--- /dev/null
+++ b/tests/test_long_configurations.py
@@ -0,0 +1,131 @@
+"""Tests that a configuration reaches entries whose links take long for it."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import pytest
+
+from ragworttiller.platform.store import CONFIG_KEY, CONFIG_TOPIC
+from standins.platform.bandwidth import Bandwidth
+from tests.scheduling_rig import QUEUE
+from tests.workspace_keys_rig import (
+    BLUE,
+    CONFIG_APPLY_SECONDS,
+    RED,
+    KeyedCell,
+    KeyedEntry,
+    with_cell,
+)
+
+SLOW_BYTES_PER_SECOND = 625_000
+FAST_BYTES_PER_SECOND = 12_500_000
+# Calls of other parts of an entry that share its link.
+SHORT_CALL_BYTES = 2_000
+SHORT_CALL_SECONDS = 0.3
+
+
+def long_configuration(version: int, routes: int) -> bytes:
+    """Return a configuration of about 220 bytes a route."""
+    route = {"host": QUEUE.host, "service": "desk", "priority": 1, "attempts": 3}
+    route |= {"slack_factor": 1.5, "target_latency_ms": 250.0, "timeout_ms": 30_000}
+    route |= {"placement_advisor": {"decision_ms": 29.9, "per_worker_ms": 0.4, "validity_ms": 2500}}
+    first = {**route, "name": "q", "path_prefix": QUEUE.prefix}
+    names = random.Random(version)
+    rows = [
+        {**route, "name": names.randbytes(8).hex(), "path_prefix": f"/{names.randbytes(8).hex()}/"}
+        for _ in range(routes)
+    ]
+    fields = {"version": version, "routes": [first, *rows], "tenants": [RED, BLUE]}
+    return json.dumps(fields).encode()
+
+
+class SlowCell:
+    """Entries with links of limited bandwidth: a few fast ones, and slow ones."""
+
+    def __init__(self, cell: KeyedCell, fast: int, slow: int, **options: Any):
+        self.cell = cell
+        self.entries: list[KeyedEntry] = []
+        self.links: dict[str, Bandwidth] = {}
+        for number in range(fast + slow):
+            rate = FAST_BYTES_PER_SECOND if number < fast else SLOW_BYTES_PER_SECOND
+            name = f"e{number}"
+            self.links[name] = cell.network.links[name] = Bandwidth(cell.timers, rate)
+            self.entries.append(cell.add(name, bandwidth=self.links[name], **options))
+            cell.run(self.entries[-1])
+
+    def configure(self, version: int, routes: int) -> int:
+        """Write a long configuration and return its length in bytes."""
+        value = long_configuration(version, routes)
+        self.cell.service.put(CONFIG_TOPIC, CONFIG_KEY, value)
+        return len(value)
+
+    def versions(self) -> list[int]:
+        """Return the version that each entry has in force."""
+        return [entry.config.version for entry in self.entries]
+
+    async def short_call_seconds(self, name: str) -> float:
+        """Return the time that a short transfer takes on the link of an entry, in seconds."""
+        began = self.cell.timers.now()
+        await self.links[name].carry(SHORT_CALL_BYTES)
+        return self.cell.timers.now() - began
+
+
+class TestSlowLinks:
+    @pytest.mark.parametrize("routes", [1400, 4200, 12_600])
+    def test_each_entry_has_a_long_configuration_in_time(self, routes: int):
+        """Guards against reads and questions that are given up, and repeated from the start."""
+
+        async def body(cell: KeyedCell):
+            rig = SlowCell(cell, fast=2, slow=10)
+            await cell.timers.sleep(2.0)
+            for version in (2, 3, 4):
+                rig.configure(version, routes)
+                await cell.timers.sleep(CONFIG_APPLY_SECONDS)
+                assert rig.versions() == [version] * 12
+
+        with_cell(body)
+
+    def test_a_long_configuration_leaves_room_on_a_slow_link(self):
+        """Guards against claims, requests and calls that wait behind configurations."""
+
+        async def body(cell: KeyedCell):
+            rig = SlowCell(cell, fast=2, slow=10)
+            await cell.timers.sleep(2.0)
+            length = rig.configure(2, 4200)
+            carried = {name: link.carried for name, link in rig.links.items()}
+            slow = [entry.name for entry in rig.entries[2:]]
+            waits, end = [], cell.timers.now() + 6.0
+            while cell.timers.now() < end:
+                waits.append(await rig.short_call_seconds(slow[len(waits) % len(slow)]))
+                await cell.timers.sleep(0.05)
+            assert max(waits) < SHORT_CALL_SECONDS
+            assert max(rig.links[name].carried - carried[name] for name in slow) < 2 * length
+
+        with_cell(body)
+
+    def test_entries_with_slow_links_only_have_it_after_one_transfer(self):
+        """Guards against a transfer that no attempt has the time for, without a faster entry."""
+
+        async def body(cell: KeyedCell):
+            rig = SlowCell(cell, fast=0, slow=4)
+            await cell.timers.sleep(2.0)
+            length = rig.configure(2, 12_600)
+            await cell.timers.sleep(2 * length / SLOW_BYTES_PER_SECOND)
+            assert rig.versions() == [2] * 4
+
+        with_cell(body)
+
+    def test_an_entry_of_a_cell_without_workspaces_has_it_after_one_transfer(self):
+        """Guards against a read of the store that ends before a long answer can be whole."""
+
+        async def body(cell: KeyedCell):
+            rig = SlowCell(cell, fast=0, slow=1, has_workspaces=False)
+            await cell.timers.sleep(2.0)
+            length = rig.configure(2, 12_600)
+            await cell.timers.sleep(2 * length / SLOW_BYTES_PER_SECOND)
+            assert rig.versions() == [2]
+
+        with_cell(body)
--- a/tests/workspace_keys_rig.py
+++ b/tests/workspace_keys_rig.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+import anyio.abc
 
 from ragworttiller.exceptions import (
     PeerUnreachable,
@@ -32,6 +33,7 @@
 from ragworttiller.scheduling.records.formats import JOBS
 from ragworttiller.scheduling.records.group_commit import GroupCommit
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from standins.platform.bandwidth import Bandwidth
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
 from tests.entry_rig import BODY, EntryRig
@@ -58,13 +60,18 @@
 
 
 class Network:
-    """Connections between the entries of a test; an entry in ``silent`` gets and answers none."""
+    """Connections between the entries of a test; an entry in ``silent`` gets and answers none.
 
-    def __init__(self, timers: LoopTimers):
+    The links of entries, by name, are of unlimited bandwidth unless they are set.
+    """
+
+    def __init__(self, timers: LoopTimers, tasks: anyio.abc.TaskGroup):
         self.timers = timers
+        self.tasks = tasks
         self.handlers: dict[str, dict[type, Callable[..., Awaitable[Any]]]] = {}
         self.silent: set[str] = set()
         self.asked: list[tuple[str, type]] = []
+        self.links: dict[str, Bandwidth] = {}
 
 
 class NetworkPeers:
@@ -93,7 +100,25 @@
         await network.timers.sleep(0.001)
         received = PEER_CODEC.decode_one(PEER_CODEC.encode_one(message))
         reply = await network.handlers[name][type(message)](self.instance, received)
-        return PEER_CODEC.decode_one(PEER_CODEC.encode_one(reply))
+        data = PEER_CODEC.encode_one(reply)
+        if network.links:
+            await self._transfer(name, data, timeout)
+        return PEER_CODEC.decode_one(data)
+
+    async def _transfer(self, sender: str, data: bytes, timeout: float):
+        """Carry a reply over the links of both entries; one that comes too late is carried too."""
+        links, arrived = self._network.links, anyio.Event()
+
+        async def carry():
+            for name in (sender, self.instance):
+                await links[name].carry(len(data))
+            arrived.set()
+
+        self._network.tasks.start_soon(carry)
+        with self._network.timers.move_on_after(timeout):
+            await arrived.wait()
+            return
+        raise PeerUnreachable(instance=sender)
 
 
 class KeyedEntry(EntryRig):
@@ -105,8 +130,9 @@
         name: str,
         max_age: float = REVOKE_SECONDS,
         has_workspaces: bool = True,
+        bandwidth: Bandwidth | None = None,
     ):
-        super().__init__(cell.service, cell.timers)
+        super().__init__(cell.service, cell.timers, bandwidth=bandwidth)
         self.name = name
         client = Store("", 1.0, self.link)
         self.config = QueueFold()
@@ -178,7 +204,7 @@
     def __init__(self, tasks: anyio.abc.TaskGroup):
         self.timers = LoopTimers()
         self.service = StoreService(self.timers)
-        self.network = Network(self.timers)
+        self.network = Network(self.timers, tasks)
         self.names: set[str] = set()
         self._tasks = tasks
 
