Take long configurations from other entries in compressed pieces

Cause: an attempt to get a configuration had a fixed time, whatever its length, and began anew when that was over: 2.5 s for a read of the store, 0.4 s for a question to another entry, whose answer carried the whole configuration, as did the answer to each request passed on to an entry with a later one. On a link of 5 Mbit/s 0.6 to 0.9 MB take 1 to 1.5 s alone, and longer beside each other, so the attempts filled the link and none ended. The class: a transfer with a deadline that does not grow with its length, repeated from its start, without a bound on what the repetitions send.

Change: an exchange with the store goes on while it makes progress (16 KiB a second). A read of the configuration is broken off at its head if the link (new setting link_mbps) needs over 0.25 s for it; the entry takes the version from another one in compressed pieces of 128 KiB, one transfer at a time, which goes on with another entry after a failure, together with that entry's position, so that the record is not read again. Entries that have read a long one tell the others. Nobody has it: the store is read whole, until somebody has. Questions and passed-on requests carry no long configuration any more.

Ruled out: a store that is away or slow (its answers to entries with fast links take 0.1 s); the processors of the entries (5% at most).

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -19,6 +19,8 @@
 from ragworttiller.platform.names import PRESSURE_CONTRACT, WORKSPACES_CONTRACT
 from ragworttiller.platform.store_records import StoreLimits
 
+DEFAULT_LINK_MBPS = 1000.0
+
 
 class EntryInstance(NamedTuple):
     """Name and addresses of an entry."""
@@ -82,10 +84,11 @@
 
 
 class EntryLimits(NamedTuple):
-    """Resources that the process may use: memory in MiB, and file descriptors."""
+    """Resources that the process may use: memory in MiB, file descriptors, and its link."""
 
     memory_mb: int = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_DESCRIPTORS
+    link_mbps: float = DEFAULT_LINK_MBPS
 
     @property
     def connections(self) -> ConnectionLimits:
@@ -247,7 +250,18 @@
         "limits",
         "Resources that this process may use, from which the limits on its callers follow.",
         EntryLimits,
-        limit_options(),
+        [
+            *limit_options(),
+            Number(
+                "link_mbps",
+                "Bandwidth of the link of this instance. Configurations for which it takes over a "
+                "quarter of a second are taken from other entries, compressed.",
+                low=0.1,
+                high=1_000_000,
+                unit="megabits a second",
+                default=str(DEFAULT_LINK_MBPS),
+            ),
+        ],
     ),
     Section(
         "policies",
--- a/ragworttiller/exceptions/__init__.py
+++ b/ragworttiller/exceptions/__init__.py
@@ -69,6 +69,7 @@
     AppendUndecided,
     LogUnavailable,
     RecordsExpired,
+    RecordsTooLong,
     RecordTooLong,
 )
 from ragworttiller.exceptions.submissions import (
@@ -130,6 +131,7 @@
     "Ran",
     "RecordTooLong",
     "RecordsExpired",
+    "RecordsTooLong",
     "RequestTimeout",
     "RunnerBroken",
     "RunnerGone",
--- a/ragworttiller/exceptions/store.py
+++ b/ragworttiller/exceptions/store.py
@@ -35,6 +35,17 @@
     template = "record {key!r} has {bytes} bytes of {limit}"
 
 
+class RecordsTooLong(LogUnavailable):
+    """The records to read are longer than their reader wants to receive."""
+
+    code = "records_too_long"
+    status = 503
+    ran = Ran.NO
+    template = (
+        "the next records of log stream {stream!r} have {bytes} bytes, too many for this read"
+    )
+
+
 class RecordsExpired(RagworttillerError):
     """Records that a reader still needs have been removed by the log's retention."""
 
--- a/ragworttiller/platform/channel.py
+++ b/ragworttiller/platform/channel.py
@@ -12,18 +12,20 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
 
 import anyio
 import httpcore
 import httptools
 
-from ragworttiller.platform.answer_limits import AnswerTooLong
+from ragworttiller.platform.answer_limits import MAX_ANSWER_BYTES, AnswerTooLong
 from ragworttiller.platform.exchange import (
     Answer,
     AnswerParser,
     Exchange,
     ExchangeBroken,
     NotSent,
+    UnwantedAnswer,
     request_head,
 )
 
@@ -32,6 +34,7 @@
 MAX_IDLE_SECONDS = 4.0
 MAX_IDLE_CHANNELS = 8
 READ_BYTES = 65_536
+WRITE_BYTES = 65_536
 # A channel sets or omits these headers itself; values from the request are dropped.
 CHANNEL_HEADERS = frozenset({"host", "content-length", "connection", "transfer-encoding", "expect"})
 # Unanswered probes reveal a peer that became unreachable while a read is waiting.
@@ -64,6 +67,17 @@
     return host.strip("[]"), int(port)
 
 
+class Transfer(NamedTuple):
+    """Bounds on one exchange.
+
+    A longer answer than ``max_bytes`` is not received. ``on_progress`` is called after each read or
+    write, with the number of its bytes.
+    """
+
+    max_bytes: int = MAX_ANSWER_BYTES
+    on_progress: Callable[[int], None] = lambda count: None
+
+
 class Traffic:
     """Traffic counters shared by channels.
 
@@ -150,7 +164,12 @@
         self._used_at = time.monotonic()
 
     async def request(
-        self, method: str, target: str, headers: Sequence[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: Sequence[tuple[str, str]],
+        body: bytes,
+        transfer: Transfer = Transfer(),  # noqa: B008
     ) -> Answer:
         """Send a request and return the complete answer.
 
@@ -158,20 +177,24 @@
         ------
         NotSent
             The connection was not usable, or the request has a character that HTTP does not allow.
+        UnwantedAnswer
+            The answer is longer than the transfer allows.
         ExchangeBroken
             The exchange failed, possibly after part of the request was written.
         """
         if not self.usable:
             await self.close()
             raise NotSent("the connection is closed")
-        parser = AnswerParser(method)
+        parser = AnswerParser(method, max_bytes=transfer.max_bytes)
         reusable = False
         try:
             head = request_head(method, target, [self._host_header, *_own_headers(headers, body)])
             self._traffic.calls += 1
-            written = await self._exchange(head + body, parser)
+            written = await self._exchange(head + body, parser, transfer)
             reusable = written and parser.reusable
-        except (*_NETWORK_FAILURES, httptools.HttpParserError, AnswerTooLong) as exc:
+        except AnswerTooLong as exc:
+            raise UnwantedAnswer(parser.length) from exc
+        except (*_NETWORK_FAILURES, httptools.HttpParserError) as exc:
             raise ExchangeBroken(str(exc)) from exc
         finally:
             parser.release()
@@ -188,7 +211,7 @@
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
-    async def _exchange(self, request: bytes, parser: AnswerParser) -> bool:
+    async def _exchange(self, request: bytes, parser: AnswerParser, transfer: Transfer) -> bool:
         """Read the answer to a request, and return whether the request was written whole."""
         stream = self._stream
         assert stream is not None
@@ -196,7 +219,10 @@
         self._received = 0
         written = False
         try:
-            await stream.write(request)
+            for start in range(0, len(request), WRITE_BYTES):
+                piece = request[start : start + WRITE_BYTES]
+                await stream.write(piece)
+                transfer.on_progress(len(piece))
             written = True
         except httpcore.WriteError as exc:
             # A server may refuse a request, and close, before it has read all of it.
@@ -205,6 +231,7 @@
             data = await stream.read(READ_BYTES)
             self._traffic.bytes_in += len(data)
             self._received += len(data)
+            transfer.on_progress(len(data))
             if data:
                 parser.feed(data)
             elif not parser.end():
@@ -227,6 +254,8 @@
         ``host:port``, with or without ``http://``.
     timeout : float
         Seconds to wait for a connection, and for an answer unless the request sets its own.
+    min_progress_bytes : int, optional
+        Bytes of an exchange with which its wait begins anew; by default it never does.
 
     Attributes
     ----------
@@ -237,7 +266,8 @@
         Returns the seconds by which each wait is longer, since this process is busy.
     """
 
-    def __init__(self, address: str, timeout: float) -> None:
+    def __init__(self, address: str, timeout: float, min_progress_bytes: int | None = None) -> None:
+        self._min_progress_bytes = min_progress_bytes
         self._host, self._port = split_address(address)
         self._timeout = timeout
         self._idle: list[Channel] = []
@@ -257,6 +287,7 @@
         body: bytes = b"",
         headers: Sequence[tuple[str, str]] = (),
         timeout: float | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> Answer:
         """Send a request over an idle channel or a new one.
 
@@ -264,14 +295,17 @@
         ------
         NotSent
             The connection failed before a byte of the request was written.
+        UnwantedAnswer
+            The answer is longer than ``max_answer_bytes``.
         ExchangeBroken
             The exchange failed, or no complete answer arrived within the timeout.
         """
         channel = await self._channel()
         try:
             seconds = self._timeout if timeout is None else timeout
-            with anyio.fail_after(seconds + self.slack()):
-                answer = await channel.request(method, target, headers, body)
+            with anyio.fail_after(seconds + self.slack()) as scope:
+                transfer = Transfer(max_answer_bytes, self._extension(scope))
+                answer = await channel.request(method, target, headers, body, transfer)
         except TimeoutError as exc:
             if channel.received:
                 extra = {"port": self._port, "received": channel.received, "seconds": seconds}
@@ -286,6 +320,20 @@
         await self._close_stale()
         return answer
 
+    def _extension(self, scope: anyio.CancelScope) -> Callable[[int], None]:
+        """Return what extends the deadline of an exchange while it makes enough progress."""
+        needed, count = self._min_progress_bytes, 0
+
+        def extend(length: int) -> None:
+            nonlocal count
+            count += length
+            if needed is not None and count >= needed:
+                count = 0
+                deadline = anyio.current_time() + self._timeout + self.slack()
+                scope.deadline = max(scope.deadline, deadline)
+
+        return extend
+
     async def close(self) -> None:
         """Close the idle channels."""
         idle, self._idle = self._idle, []
--- a/ragworttiller/platform/exchange.py
+++ b/ragworttiller/platform/exchange.py
@@ -46,6 +46,20 @@
     """At least part of the request was written, and no complete answer arrived."""
 
 
+class UnwantedAnswer(ExchangeBroken):
+    """The answer is longer than the caller wants to receive.
+
+    Parameters
+    ----------
+    length : int
+        Bytes that it has at least.
+    """
+
+    def __init__(self, length: int) -> None:
+        super().__init__("the answer is longer than is wanted")
+        self.length = length
+
+
 class Answer(NamedTuple):
     """Complete answer of a server."""
 
@@ -101,11 +115,20 @@
         Method of the request; the answer to ``HEAD`` has no body.
     all_answers : IncompleteAnswers
         Counts the bytes of all answers that the process is receiving.
+    max_bytes : int
+        Longest answer that is received.
     """
 
-    def __init__(self, method: str, all_answers: IncompleteAnswers = ALL_ANSWERS) -> None:
+    def __init__(
+        self,
+        method: str,
+        all_answers: IncompleteAnswers = ALL_ANSWERS,
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        self._max_bytes = max_bytes
         self._all_answers = all_answers
         self._length = 0
+        self._stated_length = 0
         self._broken_off = False
         self._head_bytes = 0
         self._without_body = method == "HEAD"
@@ -123,6 +146,11 @@
         """Whether the whole answer was read."""
         return self._complete
 
+    @property
+    def length(self) -> int:
+        """Bytes that the answer has at least."""
+        return max(self._length, self._stated_length)
+
     @property
     def reusable(self) -> bool:
         """Whether the connection may carry another exchange."""
@@ -139,13 +167,15 @@
             The answer exceeds a limit, or there is no room for it.
         """
         self._length += len(data)
-        if self._broken_off or self._length > MAX_ANSWER_BYTES:
+        if self._broken_off or self._length > self._max_bytes:
             raise AnswerTooLong("the answer is too long, or there is no room for it")
         self._all_answers.add(self, len(data))
-        if not self._in_body:
+        if self._in_body:
+            self._parser.feed_data(data)
+        else:
             self._feed_head(data)
-            return
-        self._parser.feed_data(data)
+        if self._stated_length > self._max_bytes and not self._without_body:
+            raise AnswerTooLong("the answer is longer than is wanted")
 
     def release(self) -> None:
         """Count the answer as no longer being received."""
@@ -157,6 +187,11 @@
         self._body.clear()
         self._headers.clear()
 
+    def _content_length(self) -> int:
+        """Return the length of the body that the head states, 0 if it states none."""
+        values = [value for name, value in self._headers if name == "content-length"]
+        return int(values[0]) if values and values[0].isdecimal() else 0
+
     def _feed_head(self, data: bytes) -> None:
         """Parse no more at once than a head may have; its fields take several times that."""
         for start in range(0, len(data), MAX_ANSWER_HEAD_BYTES):
@@ -197,6 +232,7 @@
             self._headers.clear()
             return
         self._in_body = True
+        self._stated_length = self._content_length()
         self._keeps_alive = self._parser.should_keep_alive()
         # The parser would wait for the body that the headers describe.
         self._complete = self._without_body
--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -17,11 +17,13 @@
     AppendUndecided,
     LogUnavailable,
     RecordsExpired,
+    RecordsTooLong,
     Unreadable,
 )
+from ragworttiller.platform.answer_limits import MAX_ANSWER_BYTES
 from ragworttiller.platform.channel import ChannelSet, Traffic
 from ragworttiller.platform.decoding import decode_json
-from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent
+from ragworttiller.platform.exchange import Answer, ExchangeBroken, NotSent, UnwantedAnswer
 from ragworttiller.platform.store_meter import AppendNumber, StoreMeter
 from ragworttiller.platform.store_records import (
     LENGTH_BYTES,
@@ -55,6 +57,8 @@
 
 READ_MAX_KB = 1024
 ANSWER_TIMEOUT_SECONDS = 1.0
+# What a connection carries within that time even on a slow link that it shares with some others.
+MIN_PROGRESS_BYTES = 16 * 1024
 # Too many calls, unavailable, out of space: nothing was appended, whatever the body says.
 REFUSAL_STATUSES = (429, 503, 507)
 # Bad request, too large: the same records would be refused again.
@@ -102,7 +106,8 @@
     address : str
         ``host:port`` of the store.
     timeout : float
-        Seconds to wait for an answer, in addition to the wait of a read.
+        Seconds to wait for an answer, in addition to the wait of a read. A long one may take longer
+        while it makes progress.
     channels : ChannelSet, optional
         Connections to use in place of new ones to the address.
     meter : StoreMeter, optional
@@ -121,7 +126,7 @@
     ) -> None:
         self._limits = limits
         self._meter = meter or StoreMeter(SystemTimers())
-        self._channels = channels or ChannelSet(address, timeout)
+        self._channels = channels or ChannelSet(address, timeout, MIN_PROGRESS_BYTES)
         self._timeout = timeout
         self._answer_count = 0
 
@@ -237,13 +242,21 @@
             raise AppendFenced(stream=str(partition), epoch=producer and producer.epoch)
         raise LogUnavailable(stream=str(partition))
 
-    async def read(self, partition: Partition, offset: int, wait: float = 0.0) -> Slice:
+    async def read(
+        self,
+        partition: Partition,
+        offset: int,
+        wait: float = 0.0,
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> Slice:
         """Return the records of a keyed topic from ``offset`` on.
 
         Wait up to ``wait`` seconds for the first one.
 
         Raises
         ------
+        RecordsTooLong
+            The answer is longer than ``max_bytes``.
         LogUnavailable
             The store refused the read or sent no valid answer.
         RecordsExpired
@@ -258,7 +271,7 @@
         if wait:
             query["wait_ms"] = int(wait * 1000)
         target = "/-/log-read?" + urlencode(query)
-        status, content = await self._read_call(partition, target, self._timeout + wait)
+        status, content = await self._read_call(partition, target, self._timeout + wait, max_bytes)
         if status == 410:
             try:
                 start = decode_json(content, _Expired, _Expired.__name__).first
@@ -313,10 +326,19 @@
         return answer
 
     async def _read_call(
-        self, partition: Partition, target: str, timeout: float
+        self,
+        partition: Partition,
+        target: str,
+        timeout: float,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> tuple[int, bytes]:
         try:
-            answer = await self._channels.request("GET", target, timeout=timeout)
+            answer = await self._channels.request(
+                "GET", target, timeout=timeout, max_answer_bytes=max_bytes
+            )
+        except UnwantedAnswer as exc:
+            self._answer_count += 1
+            raise RecordsTooLong(stream=str(partition), bytes=exc.length) from exc
         except (NotSent, ExchangeBroken) as exc:
             self._meter.reads_unanswered[partition.topic] += 1
             raise LogUnavailable(stream=str(partition)) from exc
--- a/ragworttiller/scheduling/entry/configuration_watch.py
+++ b/ragworttiller/scheduling/entry/configuration_watch.py
@@ -12,6 +12,8 @@
 from ragworttiller.exceptions import LogUnavailable, RagworttillerError, Unreadable
 from ragworttiller.process.peers import Peers
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.entry.configuration_pieces import short_value
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.confirmation import (
     ASK_AGE_SECONDS,
     STALE_AGE_SECONDS,
@@ -50,6 +52,8 @@
         Feed of the configuration.
     peers : Peers
         Connections to the other entries.
+    transfer : ConfigurationTransfer
+        Takes long configurations from other entries.
     names : Callable
         Returns the names of all announced entries.
     owner : Callable
@@ -66,6 +70,7 @@
         config: QueueFold,
         feed: Feed,
         peers: Peers,
+        transfer: ConfigurationTransfer,
         names: Callable[[], set[str]],
         owner: Callable[[], str],
         clock: Clock,
@@ -74,6 +79,7 @@
         self._config = config
         self._feed = feed
         self._peers = peers
+        self._transfer = transfer
         self._names = names
         self._owner = owner
         self._clock = clock
@@ -131,7 +137,7 @@
         async with anyio.create_task_group() as tasks:
             for name in self._chosen():
                 tasks.start_soon(self._ask, name, tasks)
-            if self.age > STALE_AGE_SECONDS:
+            if self.age > STALE_AGE_SECONDS and not self._feed.passes_long_records:
                 # The read in progress may wait for a change; another one returns at once.
                 tasks.start_soon(self._read_store, tasks)
 
@@ -157,6 +163,8 @@
             self._config.adopt(answer.value)
             extra = {"entry": name, "version": answer.version, "age": round(answer.age, 3)}
             log.info("configuration taken from another entry", extra=extra)
+        elif answer.version > self._config.version:
+            self._transfer.request(name)
         if 0 <= answer.version <= self._config.version and answer.age >= 0:
             self._answered.add(name)
             self._confirmed_at = max(self._confirmed_at, asked_at - answer.age)
@@ -209,5 +217,5 @@
 
     async def _serve(self, sender: str, query: ConfigurationQuery) -> ConfigurationAnswer:
         version = self._config.version
-        value = self._config.value if version > query.version else b""
+        value = short_value(self._config) if version > query.version else b""
         return ConfigurationAnswer(version, self.age, value)
--- a/ragworttiller/scheduling/entry/entry_metrics.py
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -10,6 +10,7 @@
 from ragworttiller.platform.store import Store
 from ragworttiller.scheduling.decisions.admission import RefusalReason
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.membership.membership import Membership
 from ragworttiller.scheduling.ownership.cell_host import CellHost
@@ -126,6 +127,7 @@
     host: CellHost,
     gaps: OwnerGaps,
     membership: Membership,
+    transfer: ConfigurationTransfer,
 ) -> None:
     """Register what an entry shows beside the answers to its callers.
 
@@ -145,9 +147,19 @@
         Knows whether an owner acts.
     membership : Membership
         Knows the entries of the cell.
+    transfer : ConfigurationTransfer
+        Counts configurations taken from other entries.
     """
     traffic = store.traffic
     metrics.counter("store_calls", "Calls to the platform's store.", lambda: traffic.calls)
+    metrics.counter(
+        "store_received_bytes", "Bytes received from the store.", lambda: traffic.bytes_in
+    )
+    metrics.counter(
+        "configurations_transferred",
+        "Long configurations taken from other entries.",
+        lambda: transfer.received,
+    )
     for reason in RefusalReason:
         metrics.counter(
             f"jobs_refused_{reason}",
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -24,6 +24,7 @@
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
 from ragworttiller.scheduling.entry.caller_policy import CallerPolicy
 from ragworttiller.scheduling.entry.callers import LocalCallers
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.dry_runs import DryRuns
 from ragworttiller.scheduling.entry.entry_api import CallerApp, ReadyApp
@@ -51,6 +52,7 @@
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS, EntryRecord
 from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.long_records import LongRecords
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.state.submission_windows import SubmissionWindows
 
@@ -155,13 +157,25 @@
         self._peers.handle(OwnerHeartbeat, self._handle_heartbeat)
         self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
         self._peers.handle(OwnerQuery, self._handle_owner_query)
-        self._config_feed = Feed(self._store, Partition(CONFIG_TOPIC), self._config, clock)
+        self._transfer = ConfigurationTransfer(
+            self._config, self._peers, lambda: members.names, clock
+        )
+        self._config_feed = Feed(
+            self._store,
+            Partition(CONFIG_TOPIC),
+            self._config,
+            clock,
+            on_change=self._transfer.announce,
+            long_records=LongRecords(settings.limits.link_mbps, self._transfer),
+        )
+        self._transfer.position = lambda: self._config_feed.position
         producer = Producer(f"{self._name}-{self._incarnation}", 1)
         self._writer = GroupCommit(self._store, JOBS, producer, clock, exclusive=True)
         self._watch = ConfigurationWatch(
             self._config,
             self._config_feed,
             self._peers,
+            self._transfer,
             lambda: members.names,
             self._owner_name,
             clock,
@@ -186,6 +200,7 @@
             LocalCallers(self._acceptance),
             self._peers,
             self._config,
+            self._transfer,
             reconnector,
             lambda: self._host.claims_feed.age,
             self._owner_name,
@@ -203,6 +218,7 @@
             self._host,
             self._owner_gaps,
             self._membership,
+            self._transfer,
         )
         register_store_metrics(self._metrics, self._store_meter)
         self._connections = ServerConnections(settings.limits.connections, clock)
@@ -259,6 +275,7 @@
             tasks.start_soon(self._gate.run)
             tasks.start_soon(self._peers.run)
             tasks.start_soon(self._watch.run)
+            tasks.start_soon(self._transfer.run)
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._host.run)
--- a/ragworttiller/scheduling/entry/peer_messages.py
+++ b/ragworttiller/scheduling/entry/peer_messages.py
@@ -7,6 +7,11 @@
 from ragworttiller.codec import MessagePackCodec
 from ragworttiller.messages import ErrorReply, Introduction
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.configuration_pieces import (
+    ConfigurationNotice,
+    ConfigurationPiece,
+    ConfigurationPieceQuery,
+)
 from ragworttiller.scheduling.ownership.earlier_owner import (
     OwnerQuery,
     OwnerReplaced,
@@ -53,7 +58,8 @@
     """Version of the configuration of an entry, -1 for none.
 
     ``age`` is the time in seconds since the entry knew it to be the newest one. ``value`` is the
-    configuration as written by the operator if it is later than the asker's, else empty.
+    configuration as written by the operator if it is later than the asker's and short, else empty;
+    a long one is asked for in pieces.
     """
 
     version: int
@@ -109,5 +115,8 @@
         18: Introduction,
         19: ConnectionQuery,
         20: ConnectionAnswer,
+        21: ConfigurationPieceQuery,
+        22: ConfigurationPiece,
+        23: ConfigurationNotice,
     }
 )
--- a/ragworttiller/scheduling/entry/peer_requests.py
+++ b/ragworttiller/scheduling/entry/peer_requests.py
@@ -17,6 +17,7 @@
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, error_reply
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.peer_choice import PeerChoice, RelayTarget
 from ragworttiller.scheduling.entry.request_trace import record_relay
 from ragworttiller.scheduling.entry.staggered_attempts import Outcome
@@ -29,6 +30,8 @@
 CALL_MARGIN_SECONDS = 0.1
 # Code of a reply whose body is a later configuration than the one of the relaying entry.
 LATER_CONFIGURATION = "later_configuration"
+# A longer transfer goes on without this request, which may be answered by another entry.
+TRANSFER_TIMEOUT_SECONDS = 1.0
 NO_ANSWER_CODES = (
     NotReady.code,
     ConfigurationUnconfirmed.code,
@@ -46,6 +49,8 @@
         Connections to the other entries.
     config : QueueFold
         Configuration of this entry.
+    transfer : ConfigurationTransfer
+        Takes long configurations from other entries.
     reconnector : PeerReconnector
         Replaces the connections of an entry that does not answer.
     choice : PeerChoice
@@ -62,6 +67,7 @@
         self,
         peers: NngPeers,
         config: QueueFold,
+        transfer: ConfigurationTransfer,
         reconnector: PeerReconnector,
         choice: PeerChoice,
         writer: GroupCommit,
@@ -70,6 +76,7 @@
     ) -> None:
         self._peers = peers
         self._config = config
+        self._transfer = transfer
         self._reconnector = reconnector
         self._choice = choice
         self._writer = writer
@@ -109,16 +116,29 @@
 
         Returns None if no answer arrived; the entry may have carried out the request.
         """
+        deadline = self._clock.now() + request.timeout
         reply = await self._send_once(name, request)
         if reply is None or reply.code != LATER_CONFIGURATION:
             return reply
+        left = deadline - self._clock.now()
+        if not await self._take_configuration(name, reply, left):
+            return reply
+        return await self._send_once(name, request._replace(timeout=deadline - self._clock.now()))
+
+    async def _take_configuration(self, name: str, reply: CallerReply, left: float) -> bool:
+        """Take the later configuration of an entry, and return whether that was possible."""
+        if not reply.body:
+            version = self._config.version
+            with self._clock.move_on_after(min(left, TRANSFER_TIMEOUT_SECONDS)):
+                await self._transfer.take_later([name])
+            return self._config.version > version
         try:
             self._config.adopt(reply.body)
         except Unreadable as exc:
             extra = {"entry": name, "why": str(exc)}
             log.warning("unreadable configuration of another entry skipped", extra=extra)
-            return reply
-        return await self._send_once(name, request)
+            return False
+        return True
 
     async def _send_once(self, name: str, request: CallerRequest) -> CallerReply | None:
         forwarded = request._replace(version=self._config.version)
--- a/ragworttiller/scheduling/entry/relaying_callers.py
+++ b/ragworttiller/scheduling/entry/relaying_callers.py
@@ -29,6 +29,8 @@
     Callers,
     error_reply,
 )
+from ragworttiller.scheduling.entry.configuration_pieces import short_value
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.peer_choice import PeerChoice, RelayTarget
 from ragworttiller.scheduling.entry.peer_requests import LATER_CONFIGURATION, PeerRequests
 from ragworttiller.scheduling.entry.request_trace import record_local_failure
@@ -78,6 +80,8 @@
         Connections to the other entries.
     config : QueueFold
         Configuration of this entry.
+    transfer : ConfigurationTransfer
+        Takes long configurations from other entries.
     reconnector : PeerReconnector
         Replaces the connections of an entry that does not answer.
     age : Callable
@@ -101,6 +105,7 @@
         local: Callers,
         peers: NngPeers,
         config: QueueFold,
+        transfer: ConfigurationTransfer,
         reconnector: PeerReconnector,
         age: Callable[[], float],
         owner: Callable[[], str],
@@ -117,7 +122,9 @@
         self._age = age
         self._clock = clock
         self._choice = PeerChoice(peers.instance, names, owner, clock)
-        self._requests = PeerRequests(peers, config, reconnector, self._choice, writer, age, clock)
+        self._requests = PeerRequests(
+            peers, config, transfer, reconnector, self._choice, writer, age, clock
+        )
         peers.handle(CallerRequest, self._serve)
 
     @property
@@ -288,7 +295,7 @@
         if request.version > version:
             return CallerReply(NotReady.status, b"", NotReady.code)
         if request.version < version:
-            return CallerReply(OK, self._config.value, LATER_CONFIGURATION)
+            return CallerReply(OK, short_value(self._config), LATER_CONFIGURATION)
         try:
             return await self._local.answer(request)
         except RagworttillerError as exc:
--- a/standins/platform/bandwidth.py
+++ b/standins/platform/bandwidth.py
@@ -6,12 +6,16 @@
 
 from typing_extensions import override
 
-from ragworttiller.platform.exchange import Answer, ExchangeBroken
+from ragworttiller.platform.answer_limits import MAX_ANSWER_BYTES
+from ragworttiller.platform.exchange import Answer, ExchangeBroken, UnwantedAnswer
+from ragworttiller.platform.store import MIN_PROGRESS_BYTES
 from ragworttiller.timers import TimerService
 from standins.platform.service import DEFAULT_TIMEOUT_SECONDS, Link, Service
 
 # Connections take turns in units of this length.
 SEGMENT_BYTES = 16 * 1024
+# Part of an answer that is on its way before its reader breaks it off.
+SENT_IN_VAIN_BYTES = 64 * 1024
 
 
 class Bandwidth:
@@ -26,13 +30,15 @@
 
     Attributes
     ----------
+    bytes_per_second : float
+        Bandwidth in one direction.
     carried : int
         Bytes carried so far.
     """
 
     def __init__(self, timers: TimerService, bytes_per_second: float) -> None:
         self._timers = timers
-        self._bytes_per_second = bytes_per_second
+        self.bytes_per_second = bytes_per_second
         self._free_at = 0.0
         self.carried = 0
 
@@ -41,7 +47,7 @@
         while length > 0:
             segment = min(length, SEGMENT_BYTES)
             begin = max(self._free_at, self._timers.now())
-            self._free_at = begin + segment / self._bytes_per_second
+            self._free_at = begin + segment / self.bytes_per_second
             self.carried += segment
             length -= segment
             await self._timers.sleep(self._free_at - self._timers.now())
@@ -72,10 +78,18 @@
         body: bytes = b"",
         headers: Sequence[tuple[str, str]] = (),
         timeout: float | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> Answer:
-        seconds = DEFAULT_TIMEOUT_SECONDS if timeout is None else timeout
-        with self._timers.move_on_after(seconds):
-            answer = await super().request(method, target, body, headers, timeout)
-            await self._bandwidth.carry(len(answer.body))
-            return answer
-        raise ExchangeBroken("slow")
+        answer = await super().request(method, target, body, headers, timeout)
+        wanted = len(answer.body) <= max_answer_bytes
+        left = len(answer.body) if wanted else min(len(answer.body), SENT_IN_VAIN_BYTES)
+        while left > 0:
+            # As in a channel of the store, an exchange that makes progress goes on.
+            with self._timers.move_on_after(DEFAULT_TIMEOUT_SECONDS) as scope:
+                await self._bandwidth.carry(min(left, MIN_PROGRESS_BYTES))
+            if scope.cancelled_caught:
+                raise ExchangeBroken("slow")
+            left -= MIN_PROGRESS_BYTES
+        if not wanted:
+            raise UnwantedAnswer(len(answer.body))
+        return answer
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -10,8 +10,15 @@
 
 import anyio
 
+from ragworttiller.platform.answer_limits import MAX_ANSWER_BYTES
 from ragworttiller.platform.channel import Traffic
-from ragworttiller.platform.exchange import Answer, Exchange, ExchangeBroken, NotSent
+from ragworttiller.platform.exchange import (
+    Answer,
+    Exchange,
+    ExchangeBroken,
+    NotSent,
+    UnwantedAnswer,
+)
 from ragworttiller.timers import TimerService
 
 
@@ -92,6 +99,7 @@
         body: bytes = b"",
         headers: Sequence[tuple[str, str]] = (),
         timeout: float | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> Answer:
         """Carry out an exchange, subject to the faults of the link.
 
@@ -99,7 +107,10 @@
         """
         if self.on_open is not None and self._connected_to is not self.service.process:
             await self._connect(self.on_open)
-        return await self._exchange(method, target, body, headers, timeout)
+        answer = await self._exchange(method, target, body, headers, timeout)
+        if len(answer.body) > max_answer_bytes:
+            raise UnwantedAnswer(len(answer.body))
+        return answer
 
     async def _connect(self, on_open: Callable[[Exchange], Awaitable[None]]) -> None:
         process, self._connected_to = self.service.process, None
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ragworttiller.platform.channel import Channel, ChannelSet, Traffic
-from ragworttiller.platform.exchange import ExchangeBroken, NotSent
+from ragworttiller.platform.exchange import ExchangeBroken, NotSent, UnwantedAnswer
 
 ANSWER = b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n"
 
@@ -82,3 +82,72 @@
                 await channels.request("GET", "/", timeout=0.1)
 
         with_channel(body, delay=0.3)
+
+
+LONG_BYTES = 160_000
+PIECE_BYTES = 16_000
+PIECE_SECONDS = 0.1
+ROUND_SECONDS = 0.4
+
+
+def with_slow_server(body, sent: int = LONG_BYTES):
+    """Run a test body with a server that sends a long answer in pieces, and no more than ``sent``.
+
+    It counts the bytes that it has sent of it.
+    """
+
+    async def scenario():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        counts = [0]
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive()
+                await stream.send(
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {LONG_BYTES}\r\n\r\n".encode()
+                )
+                while counts[0] < sent:
+                    await anyio.sleep(PIECE_SECONDS)
+                    await stream.send(b"x" * PIECE_BYTES)
+                    counts[0] += PIECE_BYTES
+                await anyio.sleep(10.0)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            await body(f"127.0.0.1:{port}", counts)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+class TestLongAnswers:
+    def test_a_long_answer_that_makes_progress_is_received_whole(self):
+        """Guards against an answer that no attempt has the time for, and is asked for for ever."""
+
+        async def body(address: str, counts: list[int]):
+            channels = ChannelSet(address, ROUND_SECONDS, min_progress_bytes=PIECE_BYTES)
+            answer = await channels.request("GET", "/")
+            assert len(answer.body) == LONG_BYTES
+
+        with_slow_server(body)
+
+    def test_an_answer_that_makes_no_progress_is_given_up(self):
+        async def body(address: str, counts: list[int]):
+            channels = ChannelSet(address, ROUND_SECONDS, min_progress_bytes=PIECE_BYTES)
+            began = anyio.current_time()
+            with pytest.raises(ExchangeBroken):
+                await channels.request("GET", "/")
+            assert anyio.current_time() - began < 3 * PIECE_SECONDS + 2 * ROUND_SECONDS
+
+        with_slow_server(body, sent=3 * PIECE_BYTES)
+
+    def test_an_unwanted_answer_is_broken_off_at_its_head(self):
+        async def body(address: str, counts: list[int]):
+            channels = ChannelSet(address, ROUND_SECONDS, min_progress_bytes=PIECE_BYTES)
+            with pytest.raises(UnwantedAnswer) as caught:
+                await channels.request("GET", "/", max_answer_bytes=LONG_BYTES // 2)
+            assert caught.value.length == LONG_BYTES
+            assert counts == [0]
+
+        with_slow_server(body)
--- a/tests/test_long_configurations.py
+++ b/tests/test_long_configurations.py
@@ -4,17 +4,29 @@
 
 import json
 import random
+import zlib
 from typing import Any
 
+import anyio
 import pytest
 
+from ragworttiller.exceptions import Unreadable
 from ragworttiller.platform.store import CONFIG_KEY, CONFIG_TOPIC
+from ragworttiller.scheduling.entry.callers import CallerRequest
+from ragworttiller.scheduling.entry.configuration_pieces import (
+    PIECE_BYTES,
+    ConfigurationPiece,
+    ConfigurationPieceQuery,
+    PieceBuffer,
+)
 from standins.platform.bandwidth import Bandwidth
-from tests.scheduling_rig import QUEUE
+from tests.entry_rig import BODY
+from tests.scheduling_rig import JOB, QUEUE
 from tests.workspace_keys_rig import (
     BLUE,
     CONFIG_APPLY_SECONDS,
     RED,
+    RED_KEY,
     KeyedCell,
     KeyedEntry,
     with_cell,
@@ -25,6 +37,8 @@
 # Calls of other parts of an entry that share its link.
 SHORT_CALL_BYTES = 2_000
 SHORT_CALL_SECONDS = 0.3
+# Of the configurations below.
+COMPRESSED_SHARE = 0.1
 
 
 def long_configuration(version: int, routes: int) -> bytes:
@@ -73,6 +87,59 @@
         return self.cell.timers.now() - began
 
 
+class TestTransfers:
+    def test_a_transfer_goes_on_with_another_entry(self):
+        """Guards against a transfer that begins anew whenever its source is lost."""
+
+        async def body(cell: KeyedCell):
+            rig = SlowCell(cell, fast=2, slow=1)
+            await cell.timers.sleep(2.0)
+            length = rig.configure(2, 12_600)
+            link, before = rig.links["e2"], rig.links["e2"].carried
+            while link.carried < before + COMPRESSED_SHARE * length / 2:
+                await cell.timers.sleep(0.01)
+            asked = [name for name, kind in cell.network.asked if kind is ConfigurationPieceQuery]
+            cell.network.silent.add(asked[-1])
+            await cell.timers.sleep(CONFIG_APPLY_SECONDS)
+            assert rig.entries[2].config.version == 2
+            assert link.carried - before < 2 * COMPRESSED_SHARE * length
+
+        with_cell(body)
+
+    def test_requests_passed_on_do_not_carry_a_long_configuration_each(self):
+        """Guards against a link that is full of one configuration for each request."""
+
+        async def body(cell: KeyedCell):
+            rig = SlowCell(cell, fast=1, slow=1)
+            await cell.timers.sleep(2.0)
+            slow = rig.entries[1]
+            slow.link.refused = True
+            await cell.timers.sleep(3.0)
+            length, before = rig.configure(2, 4200), rig.links["e1"].carried
+            request = CallerRequest("POST", QUEUE.host, QUEUE.prefix + JOB, BODY, 2.0, key=RED_KEY)
+            statuses = []
+
+            async def ask():
+                statuses.append((await slow.relaying.answer(request)).status)
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(10):
+                    tasks.start_soon(ask)
+                    await cell.timers.sleep(0.02)
+            assert statuses == [200] * 10
+            assert slow.config.version == 2
+            assert rig.links["e1"].carried - before < length / 2
+
+        with_cell(body)
+
+    @pytest.mark.parametrize("data", [b"", b"x", zlib.compress(bytes(PIECE_BYTES + 1))])
+    def test_a_malformed_piece_is_not_taken(self, data: bytes):
+        buffer = PieceBuffer(2, 2)
+        with pytest.raises(Unreadable):
+            buffer.add(0, ConfigurationPiece(2, 5, 2, data))
+        assert buffer.next_missing == 0
+
+
 class TestSlowLinks:
     @pytest.mark.parametrize("routes", [1400, 4200, 12_600])
     def test_each_entry_has_a_long_configuration_in_time(self, routes: int):
--- a/tests/test_relaying_callers.py
+++ b/tests/test_relaying_callers.py
@@ -7,6 +7,7 @@
 
 from ragworttiller.exceptions import PeerUnreachable, SubmissionUndecided
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.membership.reconnector import PeerReconnector
 from ragworttiller.scheduling.records.formats import JOBS
@@ -49,6 +50,7 @@
             rig.callers,
             peers,
             rig.config,
+            ConfigurationTransfer(rig.config, peers, lambda: {"e1", "e2", "e3"}, rig.timers),
             PeerReconnector(peers, rig.timers),
             lambda: age,
             lambda: "e2",
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -9,6 +9,7 @@
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.submissions import DEADLINE_HEADER, decode_job
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, Callers
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.entry_api import CallerApp
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.start_gate import MAX_START_SECONDS, StartGate
@@ -62,6 +63,7 @@
         rig.callers,
         peers,
         rig.config,
+        ConfigurationTransfer(rig.config, peers, lambda: {"e1"} | OTHER_ENTRIES, rig.timers),
         PeerReconnector(peers, rig.timers),
         lambda: age,
         lambda: "e2",
--- a/tests/test_store_pace.py
+++ b/tests/test_store_pace.py
@@ -9,6 +9,7 @@
 
 from ragworttiller.exceptions import PeerUnreachable
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.peer_messages import PEER_CODEC, SlowStore
 from ragworttiller.scheduling.entry.relaying_callers import RelayingCallers
 from ragworttiller.scheduling.entry.store_pace import REPORT_VALID_SECONDS, StorePace
@@ -38,6 +39,7 @@
             rig.callers,
             peers,
             rig.config,
+            ConfigurationTransfer(rig.config, peers, lambda: names, rig.timers),
             PeerReconnector(peers, rig.timers),
             lambda: 0.0,
             lambda: owner,
--- a/tests/workspace_keys_rig.py
+++ b/tests/workspace_keys_rig.py
@@ -22,6 +22,8 @@
 )
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.callers import CallerReply, CallerRequest, LocalCallers
+from ragworttiller.scheduling.entry.configuration_pieces import ConfigurationNotice
+from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
 from ragworttiller.scheduling.entry.configuration_watch import ConfigurationWatch
 from ragworttiller.scheduling.entry.key_check import KeyCheck
 from ragworttiller.scheduling.entry.peer_messages import (
@@ -32,6 +34,10 @@
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS
 from ragworttiller.scheduling.records.group_commit import GroupCommit
+from ragworttiller.scheduling.records.long_records import (
+    BYTES_PER_MEGABIT,
+    LongRecords,
+)
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from standins.platform.bandwidth import Bandwidth
 from standins.platform.store import StoreService
@@ -89,7 +95,15 @@
         """Do nothing: there are no connections."""
 
     def post(self, name: str, message: object):
-        """Drop a one-way message."""
+        """Send a one-way message, of which only the notice of a configuration has an effect."""
+        if isinstance(message, ConfigurationNotice) and name in self._network.handlers:
+            self._network.tasks.start_soon(self._deliver, name, message)
+
+    async def _deliver(self, name: str, message: ConfigurationNotice):
+        network = self._network
+        await network.timers.sleep(0.001)
+        if not network.silent & {name, self.instance}:
+            await network.handlers[name][ConfigurationNotice](self.instance, message)
 
     async def call(self, name: str, message: Any, timeout: float) -> Any:
         network = self._network
@@ -136,13 +150,25 @@
         self.name = name
         client = Store("", 1.0, self.link)
         self.config = QueueFold()
-        self.config_feed = Feed(client, Partition(CONFIG_TOPIC), self.config, self.timers)
         self.writer = GroupCommit(client, JOBS, Producer(name, 1), self.timers, exclusive=True)
         self.peers = NetworkPeers(cell.network, name)
+        transfer = ConfigurationTransfer(self.config, self.peers, lambda: cell.names, self.timers)
+        link_mbps = bandwidth.bytes_per_second / BYTES_PER_MEGABIT if bandwidth else 1000.0
+        self.config_feed = Feed(
+            client,
+            Partition(CONFIG_TOPIC),
+            self.config,
+            self.timers,
+            on_change=transfer.announce,
+            long_records=LongRecords(link_mbps, transfer),
+        )
+        transfer.position = lambda: self.config_feed.position
+        self.transfer = transfer
         self.watch = ConfigurationWatch(
             self.config,
             self.config_feed,
             self.peers,
+            transfer,
             lambda: cell.names,
             lambda: "",
             self.timers,
@@ -163,6 +189,7 @@
             self.callers,
             self.peers,
             self.config,
+            transfer,
             PeerReconnector(self.peers, self.timers),
             lambda: self.feed.age,
             lambda: "",
@@ -176,7 +203,8 @@
         """Run the entry until it is frozen."""
         with anyio.CancelScope() as self._scope:
             async with anyio.create_task_group() as tasks:
-                for part in (self.config_feed, self.feed, self.writer, self.watch):
+                parts = (self.config_feed, self.feed, self.writer, self.watch, self.transfer)
+                for part in parts:
                     tasks.start_soon(part.run)
 
     def freeze(self):
