Read records through readers, the long ones in a module of its own

The feed had grown to read, race and skip long records itself. It now asks a reader: of the store, or one that takes the newest state of long records from another source. A configuration has 128 pieces at most.

--- a/ragworttiller/scheduling/entry/configuration_pieces.py
+++ b/ragworttiller/scheduling/entry/configuration_pieces.py
@@ -11,6 +11,8 @@
 # Bytes of a configuration in one piece, before compression. A shorter one travels whole.
 PIECE_BYTES = 128 * 1024
 COMPRESSION_LEVEL = 1
+# Longer than any answer of the store that is received.
+MAX_PIECES = 128
 WHAT = "piece of a configuration"
 
 
@@ -116,6 +118,8 @@
         Unreadable
             It belongs to another version, or is not a compressed piece of the right length.
         """
+        if self._count > MAX_PIECES:
+            raise Unreadable(what=WHAT, problem=f"it is one of {self._count}")
         if piece.version != self.version or piece.pieces != self._count:
             raise Unreadable(what=WHAT, problem="it belongs to another version")
         content = _decompress(piece.data)
--- a/ragworttiller/scheduling/entry/configuration_transfer.py
+++ b/ragworttiller/scheduling/entry/configuration_transfer.py
@@ -21,8 +21,8 @@
     PieceEncoder,
     short_value,
 )
-from ragworttiller.scheduling.records.long_records import OtherSource
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.records.record_reader import OtherSource
 
 log = logging.getLogger(__name__)
 
--- a/ragworttiller/scheduling/entry/configuration_watch.py
+++ b/ragworttiller/scheduling/entry/configuration_watch.py
@@ -137,7 +137,7 @@
         async with anyio.create_task_group() as tasks:
             for name in self._chosen():
                 tasks.start_soon(self._ask, name, tasks)
-            if self.age > STALE_AGE_SECONDS and not self._feed.passes_long_records:
+            if self.age > STALE_AGE_SECONDS and not self._feed.reads_long_records:
                 # The read in progress may wait for a change; another one returns at once.
                 tasks.start_soon(self._read_store, tasks)
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -52,8 +52,8 @@
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS, EntryRecord
 from ragworttiller.scheduling.records.group_commit import GroupCommit
-from ragworttiller.scheduling.records.long_records import LongRecords
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.records.record_reader import LongRecordReader
 from ragworttiller.scheduling.state.submission_windows import SubmissionWindows
 
 log = logging.getLogger(__name__)
@@ -160,13 +160,16 @@
         self._transfer = ConfigurationTransfer(
             self._config, self._peers, lambda: members.names, clock
         )
+        partition = Partition(CONFIG_TOPIC)
         self._config_feed = Feed(
             self._store,
-            Partition(CONFIG_TOPIC),
+            partition,
             self._config,
             clock,
             on_change=self._transfer.announce,
-            long_records=LongRecords(settings.limits.link_mbps, self._transfer),
+            reader=LongRecordReader(
+                self._store, partition, settings.limits.link_mbps, self._transfer
+            ),
         )
         self._transfer.position = lambda: self._config_feed.position
         producer = Producer(f"{self._name}-{self._incarnation}", 1)
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import logging
-import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from enum import Enum, auto
-from typing import cast
 
 import anyio
 
-from ragworttiller.exceptions import LogUnavailable, RecordsExpired, RecordsTooLong
+from ragworttiller.exceptions import LogUnavailable, RecordsExpired
 from ragworttiller.platform.store import NewestPage, Partition, Record, Slice, Store
 from ragworttiller.scheduling.clock import Clock
-from ragworttiller.scheduling.records.long_records import LongRecords, OtherSource
 from ragworttiller.scheduling.records.paged_load import PagedLoad
+from ragworttiller.scheduling.records.record_reader import RecordReader, SkippedTo, StoreReader
 
 log = logging.getLogger(__name__)
 
@@ -25,8 +23,6 @@
 COUNTED_WAIT = 0.9
 INITIAL_RETRY_DELAY_SECONDS = 0.1
 MAX_RETRY_DELAY_SECONDS = 0.5
-# Others need about as long to read long records over a fast link, and to tell of them.
-WAIT_FOR_OTHERS_SECONDS = 0.7
 
 
 class Fold(ABC):
@@ -66,8 +62,8 @@
         Seconds that a read waits for a first record.
     on_empty_poll : Callable
         Called when a read has returned no record within ``poll_seconds``.
-    long_records : LongRecords, optional
-        What is done about records that take long to transfer; by default they are read like others.
+    reader : RecordReader, optional
+        Reads the records after the first load; by default from the store, however long they are.
     """
 
     def __init__(
@@ -80,9 +76,9 @@
         on_change: Callable[[], None] = lambda: None,
         poll_seconds: float = POLL_SECONDS,
         on_empty_poll: Callable[[], None] = lambda: None,
-        long_records: LongRecords | None = None,
+        reader: RecordReader | None = None,
     ) -> None:
-        self._long_records = long_records
+        self._reader = reader or StoreReader(store, partition)
         self._store = store
         self._partition = partition
         self._fold = fold
@@ -97,7 +93,6 @@
         self._current_at = float("-inf")
         self._newest_at = float("-inf")
         self._loaded_end = 0
-        self._passes_long_records = False
         self.min_interval = min_interval
 
     @property
@@ -121,9 +116,9 @@
         return self._loaded_end
 
     @property
-    def passes_long_records(self) -> bool:
-        """Whether it is taking long records from elsewhere, or reading them."""
-        return self._passes_long_records
+    def reads_long_records(self) -> bool:
+        """Whether it is reading long records, or taking their newest state from elsewhere."""
+        return self._reader.reads_long_records
 
     @property
     def age(self) -> float:
@@ -194,7 +189,7 @@
             return ReadOutcome.BEHIND
         asked_at, position = self._clock.now(), self._position
         try:
-            result = await self._read_slice(position, wait)
+            result = await self._reader.read(position, wait)
         except RecordsExpired as exc:
             log.info(
                 "records expired before they were read",
@@ -202,59 +197,11 @@
             )
             await self._load_once(position)
             return ReadOutcome.BEHIND
-        if result is None:
+        if isinstance(result, SkippedTo):
+            self._position = max(self._position, result.position)
             return ReadOutcome.BEHIND
         return self._apply_slice(result, position, asked_at, wait)
 
-    async def _read_slice(self, position: int, wait: float) -> Slice | None:
-        """Read the records at a position, None if their newest state was taken from elsewhere."""
-        if self._long_records is None:
-            return await self._store.read(self._partition, position, wait)
-        try:
-            max_bytes = self._long_records.max_bytes
-            return await self._store.read(self._partition, position, wait, max_bytes)
-        except RecordsTooLong as exc:
-            length = cast(int, exc.fields["bytes"])
-        async with self._lock:
-            # Another read may have passed them meanwhile.
-            if self._position != position:
-                return None
-            self._passes_long_records = True
-            try:
-                return await self._read_long(self._long_records, position, length)
-            finally:
-                self._passes_long_records = False
-
-    async def _read_long(
-        self, long_records: LongRecords, position: int, length: int
-    ) -> Slice | None:
-        """Take long records from elsewhere, or read them if nobody has them any sooner."""
-        seconds = min(long_records.transfer_seconds(length), WAIT_FOR_OTHERS_SECONDS)
-        later = await long_records.source.newest_position(position, seconds)
-        if later is not None:
-            self._position = later
-            return None
-        extra = {"partition": str(self._partition), "bytes": length}
-        log.info("long records read from the store", extra=extra)
-        result, error = None, None
-
-        async def take_from_others(source: OtherSource) -> None:
-            later = await source.newest_position(position, math.inf)
-            if later is not None:
-                self._position = later
-                tasks.cancel_scope.cancel()
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(take_from_others, long_records.source)
-            try:
-                result = await self._store.read(self._partition, position)
-            except (LogUnavailable, RecordsExpired) as exc:
-                error = exc
-            tasks.cancel_scope.cancel()
-        if error is not None:
-            raise error
-        return result
-
     def _apply_slice(
         self, result: Slice, position: int, asked_at: float, wait: float
     ) -> ReadOutcome:
--- a/tests/workspace_keys_rig.py
+++ b/tests/workspace_keys_rig.py
@@ -34,11 +34,8 @@
 from ragworttiller.scheduling.records.feed import Feed
 from ragworttiller.scheduling.records.formats import JOBS
 from ragworttiller.scheduling.records.group_commit import GroupCommit
-from ragworttiller.scheduling.records.long_records import (
-    BYTES_PER_MEGABIT,
-    LongRecords,
-)
 from ragworttiller.scheduling.records.queue_fold import QueueFold
+from ragworttiller.scheduling.records.record_reader import BYTES_PER_MEGABIT, LongRecordReader
 from standins.platform.bandwidth import Bandwidth
 from standins.platform.store import StoreService
 from standins.virtual_time import LoopTimers, run_virtual
@@ -160,7 +157,7 @@
             self.config,
             self.timers,
             on_change=transfer.announce,
-            long_records=LongRecords(link_mbps, transfer),
+            reader=LongRecordReader(client, Partition(CONFIG_TOPIC), link_mbps, transfer),
         )
         transfer.position = lambda: self.config_feed.position
         self.transfer = transfer
