Play random faults while long configurations are on their way

Entries with fast and slow links, with and without workspaces, that lose the store or each other while up to ten configurations of 1 to 4,200 routes come; after 8 s of calm all have the last one.

--- a/tests/test_long_configurations.py
+++ b/tests/test_long_configurations.py
@@ -39,6 +39,8 @@
 SHORT_CALL_SECONDS = 0.3
 # Of the configurations below.
 COMPRESSED_SHARE = 0.1
+# A read that was cut off, and two transfers of the longest of them over a slow link.
+CALM_SECONDS = 8.0
 
 
 def long_configuration(version: int, routes: int) -> bytes:
@@ -196,3 +198,31 @@
             assert rig.versions() == [2]
 
         with_cell(body)
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", [1, 2, 3, 4])
+    def test_all_entries_have_the_last_version_once_faults_have_ended(self, seed: int):
+        """Guards against an entry that stays behind, or that skips a version it does not have."""
+
+        async def body(cell: KeyedCell):
+            rng = random.Random(seed)
+            rig = SlowCell(cell, rng.randint(0, 2), rng.randint(1, 5), has_workspaces=seed % 2 > 0)
+            version = 1
+            for _ in range(rng.randint(4, 10)):
+                await cell.timers.sleep(rng.uniform(0.0, 1.5))
+                if rng.random() < 0.6:
+                    version += 1
+                    rig.configure(version, rng.choice([1, 300, 1400, 4200]))
+                entry = rng.choice(rig.entries)
+                entry.link.refused = rng.random() < 0.3
+                entry.link.cut = rng.random() < 0.2
+                cell.network.silent = {e.name for e in rig.entries if rng.random() < 0.2}
+                assert max(rig.versions()) <= version
+            cell.network.silent = set()
+            for entry in rig.entries:
+                entry.link.lift_faults()
+            await cell.timers.sleep(CALM_SECONDS)
+            assert set(rig.versions()) == {version}
+
+        with_cell(body)
