--- a/ragworttiller/scheduling/entry/configuration_pieces.py
+++ b/ragworttiller/scheduling/entry/configuration_pieces.py
@@ -93,10 +93,16 @@
         Version of the configuration.
     count : int
         Number of its pieces.
+
+    Attributes
+    ----------
+    received : int
+        Bytes of the compressed pieces that have arrived.
     """
 
     def __init__(self, version: int, count: int) -> None:
         self.version = version
+        self.received = 0
         self._count = count
         self._pieces: dict[int, bytes] = {}
 
@@ -122,6 +128,7 @@
             raise Unreadable(what=WHAT, problem=f"it is one of {self._count}")
         if piece.version != self.version or piece.pieces != self._count:
             raise Unreadable(what=WHAT, problem="it belongs to another version")
+        self.received += len(piece.data)
         content = _decompress(piece.data)
         is_last = index == self._count - 1
         if not content or len(content) != PIECE_BYTES and not is_last:
--- a/ragworttiller/scheduling/entry/configuration_transfer.py
+++ b/ragworttiller/scheduling/entry/configuration_transfer.py
@@ -188,7 +188,8 @@
                 break
         else:
             return
-        value, self._buffer = self._buffer.value, PieceBuffer(-1, 0)
+        value, received = self._buffer.value, self._buffer.received
+        self._buffer = PieceBuffer(-1, 0)
         try:
             self._config.adopt(value)
         except Unreadable as exc:
@@ -196,7 +197,8 @@
             return
         self.received += 1
         extra = {"entry": source, "version": first.version, "bytes": len(value)}
-        extra |= {"pieces": first.pieces, "took": round(self._clock.now() - began, 3)}
+        extra |= {"pieces": first.pieces, "received": received}
+        extra["took"] = round(self._clock.now() - began, 3)
         log.info("configuration taken from another entry", extra=extra)
 
     async def _receive(self, source: str, first: ConfigurationPiece) -> bool:
