Share one read of the store among the questions that wait for it

Cause: each question about a job that the entry had not read yet made a read of its own, of up to 1 MiB, and threw it away after a second. On a slow link none of them ended, and they kept the feed from ending as well.

Change: one read at a time, which begins after those that wait for it have asked, and goes on when they have given up.

--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -14,6 +14,7 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.records.paged_load import PagedLoad
 from ragworttiller.scheduling.records.record_reader import RecordReader, SkippedTo, StoreReader
+from ragworttiller.scheduling.records.shared_read import SharedRead
 
 log = logging.getLogger(__name__)
 
@@ -93,6 +94,7 @@
         self._current_at = float("-inf")
         self._newest_at = float("-inf")
         self._loaded_end = 0
+        self._catch_up = SharedRead(str(partition), self._read_all)
         self.min_interval = min_interval
 
     @property
@@ -137,6 +139,11 @@
 
     async def run(self) -> None:
         """Read the partition until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._catch_up.run)
+            await self._poll()
+
+    async def _poll(self) -> None:
         delay = INITIAL_RETRY_DELAY_SECONDS
         while True:
             try:
@@ -158,13 +165,16 @@
             delay = min(2 * delay, MAX_RETRY_DELAY_SECONDS)
 
     async def catch_up(self) -> None:
-        """Read all records that the partition currently has.
+        """Read all records that the partition currently has, in one read for all callers.
 
         Raises
         ------
         LogUnavailable
             The store cannot be read.
         """
+        await self._catch_up.wait()
+
+    async def _read_all(self) -> None:
         outcome = ReadOutcome.BEHIND
         while outcome is ReadOutcome.BEHIND:
             outcome = await self._read(0.0)
