Bound what an entry waits for and sends when others have a configuration

- An entry that has told of a version, and has started again without the store, was asked for ever, while nobody read the store: an answer with an older version takes its notice back.
- Configurations of 4 to 128 KiB still travelled whole in each answer to a request that was passed on: at 5 Mbit/s 10 requests at once for 86 KB were all undecided.
They come in pieces now, too.
- The slowest of those asked held up the read of the store: offers are waited for only within the time that is left, and not once there is one.
- A wrong number of pieces closed a version for all sources.
- 97 entries sent 9,312 notices for each version: each tells 16 others.
- Appends of up to 2 MiB are repeated after a second whatever the link: they are divided so that each takes the link half a second.

Open: a first load reads the whole record in base64; keys are refused for some seconds when no entry is fast and a configuration has over 2 MB.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -17,9 +17,12 @@
     connection_limits,
 )
 from ragworttiller.platform.names import PRESSURE_CONTRACT, WORKSPACES_CONTRACT
-from ragworttiller.platform.store_records import StoreLimits
+from ragworttiller.platform.store_records import LENGTH_BYTES, StoreLimits
 
 DEFAULT_LINK_MBPS = 1000.0
+BYTES_PER_MEGABIT = 125_000
+# An append without an answer for a second is made again beside the first.
+MAX_APPEND_SECONDS = 0.5
 
 
 class EntryInstance(NamedTuple):
@@ -48,11 +51,6 @@
     request_bytes: int = StoreLimits().request_bytes
     contracts: list[str] = []
 
-    @property
-    def store_limits(self) -> StoreLimits:
-        """Lengths that the store accepts."""
-        return StoreLimits(self.record_bytes, self.request_bytes)
-
     @property
     def has_workspaces(self) -> bool:
         """Whether the deployment has workspaces, even if no configuration was read yet."""
@@ -90,6 +88,11 @@
     max_fds: int = DEFAULT_DESCRIPTORS
     link_mbps: float = DEFAULT_LINK_MBPS
 
+    @property
+    def link_bytes_per_second(self) -> float:
+        """Bandwidth of the link."""
+        return self.link_mbps * BYTES_PER_MEGABIT
+
     @property
     def connections(self) -> ConnectionLimits:
         """Limits on the connections of callers."""
@@ -124,6 +127,19 @@
     policies: EntryPolicies
     log: LogSettings
 
+    @property
+    def store_limits(self) -> StoreLimits:
+        """Lengths that the store accepts; an append takes the link half a second at most.
+
+        It always has room for one record of the longest length.
+        """
+        platform = self.platform
+        of_link = int(self.limits.link_bytes_per_second * MAX_APPEND_SECONDS)
+        shortest = platform.record_bytes + LENGTH_BYTES
+        return StoreLimits(
+            platform.record_bytes, min(platform.request_bytes, max(of_link, shortest))
+        )
+
 
 def _milliseconds(name: str, help: str, default: str) -> Number:
     return Number(name, help, low=0.0, high=3_600_000.0, unit="milliseconds", default=default)
--- a/ragworttiller/scheduling/entry/configuration_pieces.py
+++ b/ragworttiller/scheduling/entry/configuration_pieces.py
@@ -8,8 +8,10 @@
 from ragworttiller.exceptions import Unreadable
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 
-# Bytes of a configuration in one piece, before compression. A shorter one travels whole.
+# Bytes of a configuration in one piece, before compression.
 PIECE_BYTES = 128 * 1024
+# A longer one is not part of other messages, of which there may be many at a time.
+WHOLE_BYTES = 4 * 1024
 COMPRESSION_LEVEL = 1
 # Longer than any answer of the store that is received.
 MAX_PIECES = 128
@@ -18,7 +20,7 @@
 
 def short_value(config: QueueFold) -> bytes:
     """Return the current configuration as written by the operator, empty if it is long."""
-    return config.value if len(config.value) <= PIECE_BYTES else b""
+    return config.value if len(config.value) <= WHOLE_BYTES else b""
 
 
 class ConfigurationPieceQuery(NamedTuple):
@@ -116,6 +118,10 @@
         """Configuration as written by the operator, once no piece is missing."""
         return b"".join(self._pieces[index] for index in range(self._count))
 
+    def takes(self, piece: ConfigurationPiece) -> bool:
+        """Return whether a piece belongs to the same version, divided in the same way."""
+        return (piece.version, piece.pieces) == (self.version, self._count)
+
     def add(self, index: int, piece: ConfigurationPiece) -> None:
         """Add a piece.
 
@@ -126,7 +132,7 @@
         """
         if self._count > MAX_PIECES:
             raise Unreadable(what=WHAT, problem=f"it is one of {self._count}")
-        if piece.version != self.version or piece.pieces != self._count:
+        if not self.takes(piece):
             raise Unreadable(what=WHAT, problem="it belongs to another version")
         self.received += len(piece.data)
         content = _decompress(piece.data)
--- a/ragworttiller/scheduling/entry/configuration_transfer.py
+++ b/ragworttiller/scheduling/entry/configuration_transfer.py
@@ -14,12 +14,12 @@
 from ragworttiller.process.peers import Peers
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.entry.configuration_pieces import (
+    PIECE_BYTES,
     ConfigurationNotice,
     ConfigurationPiece,
     ConfigurationPieceQuery,
     PieceBuffer,
     PieceEncoder,
-    short_value,
 )
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.record_reader import OtherSource
@@ -28,11 +28,18 @@
 
 # A piece of incompressible bytes takes a fifth of a second at 5 Mbit/s.
 PIECE_TIMEOUT_SECONDS = 1.0
+# The first answer is short, or one piece.
+OFFER_TIMEOUT_SECONDS = 0.4
+MIN_OFFER_TIMEOUT_SECONDS = 0.1
 ASK_INTERVAL_SECONDS = 0.15
 MAX_ASK_INTERVAL_SECONDS = 1.2
 MIN_ASK_INTERVAL_SECONDS = 0.01
 AVOID_FAILED_SECONDS = 3.0
 MAX_ASKED = 4
+# Enough for each entry to hear of a version from some of those that have read it.
+MAX_NOTIFIED = 16
+# Entries that hear of a version at one moment ask different ones, once these have told of it too.
+MAX_JITTER_SECONDS = 0.1
 
 
 class _Offer(NamedTuple):
@@ -104,12 +111,13 @@
         self._request.set()
 
     def announce(self) -> None:
-        """Tell all entries of a long configuration that this one has read from the store."""
+        """Tell some entries of a long configuration that this one has read from the store."""
         version = self._config.version
-        if version == self._announced or short_value(self._config):
+        if version == self._announced or len(self._config.value) <= PIECE_BYTES:
             return
         self._announced = version
-        for name in self._others():
+        others = self._others()
+        for name in random.sample(others, min(len(others), MAX_NOTIFIED)):
             self._peers.post(name, ConfigurationNotice(version))
 
     async def take_later(self, sources: Sequence[str]) -> None:
@@ -126,7 +134,8 @@
         while self._others():
             self._notice, failed = anyio.Event(), self._failed_lately()
             async with self._lock:
-                later = await self._take_latest(self._candidates())
+                wait = max(end - self._clock.now(), MIN_OFFER_TIMEOUT_SECONDS)
+                later = await self._take_latest(self._candidates(), wait)
             if later > position:
                 return later
             left = end - self._clock.now()
@@ -134,11 +143,14 @@
                 break
             with self._clock.move_on_after(max(min(left, interval), MIN_ASK_INTERVAL_SECONDS)):
                 await self._notice.wait()
+                await self._clock.sleep(random.uniform(0.0, MAX_JITTER_SECONDS))
             interval = min(2 * interval, MAX_ASK_INTERVAL_SECONDS)
         return None
 
-    async def _take_latest(self, sources: Sequence[str]) -> int:
-        """Take the latest configuration that some entries have.
+    async def _take_latest(
+        self, sources: Sequence[str], wait: float = OFFER_TIMEOUT_SECONDS
+    ) -> int:
+        """Take the latest configuration that some entries offer within ``wait`` seconds.
 
         Returns
         -------
@@ -146,31 +158,40 @@
             Offset in the store before which no record has a later version than this entry, as far
             as these entries know.
         """
-        offers = await self._ask_all(sources)
+        offers = await self._ask_all(sources, min(wait, OFFER_TIMEOUT_SECONDS))
         latest = max((offer.piece.version for offer in offers), default=-1)
         if latest > self._config.version:
             await self._take([offer for offer in offers if offer.piece.version == latest])
         known = [o.piece.position for o in offers if o.piece.version <= self._config.version]
         return max(known, default=0)
 
-    async def _ask_all(self, sources: Sequence[str]) -> list[_Offer]:
+    async def _ask_all(self, sources: Sequence[str], wait: float) -> list[_Offer]:
+        """Return what some entries offer, without waiting for others once one has more to offer."""
         offers: list[_Offer] = []
 
         async def ask(source: str) -> None:
-            piece = await self._ask(source, 0)
-            if piece is not None:
-                offers.append(_Offer(source, piece))
+            piece = await self._ask(source, 0, wait)
+            if piece is None:
+                return
+            offers.append(_Offer(source, piece))
+            if piece.version > self._config.version:
+                tasks.cancel_scope.cancel()
+            else:
+                # It may have started again since it told of a later one.
+                self._noticed.pop(source, None)
 
         async with anyio.create_task_group() as tasks:
             for source in sources:
                 tasks.start_soon(ask, source)
         return offers
 
-    async def _ask(self, source: str, index: int) -> ConfigurationPiece | None:
+    async def _ask(
+        self, source: str, index: int, timeout: float = PIECE_TIMEOUT_SECONDS
+    ) -> ConfigurationPiece | None:
         """Return a piece of the configuration of an entry, None if it does not answer."""
         query = ConfigurationPieceQuery(self._config.version, index)
         try:
-            piece: ConfigurationPiece = await self._peers.call(source, query, PIECE_TIMEOUT_SECONDS)
+            piece: ConfigurationPiece = await self._peers.call(source, query, timeout)
         except RagworttillerError as exc:
             extra = {"entry": source, "index": index, "why": exc.code}
             log.info("configuration piece not received", extra=extra)
@@ -181,7 +202,7 @@
     async def _take(self, offers: Sequence[_Offer]) -> None:
         """Take the configuration that all of some offers have."""
         began, first = self._clock.now(), offers[0].piece
-        if self._buffer.version != first.version:
+        if not self._buffer.takes(first):
             self._buffer = PieceBuffer(first.version, first.pieces)
         for source, piece in offers:
             if await self._receive(source, piece):
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -108,7 +108,7 @@
         self._store = Store(
             settings.platform.store_address,
             meter=self._store_meter,
-            limits=settings.platform.store_limits,
+            limits=settings.store_limits,
         )
         self._peers = NngPeers(
             self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
@@ -168,7 +168,7 @@
             clock,
             on_change=self._transfer.announce,
             reader=LongRecordReader(
-                self._store, partition, settings.limits.link_mbps, self._transfer
+                self._store, partition, settings.limits.link_bytes_per_second, self._transfer
             ),
         )
         self._transfer.position = lambda: self._config_feed.position
--- a/ragworttiller/scheduling/records/record_reader.py
+++ b/ragworttiller/scheduling/records/record_reader.py
@@ -19,7 +19,6 @@
 LONG_TRANSFER_SECONDS = 0.25
 # Others need about as long to read long records over a fast link, and to tell of them.
 WAIT_FOR_OTHERS_SECONDS = 0.7
-BYTES_PER_MEGABIT = 125_000
 
 
 class SkippedTo(NamedTuple):
@@ -103,18 +102,18 @@
         Store to read.
     partition : Partition
         Partition to read.
-    link_mbps : float
-        Bandwidth of the link in Mbit/s.
+    link_bytes_per_second : float
+        Bandwidth of the link.
     source : OtherSource
         Where else to get the newest state.
     """
 
     def __init__(
-        self, store: Store, partition: Partition, link_mbps: float, source: OtherSource
+        self, store: Store, partition: Partition, link_bytes_per_second: float, source: OtherSource
     ) -> None:
         self._store = store
         self._partition = partition
-        self._bytes_per_second = link_mbps * BYTES_PER_MEGABIT
+        self._bytes_per_second = link_bytes_per_second
         self._source = source
         self._lock = anyio.Lock()
         self._skipped_to = 0
