Test that a lasting task keeps its run until its successor is certain

What callers saw: in a release a lasting task was stopped since its runner drained, and had no run for 14 s.

Tried first, and left: entries that fail all the time. LastingLoad gets methods that ReleaseLoad overrides; its own seeds draw the same random numbers as before.

--- a/tests/lasting_load.py
+++ b/tests/lasting_load.py
@@ -68,6 +68,9 @@
 class LastingLoad:
     """A cell under load, its runners and its advisor, of which a random seed decides all."""
 
+    # Bounds of the share of the capacity that is in use or waited for.
+    LOAD_SHARES = (0.8, 0.95)
+
     def __init__(self, seed: int, runners: int = 24) -> None:
         self.rng = random.Random(seed)
         self.seed = seed
@@ -83,6 +86,7 @@
         self.runners: dict[str, SimulatedRunner] = {}
         self.ended_at: dict[TaskId, float] = {}
         self.calm_since = self.rig.now
+        self._next_cut = self.rig.now + 15.0
         self.states: dict[str, str] = {}
         self._lasting_until: dict[TaskId, float] = {}
         self._answers: list[tuple[float, AdviceCall]] = []
@@ -107,11 +111,10 @@
         """Advance the time under load."""
         for _ in range(self.rng.randint(3, 5)):
             self._submit_lasting()
-        end, next_cut = self.rig.now + seconds, self.rig.now + 15.0
+        end = self.rig.now + seconds
         while self.rig.now < end:
             self.rig.now += TICK_SECONDS
-            if self.rig.now > next_cut:
-                next_cut = self._cut()
+            self._disturb()
             self._submit()
             self._end_runs()
             self._hold()
@@ -134,7 +137,7 @@
     def _submit(self) -> None:
         """Submit jobs so that what runs and waits takes a changing share of the capacity."""
         if self.rng.random() < TICK_SECONDS / 10:
-            self._share = self.rng.uniform(0.8, 0.95)
+            self._share = self.rng.uniform(*self.LOAD_SHARES)
         if self.rng.random() < TICK_SECONDS * self._short_rate:
             spec = step(self.rng.randint(4, 8), 5000, estimate_ms=SHORT_SECONDS * 1000)
             self._submit_job(spec, SHORT)
@@ -146,6 +149,10 @@
             spec = step(self._long_tasks, 11_000, estimate_ms=LONG_SECONDS * 1000)
             self._submit_job({**spec, "checkpoints": True}, LONG)
 
+    def _disturb(self) -> None:
+        if self.rig.now > self._next_cut:
+            self._next_cut = self._cut()
+
     def _cut(self) -> float:
         """Make a few runners silent for a time, and return when the next ones are."""
         names = self.rng.sample(sorted(self.runners), self.rng.randint(2, self._most_cut))
@@ -193,7 +200,7 @@
         now = self.rig.now
         for at, call in [row for row in self._answers if row[0] <= now]:
             self._answers.remove((at, call))
-            if self.rng.random() < self._call_failures:
+            if self._call_fails(call):
                 self.rig.cell.mark_advice_failed(call, now)
                 continue
             allowed = [name for name in call.runners if self.allows(call.stage, name)]
@@ -201,6 +208,12 @@
                 self._tickets[call.stage, name] = at + call.validity
             self.rig.cell.apply_advice(call, dict.fromkeys(allowed, "t"), now)
 
+    def _call_fails(self, call: AdviceCall) -> bool:
+        return self.rng.random() < self._call_failures
+
+    def _call_seconds(self, call: AdviceCall) -> float:
+        return call.duration
+
     def allows(self, stage: StageId, runner: str) -> bool:
         """Return whether the advisor allows a stage on a runner, which does not change."""
         return random.Random(f"{self.seed} {stage} {runner}").random() < self._allowed_share
@@ -217,8 +230,9 @@
                 self.runners[stop.run.runner].runs[stop.run.key] = work
         for call in plan.calls:
             begun = max(self._entry_free_at[call.entry], self.rig.now)
-            self._entry_free_at[call.entry] = begun + call.duration
-            self._answers.append((begun + call.duration, call))
+            ended = begun + self._call_seconds(call)
+            self._entry_free_at[call.entry] = ended
+            self._answers.append((ended, call))
 
     def _start(self, order: StartOrder) -> None:
         run, now = order.run, self.rig.now
--- a/tests/scheduling_rig.py
+++ b/tests/scheduling_rig.py
@@ -118,12 +118,15 @@
         state: str = "ready",
         service: str = "desk",
         address: str = "",
+        remaining_ms: float | None = None,
     ) -> None:
         """Add the entry of a runner's boot to the platform's list, or replace it."""
         runner, capacity = runner_id(name), {"cpu": cpu, "mem_mb": 8000}
         row = {"service": service, "capacity": capacity, "state": state, "born": born_at(name)}
         row["address"] = address or f"{runner}:1"
         row["labels"] = list(labels)
+        if remaining_ms is not None:
+            row["remaining_ms"] = remaining_ms
         self.listed.apply(Record(self._next(), runner, json.dumps(row).encode()))
         self.cell.refresh(self.now, self.now)
 
