Stop a lasting run that drains only for a certain successor

What callers saw: in a release a lasting task was stopped with "runner drains" and had no run for 14 s.

Cause: a lasting run on a draining runner was stopped in the first pass in which another runner had room on paper, without a ticket, a reservation or an order. The task then waited for as long as advice took, others could take the room, and the next runner could be the next to leave.

Change: - CertainSuccessors (policy `evacuation`; the former rule stays as `room_on_paper`) stops a lasting run once a runner that meets all rules has room promised to nobody, the cap allows the task again, and a ticket outlasts the stop, the report of the end and the order (1.3 s by the default settings). The room is reserved until the ticket ends, counts as a run of the stage, and the task starts there first in the pass after its end was reported. Waiting tasks of the same stage come first. - The advisor is asked for these tasks from the first pass on, at most four searches a pass, and not while there are enough tickets. - Stop grace and 0.2 s before its runner may leave, a run is stopped as before if some runner has room on paper. Gangs, and tasks suspected of crashes, have no certain successor and are stopped then. - Runners born after all that drain come first, as successors, for other starts of lasting tasks meanwhile, and in calls. - A call that is late by 0.5 s no longer keeps a lasting stage from another entry; each entry is asked once, three late calls at the most. - `task evacuated` has target, certainty, seconds left of the ticket and of the runner; `lasting task runs` has `ended` and `stopped_for`.

Ruled out: that the rule alone is enough.

Tests: the new ones fail with each of 11 single changes that take a part of the rule back. Open: lasting filling tasks beside serving ones (keep_apart) are still stopped without a ticket; a slow store delays the placement of a successor beyond its ticket.

--- a/ragworttiller/config/entry.py
+++ b/ragworttiller/config/entry.py
@@ -108,6 +108,7 @@
     moves: str = "checkpointed"
     kinds: str = "avoid_slow"
     estimates: str = "learnt"
+    evacuation: str = "certain_successors"
     last_tasks: str = "wait_for_fast"
 
 
@@ -275,6 +276,12 @@
                 "wait_for_fast",
                 "start_now",
             ),
+            _policy(
+                "evacuation",
+                "Moves of lasting tasks off draining runners.",
+                "certain_successors",
+                "room_on_paper",
+            ),
             _policy("estimates", "Expected durations of tasks.", "learnt", "submitted"),
             _policy(
                 "interference",
--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -14,7 +14,12 @@
 )
 from ragworttiller.scheduling.decisions.entry_loads import SHORT_CALL_SECONDS, EntryLoads
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
+from ragworttiller.scheduling.decisions.runner_ages import RunnerAges
 from ragworttiller.scheduling.decisions.runner_rules import accepts_another, suitable
+from ragworttiller.scheduling.decisions.successor_names import (
+    AwaitedSuccessors,
+    successors_to_ask,
+)
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import RunState, Stage
@@ -34,6 +39,8 @@
 MAX_SEARCHES_PER_PASS = 16
 # Lasting tasks come first, and leave some of these searches to all other stages.
 MAX_URGENT_SEARCHES_PER_PASS = 8
+# Tasks on draining runners still have a run, and leave the other urgent searches to those without.
+MAX_EVACUATION_SEARCHES_PER_PASS = 4
 # With more runners to name, they are divided among calls of several entries, which take less time.
 RUNNERS_PER_CALL_AT_ONCE = 30
 
@@ -63,6 +70,7 @@
         self._now = 0.0
         self._blocked: Counter[str] = Counter()
         self._searches_due = 0
+        self._evacuation_searches = 0
         self._recheck_delay = RECHECK_DELAY_SECONDS
         self._no_entry_for: set[bool] = set()
 
@@ -86,7 +94,7 @@
             delay = RECHECK_DELAY_ROUNDS * rounds * (now - self._now)
             self._recheck_delay = min(max(delay, RECHECK_DELAY_SECONDS), MAX_RECHECK_DELAY_SECONDS)
         self._calls, self._free, self._usable_runners, self._now = calls, free, usable, now
-        self._searches_due = 0
+        self._searches_due = self._evacuation_searches = 0
         self._blocked.clear()
         self._no_entry_for.clear()
 
@@ -144,7 +152,9 @@
         """
         upstream, tickets = work.queue.upstream, stage.tickets
         searched = self._searches_due >= MAX_URGENT_SEARCHES_PER_PASS
-        if searched or tickets.urgent_recheck_at > self._now or not self._search_due(work, stage):
+        if searched or tickets.urgent_recheck_at > self._now:
+            return
+        if not self._search_due(work, stage, True):
             return
         with_room = self._free.with_room(upstream, stage.spec, stage.overdue)
         last_resort = suspended.with_room(upstream, stage.spec) if stage.overdue else []
@@ -153,7 +163,7 @@
         if places >= len(stage.waiting):
             # They start in this pass.
             return
-        if not (with_room or last_resort) or not self._may_search(work, stage):
+        if not (with_room or last_resort) or not self._may_search(work, stage, True):
             return
         calls = self._calls_at_once(work)
         names = self._choose(stage, with_room, False, calls)
@@ -162,6 +172,37 @@
         needed = self._plan_calls(work, stage, names, calls, urgent=True)
         tickets.urgent_recheck_at = 0.0 if needed else self._now + self._recheck_delay
 
+    def plan_for_evacuation(
+        self, work: JobWork, stage: Stage, needed: AwaitedSuccessors, ages: RunnerAges
+    ) -> None:
+        """Plan a call for lasting tasks that run on draining runners, as if they waited.
+
+        Runners that should stay come first. Tickets that end too soon for a task to be stopped and
+        started again count as none.
+
+        Parameters
+        ----------
+        work, stage : JobWork, Stage
+            The stage and its job; stages are passed in the order in which their runners leave.
+        needed : AwaitedSuccessors
+            Number of these tasks, and for how long tickets have to be valid.
+        ages : RunnerAges
+            Tells which runners should stay.
+        """
+        upstream, tickets = work.queue.upstream, stage.tickets
+        if self._evacuation_searches >= MAX_EVACUATION_SEARCHES_PER_PASS:
+            return
+        if tickets.urgent_recheck_at > self._now or not self._search_due(work, stage, True):
+            return
+        with_room = self._free.with_room(upstream, stage.spec)
+        if not with_room or not self._may_search(work, stage, True):
+            return
+        self._evacuation_searches += 1
+        needed = needed._replace(tasks=needed.tasks + len(stage.waiting))
+        names = successors_to_ask(stage, upstream, with_room, self._free, needed, ages)
+        useful = self._plan_calls(work, stage, names, self._calls_at_once(work), urgent=True)
+        tickets.urgent_recheck_at = 0.0 if useful else self._now + self._recheck_delay
+
     def plan_for_held(self, work: JobWork, stage: Stage, seconds: float) -> None:
         """Plan a call for lasting tasks that an earlier owner keeps waiting for ``seconds`` more.
 
@@ -203,18 +244,24 @@
                 if self._may_search(work, stage):
                     self._plan_call_ahead(work, stage)
 
-    def _may_search(self, work: JobWork, stage: Stage) -> bool:
+    def _may_search(self, work: JobWork, stage: Stage, urgent: bool = False) -> bool:
         """Return whether to search runners to name for a stage now, which counts as a search."""
-        if not self._search_due(work, stage):
+        if not self._search_due(work, stage, urgent):
             return False
         self._searches_due += 1
         stage.tickets.awaits_call = self._searches_due > MAX_SEARCHES_PER_PASS
         return not stage.tickets.awaits_call
 
-    def _search_due(self, work: JobWork, stage: Stage) -> bool:
-        """Return whether a call may be made for a stage, and some entry may be free for it."""
+    def _search_due(self, work: JobWork, stage: Stage, urgent: bool = False) -> bool:
+        """Return whether a call may be made for a stage, and some entry may be free for it.
+
+        An ``urgent`` one does not wait for calls that are late.
+        """
         cost, tickets = work.queue.advice, stage.tickets
-        if cost is None or tickets.call_deadline > self._now or tickets.recheck_at > self._now:
+        if cost is None or tickets.recheck_at > self._now:
+            return False
+        awaits_answer = tickets.call_deadline > self._now
+        if awaits_answer and not (urgent and tickets.calls_are_late(self._now)):
             return False
         if (call_duration(cost, 1) > SHORT_CALL_SECONDS) in self._no_entry_for:
             tickets.awaits_call = True
@@ -281,17 +328,20 @@
             return False
         names = names[:MAX_RUNNERS_PER_CALL]
         duration = call_duration(cost, len(names))
-        entry = self._loads.assign(duration, self._now, urgent)
+        tickets = stage.tickets
+        asked = tickets.asked_entries if tickets.calls_are_late(self._now) else ()
+        entry = self._loads.assign(duration, self._now, urgent, asked)
         if entry is None:
-            self._no_entry_for.add(duration > SHORT_CALL_SECONDS)
+            if not asked:
+                self._no_entry_for.add(duration > SHORT_CALL_SECONDS)
             stage.tickets.awaits_call = True
             # With a delay, a later stage would take the next entry before a lasting one.
             if not stage.spec.daemon:
                 stage.tickets.recheck_at = self._now + self._recheck_delay
             return True
         wait = self._loads.backlog(entry) - duration
-        deadline = self._now + wait + duration + CALL_GRACE_SECONDS
-        stage.tickets.begin_call(entry, self._now, deadline)
+        end = self._now + wait + duration
+        stage.tickets.begin_call(entry, self._now, end, end + CALL_GRACE_SECONDS)
         call = AdviceCall(stage.id, tuple(names), entry, wait, duration, cost.validity, self._now)
         self._calls.append(call)
         return True
--- a/ragworttiller/scheduling/decisions/caps.py
+++ b/ragworttiller/scheduling/decisions/caps.py
@@ -98,6 +98,14 @@
             return True
         return copies_within(cap, self._usage.total(stage.workspace), stage.spec.size, 1) == 1
 
+    def allows_successor(self, stage: Stage) -> bool:
+        """Return whether a task of a stage that runs now may start again once its run has ended."""
+        cap, size = self.cap(stage.workspace), stage.spec.size
+        if cap == NO_RESOURCES:
+            return True
+        used = self._usage.total(stage.workspace).minus(size)
+        return used == NO_RESOURCES or copies_within(cap, used, size, 1) == 1
+
     def reserve(self, stage: Stage) -> None:
         """Keep the rest of the cap for a held stage, if it will fit beside the lasting tasks.
 
--- a/ragworttiller/scheduling/decisions/cell_policies.py
+++ b/ragworttiller/scheduling/decisions/cell_policies.py
@@ -17,6 +17,11 @@
     LearntEstimates,
     SubmittedEstimates,
 )
+from ragworttiller.scheduling.decisions.evacuation import (
+    CertainSuccessors,
+    EvacuationPolicy,
+    RoomOnPaper,
+)
 from ragworttiller.scheduling.decisions.fair_order import NoShares, ShareOrder, WeightedShares
 from ragworttiller.scheduling.decisions.headroom import ArrivalHeadroom, HeadroomPolicy, NoHeadroom
 from ragworttiller.scheduling.decisions.keep_apart import KeepApart
@@ -82,6 +87,10 @@
     "avoid_slow": AvoidSlowKinds,
     "none": IgnoreKinds,
 }
+EVACUATIONS: Mapping[str, Callable[[float], EvacuationPolicy]] = {
+    "certain_successors": CertainSuccessors,
+    "room_on_paper": lambda stop_seconds: RoomOnPaper(),
+}
 LAST_TASKS: Mapping[str, Callable[[float], LastTasksPolicy]] = {
     "wait_for_fast": WaitForFast,
     "start_now": lambda stop_seconds: StartNow(),
@@ -112,6 +121,7 @@
     estimates: EstimatePolicy
     last_tasks: LastTasksPolicy
     separation: SeparationPolicy
+    evacuation: EvacuationPolicy
 
 
 def choose_policies(names: EntryPolicies, bounds: EntryBounds) -> CellPolicies:
@@ -140,6 +150,7 @@
         ESTIMATES[names.estimates](),
         LAST_TASKS[names.last_tasks](stop_seconds),
         SEPARATIONS[names.interference](bounds.interference_ms / 1000),
+        EVACUATIONS[names.evacuation](stop_seconds),
     )
 
 
--- a/ragworttiller/scheduling/decisions/entry_loads.py
+++ b/ragworttiller/scheduling/decisions/entry_loads.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 SHORT_CALL_SECONDS = 0.15
 MAX_BACKLOG_SECONDS = 1.5
@@ -47,7 +47,9 @@
             for name in self._failed_at.keys() - set(entries):
                 del self._failed_at[name], self._avoid_seconds[name]
 
-    def assign(self, duration: float, now: float, urgent: bool = False) -> str | None:
+    def assign(
+        self, duration: float, now: float, urgent: bool = False, asked: Collection[str] = ()
+    ) -> str | None:
         """Assign a call to the entry with the smallest backlog; return None if all are too large.
 
         While short calls come faster than they are served, no entry that takes them is ever almost
@@ -62,6 +64,8 @@
             Time in seconds.
         urgent : bool
             Whether a long call may wait behind short ones for as long as a short call may.
+        asked : collection of str
+            Entries that are late with a call for the same stage, which get no other one.
         """
         max_backlog = MAX_BACKLOG_SECONDS
         is_long = duration > SHORT_CALL_SECONDS
@@ -70,6 +74,8 @@
             names = [name for name in names if not self._long_calls[name]]
         elif is_long:
             max_backlog = MAX_BACKLOG_OF_LONG_CALL_SECONDS
+        if asked:
+            names = [name for name in names if name not in asked]
         if not names:
             return None
         name = min(names, key=self._backlog_seconds.__getitem__)
--- a/ragworttiller/scheduling/decisions/lasting_stages.py
+++ b/ragworttiller/scheduling/decisions/lasting_stages.py
@@ -10,6 +10,7 @@
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.state.job_work import JobWork
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
+from ragworttiller.scheduling.state.runs import Stage
 from ragworttiller.scheduling.state.takeover import Takeover
 
 # Leaves time for calls to several stages, and for those before them, within the same 3 s.
@@ -56,7 +57,7 @@
         rows = [
             (stage.longest_wait(now), work, stage)
             for work, stage, _ in ready
-            if stage.spec.daemon and (stage.tickets.awaits_call or stage.overdue)
+            if stage.spec.daemon and self._is_urgent(stage, now)
         ]
         overdue = any(stage.overdue for _, _, stage in rows)
         suspended = FreeResources(self._pool.accepting_lasting_tasks_only(now) if overdue else ())
@@ -67,6 +68,11 @@
             if not capped or self._caps.allowed(stage, wait):
                 self._advice.plan_for_lasting(work, stage, suspended)
 
+    @staticmethod
+    def _is_urgent(stage: Stage, now: float) -> bool:
+        tickets = stage.tickets
+        return tickets.awaits_call or stage.overdue or tickets.calls_are_late(now)
+
     def plan_calls_ahead(
         self, jobs: Iterable[JobWork], takeover: Takeover, capped: bool, now: float, wall: float
     ) -> None:
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -13,6 +13,7 @@
 from ragworttiller.scheduling.decisions.contained_stages import ContainedStages
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
 from ragworttiller.scheduling.decisions.entry_loads import EntryLoads
+from ragworttiller.scheduling.decisions.evacuator import Evacuator
 from ragworttiller.scheduling.decisions.fair_order import ReadyStage, ShareOrder
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.gang_room import possible_runners, reserves_for_gang
@@ -27,6 +28,7 @@
 from ragworttiller.scheduling.decisions.queue_order import OrderInputs, QueueOrder
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
 from ragworttiller.scheduling.decisions.stragglers import Leftovers
+from ragworttiller.scheduling.decisions.successor_starts import SuccessorStarts
 from ragworttiller.scheduling.decisions.trials import begin_trial, tried_tasks
 from ragworttiller.scheduling.decisions.undone_starts import undo_gang_starts, undo_start
 from ragworttiller.scheduling.state.contained_errors import ContainedErrors
@@ -82,6 +84,8 @@
         Decides which stages avoid slow kinds of runners, and which take them first.
     last_tasks : LastTasksPolicy
         Decides how many tasks wait for a fast runner rather than start on a slow one.
+    evacuator : Evacuator
+        Moves tasks off draining runners.
     errors : ContainedErrors
         Puts stages aside that cannot be placed.
 
@@ -108,6 +112,7 @@
         moves: MovePlanner,
         kinds: KindPolicy,
         last_tasks: LastTasksPolicy,
+        evacuator: Evacuator,
         errors: ContainedErrors,
     ) -> None:
         self._errors = errors
@@ -130,6 +135,8 @@
         self._room_maker = room_maker
         self._overdue = OverdueStages(pool, caps)
         self._lasting = LastingStages(pool, caps, self._advice)
+        self._evacuator = evacuator
+        self._successors = SuccessorStarts(evacuator.successors, takeover, placer, caps)
 
     def plan(
         self,
@@ -160,13 +167,15 @@
         self._advice.begin(plan.calls, free_resources, len(usable), now)
         self._room_maker.begin(jobs, free_resources, now, wall)
         self._placer.trials.begin(len(usable), self._pool.on_trial(now), now)
-        ready = self._contained.ready(jobs, lambda rows: self._ready_stages(rows, now, wall), now)
         capped, lasting = self._caps.begin(), self._lasting
-        self._overdue.begin()
         attempt, for_all = self._errors.attempt, self._contained.for_all
+        attempt("successors", now, self._start_successors, plan, jobs, free_resources, now)
+        ready = self._contained.ready(jobs, lambda rows: self._ready_stages(rows, now, wall), now)
+        self._overdue.begin()
         for_all(ready, lambda rows: self._record_arrivals(rows, now), now, "arrivals")
         for_all(ready, lambda rows: self._overdue.mark(rows, capped, now), now, "overdue stages")
         for_all(ready, lambda rows: lasting.plan_calls(rows, capped, now), now, "lasting calls")
+        attempt("calls for evacuations", now, self._plan_calls_for_evacuations, jobs)
         ready = self._contained.without_aside(ready, now)
         held_back: set[str] = set()
         for row in self._shares.arrange(ready, self._order, capacity, now):
@@ -194,6 +203,23 @@
         successors = self._advice.plan_for_successors
         attempt("calls for successors", now, successors, jobs.values(), self._pool.silent())
 
+    def _start_successors(
+        self, plan: Plan, jobs: Mapping[str, JobWork], free: FreeResources, now: float
+    ) -> None:
+        """Start the tasks of evacuated runs that have ended, before any other task."""
+        for row in self._successors.due(jobs, free, now):
+            expected = row.work.expected_seconds(row.stage)
+            chosen = {row.ordinal: row.runner}
+            self._start(plan, row.work, row.stage, chosen, expected, False, now)
+
+    def _plan_calls_for_evacuations(self, jobs: Mapping[str, JobWork]) -> None:
+        """Plan calls to the advisor for tasks on draining runners."""
+        for stage_id, needed in self._evacuator.awaiting.items():
+            work = jobs.get(stage_id.job)
+            if work is not None:
+                stage = work.stages[stage_id]
+                self._advice.plan_for_evacuation(work, stage, needed, self._evacuator.ages)
+
     def _place(
         self,
         plan: Plan,
@@ -372,6 +398,11 @@
             self._start(plan, work, stage, chosen, expected, bool(costs), now)
             return set(chosen)
 
+        ages = self._evacuator.ages
+        if stage.spec.daemon and not stage.spec.gang and ages.drains(upstream):
+            younger, others = ages.younger_first(upstream, with_room)
+            started = start(younger, indices)
+            return bool(started | start(others, [i for i in indices if i not in started]))
         slow = self._kinds.in_effect(work.queue) if costs else NO_KINDS
         if not slow or needs_ticket or stage.spec.gang:
             return bool(start(with_room, indices))
--- a/ragworttiller/scheduling/state/lasting_waits.py
+++ b/ragworttiller/scheduling/state/lasting_waits.py
@@ -29,11 +29,11 @@
     def __init__(self) -> None:
         self.durations = Distribution()
 
-    def record_end(self, stage: Stage, run: Run, now: float) -> None:
-        """Record that a run has ended; its task waits from now on unless a run of it goes on."""
+    def record_end(self, stage: Stage, run: Run, how: str, now: float) -> None:
+        """Record how a run has ended; its task waits from now on unless a run of it goes on."""
         index = run.task.ordinal
         if stage.spec.daemon and index in stage.waiting:
-            stage.waits[index] = TaskWait(now, first=False)
+            stage.waits[index] = TaskWait(now, False, how, run.stopped_for)
 
     def record_refusal(self, stage: Stage, run: Run) -> None:
         """Record that a start was refused or has expired."""
@@ -72,6 +72,8 @@
             **run_fields(run),
             "waited": round(seconds, 3),
             "after": "ready" if wait.first else "end",
+            "ended": wait.ended,
+            "stopped_for": wait.stopped_for,
             "order": round(now - run.started_at, 3),
             "refused": wait.refused,
             "waited_for": {why: round(part, 3) for why, part in wait.seconds_by_reason.items()},
--- a/ragworttiller/scheduling/state/orders.py
+++ b/ragworttiller/scheduling/state/orders.py
@@ -75,7 +75,7 @@
     def add(self, run: Run, reason: str) -> None:
         """Add a run to stop; the first reason is kept."""
         if run.key not in self._orders:
-            run.ordered_at = float("-inf")
+            run.ordered_at, run.stopped_for = float("-inf"), reason
             self._orders[run.key] = StopOrder(run, reason)
 
     def drop(self, run: Run) -> None:
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -11,7 +11,7 @@
 from ragworttiller.scheduling.decisions.caps import Caps
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
-from ragworttiller.scheduling.decisions.evacuation import runs_to_evacuate
+from ragworttiller.scheduling.decisions.evacuator import Evacuator
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.placer import Placer
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
@@ -157,6 +157,7 @@
         self._claim_contents = ClaimContents(
             self._active, takeover, meter, self._learnt, self.errors
         )
+        self._evacuator = Evacuator(policies.evacuation, self.pool, self.caps, self._stops)
         self._planner = StagePlanner(
             epoch,
             self.pool,
@@ -173,6 +174,7 @@
             MovePlanner(self.pool, search, policies.moves, self._stops),
             policies.kinds,
             policies.last_tasks,
+            self._evacuator,
             self.errors,
         )
 
@@ -363,7 +365,7 @@
         plan, attempt = Plan([], [], [], [], []), self.errors.attempt
         self.pool.end_runs(now)
         attempt("settling of crashes", now, self._tracker.crashes.settle, now)
-        attempt("evacuation", now, self._evacuate, now)
+        attempt("evacuation", now, self._evacuator.plan, self.jobs, now)
         separation = self._separation
         attempt("separation", now, separation.begin, self.runners, self._stops, self._stage_of, now)
         attempt("looks", now, self._plan_looks, plan, now)
@@ -385,10 +387,6 @@
         else:
             self._failed_passes = 0
 
-    def _evacuate(self, now: float) -> None:
-        for run in self._runs_to_evacuate(now):
-            self._stops.add(run, "runner drains")
-
     def _plan_looks(self, plan: Plan, now: float) -> None:
         try:
             rows = self._looks_due(self.runners.values(), now)
@@ -405,11 +403,6 @@
     def _stage_of(self, run: Run) -> Stage | None:
         return self._active.stage(run.task.stage)
 
-    def _runs_to_evacuate(self, now: float) -> list[Run]:
-        draining = [r for r in self.runners.values() if r.entry.draining and r.runs]
-        usable = self.pool.accepting_tasks(now) if draining else []
-        return runs_to_evacuate(draining, usable, self.jobs, now)
-
     def _looks_due(self, runners: Iterable[RunnerState], now: float) -> list[RunnerState]:
         return [
             runner
--- a/ragworttiller/scheduling/state/run_tracker.py
+++ b/ragworttiller/scheduling/state/run_tracker.py
@@ -32,6 +32,8 @@
 START_SLACK_SECONDS = 0.05
 # Outcome of a run whose lease has expired.
 LAPSED = "lapsed"
+# Outcome of a run that has ended with its runner.
+LOST = "lost"
 
 
 class RunTracker:
@@ -232,7 +234,7 @@
         if stage is not None:
             if reason == "ticket":
                 stage.tickets.drop(run.runner)
-            self._requeue(stage, run, now, ran=False)
+            self._requeue(stage, run, "", now)
         if runner is not None:
             self._health.record_refusal(runner, reason, now)
 
@@ -343,7 +345,7 @@
         if stage.spec.checkpoints and end.checkpoint and index not in stage.done:
             stage.checkpoints[index] = end.checkpoint
         if run is not None:
-            self._requeue(stage, run, now)
+            self._requeue(stage, run, end.outcome, now)
 
     def _record_wait(self, run: Run, now: float) -> None:
         """Record that a run is known to have started."""
@@ -351,11 +353,14 @@
         if stage is not None:
             self.lasting_waits.record_start(stage, run, now)
 
-    def _requeue(self, stage: Stage, run: Run, now: float, ran: bool = True) -> None:
-        """Let the task of an ended run go on as its copy, or wait if it has none."""
-        promoted = stage.requeue(run, now, ran)
-        if ran:
-            self.lasting_waits.record_end(stage, run, now)
+    def _requeue(self, stage: Stage, run: Run, outcome: str, now: float) -> None:
+        """Let the task of an ended run go on as its copy, or wait if it has none.
+
+        The ``outcome`` is empty if the run has never begun.
+        """
+        promoted = stage.requeue(run, now, bool(outcome))
+        if outcome:
+            self.lasting_waits.record_end(stage, run, outcome, now)
         else:
             self.lasting_waits.record_refusal(stage, run)
         if promoted is not None:
@@ -386,10 +391,10 @@
         """Requeue the task of a run on a lost runner, which nobody would report later."""
         stage = self._jobs.stage(run.task.stage)
         try:
-            self._remove_run(run, "lost", now)
+            self._remove_run(run, LOST, now)
             runner.remove(run)
             if stage is not None:
-                self._requeue(stage, run, now)
+                self._requeue(stage, run, LOST, now)
         except Exception as exc:
             self._errors.note(exc, now, "run on a lost runner", items_in((runner, run)))
             if stage is not None:
--- a/ragworttiller/scheduling/state/runner_pool.py
+++ b/ragworttiller/scheduling/state/runner_pool.py
@@ -250,7 +250,7 @@
     def _apply_entry(self, entry: RunnerEntry, now: float) -> None:
         runner = self.runners.get(entry.runner)
         if runner is None:
-            runner = RunnerState(entry, self._usage)
+            runner = RunnerState(entry, self._usage, now)
             runner.renewal_withheld = self._takeover.called_not_renewed(runner.id)
             runner.unsound_until = self._unsound_until.get(entry.address, float("-inf"))
             self.runners[entry.runner] = runner
--- a/ragworttiller/scheduling/state/runner_state.py
+++ b/ragworttiller/scheduling/state/runner_state.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from ragworttiller.platform.boots import born_at
 from ragworttiller.platform.listing import RunnerEntry
 from ragworttiller.resources import NO_RESOURCES, Resources
 from ragworttiller.scheduling.state.jobs import TaskId
@@ -29,6 +30,8 @@
         Listed attributes of the runner.
     usage : WorkspaceUsage, optional
         Receives what the runs on the runner use.
+    listed_at : float
+        Time in seconds at which the boot was first listed.
 
     Attributes
     ----------
@@ -62,6 +65,9 @@
         Time until which a crash may be the runner's own fault: a boot at its address has ended.
     returned_at : float
         Time of its first answer after it was last lost, -inf if there was none.
+    birth : tuple of int and float
+        Order in which runners were born: as they report it in milliseconds since the epoch, 0 if
+        they do not, and then as they were first listed, in seconds.
     leaves_at : float
         Time at which a draining runner may shut down.
     last_end_seen, last_end_recorded : int
@@ -79,7 +85,9 @@
         ones; None if none may.
     """
 
-    def __init__(self, entry: RunnerEntry, usage: WorkspaceUsage | None = None) -> None:
+    def __init__(
+        self, entry: RunnerEntry, usage: WorkspaceUsage | None = None, listed_at: float = 0.0
+    ) -> None:
         super().__init__()
         self._usage = usage or WorkspaceUsage()
         self.id = entry.runner
@@ -105,6 +113,7 @@
         self.last_answer_at = float("-inf")
         self.returned_at = float("-inf")
         self.leaves_at = float("inf")
+        self.birth = (born_at(entry.runner), listed_at)
         self._used = NO_RESOURCES
         self._used_by_lasting = NO_RESOURCES
         self.serving_runs = 0
--- a/ragworttiller/scheduling/state/runs/run.py
+++ b/ragworttiller/scheduling/state/runs/run.py
@@ -31,6 +31,8 @@
         Time at which the percentage last changed, or at which the run started.
     ordered_at : float
         Time of the last start or stop order.
+    stopped_for : str
+        Reason for which it is to be stopped, empty if it is not.
     trial : bool
         Whether nothing else starts on its runner for a while, since its task is suspected.
     adopted : bool
@@ -66,6 +68,7 @@
         self.ordered_at = now
         self.start_deadline = 0.0
         self.checkpoint = ""
+        self.stopped_for = ""
         self.trial = False
         self.resumed = False
         self.adopted = False
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -112,6 +112,9 @@
     surplus : dict
         Runs, by task and number, that are being stopped because the other run of their task was
         done first.
+    successors : dict of int to str
+        Runner on which room is reserved for the next run of a task, by index, while the present run
+        is being stopped.
     moves : Counter
         Number of runs of each task that were stopped to go on elsewhere.
     copies_started : Counter
@@ -138,6 +141,7 @@
         self.active_runs: dict[int, Run] = {}
         self.copies: dict[int, Run] = {}
         self.surplus: dict[tuple[TaskId, int], Run] = {}
+        self.successors: dict[int, str] = {}
         self.moves: Counter[int] = Counter()
         self.copies_started: Counter[int] = Counter()
         self.durations: deque[float] = deque(maxlen=MAX_DURATIONS)
@@ -219,11 +223,13 @@
         return self.requeued_at.get(index, ready_since)
 
     def runs_by_runner(self) -> Counter[str]:
-        """Return the number of runs on each runner that has any."""
+        """Return the number of runs on each runner with any, reserved places included."""
         counts = Counter(run.runner for run in self.active_runs.values())
         for runs in (self.copies, self.surplus):
             if runs:
                 counts.update(run.runner for run in runs.values())
+        if self.successors:
+            counts.update(self.successors.values())
         return counts
 
     def runs_of(self, index: int) -> Iterator[Run]:
--- a/ragworttiller/scheduling/state/runs/task_wait.py
+++ b/ragworttiller/scheduling/state/runs/task_wait.py
@@ -14,6 +14,10 @@
         Time in seconds since when the task waits.
     first : bool
         Whether this owner knows of no earlier run.
+    ended : str
+        How the run before it ended, empty if there was none.
+    stopped_for : str
+        Reason for which that run was stopped, empty if it was not.
 
     Attributes
     ----------
@@ -23,8 +27,10 @@
         Seconds of the wait by its reason, as far as it was sampled.
     """
 
-    def __init__(self, since: float, first: bool) -> None:
+    def __init__(self, since: float, first: bool, ended: str = "", stopped_for: str = "") -> None:
         self.since = since
         self.first = first
+        self.ended = ended
+        self.stopped_for = stopped_for
         self.refused = 0
         self.seconds_by_reason: dict[str, float] = defaultdict(float)
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 SEND_MARGIN_SECONDS = 0.1
+# A call that is late by more has probably failed, which is known only after its timeout.
+LATE_CALL_SECONDS = 0.5
+MAX_LATE_CALLS = 3
 
 
 class Tickets:
@@ -39,6 +42,7 @@
         self.urgent_recheck_at = 0.0
         self._tickets: dict[str, tuple[str, float]] = {}
         self._call_deadlines: dict[str, float] = {}
+        self._call_ends: dict[str, float] = {}
 
     @property
     def known(self) -> bool:
@@ -50,15 +54,35 @@
         """Share of the runners asked about that may run the stage; one must be allowed."""
         return len(self.allowed) / (len(self.allowed) + len(self.denied))
 
-    def begin_call(self, entry: str, now: float, deadline: float) -> None:
-        """Record a call that an entry makes now, and by when it is given up, in seconds."""
+    @property
+    def asked_entries(self) -> Collection[str]:
+        """Entries that make a call for the stage now."""
+        return self._call_ends.keys()
+
+    def calls_are_late(self, now: float) -> bool:
+        """Return whether a few calls are in flight, and all should have been answered before."""
+        ends = self._call_ends.values()
+        return 0 < len(ends) <= MAX_LATE_CALLS and max(ends) + LATE_CALL_SECONDS < now
+
+    def begin_call(self, entry: str, now: float, end: float, deadline: float) -> None:
+        """Record a call that an entry makes now.
+
+        Parameters
+        ----------
+        entry : str
+            The entry.
+        now, end, deadline : float
+            Current time, and when the call should end and is given up, in seconds.
+        """
         self.asked_at = now
+        self._call_ends[entry] = end
         self._call_deadlines[entry] = deadline
         self.call_deadline = max(self._call_deadlines.values())
 
     def end_call(self, entry: str) -> None:
         """Record that the call of an entry has ended."""
         self._call_deadlines.pop(entry, None)
+        self._call_ends.pop(entry, None)
         self.call_deadline = max(self._call_deadlines.values(), default=0.0)
 
     def record_advice(
@@ -96,6 +120,16 @@
             del self._tickets[name]
         return list(self._tickets)
 
+    def holders_until(self, until: float) -> list[str]:
+        """Return the runners with a ticket that is valid until a time in seconds."""
+        limit = until + SEND_MARGIN_SECONDS
+        return [name for name, (_, valid_until) in self._tickets.items() if valid_until > limit]
+
+    def valid_until(self, runner: str) -> float:
+        """Return the time in seconds until which an order with a ticket may be sent, 0 if none."""
+        ticket = self._tickets.get(runner)
+        return 0.0 if ticket is None else ticket[1] - SEND_MARGIN_SECONDS
+
     def drop(self, runner: str) -> None:
         """Discard a ticket that was refused."""
         self._tickets.pop(runner, None)
