--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -23,6 +23,7 @@
     CANDIDATES,
     COPIES,
     ESTIMATES,
+    EVACUATIONS,
     HEADROOMS,
     KINDS,
     LAST_TASKS,
@@ -368,6 +369,7 @@
             "last_tasks": set(LAST_TASKS),
             "estimates": set(ESTIMATES),
             "interference": set(SEPARATIONS),
+            "evacuation": set(EVACUATIONS),
         }
 
     def test_all_errors_are_reported_at_once(self, tmp_path: Path):
