Load a long configuration from other entries at a start, too

Cause: the first load read the newest record whole, 0.92 MB in base64, over the link that everything else needed at the start. Only later reads were broken off at their head.

Change: RecordReader.load; LongRecordReader breaks the first load off as well, and takes the state from another entry, waiting for the others to become known for as long as for their answer. A feed is ready once the store has stated that nothing is left to read, so an older version of another entry does not make an entry ready.

--- a/ragworttiller/platform/store.py
+++ b/ragworttiller/platform/store.py
@@ -286,7 +286,11 @@
             raise LogUnavailable(stream=str(partition)) from exc
 
     async def read_newest(
-        self, partition: Partition, after: str = "", timeout: float | None = None
+        self,
+        partition: Partition,
+        after: str = "",
+        timeout: float | None = None,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> NewestPage:
         """Return a page with the newest record of each key after the key ``after``.
 
@@ -294,6 +298,8 @@
 
         Raises
         ------
+        RecordsTooLong
+            The answer is longer than ``max_bytes``.
         LogUnavailable
             The store refused the read or sent no valid answer.
         """
@@ -301,7 +307,9 @@
         if after:
             query["after"] = after
         target = "/-/log-newest?" + urlencode(query)
-        status, content = await self._read_call(partition, target, timeout or self._timeout)
+        status, content = await self._read_call(
+            partition, target, timeout or self._timeout, max_bytes
+        )
         if status != 200:
             raise LogUnavailable(stream=str(partition))
         try:
--- a/ragworttiller/scheduling/entry/configuration_transfer.py
+++ b/ragworttiller/scheduling/entry/configuration_transfer.py
@@ -131,7 +131,7 @@
     @override
     async def newest_position(self, position: int, seconds: float) -> int | None:
         end, interval = self._clock.now() + seconds, ASK_INTERVAL_SECONDS
-        while self._others():
+        while not self._is_alone:
             self._notice, failed = anyio.Event(), self._failed_lately()
             async with self._lock:
                 wait = max(end - self._clock.now(), MIN_OFFER_TIMEOUT_SECONDS)
@@ -228,6 +228,9 @@
             self._buffer.add(0, first)
             while (missing := self._buffer.next_missing) is not None:
                 answer = await self._ask(source, missing)
+                # This entry may have read the version from the store meanwhile.
+                if self._config.version >= first.version:
+                    return False
                 if answer is None or answer.version != first.version:
                     return False
                 self._buffer.add(missing, answer)
@@ -242,6 +245,11 @@
         log.warning("unreadable configuration of another entry skipped", extra=extra)
         self._failed_at[source] = self._clock.now()
 
+    @property
+    def _is_alone(self) -> bool:
+        """Whether there are no other entries; before the first are known, there may be some."""
+        return self._names() == {self._peers.instance}
+
     def _others(self) -> list[str]:
         return [name for name in self._names() if name != self._peers.instance]
 
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -64,7 +64,7 @@
     on_empty_poll : Callable
         Called when a read has returned no record within ``poll_seconds``.
     reader : RecordReader, optional
-        Reads the records after the first load; by default from the store, however long they are.
+        Reads the records; by default from the store, however long they are.
     """
 
     def __init__(
@@ -91,6 +91,7 @@
         self._pages = PagedLoad(store, partition, clock)
         self._offsets: dict[str, int] = {}
         self._position: int | None = None
+        self._complete = False
         self._current_at = float("-inf")
         self._newest_at = float("-inf")
         self._loaded_end = 0
@@ -104,8 +105,8 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the newest record of each key has been loaded."""
-        return self._position is not None
+        """Whether the newest record of each key has been loaded, as the store states."""
+        return self._complete
 
     @property
     def load_seconds_left(self) -> float:
@@ -223,6 +224,7 @@
         next_position = position + len(result.records)
         self._position = max(self._position, next_position)
         if next_position >= result.end:
+            self._complete = True
             self._current_at = max(self._current_at, asked_at)
             waited = COUNTED_WAIT * wait
             if result.records or self._clock.now() < asked_at + waited:
@@ -244,7 +246,11 @@
 
     async def _load(self) -> None:
         """Load the newest record of each key and delete keys that no longer exist."""
-        asked_at, pages = await self._pages.read()
+        result = await self._reader.load(self._pages, self.position)
+        if isinstance(result, SkippedTo):
+            self._position = max(self.position, result.position)
+            return
+        asked_at, pages = result
         # Applied together: with half of them, an owner could act on jobs without their later state.
         start, keys = pages[0].end, set[str]().union(*map(self._apply_page, pages))
         for key, offset in list(self._offsets.items()):
@@ -252,7 +258,8 @@
                 self._apply(Record(start, key, b""))
         offsets = [record.offset for page in pages for record in page.records]
         self._loaded_end = max(start, *(offset + 1 for offset in offsets), 0)
-        self._position = max(self._position or 0, start)
+        self._position = max(self.position, start)
+        self._complete = True
         self._current_at = max(self._current_at, asked_at)
         self._newest_at = max(self._newest_at, asked_at)
         self.on_change()
--- a/ragworttiller/scheduling/records/paged_load.py
+++ b/ragworttiller/scheduling/records/paged_load.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ragworttiller.exceptions import LogUnavailable
+from ragworttiller.platform.answer_limits import MAX_ANSWER_BYTES
 from ragworttiller.platform.store import ANSWER_TIMEOUT_SECONDS, NewestPage, Partition, Store
 from ragworttiller.scheduling.clock import Clock
 
@@ -57,30 +58,32 @@
             return float("inf")
         return max((self._page_at - self._asked_at) * (1 - share) / share - age, 0.0)
 
-    async def read(self) -> LoadedPages:
+    async def read(self, max_bytes: int = MAX_ANSWER_BYTES) -> LoadedPages:
         """Read the pages that are missing, and return all of them.
 
         Pages are no snapshot: what changed after the first one is read from its end on.
 
         Raises
         ------
+        RecordsTooLong
+            A page is longer than ``max_bytes``; the pages read so far are kept.
         LogUnavailable
             The store cannot be read; the pages read so far are kept.
         """
         if not self._pages:
             self._asked_at = self._clock.now()
-            self._pages.append(await self._read_page(""))
+            self._pages.append(await self._read_page("", max_bytes))
         while self._pages[-1].after:
-            self._pages.append(await self._read_page(self._pages[-1].after))
+            self._pages.append(await self._read_page(self._pages[-1].after, max_bytes))
         pages, self._pages = self._pages, []
         self._timeout = ANSWER_TIMEOUT_SECONDS
         return LoadedPages(self._asked_at, pages)
 
-    async def _read_page(self, after: str) -> NewestPage:
+    async def _read_page(self, after: str, max_bytes: int) -> NewestPage:
         """Read one page; after one that came too late, the next attempt waits longer."""
         asked_at = self._clock.now()
         try:
-            page = await self._store.read_newest(self._partition, after, self._timeout)
+            page = await self._store.read_newest(self._partition, after, self._timeout, max_bytes)
         except LogUnavailable:
             if self._clock.now() - asked_at >= self._timeout:
                 self._timeout = min(2 * self._timeout, MAX_PAGE_TIMEOUT_SECONDS)
--- a/ragworttiller/scheduling/records/record_reader.py
+++ b/ragworttiller/scheduling/records/record_reader.py
@@ -5,16 +5,21 @@
 import logging
 import math
 from abc import ABC, abstractmethod
-from typing import NamedTuple, cast
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import NamedTuple, TypeVar, cast
 
 import anyio
 from typing_extensions import override
 
 from ragworttiller.exceptions import LogUnavailable, RecordsExpired, RecordsTooLong
 from ragworttiller.platform.store import Partition, Slice, Store
+from ragworttiller.scheduling.records.paged_load import LoadedPages, PagedLoad
 
 log = logging.getLogger(__name__)
 
+_Read = TypeVar("_Read", Slice, LoadedPages)
+
 # A longer answer would hold up what else is on its link.
 LONG_TRANSFER_SECONDS = 0.25
 # Others need about as long to read long records over a fast link, and to tell of them.
@@ -47,6 +52,16 @@
             The records at ``position`` have been deleted.
         """
 
+    async def load(self, pages: PagedLoad, position: int) -> LoadedPages | SkippedTo:
+        """Read the newest record of each key, unless a later state than ``position`` is elsewhere.
+
+        Raises
+        ------
+        LogUnavailable
+            The store refused the read or sent no valid answer.
+        """
+        return await pages.read()
+
 
 class StoreReader(RecordReader):
     """Reads all records from the store, however long they are.
@@ -114,6 +129,7 @@
         self._store = store
         self._partition = partition
         self._bytes_per_second = link_bytes_per_second
+        self._max_bytes = int(link_bytes_per_second * LONG_TRANSFER_SECONDS)
         self._source = source
         self._lock = anyio.Lock()
         self._skipped_to = 0
@@ -126,24 +142,39 @@
 
     @override
     async def read(self, position: int, wait: float) -> Slice | SkippedTo:
-        max_bytes = int(self._bytes_per_second * LONG_TRANSFER_SECONDS)
         try:
-            return await self._store.read(self._partition, position, wait, max_bytes)
+            return await self._store.read(self._partition, position, wait, self._max_bytes)
         except RecordsTooLong as exc:
             length = cast(int, exc.fields["bytes"])
         async with self._lock:
             # Another read may have passed them meanwhile.
             if self._skipped_to > position:
                 return SkippedTo(self._skipped_to)
-            self._reads_long_records = True
-            try:
-                result = await self._read_long(position, length)
-            finally:
-                self._reads_long_records = False
+            read = partial(self._store.read, self._partition, position)
+            result = await self._read_long(position, length, read)
             self._skipped_to = _position_after(result, position)
             return result
 
-    async def _read_long(self, position: int, length: int) -> Slice | SkippedTo:
+    @override
+    async def load(self, pages: PagedLoad, position: int) -> LoadedPages | SkippedTo:
+        try:
+            return await pages.read(self._max_bytes)
+        except RecordsTooLong as exc:
+            length = cast(int, exc.fields["bytes"])
+        return await self._read_long(position, length, pages.read)
+
+    async def _read_long(
+        self, position: int, length: int, read: Callable[[], Awaitable[_Read]]
+    ) -> _Read | SkippedTo:
+        self._reads_long_records = True
+        try:
+            return await self._take_or_read(position, length, read)
+        finally:
+            self._reads_long_records = False
+
+    async def _take_or_read(
+        self, position: int, length: int, read: Callable[[], Awaitable[_Read]]
+    ) -> _Read | SkippedTo:
         """Take long records from elsewhere, or read them if nobody has them any sooner."""
         seconds = min(length / self._bytes_per_second, WAIT_FOR_OTHERS_SECONDS)
         later = await self._source.newest_position(position, seconds)
@@ -151,29 +182,33 @@
             return SkippedTo(later)
         extra = {"partition": str(self._partition), "bytes": length}
         log.info("long records read from the store", extra=extra)
-        return await self._read_first(position)
+        return await self._read_first(position, read)
 
-    async def _read_first(self, position: int) -> Slice | SkippedTo:
+    async def _read_first(
+        self, position: int, read: Callable[[], Awaitable[_Read]]
+    ) -> _Read | SkippedTo:
         """Read records from the store, and end that if another source has them sooner."""
-        results: list[Slice | SkippedTo] = []
+        results: list[_Read | SkippedTo] = []
         errors: list[Exception] = []
+        scope = anyio.CancelScope()
 
         async def read_store() -> None:
             try:
-                results.append(await self._store.read(self._partition, position))
+                results.append(await read())
             except (LogUnavailable, RecordsExpired) as exc:
                 errors.append(exc)
-            tasks.cancel_scope.cancel()
+            scope.cancel()
 
         async def ask_source() -> None:
             later = await self._source.newest_position(position, math.inf)
             if later is not None:
                 results.append(SkippedTo(later))
-                tasks.cancel_scope.cancel()
+                scope.cancel()
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(read_store)
-            tasks.start_soon(ask_source)
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(read_store)
+                tasks.start_soon(ask_source)
         if not results:
             raise errors[0]
         return results[0]
--- a/tests/test_long_configurations.py
+++ b/tests/test_long_configurations.py
@@ -36,6 +36,8 @@
 
 SLOW_BYTES_PER_SECOND = 625_000
 FAST_BYTES_PER_SECOND = 12_500_000
+# A record in an answer of the store, to its value.
+BASE64_RATIO = 4 / 3
 # Calls of other parts of an entry that share its link.
 SHORT_CALL_BYTES = 2_000
 SHORT_CALL_SECONDS = 0.3
@@ -110,6 +112,25 @@
 
         with_cell(body)
 
+    def test_a_version_that_arrives_from_the_store_meanwhile_ends_a_transfer(
+        self, caplog: pytest.LogCaptureFixture
+    ):
+        """Guards against a source that is avoided, since it has nothing later any more."""
+
+        async def body(cell: KeyedCell):
+            rig = SlowCell(cell, fast=1, slow=1)
+            await cell.timers.sleep(2.0)
+            value, link = long_configuration(2, 12_600), rig.links["e1"]
+            before = link.carried
+            cell.service.put(CONFIG_TOPIC, CONFIG_KEY, value)
+            while link.carried < before + COMPRESSED_SHARE * len(value) / 2:
+                await cell.timers.sleep(0.01)
+            rig.entries[1].config.adopt(value)
+            await cell.timers.sleep(1.0)
+            assert "unreadable" not in caplog.text
+
+        with_cell(body)
+
     def test_a_source_that_has_started_again_without_the_store_holds_nobody_up(self):
         """Guards against entries that ask for ever the one that once had a version."""
 
@@ -280,6 +301,59 @@
         with_cell(body)
 
 
+class TestStart:
+    """Guards against entries that are not ready for seconds after all have started again."""
+
+    @pytest.mark.parametrize("unknown_seconds", [0.0, 0.3])
+    def test_entries_that_start_together_have_a_long_configuration_soon(
+        self, unknown_seconds: float
+    ):
+        async def body(cell: KeyedCell):
+            value = long_configuration(2, 4200)
+            cell.service.put(CONFIG_TOPIC, CONFIG_KEY, value)
+            rig = SlowCell(cell, fast=2, slow=10)
+            names = set(cell.names)
+            cell.names.clear()
+            await cell.timers.sleep(unknown_seconds)
+            cell.names |= names
+            await cell.timers.sleep(1.0)
+            assert rig.versions() == [2] * 12
+            assert all(entry.watch.ready for entry in rig.entries)
+            assert all(rig.links[f"e{i}"].carried < len(value) / 2 for i in range(2, 12))
+
+        with_cell(body)
+
+    def test_an_entry_that_starts_alone_reads_the_store(self):
+        async def body(cell: KeyedCell):
+            value = long_configuration(2, 4200)
+            cell.service.put(CONFIG_TOPIC, CONFIG_KEY, value)
+            rig = SlowCell(cell, fast=0, slow=1)
+            await cell.timers.sleep(0.25 + BASE64_RATIO * len(value) / SLOW_BYTES_PER_SECOND)
+            assert rig.versions() == [2]
+            assert rig.entries[0].watch.ready
+
+        with_cell(body)
+
+    def test_an_older_version_of_another_entry_does_not_make_one_ready(self):
+        """Guards against an entry that answers by the version of one that is cut off the store."""
+
+        async def body(cell: KeyedCell):
+            cell.service.put(CONFIG_TOPIC, CONFIG_KEY, long_configuration(2, 4200))
+            rig = SlowCell(cell, fast=1, slow=0)
+            await cell.timers.sleep(1.0)
+            rig.entries[0].link.refused = True
+            cell.service.put(CONFIG_TOPIC, CONFIG_KEY, long_configuration(3, 4200))
+            rate = SLOW_BYTES_PER_SECOND
+            cell.network.links["late"] = Bandwidth(cell.timers, rate)
+            late = cell.add("late", bandwidth=cell.network.links["late"])
+            cell.run(late)
+            while not late.watch.ready:
+                await cell.timers.sleep(0.01)
+            assert late.config.version == 3
+
+        with_cell(body)
+
+
 class TestRandomFaults:
     @pytest.mark.parametrize("seed", [1, 2, 3, 4])
     def test_all_entries_have_the_last_version_once_faults_have_ended(self, seed: int):
