Bound what waits for other entries, in bytes and in time

Cause: an outbox held up to 4,096 messages of any length, its socket eight batches of 1 MiB for each connection, and a call was sent although its caller had given up.

Change: OutboxBudget bounds the bytes of all outboxes (a sixteenth of memory_mb, 8 MiB at least) and of one (an eighth of that). At the bound expired messages go first, then the oldest one-way ones, else the new one, whose call fails at once. Calls that were given up, one-way messages after 10 s and replies after 60 s are not sent. Batches have 64 KiB, so that a socket holds half a megabyte. A batch is given up once the connection has taken nothing for 2 s, no longer 2 s after it was queued: with a smaller socket buffer replies wait in the outbox, and a slow connection that makes progress delivers them.

Evidence: tests/test_outbox.py; before, its calls that were given up and its replies beyond the bound stayed queued (no bound on bytes existed).

--- a/ragworttiller/process/calls.py
+++ b/ragworttiller/process/calls.py
@@ -28,9 +28,19 @@
         self.peer = peer
         self.incarnation = incarnation
         self.done = anyio.Event()
+        self._closed = False
         self.reply: Any = None
         self.error: RagworttillerError | None = None
 
+    @property
+    def ended(self) -> bool:
+        """Whether nobody waits for the reply any more."""
+        return self._closed or self.done.is_set()
+
+    def close(self) -> None:
+        """Record that the caller waits no longer."""
+        self._closed = True
+
     def accepts(self, envelope: Envelope) -> bool:
         """Return whether a reply comes from the called incarnation."""
         expected = self.incarnation in (ANY_INCARNATION, envelope.sender_incarnation)
@@ -61,7 +71,7 @@
 
     def close(self, correlation: int) -> None:
         """Remove a call; a later reply to it is dropped."""
-        del self._calls[correlation]
+        self._calls.pop(correlation).close()
 
     def fail(self, peer: str) -> None:
         """End the calls to an instance without a reply."""
--- a/ragworttiller/process/nng_peers.py
+++ b/ragworttiller/process/nng_peers.py
@@ -26,9 +26,11 @@
     Introduction,
 )
 from ragworttiller.process.calls import ANY_INCARNATION, Call, CallTable
+from ragworttiller.process.drop_report import DropReport
 from ragworttiller.process.introductions import Introductions
 from ragworttiller.process.message_handlers import MessageHandlers
 from ragworttiller.process.outbox import Outbox, QueuedEnvelope
+from ragworttiller.process.outbox_budget import MIN_OUTBOXES_BYTES, DropReason, OutboxBudget
 from ragworttiller.process.outbox_sender import SEND_RETRY_DELAY_SECONDS, OutboxSender
 from ragworttiller.process.peer_traffic import PeerTraffic, PeerTrafficCounter
 from ragworttiller.process.peers import Handler, Peers
@@ -63,6 +65,8 @@
         Source of time.
     codec : Codec
         Codec of the messages.
+    queue_bytes : int
+        Bound on the bytes that wait to be sent to all other instances.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         address: str,
         timers: TimerService,
         codec: Codec = PAYLOAD_CODEC,
+        queue_bytes: int = MIN_OUTBOXES_BYTES,
     ) -> None:
         self._codec = codec
         self._instance = instance
@@ -80,6 +85,8 @@
         self._timers = timers
         self._handlers = MessageHandlers()
         self._outboxes: dict[str, Outbox] = {}
+        self._budget = OutboxBudget(queue_bytes)
+        self._drop_report = DropReport(self._budget)
         self._sockets: dict[str, pynng.Push0] = {}
         self._connection_lost_callbacks: list[Callable[[str], None]] = []
         self._calls = CallTable()
@@ -114,6 +121,16 @@
         """Messages and bytes since the start of the process."""
         return self._traffic.total
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait to be sent to all other instances."""
+        return self._budget.queued
+
+    @property
+    def dropped(self) -> Mapping[DropReason, int]:
+        """Messages that were not sent since the start of the process, by reason."""
+        return self._budget.dropped
+
     @property
     def open_calls(self) -> int:
         """Calls that wait for a reply."""
@@ -157,7 +174,7 @@
             self._calls.fail_other_incarnations(name, incarnation)
             return
         self.drop_peer(name)
-        outbox = self._outboxes[name] = Outbox(name, address, incarnation)
+        outbox = self._outboxes[name] = Outbox(name, address, incarnation, self._budget)
         if self._tasks is not None:
             self._tasks.start_soon(self._send_loop, outbox)
 
@@ -228,6 +245,7 @@
         """Detect lost connections, which show within a short time that a process has ended."""
         async for _ in self._timers.ticks(CONNECTION_CHECK_PERIOD_SECONDS):
             now = self._timers.now()
+            self._drop_report.update(now)
             for name in self._introductions.take_unused(now):
                 self.drop_peer(name)
             lost = self._read_connections(now)
--- a/ragworttiller/process/node.py
+++ b/ragworttiller/process/node.py
@@ -31,6 +31,7 @@
 from ragworttiller.process.listing import EMPTY_LISTING, ListingPoller
 from ragworttiller.process.nng_peers import NngPeers
 from ragworttiller.process.node_metrics import register_metrics
+from ragworttiller.process.outbox_budget import outbox_bytes
 from ragworttiller.process.quotas import ShardRooms
 from ragworttiller.process.shards import ShardHost
 from ragworttiller.process.stream import Stream
@@ -106,7 +107,13 @@
         self._directory = HttpDirectory(platform.directory_url, platform.log_timeout)
         self._listing = ListingPoller(self._directory, timers, platform.list_period)
         self._fleet = HttpWorkerFleet(platform.log_timeout)
-        self._peers = NngPeers(instance.name, incarnation, instance.peer_address, timers)
+        self._peers = NngPeers(
+            instance.name,
+            incarnation,
+            instance.peer_address,
+            timers,
+            queue_bytes=outbox_bytes(settings.limits.memory_mb),
+        )
         self._membership = self._create_membership(incarnation, rng)
         self._budget = AppendBudget(timers, settings.limits.appends_per_second)
         self._config = self._create_stream(CONFIG_STREAM, ConfigFold())
--- a/ragworttiller/process/node_metrics.py
+++ b/ragworttiller/process/node_metrics.py
@@ -10,6 +10,7 @@
 from ragworttiller.process.append_budget import AppendBudget
 from ragworttiller.process.membership import Membership
 from ragworttiller.process.nng_peers import NngPeers
+from ragworttiller.process.peer_metrics import register_queue_metrics
 
 
 def register_metrics(
@@ -46,6 +47,7 @@
     metrics.counter("peer_messages_out", "Messages to peers", lambda: peers.traffic.messages_out)
     metrics.counter("peer_bytes_in", "Bytes from peers", lambda: peers.traffic.bytes_in)
     metrics.counter("peer_bytes_out", "Bytes to peers", lambda: peers.traffic.bytes_out)
+    register_queue_metrics(metrics, peers)
     metrics.counter("log_calls", "Calls to the log", lambda: log().calls)
     metrics.counter("log_bytes_in", "Bytes from the log", lambda: log().bytes_in)
     metrics.counter("log_bytes_out", "Bytes to the log", lambda: log().bytes_out)
--- a/ragworttiller/process/outbox_sender.py
+++ b/ragworttiller/process/outbox_sender.py
@@ -13,7 +13,7 @@
 
 log = logging.getLogger(__name__)
 
-# Time for which a batch is tried while the socket does not take it; it is tried once at least.
+# Time for which a batch is tried while the socket takes nothing; it is tried once at least.
 SEND_TIMEOUT_SECONDS = 2.0
 SEND_RETRY_DELAY_SECONDS = 0.02
 
@@ -42,8 +42,8 @@
         """Send what is queued until cancelled."""
         while True:
             await outbox.queued.wait()
-            # The outbox is empty if the peer was dropped in the meantime.
-            if items := outbox.batch():
+            # The peer may have been dropped in the meantime, and messages expire.
+            if items := outbox.batch(self._timers.now()):
                 if not await self._send_batch(socket, outbox, items):
                     _fail(items)
                 outbox.end_batch()
@@ -56,7 +56,8 @@
             try:
                 self._send(socket, outbox, items)
             except pynng.TryAgain:
-                if items[0].queued_at + SEND_TIMEOUT_SECONDS <= self._timers.now():
+                waiting_since = max(items[0].queued_at, outbox.taken_at)
+                if waiting_since + SEND_TIMEOUT_SECONDS <= self._timers.now():
                     return False
                 await self._timers.sleep(SEND_RETRY_DELAY_SECONDS)
             except pynng.NNGException as exc:
@@ -73,6 +74,7 @@
         data = ENVELOPE_CODEC.encode(envelopes)
         socket.send(data, block=False)
         outbox.introduced = True
+        outbox.taken_at = self._timers.now()
         self._traffic.count_sent(len(envelopes), len(data))
 
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -17,6 +17,8 @@
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.platform.store_meter import StoreMeter
 from ragworttiller.process.nng_peers import NngPeers
+from ragworttiller.process.outbox_budget import outbox_bytes
+from ragworttiller.process.peer_metrics import register_queue_metrics
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.admission import AcceptAll, PressureAdmission
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
@@ -111,7 +113,12 @@
             limits=settings.store_limits,
         )
         self._peers = NngPeers(
-            self._name, self._incarnation, instance.peer_address, clock, PEER_CODEC
+            self._name,
+            self._incarnation,
+            instance.peer_address,
+            clock,
+            PEER_CODEC,
+            outbox_bytes(settings.limits.memory_mb),
         )
         self._config = QueueFold()
         self._membership = Membership(
@@ -224,6 +231,7 @@
             self._transfer,
         )
         register_store_metrics(self._metrics, self._store_meter)
+        register_queue_metrics(self._metrics, self._peers)
         self._connections = ServerConnections(settings.limits.connections, clock)
         self._connections.register_metrics(self._metrics)
         self._policy = CallerPolicy(self._config, self._connections.max_body)
--- a/tests/test_nng_peers.py
+++ b/tests/test_nng_peers.py
@@ -21,6 +21,7 @@
 from ragworttiller.process.calls import Call
 from ragworttiller.process.nng_peers import CONNECTION_CHECK_PERIOD_SECONDS, NngPeers
 from ragworttiller.process.outbox import MIN_DISCONNECTED_READINGS
+from ragworttiller.process.outbox_budget import OutboxBudget
 from ragworttiller.process.push_sockets import CLOSE_DELAY_SECONDS, CLOSING_RECONNECT_MS
 from ragworttiller.timers import SystemTimers
 from standins.addresses import free_address
@@ -282,7 +283,7 @@
         monkeypatch.setattr(outbox, "OUTBOX_MESSAGES", 3)
 
         async def main():
-            box = outbox.Outbox("b", "127.0.0.1:1", 1)
+            box = outbox.Outbox("b", "127.0.0.1:1", 1, OutboxBudget())
             calls = [Call("b", 1) for _ in range(4)]
 
             def push(correlation, call=None):
@@ -293,7 +294,7 @@
             for number, call in enumerate(calls, start=1):
                 push(number, call)
             push(0)
-            assert [item.envelope.correlation for item in box.batch()] == [1, 2, 3]
+            assert [item.envelope.correlation for item in box.batch(0.0)] == [1, 2, 3]
             assert [call.error is not None for call in calls] == [False, False, False, True]
 
         anyio.run(main)
