--- a/ragworttiller/process/outbox_sender.py
+++ b/ragworttiller/process/outbox_sender.py
@@ -13,7 +13,7 @@
 
 log = logging.getLogger(__name__)
 
-# Time for which a batch is tried while the socket takes nothing; it is tried once at least.
+# Time for which a batch waits while the socket takes nothing; it is offered once at least.
 SEND_TIMEOUT_SECONDS = 2.0
 SEND_RETRY_DELAY_SECONDS = 0.02
 
