Leave room for entries with good links, and wait for the store after a first load

- Eight slow entries filled the bound of all outboxes: 400 bytes to an entry with an empty outbox were dropped, heartbeats and claims among them.
Each outbox may hold an eighth of the bytes that are free (a dynamic threshold), and 64 KiB in any case, beside which one longer message waits.
- One-way messages were dropped for a message that did not fit all the same.
Now only if that makes room.
While the store answers, the watch waits until it has stated that nothing is left to read.

--- a/ragworttiller/process/outbox.py
+++ b/ragworttiller/process/outbox.py
@@ -34,6 +34,11 @@
         """Length of the payload in bytes."""
         return len(self.envelope.payload)
 
+    @property
+    def is_post(self) -> bool:
+        """Whether it is a one-way message."""
+        return self.envelope.correlation == 0
+
     def expired(self, now: float) -> bool:
         """Return whether nobody waits for the message any more."""
         if self.call is not None:
@@ -102,16 +107,17 @@
     def push(self, item: QueuedEnvelope) -> None:
         """Queue an envelope.
 
-        A full outbox drops what has expired, then its oldest one-way messages, or else this one.
+        A full outbox drops what has expired, then its oldest one-way messages if that makes room,
+        or else this one.
         """
         if not self._fits(item):
             self._drop_expired(item.queued_at)
-        while not self._fits(item) and self._drop_oldest_post():
-            pass
-        if not self._fits(item):
+        if not self._fits(item) and not self._fits_without_posts(item):
             self._budget.drop(DropReason.FULL)
             _fail(item)
             return
+        while not self._fits(item):
+            self._drop_oldest_post()
         self._items.append(item)
         self._count(item.size)
         self.queued.set()
@@ -161,6 +167,12 @@
         fits = self._budget.fits(item.size, self._bytes)
         return fits and len(self._items) < OUTBOX_MESSAGES
 
+    def _fits_without_posts(self, item: QueuedEnvelope) -> bool:
+        """Return whether an envelope would fit if all one-way messages were dropped."""
+        posts = [queued.size for queued in self._items if queued.is_post]
+        fits = self._budget.fits(item.size, self._bytes, sum(posts))
+        return fits and len(self._items) - len(posts) < OUTBOX_MESSAGES
+
     def _count(self, size: int) -> None:
         """Add to the bytes that wait."""
         self._bytes += size
@@ -176,13 +188,10 @@
                 self._drop(item, DropReason.EXPIRED)
         self._items = deque(item for item in self._items if not item.expired(now))
 
-    def _drop_oldest_post(self) -> bool:
-        for position, item in enumerate(self._items):
-            if item.envelope.correlation == 0:
-                del self._items[position]
-                self._drop(item, DropReason.FULL)
-                return True
-        return False
+    def _drop_oldest_post(self) -> None:
+        position = next(i for i, item in enumerate(self._items) if item.is_post)
+        self._drop(self._items[position], DropReason.FULL)
+        del self._items[position]
 
 
 def _fail(item: QueuedEnvelope) -> None:
--- a/ragworttiller/process/outbox_budget.py
+++ b/ragworttiller/process/outbox_budget.py
@@ -8,8 +8,11 @@
 BYTES_PER_MB = 1024 * 1024
 SHARE_OF_MEMORY_FOR_OUTBOXES = 1 / 16
 MIN_OUTBOXES_BYTES = 8 * BYTES_PER_MB
-# Part of the bound that may wait for one instance, so that a slow one leaves room for the others.
-SHARE_FOR_ONE_INSTANCE = 1 / 8
+# Of the bytes that are free, the part that may wait for one instance. However many are slow, some
+# bytes stay free for the others.
+SHARE_OF_FREE_BYTES = 1 / 8
+# So much may wait for each instance in any case: heartbeats, claims, calls.
+RESERVED_BYTES = 64 * 1024
 
 
 class DropReason(StrEnum):
@@ -33,8 +36,8 @@
     Parameters
     ----------
     max_bytes : int
-        Bound on the payloads in all outboxes together. One message is taken whatever its length
-        while all are empty.
+        Bound on the payloads in all outboxes together, beside `RESERVED_BYTES` for each. One
+        message is taken whatever its length while all are empty.
 
     Attributes
     ----------
@@ -46,16 +49,30 @@
 
     def __init__(self, max_bytes: int = MIN_OUTBOXES_BYTES) -> None:
         self._max_bytes = max_bytes
-        self._max_bytes_of_one = int(max_bytes * SHARE_FOR_ONE_INSTANCE)
         self.queued = 0
         self.dropped: Counter[DropReason] = Counter()
 
-    def fits(self, size: int, waiting: int) -> bool:
-        """Return whether a message fits into an outbox in which some bytes wait."""
-        if self.queued == 0:
+    def fits(self, size: int, waiting: int, dropped: int = 0) -> bool:
+        """Return whether a message fits into an outbox.
+
+        One message of any length may wait beside short ones.
+
+        Parameters
+        ----------
+        size : int
+            Length of the message in bytes.
+        waiting : int
+            Bytes that wait in this outbox.
+        dropped : int
+            Bytes of them that would be dropped for it.
+        """
+        waiting, queued = waiting - dropped, self.queued - dropped
+        free = self._max_bytes - queued
+        if queued == 0 or waiting + size <= RESERVED_BYTES:
             return True
-        fits_one = waiting == 0 or waiting + size <= self._max_bytes_of_one
-        return fits_one and self.queued + size <= self._max_bytes
+        if waiting <= RESERVED_BYTES and size <= free:
+            return True
+        return waiting + size <= SHARE_OF_FREE_BYTES * free
 
     def drop(self, reason: DropReason) -> None:
         """Count a message that is not sent."""
--- a/ragworttiller/scheduling/entry/configuration_watch.py
+++ b/ragworttiller/scheduling/entry/configuration_watch.py
@@ -97,6 +97,9 @@
     def ready(self) -> bool:
         if self._config.current is None:
             return False
+        # Other entries that are cut off the store may have an older version.
+        if self._feed.finishing_load:
+            return False
         if self._feed.ready or not self._is_needed:
             return True
         # In a cell with one other entry, no second one can ever answer.
--- a/ragworttiller/scheduling/records/feed.py
+++ b/ragworttiller/scheduling/records/feed.py
@@ -92,6 +92,7 @@
         self._offsets: dict[str, int] = {}
         self._position: int | None = None
         self._complete = False
+        self._finishing_load = False
         self._current_at = float("-inf")
         self._newest_at = float("-inf")
         self._loaded_end = 0
@@ -108,6 +109,11 @@
         """Whether the newest record of each key has been loaded, as the store states."""
         return self._complete
 
+    @property
+    def finishing_load(self) -> bool:
+        """Whether a state was taken from elsewhere, and the store answers what followed it."""
+        return self._finishing_load
+
     @property
     def load_seconds_left(self) -> float:
         """Expected seconds until all keys are loaded, infinite if that is not known."""
@@ -152,6 +158,7 @@
                 if outcome is not ReadOutcome.NOTHING_NEW:
                     await self._clock.sleep(self.min_interval)
             except LogUnavailable as exc:
+                self._finishing_load = False
                 log.info(
                     "partition read failed",
                     extra={"partition": str(self._partition), "why": exc.code},
@@ -224,7 +231,7 @@
         next_position = position + len(result.records)
         self._position = max(self._position, next_position)
         if next_position >= result.end:
-            self._complete = True
+            self._complete, self._finishing_load = True, False
             self._current_at = max(self._current_at, asked_at)
             waited = COUNTED_WAIT * wait
             if result.records or self._clock.now() < asked_at + waited:
@@ -249,6 +256,7 @@
         result = await self._reader.load(self._pages, self.position)
         if isinstance(result, SkippedTo):
             self._position = max(self.position, result.position)
+            self._finishing_load = not self._complete
             return
         asked_at, pages = result
         # Applied together: with half of them, an owner could act on jobs without their later state.
@@ -259,7 +267,7 @@
         offsets = [record.offset for page in pages for record in page.records]
         self._loaded_end = max(start, *(offset + 1 for offset in offsets), 0)
         self._position = max(self.position, start)
-        self._complete = True
+        self._complete, self._finishing_load = True, False
         self._current_at = max(self._current_at, asked_at)
         self._newest_at = max(self._newest_at, asked_at)
         self.on_change()
