Move a lasting filling task only to a certain successor

What callers see: a lasting filling task on whose runner a serving task starts has no run for as long as the advisor takes, also if the advisor allows none of the other runners.

Cause: `keep_apart` stopped it in the first pass in which a runner without serving tasks had room on paper, without a ticket or a reservation.

Change: - The separation policy names the lasting runs that are to leave (`departures`), within the disruption budgets, and the evacuator moves them by the evacuation policy: a certain successor, reserved room from the stop order on, calls planned ahead, in the order after those for draining runners. The budget counts the departures of the pass too, so tickets are asked for only for as many tasks as may move. - Once a serving task there is over its target for three quarters of `interference_ms`, when relief stops filling tasks, room on paper is enough, as before. Until then the filling task is paced. Gangs and tasks suspected of crashes wait for that moment, as they wait for the last one on a draining runner. - With `evacuation = room_on_paper` the former rule holds. - `task evacuated` has `reason`; `left` is empty for a runner that stays.

Open: if answers of the advisor are always too old for a certain successor, calls go on for as long as the serving task is there. The departures look at the successor's rules, but a serving task that starts on the target meanwhile does not keep the successor from starting there.

--- a/ragworttiller/scheduling/decisions/evacuation.py
+++ b/ragworttiller/scheduling/decisions/evacuation.py
@@ -1,7 +1,8 @@
-"""Choice of the runs to move off draining runners."""
+"""Choice of the runs to move off draining runners, and off those that come to serve."""
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
@@ -29,11 +30,11 @@
 
 
 class Evacuation(NamedTuple):
-    """Run to stop on its draining runner because ``target`` can take its task.
+    """Run to stop on its runner because ``target`` can take its task.
 
     ``reserved_until`` is the time in seconds until which room is to be reserved there, None if the
     start is not certain. ``ticket_seconds`` is for how long the ticket is still valid, None if none
-    is needed or at hand. ``last_moment`` is whether the runner may leave before the run has ended.
+    is needed or at hand. ``last_moment`` is whether the run has to end soon in any case.
     """
 
     run: Run
@@ -44,10 +45,21 @@
     last_moment: bool = False
 
 
+class Departure(NamedTuple):
+    """Lasting run of a stage that is to go on elsewhere, though its runner does not drain.
+
+    If ``urgent``, it is stopped as soon as another runner seems to have room.
+    """
+
+    run: Run
+    stage: Stage
+    urgent: bool
+
+
 class EvacuationPlan(NamedTuple):
     """Runs to stop, and the tasks by stage for which the advisor has to be asked.
 
-    The stages are in the order in which their runners leave.
+    The stages are in the order in which their runners leave, or of the departures.
     """
 
     moves: list[Evacuation]
@@ -79,6 +91,12 @@
     def choose(self, inputs: EvacuationInputs) -> EvacuationPlan:
         """Return the runs to stop now, and for which stages the advisor has to be asked."""
 
+    @abstractmethod
+    def choose_departures(
+        self, inputs: EvacuationInputs, departures: Iterable[Departure]
+    ) -> EvacuationPlan:
+        """Return the same for runs on runners that do not drain."""
+
 
 class RoomOnPaper(EvacuationPolicy):
     """Move lasting tasks as soon as another runner seems to have room; the baseline.
@@ -99,12 +117,22 @@
         ]
         return EvacuationPlan(moves, {})
 
+    @override
+    def choose_departures(
+        self, inputs: EvacuationInputs, departures: Iterable[Departure]
+    ) -> EvacuationPlan:
+        targets, plan = _Targets(inputs), EvacuationPlan([], {})
+        for departure, row in _departing(inputs, departures):
+            _add_uncertain(plan, row, targets, departure.urgent)
+        return plan
+
 
 class CertainSuccessors(EvacuationPolicy):
     """Move a lasting task only if it is certain to start on another runner at once.
 
     Load pattern: in a release two runners a second are replaced while the advisor is slow or fails.
     A task that is stopped before a ticket is at hand has no run for as long as the advisor takes.
+    The same holds for a lasting filling task on whose runner a serving task starts.
 
     Shortly before its runner may leave, a run is stopped anyway if another runner seems to have
     room, since the end of a run that ends with its runner is known only after its lease. Runs with
@@ -124,23 +152,20 @@
         targets, now = _Targets(inputs), inputs.now
         plan = EvacuationPlan([], {})
         for row in _rows(inputs):
-            if row.run.state is RunState.STOPPING:
-                if row.run.spec.daemon and row.run.task.ordinal not in row.stage.successors:
-                    self._add_awaiting(plan, row, now)
-                continue
-            if not row.run.spec.daemon:
-                if _saves_last_checkpoint(row, now):
-                    _add_uncertain(plan, row, targets)
-                continue
-            last_moment = now >= row.runner.leaves_at - self._end_seconds
-            certain = self._certain_move(row, targets, inputs)
-            if certain is not None:
-                plan.moves.append(certain._replace(last_moment=last_moment))
-                continue
-            if last_moment and _add_uncertain(plan, row, targets):
-                continue
-            if inputs.stays_within_cap(row.stage):
-                self._add_awaiting(plan, row, now)
+            if row.run.spec.daemon:
+                last_moment = now >= row.leaves_at - self._end_seconds
+                self._add_lasting(plan, row, targets, inputs, last_moment)
+            elif row.run.state is RunState.RUNNING and _saves_last_checkpoint(row, now):
+                _add_uncertain(plan, row, targets, True)
+        return plan
+
+    @override
+    def choose_departures(
+        self, inputs: EvacuationInputs, departures: Iterable[Departure]
+    ) -> EvacuationPlan:
+        targets, plan = _Targets(inputs), EvacuationPlan([], {})
+        for departure, row in _departing(inputs, departures):
+            self._add_lasting(plan, row, targets, inputs, departure.urgent)
         return plan
 
     def needed_ticket_seconds(self, validity: float) -> float:
@@ -153,6 +178,28 @@
         """
         return min(self._end_seconds + START_ORDER_SECONDS, MAX_SHARE_OF_VALIDITY * validity)
 
+    def _add_lasting(
+        self,
+        plan: EvacuationPlan,
+        row: _Row,
+        targets: _Targets,
+        inputs: EvacuationInputs,
+        last_moment: bool,
+    ) -> None:
+        """Add the move of a lasting run, or count its task for a call to the advisor."""
+        if row.run.state is RunState.STOPPING:
+            if row.run.task.ordinal not in row.stage.successors:
+                self._add_awaiting(plan, row, inputs.now)
+            return
+        certain = self._certain_move(row, targets, inputs)
+        if certain is not None:
+            plan.moves.append(certain._replace(last_moment=last_moment))
+            return
+        if last_moment and _add_uncertain(plan, row, targets, True):
+            return
+        if inputs.stays_within_cap(row.stage):
+            self._add_awaiting(plan, row, inputs.now)
+
     def _add_awaiting(self, plan: EvacuationPlan, row: _Row, now: float) -> None:
         """Count a task for which the advisor has to be asked."""
         cost, name = row.work.queue.advice, row.stage.id
@@ -167,8 +214,7 @@
     ) -> Evacuation | None:
         """Return the move of a run whose task is certain to start elsewhere, None if it is not."""
         index, stage, now = row.run.task.ordinal, row.stage, inputs.now
-        # A gang starts whole, and a suspected task only as a trial.
-        if stage.spec.gang or stage.is_suspect(index) or not inputs.stays_within_cap(stage):
+        if not may_be_certain(stage, index) or not inputs.stays_within_cap(stage):
             return None
         cost = row.work.queue.advice
         if cost is None:
@@ -182,13 +228,21 @@
         return Evacuation(row.run, stage, target, until, until - now)
 
 
+def may_be_certain(stage: Stage, index: int) -> bool:
+    """Return whether a task can have a certain successor.
+
+    A gang starts whole, and a suspected task only as a trial.
+    """
+    return not (stage.spec.gang or stage.is_suspect(index))
+
+
 class _Row(NamedTuple):
-    """Run on a draining runner, with its stage and its job."""
+    """Run that is to leave its runner, with its job, its stage and when its runner may leave."""
 
     run: Run
-    runner: RunnerState
     work: JobWork
     stage: Stage
+    leaves_at: float
 
 
 class _Targets:
@@ -252,7 +306,8 @@
         denied = row.work.denied_runners(stage)
         for other in runners:
             if (
-                other.id not in denied
+                other.id != row.run.runner
+                and other.id not in denied
                 and suits(other, upstream, stage.spec)
                 and accepts_another(other, stage, on_runner[other.id])
                 and stage.spec.reservation.fits(self._free(other))
@@ -260,11 +315,11 @@
                 yield other
 
 
-def _add_uncertain(plan: EvacuationPlan, row: _Row, targets: _Targets) -> bool:
+def _add_uncertain(plan: EvacuationPlan, row: _Row, targets: _Targets, last_moment: bool) -> bool:
     """Add the move of a run if another runner can take its task as far as is known."""
     target = targets.take_any(row)
     if target is not None:
-        plan.moves.append(Evacuation(row.run, row.stage, target, last_moment=True))
+        plan.moves.append(Evacuation(row.run, row.stage, target, last_moment=last_moment))
     return target is not None
 
 
@@ -277,11 +332,22 @@
             work = inputs.jobs.get(run.task.stage.job)
             stage = work.stages.get(run.task.stage) if work is not None else None
             if work is not None and stage is not None:
-                yield _Row(run, runner, work, stage)
+                yield _Row(run, work, stage, runner.leaves_at)
+
+
+def _departing(
+    inputs: EvacuationInputs, departures: Iterable[Departure]
+) -> Iterator[tuple[Departure, _Row]]:
+    """Yield the departures of runs at work whose job is active."""
+    for departure in departures:
+        run, stage = departure.run, departure.stage
+        work = inputs.jobs.get(stage.id.job)
+        if work is not None and run.state is RunState.RUNNING:
+            yield departure, _Row(run, work, stage, math.inf)
 
 
 def _saves_last_checkpoint(row: _Row, now: float) -> bool:
     """Return whether a run has checkpoints and is to save one before its runner leaves."""
     if not row.run.spec.checkpoints:
         return False
-    return now > row.runner.leaves_at - EVACUATE_BEFORE_LEAVING_SECONDS
+    return now > row.leaves_at - EVACUATE_BEFORE_LEAVING_SECONDS
--- a/ragworttiller/scheduling/decisions/keep_apart.py
+++ b/ragworttiller/scheduling/decisions/keep_apart.py
@@ -2,24 +2,26 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 
 from typing_extensions import override
 
-from ragworttiller.scheduling.decisions.runner_rules import at_limit, suits
-from ragworttiller.scheduling.decisions.separation import SeparationPolicy
+from ragworttiller.scheduling.decisions.evacuation import Departure, may_be_certain
+from ragworttiller.scheduling.decisions.separation import SHARING_REASON, SeparationPolicy
 from ragworttiller.scheduling.decisions.serving_relief import (
     RELIEF_REASON,
     ServingRelief,
+    tasks_away,
     within_budget,
 )
 from ragworttiller.scheduling.state.interference import PairView
+from ragworttiller.scheduling.state.jobs import StageId
 from ragworttiller.scheduling.state.orders import PaceOrder, PendingStops
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Run, Stage
+from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 from ragworttiller.scheduling.state.tails import CALM_SHARE
 
-SHARING_REASON = "serving task on the runner"
 # What a runner costs whose serving tasks are near their target, in mean durations.
 NOT_CALM_COST = 1.0
 
@@ -29,7 +31,8 @@
 
     Load pattern: serving tasks on every runner that is left. A filling task that is overdue joins
     them then, and is paced or stopped as far as they need it. One on whose runner a serving task
-    starts is stopped; if it lasts, only while another runner can take it, and within its budget.
+    starts is stopped. If it lasts, it departs within its budget, once its task is certain to start
+    elsewhere; near the bound, another runner that seems to have room is enough.
 
     Parameters
     ----------
@@ -41,8 +44,9 @@
     def __init__(self, bound: float) -> None:
         super().__init__()
         self._relief = ServingRelief(bound)
-        self._runners: Mapping[str, RunnerState] = {}
         self._now = 0.0
+        # Tasks among the departures that have not been stopped, by stage.
+        self._departing: Counter[StageId] = Counter()
 
     @override
     def begin(
@@ -52,7 +56,9 @@
         stage_of: Callable[[Run], Stage | None],
         now: float,
     ) -> None:
-        self._runners, self._now = runners, now
+        self._now = now
+        self.departures = []
+        self._departing.clear()
         self._relief.begin(runners, now)
         relieved = self._relief.runners
         # No calls for each runner, since each pass looks at all of them.
@@ -67,32 +73,31 @@
     def _separate(
         self, runner: RunnerState, stops: PendingStops, stage_of: Callable[[Run], Stage | None]
     ) -> None:
-        """Stop the filling runs on a runner that are to go on elsewhere."""
+        """Stop the filling runs on a runner that are to go on elsewhere, or let them depart."""
         for run in runner.runs.values():
-            if not run.spec.fills or run in stops:
+            if not run.spec.fills:
                 continue
             stage = stage_of(run)
-            if run.spec.daemon:
-                leaves = _may_stop(run, stage, stops) and self._has_place(run, stage, runner)
-            else:
-                leaves = not _joined_serving(run, runner)
-            if leaves:
+            if run.spec.daemon and stage is not None:
+                self._depart(run, stage, runner, stops)
+            elif run.spec.daemon:
+                if _may_stop(run, stage, stops):
+                    stops.add(run, SHARING_REASON)
+            elif not _joined_serving(run, runner):
                 stops.add(run, SHARING_REASON)
 
-    def _has_place(self, run: Run, stage: Stage | None, runner: RunnerState) -> bool:
-        """Return whether a runner without serving tasks can take the task of a run."""
-        if stage is None:
-            return True
-        upstream, running = runner.entry.upstream, stage.runs_by_runner()
-        return any(
-            other.accepts_tasks(self._now)
-            and run.reservation.fits(other.free)
-            and not at_limit(stage, running[other.id])
-            and other.id not in stage.tickets.denied
-            and suits(other, upstream, run.spec)
-            for other in self._runners.values()
-            if not other.serving_runs
-        )
+    def _depart(self, run: Run, stage: Stage, runner: RunnerState, stops: PendingStops) -> None:
+        """Let a lasting run depart, unless too many tasks of its stage would be away."""
+        if run in stops or run.state is not RunState.RUNNING:
+            return
+        urgent = self._relief.near_bound(runner, self._now)
+        # The evacuation moves the runs of a draining runner.
+        if not urgent and (runner.entry.draining or not may_be_certain(stage, run.task.ordinal)):
+            return
+        budget = run.spec.disruption_budget
+        if not budget or tasks_away(stage, stops) + self._departing[stage.id] < budget:
+            self._departing[stage.id] += 1
+            self.departures.append(Departure(run, stage, urgent))
 
     def _relieve(
         self, runner: RunnerState, stops: PendingStops, stage_of: Callable[[Run], Stage | None]
--- a/ragworttiller/scheduling/decisions/relief.py
+++ b/ragworttiller/scheduling/decisions/relief.py
@@ -82,7 +82,7 @@
         A run without a confirmed pace of 0 may still disturb. Of the others, one is moved in each
         ``bound``: the one with the highest ``harm``, or else the one that started last.
         """
-        if self.over_since is None or now - self.over_since < STOP_QUARTERS * self._quarter:
+        if not self.near_bound(now):
             return []
         stops = [run for run in filling if not run.pace.stopped]
         if not stops and filling and now - self._moved_at >= self._bound:
@@ -91,6 +91,12 @@
             self._moved_at = now
         return stops
 
+    def near_bound(self, now: float) -> bool:
+        """Return whether a tail is over its target for so long that filling tasks are stopped."""
+        if self.over_since is None:
+            return False
+        return now - self.over_since >= STOP_QUARTERS * self._quarter
+
     def idle(self, now: float) -> bool:
         """Return whether nothing of the relief is left to remember."""
         quiet = self.level == 0 and self.over_since is None and now >= self.closed_until
--- a/ragworttiller/scheduling/decisions/separation.py
+++ b/ragworttiller/scheduling/decisions/separation.py
@@ -6,11 +6,14 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
+from ragworttiller.scheduling.decisions.evacuation import Departure
 from ragworttiller.scheduling.state.interference import PairView
 from ragworttiller.scheduling.state.orders import PaceOrder, PendingStops
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run, Stage
 
+SHARING_REASON = "serving task on the runner"
+
 
 class SeparationPolicy(ABC):
     """Decides which tasks are kept apart on runners, and at which pace filling tasks work.
@@ -20,10 +23,13 @@
     counts : Counter
         Number of ``paces`` ordered, of ``stops`` ordered, of ``placements`` changed, and of
         ``pairs`` known.
+    departures : list of Departure
+        Lasting runs that are to go on elsewhere, chosen by the last call of `begin`.
     """
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
+        self.departures: list[Departure] = []
 
     @abstractmethod
     def begin(
@@ -33,7 +39,7 @@
         stage_of: Callable[[Run], Stage | None],
         now: float,
     ) -> None:
-        """Begin a planning pass, and add the runs that are stopped now.
+        """Begin a planning pass, and add the runs that are stopped now or are to move.
 
         Parameters
         ----------
--- a/ragworttiller/scheduling/decisions/serving_relief.py
+++ b/ragworttiller/scheduling/decisions/serving_relief.py
@@ -124,6 +124,11 @@
         relief = self._reliefs.get(runner.id)
         return relief is not None and (relief.level > 0 or now < relief.closed_until)
 
+    def near_bound(self, runner: RunnerState, now: float) -> bool:
+        """Return whether a tail on a runner is over its target for nearly as long as allowed."""
+        relief = self._reliefs.get(runner.id)
+        return relief is not None and relief.near_bound(now)
+
     def joined_lately(self, runner: RunnerState, now: float) -> bool:
         """Return whether reports do not show yet what a filling task on a runner does."""
         runs = runner.runs.values()
--- a/ragworttiller/scheduling/decisions/successor_names.py
+++ b/ragworttiller/scheduling/decisions/successor_names.py
@@ -1,4 +1,4 @@
-"""Choice of the runners that a call to the advisor names for tasks on draining runners."""
+"""Choice of the runners that a call to the advisor names for tasks that are to move."""
 
 from __future__ import annotations
 
@@ -19,11 +19,18 @@
 
 
 class AwaitedSuccessors(NamedTuple):
-    """Tasks on draining runners that need tickets valid until a time in seconds."""
+    """Tasks that are to move, and need tickets valid until a time in seconds."""
 
     tasks: int
     ticket_until: float
 
+    def plus(self, other: AwaitedSuccessors | None) -> AwaitedSuccessors:
+        """Return these tasks and others of the same stage."""
+        if other is None:
+            return self
+        until = max(self.ticket_until, other.ticket_until)
+        return AwaitedSuccessors(self.tasks + other.tasks, until)
+
 
 class _Candidates(NamedTuple):
     """Runners with room without a sufficient ticket, by what the advisor has said of them."""
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -15,7 +15,7 @@
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.placer import Placer
 from ragworttiller.scheduling.decisions.room_maker import RoomMaker
-from ragworttiller.scheduling.decisions.separation import SeparationPolicy
+from ragworttiller.scheduling.decisions.separation import SHARING_REASON, SeparationPolicy
 from ragworttiller.scheduling.decisions.stage_planner import StagePlanner
 from ragworttiller.scheduling.decisions.straggler_policy import LearntDurations, TailDurations
 from ragworttiller.scheduling.decisions.stragglers import StragglerSearch
@@ -368,6 +368,9 @@
         attempt("evacuation", now, self._evacuator.plan, self.jobs, now)
         separation = self._separation
         attempt("separation", now, separation.begin, self.runners, self._stops, self._stage_of, now)
+        leaving = separation.departures
+        move = self._evacuator.plan_departures
+        attempt("departures", now, move, leaving, SHARING_REASON, self.jobs, now)
         attempt("looks", now, self._plan_looks, plan, now)
         self._plan_starts(plan, now, wall)
         plan.stops.extend(self._stops.due(now))
--- a/tests/interference_rig.py
+++ b/tests/interference_rig.py
@@ -6,16 +6,20 @@
 from collections.abc import Callable
 from typing import Any
 
+from typing_extensions import override
+
 from ragworttiller.config.entry import EntryBounds, EntryPolicies
+from ragworttiller.platform.configuration import AdviceCost, Queue
 from ragworttiller.platform.runner_answers import EndedRun, HoldAnswer, RunningTask
+from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, choose_policies
 from ragworttiller.scheduling.state.jobs import TaskId
-from ragworttiller.scheduling.state.orders import PaceOrder
+from ragworttiller.scheduling.state.orders import PaceOrder, Plan
 from ragworttiller.scheduling.state.owned_cell import Cell
 from ragworttiller.scheduling.state.runner_state import RunnerState
 from ragworttiller.scheduling.state.runs import Run
 from ragworttiller.scheduling.state.takeover import Takeover
-from tests.scheduling_rig import LEASE_SECONDS, TERM_SECONDS, CellRig, job_id, step
+from tests.scheduling_rig import LEASE_SECONDS, QUEUE, TERM_SECONDS, CellRig, job_id, step
 
 TICK_SECONDS = 0.1
 REPORT_TICKS = 5
@@ -77,9 +81,14 @@
         """Submit a job of one step and return its identifier."""
         self._jobs += 1
         job = job_id(self._jobs)
-        self.submit(step(count, fields.pop("cpu", 500), image=image, **fields), job=job)
+        row = step(count, fields.pop("cpu", 500), image=image, **fields)
+        self.submit(row, job=job, queue=self.queue_of(image))
         return job
 
+    def queue_of(self, image: str) -> Queue:
+        """Return the queue to which jobs of an image are submitted."""
+        return QUEUE
+
     def serve(self, image: str = "web", count: int = 1, **fields: Any) -> str:
         """Submit serving tasks with a target of 100 ms."""
         return self.add(image, count, daemon=True, target_ms=100, **fields)
@@ -213,3 +222,40 @@
             if at <= self.now:
                 self.percents[key] = percent
         self._late = [row for row in self._late if row[0] > self.now]
+
+
+class AdvisedRig(InterferenceRig):
+    """The same with an advisor that is asked for filling tasks, and takes seconds.
+
+    Attributes
+    ----------
+    denied : set of str
+        Runners on which the advisor allows none of them.
+    asked : list of AdviceCall
+        Calls that were made.
+    """
+
+    COST = AdviceCost(2.0, 0.0, 3.0)
+
+    def __init__(self, runners: int = 1) -> None:
+        self.denied: set[str] = set()
+        self.asked: list[AdviceCall] = []
+        self._answers: list[tuple[float, AdviceCall]] = []
+        super().__init__(runners, "none")
+        self.cell.set_entries(["e1", "e2", "e3"])
+
+    @override
+    def queue_of(self, image: str) -> Queue:
+        return QUEUE._replace(name="filling", advice=self.COST) if image == "batch" else QUEUE
+
+    @override
+    def plan(self) -> Plan:
+        due = [row for row in self._answers if row[0] <= self.now]
+        self._answers = [row for row in self._answers if row[0] > self.now]
+        for _, call in due:
+            granted = dict.fromkeys(set(call.runners) - self.denied, "t")
+            self.cell.apply_advice(call, granted, self.now)
+        plan = super().plan()
+        self.asked += plan.calls
+        self._answers += [(self.now + call.wait + call.duration, call) for call in plan.calls]
+        return plan
