Count and time the calls of an entry to the advisor

What operators saw: calls for advice failed or were late, and no metric of an entry told a slow advisor from one that refuses, from one that is cut off, and from a queue of this entry's own calls.

Cause: the client of the advisor turned each failure into the same error, and nothing timed its calls.

Change: AdvisorMeter (as StoreMeter does for the store) records the duration by outcome (ok, refused, unreachable, unanswered, unreadable, cancelled), whose counts are the calls made and failed by reason, and what a call waited until the earlier ones of this entry were answered: the advisor serves an entry's calls in turn. Only answers end such a wait; a call that is refused at once does not. Callers of the client get the same errors as before.

Metrics: ragworttiller_advisor_call_seconds{outcome}, ragworttiller_advisor_call_wait_seconds, each with quantiles.

--- a/ragworttiller/platform/advisor.py
+++ b/ragworttiller/platform/advisor.py
@@ -8,10 +8,12 @@
 import msgspec
 
 from ragworttiller.exceptions import PlatformUnavailable, Unreadable
+from ragworttiller.platform.advisor_meter import AdvisorMeter
 from ragworttiller.platform.channel import ChannelSet
 from ragworttiller.platform.decoding import decode_json
 from ragworttiller.platform.exchange import ExchangeBroken, NotSent
 from ragworttiller.scheduling.state.jobs import StageId
+from ragworttiller.timers import SystemTimers
 
 log = logging.getLogger(__name__)
 
@@ -33,10 +35,13 @@
     ----------
     address : str
         ``host:port``.
+    meter : AdvisorMeter, optional
+        Counts and times the calls; by default a meter of its own.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, meter: AdvisorMeter | None = None) -> None:
         self._channels = ChannelSet(address, ADVISOR_TIMEOUT_SECONDS)
+        self._meter = meter or AdvisorMeter(SystemTimers())
 
     async def advise(
         self, stage: StageId, runners: Sequence[str], timeout: float
@@ -57,15 +62,21 @@
         PlatformUnavailable
             The advisor sent no valid answer, or refused because too many calls are waiting.
         """
-        body = msgspec.json.encode({"step": str(stage), "workers": list(runners)})
-        headers = [("content-type", "application/json")]
         try:
-            answer = await self._channels.request("POST", "/-/advise", body, headers, timeout)
-            if answer.status != 200:
-                raise PlatformUnavailable(service="advisor")
-            rows = decode_json(answer.body, _AdviceAnswer, "advice").good
+            with self._meter.call():
+                return await self._tickets(stage, runners, timeout)
         except (NotSent, ExchangeBroken, Unreadable) as exc:
             raise PlatformUnavailable(service="advisor") from exc
+
+    async def _tickets(
+        self, stage: StageId, runners: Sequence[str], timeout: float
+    ) -> dict[str, str]:
+        body = msgspec.json.encode({"step": str(stage), "workers": list(runners)})
+        headers = [("content-type", "application/json")]
+        answer = await self._channels.request("POST", "/-/advise", body, headers, timeout)
+        if answer.status != 200:
+            raise PlatformUnavailable(service="advisor")
+        rows = decode_json(answer.body, _AdviceAnswer, "advice").good
         named = set(runners)
         found = [row for row in map(_decode_row, rows) if row and row[0] in named]
         if len(found) < len(rows):
@@ -73,7 +84,7 @@
             log.warning("unreadable or unasked rows of the advisor skipped", extra=extra)
             if not found:
                 # Not an answer that denies every runner.
-                raise PlatformUnavailable(service="advisor")
+                raise Unreadable(what="advice", problem="no row names a runner of the call")
         return dict(found)
 
     async def close(self) -> None:
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -14,6 +14,7 @@
 from ragworttiller.exceptions import PartCancelled
 from ragworttiller.metrics import Metrics
 from ragworttiller.platform.advisor import Advisor
+from ragworttiller.platform.advisor_meter import AdvisorMeter
 from ragworttiller.platform.store import CONFIG_TOPIC, Partition, Producer, Store
 from ragworttiller.platform.store_meter import StoreMeter
 from ragworttiller.process.nng_peers import NngPeers
@@ -22,6 +23,7 @@
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
 from ragworttiller.scheduling.entry.acceptance import Acceptance
 from ragworttiller.scheduling.entry.admission_gate import AdmissionGate
+from ragworttiller.scheduling.entry.advisor_metrics import register_advisor_metrics
 from ragworttiller.scheduling.entry.caller_policy import CallerPolicy
 from ragworttiller.scheduling.entry.callers import LocalCallers
 from ragworttiller.scheduling.entry.configuration_transfer import ConfigurationTransfer
@@ -105,6 +107,7 @@
         self._name = instance.name
         self._incarnation = random.SystemRandom().randrange(1, MAX_INCARNATION)
         self._store_meter = StoreMeter(clock)
+        self._advisor_meter = AdvisorMeter(clock)
         self._store = Store(
             settings.platform.store_address,
             meter=self._store_meter,
@@ -119,7 +122,7 @@
             self._peers,
             clock,
             EntryRecord(instance.peer_address, self._incarnation, instance.speed),
-            Advisor(settings.platform.advisor_address or ""),
+            Advisor(settings.platform.advisor_address or "", self._advisor_meter),
             lambda: self._host.figures.lag,
             lambda: self._host.gives_orders,
         )
@@ -224,6 +227,7 @@
             self._transfer,
         )
         register_store_metrics(self._metrics, self._store_meter)
+        register_advisor_metrics(self._metrics, self._advisor_meter)
         self._connections = ServerConnections(settings.limits.connections, clock)
         self._connections.register_metrics(self._metrics)
         self._policy = CallerPolicy(self._config, self._connections.max_body)
