Show the owner's load with calls to the advisor, and entries that fail them

What operators saw: lasting tasks waited for `advice` while calls took 0.6 to 0.85 of the entries' time and a third of the entries failed calls, and no metric or line told "advice is full" from "entries fail calls".

Cause: the owner knew the calls in flight and the entries that it avoids, and showed neither.

Change: - AdviceMeter integrates for how long entries have a call that is not answered. - AdvisorLoadLog measures each second: load (that time as a share of all entries' time), entries, avoided, calls without an answer, the age of the oldest, and the stages for which a call was due and not made. It writes `advisor load changed` with these and the first names if the load has crossed a level (0.4, 0.6, 0.8; down only 0.1 below it) or the avoided entries changed, so at most one line a second. - Gauges of the owner: ragworttiller_owner_advisor_load, ..._entries_avoided, ..._calls, ..._oldest_call_seconds, ..._stages_waiting.

One job passes from end to end through real entries, whose pages show the metrics. test_advice, test_pace_log, test_cell, test_cell_decisions, test_peer_advice, test_owners, test_owner_pace, test_busy_owner, test_unexpected_errors, test_contained_errors, test_lasting_load, test_owner_faults and test_membership pass.

--- a/ragworttiller/scheduling/decisions/entry_loads.py
+++ b/ragworttiller/scheduling/decisions/entry_loads.py
@@ -38,6 +38,11 @@
         self._all_usable_at = -math.inf
         self._last_answered_at = -math.inf
 
+    @property
+    def entries(self) -> int:
+        """Number of available entries."""
+        return len(self._backlog_seconds)
+
     def set_entries(self, entries: Sequence[str]) -> None:
         """Set the available entries; those that remain keep their backlog."""
         if self._backlog_seconds.keys() != set(entries):
@@ -122,6 +127,12 @@
         idle = [self._backlog_seconds[name] for name in self._usable(True, now)].count(0.0)
         return min(max(idle // 2, 1), MAX_CALLS_AT_ONCE)
 
+    def avoided(self, now: float) -> list[str]:
+        """Return the entries that are avoided at a time in seconds since a call has failed."""
+        names = list(self._backlog_seconds)
+        working = set(self._working(names, now))
+        return [name for name in names if name not in working]
+
     def backlog(self, entry: str) -> float:
         """Return the backlog of an entry, in seconds."""
         return self._backlog_seconds.get(entry, 0.0)
--- a/ragworttiller/scheduling/entry/entry_metrics.py
+++ b/ragworttiller/scheduling/entry/entry_metrics.py
@@ -76,6 +76,31 @@
         "Lasting tasks that have waited for over 3 s.",
         lambda owner: owner.waiting_lasting_tasks,
     ),
+    OwnerMetric(
+        "owner_advisor_load",
+        "Share of the entries' time with a call to the advisor.",
+        lambda owner: owner.advisor_load.load,
+    ),
+    OwnerMetric(
+        "owner_advisor_entries_avoided",
+        "Entries that get no calls to the advisor since one has failed.",
+        lambda owner: owner.advisor_load.avoided,
+    ),
+    OwnerMetric(
+        "owner_advisor_calls",
+        "Calls to the advisor without an answer.",
+        lambda owner: owner.advisor_load.calls,
+    ),
+    OwnerMetric(
+        "owner_advisor_oldest_call_seconds",
+        "Age of the oldest call without an answer.",
+        lambda owner: owner.advisor_load.oldest,
+    ),
+    OwnerMetric(
+        "owner_advisor_stages_waiting",
+        "Stages for which a call was due and not made.",
+        lambda owner: owner.advisor_load.waiting,
+    ),
     OwnerMetric(
         "interference_paces",
         "Pace orders sent by this owner.",
--- a/ragworttiller/scheduling/ownership/owner.py
+++ b/ragworttiller/scheduling/ownership/owner.py
@@ -15,6 +15,7 @@
 from ragworttiller.scheduling.clock import Clock
 from ragworttiller.scheduling.decisions.advice import Advice, AdviceCall
 from ragworttiller.scheduling.decisions.pass_pace import ProportionalPause
+from ragworttiller.scheduling.ownership.advisor_load_log import AdvisorLoad, AdvisorLoadLog
 from ragworttiller.scheduling.ownership.pace_log import OwnerPace, PaceLog
 from ragworttiller.scheduling.ownership.recorder import Recorder
 from ragworttiller.scheduling.ownership.renewal_log import RenewalLog
@@ -101,6 +102,7 @@
         self._recorder = Recorder(cell, term, self._writer, clock, retention, store.limits)
         self._errors = cell.errors
         self._pace_log = PaceLog(cell, clock)
+        self._advisor_load_log = AdvisorLoadLog(cell, clock)
         self._calls = RunnerCalls(
             cell, term, clock, self._recorder, connect, self.request_plan, lambda: self.lag
         )
@@ -120,6 +122,11 @@
         """Pace of the last interval of the pace log."""
         return self._pace_log.pace
 
+    @property
+    def advisor_load(self) -> AdvisorLoad:
+        """Load with calls to the advisor in the last interval of its log."""
+        return self._advisor_load_log.load
+
     @property
     def lag(self) -> float:
         """How late the event loop has run lately, in seconds."""
@@ -148,6 +155,7 @@
             tasks.start_soon(self._recorder.run)
             tasks.start_soon(self._wait_log.run)
             tasks.start_soon(self._pace_log.run)
+            tasks.start_soon(self._advisor_load_log.run)
 
     def request_plan(self) -> None:
         """Request planning because some state has changed."""
--- a/ragworttiller/scheduling/ownership/owner_figures.py
+++ b/ragworttiller/scheduling/ownership/owner_figures.py
@@ -6,6 +6,7 @@
 
 from ragworttiller.metrics import Distribution
 from ragworttiller.scheduling.clock import Clock
+from ragworttiller.scheduling.ownership.advisor_load_log import NO_LOAD, AdvisorLoad
 from ragworttiller.scheduling.ownership.owner import Owner
 from ragworttiller.scheduling.ownership.pace_log import NO_PACE, OwnerPace
 from ragworttiller.scheduling.state.copy_tally import CopyTally
@@ -33,6 +34,12 @@
         owner = self._owner()
         return NO_PACE if owner is None else owner.pace
 
+    @property
+    def advisor_load(self) -> AdvisorLoad:
+        """Load with calls to the advisor, `NO_LOAD` without an owner."""
+        owner = self._owner()
+        return NO_LOAD if owner is None else owner.advisor_load
+
     @property
     def lag(self) -> float:
         """How late the event loop of the owner runs, in seconds."""
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -11,6 +11,7 @@
 from ragworttiller.scheduling.decisions.caps import Caps
 from ragworttiller.scheduling.decisions.cell_policies import CellPolicies, default_policies
 from ragworttiller.scheduling.decisions.copy_planner import CopyPlanner
+from ragworttiller.scheduling.decisions.entry_loads import EntryLoads
 from ragworttiller.scheduling.decisions.evacuator import Evacuator
 from ragworttiller.scheduling.decisions.move_planner import MovePlanner
 from ragworttiller.scheduling.decisions.placer import Placer
@@ -24,6 +25,7 @@
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.records.runner_fold import RunnerFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
+from ragworttiller.scheduling.state.advice_meter import AdviceMeter
 from ragworttiller.scheduling.state.claim_contents import ClaimContents
 from ragworttiller.scheduling.state.contained_errors import ContainedErrors
 from ragworttiller.scheduling.state.copy_tally import CopyTally
@@ -91,6 +93,8 @@
         Jobs that are looked at without any effect.
     errors : ContainedErrors
         Runners, jobs, stages and steps that are put aside after an unexpected error.
+    advice_meter : AdviceMeter
+        Measures how much of the entries' time calls to the advisor take.
     """
 
     def __init__(
@@ -134,6 +138,7 @@
             "learnt values of a claim", began_at, restore, takeover.learnt, began_at
         )
         self._copies = CopyTally()
+        self.advice_meter = AdviceMeter(began_at)
         self._tracker = RunTracker(
             self._active,
             runners,
@@ -223,6 +228,11 @@
         """Copies of stragglers, and what became of them."""
         return self._copies
 
+    @property
+    def entry_loads(self) -> EntryLoads:
+        """Calls to the advisor in flight at each entry, and which entries fail them."""
+        return self._planner.loads
+
     @property
     def lasting_waits(self) -> LastingWaits:
         """Waits of lasting tasks for their next run."""
@@ -386,6 +396,8 @@
             self.errors.contain(exc, now, "planning")
         else:
             self._failed_passes = 0
+        for call in plan.calls:
+            self.advice_meter.begin_call(call)
 
     def _plan_looks(self, plan: Plan, now: float) -> None:
         try:
@@ -446,7 +458,7 @@
 
         The platform counts the validity of a ticket from its grant, and the answer may be late.
         """
-        stage = self._end_call(call)
+        stage = self._end_call(call, now)
         self._planner.loads.mark_answered(call.entry, now)
         if stage is not None:
             granted_at = min(call.granted_at, now)
@@ -454,11 +466,12 @@
 
     def mark_advice_failed(self, call: AdviceCall, now: float) -> None:
         """Record that a call to the advisor failed; its entry gets no calls for a while."""
-        self._end_call(call)
+        self._end_call(call, now)
         self._planner.loads.mark_failed(call.entry, now, call.asked_at)
 
-    def _end_call(self, call: AdviceCall) -> Stage | None:
+    def _end_call(self, call: AdviceCall, now: float) -> Stage | None:
         """Mark a call as ended and return its stage, None if the job is no longer active."""
+        self.advice_meter.end_call(call, now)
         self._planner.loads.end_call(call.entry, call.duration)
         stage = self._active.stage(call.stage)
         if stage is not None:
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -59,6 +59,10 @@
         """Entries that make a call for the stage now."""
         return self._call_ends.keys()
 
+    def lacks_call(self, now: float) -> bool:
+        """Return whether a call was due and not made, and none is in flight."""
+        return self.awaits_call and self.call_deadline <= now
+
     def calls_are_late(self, now: float) -> bool:
         """Return whether a few calls are in flight, and all should have been answered before."""
         ends = self._call_ends.values()
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -185,6 +185,14 @@
         assert tickets.valid_ticket("w1", 12.0) == "t"
         assert tickets.valid_ticket("w1", 12.45) == ""
 
+    def test_a_stage_with_one_of_two_calls_in_flight_does_not_count_as_without_one(self):
+        tickets = Tickets()
+        tickets.awaits_call = True
+        tickets.begin_call("e1", 10.0, 11.0, 13.0)
+        assert not tickets.lacks_call(10.5)
+        tickets.end_call("e1")
+        assert tickets.lacks_call(10.5)
+
 
 class TestAdvisedStages:
     @pytest.fixture()
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -103,6 +103,9 @@
             assert "ragworttiller_owner_lasting_tasks_waiting 0.0" in page
             assert "# TYPE ragworttiller_owner_lasting_task_wait_seconds summary" in page
             assert 'ragworttiller_waiting_seconds_quantile{kind="POST",quantile="0.99"}' in page
+            assert "ragworttiller_owner_advisor_entries_avoided 0.0" in page
+            pages = page + await platform.metrics("e2")
+            assert 'ragworttiller_advisor_call_seconds_count{outcome="ok"}' in pages
 
         with_platform(body)
 
