Hold the waiting tasks of a stage as a range

What callers saw: 30 submissions of a job with 100,000 tasks took the owner to 161 MB (bound 96 MB).

Cause: a stage kept a list of its waiting tasks, 4 MB for 100,000 tasks, and each search for the task that has waited for the longest, and each start, went through all of it.

Change: WaitingTasks holds the tasks that have never left as a range with exceptions, and the others in a list. The order of starts is the same. The longest wait looks at one of the untouched tasks only, since none of them has had a run, and the tasks that may start are a range as long as none of them has left.

A lasting stage becomes a list once a task of it waits again, since its order is then that of the last ends.

--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -373,7 +373,7 @@
             with_room = free_resources.with_room(upstream, stage.spec, stage.overdue)
         if not with_room:
             return False
-        indices = self._takeover.startable(work.row, stage)
+        indices: Sequence[int] = self._takeover.startable(work.row, stage)
         if stage.trials:
             # A trial of an earlier owner may still run.
             indices = [index for index in indices if index not in stage.trials]
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -22,6 +22,7 @@
 from ragworttiller.scheduling.state.runs.placements import Placements
 from ragworttiller.scheduling.state.runs.run import Run, RunState
 from ragworttiller.scheduling.state.runs.task_wait import TaskWait
+from ragworttiller.scheduling.state.runs.waiting_tasks import WaitingTasks
 from ragworttiller.scheduling.state.tickets import Tickets
 from ragworttiller.scheduling.state.workspaces import NO_WORKSPACE
 
@@ -137,7 +138,7 @@
         self.image = spec.image or f"{QUEUE_PREFIX}{queue}"
         self.workspace = workspace
         self.done: set[int] = set()
-        self.waiting: list[int] = list(range(spec.tasks - 1, -1, -1))
+        self.waiting = WaitingTasks(spec.tasks)
         self.active_runs: dict[int, Run] = {}
         self.copies: dict[int, Run] = {}
         self.surplus: dict[tuple[TaskId, int], Run] = {}
@@ -214,8 +215,11 @@
 
     def longest_waiting(self) -> int | None:
         """Return the index of the task that has waited for the longest, None if none waits."""
-        ready = float("inf")
-        return min(self.waiting, key=lambda i: self._startable_since(i, ready), default=None)
+        ready, untouched = float("inf"), self.waiting.last_untouched
+        # No run of the untouched tasks has ended, so they all have waited for as long.
+        first = () if untouched is None else (untouched,)
+        rows = chain(first, self.waiting.returned)
+        return min(rows, key=lambda i: self._startable_since(i, ready), default=None)
 
     def _startable_since(self, index: int, default: float) -> float:
         """Return since when a task could have started, ``default`` before the first pass."""
@@ -241,7 +245,7 @@
     def restore(self, progress: StageProgress) -> None:
         """Restore the progress that an earlier owner recorded."""
         self.done = {index for index in decode_bitmap(progress.done) if index < self.spec.tasks}
-        self.waiting = [index for index in self.waiting if index not in self.done]
+        self.waiting.discard_all(self.done)
         self.failed_runs = {index: list(runs) for index, runs in progress.failures.items()}
         self.checkpoints = dict(progress.checkpoints)
         self._restore_crashes(progress)
@@ -433,7 +437,7 @@
         self.waiting.append(index)
         if self.spec.daemon:
             # Others of its stage may go on ending for ever.
-            self.waiting.sort(key=self._waiting_since, reverse=True)
+            self.waiting.sort(key=self._waiting_since)
         return None
 
     def _waiting_since(self, index: int) -> float:
--- a/ragworttiller/scheduling/state/takeover.py
+++ b/ragworttiller/scheduling/state/takeover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 from ragworttiller.platform.boots import replaces
 from ragworttiller.scheduling.records.formats import Claim, Withdrawn
@@ -237,7 +237,7 @@
         """Return whether some task of the job may run on a runner that has not answered yet."""
         return bool(self._unresolved_until) and row.offset < self._accepted_before
 
-    def startable(self, row: JobRow, stage: Stage) -> list[int]:
+    def startable(self, row: JobRow, stage: Stage) -> Sequence[int]:
         """Return the waiting tasks of a stage that certainly do not run on any runner.
 
         Until all runners are settled, of a job that an earlier owner knew these are the tasks in
@@ -269,7 +269,7 @@
         runners were settled then. An end that a runner lists of a run that this owner has not found
         running proves nothing: the earlier owner may have read it, and started the next run.
         """
-        waiting = list(reversed(stage.waiting))
+        waiting = stage.waiting.in_start_order()
         if not self._unresolved_until or not self.is_inherited(row):
             return waiting
         copied = stage.may_have_copies
