Build the stages of an occurrence only once it is the next one due

What callers saw: 8 submissions of a job with 10,000 occurrences, none of them due for decades, took the owner to 586 MB (bound 96 MB).

Cause: all stages of all occurrences were built when a job was added.

Change: JobStages builds the occurrences that are due and the one after them, in the order in which they are due. A stage that is looked up is built with its occurrence: an earlier owner, whose clock was ahead, may have started a task of it, and recorded progress is restored whether or not it is due. A job is complete once all its occurrences are built and complete. Once a job has ended no task waits, also of what is built later.

The operators' view counts the tasks of later occurrences as waiting, and lists the built stages only. If the interval is negative, occurrences come in the order in which they are due.

Stages of past occurrences stay until the job ends, so that a job whose 10,000 occurrences are all due still takes as much as before.

--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -292,8 +292,8 @@
         self._remove_job(work)
 
     def _stop_all(self, work: JobWork, reason: str) -> None:
+        work.stages.close()
         for stage in work.stages.values():
-            stage.waiting.clear()
             for run in [*stage.active_runs.values(), *stage.copies.values()]:
                 self._stops.add(run, reason)
 
--- a/ragworttiller/scheduling/state/cell_view.py
+++ b/ragworttiller/scheduling/state/cell_view.py
@@ -134,7 +134,7 @@
             priority=inputs.priority,
             age=round(now - work.accepted_at, 3),
             slack=round(inputs.since + inputs.objective - inputs.remaining - now, 3),
-            waiting=sum(len(stage.waiting) for stage in stages),
+            waiting=sum(len(stage.waiting) for stage in stages) + work.stages.unbuilt_tasks,
             live=sum(len(stage.active_runs) + len(stage.copies) for stage in stages),
             done=sum(len(stage.done) for stage in stages),
             wait=str(first),
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -12,7 +12,8 @@
 from ragworttiller.scheduling.records.formats import Crash, JobState, Progress, stage_id
 from ragworttiller.scheduling.records.job_fold import JobRow
 from ragworttiller.scheduling.state.durations import DurationKey, duration_key
-from ragworttiller.scheduling.state.jobs import JobSpec, StageId, TaskId, waves
+from ragworttiller.scheduling.state.job_stages import JobStages
+from ragworttiller.scheduling.state.jobs import JobSpec, StageId, StepSpec, TaskId, waves
 from ragworttiller.scheduling.state.runs import Stage
 
 # Maximum age that a job is given when its owner first reads it.
@@ -63,25 +64,25 @@
         self.queue: Queue = row.accepted.queue
         self.spec: JobSpec = row.accepted.job
         self.workspace = row.accepted.workspace
+        # Its stages keep this key if the queue is configured anew.
+        self._queue_key = self.queue.key
         self._estimates = estimates
         self._duration_keys = [duration_key(step.image, self.queue.key) for step in self.spec.steps]
         self.state = row.progress.state
         self.accepted_at = now - min(max(wall - row.accepted.wall, 0.0), MAX_INITIAL_AGE_SECONDS)
-        self.stages: dict[StageId, Stage] = {}
-        self._by_occurrence: list[list[Stage]] = []
+        self.stages = JobStages(job, self.spec, self._make_stage)
         self._widths: tuple[int, ...] | None = None
         self._was_held = False
         self._critical_path_seconds = self.spec.critical_path_seconds()
+        self.stages.build_due(wall)
         restored = {stage_id(job, progress): progress for progress in row.progress.stages}
-        for occurrence in range(self.spec.times):
-            self._by_occurrence.append([])
-            for step, spec in enumerate(self.spec.steps):
-                name = StageId(job, occurrence, step)
-                stage = Stage(name, spec, self.workspace, self.queue.key)
-                self.stages[name] = stage
-                self._by_occurrence[occurrence].append(stage)
-                if name in restored:
-                    stage.restore(restored[name])
+        for name, progress in sorted(restored.items()):
+            stage = self.stages.get(name)
+            if stage is not None:
+                stage.restore(progress)
+
+    def _make_stage(self, name: StageId, spec: StepSpec) -> Stage:
+        return Stage(name, spec, self.workspace, self._queue_key)
 
     @property
     def has_started(self) -> bool:
@@ -91,7 +92,7 @@
     @property
     def complete(self) -> bool:
         """Whether every task has ended as done."""
-        return all(stage.complete for stage in self.stages.values())
+        return self.stages.all_built and all(stage.complete for stage in self.stages.values())
 
     @property
     def open(self) -> bool:
@@ -106,7 +107,7 @@
     @property
     def has_waiting_tasks(self) -> bool:
         """Whether the job is open and a task of it waits, also one that may not start yet."""
-        return self.open and any(stage.waiting for stage in self.stages.values())
+        return self.open and (not self.stages.all_built or any(self.waiting_stages()))
 
     def set_widths(self, widths: tuple[int, ...] | None) -> None:
         """Set how many tasks of each step the cap of the workspace allows, None for all."""
@@ -114,13 +115,14 @@
         self._critical_path_seconds = self.spec.critical_path_seconds(self._widths)
 
     def waiting_stages(self) -> Iterator[Stage]:
-        """Yield the stages that have waiting tasks, none unless the job is open."""
+        """Yield the built stages that have waiting tasks, none unless the job is open."""
         for stage in self.stages.values() if self.open else ():
             if stage.waiting:
                 yield stage
 
     def ready(self, wall: float) -> Iterator[Stage]:
         """Yield the due stages that have waiting tasks and whose predecessors are complete."""
+        self.stages.build_due(wall)
         for stage in self.stages.values():
             if not stage.waiting or not self.predecessors_complete(stage):
                 continue
@@ -136,14 +138,14 @@
         """Return whether all stages that a stage depends on are complete."""
         if not stage.spec.after:
             return True
-        steps = self._by_occurrence[stage.id.occurrence]
+        steps = self.stages.of(stage.id.occurrence)
         return all(steps[step].complete for step in stage.spec.after)
 
     def predecessors(self, stage: Stage) -> list[Stage]:
         """Return the stages that a stage depends on."""
         if not stage.spec.after:
             return []
-        steps = self._by_occurrence[stage.id.occurrence]
+        steps = self.stages.of(stage.id.occurrence)
         return [steps[step] for step in stage.spec.after]
 
     def denied_runners(self, stage: Stage) -> Set[str]:
@@ -187,7 +189,7 @@
     def _held_seconds(self, occurrence: int, now: float) -> float:
         """Return for how long the cap has held an occurrence, along its longest held chain."""
         held: list[float] = []
-        for stage in self._by_occurrence[occurrence]:
+        for stage in self.stages.of(occurrence):
             start = max((held[step] for step in stage.spec.after), default=0.0)
             held.append(start + stage.cap_hold.seconds(now))
         return max(held)
@@ -203,7 +205,7 @@
     def _remaining_seconds(self, occurrence: int) -> float:
         """Return the expected duration of the longest unfinished chain of an occurrence."""
         ends: list[float] = []
-        for stage in self._by_occurrence[occurrence]:
+        for stage in self.stages.of(occurrence):
             after = stage.spec.after
             start = max([ends[step] for step in after]) if after else 0.0
             ends.append(start if stage.complete else start + self._stage_seconds(stage))
--- a/ragworttiller/scheduling/state/placement_preview.py
+++ b/ragworttiller/scheduling/state/placement_preview.py
@@ -83,7 +83,7 @@
     """
     work = cell.previews.job(accepted, now, wall)
     waits = StageWaits(cell, now, wall)
-    first = [stage for stage in work.stages.values() if not stage.id.occurrence]
+    first = work.stages.of(0)
     shown = _shown([stage for stage in first if not stage.spec.after])
     return JobPreview(
         queue=work.queue.key,
