Search what the order of stages needs of their job once a pass

What callers saw: no answer within 5 s while jobs of 500 steps were planned.

Cause: the order of a stage depends on the longest unfinished chain of its occurrence, and on how long a cap has held it. Both go through all steps, and were computed again for each stage of the occurrence, in the choice of starts and in the summary for admission: 250,000 steps a pass for one job of 500 steps. Whether anything of a job runs was searched as often, for stages that wait for long.

Change: the stages of an occurrence that do not last have the same inputs. Within one search for ready stages, in which nothing of a job changes, they are computed once for each occurrence. Whether anything of a job runs is looked up once a pass, before its starts are decided.

The number of stages that are planned in one pass has no bound yet.

--- a/ragworttiller/scheduling/decisions/overdue_stages.py
+++ b/ragworttiller/scheduling/decisions/overdue_stages.py
@@ -39,10 +39,13 @@
         self._pool = pool
         self._caps = caps
         self._shares: dict[str, Shares] = {}
+        # Whether something of a job ran when the pass began; a job may have 500 ready stages.
+        self._runs: dict[str, bool] = {}
 
     def begin(self) -> None:
-        """Start a new planning pass."""
+        """Start a new planning pass, of which no start is decided before `mark`."""
         self._shares.clear()
+        self._runs.clear()
 
     def mark(self, ready: Sequence[ReadyStage], capped: bool, now: float) -> None:
         """Mark the stages that are overdue, as far as their cap allows them to start.
@@ -73,7 +76,13 @@
             stage.idle_since = now
         if now - stage.idle_since <= PATIENCE_SECONDS:
             return False
-        return self._is_quiet(work.queue.upstream, stage) and not work.runs_anything
+        return self._is_quiet(work.queue.upstream, stage) and not self._runs_anything(work)
+
+    def _runs_anything(self, work: JobWork) -> bool:
+        """Return whether a task of a job runs, or is about to."""
+        if work.id not in self._runs:
+            self._runs[work.id] = work.runs_anything
+        return self._runs[work.id]
 
     def _is_quiet(self, upstream: str, stage: Stage) -> bool:
         """Return whether little enough is in use of each resource that a stage needs."""
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -326,9 +326,10 @@
         for work in jobs:
             if not work.open:
                 continue
+            known: dict[int, OrderInputs] = {}
             for stage in work.ready(wall):
                 if settled or not self._takeover.blocks(work.row, stage):
-                    rows.append((work, stage, work.order_inputs(stage, now, wall)))
+                    rows.append((work, stage, work.order_inputs(stage, now, wall, known)))
         return rows
 
     def _relax_avoidance(
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -152,27 +152,46 @@
         """Return the runners on which the advisor does not allow a stage, as far as is known."""
         return stage.tickets.denied if self.queue.advice is not None else frozenset()
 
-    def order_inputs(self, stage: Stage, now: float, wall: float) -> OrderInputs:
+    def order_inputs(
+        self,
+        stage: Stage,
+        now: float,
+        wall: float,
+        known: dict[int, OrderInputs] | None = None,
+    ) -> OrderInputs:
         """Return the inputs of the queue order for a stage.
 
         An occurrence counts from its due time, and a lasting task from its last end.
 
+        They are the same for all stages of an occurrence that do not last. A caller that asks for
+        many stages of the job at once, while nothing of it changes, gives the same dictionary for
+        all: each occurrence is then searched once, and not again for each of its up to 500 stages.
+
         Parameters
         ----------
         stage : Stage
             Stage of the job.
         now, wall : float
             Time of the owner, and time of day in seconds since the epoch.
+        known : dict, optional
+            What earlier calls have returned, by occurrence; this call adds its own.
         """
         since = max(self.accepted_at, now + self.due(stage) - wall)
         if stage.spec.daemon:
             since = max(since, stage.last_requeued_at)
             return OrderInputs(self.queue.priority, since, self.queue.target_latency, 0.0, True)
+        known = {} if known is None else known
+        if stage.id.occurrence not in known:
+            known[stage.id.occurrence] = self._occurrence_inputs(stage.id.occurrence, since, now)
+        return known[stage.id.occurrence]
+
+    def _occurrence_inputs(self, occurrence: int, since: float, now: float) -> OrderInputs:
+        """Return the inputs for the stages of an occurrence, which counts ``since`` a time."""
         objective = (
             self.queue.slack_factor * self._critical_path_seconds + self.queue.target_latency
         )
-        remaining = self._remaining_seconds(stage.id.occurrence)
-        held = self._held_seconds(stage.id.occurrence, now) if self._was_held else 0.0
+        remaining = self._remaining_seconds(occurrence)
+        held = self._held_seconds(occurrence, now) if self._was_held else 0.0
         return OrderInputs(self.queue.priority, since, objective, remaining, held=held)
 
     def hold_for_cap(self, stage: Stage, now: float) -> None:
--- a/ragworttiller/scheduling/state/pressure_meter.py
+++ b/ragworttiller/scheduling/state/pressure_meter.py
@@ -15,7 +15,7 @@
     total,
     unusable_room,
 )
-from ragworttiller.scheduling.decisions.queue_order import LATE_FACTOR
+from ragworttiller.scheduling.decisions.queue_order import LATE_FACTOR, OrderInputs
 from ragworttiller.scheduling.records.formats import Pressure, PressureRow
 from ragworttiller.scheduling.records.queue_fold import QueueFold
 from ragworttiller.scheduling.state.active_jobs import ActiveJobs
@@ -100,11 +100,12 @@
         for work in self._active.by_id.values():
             if not work.open:
                 continue
+            known: dict[int, OrderInputs] = {}
             for stage in work.ready(wall):
                 if self._takeover.blocks(work.row, stage):
                     continue
                 # A stage that needs a label waits for some of the runners only.
-                if not stage.spec.label and not _is_hopeless(work, stage, now, wall):
+                if not stage.spec.label and not _is_hopeless(work, stage, now, wall, known):
                     yield WaitingWork(
                         work.queue.upstream,
                         work.queue.priority,
@@ -171,9 +172,11 @@
     return PressureRow(upstream, priority, round(wait, 3), round(wait_within, 3), room)
 
 
-def _is_hopeless(work: JobWork, stage: Stage, now: float, wall: float) -> bool:
+def _is_hopeless(
+    work: JobWork, stage: Stage, now: float, wall: float, known: dict[int, OrderInputs]
+) -> bool:
     """Return whether a job will be so late that all others come before it."""
-    inputs = work.order_inputs(stage, now, wall)
+    inputs = work.order_inputs(stage, now, wall, known)
     end = now + inputs.remaining
     return not inputs.lasts and end > inputs.since + LATE_FACTOR * inputs.objective
 
--- a/tests/test_queue_order.py
+++ b/tests/test_queue_order.py
@@ -4,10 +4,13 @@
 
 import pytest
 
+from ragworttiller.platform.configuration import AdviceCost
 from ragworttiller.scheduling.decisions.queue_order import ArrivalOrder, OrderInputs, SlackOrder
+from ragworttiller.scheduling.state.job_work import JobWork
 from tests.scheduling_rig import JOB, QUEUE, CellRig, job_id, step
 
 STREAM = QUEUE._replace(name="streams", prefix="/s/", priority=1, target_latency=2.5)
+ADVISED = QUEUE._replace(advice=AdviceCost(0.3, 0.01, 2.5))
 URGENT = QUEUE._replace(priority=0)
 
 
@@ -72,3 +75,48 @@
         first = OrderInputs(0, since=0.0, objective=2.0, remaining=1.0)
         second = OrderInputs(0, since=9.0, objective=2.0, remaining=1.0)
         assert order.key(first, 10.0) < order.key(second, 10.0)
+
+
+class TestManySteps:
+    """Guards against passes whose time grows with the square of the steps of a job."""
+
+    def test_chains_are_searched_once_a_pass(self, monkeypatch):
+        rig = CellRig(1)
+        rig.submit(*[step(1, 4000) for _ in range(50)])
+        searches: list[int] = []
+        original = JobWork._remaining_seconds
+
+        def search(work: JobWork, occurrence: int) -> float:
+            searches.append(occurrence)
+            return original(work, occurrence)
+
+        monkeypatch.setattr(JobWork, "_remaining_seconds", search)
+        rig.plan()
+        # Others search again for the few stages whose room depends on it.
+        assert 1 <= len(searches) < 10
+
+    def test_the_runs_of_a_job_are_searched_once_a_pass(self, monkeypatch):
+        rig = CellRig(1)
+        rig.submit(*[step(1, 0) for _ in range(50)], queue=ADVISED)
+        rig.plan()
+        rig.pass_time(10.0)
+        searches: list[str] = []
+        original = JobWork.runs_anything.fget
+
+        def search(work: JobWork) -> bool:
+            searches.append(work.id)
+            return bool(original(work))
+
+        monkeypatch.setattr(JobWork, "runs_anything", property(search))
+        rig.plan()
+        assert searches == [JOB]
+
+    def test_shared_inputs_are_those_of_each_stage(self):
+        rig = CellRig(1)
+        rig.submit(step(1, estimate_ms=3000), step(1, estimate_ms=5000, after=[0]), step(2))
+        work = rig.cell.jobs[JOB]
+        known: dict[int, OrderInputs] = {}
+        for stage in work.stages.values():
+            alone = work.order_inputs(stage, rig.now, rig.now)
+            assert work.order_inputs(stage, rig.now, rig.now, known) == alone
+        assert [row.remaining for row in known.values()] == [8.0]
