--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -326,9 +326,10 @@
         for work in jobs:
             if not work.open:
                 continue
+            known: dict[int, OrderInputs] = {}
             for stage in work.ready(wall):
                 if settled or not self._takeover.blocks(work.row, stage):
-                    rows.append((work, stage, work.order_inputs(stage, now, wall)))
+                    rows.append((work, stage, work.order_inputs(stage, now, wall, known)))
         return rows
 
     def _relax_avoidance(
@@ -373,7 +374,7 @@
             with_room = free_resources.with_room(upstream, stage.spec, stage.overdue)
         if not with_room:
             return False
-        indices = self._takeover.startable(work.row, stage)
+        indices: Sequence[int] = self._takeover.startable(work.row, stage)
         if stage.trials:
             # A trial of an earlier owner may still run.
             indices = [index for index in indices if index not in stage.trials]
