Wait for the other entries to be known before a long first load

Cause: an entry knows itself from the beginning, so that it took itself for the only one before it had read who else there is, and read the configuration whole from the store. The test's entries knew nobody at that time.

Change: Membership.known_names is empty until the records have been read.

--- a/ragworttiller/scheduling/entry/configuration_transfer.py
+++ b/ragworttiller/scheduling/entry/configuration_transfer.py
@@ -64,7 +64,7 @@
     peers : Peers
         Connections to the other entries.
     names : Callable
-        Returns the names of all announced entries.
+        Returns the names of all entries, none before they have been read.
     clock : Clock
         Source of time.
 
--- a/ragworttiller/scheduling/entry/entry_node.py
+++ b/ragworttiller/scheduling/entry/entry_node.py
@@ -168,7 +168,7 @@
         self._peers.handle(OwnerReplaced, self._handle_owner_replaced)
         self._peers.handle(OwnerQuery, self._handle_owner_query)
         self._transfer = ConfigurationTransfer(
-            self._config, self._peers, lambda: members.names, clock
+            self._config, self._peers, lambda: self._membership.known_names, clock
         )
         partition = Partition(CONFIG_TOPIC)
         self._config_feed = Feed(
--- a/ragworttiller/scheduling/membership/membership.py
+++ b/ragworttiller/scheduling/membership/membership.py
@@ -79,6 +79,11 @@
         """Number of times that the record of this entry had to be corrected."""
         return self._announcer.corrections
 
+    @property
+    def known_names(self) -> set[str]:
+        """Names of the entries, this one included; empty until they have been read."""
+        return set(self.members.names) if self._feed.ready else set()
+
     async def run(self) -> None:
         """Announce this entry and follow the others until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -108,6 +108,24 @@
         assert (members.names, members.replaced) == ({"e1", "e3"}, set())
 
 
+class TestKnownNames:
+    def test_no_names_are_known_before_the_records_have_been_read(self):
+        """Guards against an entry that takes itself for the only one at its start."""
+
+        async def body(cell: Cell):
+            cell.start("e1")
+            await cell.timers.sleep(1.0)
+            late = cell.start("e2")
+            late.link.refused = True
+            await cell.timers.sleep(1.0)
+            assert late.membership.known_names == set()
+            late.link.refused = False
+            await cell.timers.sleep(2.0)
+            assert late.membership.known_names == {"e1", "e2"}
+
+        play(body)
+
+
 class TestAnnouncer:
     @pytest.mark.parametrize(
         "late_write",
