Reserve a successor's room for no longer than its move takes

- Room was reserved for as long as the ticket was valid: with 60 s of validity and a run that does not end, other work waited 56 s beside room.
It is reserved for 2.5 s, or for the stop and the next order if these take longer; after that the task counts as one that awaits a successor again.
- A reservation on a runner that begins to drain, or falls silent, was kept, and the advisor asked again only once the run had ended.
It ends in the next pass, and the call is made while the run is being stopped.

Both new tests of tests/test_evacuation.py failed before; it passes with test_keep_apart and test_lasting_load.

--- a/ragworttiller/scheduling/decisions/evacuation.py
+++ b/ragworttiller/scheduling/decisions/evacuation.py
@@ -25,7 +25,7 @@
 START_ORDER_SECONDS = 0.2
 # Tickets that are valid for a short time only count as long as they are fresh.
 MAX_SHARE_OF_VALIDITY = 0.75
-# How long room is reserved for a task that needs no ticket.
+# How long room is reserved at the least, with a ticket that is as long valid.
 RESERVATION_SECONDS = 2.5
 
 
@@ -217,15 +217,16 @@
         if not may_be_certain(stage, index) or not inputs.stays_within_cap(stage):
             return None
         cost = row.work.queue.advice
+        until = now + max(RESERVATION_SECONDS, self._end_seconds + START_ORDER_SECONDS)
         if cost is None:
             target = targets.take_certain(row, None)
-            until = now + RESERVATION_SECONDS
             return None if target is None else Evacuation(row.run, stage, target, until)
         target = targets.take_certain(row, now + self.needed_ticket_seconds(cost.validity))
         if target is None:
             return None
-        until = stage.tickets.valid_until(target)
-        return Evacuation(row.run, stage, target, until, until - now)
+        valid_until = stage.tickets.valid_until(target)
+        until = min(until, valid_until)
+        return Evacuation(row.run, stage, target, until, valid_until - now)
 
 
 def may_be_certain(stage: Stage, index: int) -> bool:
--- a/ragworttiller/scheduling/decisions/evacuator.py
+++ b/ragworttiller/scheduling/decisions/evacuator.py
@@ -74,6 +74,8 @@
         """
         self.awaiting = {}
         self.successors.expire(now)
+        if self.successors:
+            self.successors.keep({runner.id for runner in self._pool.accepting_tasks(now)})
         draining = [r for r in self._pool.runners.values() if r.entry.draining]
         self.ages.begin(draining)
         occupied = [runner for runner in draining if runner.runs]
--- a/ragworttiller/scheduling/state/successors.py
+++ b/ragworttiller/scheduling/state/successors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from typing import NamedTuple
 
 from ragworttiller.resources import NO_RESOURCES, Resources
@@ -29,6 +29,10 @@
     def __init__(self) -> None:
         self._rows: dict[TaskId, tuple[Stage, Successor]] = {}
 
+    def __len__(self) -> int:
+        """Return the number of reservations."""
+        return len(self._rows)
+
     def __iter__(self) -> Iterator[Successor]:
         """Iterate over the reservations; they may be released meanwhile."""
         return iter([row for _, row in self._rows.values()])
@@ -55,6 +59,12 @@
             if row.until <= now:
                 self.release(row.task)
 
+    def keep(self, runners: Set[str]) -> None:
+        """End the reservations on all but some runners."""
+        for row in self:
+            if row.runner not in runners:
+                self.release(row.task)
+
     def by_runner(self) -> dict[str, Resources]:
         """Return what is reserved on each runner."""
         total: dict[str, Resources] = {}
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -11,6 +11,7 @@
 from ragworttiller.resources import Resources
 from ragworttiller.scheduling.decisions.advice import AdviceCall
 from ragworttiller.scheduling.decisions.cell_policies import choose_policies
+from ragworttiller.scheduling.decisions.evacuation import RESERVATION_SECONDS
 from ragworttiller.scheduling.decisions.free_resources import FreeResources
 from ragworttiller.scheduling.decisions.runner_ages import RunnerAges
 from ragworttiller.scheduling.decisions.successor_names import (
@@ -146,6 +147,31 @@
         assert not plan.stops
         assert len(plan.calls) == 1
 
+    def test_another_runner_is_asked_for_as_soon_as_the_target_drains(self, rig: CellRig):
+        """Guards against a task that waits for its end before a call is made."""
+        run, target = run_of(rig), next(n for n in rig.cell.runners if n != run_of(rig).runner)
+        drain_and_answer(rig, target)
+        drain(rig, target)
+        (call,) = rig.plan().calls
+        assert not {target, run.runner} & set(call.runners)
+
+    def test_room_is_reserved_for_no_longer_than_a_stop_takes(self):
+        """Guards against work that waits beside room for a run that does not end."""
+        rig = CellRig(2)
+        rig.cell.set_entries(["e1", "e2"])
+        advice = AdviceCost(0.45, 0.0065, 60.0)
+        rig.submit(step(1, 3000, daemon=True), queue=QUEUE._replace(advice=advice))
+        (call,) = rig.plan().calls
+        answer(rig, call)
+        rig.start_all()
+        rig.pass_time(4.0)
+        drain(rig, run_of(rig).runner, 60.0)
+        rig.plan()
+        rig.submit(step(1, 3000, estimate_ms=60_000), job=OTHER)
+        rig.pass_time(RESERVATION_SECONDS + 0.1)
+        (order,) = rig.plan().starts
+        assert order.run.task.stage.job == OTHER
+
     def test_no_other_task_takes_the_reserved_room(self, rig: CellRig):
         """Guards against room that was counted and is gone by the time of the start."""
         target = next(name for name in rig.cell.runners if name != run_of(rig).runner)
