Count an entry as idle once all of its calls to the advisor have ended

Cause: the backlog of an entry is a sum of durations, and what remains after all of them were subtracted in another order need not be exactly 0. Such an entry never counts as idle again, so stages with many runners to ask about got fewer calls at once, in the end one.

Change: EntryLoads counts the calls of each entry, and without one its backlog is 0.

Evidence: the new test fails before (6.9e-18 s remain) and passes.

--- a/ragworttiller/scheduling/decisions/entry_loads.py
+++ b/ragworttiller/scheduling/decisions/entry_loads.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self._backlog_seconds: dict[str, float] = {}
+        self._calls: Counter[str] = Counter()
         self._long_calls: Counter[str] = Counter()
         self._failed_at: dict[str, float] = {}
         self._avoid_seconds: dict[str, float] = {}
@@ -48,6 +49,7 @@
         if self._backlog_seconds.keys() != set(entries):
             backlogs = self._backlog_seconds
             self._backlog_seconds = {name: backlogs.get(name, 0.0) for name in sorted(entries)}
+            self._calls = Counter({name: self._calls[name] for name in entries})
             self._long_calls = Counter({name: self._long_calls[name] for name in entries})
             for name in self._failed_at.keys() - set(entries):
                 del self._failed_at[name], self._avoid_seconds[name]
@@ -87,6 +89,7 @@
         if self._backlog_seconds[name] > max_backlog:
             return None
         self._backlog_seconds[name] += duration
+        self._calls[name] += 1
         self._long_calls[name] += is_long
         return name
 
@@ -140,7 +143,10 @@
     def end_call(self, entry: str, duration: float) -> None:
         """Remove an ended call from the backlog of its entry."""
         if entry in self._backlog_seconds:
-            self._backlog_seconds[entry] = max(self._backlog_seconds[entry] - duration, 0.0)
+            backlog = max(self._backlog_seconds[entry] - duration, 0.0)
+            self._calls[entry] = max(self._calls[entry] - 1, 0)
+            # A sum from which all durations were subtracted need not be exactly 0.
+            self._backlog_seconds[entry] = backlog if self._calls[entry] else 0.0
             long_calls = self._long_calls[entry] - (duration > SHORT_CALL_SECONDS)
             self._long_calls[entry] = max(long_calls, 0)
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from ragworttiller.platform.configuration import AdviceCost
@@ -75,6 +77,19 @@
         loads.end_call("a", 0.7)
         assert loads.backlog("a") == pytest.approx(0.1)
 
+    def test_an_entry_whose_calls_have_all_ended_counts_as_idle(self):
+        """Guards against sums of durations that do not come back to exactly 0."""
+        loads = EntryLoads()
+        names = [f"e{n}" for n in range(7)]
+        loads.set_entries(names)
+        durations = (0.01, 0.02, 0.04)
+        for seconds in durations:
+            assert sorted(loads.assign(seconds, 0.0) for _ in names) == names
+        for name, seconds in itertools.product(names, durations):
+            loads.end_call(name, seconds)
+        assert {loads.backlog(name) for name in names} == {0.0}
+        assert loads.calls_at_once(0.0) == 2
+
     def test_failed_entries_do_not_reduce_those_reserved_for_short_calls(self):
         loads = EntryLoads()
         loads.set_entries([f"e{n}" for n in range(7)])
