Make what a stage holds of its tasks when it is first used

What callers saw: with jobs of 500 steps an owner grew past the memory of its machine.

Cause: a stage took 7.1 KB before any of its tasks had started, most of it empty containers: sets, dictionaries, two bounded queues, and the tables of attributes of the stage and its parts.

Change: Stage and Tickets have slots and derive from LazyMembers, which makes a container when it is first used. Code reads and changes them as before. Where a planning pass looks at each stage that waits, it asks first whether there is anything: whether a stage is complete, for how long it has waited, its tickets, and the trials and losses at the start of an owner. WaitingTasks of which none has left share their empty parts.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -257,8 +257,11 @@
 
         An ``urgent`` one does not wait for calls that are late.
         """
-        cost, tickets = work.queue.advice, stage.tickets
-        if cost is None or tickets.recheck_at > self._now:
+        cost = work.queue.advice
+        if cost is None:
+            return False
+        tickets = stage.tickets
+        if tickets.recheck_at > self._now:
             return False
         awaits_answer = tickets.call_deadline > self._now
         if awaits_answer and not (urgent and tickets.calls_are_late(self._now)):
--- a/ragworttiller/scheduling/state/active_jobs.py
+++ b/ragworttiller/scheduling/state/active_jobs.py
@@ -157,8 +157,8 @@
     def _add_job(self, job: str, row: JobRow, now: float, wall: float) -> None:
         work = self.preview(job, row, now, wall)
         self.by_id[job] = work
-        self.inherited_trials.update(s.id for s in work.stages.values() if s.trials)
-        self.inherited_losses.update(s.id for s in work.stages.values() if s.losses)
+        self.inherited_trials.update(s.id for s in work.stages.values() if s.has_trials)
+        self.inherited_losses.update(s.id for s in work.stages.values() if s.has_losses)
         if self._not_added.pop(job, None) is not None:
             self.on_added_late(work, now)
 
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -4,9 +4,12 @@
 
 from collections import Counter, deque
 from collections.abc import Iterator
+from functools import partial
 from itertools import chain
 from statistics import median
+from sys import intern
 
+from ragworttiller.lazy_members import LazyMembers
 from ragworttiller.scheduling.decisions.crash_rules import is_suspect, proof_wait_seconds
 from ragworttiller.scheduling.records.formats import (
     Blame,
@@ -35,7 +38,7 @@
 QUEUE_PREFIX = "queue:"
 
 
-class Stage:
+class Stage(LazyMembers):
     """One step of one occurrence, with the state of each of its tasks.
 
     While the job is open, every task is in exactly one of ``done``, ``waiting`` and
@@ -130,35 +133,120 @@
         ended.
     """
 
+    __slots__ = (
+        "_last_run_numbers",
+        "_recent_seconds",
+        "active_runs",
+        "begun",
+        "blocked_since",
+        "cap_hold",
+        "certain",
+        "checkpoints",
+        "copies",
+        "copies_started",
+        "crashes",
+        "done",
+        "durations",
+        "ended_seconds",
+        "failed_runs",
+        "failures",
+        "id",
+        "idle_since",
+        "image",
+        "joins_probes",
+        "last_failed_runner",
+        "last_trial_at",
+        "losses",
+        "lost_at",
+        "moves",
+        "overdue",
+        "placements",
+        "preemption_checked_at",
+        "preemptions",
+        "ready_since",
+        "requeued_at",
+        "reserved_on",
+        "reserved_since",
+        "spec",
+        "successors",
+        "surplus",
+        "tickets",
+        "trial_addresses",
+        "trials",
+        "tries_failed_on_probation",
+        "waiting",
+        "waits",
+        "waits_for_fast_since",
+        "workspace",
+    )
+
+    MAKERS = {
+        "done": set,
+        "active_runs": dict,
+        "copies": dict,
+        "surplus": dict,
+        "successors": dict,
+        "moves": Counter,
+        "copies_started": Counter,
+        "durations": partial(deque, maxlen=MAX_DURATIONS),
+        "failed_runs": dict,
+        "checkpoints": dict,
+        "failures": FailureRecord,
+        "crashes": dict,
+        "losses": dict,
+        "lost_at": dict,
+        "trials": dict,
+        "trial_addresses": dict,
+        "certain": set,
+        "placements": Placements,
+        "last_failed_runner": dict,
+        "tickets": Tickets,
+        "requeued_at": dict,
+        "waits": dict,
+        "preemptions": Counter,
+        "reserved_on": set,
+        "cap_hold": CapHold,
+        "_recent_seconds": partial(deque, maxlen=MAX_ENDED_SIBLINGS),
+        "_last_run_numbers": dict,
+    }
+
+    done: set[int]
+    active_runs: dict[int, Run]
+    copies: dict[int, Run]
+    surplus: dict[tuple[TaskId, int], Run]
+    successors: dict[int, str]
+    moves: Counter[int]
+    copies_started: Counter[int]
+    durations: deque[float]
+    failed_runs: dict[int, list[int]]
+    checkpoints: dict[int, str]
+    failures: FailureRecord
+    crashes: dict[int, list[Crash]]
+    losses: dict[int, list[Loss]]
+    lost_at: dict[int, float]
+    trials: dict[int, str]
+    trial_addresses: dict[int, str]
+    certain: set[int]
+    placements: Placements
+    last_failed_runner: dict[int, str]
+    tickets: Tickets
+    requeued_at: dict[int, float]
+    waits: dict[int, TaskWait]
+    preemptions: Counter[int]
+    reserved_on: set[str]
+    cap_hold: CapHold
+    _recent_seconds: deque[float]
+    _last_run_numbers: dict[int, int]
+
     def __init__(
         self, stage: StageId, spec: StepSpec, workspace: str = NO_WORKSPACE, queue: str = ""
     ) -> None:
         self.id = stage
         self.spec = spec
-        self.image = spec.image or f"{QUEUE_PREFIX}{queue}"
+        self.image = spec.image or intern(f"{QUEUE_PREFIX}{queue}")
         self.workspace = workspace
-        self.done: set[int] = set()
         self.waiting = WaitingTasks(spec.tasks)
-        self.active_runs: dict[int, Run] = {}
-        self.copies: dict[int, Run] = {}
-        self.surplus: dict[tuple[TaskId, int], Run] = {}
-        self.successors: dict[int, str] = {}
-        self.moves: Counter[int] = Counter()
-        self.copies_started: Counter[int] = Counter()
-        self.durations: deque[float] = deque(maxlen=MAX_DURATIONS)
-        self.failed_runs: dict[int, list[int]] = {}
-        self.checkpoints: dict[int, str] = {}
-        self.failures = FailureRecord()
-        self.crashes: dict[int, list[Crash]] = {}
-        self.losses: dict[int, list[Loss]] = {}
-        self.lost_at: dict[int, float] = {}
-        self.trials: dict[int, str] = {}
         self.last_trial_at = float("-inf")
-        self.trial_addresses: dict[int, str] = {}
-        self.certain: set[int] = set()
-        self.placements = Placements()
-        self.last_failed_runner: dict[int, str] = {}
-        self.tickets = Tickets()
         self.blocked_since: float | None = None
         self.ready_since: float | None = None
         self.begun = False
@@ -166,22 +254,15 @@
         self.tries_failed_on_probation = False
         self.joins_probes = False
         self.overdue = False
-        self.requeued_at: dict[int, float] = {}
-        self.waits: dict[int, TaskWait] = {}
-        self.preemptions: Counter[int] = Counter()
         self.preemption_checked_at = float("-inf")
-        self.reserved_on: set[str] = set()
         self.reserved_since: float | None = None
-        self.cap_hold = CapHold()
         self.waits_for_fast_since: float | None = None
         self.ended_seconds: float | None = None
-        self._recent_seconds: deque[float] = deque(maxlen=MAX_ENDED_SIBLINGS)
-        self._last_run_numbers: dict[int, int] = {}
 
     @property
     def complete(self) -> bool:
         """Whether every task has ended as done."""
-        return len(self.done) == self.spec.tasks
+        return not self.waiting and len(self.done) == self.spec.tasks
 
     @property
     def last_requeued_at(self) -> float:
@@ -202,6 +283,16 @@
         ended = self.done or self.failed_runs or self.checkpoints or self.crashes or self.losses
         return bool(ended or self.placements.boots)
 
+    @property
+    def has_trials(self) -> bool:
+        """Whether a task is tried, as far as that was recorded."""
+        return self.is_made("trials") and bool(self.trials)
+
+    @property
+    def has_losses(self) -> bool:
+        """Whether a runner was lost under a task that may only be out of reach."""
+        return self.is_made("losses") and bool(self.losses)
+
     @property
     def may_have_copies(self) -> bool:
         """Whether the step allows copies of its tasks."""
@@ -210,12 +301,16 @@
 
     def longest_wait(self, now: float) -> float:
         """Return for how many seconds the first of the waiting tasks could have started."""
+        if self.waiting and not self.is_made("requeued_at"):
+            return 0.0 if self.ready_since is None else now - self.ready_since
         first = self.longest_waiting()
         return 0.0 if first is None else now - self._startable_since(first, now)
 
     def longest_waiting(self) -> int | None:
         """Return the index of the task that has waited for the longest, None if none waits."""
         ready, untouched = float("inf"), self.waiting.last_untouched
+        if not self.waiting.returned:
+            return untouched
         # No run of the untouched tasks has ended, so they all have waited for as long.
         first = () if untouched is None else (untouched,)
         rows = chain(first, self.waiting.returned)
--- a/ragworttiller/scheduling/state/runs/waiting_tasks.py
+++ b/ragworttiller/scheduling/state/runs/waiting_tasks.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from itertools import chain
 from typing import overload
 
 from typing_extensions import override
 
+# Shared by all stages of which no task was taken, or has returned; never changed.
+NONE_TAKEN: set[int] = set()
+NONE_RETURNED: list[int] = []
+
 
 class WaitingTasks(Sequence[int]):
     """Indices of the waiting tasks of one stage, of which the last starts first.
@@ -31,12 +35,14 @@
         Tasks that wait again, which start before the others, the last of them first.
     """
 
-    __slots__ = ("returned", "taken", "untouched")
+    __slots__ = ("_count", "returned", "taken", "untouched")
 
     def __init__(self, tasks: int) -> None:
         self.untouched = range(tasks)
-        self.taken: set[int] = set()
-        self.returned: list[int] = []
+        self.taken = NONE_TAKEN
+        self.returned = NONE_RETURNED
+        # A planning pass asks several times whether tasks of a stage wait.
+        self._count = tasks
 
     @property
     def last_untouched(self) -> int | None:
@@ -51,7 +57,10 @@
 
     def append(self, index: int) -> None:
         """Add a task that starts before all others."""
+        if self.returned is NONE_RETURNED:
+            self.returned = []
         self.returned.append(index)
+        self._count += 1
 
     def remove(self, index: int) -> None:
         """Remove a task.
@@ -62,21 +71,23 @@
             It does not wait.
         """
         if self._is_untouched(index):
-            self._take(index)
+            self._take([index])
         else:
             self.returned.remove(index)
+        self._count -= 1
 
     def discard_all(self, indices: set[int]) -> None:
         """Remove those of some tasks that wait."""
         self.returned = [index for index in self.returned if index not in indices]
-        self.taken.update(index for index in indices if self._is_untouched(index))
-        self._skip_taken()
+        self._take(index for index in indices if self._is_untouched(index))
+        self._count = len(self.untouched) - len(self.taken) + len(self.returned)
 
     def clear(self) -> None:
         """Remove all tasks."""
         self.untouched = range(0)
-        self.taken = set()
-        self.returned = []
+        self.taken = NONE_TAKEN
+        self.returned = NONE_RETURNED
+        self._count = 0
 
     def sort(self, key: Callable[[int], float]) -> None:
         """Sort the tasks by a key, so that the one with the lowest starts first.
@@ -85,13 +96,15 @@
         """
         self.returned = sorted(self, key=key, reverse=True)
         self.untouched = range(0)
-        self.taken = set()
+        self.taken = NONE_TAKEN
 
     def _is_untouched(self, index: int) -> bool:
         return index in self.untouched and index not in self.taken
 
-    def _take(self, index: int) -> None:
-        self.taken.add(index)
+    def _take(self, indices: Iterable[int]) -> None:
+        if self.taken is NONE_TAKEN:
+            self.taken = set()
+        self.taken.update(indices)
         self._skip_taken()
 
     def _skip_taken(self) -> None:
@@ -114,7 +127,7 @@
 
     @override
     def __len__(self) -> int:
-        return len(self.untouched) - len(self.taken) + len(self.returned)
+        return self._count
 
     @override
     def __iter__(self) -> Iterator[int]:
--- a/ragworttiller/scheduling/state/tickets.py
+++ b/ragworttiller/scheduling/state/tickets.py
@@ -4,13 +4,15 @@
 
 from collections.abc import Collection, Iterable
 
+from ragworttiller.lazy_members import LazyMembers
+
 SEND_MARGIN_SECONDS = 0.1
 # A call that is late by more has probably failed, which is known only after its timeout.
 LATE_CALL_SECONDS = 0.5
 MAX_LATE_CALLS = 3
 
 
-class Tickets:
+class Tickets(LazyMembers):
     """Tickets of one stage.
 
     Which runners may run a stage does not change; only the tickets expire.
@@ -32,17 +34,39 @@
         the last search found none.
     """
 
+    __slots__ = (
+        "_call_deadlines",
+        "_call_ends",
+        "_tickets",
+        "allowed",
+        "asked_at",
+        "awaits_call",
+        "call_deadline",
+        "denied",
+        "recheck_at",
+        "urgent_recheck_at",
+    )
+
+    MAKERS = {
+        "allowed": set,
+        "denied": set,
+        "_tickets": dict,
+        "_call_deadlines": dict,
+        "_call_ends": dict,
+    }
+
+    allowed: set[str]
+    denied: set[str]
+    _tickets: dict[str, tuple[str, float]]
+    _call_deadlines: dict[str, float]
+    _call_ends: dict[str, float]
+
     def __init__(self) -> None:
-        self.allowed: set[str] = set()
-        self.denied: set[str] = set()
         self.call_deadline = 0.0
         self.asked_at: float | None = None
         self.recheck_at = 0.0
         self.awaits_call = False
         self.urgent_recheck_at = 0.0
-        self._tickets: dict[str, tuple[str, float]] = {}
-        self._call_deadlines: dict[str, float] = {}
-        self._call_ends: dict[str, float] = {}
 
     @property
     def known(self) -> bool:
@@ -113,6 +137,8 @@
 
     def holders(self, now: float) -> list[str]:
         """Return the runners with a valid ticket, and discard the tickets that have run out."""
+        if not self.is_made("_tickets"):
+            return []
         expired = [
             name for name, (_, until) in self._tickets.items() if until - SEND_MARGIN_SECONDS <= now
         ]
