Renew the ticket of a start that a slow store delays

What callers see: a lasting task on a draining runner is stopped for a certain successor, and has no run for 2.06 s if the store takes 0.8 s for an append, and for 2.46 s if it takes 1.0 s, since the start is refused for its ticket.

Cause: the placement is stored by the append after the one that stores the end of the run, so the start is ordered two appends after that end, with the ticket of its plan. A placement that was not stored within its 2 s makes the next start wait for another whole append, though the one in flight stores the same placement.

Change: - A start whose placement is not stored after 0.2 s, and whose ticket ends before a call made later would be answered, is asked for again, its runner alone. The order takes the newest ticket. - The wait for a placement ends with the append that stores it. The check before the order is as before, so are the records and their number.

Open: two appends without a run remain.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -203,6 +203,18 @@
         useful = self._plan_calls(work, stage, names, self._calls_at_once(work), urgent=True)
         tickets.urgent_recheck_at = 0.0 if useful else self._now + self._recheck_delay
 
+    def plan_renewal(self, work: JobWork, stage: Stage, runners: Sequence[str]) -> None:
+        """Plan a call for the runners of starts whose tickets run out before they are sent.
+
+        A start of a lasting task is sent once its placement is stored, which a slow store delays.
+        """
+        cost = work.queue.advice
+        if cost is None or not self._search_due(work, stage, True):
+            return
+        limit = self._now + call_duration(cost, len(runners)) + AHEAD_MARGIN_SECONDS
+        names = [name for name in runners if stage.tickets.valid_until(name) < limit]
+        self._plan_call(work, stage, names, urgent=True)
+
     def plan_for_held(self, work: JobWork, stage: Stage, seconds: float) -> None:
         """Plan a call for lasting tasks that an earlier owner keeps waiting for ``seconds`` more.
 
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -36,7 +36,7 @@
 from ragworttiller.scheduling.state.orders import Plan, StartOrder
 from ragworttiller.scheduling.state.runner_pool import RunnerPool
 from ragworttiller.scheduling.state.runner_state import RunnerState
-from ragworttiller.scheduling.state.runs import Stage
+from ragworttiller.scheduling.state.runs import Run, RunState, Stage
 from ragworttiller.scheduling.state.speeds import Speeds
 from ragworttiller.scheduling.state.takeover import Takeover
 
@@ -45,6 +45,8 @@
 START_DEADLINE_SECONDS = 1.2
 # The placement of a lasting task is stored before its start is ordered with a deadline of its own.
 PLACEMENT_SECONDS = 2.0
+# Time in which a placement is stored unless the store is slow.
+STORED_SOON_SECONDS = 0.2
 AVOID_FAILED_RUNNER_SECONDS = 2.0
 # How long a gang, or a task that has failed, leaves runners on probation to other tasks.
 MAX_PROBE_WAIT_SECONDS = 8.0
@@ -136,6 +138,8 @@
         self._overdue = OverdueStages(pool, caps)
         self._lasting = LastingStages(pool, caps, self._advice)
         self._evacuator = evacuator
+        # Starts of lasting tasks that may wait until their placements are stored.
+        self._delayed: list[Run] = []
         self._successors = SuccessorStarts(evacuator.successors, takeover, placer, caps)
 
     def plan(
@@ -176,6 +180,7 @@
         for_all(ready, lambda rows: self._overdue.mark(rows, capped, now), now, "overdue stages")
         for_all(ready, lambda rows: lasting.plan_calls(rows, capped, now), now, "lasting calls")
         attempt("calls for evacuations", now, self._plan_calls_for_evacuations, jobs)
+        attempt("calls for delayed starts", now, self._plan_renewals, jobs, now)
         ready = self._contained.without_aside(ready, now)
         held_back: set[str] = set()
         for row in self._shares.arrange(ready, self._order, capacity, now):
@@ -220,6 +225,25 @@
                 stage = work.stages[stage_id]
                 self._advice.plan_for_evacuation(work, stage, needed, self._evacuator.ages)
 
+    def _plan_renewals(self, jobs: Mapping[str, JobWork], now: float) -> None:
+        """Plan calls to the advisor for starts that wait until their placements are stored."""
+        self._delayed = [
+            run
+            for run in self._delayed
+            if run.state is RunState.STARTING and run.task.stage.job in jobs
+        ]
+        for stage_id in dict.fromkeys(run.task.stage for run in self._delayed):
+            work = jobs[stage_id.job]
+            stage = work.stages[stage_id]
+            runners = [
+                run.runner
+                for run in self._delayed
+                if stage.active_runs.get(run.task.ordinal) is run
+                and now - run.started_at > STORED_SOON_SECONDS
+                and not stage.placements.is_stored(run.task.ordinal, run.runner)
+            ]
+            self._advice.plan_renewal(work, stage, runners)
+
     def _place(
         self,
         plan: Plan,
@@ -455,6 +479,8 @@
                 ticket = stage.tickets.valid_ticket(name, now) if needs_ticket else ""
                 order = StartOrder(run, work.spec.spec, run.start_deadline, ticket, run.trial)
                 plan.starts.append(order)
+                if needs_ticket and stage.spec.daemon:
+                    self._delayed.append(run)
             except Exception:
                 if stage.spec.gang:
                     undo_gang_starts(plan, planned, stage, self._pool.runners, now)
--- a/ragworttiller/scheduling/ownership/recorder.py
+++ b/ragworttiller/scheduling/ownership/recorder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -90,15 +91,20 @@
         """Request that the changes of the cell are stored."""
         self._requested.set()
 
-    async def store_now(self, seconds: float = RECORDING_WAIT_SECONDS) -> bool:
+    async def store_now(
+        self,
+        seconds: float = RECORDING_WAIT_SECONDS,
+        suffices: Callable[[], bool] = lambda: False,
+    ) -> bool:
         """Store all changes made until now, and return whether that was done within ``seconds``.
 
-        Calls made before the next append share it.
+        Calls made before the next append share it. The wait ends early once an append is done after
+        which ``suffices`` returns true, since the append in flight may store what is waited for.
         """
         target = self._begun + 1
         self.request()
         with self._clock.move_on_after(seconds):
-            while self._stored < target:
+            while self._stored < target and not suffices():
                 await self._recorded.wait()
         return self._stored >= target
 
--- a/ragworttiller/scheduling/ownership/runner_calls.py
+++ b/ragworttiller/scheduling/ownership/runner_calls.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 
@@ -192,12 +193,14 @@
             log.info("start order refused", extra={**extra, "why": "trial not stored"})
             cell.mark_start_refused(run, "trial not stored", self._clock.now())
             return
-        deadline = order.deadline
+        deadline, ticket = order.deadline, order.ticket
         if run.spec.daemon:
             if not await self._store_placement(run):
                 return
             deadline = run.start_deadline
-        start = Start(run.task, run.number, order.spec, deadline, run.checkpoint, order.ticket)
+            # Another one may have been granted while the placement was stored.
+            ticket = cell.newest_ticket(run, self._clock.now()) or ticket
+        start = Start(run.task, run.number, order.spec, deadline, run.checkpoint, ticket)
         try:
             if not self._term.valid:
                 cell.mark_start_refused(run, "term", self._clock.now())
@@ -243,7 +246,8 @@
         cell, key = self._cell, run.key
         if not cell.placement_stored(run):
             cell.announce_start(run)
-            await self._recorder.store_now(PLACEMENT_SECONDS)
+            stored_meanwhile = partial(cell.placement_stored, run)
+            await self._recorder.store_now(PLACEMENT_SECONDS, stored_meanwhile)
         runner, now = cell.runners.get(run.runner), self._clock.now()
         if runner is None or runner.runs.get(key) is not run:
             # Its runner was lost, or its start has expired: the task waits again.
--- a/ragworttiller/scheduling/state/owned_cell.py
+++ b/ragworttiller/scheduling/state/owned_cell.py
@@ -473,6 +473,11 @@
         stage = self._stage_of(run)
         return stage is not None and stage.placements.is_stored(run.task.ordinal, run.runner)
 
+    def newest_ticket(self, run: Run, now: float) -> str:
+        """Return the newest valid ticket for the runner of a run, empty if there is none."""
+        stage = self._stage_of(run)
+        return "" if stage is None else stage.tickets.valid_ticket(run.runner, now)
+
     def announce_start(self, run: Run) -> None:
         """Let the trial or the placement of a run be stored, before its start is ordered."""
         work = self.jobs.get(run.task.stage.job)
