--- a/tests/test_slow_placements.py
+++ b/tests/test_slow_placements.py
@@ -112,7 +112,7 @@
 
 
 class TestSlowStore:
-    @pytest.mark.parametrize("seconds", [0.1, 0.6, 0.8, 0.9])
+    @pytest.mark.parametrize("seconds", [0.1, 0.6, 0.8, 0.9, 1.1, 1.5])
     def test_a_successor_waits_for_the_store_alone(self, seconds: float):
         """Guards against a start that is refused since its ticket ran out meanwhile."""
 
