--- a/ragworttiller/scheduling/entry/configuration_transfer.py
+++ b/ragworttiller/scheduling/entry/configuration_transfer.py
@@ -36,6 +36,8 @@
 MIN_ASK_INTERVAL_SECONDS = 0.01
 AVOID_FAILED_SECONDS = 3.0
 MAX_ASKED = 4
+# An entry that starts is told of no version, and many others may start with it.
+MAX_ASKED_AT_START = 16
 # Enough for each entry to hear of a version from some of those that have read it.
 MAX_NOTIFIED = 16
 # Entries that hear of a version at one moment ask different ones, once these have told of it too.
@@ -258,7 +260,8 @@
         others, failed = set(self._others()), self._failed_lately()
         told = self._told()
         chosen = sorted(told - failed or others - failed or others)
-        return random.sample(chosen, min(len(chosen), MAX_ASKED))
+        limit = MAX_ASKED if self._config.current else MAX_ASKED_AT_START
+        return random.sample(chosen, min(len(chosen), limit))
 
     def _told(self) -> set[str]:
         """Return the entries that have told of a later version."""
--- a/tests/test_long_configurations.py
+++ b/tests/test_long_configurations.py
@@ -325,6 +325,27 @@
 
         with_cell(body)
 
+    @pytest.mark.parametrize("seed", range(6))
+    def test_entries_that_are_not_connected_yet_hold_no_start_up(self, seed: int):
+        """Guards against a start that asks only entries that start as well."""
+
+        async def body(cell: KeyedCell):
+            random.seed(seed)
+            value = long_configuration(2, 4200)
+            cell.service.put(CONFIG_TOPIC, CONFIG_KEY, value)
+            rig = SlowCell(cell, fast=6, slow=0)
+            await cell.timers.sleep(1.0)
+            cell.names |= {f"absent{number}" for number in range(35)}
+            rig.links["late"] = Bandwidth(cell.timers, SLOW_BYTES_PER_SECOND)
+            cell.network.links["late"] = rig.links["late"]
+            late = cell.add("late", bandwidth=rig.links["late"])
+            cell.run(late)
+            await cell.timers.sleep(0.4)
+            assert late.config.version == 2
+            assert rig.links["late"].carried < len(value) / 2
+
+        with_cell(body)
+
     def test_an_entry_that_starts_alone_reads_the_store(self):
         async def body(cell: KeyedCell):
             value = long_configuration(2, 4200)
