Read what planning passes ask of jobs and stages without a call

Change: WaitingTasks.size, JobStages.built and JobStages.reached_all are attributes, and passes read them.

--- a/ragworttiller/scheduling/decisions/advice_planner.py
+++ b/ragworttiller/scheduling/decisions/advice_planner.py
@@ -249,7 +249,11 @@
                 continue
             margin = call_duration(cost, self._usable_runners) + AHEAD_MARGIN_SECONDS
             for stage in work.stages.values():
-                if not stage.waiting or not stage.spec.after or work.predecessors_complete(stage):
+                if (
+                    not stage.waiting.size
+                    or not stage.spec.after
+                    or work.predecessors_complete(stage)
+                ):
                     continue
                 if not self._predecessors_end_within(work, stage, margin, silent):
                     continue
--- a/ragworttiller/scheduling/decisions/stage_planner.py
+++ b/ragworttiller/scheduling/decisions/stage_planner.py
@@ -270,7 +270,7 @@
         placed = self._start_placeable(
             plan, work, stage, inputs, free_resources, allowance, allowed, now
         )
-        if not stage.waiting or (placed and stage.spec.gang):
+        if not stage.waiting.size or (placed and stage.spec.gang):
             return
         if placed and self._takeover.blocks(work.row, stage):
             # The others may run on an unsettled runner, and need no room yet.
--- a/ragworttiller/scheduling/state/job_stages.py
+++ b/ragworttiller/scheduling/state/job_stages.py
@@ -27,6 +27,13 @@
         The job.
     make : Callable
         Returns the stage with an identifier, of a step.
+
+    Attributes
+    ----------
+    built : dict of int to list of Stage
+        Stages of the occurrences that are built, by step.
+    reached_all : bool
+        Whether `build_due` has built all occurrences, and need not be called any more.
     """
 
     def __init__(self, job: str, spec: JobSpec, make: Callable[[StageId, StepSpec], Stage]) -> None:
@@ -34,7 +41,8 @@
         self._spec = spec
         self._make = make
         self._stages: dict[StageId, Stage] = {}
-        self._by_occurrence: dict[int, list[Stage]] = {}
+        self.built: dict[int, list[Stage]] = {}
+        self.reached_all = False
         # Number of occurrences that are built, in the order in which they are due.
         self._reached = 0
         self._closed = False
@@ -42,14 +50,14 @@
     @property
     def all_built(self) -> bool:
         """Whether every occurrence is built."""
-        return len(self._by_occurrence) == self._spec.times
+        return len(self.built) == self._spec.times
 
     @property
     def unbuilt_tasks(self) -> int:
         """Number of waiting tasks of the occurrences that are not built."""
         if self._closed:
             return 0
-        unbuilt = self._spec.times - len(self._by_occurrence)
+        unbuilt = self._spec.times - len(self.built)
         return unbuilt * sum(step.tasks for step in self._spec.steps)
 
     def build_due(self, wall: float) -> None:
@@ -58,12 +66,13 @@
         while self._reached < times and self._next_follows(wall):
             self.of(self._in_due_order(self._reached))
             self._reached += 1
+        self.reached_all = self._reached == times
 
     def of(self, occurrence: int) -> list[Stage]:
         """Return the stages of an occurrence, by step."""
-        if occurrence not in self._by_occurrence:
+        if occurrence not in self.built:
             self._build(occurrence)
-        return self._by_occurrence[occurrence]
+        return self.built[occurrence]
 
     def close(self) -> None:
         """Let no task wait any more, also of the occurrences that are not built."""
@@ -94,7 +103,7 @@
         if self._closed:
             for stage in rows:
                 stage.waiting.clear()
-        self._by_occurrence[occurrence] = rows
+        self.built[occurrence] = rows
         self._stages.update(zip(names, rows, strict=True))
 
     def _names(self, stage: StageId) -> bool:
--- a/ragworttiller/scheduling/state/job_work.py
+++ b/ragworttiller/scheduling/state/job_work.py
@@ -117,14 +117,15 @@
     def waiting_stages(self) -> Iterator[Stage]:
         """Yield the built stages that have waiting tasks, none unless the job is open."""
         for stage in self.stages.values() if self.open else ():
-            if stage.waiting:
+            if stage.waiting.size:
                 yield stage
 
     def ready(self, wall: float) -> Iterator[Stage]:
         """Yield the due stages that have waiting tasks and whose predecessors are complete."""
-        self.stages.build_due(wall)
+        if not self.stages.reached_all:
+            self.stages.build_due(wall)
         for stage in self.stages.values():
-            if not stage.waiting or not self.predecessors_complete(stage):
+            if not stage.waiting.size or not self.predecessors_complete(stage):
                 continue
             if self.spec.occurrences is None or self.due(stage) <= wall:
                 yield stage
@@ -138,14 +139,14 @@
         """Return whether all stages that a stage depends on are complete."""
         if not stage.spec.after:
             return True
-        steps = self.stages.of(stage.id.occurrence)
+        steps = self.stages.built[stage.id.occurrence]
         return all(steps[step].complete for step in stage.spec.after)
 
     def predecessors(self, stage: Stage) -> list[Stage]:
         """Return the stages that a stage depends on."""
         if not stage.spec.after:
             return []
-        steps = self.stages.of(stage.id.occurrence)
+        steps = self.stages.built[stage.id.occurrence]
         return [steps[step] for step in stage.spec.after]
 
     def denied_runners(self, stage: Stage) -> Set[str]:
--- a/ragworttiller/scheduling/state/runs/stage.py
+++ b/ragworttiller/scheduling/state/runs/stage.py
@@ -262,7 +262,7 @@
     @property
     def complete(self) -> bool:
         """Whether every task has ended as done."""
-        return not self.waiting and len(self.done) == self.spec.tasks
+        return not self.waiting.size and len(self.done) == self.spec.tasks
 
     @property
     def last_requeued_at(self) -> float:
@@ -301,7 +301,7 @@
 
     def longest_wait(self, now: float) -> float:
         """Return for how many seconds the first of the waiting tasks could have started."""
-        if self.waiting and not self.is_made("requeued_at"):
+        if self.waiting.size and not self.is_made("requeued_at"):
             return 0.0 if self.ready_since is None else now - self.ready_since
         first = self.longest_waiting()
         return 0.0 if first is None else now - self._startable_since(first, now)
--- a/ragworttiller/scheduling/state/runs/waiting_tasks.py
+++ b/ragworttiller/scheduling/state/runs/waiting_tasks.py
@@ -33,16 +33,17 @@
         Tasks in that range that do not wait; its lowest task always does.
     returned : list of int
         Tasks that wait again, which start before the others, the last of them first.
+    size : int
+        Number of waiting tasks, which a planning pass reads often.
     """
 
-    __slots__ = ("_count", "returned", "taken", "untouched")
+    __slots__ = ("returned", "size", "taken", "untouched")
 
     def __init__(self, tasks: int) -> None:
         self.untouched = range(tasks)
         self.taken = NONE_TAKEN
         self.returned = NONE_RETURNED
-        # A planning pass asks several times whether tasks of a stage wait.
-        self._count = tasks
+        self.size = tasks
 
     @property
     def last_untouched(self) -> int | None:
@@ -60,7 +61,7 @@
         if self.returned is NONE_RETURNED:
             self.returned = []
         self.returned.append(index)
-        self._count += 1
+        self.size += 1
 
     def remove(self, index: int) -> None:
         """Remove a task.
@@ -74,20 +75,20 @@
             self._take([index])
         else:
             self.returned.remove(index)
-        self._count -= 1
+        self.size -= 1
 
     def discard_all(self, indices: set[int]) -> None:
         """Remove those of some tasks that wait."""
         self.returned = [index for index in self.returned if index not in indices]
         self._take(index for index in indices if self._is_untouched(index))
-        self._count = len(self.untouched) - len(self.taken) + len(self.returned)
+        self.size = len(self.untouched) - len(self.taken) + len(self.returned)
 
     def clear(self) -> None:
         """Remove all tasks."""
         self.untouched = range(0)
         self.taken = NONE_TAKEN
         self.returned = NONE_RETURNED
-        self._count = 0
+        self.size = 0
 
     def sort(self, key: Callable[[int], float]) -> None:
         """Sort the tasks by a key, so that the one with the lowest starts first.
@@ -127,7 +128,7 @@
 
     @override
     def __len__(self) -> int:
-        return self._count
+        return self.size
 
     @override
     def __iter__(self) -> Iterator[int]:
