--- a/ragworttiller/process/outbox.py
+++ b/ragworttiller/process/outbox.py
@@ -16,7 +16,7 @@
 # A socket holds several batches, which no longer count as queued.
 BATCH_BYTES = 64 * 1024
 MIN_DISCONNECTED_READINGS = 2
-# Each one-way message is sent again, or followed by a later one, within this time.
+# One-way messages may be lost: what they tell is sent again, or asked for, within this time.
 ONE_WAY_SECONDS = 10.0
 # Callers of an instance wait for a reply for no longer.
 REPLY_SECONDS = 60.0
--- a/ragworttiller/scheduling/decisions/evacuation.py
+++ b/ragworttiller/scheduling/decisions/evacuation.py
@@ -25,7 +25,7 @@
 START_ORDER_SECONDS = 0.2
 # Tickets that are valid for a short time only count as long as they are fresh.
 MAX_SHARE_OF_VALIDITY = 0.75
-# How long room is reserved at the least, with a ticket that is as long valid.
+# How long room is reserved, unless the stop and the next order take longer or the ticket ends.
 RESERVATION_SECONDS = 2.5
 
 
